--- /dev/null
+++ b/packages/cli/src/commands/units.ts
@@ -0,0 +1,65 @@
+/** `rackspan submit` and `rackspan cancel`. */
+
+import { unitId } from "@rackspan/common";
+import type { OperatorVerdict } from "@rackspan/entry";
+import { EXIT_CODE, type ExitCode } from "../exitCodes.js";
+import type { Output } from "../Output.js";
+import { readDeclarations } from "../readDeclarations.js";
+import { registerCommand } from "./registry.js";
+
+const report = (
+  output: Output,
+  what: string,
+  verdict: OperatorVerdict,
+): ExitCode => {
+  if (verdict.accepted) {
+    output.line(`${what}: accepted`);
+    return EXIT_CODE.OK;
+  }
+  output.error(`${what}: not accepted: ${verdict.reason}: ${verdict.detail}`);
+  return EXIT_CODE.REFUSED;
+};
+
+registerCommand({
+  name: "submit",
+  summary: "submit batch jobs from files",
+  define: (command) => {
+    command.argument("<path...>", "files or folders of job declarations");
+  },
+  perform: async ({ client, output }, paths) => {
+    let worst: ExitCode = EXIT_CODE.OK;
+    for (const declaration of readDeclarations(paths)) {
+      if (declaration.kind !== "job") {
+        output.error(
+          `${declaration.kind}/${declaration.name} is no job; publish it with rackspan apply`,
+        );
+        worst = EXIT_CODE.BAD_INPUT;
+        continue;
+      }
+      const verdict = await client.call("submit", { job: declaration });
+      const code = report(output, `job/${declaration.name}`, verdict);
+      if (code !== EXIT_CODE.OK) worst = code;
+    }
+    return worst;
+  },
+});
+
+registerCommand({
+  name: "cancel",
+  summary: "cancel units, as job/minutes-0412",
+  define: (command) => {
+    command.argument(
+      "<unit...>",
+      "ids of units, as rackspan get units shows them",
+    );
+  },
+  perform: async ({ client, output }, units) => {
+    let worst: ExitCode = EXIT_CODE.OK;
+    for (const unit of units) {
+      const verdict = await client.call("cancel", { unit: unitId(unit) });
+      const code = report(output, unit, verdict);
+      if (code !== EXIT_CODE.OK) worst = code;
+    }
+    return worst;
+  },
+});
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,6 @@
+export * from "./diffDeclarations.js";
+export * from "./exitCodes.js";
+export * from "./Output.js";
+export * from "./readDeclarations.js";
+export * from "./runRackspan.js";
+export * from "./runSide.js";
--- /dev/null
+++ b/packages/cli/src/settingsOptions.ts
@@ -0,0 +1,25 @@
+/** The options by which both binaries find their settings. */
+
+import type { Command } from "commander";
+
+export interface SettingsOptions {
+  readonly config: string;
+  /** `PATH=VALUE`, in the order given. */
+  readonly set: readonly string[];
+}
+
+const collect = (
+  value: string,
+  before: readonly string[],
+): readonly string[] => [...before, value];
+
+export const collectOverrides = (command: Command): void => {
+  command
+    .requiredOption("--config <file>", "settings, JSON with comments")
+    .option(
+      "--set <path=value>",
+      "override a setting; goes before the environment, which goes before the file",
+      collect,
+      [] as readonly string[],
+    );
+};
--- /dev/null
+++ b/packages/common/src/ManualClock.ts
@@ -0,0 +1,66 @@
+/** A clock that moves only when told to; for tests and decision benchmarks. */
+
+import type { Clock, Instant, Monotonic, Timer } from "./clock.js";
+
+interface PendingTimer {
+  readonly at: Monotonic;
+  readonly order: number;
+  readonly callback: () => void;
+}
+
+export class ManualClock implements Clock {
+  private time: Monotonic = 0;
+  private order = 0;
+  private readonly timers = new Set<PendingTimer>();
+
+  constructor(private readonly epoch: Instant = 1_700_000_000_000) {}
+
+  now(): Instant {
+    return this.epoch + this.time;
+  }
+
+  monotonic(): Monotonic {
+    return this.time;
+  }
+
+  after(ms: number, callback: () => void): Timer {
+    const timer = {
+      at: this.time + Math.max(0, ms),
+      order: this.order++,
+      callback,
+    };
+    this.timers.add(timer);
+    return { cancel: () => void this.timers.delete(timer) };
+  }
+
+  /** Runs every timer due within `ms` in order, letting promises settle between. */
+  async advance(ms: number): Promise<void> {
+    const end = this.time + ms;
+    await settle();
+    for (let next = this.nextDue(end); next; next = this.nextDue(end)) {
+      this.timers.delete(next);
+      this.time = Math.max(this.time, next.at);
+      next.callback();
+      await settle();
+    }
+    this.time = end;
+  }
+
+  private nextDue(end: Monotonic): PendingTimer | undefined {
+    let first: PendingTimer | undefined;
+    for (const timer of this.timers) {
+      if (timer.at > end) continue;
+      if (!first || timer.at < first.at) first = timer;
+      else if (timer.at === first.at && timer.order < first.order)
+        first = timer;
+    }
+    return first;
+  }
+}
+
+/** Lets pending microtasks and immediates run. */
+const settle = async (): Promise<void> => {
+  for (let turn = 0; turn < 4; turn += 1) {
+    await new Promise<void>((resolve) => setImmediate(resolve));
+  }
+};
--- /dev/null
+++ b/packages/common/src/clock.ts
@@ -0,0 +1,60 @@
+/** The clock as an interface, so that tests decide what time it is. */
+
+import { AbortedError } from "./errors.js";
+
+/** Milliseconds since the Unix epoch; for people and records, never for lapses. */
+export type Instant = number;
+/** Milliseconds on a clock that never steps back; only differences mean anything. */
+export type Monotonic = number;
+
+export interface Timer {
+  cancel(): void;
+}
+
+export interface Clock {
+  now(): Instant;
+  monotonic(): Monotonic;
+  /** Calls back once after `ms`; the timer does not keep the process alive. */
+  after(ms: number, callback: () => void): Timer;
+}
+
+export class SystemClock implements Clock {
+  now(): Instant {
+    return Date.now();
+  }
+
+  monotonic(): Monotonic {
+    return performance.now();
+  }
+
+  after(ms: number, callback: () => void): Timer {
+    const handle = setTimeout(callback, Math.max(0, ms));
+    handle.unref();
+    return { cancel: () => clearTimeout(handle) };
+  }
+}
+
+/**
+ * Waits on the given clock.
+ * @throws AbortedError when the signal ends the wait
+ */
+export const sleep = (
+  clock: Clock,
+  ms: number,
+  signal?: AbortSignal,
+): Promise<void> =>
+  new Promise((resolve, reject) => {
+    if (signal?.aborted) {
+      reject(new AbortedError());
+      return;
+    }
+    const onAbort = (): void => {
+      timer.cancel();
+      reject(new AbortedError());
+    };
+    const timer = clock.after(ms, () => {
+      signal?.removeEventListener("abort", onAbort);
+      resolve();
+    });
+    signal?.addEventListener("abort", onAbort, { once: true });
+  });
--- /dev/null
+++ b/packages/common/src/errors.ts
@@ -0,0 +1,43 @@
+/** Base of all typed errors: a kind for programs, a remedy for people. */
+
+export interface ErrorDetails {
+  /** What happened, with the values at fault. */
+  readonly what: string;
+  /** What the reader can do about it. */
+  readonly remedy: string;
+  readonly cause?: unknown;
+}
+
+export abstract class RackspanError extends Error {
+  /** Stable kebab-case name, used as metric label and in problem bodies. */
+  abstract readonly kind: string;
+  readonly what: string;
+  readonly remedy: string;
+
+  constructor({ what, remedy, cause }: ErrorDetails) {
+    super(`${what}; ${remedy}`, cause === undefined ? undefined : { cause });
+    this.name = new.target.name;
+    this.what = what;
+    this.remedy = remedy;
+  }
+}
+
+/** The wait was ended by its own signal, not by a failure. */
+export class AbortedError extends RackspanError {
+  readonly kind = "aborted";
+  constructor(what = "the wait was cancelled") {
+    super({ what, remedy: "nothing to do: the process is stopping" });
+  }
+}
+
+/** The deadline passed before the work was done. */
+export class DeadlineError extends RackspanError {
+  readonly kind = "deadline";
+  constructor(what: string) {
+    super({ what, remedy: "allow more time or retry later" });
+  }
+}
+
+/** One line that names an error, whatever was thrown. */
+export const describeError = (err: unknown): string =>
+  err instanceof Error ? `${err.name}: ${err.message}` : String(err);
--- /dev/null
+++ b/packages/common/src/ids.ts
@@ -0,0 +1,44 @@
+/** Branded ids of everything that processes name to each other. */
+
+import { randomUUID } from "node:crypto";
+import { brand, type Brand } from "./brand.js";
+
+/** A worker host, by the name that the platform's host list gives it. */
+export type HostId = Brand<string, "HostId">;
+/** Counts the replacements of a host; the platform raises it. */
+export type HostGeneration = Brand<number, "HostGeneration">;
+export type AvailabilityZone = Brand<string, "AvailabilityZone">;
+export type Rack = Brand<string, "Rack">;
+/** One run of one process; a restart takes a new one. */
+export type Incarnation = Brand<string, "Incarnation">;
+export type EntryId = Brand<string, "EntryId">;
+export type ServiceName = Brand<string, "ServiceName">;
+export type TeamName = Brand<string, "TeamName">;
+/** What is placed as a whole: `service/0`, `worker/3`, or a job's name. */
+export type UnitId = Brand<string, "UnitId">;
+/** The running form of one attempt of a unit: `unit#attempt`. */
+export type TaskId = Brand<string, "TaskId">;
+export type ReservationId = Brand<string, "ReservationId">;
+export type RequestId = Brand<string, "RequestId">;
+export type IdempotencyKey = Brand<string, "IdempotencyKey">;
+/** Position of an entry in a stream of the log service. */
+export type Offset = Brand<number, "Offset">;
+/** Position of a record in the fold: the count of records applied before it. */
+export type Sequence = Brand<number, "Sequence">;
+/** Unique id that a writer gives to a record. */
+export type RecordId = Brand<string, "RecordId">;
+
+export const hostId = (value: string): HostId => brand<HostId>(value);
+export const unitId = (value: string): UnitId => brand<UnitId>(value);
+export const serviceName = (value: string): ServiceName =>
+  brand<ServiceName>(value);
+export const requestId = (value: string): RequestId => brand<RequestId>(value);
+export const offset = (value: number): Offset => brand<Offset>(value);
+export const sequence = (value: number): Sequence => brand<Sequence>(value);
+
+export const taskIdOf = (unit: UnitId, attempt: number): TaskId =>
+  brand<TaskId>(`${unit}#${attempt}`);
+
+/** A fresh random id; ids never decide behaviour, so they need no seed. */
+export const freshId = <B extends Brand<string, string>>(): B =>
+  randomUUID() as unknown as B;
--- /dev/null
+++ b/packages/common/src/random.ts
@@ -0,0 +1,30 @@
+/** Randomness as an interface, seeded where results must repeat. */
+
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+
+export interface Random {
+  /** Uniform in [0, 1). */
+  next(): number;
+}
+
+/** A generator that gives the same numbers for the same seed. */
+export class SeededRandom implements Random {
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  next(): number {
+    return uniformFloat64(this.generator);
+  }
+}
+
+/** Uniform integer in [0, bound). */
+export const pickIndex = (random: Random, bound: number): number =>
+  Math.floor(random.next() * bound);
+
+/** Half of `ms` fixed, half random: spreads retries without making any instant. */
+export const jitter = (random: Random, ms: number): number =>
+  ms / 2 + (random.next() * ms) / 2;
--- /dev/null
+++ b/packages/common/src/resources.ts
@@ -0,0 +1,48 @@
+/** Amounts of what a host has and a task asks for. */
+
+import { z } from "zod";
+
+const STEPS = 1_000;
+
+/**
+ * Rounds to thousandths, so that sums come out the same in any order; folds
+ * that were restored from a snapshot add in another order than the others.
+ */
+const toStep = (amount: number): number => Math.round(amount * STEPS) / STEPS;
+
+/** Processors in cores (fractions allowed), memory in MiB, accelerators in whole devices. */
+export const resourcesSchema = z.strictObject({
+  processors: z.number().min(0).max(100_000).transform(toStep),
+  memoryMiB: z.number().min(0).max(1e9).transform(toStep),
+  accelerators: z.number().int().min(0).max(10_000).default(0),
+});
+
+export type Resources = z.infer<typeof resourcesSchema>;
+
+export const NO_RESOURCES: Resources = {
+  processors: 0,
+  memoryMiB: 0,
+  accelerators: 0,
+};
+
+const RESOURCE_NAMES = ["processors", "memoryMiB", "accelerators"] as const;
+export type ResourceName = (typeof RESOURCE_NAMES)[number];
+
+export const addResources = (a: Resources, b: Resources): Resources => ({
+  processors: toStep(a.processors + b.processors),
+  memoryMiB: toStep(a.memoryMiB + b.memoryMiB),
+  accelerators: a.accelerators + b.accelerators,
+});
+
+export const subtractResources = (a: Resources, b: Resources): Resources => ({
+  processors: toStep(a.processors - b.processors),
+  memoryMiB: toStep(a.memoryMiB - b.memoryMiB),
+  accelerators: a.accelerators - b.accelerators,
+});
+
+/** Names the first amount that `asked` has more of than `free`; none when it fits. */
+export const firstShortage = (
+  asked: Resources,
+  free: Resources,
+): ResourceName | undefined =>
+  RESOURCE_NAMES.find((name) => asked[name] > free[name]);
--- /dev/null
+++ b/packages/entry/src/AttemptLoop.ts
@@ -0,0 +1,356 @@
+/**
+ * Finds an endpoint that answers: picks, sends, and tries again where that is
+ * allowed. A request that may run once only moves on after a confirmed not-run.
+ */
+
+import type { IncomingMessage } from "node:http";
+import type { Duplex } from "node:stream";
+import type {
+  Clock,
+  HostId,
+  Logger,
+  Metrics,
+  Monotonic,
+  RequestId,
+  ServiceName,
+} from "@rackspan/common";
+import {
+  Attempt,
+  AttemptFailedError,
+  HEADER,
+  REASON,
+  type BodyStream,
+  type Outcome,
+  type Problem,
+  type Reason,
+} from "@rackspan/protocol";
+import type {
+  EndpointPicker,
+  OutlierEjector,
+  RetryBudget,
+} from "@rackspan/routing";
+import type { RequestClass } from "@rackspan/state";
+import type { EndpointState } from "./EndpointState.js";
+import type { SideDirectory } from "./SideDirectory.js";
+import { agentFor, sideHeaders } from "./sideRequest.js";
+import type { SidePeer } from "./SidePeer.js";
+
+export interface AttemptLoopOptions {
+  readonly sides: SideDirectory;
+  readonly picker: EndpointPicker;
+  readonly ejector: OutlierEjector;
+  readonly budget: RetryBudget;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly maxAttempts: number;
+}
+
+export type UpgradeListener = (
+  answer: IncomingMessage,
+  socket: Duplex,
+  head: Buffer,
+) => void;
+
+/** A request on its way to some endpoint. */
+export interface OutgoingRequest {
+  readonly id: RequestId;
+  readonly service: ServiceName;
+  readonly class: RequestClass;
+  readonly repeatable: boolean;
+  readonly method: string;
+  readonly path: string;
+  readonly rawHeaders: readonly string[];
+  /** A stream can be sent once, a buffer any number of times. */
+  readonly body: Buffer | BodyStream | undefined;
+  readonly deadline: Monotonic;
+  readonly onUpgrade?: UpgradeListener;
+}
+
+/** Lets the caller's side end the attempt that is in progress. */
+export class Cancellation {
+  reason: "caller-gone" | "deadline" | undefined;
+  private attempt: Attempt | undefined;
+
+  cancel(reason: "caller-gone" | "deadline"): void {
+    this.reason ??= reason;
+    this.attempt?.cancel();
+  }
+
+  watch(attempt: Attempt | undefined): void {
+    this.attempt = attempt;
+  }
+}
+
+/** An endpoint's own answer; `release` must be called when it is over. */
+export interface Answered {
+  readonly kind: "answered";
+  readonly answer: IncomingMessage;
+  readonly host: HostId;
+  release(ok: boolean): void;
+}
+
+export interface Refused {
+  readonly kind: "refused";
+  readonly problem: Problem;
+}
+
+export type LoopResult = Answered | Refused;
+
+/** One attempt that brought no endpoint's answer. */
+interface Failure {
+  readonly outcome: Outcome;
+  readonly reason: Reason;
+  readonly status: number;
+}
+
+const STATUS_UNAVAILABLE = 503;
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_TIMEOUT = 504;
+const FENCE_TIMEOUT_MS = 500;
+const RETRY_AFTER_S = 1;
+
+export class AttemptLoop {
+  constructor(private readonly options: AttemptLoopOptions) {}
+
+  async run(
+    request: OutgoingRequest,
+    cancellation: Cancellation,
+  ): Promise<LoopResult> {
+    const { maxAttempts, budget, metrics } = this.options;
+    const tried = new Set<HostId>();
+    let last: Failure | undefined;
+    let mayHaveRun = false;
+    budget.earn();
+    for (let attempt = 1; attempt <= maxAttempts; attempt += 1) {
+      const peer = this.pick(request.service, tried);
+      if (!peer) break;
+      tried.add(peer.record.host);
+      const result = await this.tryOnce(request, attempt, peer, cancellation);
+      if (result.kind === "answered") return result;
+      last = result.failure;
+      mayHaveRun ||= last.outcome === "unknown";
+      metrics.count("attempt_failed", {
+        reason: last.reason,
+        outcome: last.outcome,
+      });
+      if (cancellation.reason || !this.mayRetry(request, last, attempt)) break;
+      metrics.count("retries", { reason: last.reason });
+    }
+    return {
+      kind: "refused",
+      problem: finalProblem(request, last, mayHaveRun, cancellation),
+    };
+  }
+
+  private pick(
+    service: ServiceName,
+    tried: ReadonlySet<HostId>,
+  ): SidePeer | undefined {
+    const { sides, picker, ejector } = this.options;
+    const candidates: EndpointState[] = [];
+    for (const peer of sides.serving(service)) {
+      if (peer.endpoint && !tried.has(peer.record.host))
+        candidates.push(peer.endpoint);
+    }
+    if (candidates.length === 0) return undefined;
+    return sides.get(picker.pick(ejector.admit(candidates)).host);
+  }
+
+  private mayRetry(
+    request: OutgoingRequest,
+    failure: Failure,
+    attempt: number,
+  ): boolean {
+    const { clock, budget, metrics, maxAttempts } = this.options;
+    if (attempt >= maxAttempts) return false;
+    const replayable =
+      request.body === undefined || Buffer.isBuffer(request.body);
+    if (!replayable || clock.monotonic() >= request.deadline) return false;
+    if (failure.outcome === "unknown" && !request.repeatable) return false;
+    if (budget.trySpend()) return true;
+    metrics.count("retries_denied", { reason: failure.reason });
+    return false;
+  }
+
+  private async tryOnce(
+    request: OutgoingRequest,
+    attempt: number,
+    peer: SidePeer,
+    cancellation: Cancellation,
+  ): Promise<
+    Answered | { readonly kind: "failed"; readonly failure: Failure }
+  > {
+    const { clock } = this.options;
+    const endpoint = peer.endpoint as EndpointState;
+    const startedAt = clock.monotonic();
+    const sent = this.send(request, attempt, endpoint);
+    cancellation.watch(sent);
+    endpoint.inFlight += 1;
+    try {
+      const answer = await sent.answer;
+      noteLoad(endpoint, answer, clock.monotonic());
+      if (answer.headers[HEADER.OUTCOME] === undefined) {
+        return this.answered(answer, endpoint, startedAt);
+      }
+      endpoint.inFlight -= 1;
+      return { kind: "failed", failure: readRefusal(answer) };
+    } catch (err) {
+      endpoint.inFlight -= 1;
+      const failure = readFailure(err, cancellation);
+      if (!cancellation.reason) this.report(endpoint, false, startedAt);
+      const settled = await this.settle(
+        request,
+        attempt,
+        peer,
+        failure,
+        startedAt,
+        cancellation,
+      );
+      return { kind: "failed", failure: settled };
+    }
+  }
+
+  private send(
+    request: OutgoingRequest,
+    attempt: number,
+    { address, incarnation }: EndpointState,
+  ): Attempt {
+    const { id, service, method, path, body, onUpgrade, deadline } = request;
+    const timeoutMs = Math.max(
+      0,
+      Math.floor(deadline - this.options.clock.monotonic()),
+    );
+    return new Attempt({
+      address,
+      agent: agentFor(request),
+      method,
+      path,
+      body,
+      headers: sideHeaders({
+        rawHeaders: request.rawHeaders,
+        body,
+        upgrade: onUpgrade !== undefined,
+        own: {
+          id,
+          service,
+          class: request.class,
+          attempt,
+          incarnation,
+          timeoutMs,
+        },
+      }),
+      ...(onUpgrade ? { onUpgrade } : {}),
+    });
+  }
+
+  private answered(
+    answer: IncomingMessage,
+    endpoint: EndpointState,
+    startedAt: Monotonic,
+  ): Answered {
+    let released = false;
+    const release = (ok: boolean): void => {
+      if (released) return;
+      released = true;
+      endpoint.inFlight -= 1;
+      this.report(endpoint, ok, startedAt);
+    };
+    return { kind: "answered", answer, host: endpoint.host, release };
+  }
+
+  private report(
+    endpoint: EndpointState,
+    ok: boolean,
+    startedAt: Monotonic,
+  ): void {
+    const at = this.options.clock.monotonic();
+    const latencyMs = at - startedAt;
+    if (ok) endpoint.answered(latencyMs);
+    this.options.ejector.report({ host: endpoint.host, ok, latencyMs, at });
+  }
+
+  /** Asks the side whether a request that may run once only has started there. */
+  private async settle(
+    request: OutgoingRequest,
+    attempt: number,
+    peer: SidePeer,
+    failure: Failure,
+    startedAt: Monotonic,
+    cancellation: Cancellation,
+  ): Promise<Failure> {
+    if (failure.outcome === "not-run" || request.repeatable) return failure;
+    const { clock, metrics, logger } = this.options;
+    const now = clock.monotonic();
+    const timeoutMs = Math.min(FENCE_TIMEOUT_MS, request.deadline - now);
+    if (timeoutMs <= 0 || cancellation.reason === "deadline") return failure;
+    const { incarnation } = peer.endpoint as EndpointState;
+    const ageMs = now - startedAt;
+    const fence = { request: request.id, attempt, incarnation, ageMs };
+    const started = await peer
+      .fenceRequest(fence, timeoutMs)
+      .catch(() => "unknown" as const);
+    metrics.count("request_fences", { started });
+    logger.info("request.fenced", { request: request.id, attempt, started });
+    return started === "no" ? { ...failure, outcome: "not-run" } : failure;
+  }
+}
+
+const noteLoad = (
+  endpoint: EndpointState,
+  answer: IncomingMessage,
+  at: Monotonic,
+): void => {
+  const busy = Number(answer.headers[HEADER.BUSY_SLOTS]);
+  if (Number.isInteger(busy)) endpoint.heard(busy, at);
+};
+
+/** The side drops this header from endpoints' answers, so it speaks for itself here. */
+const readRefusal = (answer: IncomingMessage): Failure => {
+  answer.resume();
+  const outcome =
+    answer.headers[HEADER.OUTCOME] === "not-run" ? "not-run" : "unknown";
+  const reason = (answer.headers[HEADER.REASON] ?? REASON.INTERNAL) as Reason;
+  return { outcome, reason, status: answer.statusCode ?? STATUS_BAD_GATEWAY };
+};
+
+const readFailure = (err: unknown, { reason }: Cancellation): Failure => {
+  const mayHaveRun = !(err instanceof AttemptFailedError) || err.mayHaveRun;
+  const outcome = mayHaveRun ? "unknown" : "not-run";
+  if (reason === "deadline") {
+    return { outcome, reason: REASON.DEADLINE, status: STATUS_TIMEOUT };
+  }
+  return mayHaveRun
+    ? { outcome, reason: REASON.CONNECTION_LOST, status: STATUS_BAD_GATEWAY }
+    : { outcome, reason: REASON.CONNECT_FAILED, status: STATUS_UNAVAILABLE };
+};
+
+const finalProblem = (
+  request: OutgoingRequest,
+  failure: Failure | undefined,
+  mayHaveRun: boolean,
+  cancellation: Cancellation,
+): Problem => {
+  const common = { requestId: request.id, retryAfterS: RETRY_AFTER_S };
+  if (!failure) {
+    return {
+      ...common,
+      status: STATUS_UNAVAILABLE,
+      reason: REASON.NO_ENDPOINT,
+      outcome: "not-run",
+      detail: `no endpoint of ${request.service} is in service`,
+      remedy: "retry after the time given; operators see rackspan status",
+    };
+  }
+  const late = cancellation.reason === "deadline";
+  return {
+    ...common,
+    status: late ? STATUS_TIMEOUT : failure.status,
+    reason: late ? REASON.DEADLINE : failure.reason,
+    outcome: mayHaveRun ? "unknown" : "not-run",
+    detail: `the last attempt ended with ${failure.reason}`,
+    remedy: mayHaveRun
+      ? "find out whether it ran, or repeat it if that does no harm"
+      : "it was not run: retry after the time given",
+  };
+};
--- /dev/null
+++ b/packages/entry/src/ControlServer.ts
@@ -0,0 +1,102 @@
+/** The listener for operators, other entries and probes of this process. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Metrics } from "@rackspan/common";
+import { RPC_PATH, RpcServer, type Handlers } from "@rackspan/protocol";
+import { packSnapshot, type Fold, type LogFollower } from "@rackspan/state";
+import { SNAPSHOT_PATH } from "./HttpPeerSnapshots.js";
+import { OPERATOR_METHODS, type OperatorMethods } from "./operatorMethods.js";
+
+export interface ControlServerOptions {
+  readonly handlers: Handlers<OperatorMethods>;
+  readonly fold: Fold;
+  readonly follower: LogFollower;
+  readonly metrics: Metrics;
+  /** Nothing when ready, else why not. */
+  readonly notReady: () => string | undefined;
+  readonly publishGauges: () => void;
+}
+
+export class ControlServer {
+  private readonly server: Server;
+  private readonly rpc: RpcServer<OperatorMethods>;
+
+  constructor(private readonly options: ControlServerOptions) {
+    this.rpc = new RpcServer(OPERATOR_METHODS, options.handlers);
+    this.server = createServer((req, res) => {
+      res.on("error", () => undefined);
+      void this.serve(req, res);
+    });
+  }
+
+  listen(port: number, address: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, address, resolve);
+    });
+  }
+
+  /** `IP:PORT`, as the host list names it. */
+  get address(): string {
+    const { address, port } = this.server.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    switch (req.url) {
+      case RPC_PATH:
+        return this.rpc.handle(req, res);
+      case SNAPSHOT_PATH:
+        return this.sendSnapshot(res);
+      case "/livez":
+        return sendText(res, 200, "live\n");
+      case "/readyz": {
+        const why = this.options.notReady();
+        return why
+          ? sendText(res, 503, `${why}\n`)
+          : sendText(res, 200, "ready\n");
+      }
+      case "/metrics":
+        this.options.publishGauges();
+        return sendText(res, 200, await this.options.metrics.render());
+      default:
+        return sendText(res, 404, "not found\n");
+    }
+  }
+
+  private sendSnapshot(res: ServerResponse): void {
+    const { fold, follower } = this.options;
+    if (!follower.caughtUp) return sendText(res, 503, "not caught up\n");
+    const bytes = packSnapshot({
+      covered: follower.position,
+      state: fold.toSnapshot(),
+    });
+    res.writeHead(200, {
+      "content-type": "application/octet-stream",
+      "content-length": String(bytes.length),
+    });
+    res.end(bytes);
+  }
+}
+
+const sendText = (res: ServerResponse, status: number, text: string): void => {
+  res.writeHead(status, { "content-type": "text/plain; charset=utf-8" });
+  res.end(text);
+};
--- /dev/null
+++ b/packages/entry/src/EntryProcess.ts
@@ -0,0 +1,328 @@
+/** The entry process: wires its parts and their life cycle. */
+
+import {
+  brand,
+  createLogger,
+  describeError,
+  freshId,
+  Metrics,
+  SeededRandom,
+  sleep,
+  SystemClock,
+  type Clock,
+  type EntryId,
+  type Incarnation,
+  type Logger,
+  type Random,
+} from "@rackspan/common";
+import {
+  ClaimKeeper,
+  HostCertifier,
+  RendezvousOwnership,
+  UnitPlacer,
+} from "@rackspan/jobs";
+import { Lifecycle, type Part } from "@rackspan/kernel";
+import {
+  HttpHostList,
+  HttpLogService,
+  type HostList,
+  type LogService,
+} from "@rackspan/platform";
+import {
+  DeadlineQueue,
+  OutlierEjector,
+  pickers,
+  RetryBudget,
+} from "@rackspan/routing";
+import { placers } from "@rackspan/scheduling";
+import {
+  Appender,
+  Fold,
+  LogFollower,
+  SnapshotStore,
+  SnapshotWriter,
+} from "@rackspan/state";
+import { AttemptLoop } from "./AttemptLoop.js";
+import { ControlServer } from "./ControlServer.js";
+import { HostListWatcher } from "./HostListWatcher.js";
+import { HttpPeerSnapshots } from "./HttpPeerSnapshots.js";
+import { KeyedRequests } from "./KeyedRequests.js";
+import { createOperatorHandlers } from "./operatorHandlers.js";
+import { RequestServer } from "./RequestServer.js";
+import type { EntrySettings } from "./settings.js";
+import { SideDirectory } from "./SideDirectory.js";
+import { Sweeper } from "./Sweeper.js";
+
+export interface EntryProcessOptions {
+  readonly settings: EntrySettings;
+  readonly clock?: Clock;
+  readonly random?: Random;
+  readonly log?: LogService;
+  readonly hostList?: HostList;
+  readonly logger?: Logger;
+}
+
+export class EntryProcess {
+  readonly metrics = new Metrics();
+  readonly fold = new Fold();
+  readonly sides: SideDirectory;
+  readonly follower: LogFollower;
+  private readonly appender: Appender;
+  private readonly hostList: HostListWatcher;
+  private readonly requests: RequestServer;
+  private readonly control: ControlServer;
+  private readonly sweeper: Sweeper;
+  private readonly snapshots: SnapshotWriter;
+  private readonly lifecycle: Lifecycle;
+  private readonly stopped = new AbortController();
+  private readonly clock: Clock;
+  private readonly logger: Logger;
+  private readonly settings: EntrySettings;
+
+  constructor(options: EntryProcessOptions) {
+    const { settings } = options;
+    const { host, log: logSettings, jobs } = settings;
+    this.settings = settings;
+    this.clock = options.clock ?? new SystemClock();
+    const base = options.logger ?? createLogger({ level: settings.logLevel });
+    this.logger = base.with({ role: "entry", host });
+    const random = options.random ?? new SeededRandom(Date.now() ^ process.pid);
+    const log = options.log ?? new HttpLogService(logSettings.url);
+    const hostList =
+      options.hostList ?? new HttpHostList(settings.hostList.url);
+    const entry = brand<EntryId>(host);
+    const { fold } = this;
+    const shared = {
+      clock: this.clock,
+      random,
+      metrics: this.metrics,
+      logger: this.logger,
+    };
+
+    const writer = freshId<Incarnation>();
+    const { appendsPerSecond } = logSettings;
+    this.appender = new Appender({
+      ...shared,
+      log,
+      fold,
+      writer,
+      appendsPerSecond,
+    });
+    const store = new SnapshotStore(log);
+    const peers = new HttpPeerSnapshots({
+      self: host,
+      hostList,
+      logger: this.logger,
+    });
+    this.follower = new LogFollower({
+      ...shared,
+      log,
+      fold,
+      peers,
+      snapshots: store,
+    });
+    this.snapshots = new SnapshotWriter({
+      ...shared,
+      fold,
+      store,
+      follower: this.follower,
+      retentionMs: logSettings.retentionMs,
+      everyEntries: logSettings.snapshotEveryEntries,
+    });
+    this.hostList = new HostListWatcher({
+      ...shared,
+      hostList,
+      ...settings.hostList,
+    });
+    this.sides = new SideDirectory({
+      ...shared,
+      entry,
+      syncMs: settings.sides.syncMs,
+    });
+
+    const { appender, sides, follower } = this;
+    const members = () => this.hostList.liveEntryIds();
+    const ownership = new RendezvousOwnership({ self: host, members });
+    const unitOptions = {
+      ...shared,
+      ...jobs,
+      fold,
+      appender,
+      ownership,
+      hosts: sides,
+    };
+    this.sweeper = new Sweeper({
+      ...shared,
+      fold,
+      sides,
+      follower,
+      placer: new UnitPlacer({
+        ...unitOptions,
+        placer: placers.create(jobs.placer, { random }),
+      }),
+      keeper: new ClaimKeeper(unitOptions),
+      certifier: new HostCertifier(unitOptions),
+      hostList: this.hostList,
+      everyMs: jobs.sweepMs,
+    });
+    this.requests = this.createRequestServer(shared);
+    this.control = this.createControlServer();
+    this.lifecycle = new Lifecycle(this.parts(), this.logger);
+  }
+
+  start(): Promise<void> {
+    return this.lifecycle.start();
+  }
+
+  /** A planned stop: nothing in progress is cut. */
+  shutDown(): Promise<void> {
+    return this.lifecycle.shutDown();
+  }
+
+  /** Stops at once, as a kill would. */
+  kill(): Promise<void> {
+    return this.lifecycle.kill();
+  }
+
+  /** Where callers come in. */
+  get url(): string {
+    return this.requests.url;
+  }
+
+  /** `IP:PORT` where operators and other entries come in. */
+  get controlAddress(): string {
+    return this.control.address;
+  }
+
+  /** Why this entry is not ready; nothing when it is. */
+  notReady(): string | undefined {
+    const { fault, caughtUp } = this.follower;
+    if (fault) return describeError(fault);
+    if (!caughtUp) return "the log has not been read to its end yet";
+    return this.lifecycle.state === "running"
+      ? undefined
+      : this.lifecycle.state;
+  }
+
+  private createRequestServer(shared: SharedParts): RequestServer {
+    const { routing, classes, keys, limits, jobs, availabilityZone } =
+      this.settings;
+    const { clock, random } = shared;
+    const { fold, sides, appender } = this;
+    const loop = new AttemptLoop({
+      ...shared,
+      sides,
+      picker: pickers.create(routing.picker, { random, availabilityZone }),
+      ejector: new OutlierEjector({ clock, ...routing }),
+      budget: new RetryBudget({
+        ratio: routing.retryRatio,
+        burst: routing.retryBurst,
+      }),
+      maxAttempts: routing.maxAttempts,
+    });
+    const { appendTimeoutMs } = jobs;
+    return new RequestServer({
+      ...shared,
+      ...limits,
+      fold,
+      sides,
+      loop,
+      keys: new KeyedRequests({ ...shared, fold, appender, appendTimeoutMs }),
+      queues: {
+        check: new DeadlineQueue({ clock, ...classes.check }),
+        query: new DeadlineQueue({ clock, ...classes.query }),
+        batch: new DeadlineQueue({ clock, ...classes.batch }),
+        watch: new DeadlineQueue({ clock, ...classes.watch }),
+      },
+      keepBodyBytes: routing.keepBodyBytes,
+      keepAnswerBytes: keys.keepAnswerBytes,
+      watchResumeMs: routing.watchResumeMs,
+      ready: () => this.follower.caughtUp,
+    });
+  }
+
+  private createControlServer(): ControlServer {
+    const { fold, follower, appender, sides, hostList, clock, metrics } = this;
+    const { host, jobs } = this.settings;
+    return new ControlServer({
+      fold,
+      follower,
+      metrics,
+      notReady: () => this.notReady(),
+      publishGauges: () => this.publishGauges(),
+      handlers: createOperatorHandlers({
+        host,
+        fold,
+        follower,
+        appender,
+        sides,
+        hostList,
+        clock,
+        metrics,
+        ready: () => this.notReady() === undefined,
+        appendTimeoutMs: jobs.appendTimeoutMs,
+      }),
+    });
+  }
+
+  private publishGauges(): void {
+    const { metrics, fold, follower, appender, requests } = this;
+    metrics.gauge("config_version", fold.config.version);
+    metrics.gauge("log_position", follower.position);
+    metrics.gauge("live_units", fold.units.liveCount);
+    metrics.gauge("appends_queued", appender.queueLength);
+    metrics.gauge("requests_in_progress", requests.requestsInProgress);
+    metrics.gauge("open_watches", requests.openWatches);
+  }
+
+  /** In the order of their start; drained in this order, stopped in the reverse. */
+  private parts(): Part[] {
+    const { listen, control, drain } = this.settings;
+    const { signal } = this.stopped;
+    let tasks: Promise<unknown> = Promise.resolve();
+    return [
+      {
+        name: "tasks",
+        start: async () => {
+          this.hostList.read.on((records) => this.sides.update(records));
+          tasks = Promise.all([
+            this.follower.run(signal),
+            this.appender.run(signal),
+            this.hostList.run(signal),
+            this.snapshots.run(signal),
+            this.sweeper.run(signal),
+          ]).catch((err: unknown) =>
+            this.logger.error("task.failed", { error: describeError(err) }),
+          );
+        },
+        stop: async () => {
+          this.stopped.abort();
+          this.sides.close();
+          await tasks;
+        },
+      },
+      {
+        name: "control",
+        start: () => this.control.listen(control.port, control.address),
+        stop: () => this.control.close(),
+      },
+      {
+        name: "requests",
+        start: () => this.requests.listen(listen.port, listen.address),
+        drain: async () => {
+          // The balancer has to see first that this entry is not ready any more.
+          await sleep(this.clock, drain.noticeMs);
+          await this.requests.drain(drain.limitMs);
+        },
+        stop: () => this.requests.close(),
+      },
+    ];
+  }
+}
+
+interface SharedParts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
--- /dev/null
+++ b/packages/entry/src/HostListWatcher.ts
@@ -0,0 +1,68 @@
+/** Reads the host list again and again; what it last showed is kept through outages. */
+
+import {
+  AbortedError,
+  describeError,
+  Emitter,
+  sleep,
+  type Clock,
+  type HostId,
+  type Logger,
+  type Metrics,
+} from "@rackspan/common";
+import type { HostList, HostRecord } from "@rackspan/platform";
+
+export interface HostListWatcherOptions {
+  readonly hostList: HostList;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly everyMs: number;
+}
+
+export class HostListWatcher {
+  /** Tells of each successful read. */
+  readonly read = new Emitter<readonly HostRecord[]>();
+  private records: readonly HostRecord[] = [];
+
+  constructor(private readonly options: HostListWatcherOptions) {}
+
+  get latest(): readonly HostRecord[] {
+    return this.records;
+  }
+
+  /** Entries that the list shows as live. */
+  liveEntries(): readonly HostRecord[] {
+    return this.records.filter(
+      ({ role, state }) => role === "entry" && state === "live",
+    );
+  }
+
+  liveEntryIds(): readonly HostId[] {
+    return this.liveEntries().map(({ host }) => host);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, everyMs } = this.options;
+    try {
+      for (;;) {
+        await this.readOnce(signal);
+        await sleep(clock, everyMs, signal);
+      }
+    } catch (err) {
+      if (!(err instanceof AbortedError)) throw err;
+    }
+  }
+
+  private async readOnce(signal: AbortSignal): Promise<void> {
+    const { hostList, metrics, logger } = this.options;
+    try {
+      this.records = await hostList.list(signal);
+      this.read.emit(this.records);
+    } catch (err) {
+      if (signal.aborted) return;
+      metrics.count("host_list_errors");
+      logger.warn("hostlist.read-failed", { error: describeError(err) });
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/HttpPeerSnapshots.ts
@@ -0,0 +1,72 @@
+/** Fetches the state of the other entries, for when the log cannot help. */
+
+import { get } from "node:http";
+import { describeError, type HostId, type Logger } from "@rackspan/common";
+import type { HostList } from "@rackspan/platform";
+import { readBody } from "@rackspan/protocol";
+import {
+  unpackSnapshot,
+  type PeerSnapshots,
+  type Snapshot,
+} from "@rackspan/state";
+
+export const SNAPSHOT_PATH = "/snapshot";
+const MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024;
+const TIMEOUT_MS = 10_000;
+const STATUS_OK = 200;
+
+export interface HttpPeerSnapshotsOptions {
+  readonly self: HostId;
+  readonly hostList: HostList;
+  readonly logger: Logger;
+}
+
+export class HttpPeerSnapshots implements PeerSnapshots {
+  constructor(private readonly options: HttpPeerSnapshotsOptions) {}
+
+  async fetch(): Promise<Snapshot | undefined> {
+    const { hostList, self } = this.options;
+    const records = await hostList.list();
+    const others = records.filter(
+      ({ role, host }) => role === "entry" && host !== self,
+    );
+    const snapshots = await Promise.all(
+      others.map(({ address }) => this.fetchFrom(address)),
+    );
+    return snapshots.reduce(
+      (best, next) =>
+        next && (!best || next.covered > best.covered) ? next : best,
+      undefined,
+    );
+  }
+
+  private async fetchFrom(address: string): Promise<Snapshot | undefined> {
+    try {
+      const bytes = await download(`http://${address}${SNAPSHOT_PATH}`);
+      return bytes && unpackSnapshot(bytes);
+    } catch (err) {
+      this.options.logger.info("peer.no-snapshot", {
+        address,
+        error: describeError(err),
+      });
+      return undefined;
+    }
+  }
+}
+
+/** Nothing when the peer has no state of its own yet. */
+const download = (url: string): Promise<Buffer | undefined> =>
+  new Promise((resolve, reject) => {
+    const req = get(url, { timeout: TIMEOUT_MS }, (res) => {
+      if (res.statusCode === STATUS_OK) {
+        readBody(res, MAX_SNAPSHOT_BYTES).then(resolve, reject);
+        return;
+      }
+      res.resume();
+      resolve(undefined);
+    });
+    req.on("timeout", () =>
+      req.destroy(new Error(`no answer within ${TIMEOUT_MS} ms`)),
+    );
+    req.on("error", reject);
+  });
--- /dev/null
+++ b/packages/entry/src/KeyedRequests.ts
@@ -0,0 +1,179 @@
+/**
+ * Requests that may run once only, by their keys: claimed on the log before
+ * anything is sent; a repeat at any entry gets the recorded outcome.
+ */
+
+import { createHash } from "node:crypto";
+import {
+  describeError,
+  type Logger,
+  type Metrics,
+  type RequestId,
+  type ServiceName,
+} from "@rackspan/common";
+import { REASON, type Problem } from "@rackspan/protocol";
+import {
+  AppendUnknownError,
+  type Appender,
+  type Applied,
+  type Fold,
+  type KeyEntry,
+  type RecordedAnswer,
+} from "@rackspan/state";
+
+export interface KeyedRequestsOptions {
+  readonly fold: Fold;
+  readonly appender: Appender;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly appendTimeoutMs: number;
+}
+
+export interface KeyedRequest {
+  readonly id: RequestId;
+  readonly service: ServiceName;
+  readonly key: string;
+  readonly digest: string;
+}
+
+export type KeyDecision =
+  | { readonly kind: "proceed" }
+  | { readonly kind: "replay"; readonly answer: RecordedAnswer }
+  | { readonly kind: "refused"; readonly problem: Problem };
+
+const RECORD_TRIES = 5;
+
+/** Names the request for which a key stands. */
+export const digestRequest = (
+  method: string,
+  path: string,
+  body: Buffer,
+): string =>
+  createHash("sha256")
+    .update(`${method} ${path}\n`)
+    .update(body)
+    .digest("base64");
+
+export class KeyedRequests {
+  /** Claims that were given up on and may still come to stand on the log. */
+  private readonly abandoned = new Map<RequestId, KeyedRequest>();
+
+  constructor(private readonly options: KeyedRequestsOptions) {
+    options.fold.applied.on((applied) => this.onApplied(applied));
+  }
+
+  /** Decides whether the request may be sent by this entry. */
+  async begin(request: KeyedRequest, timeoutMs: number): Promise<KeyDecision> {
+    const { fold, appender, metrics } = this.options;
+    const holder = fold.requests.get(request);
+    if (holder) return this.decideByHolder(request, holder);
+    const { id, service, key, digest } = request;
+    try {
+      const claim = {
+        type: "requestClaim",
+        service,
+        key,
+        digest,
+        request: id,
+      } as const;
+      const verdict = await appender.submit(claim, timeoutMs);
+      metrics.count("key_claims", {
+        result: verdict.accepted ? "won" : verdict.reason,
+      });
+      if (verdict.accepted) return { kind: "proceed" };
+    } catch (err) {
+      metrics.count("key_claims", { result: "no-answer" });
+      if (err instanceof AppendUnknownError) this.abandoned.set(id, request);
+      return refused(request, {
+        status: 503,
+        reason: REASON.KEY_REQUIRES_LOG,
+        outcome: "not-run",
+        detail: describeError(err),
+        remedy: "retry with the same key after the time given",
+        retryAfterS: 2,
+      });
+    }
+    const winner = fold.requests.get(request);
+    return winner ? this.decideByHolder(request, winner) : inProgress(request);
+  }
+
+  /** Keeps the whole answer for repeats; without a body when it was too large. */
+  recordAnswer(request: KeyedRequest, answer: RecordedAnswer): void {
+    const { id, service, key } = request;
+    const { status, contentType, body } = answer;
+    const outcome = { service, key, request: id, status, contentType, body };
+    void this.keepTrying({ type: "requestOutcome", ...outcome });
+  }
+
+  /** The request was confirmed as never run: its key may be used again. */
+  release({ id, service, key }: KeyedRequest): void {
+    void this.keepTrying({ type: "requestRelease", service, key, request: id });
+  }
+
+  private async keepTrying(
+    record: Parameters<Appender["submit"]>[0],
+  ): Promise<void> {
+    const { appender, appendTimeoutMs, logger, metrics } = this.options;
+    for (let tries = 0; tries < RECORD_TRIES; tries += 1) {
+      try {
+        await appender.submit(record, appendTimeoutMs);
+        return;
+      } catch (err) {
+        logger.warn("key.record-failed", {
+          type: record.type,
+          error: describeError(err),
+        });
+      }
+    }
+    metrics.count("key_records_lost", { type: record.type });
+  }
+
+  private decideByHolder(request: KeyedRequest, holder: KeyEntry): KeyDecision {
+    if (holder.digest !== request.digest) {
+      return refused(request, {
+        status: 422,
+        reason: REASON.KEY_REUSED,
+        outcome: "not-run",
+        detail:
+          "the key was used for a request with another method, path or body",
+        remedy: "use a fresh key for each request",
+      });
+    }
+    if (!holder.answer) return inProgress(request);
+    if (!holder.answer.body) return notKept(request);
+    return { kind: "replay", answer: holder.answer };
+  }
+
+  private onApplied({ record, verdict }: Applied): void {
+    if (record.type !== "requestClaim") return;
+    const request = this.abandoned.get(record.request);
+    if (!request) return;
+    this.abandoned.delete(record.request);
+    if (verdict.accepted) this.release(request);
+  }
+}
+
+const refused = (
+  { id }: KeyedRequest,
+  problem: Omit<Problem, "requestId">,
+): KeyDecision => ({ kind: "refused", problem: { ...problem, requestId: id } });
+
+const inProgress = (request: KeyedRequest): KeyDecision =>
+  refused(request, {
+    status: 409,
+    reason: REASON.KEY_IN_PROGRESS,
+    outcome: "unknown",
+    detail: "a request with this key was sent and its outcome is not known yet",
+    remedy: "ask again with the same key after the time given",
+    retryAfterS: 1,
+  });
+
+const notKept = (request: KeyedRequest): KeyDecision =>
+  refused(request, {
+    status: 409,
+    reason: REASON.OUTCOME_NOT_KEPT,
+    outcome: "unknown",
+    detail:
+      "the request with this key was run; its answer was too large to keep",
+    remedy: "read the result from the service itself",
+  });
--- /dev/null
+++ b/packages/entry/src/LimitedBody.ts
@@ -0,0 +1,37 @@
+/** Passes a caller's body on up to a limit, past which it breaks off. */
+
+import type { IncomingMessage } from "node:http";
+import { Transform, type TransformCallback } from "node:stream";
+import { BodyTooLargeError, type BodyStream } from "@rackspan/protocol";
+
+export class LimitedBody extends Transform implements BodyStream {
+  /** Set once the limit was passed. */
+  exceeded = false;
+  readonly stream = this;
+  private bytes = 0;
+
+  constructor(
+    private readonly source: IncomingMessage,
+    private readonly limit: number,
+  ) {
+    super();
+    source.on("error", (err) => this.destroy(err));
+    source.on("close", () => {
+      if (!source.complete) this.destroy();
+    });
+    source.pipe(this);
+  }
+
+  isWhole = (): boolean => this.source.complete && !this.exceeded;
+
+  override _transform(
+    chunk: Buffer,
+    _encoding: BufferEncoding,
+    done: TransformCallback,
+  ): void {
+    this.bytes += chunk.length;
+    this.exceeded = this.bytes > this.limit;
+    if (this.exceeded) done(new BodyTooLargeError(this.limit));
+    else done(null, chunk);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/RequestRun.ts
@@ -0,0 +1,405 @@
+/** One caller's request from its arrival to the end of its answer. */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  sleep,
+  type Clock,
+  type Logger,
+  type Metrics,
+  type Monotonic,
+} from "@rackspan/common";
+import {
+  BodyTooLargeError,
+  forwardHeaders,
+  HEADER,
+  INTERNAL_HEADERS,
+  readBody,
+  REASON,
+  relayAnswer,
+  sendProblem,
+  type BodyStream,
+  type Problem,
+} from "@rackspan/protocol";
+import type { DeadlineQueue } from "@rackspan/routing";
+import type { RequestClass } from "@rackspan/state";
+import {
+  Cancellation,
+  type Answered,
+  type AttemptLoop,
+  type LoopResult,
+  type OutgoingRequest,
+} from "./AttemptLoop.js";
+import type { CallerRequest } from "./callerRequest.js";
+import {
+  digestRequest,
+  type KeyedRequest,
+  type KeyedRequests,
+} from "./KeyedRequests.js";
+import { LimitedBody } from "./LimitedBody.js";
+import { relayEvents, type WatchPosition } from "./relayEvents.js";
+import type { SideDirectory } from "./SideDirectory.js";
+
+export interface RequestRunOptions {
+  readonly loop: AttemptLoop;
+  readonly keys: KeyedRequests;
+  readonly sides: SideDirectory;
+  readonly queues: Readonly<Record<RequestClass, DeadlineQueue>>;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly keepBodyBytes: number;
+  readonly keepAnswerBytes: number;
+  readonly watchResumeMs: number;
+  /** True once this entry wants its watches to end. */
+  readonly closingWatches: () => boolean;
+}
+
+const WATCH_RETRY_MS = 200;
+const EVENT_STREAM = "text/event-stream";
+const NOT_FORWARDED: ReadonlySet<string> = new Set([
+  ...INTERNAL_HEADERS,
+  HEADER.REQUEST_ID,
+]);
+
+export class RequestRun {
+  private readonly cancellation = new Cancellation();
+  private readonly arrivedAt: Monotonic;
+  private readonly deadline: Monotonic;
+  private keyed: KeyedRequest | undefined;
+  private readingBody = false;
+  private callerGone = false;
+  private refusalSent = false;
+
+  constructor(
+    private readonly options: RequestRunOptions,
+    private readonly request: CallerRequest,
+    private readonly req: IncomingMessage,
+    private readonly res: ServerResponse,
+  ) {
+    this.arrivedAt = options.clock.monotonic();
+    this.deadline = this.arrivedAt + request.timeoutMs;
+  }
+
+  async run(): Promise<void> {
+    const { clock, queues } = this.options;
+    const timer = clock.after(this.request.timeoutMs, () => this.onDeadline());
+    this.res.on("close", () => this.onCallerGone());
+    try {
+      const body = await this.readKeptBody();
+      if (body === "refused") return;
+      const queue = queues[this.request.match.route.class];
+      const entered = await queue.run(this.timeLeft(), () =>
+        this.serve(body, () => timer.cancel()),
+      );
+      if (entered !== "entered") this.refuse(notEntered(entered));
+    } finally {
+      timer.cancel();
+    }
+  }
+
+  private timeLeft(): number {
+    return Math.max(0, this.deadline - this.options.clock.monotonic());
+  }
+
+  private onDeadline(): void {
+    this.cancellation.cancel("deadline");
+    if (!this.readingBody) return;
+    // A body that never comes to its end would hold the request for ever.
+    this.res.on("finish", () => this.req.destroy());
+    this.refuse(bodyIncomplete);
+  }
+
+  /** A claimed request goes on without its caller, who can ask again by its key. */
+  private onCallerGone(): void {
+    this.callerGone = true;
+    if (!this.keyed) this.cancellation.cancel("caller-gone");
+  }
+
+  private get mustKeepBody(): boolean {
+    const { key, match } = this.request;
+    return key !== undefined && !match.route.repeatable;
+  }
+
+  private bodyIsStreamed(): boolean {
+    const { hasBody, contentLength } = this.request;
+    if (!hasBody || this.mustKeepBody) return false;
+    return (
+      contentLength === undefined || contentLength > this.options.keepBodyBytes
+    );
+  }
+
+  /** The whole body when it is kept; nothing when there is none or it is streamed. */
+  private async readKeptBody(): Promise<Buffer | undefined | "refused"> {
+    if (!this.request.hasBody || this.bodyIsStreamed()) return undefined;
+    this.readingBody = true;
+    try {
+      return await readBody(this.req, this.request.match.route.maxBodyBytes);
+    } catch (err) {
+      this.refuse(
+        err instanceof BodyTooLargeError ? bodyTooLarge : bodyIncomplete,
+      );
+      return "refused";
+    } finally {
+      this.readingBody = false;
+    }
+  }
+
+  private async serve(
+    kept: Buffer | undefined,
+    endTimer: () => void,
+  ): Promise<void> {
+    if (this.cancellation.reason) return this.refuse(notEntered("late"));
+    if (this.mustKeepBody && !(await this.claimKey(kept ?? Buffer.alloc(0))))
+      return;
+    const limited = this.bodyIsStreamed()
+      ? new LimitedBody(this.req, this.request.match.route.maxBodyBytes)
+      : undefined;
+    const outgoing = this.outgoing(limited ?? kept);
+    const result = await this.options.loop.run(outgoing, this.cancellation);
+    if (result.kind === "refused")
+      return this.onRefused(result.problem, limited);
+    if (this.isWatch) {
+      endTimer();
+      return this.watch(outgoing, result);
+    }
+    await this.relay(result);
+  }
+
+  private get isWatch(): boolean {
+    return this.request.match.route.class === "watch";
+  }
+
+  private outgoing(body: Buffer | BodyStream | undefined): OutgoingRequest {
+    const { id, match } = this.request;
+    return {
+      id,
+      service: match.service,
+      class: match.route.class,
+      repeatable: match.route.repeatable,
+      method: this.req.method ?? "GET",
+      path: this.req.url ?? "/",
+      rawHeaders: this.req.rawHeaders,
+      body,
+      deadline: this.deadline,
+    };
+  }
+
+  /** @returns whether this request may be sent */
+  private async claimKey(body: Buffer): Promise<boolean> {
+    const { id, key, match } = this.request;
+    const digest = digestRequest(
+      this.req.method ?? "GET",
+      this.req.url ?? "/",
+      body,
+    );
+    const keyed = { id, service: match.service, key: key as string, digest };
+    const decision = await this.options.keys.begin(keyed, this.timeLeft());
+    switch (decision.kind) {
+      case "proceed":
+        this.keyed = keyed;
+        return true;
+      case "refused":
+        this.refuse(decision.problem);
+        return false;
+      case "replay": {
+        const { status, contentType, body: answer } = decision.answer;
+        this.count("replayed");
+        this.res.writeHead(status, {
+          ...(contentType ? { "content-type": contentType } : {}),
+          [HEADER.REQUEST_ID]: id,
+          [HEADER.REPLAYED]: "true",
+        });
+        this.res.end(answer);
+        return false;
+      }
+    }
+  }
+
+  private onRefused(problem: Problem, body: LimitedBody | undefined): void {
+    if (this.keyed && problem.outcome === "not-run")
+      this.options.keys.release(this.keyed);
+    this.refuse(
+      body?.exceeded ? { ...bodyTooLarge, outcome: problem.outcome } : problem,
+    );
+  }
+
+  private async relay(result: Answered): Promise<void> {
+    const { answer } = result;
+    const recorder = this.keyed
+      ? new AnswerRecorder(answer, this.options.keepAnswerBytes)
+      : undefined;
+    this.writeHead(answer);
+    const readToEnd = this.keyed !== undefined;
+    const end = await relayAnswer(answer, this.res, { readToEnd });
+    result.release(end !== "broken");
+    // The endpoint's answer counts even when the caller has gone away meanwhile.
+    if (recorder && this.keyed && answer.complete) {
+      this.options.keys.recordAnswer(this.keyed, recorder.recorded());
+    }
+    this.count(end === "whole" ? "answered" : end);
+    const { clock, metrics } = this.options;
+    metrics
+      .latency(`request_${this.request.match.route.class}`)
+      .record(clock.monotonic() - this.arrivedAt);
+  }
+
+  /** Follows the events of a watch through planned stops and breaks of endpoints. */
+  private async watch(
+    outgoing: OutgoingRequest,
+    first: Answered,
+  ): Promise<void> {
+    if (!isEventStream(first)) return this.relay(first);
+    const position: WatchPosition = { lastEventId: undefined };
+    this.writeHead(first.answer);
+    this.res.flushHeaders();
+    let current: Answered | undefined = first;
+    while (current) {
+      const end = await this.relayFrom(current, position);
+      this.count(`watch-${end}`);
+      if (end === "ended" || this.options.closingWatches()) {
+        this.res.end();
+        return;
+      }
+      if (end === "receiver-gone") return;
+      current =
+        end === "too-long" ? undefined : await this.resume(outgoing, position);
+    }
+    this.res.destroy();
+  }
+
+  private async relayFrom(current: Answered, position: WatchPosition) {
+    const { sides, closingWatches } = this.options;
+    const shouldMove = (): boolean =>
+      closingWatches() || sides.get(current.host)?.leaving !== false;
+    const end = await relayEvents(
+      current.answer,
+      this.res,
+      position,
+      shouldMove,
+    );
+    current.release(end !== "broken");
+    current.answer.destroy();
+    return end;
+  }
+
+  /** Connects to another endpoint, from after the last event that was passed on. */
+  private async resume(
+    outgoing: OutgoingRequest,
+    { lastEventId }: WatchPosition,
+  ): Promise<Answered | undefined> {
+    const { clock, loop, watchResumeMs } = this.options;
+    const giveUpAt = clock.monotonic() + watchResumeMs;
+    const rawHeaders = withLastEventId(outgoing.rawHeaders, lastEventId);
+    while (!this.cancellation.reason && clock.monotonic() < giveUpAt) {
+      const request = { ...outgoing, rawHeaders, deadline: giveUpAt };
+      const result: LoopResult = await loop.run(request, this.cancellation);
+      if (result.kind === "answered" && isEventStream(result)) return result;
+      if (result.kind === "answered") {
+        result.release(false);
+        result.answer.destroy();
+      }
+      await sleep(clock, WATCH_RETRY_MS);
+    }
+    return undefined;
+  }
+
+  private writeHead(answer: IncomingMessage): void {
+    const headers = forwardHeaders(answer.rawHeaders, {
+      drop: NOT_FORWARDED,
+      add: [HEADER.REQUEST_ID, this.request.id],
+    });
+    if (this.res.headersSent || this.res.destroyed) return;
+    this.res.writeHead(answer.statusCode ?? 502, answer.statusMessage, headers);
+  }
+
+  private refuse(problem: Problem): void {
+    if (this.refusalSent) return;
+    this.refusalSent = true;
+    if (this.callerGone) {
+      this.count("caller-gone");
+      return;
+    }
+    this.options.metrics.count("refused", {
+      reason: problem.reason,
+      outcome: problem.outcome,
+    });
+    this.count("refused");
+    if (!this.req.complete) this.res.setHeader("connection", "close");
+    sendProblem(this.res, { ...problem, requestId: this.request.id });
+  }
+
+  private count(end: string): void {
+    const { match } = this.request;
+    this.options.metrics.count("requests", { class: match.route.class, end });
+  }
+}
+
+/** Collects an answer as it passes, up to a size. */
+class AnswerRecorder {
+  private chunks: Buffer[] | undefined = [];
+  private bytes = 0;
+
+  constructor(
+    private readonly answer: IncomingMessage,
+    limit: number,
+  ) {
+    answer.on("data", (chunk: Buffer) => {
+      this.bytes += chunk.length;
+      if (this.bytes > limit) this.chunks = undefined;
+      this.chunks?.push(chunk);
+    });
+  }
+
+  recorded() {
+    const { statusCode = 502, headers } = this.answer;
+    const contentType = headers["content-type"];
+    const body = this.chunks ? Buffer.concat(this.chunks) : undefined;
+    return { status: statusCode, contentType, body };
+  }
+}
+
+const isEventStream = ({ answer }: Answered): boolean =>
+  answer.statusCode === 200 &&
+  (answer.headers["content-type"] ?? "").startsWith(EVENT_STREAM);
+
+const withLastEventId = (
+  rawHeaders: readonly string[],
+  lastEventId: string | undefined,
+): readonly string[] => {
+  if (lastEventId === undefined) return rawHeaders;
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    const name = rawHeaders[i] as string;
+    if (name.toLowerCase() === "last-event-id") continue;
+    kept.push(name, rawHeaders[i + 1] as string);
+  }
+  return [...kept, "Last-Event-ID", lastEventId];
+};
+
+const bodyTooLarge: Problem = {
+  status: 413,
+  reason: REASON.BODY_TOO_LARGE,
+  outcome: "not-run",
+  detail: "the body is larger than the route takes",
+  remedy: "send a smaller body",
+};
+
+const bodyIncomplete: Problem = {
+  status: 408,
+  reason: REASON.SLOW_SENDER,
+  outcome: "not-run",
+  detail: "the body did not arrive whole in time",
+  remedy: "send the whole body, or allow more time",
+};
+
+const notEntered = (why: "full" | "late"): Problem => ({
+  status: why === "full" ? 503 : 504,
+  reason: why === "full" ? REASON.QUEUE_FULL : REASON.DEADLINE,
+  outcome: "not-run",
+  detail:
+    why === "full"
+      ? "too many requests of this class wait already"
+      : "the request's time ran out before it could be sent",
+  remedy: "it was not run: retry after the time given",
+  retryAfterS: 1,
+});
--- /dev/null
+++ b/packages/entry/src/RequestServer.ts
@@ -0,0 +1,285 @@
+/** The listener for callers: parses, admits and runs their requests. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { describeError, sleep, type Sequence } from "@rackspan/common";
+import {
+  endWithProblem,
+  REASON,
+  sendProblem,
+  type Problem,
+} from "@rackspan/protocol";
+import type { Fold } from "@rackspan/state";
+import { parseCallerRequest } from "./callerRequest.js";
+import { RequestRun, type RequestRunOptions } from "./RequestRun.js";
+import { RouteTable } from "./RouteTable.js";
+import { openTunnel } from "./openTunnel.js";
+
+export interface RequestServerOptions extends Omit<
+  RequestRunOptions,
+  "closingWatches"
+> {
+  readonly fold: Fold;
+  /** Whether the configuration is known; before that no route is. */
+  readonly ready: () => boolean;
+  readonly maxHeaderBytes: number;
+  readonly headersTimeoutMs: number;
+  readonly maxConnections: number;
+}
+
+const KEEP_ALIVE_MS = 75_000;
+const DRAIN_POLL_MS = 20;
+const CONNECTION_CHECK_MS = 1_000;
+
+export class RequestServer {
+  private readonly server: Server;
+  private routes = new RouteTable([]);
+  private routesVersion: Sequence | undefined;
+  private inProgress = 0;
+  private refusing = false;
+  private closingWatches = false;
+  private readonly watches = new Set<Duplex | ServerResponse>();
+
+  constructor(private readonly options: RequestServerOptions) {
+    const { maxHeaderBytes, headersTimeoutMs, maxConnections } = options;
+    this.server = createServer(
+      {
+        maxHeaderSize: maxHeaderBytes,
+        headersTimeout: headersTimeoutMs,
+        // Bodies are bounded by each request's own deadline.
+        requestTimeout: 0,
+        connectionsCheckingInterval: Math.min(
+          CONNECTION_CHECK_MS,
+          headersTimeoutMs,
+        ),
+      },
+      (req, res) => void this.serve(req, res),
+    );
+    this.server.maxConnections = maxConnections;
+    this.server.keepAliveTimeout = KEEP_ALIVE_MS;
+    this.server.on("clientError", (err, socket) =>
+      this.onClientError(err, socket),
+    );
+    this.server.on("upgrade", (req, socket, head) =>
+      this.upgrade(req, socket, head),
+    );
+  }
+
+  listen(port: number, address: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, address, resolve);
+    });
+  }
+
+  get url(): string {
+    const { address, port } = this.server.address() as AddressInfo;
+    return `http://${address}:${port}`;
+  }
+
+  get requestsInProgress(): number {
+    return this.inProgress;
+  }
+
+  get openWatches(): number {
+    return this.watches.size;
+  }
+
+  /** Refuses what is new, lets what is in progress end, ends watches between events. */
+  async drain(limitMs: number): Promise<void> {
+    const { clock } = this.options;
+    this.refusing = true;
+    this.closingWatches = true;
+    this.server.close();
+    this.server.closeIdleConnections();
+    const end = clock.monotonic() + limitMs;
+    while (this.inProgress > this.watches.size)
+      await sleep(clock, DRAIN_POLL_MS);
+    while (this.watches.size > 0 && clock.monotonic() < end) {
+      await sleep(clock, DRAIN_POLL_MS);
+    }
+  }
+
+  async close(): Promise<void> {
+    for (const watch of this.watches) watch.destroy();
+    const closed = new Promise<void>((resolve) =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    res.on("error", () => undefined);
+    req.on("error", () => undefined);
+    if (this.refusing) res.setHeader("connection", "close");
+    const refusal = this.refusalForAll();
+    if (refusal) return this.refuse(req, res, refusal);
+    const parsed = parseCallerRequest(req, this.currentRoutes());
+    if (!parsed.ok) return this.refuse(req, res, parsed.problem);
+    this.inProgress += 1;
+    if (parsed.request.match.route.class === "watch") this.addWatch(res);
+    try {
+      const closingWatches = (): boolean => this.closingWatches;
+      const options = { ...this.options, closingWatches };
+      await new RequestRun(options, parsed.request, req, res).run();
+    } catch (err) {
+      this.options.logger.error("request.failed", {
+        error: describeError(err),
+      });
+      this.options.metrics.count("request_errors");
+      if (res.headersSent) res.destroy();
+      else sendProblem(res, internalError);
+    } finally {
+      this.inProgress -= 1;
+    }
+  }
+
+  private addWatch(watch: Duplex | ServerResponse): void {
+    this.watches.add(watch);
+    watch.on("close", () => this.watches.delete(watch));
+  }
+
+  private refusalForAll(): Problem | undefined {
+    if (this.refusing) return leaving;
+    return this.options.ready() ? undefined : notReady;
+  }
+
+  private refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    problem: Problem,
+  ): void {
+    const { reason, outcome } = problem;
+    this.options.metrics.count("refused", { reason, outcome });
+    if (!req.complete) res.setHeader("connection", "close");
+    sendProblem(res, problem);
+    req.resume();
+  }
+
+  private currentRoutes(): RouteTable {
+    const { config } = this.options.fold;
+    if (config.version !== this.routesVersion) {
+      this.routes = new RouteTable(config.services());
+      this.routesVersion = config.version;
+    }
+    return this.routes;
+  }
+
+  private upgrade(req: IncomingMessage, socket: Duplex, head: Buffer): void {
+    socket.on("error", () => socket.destroy());
+    const refusal = this.refusalForAll();
+    if (refusal) return endWithProblem(socket, refusal);
+    const parsed = parseCallerRequest(req, this.currentRoutes());
+    if (!parsed.ok) return endWithProblem(socket, parsed.problem);
+    if (parsed.request.match.route.class !== "watch")
+      return endWithProblem(socket, notAWatch);
+    const { loop, metrics, clock } = this.options;
+    openTunnel({
+      loop,
+      metrics,
+      clock,
+      req,
+      socket,
+      head,
+      request: parsed.request,
+    })
+      .then((problem) => {
+        if (problem) endWithProblem(socket, problem);
+        else this.addWatch(socket);
+      })
+      .catch((err: unknown) => {
+        this.options.logger.error("upgrade.failed", {
+          error: describeError(err),
+        });
+        socket.destroy();
+      });
+  }
+
+  /** Bytes that are no HTTP, or a head that is too large or too slow. */
+  private onClientError(err: NodeJS.ErrnoException, socket: Duplex): void {
+    const problem = problemOf(err);
+    this.options.metrics.count("refused", {
+      reason: problem.reason,
+      outcome: problem.outcome,
+    });
+    // Once an answer has begun, a second one would corrupt it.
+    const begun = (socket as Socket).bytesWritten > 0;
+    if (err.code === "ECONNRESET" || !socket.writable || begun) {
+      socket.destroy();
+      return;
+    }
+    endWithProblem(socket, problem);
+  }
+}
+
+const problemOf = ({ code }: NodeJS.ErrnoException): Problem => {
+  if (code === "HPE_HEADER_OVERFLOW") {
+    return {
+      status: 431,
+      reason: REASON.HEADERS_TOO_LARGE,
+      outcome: "not-run",
+      detail: "the headers are larger than this entry takes",
+      remedy: "send fewer or shorter headers",
+    };
+  }
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+    return {
+      status: 408,
+      reason: REASON.SLOW_SENDER,
+      outcome: "not-run",
+      detail: "the head of the request did not arrive in time",
+      remedy: "send the head at once",
+    };
+  }
+  return {
+    status: 400,
+    reason: REASON.BAD_REQUEST,
+    outcome: "not-run",
+    detail: "this is not a valid HTTP/1.1 request",
+    remedy: "correct the client",
+  };
+};
+
+const leaving: Problem = {
+  status: 503,
+  reason: REASON.LEAVING,
+  outcome: "not-run",
+  detail: "this entry is stopping",
+  remedy: "send the request again: the balancer knows other entries",
+  retryAfterS: 0,
+};
+
+const notReady: Problem = {
+  status: 503,
+  reason: REASON.NOT_READY,
+  outcome: "not-run",
+  detail: "this entry does not know the configuration yet",
+  remedy: "retry after the time given",
+  retryAfterS: 1,
+};
+
+const notAWatch: Problem = {
+  status: 400,
+  reason: REASON.UPGRADE_REFUSED,
+  outcome: "not-run",
+  detail: "only routes of class watch take upgraded connections",
+  remedy: "use a watch route, or send a plain request",
+};
+
+const internalError: Problem = {
+  status: 500,
+  reason: REASON.INTERNAL,
+  outcome: "unknown",
+  detail: "this entry failed while it served the request",
+  remedy: "report it with the entry's log",
+};
--- /dev/null
+++ b/packages/entry/src/SideDirectory.ts
@@ -0,0 +1,100 @@
+/** All side processes that the host list names, each followed by one task. */
+
+import {
+  Emitter,
+  type Clock,
+  type EntryId,
+  type HostId,
+  type Logger,
+  type Metrics,
+  type Random,
+  type ServiceName,
+} from "@rackspan/common";
+import type { HostControl, HostDirectory, HostView } from "@rackspan/jobs";
+import type { HostRecord } from "@rackspan/platform";
+import { SidePeer } from "./SidePeer.js";
+
+export interface SideDirectoryOptions {
+  readonly entry: EntryId;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly syncMs: number;
+}
+
+export class SideDirectory implements HostDirectory {
+  /** Tells of each change of any side. */
+  readonly changed = new Emitter<void>();
+  private readonly peers = new Map<HostId, SidePeer>();
+  /** Sides by service; dropped at each change and built when asked for. */
+  private readonly byService = new Map<ServiceName, readonly SidePeer[]>();
+
+  constructor(private readonly options: SideDirectoryOptions) {
+    this.changed.on(() => this.byService.clear());
+  }
+
+  /** Brings the peers in line with the host list. */
+  update(records: readonly HostRecord[]): void {
+    const listed = new Map(
+      records
+        .filter(({ role }) => role === "endpoint")
+        .map((record) => [record.host, record]),
+    );
+    for (const [host, peer] of this.peers) {
+      const record = listed.get(host);
+      if (record && isSame(record, peer.record)) continue;
+      peer.close();
+      this.peers.delete(host);
+      this.changed.emit();
+    }
+    for (const record of listed.values()) {
+      if (!this.peers.has(record.host)) this.add(record);
+    }
+  }
+
+  get(host: HostId): SidePeer | undefined {
+    return this.peers.get(host);
+  }
+
+  all(): readonly SidePeer[] {
+    return [...this.peers.values()];
+  }
+
+  /** Sides that may be sent new requests of the service. */
+  serving(service: ServiceName): readonly SidePeer[] {
+    let peers = this.byService.get(service);
+    if (!peers) {
+      peers = this.all().filter((peer) => peer.serves(service));
+      this.byService.set(service, peers);
+    }
+    return peers;
+  }
+
+  views(): readonly HostView[] {
+    return this.all().flatMap(({ view }) => (view ? [view] : []));
+  }
+
+  view(host: HostId): HostView | undefined {
+    return this.peers.get(host)?.view;
+  }
+
+  control(host: HostId): HostControl | undefined {
+    return this.peers.get(host);
+  }
+
+  close(): void {
+    for (const peer of this.peers.values()) peer.close();
+    this.peers.clear();
+  }
+
+  private add(record: HostRecord): void {
+    const peer = new SidePeer({ ...this.options, record });
+    this.peers.set(record.host, peer);
+    peer.changed.on(() => this.changed.emit());
+    void peer.run();
+  }
+}
+
+const isSame = (a: HostRecord, b: HostRecord): boolean =>
+  a.address === b.address && a.generation === b.generation;
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,5 @@
+export * from "./EntryProcess.js";
+export * from "./operatorHandlers.js";
+export * from "./operatorMethods.js";
+export * from "./RouteTable.js";
+export * from "./settings.js";
--- /dev/null
+++ b/packages/entry/src/openTunnel.ts
@@ -0,0 +1,76 @@
+/** Opens an upgraded connection from a caller to an endpoint. */
+
+import type { IncomingMessage } from "node:http";
+import type { Duplex } from "node:stream";
+import type { Clock, Metrics } from "@rackspan/common";
+import {
+  joinSockets,
+  REASON,
+  STATUS_SWITCHED,
+  type Problem,
+} from "@rackspan/protocol";
+import { Cancellation, type AttemptLoop } from "./AttemptLoop.js";
+import type { CallerRequest } from "./callerRequest.js";
+
+export interface OpenTunnelOptions {
+  readonly loop: AttemptLoop;
+  readonly metrics: Metrics;
+  readonly clock: Clock;
+  readonly req: IncomingMessage;
+  readonly socket: Duplex;
+  readonly head: Buffer;
+  readonly request: CallerRequest;
+}
+
+/** @returns nothing once the connections are joined, else why they are not */
+export const openTunnel = async (
+  options: OpenTunnelOptions,
+): Promise<Problem | undefined> => {
+  const { loop, metrics, clock, req, socket, head, request } = options;
+  const { id, match, timeoutMs } = request;
+  const cancellation = new Cancellation();
+  const timer = clock.after(timeoutMs, () => cancellation.cancel("deadline"));
+  const onGone = (): void => cancellation.cancel("caller-gone");
+  socket.on("close", onGone);
+  const outgoing = {
+    id,
+    service: match.service,
+    class: match.route.class,
+    repeatable: match.route.repeatable,
+    method: req.method ?? "GET",
+    path: req.url ?? "/",
+    rawHeaders: req.rawHeaders,
+    body: undefined,
+    deadline: clock.monotonic() + timeoutMs,
+    onUpgrade: (
+      answer: IncomingMessage,
+      upstream: Duplex,
+      upstreamHead: Buffer,
+    ) => {
+      metrics.count("tunnels_opened");
+      joinSockets({ answer, socket, head, upstream, upstreamHead });
+    },
+  };
+  try {
+    const result = await loop.run(outgoing, cancellation);
+    if (result.kind === "refused") return result.problem;
+    if (result.answer.statusCode === STATUS_SWITCHED) {
+      socket.on("close", () => result.release(true));
+      return undefined;
+    }
+    result.release(true);
+    result.answer.destroy();
+    return { ...notSwitched, requestId: id };
+  } finally {
+    timer.cancel();
+    socket.off("close", onGone);
+  }
+};
+
+const notSwitched: Problem = {
+  status: 502,
+  reason: REASON.UPGRADE_REFUSED,
+  outcome: "unknown",
+  detail: "the endpoint answered without switching protocols",
+  remedy: "ask the operators of the service whether it takes upgrades",
+};
--- /dev/null
+++ b/packages/entry/src/operatorHandlers.ts
@@ -0,0 +1,226 @@
+/** What an entry does for each call of an operator. */
+
+import {
+  firstShortage,
+  RackspanError,
+  type Clock,
+  type HostGeneration,
+  type HostId,
+  type Metrics,
+} from "@rackspan/common";
+import { RpcClient, type Handlers } from "@rackspan/protocol";
+import type {
+  Appender,
+  Fold,
+  JobDeclaration,
+  LogFollower,
+  Unit,
+  Verdict,
+} from "@rackspan/state";
+import type { HostListWatcher } from "./HostListWatcher.js";
+import {
+  OPERATOR_METHODS,
+  type OperatorMethods,
+  type OperatorStatus,
+  type OperatorVerdict,
+  type UnitSummary,
+} from "./operatorMethods.js";
+import type { SideDirectory } from "./SideDirectory.js";
+
+export interface OperatorHandlersOptions {
+  readonly host: HostId;
+  readonly fold: Fold;
+  readonly follower: LogFollower;
+  readonly appender: Appender;
+  readonly sides: SideDirectory;
+  readonly hostList: HostListWatcher;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly ready: () => boolean;
+  readonly appendTimeoutMs: number;
+}
+
+const PEER_TIMEOUT_MS = 1_000;
+
+export class UnknownHostError extends RackspanError {
+  readonly kind = "unknown-host";
+  constructor(host: HostId) {
+    super({
+      what: `no host ${host} is known here`,
+      remedy: "see rackspan status for the hosts that are",
+    });
+  }
+}
+
+/** No host that is known could ever hold the job. */
+export class NeverFitsError extends RackspanError {
+  readonly kind = "never-fits";
+  constructor(job: string, amount: string) {
+    super({
+      what: `${job} asks for more ${amount} than any host has`,
+      remedy: `lower "${amount}" or split the job`,
+    });
+  }
+}
+
+export const createOperatorHandlers = (
+  options: OperatorHandlersOptions,
+): Handlers<OperatorMethods> => {
+  const { fold, appender, appendTimeoutMs, sides } = options;
+  return {
+    apply: async ({ operator, base, changes }) => {
+      const record = { type: "apply", operator, base, changes } as const;
+      return toVerdict(await appender.submit(record, appendTimeoutMs));
+    },
+    get: () => ({
+      version: fold.config.version,
+      declarations: fold.config.all().map(({ declaration }) => declaration),
+    }),
+    submit: async ({ job }) => {
+      checkFitsSomewhere(job, sides);
+      return toVerdict(
+        await appender.submit({ type: "submit", job }, appendTimeoutMs),
+      );
+    },
+    cancel: async ({ unit }) =>
+      toVerdict(
+        await appender.submit({ type: "cancel", unit }, appendTimeoutMs),
+      ),
+    units: ({ prefix, limit }) => ({ units: listUnits(fold, prefix, limit) }),
+    entryStatus: () => entryStatus(options),
+    status: () => fullStatus(options),
+    drain: async ({ host }) => {
+      const side = sides.get(host);
+      if (!side) throw new UnknownHostError(host);
+      await side.drain();
+      return {};
+    },
+    fence: async ({ host }) => {
+      const generation = highestClaimed(fold, host);
+      const record = {
+        type: "hostEnded",
+        host,
+        generation,
+        certifiedBy: "operator",
+      } as const;
+      return toVerdict(await appender.submit(record, appendTimeoutMs));
+    },
+  };
+};
+
+const toVerdict = (verdict: Verdict): OperatorVerdict => ({ ...verdict });
+
+/** @throws NeverFitsError; a job that some host may hold later is let through */
+const checkFitsSomewhere = (
+  job: JobDeclaration,
+  sides: SideDirectory,
+): void => {
+  const hosts = sides.views().filter(({ ready }) => ready);
+  const shortages = hosts.map(({ capacity }) =>
+    firstShortage(job.resources, capacity),
+  );
+  const [first] = shortages;
+  if (
+    first !== undefined &&
+    shortages.every((shortage) => shortage !== undefined)
+  ) {
+    throw new NeverFitsError(job.name, first);
+  }
+};
+
+/** @throws UnknownHostError when nothing is claimed there */
+const highestClaimed = (fold: Fold, host: HostId): HostGeneration => {
+  const generations = fold.units
+    .claimedBy(host)
+    .flatMap(({ claim }) => (claim ? [claim.generation] : []));
+  const [first, ...rest] = generations;
+  if (first === undefined) throw new UnknownHostError(host);
+  return rest.reduce(
+    (highest, next) => (next > highest ? next : highest),
+    first,
+  );
+};
+
+const summarize = (unit: Unit): UnitSummary => ({
+  unit: unit.id,
+  phase: unit.phase,
+  attempt: unit.attempt,
+  failures: unit.failures,
+  host: unit.claim?.host,
+  finish: unit.finish,
+  lastEnd: unit.lastEnd,
+  lastDetail: unit.lastDetail,
+});
+
+const listUnits = (
+  fold: Fold,
+  prefix: string,
+  limit: number,
+): UnitSummary[] => {
+  const all = [...fold.units.live(), ...fold.units.finished()];
+  return all
+    .filter(({ id }) => id.startsWith(prefix))
+    .slice(0, limit)
+    .map(summarize);
+};
+
+const entryStatus = ({
+  host,
+  fold,
+  follower,
+  appender,
+  ready,
+}: OperatorHandlersOptions) => ({
+  entry: host as string,
+  ready: ready(),
+  configVersion: fold.config.version as number,
+  logPosition: follower.position as number,
+  logSilentMs: Math.min(follower.silentMs, Number.MAX_SAFE_INTEGER),
+  appendsQueued: appender.queueLength,
+});
+
+const fullStatus = async (
+  options: OperatorHandlersOptions,
+): Promise<OperatorStatus> => {
+  const { fold, sides, metrics } = options;
+  const open = fold.units.open().length;
+  const refusals = await metrics.values("refused");
+  return {
+    ...entryStatus(options),
+    hosts: sides.views().map((view) => ({ ...view, tasks: view.tasks.length })),
+    units: {
+      open,
+      claimed: fold.units.liveCount - open,
+      finished: fold.units.finished().length,
+    },
+    peers: await askPeers(options),
+    refusals: refusals.map(({ labels, value }) => ({
+      reason: labels["reason"] ?? "",
+      outcome: labels["outcome"] ?? "",
+      count: value,
+    })),
+  };
+};
+
+const askPeers = ({ host, hostList }: OperatorHandlersOptions) => {
+  const others = hostList
+    .liveEntries()
+    .filter((record) => record.host !== host);
+  return Promise.all(
+    others.map(async (record) => {
+      const rpc = new RpcClient(OPERATOR_METHODS, `http://${record.address}`);
+      try {
+        const status = await rpc.call(
+          "entryStatus",
+          {},
+          { timeoutMs: PEER_TIMEOUT_MS },
+        );
+        return { host: record.host as string, status };
+      } catch {
+        return { host: record.host as string };
+      } finally {
+        rpc.close();
+      }
+    }),
+  );
+};
--- /dev/null
+++ b/packages/entry/src/operatorMethods.ts
@@ -0,0 +1,114 @@
+/** Calls of operators, and of entries to each other, at an entry's control address. */
+
+import { z } from "zod";
+import {
+  countSchema,
+  idSchema,
+  type HostId,
+  type Sequence,
+  type UnitId,
+} from "@rackspan/common";
+import { resourcesSchema } from "@rackspan/common";
+import { changeSchema, declarationSchema, jobSchema } from "@rackspan/state";
+
+const verdictSchema = z.object({
+  accepted: z.boolean(),
+  sequence: z.number(),
+  reason: z.string().optional(),
+  detail: z.string().optional(),
+});
+export type OperatorVerdict = z.infer<typeof verdictSchema>;
+
+const unitSummarySchema = z.object({
+  unit: z.string(),
+  phase: z.enum(["open", "claimed", "finished"]),
+  attempt: z.number(),
+  failures: z.number(),
+  host: z.string().optional(),
+  finish: z.enum(["succeeded", "failed", "cancelled"]).optional(),
+  lastEnd: z.string().optional(),
+  lastDetail: z.string().optional(),
+});
+export type UnitSummary = z.infer<typeof unitSummarySchema>;
+
+const hostSummarySchema = z.object({
+  host: z.string(),
+  availabilityZone: z.string(),
+  rack: z.string(),
+  ready: z.boolean(),
+  leaving: z.boolean(),
+  tasks: z.number(),
+  capacity: resourcesSchema,
+  free: resourcesSchema,
+});
+
+const entryStatusSchema = z.object({
+  entry: z.string(),
+  ready: z.boolean(),
+  /** Configuration in force at this entry. */
+  configVersion: z.number(),
+  logPosition: z.number(),
+  logSilentMs: z.number(),
+  appendsQueued: z.number(),
+});
+
+export const statusSchema = z.object({
+  ...entryStatusSchema.shape,
+  hosts: z.array(hostSummarySchema),
+  units: z.object({
+    open: z.number(),
+    claimed: z.number(),
+    finished: z.number(),
+  }),
+  /** The other entries that the host list shows; those that did not answer have no status. */
+  peers: z.array(
+    z.object({ host: z.string(), status: entryStatusSchema.optional() }),
+  ),
+  refusals: z.array(
+    z.object({ reason: z.string(), outcome: z.string(), count: z.number() }),
+  ),
+});
+export type OperatorStatus = z.infer<typeof statusSchema>;
+
+export const OPERATOR_METHODS = {
+  apply: {
+    params: z.strictObject({
+      operator: z.string().min(1).max(200),
+      base: countSchema<Sequence>(),
+      changes: z.array(changeSchema).min(1).max(10_000),
+    }),
+    result: verdictSchema,
+  },
+  /** The configuration in force here, and its version as the base of changes. */
+  get: {
+    params: z.strictObject({}),
+    result: z.object({
+      version: z.number(),
+      declarations: z.array(declarationSchema),
+    }),
+  },
+  submit: { params: z.strictObject({ job: jobSchema }), result: verdictSchema },
+  cancel: {
+    params: z.strictObject({ unit: idSchema<UnitId>() }),
+    result: verdictSchema,
+  },
+  units: {
+    params: z.strictObject({
+      prefix: z.string().max(200),
+      limit: z.number().int().min(1).max(100_000),
+    }),
+    result: z.object({ units: z.array(unitSummarySchema) }),
+  },
+  entryStatus: { params: z.strictObject({}), result: entryStatusSchema },
+  status: { params: z.strictObject({}), result: statusSchema },
+  drain: {
+    params: z.strictObject({ host: idSchema<HostId>() }),
+    result: z.object({}),
+  },
+  fence: {
+    params: z.strictObject({ host: idSchema<HostId>() }),
+    result: verdictSchema,
+  },
+} as const;
+
+export type OperatorMethods = typeof OPERATOR_METHODS;
--- /dev/null
+++ b/packages/entry/src/sideRequest.ts
@@ -0,0 +1,100 @@
+/** The head of a request from an entry to a side. */
+
+import { Agent } from "node:http";
+import type { Incarnation, RequestId, ServiceName } from "@rackspan/common";
+import {
+  forwardHeaders,
+  HEADER,
+  INTERNAL_HEADERS,
+  type BodyStream,
+} from "@rackspan/protocol";
+import type { RequestClass } from "@rackspan/state";
+
+export interface OwnHeaders {
+  readonly id: RequestId;
+  readonly service: ServiceName;
+  readonly class: RequestClass;
+  readonly attempt: number;
+  readonly incarnation: Incarnation;
+  readonly timeoutMs: number;
+}
+
+export interface SideHeadersOptions {
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer | BodyStream | undefined;
+  readonly upgrade: boolean;
+  readonly own: OwnHeaders;
+}
+
+const NEVER_FORWARDED = [HEADER.REQUEST_ID, HEADER.TIMEOUT, "expect"] as const;
+
+const DROPPED: ReadonlySet<string> = new Set([
+  ...INTERNAL_HEADERS,
+  ...NEVER_FORWARDED,
+]);
+/** A kept body gets its length anew. */
+const DROPPED_WITH_BODY: ReadonlySet<string> = new Set([
+  ...DROPPED,
+  "content-length",
+]);
+
+const valueOf = (
+  rawHeaders: readonly string[],
+  name: string,
+): string | undefined => {
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    if (rawHeaders[i]?.toLowerCase() === name) return rawHeaders[i + 1];
+  }
+  return undefined;
+};
+
+export const sideHeaders = ({
+  rawHeaders,
+  body,
+  upgrade,
+  own,
+}: SideHeadersOptions): string[] => {
+  const add = [
+    HEADER.SERVICE,
+    own.service,
+    HEADER.CLASS,
+    own.class,
+    HEADER.INCARNATION,
+    own.incarnation,
+    HEADER.REQUEST_ID,
+    own.id,
+    HEADER.ATTEMPT,
+    String(own.attempt),
+    HEADER.TIMEOUT,
+    String(own.timeoutMs),
+  ];
+  if (upgrade) {
+    add.push(
+      "Connection",
+      "upgrade",
+      "Upgrade",
+      valueOf(rawHeaders, "upgrade") ?? "",
+    );
+  }
+  if (Buffer.isBuffer(body)) {
+    add.push("Content-Length", String(body.length));
+    return forwardHeaders(rawHeaders, { drop: DROPPED_WITH_BODY, add });
+  }
+  if (body && valueOf(rawHeaders, "content-length") === undefined) {
+    add.push("Transfer-Encoding", "chunked");
+  }
+  return forwardHeaders(rawHeaders, { drop: DROPPED, add });
+};
+
+const sharedAgent = new Agent({ keepAlive: true, keepAliveMsecs: 5_000 });
+
+/**
+ * A kept connection may turn out closed just as a request is written to it, and
+ * nobody can tell then whether it was read. So requests that may run once only
+ * take a fresh one.
+ */
+export const agentFor = (request: {
+  readonly repeatable: boolean;
+  readonly onUpgrade?: unknown;
+}): Agent | false =>
+  request.repeatable && request.onUpgrade === undefined ? sharedAgent : false;
--- /dev/null
+++ b/packages/jobs/src/HostCertifier.ts
@@ -0,0 +1,96 @@
+/**
+ * Certifies the end of hosts: only the host list's word and then the longest
+ * lease's time count. Not hearing from a host is never enough.
+ */
+
+import {
+  describeError,
+  type Clock,
+  type HostGeneration,
+  type HostId,
+  type Logger,
+  type Metrics,
+} from "@rackspan/common";
+import type { HostRecord } from "@rackspan/platform";
+import type { Appender, Fold } from "@rackspan/state";
+import { FirstSeen } from "./FirstSeen.js";
+import type { Ownership } from "./types.js";
+
+export interface HostCertifierOptions {
+  readonly fold: Fold;
+  readonly appender: Appender;
+  readonly ownership: Ownership;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  /** The longest lease that any worker grants, and some more for its clock's drift. */
+  readonly longestLeaseMs: number;
+  readonly takeoverMs: number;
+  readonly appendTimeoutMs: number;
+}
+
+export class HostCertifier {
+  private readonly goneFor: FirstSeen<string>;
+  private readonly busy = new Set<HostId>();
+
+  constructor(private readonly options: HostCertifierOptions) {
+    this.goneFor = new FirstSeen(options.clock);
+  }
+
+  /** @param listed the host list as it was just read */
+  sweep(listed: readonly HostRecord[]): void {
+    const generations = new Map(
+      listed.map(({ host, generation }) => [host, generation]),
+    );
+    const gone = new Set<string>();
+    for (const host of this.options.fold.units.claimingHosts()) {
+      const ended = this.endedGeneration(host, generations.get(host));
+      if (ended === undefined) continue;
+      const name = `${host}@${ended}`;
+      gone.add(name);
+      if (this.goneFor.see(name) < this.waitMs(name)) continue;
+      this.certify(host, ended);
+    }
+    this.goneFor.keepOnly(gone);
+  }
+
+  private waitMs(name: string): number {
+    const { longestLeaseMs, ownership, takeoverMs } = this.options;
+    return longestLeaseMs + ownership.rank(name) * takeoverMs;
+  }
+
+  /** The highest claimed generation that the list shows as replaced or gone. */
+  private endedGeneration(
+    host: HostId,
+    listed: HostGeneration | undefined,
+  ): HostGeneration | undefined {
+    let highest: HostGeneration | undefined;
+    for (const { claim } of this.options.fold.units.claimedBy(host)) {
+      if (!claim || (listed !== undefined && claim.generation >= listed))
+        continue;
+      if (highest === undefined || claim.generation > highest)
+        highest = claim.generation;
+    }
+    return highest;
+  }
+
+  private certify(host: HostId, generation: HostGeneration): void {
+    const { appender, logger, metrics, appendTimeoutMs } = this.options;
+    if (this.busy.has(host)) return;
+    this.busy.add(host);
+    const record = {
+      type: "hostEnded",
+      host,
+      generation,
+      certifiedBy: "hostList",
+    } as const;
+    logger.warn("host.ended", { host, generation });
+    metrics.count("hosts_certified_ended");
+    appender
+      .submit(record, appendTimeoutMs)
+      .catch((err: unknown) =>
+        logger.warn("host.certify-failed", { host, error: describeError(err) }),
+      )
+      .finally(() => this.busy.delete(host));
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/UnitPlacer.ts
@@ -0,0 +1,244 @@
+/**
+ * Brings open units to run: reserve at a side, claim on the log, start only
+ * after the own claim was read back as the winner.
+ */
+
+import PQueue from "p-queue";
+import {
+  describeError,
+  jitter,
+  taskIdOf,
+  type Clock,
+  type Logger,
+  type Metrics,
+  type Random,
+  type UnitId,
+} from "@rackspan/common";
+import { RemoteError } from "@rackspan/protocol";
+import type { Appender, Fold, Priority, Unit } from "@rackspan/state";
+import { FirstSeen } from "./FirstSeen.js";
+import type {
+  HostDirectory,
+  HostView,
+  Ownership,
+  Placer,
+  Reserved,
+} from "./types.js";
+
+export interface UnitPlacerOptions {
+  readonly fold: Fold;
+  readonly appender: Appender;
+  readonly hosts: HostDirectory;
+  readonly placer: Placer;
+  readonly ownership: Ownership;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  /** An entry that comes later for a unit waits this long for each before it. */
+  readonly takeoverMs: number;
+  /** Longest wait for a claim to be read back; shorter than a reservation lives. */
+  readonly claimTimeoutMs: number;
+  /** Placements in progress at once. */
+  readonly concurrency: number;
+}
+
+const PRIORITY_RANK: Readonly<Record<Priority, number>> = {
+  urgent: 2,
+  normal: 1,
+  low: 0,
+};
+const HOSTS_TRIED = 3;
+const FIRST_BACKOFF_MS = 250;
+const MAX_BACKOFF_MS = 30_000;
+
+interface Backoff {
+  readonly attempt: number;
+  readonly tries: number;
+  readonly until: number;
+}
+
+export class UnitPlacer {
+  private readonly queue: PQueue;
+  private readonly inProgress = new Set<UnitId>();
+  private readonly openFor: FirstSeen<string>;
+  private readonly backoffs = new Map<UnitId, Backoff>();
+
+  constructor(private readonly options: UnitPlacerOptions) {
+    this.queue = new PQueue({ concurrency: options.concurrency });
+    this.openFor = new FirstSeen(options.clock);
+  }
+
+  /** Starts what may be started now; called again whenever something changed. */
+  sweep(): void {
+    const open = this.options.fold.units.open();
+    const names = new Set<string>();
+    for (const unit of open) {
+      const name = taskIdOf(unit.id, unit.attempt);
+      names.add(name);
+      if (this.inProgress.has(unit.id)) continue;
+      if (!this.isMyTurn(unit, this.openFor.see(name))) continue;
+      this.enqueue(unit);
+    }
+    this.openFor.keepOnly(names);
+    for (const id of this.backoffs.keys()) {
+      if (this.options.fold.units.get(id)?.phase !== "open")
+        this.backoffs.delete(id);
+    }
+  }
+
+  /** Placements that are waiting or in progress. */
+  get busy(): number {
+    return this.inProgress.size;
+  }
+
+  private isMyTurn(unit: Unit, openMs: number): boolean {
+    const { ownership, takeoverMs, clock } = this.options;
+    if (openMs < retryDelay(unit)) return false;
+    const backoff = this.backoffs.get(unit.id);
+    if (
+      backoff?.attempt === unit.attempt &&
+      clock.monotonic() < backoff.until
+    ) {
+      return false;
+    }
+    return openMs >= retryDelay(unit) + ownership.rank(unit.id) * takeoverMs;
+  }
+
+  private enqueue(unit: Unit): void {
+    const { logger } = this.options;
+    this.inProgress.add(unit.id);
+    const priority = PRIORITY_RANK[unit.spec.priority];
+    this.queue
+      .add(() => this.place(unit), { priority })
+      .catch((err: unknown) =>
+        logger.error("unit.place-failed", {
+          unit: unit.id,
+          error: describeError(err),
+        }),
+      )
+      .finally(() => this.inProgress.delete(unit.id));
+  }
+
+  private async place(unit: Unit): Promise<void> {
+    if (!this.isStillOpen(unit)) return;
+    const { placer, hosts, metrics } = this.options;
+    const ranked = placer.rank(unit, hosts.views()).slice(0, HOSTS_TRIED);
+    for (const view of ranked) {
+      const reserved = await this.reserve(unit, view);
+      if (!reserved) continue;
+      await this.claimAndStart(unit, view, reserved);
+      return;
+    }
+    metrics.count("units_not_placed", {
+      reason: ranked.length === 0 ? "no-room" : "refused",
+    });
+    this.backOff(unit);
+  }
+
+  private isStillOpen(unit: Unit): boolean {
+    const now = this.options.fold.units.get(unit.id);
+    return now?.phase === "open" && now.attempt === unit.attempt;
+  }
+
+  private async reserve(
+    unit: Unit,
+    view: HostView,
+  ): Promise<Reserved | undefined> {
+    const { hosts, metrics, logger } = this.options;
+    try {
+      return await hosts.control(view.host)?.reserve(unit);
+    } catch (err) {
+      const reason =
+        err instanceof RemoteError ? err.remoteKind : "unreachable";
+      metrics.count("reserve_refused", { reason });
+      logger.debug("reserve.refused", {
+        unit: unit.id,
+        host: view.host,
+        reason,
+      });
+      return undefined;
+    }
+  }
+
+  private async claimAndStart(
+    unit: Unit,
+    { host }: HostView,
+    { reservation, generation }: Reserved,
+  ): Promise<void> {
+    const { appender, hosts, metrics, logger, claimTimeoutMs } = this.options;
+    const { id, attempt } = unit;
+    const control = hosts.control(host);
+    const claim = {
+      type: "claim",
+      unit: id,
+      attempt,
+      host,
+      generation,
+      reservation,
+    } as const;
+    try {
+      const verdict = await appender.submit(claim, claimTimeoutMs);
+      if (!verdict.accepted) {
+        metrics.count("claims", { result: verdict.reason });
+        logger.info("claim.lost", {
+          unit: id,
+          attempt,
+          host,
+          reason: verdict.reason,
+        });
+        await control?.releaseReservation(reservation).catch(() => undefined);
+        if (verdict.reason === "quota") this.backOff(unit);
+        return;
+      }
+      metrics.count("claims", { result: "won" });
+    } catch (err) {
+      // Unknown or refused: nothing is started, and the reservation expires by itself.
+      metrics.count("claims", { result: "no-answer" });
+      logger.warn("claim.no-answer", {
+        unit: id,
+        attempt,
+        error: describeError(err),
+      });
+      this.backOff(unit);
+      return;
+    }
+    await this.start(unit, host);
+  }
+
+  private async start(unit: Unit, host: HostView["host"]): Promise<void> {
+    const { fold, hosts, logger } = this.options;
+    const won = fold.units.get(unit.id);
+    if (won?.phase !== "claimed" || won.attempt !== unit.attempt) return;
+    try {
+      await hosts.control(host)?.start(won);
+      logger.info("unit.started", {
+        unit: unit.id,
+        attempt: unit.attempt,
+        host,
+      });
+    } catch (err) {
+      // The side's own list of tasks tells later whether it runs.
+      const error = describeError(err);
+      logger.warn("unit.start-failed", { unit: unit.id, host, error });
+    }
+  }
+
+  private backOff(unit: Unit): void {
+    const { clock, random } = this.options;
+    const before = this.backoffs.get(unit.id);
+    const tries = before?.attempt === unit.attempt ? before.tries + 1 : 1;
+    const waitMs = Math.min(
+      MAX_BACKOFF_MS,
+      FIRST_BACKOFF_MS * 2 ** (tries - 1),
+    );
+    const until = clock.monotonic() + jitter(random, waitMs);
+    this.backoffs.set(unit.id, { attempt: unit.attempt, tries, until });
+  }
+}
+
+/** Wait before the next attempt of a unit that has failed, milliseconds. */
+const retryDelay = ({ failures, lastEnd }: Unit): number =>
+  lastEnd === "failed"
+    ? Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** Math.min(failures, 10))
+    : 0;
--- /dev/null
+++ b/packages/jobs/src/index.ts
@@ -0,0 +1,6 @@
+export * from "./ClaimKeeper.js";
+export * from "./FirstSeen.js";
+export * from "./HostCertifier.js";
+export * from "./RendezvousOwnership.js";
+export * from "./types.js";
+export * from "./UnitPlacer.js";
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./Lifecycle.js";
+export * from "./Registry.js";
+export * from "./settings.js";
--- /dev/null
+++ b/packages/protocol/src/Attempt.ts
@@ -0,0 +1,138 @@
+/** One attempt of a request: sent to one address, answered once or failed. */
+
+import {
+  request,
+  type Agent,
+  type ClientRequest,
+  type IncomingMessage,
+} from "node:http";
+import type { Duplex, Readable } from "node:stream";
+import { RackspanError } from "@rackspan/common";
+import type { RawHeaders } from "./headers.js";
+
+/** `IP:PORT` of our process or of an endpoint. */
+export interface SocketAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** @throws TypeError when the text is not `IP:PORT` */
+export const parseAddress = (text: string): SocketAddress => {
+  const at = text.lastIndexOf(":");
+  const port = Number(text.slice(at + 1));
+  if (at < 1 || !Number.isInteger(port) || port < 0 || port > 65_535) {
+    throw new TypeError(`"${text}" is not IP:PORT`);
+  }
+  return { host: text.slice(0, at).replace(/^\[|\]$/g, ""), port };
+};
+
+/** A body that is passed on as it arrives, and so can be sent once only. */
+export interface BodyStream {
+  readonly stream: Readable;
+  /** Whether the stream has come to its proper end. */
+  readonly isWhole: () => boolean;
+}
+
+export const STATUS_SWITCHED = 101;
+
+export interface AttemptOptions {
+  readonly address: SocketAddress;
+  /** `false` takes a fresh connection, which cannot be half closed already. */
+  readonly agent: Agent | false;
+  readonly method: string;
+  readonly path: string;
+  /** Flat list of end-to-end headers. */
+  readonly headers: RawHeaders;
+  readonly body: Buffer | BodyStream | undefined;
+  /** Called for an answer that switches protocols; without it such an answer fails. */
+  readonly onUpgrade?: (
+    answer: IncomingMessage,
+    socket: Duplex,
+    head: Buffer,
+  ) => void;
+}
+
+/** The attempt got no answer. */
+export class AttemptFailedError extends RackspanError {
+  readonly kind = "attempt-failed";
+  constructor(
+    /** False only when not one byte was sent. */
+    readonly mayHaveRun: boolean,
+    address: SocketAddress,
+    cause: unknown,
+  ) {
+    super({
+      what: `no answer from ${address.host}:${address.port}`,
+      remedy: mayHaveRun
+        ? "find out whether the request ran before repeating it"
+        : "try another endpoint",
+      cause,
+    });
+  }
+}
+
+export class Attempt {
+  /** The head of the answer; 101 when protocols were switched. @throws AttemptFailedError */
+  readonly answer: Promise<IncomingMessage>;
+  private readonly req: ClientRequest;
+  private connected = false;
+
+  constructor(private readonly options: AttemptOptions) {
+    const { address, agent, method, path, headers, onUpgrade } = options;
+    this.req = request({
+      host: address.host,
+      port: address.port,
+      agent,
+      method,
+      path,
+      // Node takes a flat list here, which keeps order, spelling and repeats.
+      headers: headers as unknown as Record<string, string>,
+    });
+    this.answer = new Promise((resolve, reject) => {
+      this.req.on("response", resolve);
+      if (onUpgrade) {
+        this.req.on("upgrade", (answer, socket, head) => {
+          resolve(answer);
+          onUpgrade(answer, socket, head);
+        });
+      }
+      this.req.on("error", (err) => reject(this.failure(err)));
+      this.req.on("close", () => reject(this.failure(undefined)));
+    });
+    // A caller that gave up does not look at the answer any more.
+    this.answer.catch(() => undefined);
+    this.noteConnection();
+    this.sendBody();
+  }
+
+  /** Cuts the connection; the other side learns that nobody waits any more. */
+  cancel(): void {
+    this.req.destroy();
+  }
+
+  private failure(cause: unknown): AttemptFailedError {
+    return new AttemptFailedError(this.connected, this.options.address, cause);
+  }
+
+  private noteConnection(): void {
+    this.req.on("socket", (socket) => {
+      if (!socket.connecting) this.connected = true;
+      else socket.once("connect", () => (this.connected = true));
+    });
+  }
+
+  private sendBody(): void {
+    const { body } = this.options;
+    if (body === undefined || Buffer.isBuffer(body)) {
+      this.req.end(body);
+      return;
+    }
+    const { stream, isWhole } = body;
+    // A sender that breaks off must not look like the end of the body.
+    stream.on("error", () => this.req.destroy());
+    stream.on("close", () => {
+      if (!isWhole()) this.req.destroy();
+    });
+    stream.pipe(this.req);
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/joinSockets.ts
@@ -0,0 +1,37 @@
+/** Joins the two connections of an upgraded request. Source: RFC 9110, section 7.8. */
+
+import type { IncomingMessage } from "node:http";
+import type { Duplex } from "node:stream";
+
+export interface JoinOptions {
+  /** The answer that switched protocols. */
+  readonly answer: IncomingMessage;
+  readonly socket: Duplex;
+  /** Bytes that followed the request's head. */
+  readonly head: Buffer;
+  readonly upstream: Duplex;
+  /** Bytes that followed the answer's head. */
+  readonly upstreamHead: Buffer;
+}
+
+const upgradeAnswer = (answer: IncomingMessage): string => {
+  const lines = [`HTTP/1.1 ${answer.statusCode} ${answer.statusMessage ?? ""}`];
+  const { rawHeaders } = answer;
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    lines.push(`${rawHeaders[i]}: ${rawHeaders[i + 1]}`);
+  }
+  return `${lines.join("\r\n")}\r\n\r\n`;
+};
+
+/** From here on bytes pass both ways until either side closes. */
+export const joinSockets = (options: JoinOptions): void => {
+  const { answer, socket, head, upstream, upstreamHead } = options;
+  socket.on("close", () => upstream.destroy());
+  upstream.on("error", () => upstream.destroy());
+  upstream.on("close", () => socket.destroy());
+  socket.write(upgradeAnswer(answer));
+  if (upstreamHead.length > 0) socket.write(upstreamHead);
+  if (head.length > 0) upstream.write(head);
+  socket.pipe(upstream);
+  upstream.pipe(socket);
+};
--- /dev/null
+++ b/packages/protocol/src/relayAnswer.ts
@@ -0,0 +1,61 @@
+/** Passes the body of an answer on, whole or visibly broken. */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/** `broken`: the sender broke off. `receiver-gone`: nobody listens any more. */
+export type RelayEnd = "whole" | "broken" | "receiver-gone";
+
+export interface RelayOptions {
+  /** Read the answer to its end even when the receiver has gone. */
+  readonly readToEnd?: boolean;
+}
+
+/** Trailers that may be passed on; the head must have been written. */
+const passTrailers = (from: IncomingMessage, to: ServerResponse): void => {
+  const pairs: [string, string][] = [];
+  const { rawTrailers } = from;
+  for (let i = 0; i + 1 < rawTrailers.length; i += 2) {
+    pairs.push([rawTrailers[i] as string, rawTrailers[i + 1] as string]);
+  }
+  if (pairs.length > 0) to.addTrailers(pairs);
+};
+
+/**
+ * Streams with back pressure. A sender that breaks off tears the receiver's
+ * connection, so that a part is never taken for the whole.
+ */
+export const relayAnswer = (
+  from: IncomingMessage,
+  to: ServerResponse,
+  { readToEnd = false }: RelayOptions = {},
+): Promise<RelayEnd> =>
+  new Promise((resolve) => {
+    let ended = false;
+    const finish = (end: RelayEnd): void => {
+      if (ended) return;
+      ended = true;
+      if (end === "broken") to.destroy();
+      if (end === "receiver-gone" && !readToEnd) from.destroy();
+      resolve(end);
+    };
+    const onReceiverGone = (): void => {
+      if (!readToEnd || from.complete) return finish("receiver-gone");
+      from.on("close", () => finish("receiver-gone"));
+      from.unpipe(to);
+      from.resume();
+    };
+    from.on("end", () => {
+      if (!from.complete) return finish("broken");
+      if (to.destroyed) return;
+      passTrailers(from, to);
+      to.end();
+    });
+    from.on("error", () => finish("broken"));
+    from.on("close", () => {
+      if (!from.complete) finish("broken");
+    });
+    to.on("finish", () => finish("whole"));
+    if (to.destroyed) return onReceiverGone();
+    to.on("close", onReceiverGone);
+    from.pipe(to, { end: false });
+  });
--- /dev/null
+++ b/packages/routing/src/DeadlineQueue.ts
@@ -0,0 +1,64 @@
+/** Bounded queue before the work of one class; waits end at each deadline. */
+
+import PQueue from "p-queue";
+import type { Clock } from "@rackspan/common";
+
+export interface DeadlineQueueOptions {
+  readonly clock: Clock;
+  readonly concurrency: number;
+  readonly maxQueued: number;
+}
+
+export type Entered = "entered" | "full" | "late";
+
+export class DeadlineQueue {
+  private readonly queue: PQueue;
+  private running = 0;
+
+  constructor(private readonly options: DeadlineQueueOptions) {
+    this.queue = new PQueue({ concurrency: options.concurrency });
+  }
+
+  get queued(): number {
+    return this.queue.size;
+  }
+
+  get inProgress(): number {
+    return this.running;
+  }
+
+  /** Runs the work once there is room; tells why it did not. */
+  async run(timeoutMs: number, work: () => Promise<void>): Promise<Entered> {
+    const { concurrency, maxQueued, clock } = this.options;
+    if (this.running < concurrency && this.queue.size === 0) {
+      await this.queue.add(() => this.track(work));
+      return "entered";
+    }
+    if (this.queue.size >= maxQueued) return "full";
+    let state: "waiting" | "started" | "late" = "waiting";
+    return new Promise((resolve, reject) => {
+      const timer = clock.after(timeoutMs, () => {
+        if (state !== "waiting") return;
+        state = "late";
+        resolve("late");
+      });
+      const task = async (): Promise<void> => {
+        if (state === "late") return;
+        state = "started";
+        timer.cancel();
+        await this.track(work);
+        resolve("entered");
+      };
+      this.queue.add(task).catch(reject);
+    });
+  }
+
+  private async track(work: () => Promise<void>): Promise<void> {
+    this.running += 1;
+    try {
+      await work();
+    } finally {
+      this.running -= 1;
+    }
+  }
+}
--- /dev/null
+++ b/packages/routing/src/EndpointPicker.ts
@@ -0,0 +1,23 @@
+/** Picks the endpoint for one attempt of a request. Source: brief, "What we measure". */
+
+import type { AvailabilityZone, Random } from "@rackspan/common";
+import { Registry } from "@rackspan/kernel";
+import type { EndpointView } from "./types.js";
+
+export interface EndpointPicker {
+  /**
+   * @param candidates endpoints in service, in no order; not empty
+   * @returns one of the candidates
+   */
+  pick(candidates: readonly EndpointView[]): EndpointView;
+}
+
+export interface PickerOptions {
+  readonly random: Random;
+  /** The zone of the picking entry. */
+  readonly availabilityZone: AvailabilityZone;
+}
+
+export const pickers = new Registry<PickerOptions, EndpointPicker>(
+  "endpoint picker",
+);
--- /dev/null
+++ b/packages/routing/src/OutlierEjector.ts
@@ -0,0 +1,83 @@
+/**
+ * Leaves out endpoints that fail what they are sent, for a growing time, and
+ * lets them back on probation. Never leaves out more than a share of them.
+ */
+
+import type { Clock, HostId, Monotonic } from "@rackspan/common";
+import type { AttemptReport, EndpointView } from "./types.js";
+
+export interface OutlierEjectorOptions {
+  readonly clock: Clock;
+  /** Failures in a row that eject. */
+  readonly failuresToEject: number;
+  /** The first ejection lasts this long; each further one twice the last. */
+  readonly ejectMs: number;
+  readonly maxEjectMs: number;
+  /** Largest share of the candidates that may be left out, in [0, 1]. */
+  readonly maxEjectedShare: number;
+}
+
+interface Health {
+  failuresInRow: number;
+  ejections: number;
+  ejectedUntil: Monotonic;
+  /** Back on trial: one failure ejects again. */
+  onProbation: boolean;
+}
+
+const fresh = (): Health => ({
+  failuresInRow: 0,
+  ejections: 0,
+  ejectedUntil: -Infinity,
+  onProbation: false,
+});
+
+export class OutlierEjector {
+  private readonly health = new Map<HostId, Health>();
+
+  constructor(private readonly options: OutlierEjectorOptions) {}
+
+  report({ host, ok }: AttemptReport): void {
+    const health = this.health.get(host) ?? fresh();
+    this.health.set(host, health);
+    if (ok) {
+      health.failuresInRow = 0;
+      if (health.onProbation) this.health.delete(host);
+      return;
+    }
+    health.failuresInRow += 1;
+    const limit = health.onProbation ? 1 : this.options.failuresToEject;
+    if (health.failuresInRow >= limit) this.eject(health);
+  }
+
+  /** The candidates that may be used now; all of them when too many are ejected. */
+  admit(candidates: readonly EndpointView[]): readonly EndpointView[] {
+    if (this.health.size === 0) return candidates;
+    const admitted = candidates.filter(({ host }) => !this.isEjected(host));
+    const least = candidates.length * (1 - this.options.maxEjectedShare);
+    return admitted.length > 0 && admitted.length >= least
+      ? admitted
+      : candidates;
+  }
+
+  isEjected(host: HostId): boolean {
+    const health = this.health.get(host);
+    return (
+      health !== undefined &&
+      health.ejectedUntil > this.options.clock.monotonic()
+    );
+  }
+
+  forget(host: HostId): void {
+    this.health.delete(host);
+  }
+
+  private eject(health: Health): void {
+    const { clock, ejectMs, maxEjectMs } = this.options;
+    const lasts = Math.min(maxEjectMs, ejectMs * 2 ** health.ejections);
+    health.ejectedUntil = clock.monotonic() + lasts;
+    health.ejections += 1;
+    health.failuresInRow = 0;
+    health.onProbation = true;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/randomPicker.ts
@@ -0,0 +1,20 @@
+/** Baseline: any endpoint with equal chance. */
+
+import { pickIndex, type Random } from "@rackspan/common";
+import { pickers, type EndpointPicker } from "./EndpointPicker.js";
+import type { EndpointView } from "./types.js";
+
+export class RandomPicker implements EndpointPicker {
+  constructor(private readonly random: Random) {}
+
+  pick(candidates: readonly EndpointView[]): EndpointView {
+    return candidates[
+      pickIndex(this.random, candidates.length)
+    ] as EndpointView;
+  }
+}
+
+pickers.register({
+  name: "random",
+  create: ({ random }) => new RandomPicker(random),
+});
--- /dev/null
+++ b/packages/routing/src/roundRobinPicker.ts
@@ -0,0 +1,26 @@
+/** Baseline: each endpoint in turn, from a random start. */
+
+import { pickIndex, type Random } from "@rackspan/common";
+import { pickers, type EndpointPicker } from "./EndpointPicker.js";
+import type { EndpointView } from "./types.js";
+
+const START_RANGE = 1_000_000;
+
+export class RoundRobinPicker implements EndpointPicker {
+  private turn: number;
+
+  constructor(random: Random) {
+    // Entries that start together must not walk in step.
+    this.turn = pickIndex(random, START_RANGE);
+  }
+
+  pick(candidates: readonly EndpointView[]): EndpointView {
+    this.turn += 1;
+    return candidates[this.turn % candidates.length] as EndpointView;
+  }
+}
+
+pickers.register({
+  name: "roundRobin",
+  create: ({ random }) => new RoundRobinPicker(random),
+});
--- /dev/null
+++ b/packages/scheduling/src/firstFitPlacer.ts
@@ -0,0 +1,15 @@
+/** Baseline: the first host with room, in the order of names. */
+
+import type { HostView, Placer } from "@rackspan/jobs";
+import type { Unit } from "@rackspan/state";
+import { hostsWithRoom, placers } from "./placers.js";
+
+export class FirstFitPlacer implements Placer {
+  rank(unit: Unit, hosts: readonly HostView[]): readonly HostView[] {
+    return [...hostsWithRoom(unit, hosts)].sort((a, b) =>
+      a.host < b.host ? -1 : 1,
+    );
+  }
+}
+
+placers.register({ name: "firstFit", create: () => new FirstFitPlacer() });
--- /dev/null
+++ b/packages/scheduling/src/leastLoadedPlacer.ts
@@ -0,0 +1,16 @@
+/** Baseline: the emptiest host. */
+
+import type { HostView, Placer } from "@rackspan/jobs";
+import type { Unit } from "@rackspan/state";
+import { freeShare, hostsWithRoom, placers, sortByScore } from "./placers.js";
+
+export class LeastLoadedPlacer implements Placer {
+  rank(unit: Unit, hosts: readonly HostView[]): readonly HostView[] {
+    return sortByScore(hostsWithRoom(unit, hosts), (host) => -freeShare(host));
+  }
+}
+
+placers.register({
+  name: "leastLoaded",
+  create: () => new LeastLoadedPlacer(),
+});
--- /dev/null
+++ b/packages/side/src/AdmissionGate.ts
@@ -0,0 +1,101 @@
+/**
+ * The slots and connections of this host: hard limits, whichever entries call.
+ * A request waits for a slot only as long as its deadline allows.
+ */
+
+import PQueue from "p-queue";
+import type { Clock } from "@rackspan/common";
+import { REASON, type Reason } from "@rackspan/protocol";
+
+export interface AdmissionGateOptions {
+  readonly clock: Clock;
+  readonly slots: number;
+  readonly connections: number;
+  readonly maxQueued: number;
+}
+
+/** Given back exactly once. */
+export interface Permit {
+  release(): void;
+}
+
+export type Admission =
+  | { readonly admitted: true; readonly permit: Permit }
+  | { readonly admitted: false; readonly reason: Reason };
+
+const refused = (reason: Reason): Admission => ({ admitted: false, reason });
+
+export class AdmissionGate {
+  private readonly queue: PQueue;
+  private open = 0;
+
+  constructor(private readonly options: AdmissionGateOptions) {
+    this.queue = new PQueue({ concurrency: options.slots });
+  }
+
+  get busySlots(): number {
+    return this.queue.pending;
+  }
+
+  get queued(): number {
+    return this.queue.size;
+  }
+
+  get openConnections(): number {
+    return this.open;
+  }
+
+  /** Takes a connection and a slot. */
+  async admitRequest(timeoutMs: number): Promise<Admission> {
+    const { connections, slots, maxQueued } = this.options;
+    if (this.open >= connections) return refused(REASON.CONNECTIONS_BUSY);
+    const mustWait = this.busySlots >= slots;
+    if (mustWait && this.queued >= maxQueued) return refused(REASON.SLOTS_BUSY);
+    this.open += 1;
+    const permit = await this.waitForSlot(timeoutMs);
+    if (permit) return { admitted: true, permit };
+    this.open -= 1;
+    return refused(REASON.DEADLINE);
+  }
+
+  /** Takes a connection only: a watch waits most of its time. */
+  admitWatch(): Admission {
+    if (this.open >= this.options.connections)
+      return refused(REASON.CONNECTIONS_BUSY);
+    this.open += 1;
+    return { admitted: true, permit: oncePermit(() => (this.open -= 1)) };
+  }
+
+  private waitForSlot(timeoutMs: number): Promise<Permit | undefined> {
+    return new Promise((resolve) => {
+      let expired = false;
+      const timer = this.options.clock.after(timeoutMs, () => {
+        expired = true;
+        resolve(undefined);
+      });
+      void this.queue.add(() => {
+        timer.cancel();
+        if (expired) return Promise.resolve();
+        return new Promise<void>((free) => {
+          resolve(
+            oncePermit(() => {
+              this.open -= 1;
+              free();
+            }),
+          );
+        });
+      });
+    });
+  }
+}
+
+const oncePermit = (release: () => void): Permit => {
+  let released = false;
+  return {
+    release: () => {
+      if (released) return;
+      released = true;
+      release();
+    },
+  };
+};
--- /dev/null
+++ b/packages/side/src/SideProcess.ts
@@ -0,0 +1,240 @@
+/** The side process of one endpoint host: wires its parts and their life cycle. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import {
+  createLogger,
+  freshId,
+  Metrics,
+  sleep,
+  SystemClock,
+  type Clock,
+  type Incarnation,
+  type Logger,
+} from "@rackspan/common";
+import { Lifecycle } from "@rackspan/kernel";
+import { HttpWorker, type Worker } from "@rackspan/platform";
+import { HEADER, RPC_PATH, RpcServer, SIDE_METHODS } from "@rackspan/protocol";
+import { AdmissionGate } from "./AdmissionGate.js";
+import { Commitments } from "./Commitments.js";
+import { RequestFences } from "./RequestFences.js";
+import { RequestHandler } from "./RequestHandler.js";
+import type { SideSettings } from "./settings.js";
+import { createSideHandlers } from "./sideHandlers.js";
+import { StatusBoard } from "./StatusBoard.js";
+import { TaskHolder } from "./TaskHolder.js";
+
+export interface SideProcessOptions {
+  readonly settings: SideSettings;
+  readonly clock?: Clock;
+  readonly worker?: Worker;
+  readonly logger?: Logger;
+}
+
+const DRAIN_POLL_MS = 20;
+const KEEP_ALIVE_MS = 60_000;
+
+export class SideProcess {
+  readonly incarnation = freshId<Incarnation>();
+  readonly metrics = new Metrics();
+  readonly commitments: Commitments;
+  readonly tasks: TaskHolder;
+  readonly gate: AdmissionGate;
+  private readonly handler: RequestHandler;
+  private readonly board: StatusBoard;
+  private readonly lifecycle: Lifecycle;
+  private readonly server: Server;
+  private readonly rpc: RpcServer<typeof SIDE_METHODS>;
+  private readonly stopped = new AbortController();
+  private readonly clock: Clock;
+
+  constructor(private readonly options: SideProcessOptions) {
+    const { settings } = options;
+    const { host } = settings;
+    const clock = options.clock ?? new SystemClock();
+    this.clock = clock;
+    const base = options.logger ?? createLogger({ level: settings.logLevel });
+    const logger = base.with({ role: "side", host });
+    const { metrics, incarnation } = this;
+    const worker = options.worker ?? new HttpWorker(settings.worker.url);
+    const { reservationTtlMs, leaseMs, renewEveryMs } = settings.tasks;
+    this.commitments = new Commitments({ clock, reservationTtlMs });
+    const { commitments } = this;
+    const shared = { clock, metrics, logger, incarnation };
+    this.tasks = new TaskHolder({
+      ...shared,
+      worker,
+      commitments,
+      leaseMs,
+      renewEveryMs,
+    });
+    this.gate = new AdmissionGate({ clock, ...settings.admission });
+    const { tasks, gate } = this;
+    const fences = new RequestFences(clock, settings.limits.fencesKept);
+    this.handler = new RequestHandler({ ...shared, tasks, gate, fences });
+    this.board = new StatusBoard({
+      settings,
+      incarnation,
+      tasks,
+      commitments,
+      gate,
+      clock,
+    });
+    this.rpc = new RpcServer(
+      SIDE_METHODS,
+      createSideHandlers({
+        ...shared,
+        tasks,
+        commitments,
+        fences,
+        settings,
+        board: this.board,
+      }),
+    );
+    this.server = this.createServer();
+    this.lifecycle = this.createLifecycle(logger);
+  }
+
+  /** Starts; admits work once the worker's list is known. */
+  start(): Promise<void> {
+    return this.lifecycle.start();
+  }
+
+  /** A planned stop: requests in progress end, tasks go on under their leases. */
+  shutDown(): Promise<void> {
+    return this.lifecycle.shutDown();
+  }
+
+  /** Stops at once, as a kill would. */
+  kill(): Promise<void> {
+    return this.lifecycle.kill();
+  }
+
+  /** `IP:PORT` that entries call. */
+  get address(): string {
+    const { address, port } = this.server.address() as AddressInfo;
+    return `${address}:${port}`;
+  }
+
+  private createServer(): Server {
+    const { maxHeaderBytes } = this.options.settings.limits;
+    const server = createServer(
+      { maxHeaderSize: maxHeaderBytes },
+      (req, res) => {
+        res.on("error", () => undefined);
+        void this.serve(req, res);
+      },
+    );
+    server.keepAliveTimeout = KEEP_ALIVE_MS;
+    server.on("upgrade", (req, socket, head) =>
+      this.handler.handleUpgrade(req, socket, head),
+    );
+    return server;
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (req.headers[HEADER.SERVICE] !== undefined)
+      return this.handler.handle(req, res);
+    switch (req.url) {
+      case RPC_PATH:
+        return this.rpc.handle(req, res);
+      case "/livez":
+        return sendText(res, 200, "live\n");
+      case "/readyz":
+        return this.tasks.ready && this.lifecycle.state === "running"
+          ? sendText(res, 200, "ready\n")
+          : sendText(res, 503, `${this.lifecycle.state}\n`);
+      case "/metrics":
+        this.publishGauges();
+        return sendText(res, 200, await this.metrics.render());
+      default:
+        return sendText(res, 404, "not found\n");
+    }
+  }
+
+  private publishGauges(): void {
+    const { free, total } = this.commitments;
+    this.metrics.gauge("free_processors", free.processors);
+    this.metrics.gauge("capacity_processors", total.processors);
+    this.metrics.gauge("busy_slots", this.gate.busySlots);
+    this.metrics.gauge("open_connections", this.gate.openConnections);
+    this.metrics.gauge("held_tasks", this.tasks.list().length);
+  }
+
+  private createLifecycle(logger: Logger): Lifecycle {
+    const { signal } = this.stopped;
+    let renewing: Promise<void> = Promise.resolve();
+    return new Lifecycle(
+      [
+        {
+          name: "tasks",
+          start: async () => {
+            void this.tasks
+              .adopt(signal)
+              .then(() => (renewing = this.tasks.run(signal)))
+              .catch(() => undefined);
+          },
+          stop: async () => {
+            this.stopped.abort();
+            await renewing;
+          },
+        },
+        {
+          name: "server",
+          start: () => this.listen(),
+          drain: () => this.drain(),
+          stop: () => this.close(),
+        },
+      ],
+      logger,
+    );
+  }
+
+  private listen(): Promise<void> {
+    const { address, port } = this.options.settings.listen;
+    return new Promise((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, address, resolve);
+    });
+  }
+
+  /** Tells the entries first, then refuses, then waits for what is in progress. */
+  private async drain(): Promise<void> {
+    const { noticeMs, limitMs } = this.options.settings.drain;
+    this.board.leave();
+    await sleep(this.clock, noticeMs);
+    this.handler.refusing = true;
+    const end = this.clock.monotonic() + limitMs;
+    while (this.gate.openConnections > this.handler.openWatches) {
+      await sleep(this.clock, DRAIN_POLL_MS);
+    }
+    while (this.handler.openWatches > 0 && this.clock.monotonic() < end) {
+      await sleep(this.clock, DRAIN_POLL_MS);
+    }
+    this.handler.cutWatches();
+  }
+
+  private async close(): Promise<void> {
+    this.board.close();
+    const closed = new Promise<void>((resolve) =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeAllConnections();
+    this.handler.cutWatches();
+    this.handler.close();
+    await closed;
+  }
+}
+
+const sendText = (res: ServerResponse, status: number, text: string): void => {
+  res.writeHead(status, { "content-type": "text/plain; charset=utf-8" });
+  res.end(text);
+};
--- /dev/null
+++ b/packages/side/src/StatusBoard.ts
@@ -0,0 +1,118 @@
+/** What this side tells the entries about itself, with a revision that they can wait on. */
+
+import {
+  ChangeSignal,
+  type Clock,
+  type HostGeneration,
+  type HostId,
+  type Incarnation,
+} from "@rackspan/common";
+import type { SideStatus, TaskStatus } from "@rackspan/protocol";
+import type { AdmissionGate } from "./AdmissionGate.js";
+import type { Commitments } from "./Commitments.js";
+import type { SideSettings } from "./settings.js";
+import type { HeldTask, TaskHolder } from "./TaskHolder.js";
+
+export interface StatusBoardOptions {
+  readonly settings: SideSettings;
+  readonly incarnation: Incarnation;
+  readonly tasks: TaskHolder;
+  readonly commitments: Commitments;
+  readonly gate: AdmissionGate;
+  readonly clock: Clock;
+}
+
+/** What an entry already knows. */
+export interface KnownStatus {
+  readonly incarnation: Incarnation | undefined;
+  readonly revision: number;
+}
+
+export class StatusBoard {
+  private revision = 0;
+  private isLeaving = false;
+  private closed = false;
+  private readonly changed = new ChangeSignal();
+
+  constructor(private readonly options: StatusBoardOptions) {
+    options.tasks.changed.on(() => this.bump());
+  }
+
+  get leaving(): boolean {
+    return this.isLeaving;
+  }
+
+  /** From now on entries are told to send nothing new. */
+  leave(): void {
+    this.isLeaving = true;
+    this.bump();
+  }
+
+  /** Wakes all waiting entries; no further wait is long. */
+  close(): void {
+    this.closed = true;
+    this.changed.notify();
+  }
+
+  /** The status, at once when it differs from what is known, else after `waitMs`. */
+  async read(known: KnownStatus, waitMs: number): Promise<SideStatus> {
+    const same = (): boolean =>
+      known.incarnation === this.options.incarnation &&
+      known.revision === this.revision;
+    if (same() && !this.closed)
+      await this.changed.wait(this.options.clock, waitMs);
+    return this.snapshot(!same());
+  }
+
+  private bump(): void {
+    this.revision += 1;
+    this.changed.notify();
+  }
+
+  private snapshot(withTasks: boolean): SideStatus {
+    const { settings, incarnation, tasks, commitments, gate } = this.options;
+    const status = {
+      host: settings.host as HostId,
+      generation: settings.generation as HostGeneration,
+      incarnation,
+      availabilityZone: settings.availabilityZone,
+      rack: settings.rack,
+      revision: this.revision,
+      ready: tasks.ready,
+      leaving: this.isLeaving,
+      capacity: commitments.total,
+      free: floorAtZero(commitments.free),
+      slots: settings.admission.slots,
+      busySlots: gate.busySlots,
+    };
+    return withTasks
+      ? { ...status, tasks: tasks.list().map(toStatus) }
+      : status;
+  }
+}
+
+const floorAtZero = ({
+  processors,
+  memoryMiB,
+  accelerators,
+}: SideStatus["free"]) => ({
+  processors: Math.max(0, processors),
+  memoryMiB: Math.max(0, memoryMiB),
+  accelerators: Math.max(0, accelerators),
+});
+
+const toStatus = ({
+  identity,
+  fencingToken,
+  state,
+  end,
+  detail,
+  checkpoint,
+}: HeldTask): TaskStatus => ({
+  ...identity,
+  fencingToken,
+  state: state === "stopped" ? "stopping" : state,
+  end,
+  detail: detail?.slice(0, 1_000),
+  checkpoint,
+});
--- /dev/null
+++ b/packages/side/src/settings.ts
@@ -0,0 +1,72 @@
+/** Settings of a side process. Defaults fit the hosts of today (brief, "Sizes of today"). */
+
+import { z } from "zod";
+import {
+  countSchema,
+  idSchema,
+  type AvailabilityZone,
+  type HostGeneration,
+  type HostId,
+  type Rack,
+} from "@rackspan/common";
+
+export const sideSettingsSchema = z.strictObject({
+  /** This host's name in the host list. */
+  host: idSchema<HostId>(),
+  /** Raised by the platform each time the host is replaced. */
+  generation: countSchema<HostGeneration>(),
+  availabilityZone: idSchema<AvailabilityZone>(),
+  rack: idSchema<Rack>(),
+  listen: z.strictObject({
+    address: z.union([z.ipv4(), z.ipv6()]),
+    port: z.number().int().min(0).max(65_535),
+  }),
+  /** The worker agent of this host. */
+  worker: z.strictObject({ url: z.url({ protocol: /^http$/ }) }),
+  security: z.strictObject({
+    /** Peers and operators are not authenticated; must be asked for by name. */
+    mode: z.literal("development"),
+  }),
+  admission: z
+    .strictObject({
+      /** Requests that may run at the endpoints of this host at once. */
+      slots: z.number().int().min(1).max(10_000).default(8),
+      /** Requests and watches that may be open at once. */
+      connections: z.number().int().min(1).max(100_000).default(64),
+      /** Requests that may wait for a slot. */
+      maxQueued: z.number().int().min(0).max(10_000).default(16),
+    })
+    .prefault({}),
+  tasks: z
+    .strictObject({
+      leaseMs: z.number().int().min(100).max(600_000).default(10_000),
+      renewEveryMs: z.number().int().min(10).max(300_000).default(2_000),
+      reservationTtlMs: z.number().int().min(10).max(60_000).default(5_000),
+    })
+    .prefault({}),
+  drain: z
+    .strictObject({
+      /** After a planned stop was told to the entries, requests are still taken this long. */
+      noticeMs: z.number().int().min(0).max(60_000).default(2_000),
+      /** Watches that cannot be moved are cut after this. */
+      limitMs: z.number().int().min(0).max(3_600_000).default(30_000),
+    })
+    .prefault({}),
+  limits: z
+    .strictObject({
+      maxHeaderBytes: z
+        .number()
+        .int()
+        .min(1_024)
+        .max(1_048_576)
+        .default(32_768),
+      /** Requests whose fate is remembered, to answer fences. */
+      fencesKept: z.number().int().min(100).max(10_000_000).default(100_000),
+    })
+    .prefault({}),
+  logLevel: z
+    .enum(["error", "warn", "info", "debug", "silent"])
+    .default("info"),
+});
+
+export type SideSettings = z.infer<typeof sideSettingsSchema>;
--- /dev/null
+++ b/packages/side/src/sideHandlers.ts
@@ -0,0 +1,87 @@
+/** What a side does for each call of an entry. */
+
+import type { Clock, Incarnation, Logger } from "@rackspan/common";
+import type { Handlers, SideMethods } from "@rackspan/protocol";
+import type { Commitments } from "./Commitments.js";
+import { LeavingError, NotReadyError, ReservationGoneError } from "./errors.js";
+import type { RequestFences } from "./RequestFences.js";
+import type { SideSettings } from "./settings.js";
+import type { StatusBoard } from "./StatusBoard.js";
+import type { TaskHolder } from "./TaskHolder.js";
+
+export interface SideHandlersOptions {
+  readonly settings: SideSettings;
+  readonly incarnation: Incarnation;
+  readonly tasks: TaskHolder;
+  readonly commitments: Commitments;
+  readonly fences: RequestFences;
+  readonly board: StatusBoard;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export const createSideHandlers = ({
+  settings,
+  incarnation,
+  tasks,
+  commitments,
+  fences,
+  board,
+  logger,
+}: SideHandlersOptions): Handlers<SideMethods> => ({
+  sync: ({ knownIncarnation, knownRevision, waitMs }) =>
+    board.read(
+      { incarnation: knownIncarnation, revision: knownRevision },
+      waitMs,
+    ),
+
+  reserve: ({ task, unit, attempt, kind, service, resources }) => {
+    if (!tasks.ready) throw new NotReadyError();
+    if (board.leaving) throw new LeavingError();
+    if (tasks.isFenced(task)) throw new ReservationGoneError(task);
+    const identity = { task, unit, attempt, kind, service };
+    const { id } = commitments.reserve(identity, resources);
+    const ttlMs = settings.tasks.reservationTtlMs;
+    return { reservation: id, generation: settings.generation, ttlMs };
+  },
+
+  releaseReservation: ({ reservation }) => {
+    commitments.release(reservation);
+    return {};
+  },
+
+  start: async (request) => {
+    await tasks.start(request);
+    return {};
+  },
+
+  stop: async ({ task, checkpoint }) => {
+    await tasks.stop(task, checkpoint);
+    return {};
+  },
+
+  fenceTask: ({ task }) => {
+    if (!tasks.ready) throw new NotReadyError();
+    return { state: tasks.fence(task) };
+  },
+
+  acknowledge: async ({ tasks: names }) => {
+    await tasks.acknowledge(names);
+    return {};
+  },
+
+  fenceRequest: ({ request, attempt, incarnation: meant, ageMs }) => ({
+    // An earlier run took its requests with it; what it had started is not known here.
+    started:
+      meant === incarnation
+        ? fences.fence({ request, attempt }, ageMs)
+        : "unknown",
+  }),
+
+  drain: async () => {
+    logger.info("host.drain");
+    board.leave();
+    await tasks.stopAll();
+    return {};
+  },
+});
--- /dev/null
+++ b/packages/standins/src/HostListStandin.ts
@@ -0,0 +1,27 @@
+/** Stand-in of the host list: what it shows lags behind what is set. */
+
+import type { HostId } from "@rackspan/common";
+import type { HostRecord } from "@rackspan/platform";
+import { JsonServer } from "./JsonServer.js";
+
+export class HostListStandin {
+  readonly server = new JsonServer(() => ({
+    body: { hosts: [...this.shown.values()] },
+  }));
+  /** Milliseconds after which a change is shown. */
+  lagMs = 0;
+  private readonly shown = new Map<HostId, HostRecord>();
+
+  put(record: HostRecord): void {
+    this.later(() => this.shown.set(record.host, record));
+  }
+
+  remove(host: HostId): void {
+    this.later(() => this.shown.delete(host));
+  }
+
+  private later(change: () => void): void {
+    if (this.lagMs <= 0) change();
+    else setTimeout(change, this.lagMs).unref();
+  }
+}
--- /dev/null
+++ b/packages/standins/src/RequestLedger.ts
@@ -0,0 +1,29 @@
+/** Which requests really ran at the stand-in endpoints, and how often. */
+
+export interface RequestRun {
+  readonly request: string;
+  readonly attempt: string;
+  readonly key: string | undefined;
+  readonly path: string;
+  readonly endpoint: string;
+}
+
+export class RequestLedger {
+  readonly runs: RequestRun[] = [];
+  private readonly byRequest = new Map<string, number>();
+  private readonly byKey = new Map<string, number>();
+
+  ran(run: RequestRun): void {
+    this.runs.push(run);
+    this.byRequest.set(run.request, this.timesRun(run.request) + 1);
+    if (run.key) this.byKey.set(run.key, this.timesKeyRan(run.key) + 1);
+  }
+
+  timesRun(request: string): number {
+    return this.byRequest.get(request) ?? 0;
+  }
+
+  timesKeyRan(key: string): number {
+    return this.byKey.get(key) ?? 0;
+  }
+}
--- /dev/null
+++ b/packages/standins/src/batchProgram.ts
@@ -0,0 +1,41 @@
+/**
+ * A batch job that does numbered steps and can go on from a checkpoint.
+ * Arguments: `steps`, `stepMs`, `failAt` (step at which it always fails),
+ * `failOnce` (step at which the first run fails).
+ */
+
+import { numberArg, type Program } from "./programTypes.js";
+
+const CHECKPOINT_PATTERN = /^step=(\d+)$/;
+
+const stepFrom = (checkpoint: string | undefined): number =>
+  Number(CHECKPOINT_PATTERN.exec(checkpoint ?? "")?.[1] ?? 0);
+
+export const batchProgram: Program = async (context) => {
+  const { args, unit, tasks, onEnd } = context;
+  const steps = numberArg(args, "steps", 10);
+  const failAt = numberArg(args, "failAt", -1);
+  const failOnce = numberArg(args, "failOnce", -1);
+  const begun = stepFrom(context.checkpoint);
+  let step = begun;
+  const timer = setInterval(
+    () => {
+      const failsNow =
+        step === failAt ||
+        (step === failOnce && !tasks.stepsOf(unit).has(step));
+      if (failsNow || step >= steps) {
+        clearInterval(timer);
+        if (step === failOnce) tasks.step(unit, step);
+        onEnd(failsNow ? "failed" : "succeeded", `step ${step}`);
+        return;
+      }
+      tasks.step(unit, step);
+      step += 1;
+    },
+    numberArg(args, "stepMs", 20),
+  );
+  return {
+    kill: () => clearInterval(timer),
+    checkpoint: () => `step=${step}`,
+  };
+};
--- /dev/null
+++ b/packages/standins/src/programs.ts
@@ -0,0 +1,12 @@
+/** The programs that the stand-in worker knows how to run. */
+
+import type { Program } from "./programTypes.js";
+import { batchProgram } from "./batchProgram.js";
+import { endpointProgram } from "./endpointProgram.js";
+import { standingProgram } from "./standingProgram.js";
+
+export const PROGRAMS: Readonly<Record<string, Program>> = {
+  batch: batchProgram,
+  endpoint: endpointProgram,
+  standing: standingProgram,
+};
--- /dev/null
+++ b/packages/standins/src/standingProgram.ts
@@ -0,0 +1,26 @@
+/** A standing worker: stays up until killed. Argument: `failAfterMs` makes it fail once. */
+
+import { numberArg, type Program } from "./programTypes.js";
+
+const hasFailedBefore = (
+  entries: readonly { readonly unit: string; readonly end?: string }[],
+  unit: string,
+): boolean =>
+  entries.some((entry) => entry.unit === unit && entry.end === "failed");
+
+export const standingProgram: Program = async ({
+  args,
+  unit,
+  tasks,
+  onEnd,
+}) => {
+  const failAfterMs = numberArg(args, "failAfterMs", 0);
+  const fails = failAfterMs > 0 && !hasFailedBefore(tasks.entries, unit);
+  const timer = fails
+    ? setTimeout(() => onEnd("failed", "as its arguments ask"), failAfterMs)
+    : undefined;
+  return {
+    kill: () => clearTimeout(timer),
+    checkpoint: () => undefined,
+  };
+};
--- /dev/null
+++ b/packages/state/src/Appender.ts
@@ -0,0 +1,284 @@
+/**
+ * Appends this process's records to the log in batches, and tells for each what
+ * the fold made of it once it was read back.
+ */
+
+import {
+  AbortedError,
+  ChangeSignal,
+  jitter,
+  sleep,
+  type Clock,
+  type Incarnation,
+  type Logger,
+  type Metrics,
+  type Monotonic,
+  type Random,
+  type Timer,
+} from "@rackspan/common";
+import { LogUnavailableError, type LogService } from "@rackspan/platform";
+import { encodeBatch } from "./codec.js";
+import { AppendRefusedError, AppendUnknownError } from "./errors.js";
+import type { Applied, Fold } from "./Fold.js";
+import type { LogRecord, Verdict } from "./records.js";
+
+/** The stream that carries all records. */
+export const RECORD_STREAM = "records";
+
+const APPENDER_DEFAULTS = {
+  maxQueued: 20_000,
+  maxBatchRecords: 512,
+  maxBatchBytes: 512 * 1024,
+  retryMs: 200,
+  maxRetryMs: 5_000,
+  /** How long to look for an entry whose append was not answered. */
+  readBackMs: 1_000,
+} as const;
+
+const RECORD_OVERHEAD_BYTES = 300;
+
+export interface AppenderOptions {
+  readonly log: LogService;
+  readonly fold: Fold;
+  readonly writer: Incarnation;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  /** Share of the platform's append budget that this process may use. */
+  readonly appendsPerSecond: number;
+  readonly maxQueued?: number;
+}
+
+interface Pending {
+  readonly record: LogRecord;
+  readonly settle: (verdict: Verdict) => void;
+  readonly fail: (err: Error) => void;
+  readonly timer: Timer;
+  /** Set once the record has been part of an append that may have landed. */
+  inDoubt: boolean;
+  done: boolean;
+}
+
+interface SentBatch {
+  readonly first: number;
+  readonly items: readonly Pending[];
+}
+
+export class Appender {
+  private readonly queue: Pending[] = [];
+  private readonly awaitingFold = new Map<number, Pending>();
+  private readonly queued = new ChangeSignal();
+  private readonly foldMoved = new ChangeSignal();
+  private nextNumber = 0;
+  private lastAppendAt: Monotonic = -Infinity;
+
+  constructor(private readonly options: AppenderOptions) {
+    options.fold.applied.on((applied) => this.onApplied(applied));
+  }
+
+  get queueLength(): number {
+    return this.queue.length;
+  }
+
+  /**
+   * Appends one record and waits for the fold's verdict on it.
+   * @param timeoutMs how long the caller can wait
+   * @throws AppendRefusedError when it was not appended and will not be
+   * @throws AppendUnknownError when it may have been, or may still be
+   */
+  submit(record: LogRecord, timeoutMs: number): Promise<Verdict> {
+    const { maxQueued = APPENDER_DEFAULTS.maxQueued } = this.options;
+    if (this.queue.length >= maxQueued) {
+      this.options.metrics.count("append_refused", { reason: "queue-full" });
+      const what = `${this.queue.length} records wait for the log already`;
+      return Promise.reject(new AppendRefusedError(what));
+    }
+    return new Promise((settle, fail) => {
+      const timer = this.options.clock.after(timeoutMs, () =>
+        this.expire(item),
+      );
+      const item: Pending = {
+        record,
+        settle,
+        fail,
+        timer,
+        inDoubt: false,
+        done: false,
+      };
+      this.queue.push(item);
+      this.queued.notify();
+    });
+  }
+
+  /** Sends batches until the signal ends it. */
+  async run(signal: AbortSignal): Promise<void> {
+    try {
+      while (!signal.aborted) {
+        if (this.queue.length === 0) {
+          await this.queued.wait(
+            this.options.clock,
+            APPENDER_DEFAULTS.readBackMs,
+          );
+          continue;
+        }
+        await this.waitForBudget(signal);
+        await this.sendNext(signal);
+      }
+    } catch (err) {
+      if (!(err instanceof AbortedError)) throw err;
+    } finally {
+      this.refuseQueued();
+    }
+  }
+
+  private async waitForBudget(signal: AbortSignal): Promise<void> {
+    const { clock, appendsPerSecond } = this.options;
+    const earliest = this.lastAppendAt + 1_000 / appendsPerSecond;
+    const waitMs = earliest - clock.monotonic();
+    if (waitMs > 0) await sleep(clock, waitMs, signal);
+  }
+
+  private async sendNext(signal: AbortSignal): Promise<void> {
+    const items = this.takeBatch();
+    if (items.length === 0) return;
+    const batch = { first: this.nextNumber, items };
+    this.nextNumber += items.length;
+    items.forEach((item, index) =>
+      this.awaitingFold.set(batch.first + index, item),
+    );
+    await this.sendUntilKept(batch, signal);
+  }
+
+  private takeBatch(): readonly Pending[] {
+    const items: Pending[] = [];
+    let bytes = 0;
+    while (items.length < APPENDER_DEFAULTS.maxBatchRecords) {
+      const item = this.queue[0];
+      if (!item) break;
+      bytes += sizeOf(item.record);
+      if (items.length > 0 && bytes > APPENDER_DEFAULTS.maxBatchBytes) break;
+      this.queue.shift();
+      if (!item.done) items.push(item);
+    }
+    return items;
+  }
+
+  /** Repeats the same batch with the same numbers; the fold drops what it saw before. */
+  private async sendUntilKept(
+    batch: SentBatch,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, random, logger } = this.options;
+    let retryMs: number = APPENDER_DEFAULTS.retryMs;
+    let mayHaveLanded = false;
+    while (!this.wasApplied(batch)) {
+      const result = await this.appendOnce(batch);
+      if (result === "kept") return;
+      mayHaveLanded ||= result === "unknown";
+      logger.warn("append.retry", {
+        result,
+        first: batch.first,
+        records: batch.items.length,
+      });
+      if (mayHaveLanded) {
+        markInDoubt(batch);
+        if (await this.seenWithin(batch, APPENDER_DEFAULTS.readBackMs)) return;
+      } else if (batch.items.every((item) => item.done)) {
+        return this.abandon(batch);
+      }
+      await sleep(clock, jitter(random, retryMs), signal);
+      retryMs = Math.min(retryMs * 2, APPENDER_DEFAULTS.maxRetryMs);
+    }
+  }
+
+  private async appendOnce(
+    batch: SentBatch,
+  ): Promise<"kept" | "refused" | "unknown"> {
+    const { log, clock, metrics, writer } = this.options;
+    const records = batch.items.map(({ record }) => record);
+    const data = encodeBatch({ writer, first: batch.first, records });
+    const startedAt = clock.monotonic();
+    this.lastAppendAt = startedAt;
+    try {
+      await log.append(RECORD_STREAM, data);
+      markInDoubt(batch);
+      metrics.count("appends", { result: "kept" });
+      metrics.count("appended_records", {}, records.length);
+      metrics.latency("append").record(clock.monotonic() - startedAt);
+      return "kept";
+    } catch (err) {
+      const result = err instanceof LogUnavailableError ? "refused" : "unknown";
+      metrics.count("appends", { result });
+      return result;
+    }
+  }
+
+  /** Nobody waits any more and nothing was kept: the numbers stay unused. */
+  private abandon(batch: SentBatch): void {
+    batch.items.forEach((_, index) =>
+      this.awaitingFold.delete(batch.first + index),
+    );
+  }
+
+  private wasApplied({ first, items }: SentBatch): boolean {
+    const last = first + items.length - 1;
+    return this.options.fold.lastNumberOf(this.options.writer) >= last;
+  }
+
+  private async seenWithin(batch: SentBatch, ms: number): Promise<boolean> {
+    const { clock } = this.options;
+    const end = clock.monotonic() + ms;
+    while (!this.wasApplied(batch)) {
+      const left = end - clock.monotonic();
+      if (left <= 0) return false;
+      await this.foldMoved.wait(clock, left);
+    }
+    return true;
+  }
+
+  private onApplied({ writer, number, verdict }: Applied): void {
+    if (writer !== this.options.writer) return;
+    this.foldMoved.notify();
+    const item = this.awaitingFold.get(number);
+    this.awaitingFold.delete(number);
+    if (!item || item.done) return;
+    item.done = true;
+    item.timer.cancel();
+    item.settle(verdict);
+  }
+
+  private expire(item: Pending): void {
+    if (item.done) return;
+    item.done = true;
+    const { type } = item.record;
+    const reason = item.inDoubt ? "unknown" : "not-sent";
+    this.options.metrics.count("append_refused", { reason });
+    item.fail(
+      item.inDoubt
+        ? new AppendUnknownError(`the ${type} record was not read back in time`)
+        : new AppendRefusedError(
+            `the ${type} record could not be appended in time`,
+          ),
+    );
+  }
+
+  private refuseQueued(): void {
+    for (const item of [...this.queue, ...this.awaitingFold.values()]) {
+      item.timer.cancel();
+      this.expire(item);
+    }
+    this.queue.length = 0;
+    this.awaitingFold.clear();
+  }
+}
+
+const markInDoubt = ({ items }: SentBatch): void => {
+  for (const item of items) item.inDoubt = true;
+};
+
+const sizeOf = (record: LogRecord): number => {
+  const body =
+    record.type === "requestOutcome" ? (record.body?.length ?? 0) : 0;
+  return RECORD_OVERHEAD_BYTES + body;
+};
--- /dev/null
+++ b/packages/state/src/LogFollower.ts
@@ -0,0 +1,176 @@
+/** Reads the log in offset order into the fold, after restoring what is past. */
+
+import {
+  AbortedError,
+  ChangeSignal,
+  describeError,
+  jitter,
+  offset,
+  sleep,
+  type Clock,
+  type Logger,
+  type Metrics,
+  type Monotonic,
+  type Offset,
+  type Random,
+} from "@rackspan/common";
+import { RetentionError, type LogService } from "@rackspan/platform";
+import { RECORD_STREAM } from "./Appender.js";
+import { decodeBatch, UnreadableEntryError } from "./codec.js";
+import { PastLostError } from "./errors.js";
+import type { Fold } from "./Fold.js";
+import type { Snapshot, SnapshotStore } from "./snapshots.js";
+
+const READ_WAIT_MS = 5_000;
+const RETRY_MS = 100;
+const MAX_RETRY_MS = 2_000;
+
+/** Asks the other entries for their state; used where the log cannot help. */
+export interface PeerSnapshots {
+  /** The snapshot with the highest offset among the peers that answered. */
+  fetch(): Promise<Snapshot | undefined>;
+}
+
+export interface LogFollowerOptions {
+  readonly log: LogService;
+  readonly fold: Fold;
+  readonly snapshots: SnapshotStore;
+  readonly peers: PeerSnapshots;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+export class LogFollower {
+  private from = offset(0);
+  private restored = false;
+  private reachedEnd = false;
+  private lastReadAt: Monotonic = -Infinity;
+  private failure: Error | undefined;
+  private readonly moved = new ChangeSignal();
+
+  constructor(private readonly options: LogFollowerOptions) {}
+
+  /** All entries below this offset are in the fold. */
+  get position(): Offset {
+    return this.from;
+  }
+
+  /** Whether the fold has once held all that the log held. */
+  get caughtUp(): boolean {
+    return this.reachedEnd;
+  }
+
+  /** Set when following has ended for good; an operator has to act. */
+  get fault(): Error | undefined {
+    return this.failure;
+  }
+
+  /** Milliseconds since the log was last read successfully. */
+  get silentMs(): number {
+    return this.options.clock.monotonic() - this.lastReadAt;
+  }
+
+  /** Resolves at the next change of position, readiness or fault, or after `ms`. */
+  wait(ms: number): Promise<void> {
+    return this.moved.wait(this.options.clock, ms);
+  }
+
+  /** Follows until the signal ends it, or until the past is lost. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, random, logger } = this.options;
+    let retryMs = RETRY_MS;
+    while (!signal.aborted) {
+      try {
+        if (!this.restored) await this.restore();
+        await this.readOnce(signal);
+        retryMs = RETRY_MS;
+      } catch (err) {
+        if (signal.aborted || err instanceof AbortedError) return;
+        if (isFinal(err)) return this.fail(err as Error);
+        this.options.metrics.count("log_read_errors");
+        logger.warn("log.read-failed", { error: describeError(err) });
+        await sleep(clock, jitter(random, retryMs), signal).catch(
+          () => undefined,
+        );
+        retryMs = Math.min(retryMs * 2, MAX_RETRY_MS);
+      }
+    }
+  }
+
+  private async readOnce(signal: AbortSignal): Promise<void> {
+    const { log, fold, clock } = this.options;
+    const waitMs = this.reachedEnd ? READ_WAIT_MS : 0;
+    const page = await this.readOrExplain(() =>
+      log.read(RECORD_STREAM, { from: this.from, waitMs, signal }),
+    );
+    this.lastReadAt = clock.monotonic();
+    for (const entry of page.entries) {
+      fold.applyBatch(decodeBatch(entry.data));
+      this.from = offset(entry.offset + 1);
+    }
+    this.from = offset(Math.max(this.from, page.next));
+    if (page.entries.length === 0) this.reachedEnd = true;
+    this.moved.notify();
+  }
+
+  /** A reader that fell behind retention cannot go on: entries are missing. */
+  private async readOrExplain<T>(read: () => Promise<T>): Promise<T> {
+    try {
+      return await read();
+    } catch (err) {
+      if (!(err instanceof RetentionError)) throw err;
+      const what = `the log dropped entries from ${this.from} to ${err.oldest} that this process has not read`;
+      throw new PastLostError(what, err);
+    }
+  }
+
+  private async restore(): Promise<void> {
+    const { fold, logger, snapshots, peers } = this.options;
+    const kept = await settle(snapshots.load());
+    const fromPeer = await settle(peers.fetch());
+    const best = highest(kept.value, fromPeer.value);
+    if (!best && kept.error) throw kept.error;
+    if (best) {
+      fold.restore(best.state);
+      this.from = best.covered;
+      logger.info("state.restored", {
+        covered: best.covered,
+        sequence: fold.sequence,
+      });
+    }
+    this.restored = true;
+  }
+
+  private fail(err: Error): void {
+    this.failure = err;
+    this.options.metrics.count("log_follow_failed");
+    this.options.logger.error("state.lost", { error: describeError(err) });
+    this.moved.notify();
+  }
+}
+
+interface Settled<T> {
+  readonly value?: T;
+  readonly error?: unknown;
+}
+
+const settle = async <T>(promise: Promise<T>): Promise<Settled<T>> => {
+  try {
+    return { value: await promise };
+  } catch (error) {
+    return { error };
+  }
+};
+
+const highest = (
+  a: Snapshot | undefined,
+  b: Snapshot | undefined,
+): Snapshot | undefined => {
+  if (!a || !b) return a ?? b;
+  return a.covered >= b.covered ? a : b;
+};
+
+const isFinal = (err: unknown): boolean =>
+  err instanceof PastLostError || err instanceof UnreadableEntryError;
--- /dev/null
+++ b/packages/state/src/RequestFold.ts
@@ -0,0 +1,93 @@
+/** Keys of requests that may run once only, and their recorded outcomes. */
+
+import type { RequestId, ServiceName } from "@rackspan/common";
+import { BoundedMap } from "./BoundedMap.js";
+import type { RecordOf } from "./records.js";
+import type { UnitRejection } from "./UnitFold.js";
+
+/** Keys that are remembered; older ones are forgotten, the oldest first. */
+export const REQUEST_KEYS_KEPT = 50_000;
+
+export interface RecordedAnswer {
+  readonly status: number;
+  readonly contentType?: string | undefined;
+  /** Absent when the answer was too large to keep. */
+  readonly body?: Uint8Array | undefined;
+}
+
+export interface KeyEntry {
+  readonly service: ServiceName;
+  readonly key: string;
+  readonly digest: string;
+  /** The request that holds the key. */
+  readonly request: RequestId;
+  /** Absent while the outcome is not known. */
+  readonly answer?: RecordedAnswer | undefined;
+}
+
+export interface RequestSnapshot {
+  readonly keys: readonly KeyEntry[];
+}
+
+export interface KeyName {
+  readonly service: ServiceName;
+  readonly key: string;
+}
+
+const mapKey = ({ service, key }: KeyName): string => `${service}\n${key}`;
+
+export class RequestFold {
+  private readonly keys = new BoundedMap<string, KeyEntry>(REQUEST_KEYS_KEPT);
+
+  get(name: KeyName): KeyEntry | undefined {
+    return this.keys.get(mapKey(name));
+  }
+
+  get size(): number {
+    return this.keys.size;
+  }
+
+  claim(record: RecordOf<"requestClaim">): UnitRejection | undefined {
+    const holder = this.get(record);
+    if (holder && holder.digest !== record.digest) {
+      return {
+        reason: "key-reused",
+        detail: "the key stands for another request",
+      };
+    }
+    if (holder) {
+      return { reason: "key-claimed", detail: `held by ${holder.request}` };
+    }
+    const { service, key, digest, request } = record;
+    this.keys.set(mapKey(record), { service, key, digest, request });
+    return undefined;
+  }
+
+  outcome(record: RecordOf<"requestOutcome">): UnitRejection | undefined {
+    const holder = this.get(record);
+    if (holder?.request !== record.request || holder.answer) {
+      return { reason: "not-current", detail: "another request holds the key" };
+    }
+    const { status, contentType, body } = record;
+    const answer = { status, contentType, body };
+    this.keys.replace(mapKey(record), { ...holder, answer });
+    return undefined;
+  }
+
+  release(record: RecordOf<"requestRelease">): UnitRejection | undefined {
+    const holder = this.get(record);
+    if (holder?.request !== record.request || holder.answer) {
+      return { reason: "not-current", detail: "another request holds the key" };
+    }
+    this.keys.delete(mapKey(record));
+    return undefined;
+  }
+
+  toSnapshot(): RequestSnapshot {
+    return { keys: [...this.keys].map(([, entry]) => entry) };
+  }
+
+  restore({ keys }: RequestSnapshot): void {
+    for (const entry of keys) this.keys.set(mapKey(entry), entry);
+  }
+}
