Demo of both users' work on embedded stand-ins; fold tests

Cause: the path had no run that a newcomer can repeat, and a trial showed that watches ended with their entry's planned stop and were never opened again.

--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -22,7 +22,7 @@
   version: number,
   timeoutMs: number,
 ): Promise<ExitCode> => {
-  const clock = new SystemClock();
+  const clock = new SystemClock({ keepsProcessAlive: true });
   const end = clock.monotonic() + timeoutMs;
   while (clock.monotonic() < end) {
     const status = await client.call("status", {});
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -94,7 +94,7 @@
       .option("--watch", "show it again each second");
   },
   perform: async ({ client, output, stop }, _args, { json, watch }) => {
-    const clock = new SystemClock();
+    const clock = new SystemClock({ keepsProcessAlive: true });
     for (;;) {
       const status = await client.call("status", {});
       output.line(json ? JSON.stringify(status) : formatStatus(status));
--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -14,11 +14,20 @@
 export interface Clock {
   now(): Instant;
   monotonic(): Monotonic;
-  /** Calls back once after `ms`; the timer does not keep the process alive. */
+  /** Calls back once after `ms`. */
   after(ms: number, callback: () => void): Timer;
 }
 
+export interface SystemClockOptions {
+  /** Whether a pending timer keeps the process alive; servers are kept by their sockets. */
+  readonly keepsProcessAlive: boolean;
+}
+
 export class SystemClock implements Clock {
+  constructor(
+    private readonly options: SystemClockOptions = { keepsProcessAlive: false },
+  ) {}
+
   now(): Instant {
     return Date.now();
   }
@@ -29,7 +38,7 @@
 
   after(ms: number, callback: () => void): Timer {
     const handle = setTimeout(callback, Math.max(0, ms));
-    handle.unref();
+    if (!this.options.keepsProcessAlive) handle.unref();
     return { cancel: () => clearTimeout(handle) };
   }
 }
--- a/packages/harness/src/EventWatch.ts
+++ b/packages/harness/src/EventWatch.ts
@@ -1,16 +1,62 @@
-/** A caller's open watch: the numbers of the events it was sent. */
+/** A caller's watch, followed as the HTML standard's EventSource does. */
 
 import type { IncomingMessage } from "node:http";
 
+/** Connects, from after the given event where there is one. */
+export type OpenWatch = (
+  lastEventId: number | undefined,
+) => Promise<IncomingMessage>;
+
 const EVENT_PATTERN = /id: (\d+)\ndata: ([^\n]*)\n\n/g;
+const RECONNECT_MS = 50;
 
 export class EventWatch {
   readonly ids: number[] = [];
   /** Endpoints that sent events, in the order of their first one. */
   readonly endpoints = new Set<string>();
-  ended = false;
+  /** Times the connection ended and was opened again. */
+  reconnects = 0;
+  private closed = false;
+  private res: IncomingMessage | undefined;
+
+  constructor(private readonly openWatch: OpenWatch) {}
+
+  /** Opens the watch; from then on it is opened again whenever it ends. */
+  async start(): Promise<void> {
+    await this.connect();
+  }
 
-  constructor(private readonly res: IncomingMessage) {
+  /** Whether the numbers go up by one from the first event on. */
+  get isGapless(): boolean {
+    return this.ids.every(
+      (id, index) => id === (this.ids[0] as number) + index,
+    );
+  }
+
+  close(): void {
+    this.closed = true;
+    this.res?.destroy();
+  }
+
+  private async connect(): Promise<void> {
+    const res = await this.openWatch(this.ids.at(-1));
+    this.res = res;
+    this.read(res);
+    res.on("error", () => undefined);
+    res.on("close", () => {
+      if (!this.closed) this.reconnectSoon();
+    });
+  }
+
+  private reconnectSoon(): void {
+    this.reconnects += 1;
+    setTimeout(() => {
+      if (this.closed) return;
+      this.connect().catch(() => this.reconnectSoon());
+    }, RECONNECT_MS).unref();
+  }
+
+  private read(res: IncomingMessage): void {
     let pending = "";
     res.setEncoding("utf8");
     res.on("data", (chunk: string) => {
@@ -23,18 +69,5 @@
       }
       pending = pending.slice(used);
     });
-    res.on("close", () => (this.ended = true));
-    res.on("error", () => (this.ended = true));
-  }
-
-  /** Whether the numbers go up by one from the first event on. */
-  get isGapless(): boolean {
-    return this.ids.every(
-      (id, index) => id === (this.ids[0] as number) + index,
-    );
-  }
-
-  close(): void {
-    this.res.destroy();
   }
 }
--- /dev/null
+++ b/scripts/src/demoLoad.ts
@@ -0,0 +1,159 @@
+/** The callers and operators of the demo. */
+
+import { Caller, EventWatch, waitUntil, type Site } from "@rackspan/harness";
+import type { Scenario } from "./scenarios.js";
+import { Tally } from "./tally.js";
+
+const QUICK_CALLERS = 12;
+const QUICK_PAUSE_MS = 4;
+const KEYS = 30;
+const JOBS = 20;
+const CANCELLED_JOBS = 2;
+
+export class DemoLoad {
+  readonly quick = new Tally();
+  readonly once = new Tally();
+  readonly replays = new Tally();
+  readonly keys: string[] = [];
+  readonly watches: EventWatch[] = [];
+  jobsSubmitted = 0;
+  jobsCancelled = 0;
+  jobsRefused = 0;
+  private stopping = false;
+  private readonly caller = new Caller();
+  private turn = 0;
+
+  constructor(
+    private readonly site: Site,
+    private readonly scenario: Scenario,
+  ) {}
+
+  /** Quick requests from several callers until `stopQuick`. */
+  async runQuick(): Promise<void> {
+    const callers = Array.from({ length: QUICK_CALLERS }, () =>
+      this.runQuickCaller(),
+    );
+    await Promise.all(callers);
+  }
+
+  stopQuick(): void {
+    this.stopping = true;
+  }
+
+  /** Each key is used, and then used again at another entry. */
+  async runOnce(): Promise<void> {
+    for (let index = 0; index < KEYS; index += 1) {
+      const key = `${this.scenario.example}-key-${index}`;
+      this.keys.push(key);
+      await this.sendOnce(key, this.once);
+      await waitUntil("the outcome is on the log", () => this.hasOutcome(key));
+      await this.sendOnce(key, this.replays);
+    }
+  }
+
+  async submitJobs(
+    writeJobs: (jobs: readonly unknown[]) => string,
+  ): Promise<void> {
+    const { operator } = this.site;
+    const jobs = Array.from({ length: JOBS }, (_, index) => this.job(index));
+    const path = writeJobs(jobs);
+    await operator.must("submit", path);
+    this.jobsSubmitted = JOBS;
+    for (let index = 0; index < CANCELLED_JOBS; index += 1) {
+      const unit = `job/${this.jobName(JOBS - 1 - index)}`;
+      const { code } = await operator.run("cancel", unit);
+      if (code === 0) this.jobsCancelled += 1;
+    }
+    const impossible = {
+      ...this.job(JOBS),
+      resources: { processors: 1_000, memoryMiB: 1 },
+    };
+    const { code } = await operator.run("submit", writeJobs([impossible]));
+    if (code !== 0) this.jobsRefused += 1;
+  }
+
+  async openWatches(count: number): Promise<void> {
+    for (let index = 0; index < count; index += 1) {
+      const watch = new EventWatch((lastEventId) => {
+        const after: Record<string, string> =
+          lastEventId === undefined
+            ? {}
+            : { "last-event-id": String(lastEventId) };
+        return this.caller.open(`${this.nextUrl()}${this.scenario.watchPath}`, {
+          headers: after,
+        });
+      });
+      await watch.start();
+      this.watches.push(watch);
+    }
+  }
+
+  close(): void {
+    for (const watch of this.watches) watch.close();
+    this.caller.close();
+  }
+
+  /** As the platform's balancer does: only entries that say that they are ready. */
+  private nextUrl(): string {
+    const ready = [...this.site.entries.values()].filter(
+      (entry) => entry.notReady() === undefined,
+    );
+    this.turn += 1;
+    const entry = ready[this.turn % ready.length];
+    if (!entry) throw new Error("no entry is ready");
+    return entry.url;
+  }
+
+  private async runQuickCaller(): Promise<void> {
+    while (!this.stopping) {
+      await this.send(this.scenario.quickPath, this.quick, {});
+      await new Promise((resolve) => setTimeout(resolve, QUICK_PAUSE_MS));
+    }
+  }
+
+  private async sendOnce(key: string, tally: Tally): Promise<void> {
+    await this.send(this.scenario.oncePath, tally, {
+      method: "POST",
+      body: `tally of ${key}`,
+      headers: { "idempotency-key": key },
+    });
+  }
+
+  private async send(
+    path: string,
+    tally: Tally,
+    options: Parameters<Caller["call"]>[1],
+  ): Promise<void> {
+    tally.sent += 1;
+    try {
+      tally.note(await this.caller.call(`${this.nextUrl()}${path}`, options));
+    } catch {
+      tally.broken += 1;
+    }
+  }
+
+  private hasOutcome(key: string): boolean {
+    return [...this.site.entries.values()].every(({ fold }) => {
+      const keys = fold.config
+        .services()
+        .map(({ name }) => fold.requests.get({ service: name, key }));
+      return keys.some((entry) => entry?.answer !== undefined);
+    });
+  }
+
+  private jobName(index: number): string {
+    return `${this.scenario.jobPrefix}-demo-${index}`;
+  }
+
+  private job(index: number) {
+    const failOnce = index === 0 ? { failOnce: 5 } : {};
+    return {
+      kind: "job",
+      name: this.jobName(index),
+      team: this.scenario.jobTeam,
+      priority: index % 5 === 0 ? "urgent" : "normal",
+      resources: { processors: 2, memoryMiB: 2_048 },
+      program: { name: "batch", args: { steps: 15, stepMs: 20, ...failOnce } },
+    };
+  }
+}
