Appender: a refused record never lands with others of its batch

Cause: a record whose caller had been told 'not appended' stayed in its batch and landed once the log came back; one that expired while its append was under way was called refused too. Ruled out: the fold's de-duplication, which only drops what it saw before. Change: what surely has not landed is sent anew without the records that were refused; a record is in doubt from the moment its append starts.

--- a/packages/state/src/Appender.ts
+++ b/packages/state/src/Appender.ts
@@ -55,7 +55,7 @@
   readonly settle: (verdict: Verdict) => void;
   readonly fail: (err: Error) => void;
   readonly timer: Timer;
-  /** Set once the record has been part of an append that may have landed. */
+  /** Whether the record is part of an append that may land or have landed. */
   inDoubt: boolean;
   done: boolean;
 }
@@ -164,15 +164,21 @@
     return items;
   }
 
-  /** Repeats the same batch with the same numbers; the fold drops what it saw before. */
+  /**
+   * Repeats a batch that may have landed with the same numbers, which the fold
+   * drops when it saw them before. What surely has not landed is sent anew,
+   * without the records whose callers were told that they are refused.
+   */
   private async sendUntilKept(
-    batch: SentBatch,
+    first: SentBatch,
     signal: AbortSignal,
   ): Promise<void> {
     const { clock, random, logger } = this.options;
+    let batch = first;
     let retryMs: number = APPENDER_DEFAULTS.retryMs;
     let mayHaveLanded = false;
-    while (!this.wasApplied(batch)) {
+    while (batch.items.length > 0 && !this.wasApplied(batch)) {
+      markInDoubt(batch, true);
       const result = await this.appendOnce(batch);
       if (result === "kept") return;
       mayHaveLanded ||= result === "unknown";
@@ -181,17 +187,23 @@
         first: batch.first,
         records: batch.items.length,
       });
-      if (mayHaveLanded) {
-        markInDoubt(batch);
-        if (await this.seenWithin(batch, APPENDER_DEFAULTS.readBackMs)) return;
-      } else if (batch.items.every((item) => item.done)) {
-        return this.abandon(batch);
-      }
+      if (!mayHaveLanded) markInDoubt(batch, false);
+      else if (await this.seenWithin(batch, APPENDER_DEFAULTS.readBackMs))
+        return;
       await sleep(clock, jitter(random, retryMs), signal);
       retryMs = Math.min(retryMs * 2, APPENDER_DEFAULTS.maxRetryMs);
+      if (!mayHaveLanded) batch = this.withoutDone(batch);
     }
   }
 
+  /** Only for a batch of which nothing can have landed: its numbers are used again. */
+  private withoutDone({ first, items }: SentBatch): SentBatch {
+    items.forEach((_, index) => this.awaitingFold.delete(first + index));
+    const kept = items.filter((item) => !item.done);
+    kept.forEach((item, index) => this.awaitingFold.set(first + index, item));
+    return { first, items: kept };
+  }
+
   private async appendOnce(
     batch: SentBatch,
   ): Promise<"kept" | "refused" | "unknown"> {
@@ -202,7 +214,6 @@
     this.lastAppendAt = startedAt;
     try {
       await log.append(RECORD_STREAM, data);
-      markInDoubt(batch);
       metrics.count("appends", { result: "kept" });
       metrics.count("appended_records", {}, records.length);
       metrics.latency("append").record(clock.monotonic() - startedAt);
@@ -214,13 +225,6 @@
     }
   }
 
-  /** Nobody waits any more and nothing was kept: the numbers stay unused. */
-  private abandon(batch: SentBatch): void {
-    batch.items.forEach((_, index) =>
-      this.awaitingFold.delete(batch.first + index),
-    );
-  }
-
   private wasApplied({ first, items }: SentBatch): boolean {
     const last = first + items.length - 1;
     return this.options.fold.lastNumberOf(this.options.writer) >= last;
@@ -273,8 +277,9 @@
   }
 }
 
-const markInDoubt = ({ items }: SentBatch): void => {
-  for (const item of items) item.inDoubt = true;
+/** A record that expires while an append is under way may still land. */
+const markInDoubt = ({ items }: SentBatch, inDoubt: boolean): void => {
+  for (const item of items) item.inDoubt = inDoubt;
 };
 
 const sizeOf = (record: LogRecord): number => {
--- /dev/null
+++ b/packages/state/tests/appender.test.ts
@@ -0,0 +1,330 @@
+import { afterEach, test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  Metrics,
+  offset,
+  SeededRandom,
+  silentLogger,
+  type Incarnation,
+  type Offset,
+} from "@rackspan/common";
+import {
+  LogAnswerLostError,
+  LogUnavailableError,
+  RetentionError,
+  type LogPage,
+  type LogService,
+  type ReadOptions,
+} from "@rackspan/platform";
+import {
+  Appender,
+  AppendRefusedError,
+  AppendUnknownError,
+  declarationSchema,
+  Fold,
+  LogFollower,
+  PastLostError,
+  SnapshotStore,
+  type LogRecord,
+  type Snapshot,
+} from "@rackspan/state";
+
+type Answer = "kept" | "down" | "lost" | "lost-and-dropped";
+
+/** A log in memory whose answers the test chooses, one by one. */
+class FakeLog implements LogService {
+  readonly streams = new Map<string, { oldest: number; entries: Buffer[] }>();
+  answers: Answer[] = [];
+  readsDown = false;
+  appends = 0;
+
+  async append(name: string, data: Buffer): Promise<Offset> {
+    this.appends += 1;
+    const answer = this.answers.shift() ?? "kept";
+    if (answer === "down") throw new LogUnavailableError("down");
+    const stream = this.stream(name);
+    if (answer !== "lost-and-dropped") stream.entries.push(data);
+    if (answer !== "kept") throw new LogAnswerLostError("lost");
+    return offset(stream.oldest + stream.entries.length - 1);
+  }
+
+  async read(name: string, { from }: ReadOptions): Promise<LogPage> {
+    if (this.readsDown) throw new LogUnavailableError("down");
+    const { oldest, entries } = this.stream(name);
+    if (from < oldest) throw new RetentionError(name, from, offset(oldest));
+    const page = entries
+      .slice(from - oldest)
+      .map((data, index) => ({ offset: offset(from + index), data }));
+    // A read of an empty tail waits in the real log; a turn of the loop will do.
+    await new Promise((resolve) => setImmediate(resolve));
+    return {
+      entries: page,
+      next: offset(from + page.length),
+      oldest: offset(oldest),
+    };
+  }
+
+  cut(name: string, oldest: number): void {
+    const stream = this.stream(name);
+    stream.entries.splice(0, oldest - stream.oldest);
+    stream.oldest = oldest;
+  }
+
+  private stream(name: string) {
+    const stream = this.streams.get(name) ?? { oldest: 0, entries: [] };
+    this.streams.set(name, stream);
+    return stream;
+  }
+}
+
+const submit = (name: string): LogRecord => ({
+  type: "submit",
+  job: declarationSchema.parse({
+    kind: "job",
+    name,
+    resources: { processors: 1, memoryMiB: 64 },
+    program: { name: "batch" },
+  }) as never,
+});
+
+const running = new Set<AbortController>();
+
+/** A failed test must not leave tasks that keep the runner waiting. */
+afterEach(() => {
+  for (const stop of running) stop.abort();
+  running.clear();
+});
+
+const createProcess = (log: FakeLog, peer?: () => Snapshot | undefined) => {
+  const clock = new ManualClock();
+  const shared = {
+    log,
+    clock,
+    random: new SeededRandom(1),
+    metrics: new Metrics(),
+    logger: silentLogger,
+    fold: new Fold(),
+  };
+  const writer = brand<Incarnation>(`writer-${Math.random()}`);
+  const appender = new Appender({
+    ...shared,
+    writer,
+    appendsPerSecond: 20,
+    maxQueued: 5,
+  });
+  const peers = { fetch: async () => peer?.() };
+  const follower = new LogFollower({
+    ...shared,
+    snapshots: new SnapshotStore(log),
+    peers,
+  });
+  const stop = new AbortController();
+  running.add(stop);
+  const start = (): void => {
+    void follower.run(stop.signal);
+    void appender.run(stop.signal);
+  };
+  /** Moves time on in small steps, so that both tasks take their turns. */
+  const pass = async (ms: number): Promise<void> => {
+    for (let at = 0; at < ms; at += 20) await clock.advance(20);
+  };
+  return {
+    ...shared,
+    appender,
+    follower,
+    start,
+    pass,
+    stop: () => stop.abort(),
+  };
+};
+
+const settled = async <T>(promise: Promise<T>): Promise<T | Error> =>
+  promise.catch((err: Error) => err);
+
+test("records that wait together go in one append, and each learns the fold's verdict", async () => {
+  const log = new FakeLog();
+  const process = createProcess(log);
+  const verdicts = ["a", "b", "a"].map((name) =>
+    process.appender.submit(submit(name), 5_000),
+  );
+  process.start();
+  await process.pass(200);
+  expect((await Promise.all(verdicts)).map(({ accepted }) => accepted)).toEqual(
+    [true, true, false],
+  );
+  expect(log.appends).toEqual(1);
+  process.stop();
+});
+
+for (const lost of ["lost", "lost-and-dropped"] as const) {
+  test(`an append whose answer is lost (${lost}) takes effect once`, async () => {
+    const log = new FakeLog();
+    log.answers = [lost, "lost"];
+    const process = createProcess(log);
+    process.start();
+    const verdict = settled(process.appender.submit(submit("a"), 60_000));
+    await process.pass(10_000);
+    expect(await verdict).toLooseEqual({ accepted: true, sequence: 1 });
+    expect(Number(process.fold.sequence)).toEqual(1);
+    process.stop();
+  });
+}
+
+test("while the log is down a record is refused as not appended, and never appears later", async () => {
+  const log = new FakeLog();
+  log.answers = Array<Answer>(30).fill("down");
+  const process = createProcess(log);
+  process.start();
+  const refused = settled(process.appender.submit(submit("a"), 1_000));
+  await process.pass(1_500);
+  expect(await refused).toBeA(AppendRefusedError);
+  log.answers = [];
+  const next = settled(process.appender.submit(submit("b"), 60_000));
+  await process.pass(20_000);
+  expect(await next).toLooseEqual({ accepted: true, sequence: 1 });
+  expect([...process.fold.units.live()].map(({ id }) => String(id))).toEqual([
+    "job/b",
+  ]);
+  process.stop();
+});
+
+test("a record that was refused does not land with others of its batch", async () => {
+  const log = new FakeLog();
+  log.answers = Array<Answer>(6).fill("down");
+  const process = createProcess(log);
+  const impatient = settled(process.appender.submit(submit("a"), 300));
+  const patient = settled(process.appender.submit(submit("b"), 60_000));
+  process.start();
+  await process.pass(30_000);
+  expect(await impatient).toBeA(AppendRefusedError);
+  expect(await patient).toLooseEqual({ accepted: true, sequence: 1 });
+  expect([...process.fold.units.live()].map(({ id }) => String(id))).toEqual([
+    "job/b",
+  ]);
+  process.stop();
+});
+
+test("a record that expires while its append is under way is not called refused", async () => {
+  const log = new FakeLog();
+  let release: () => void = () => undefined;
+  const held = new Promise<void>((resolve) => (release = resolve));
+  const append = log.append.bind(log);
+  log.append = async (name, data) => {
+    await held;
+    return append(name, data);
+  };
+  const process = createProcess(log);
+  process.start();
+  const unknown = settled(process.appender.submit(submit("a"), 500));
+  await process.pass(1_000);
+  expect(await unknown).toBeA(AppendUnknownError);
+  release();
+  await process.pass(500);
+  expect(process.fold.units.liveCount).toEqual(1);
+  process.stop();
+});
+
+test("a record that may have landed is never called refused", async () => {
+  const log = new FakeLog();
+  log.answers = ["lost"];
+  const process = createProcess(log);
+  process.start();
+  await process.pass(100);
+  log.readsDown = true;
+  const unknown = settled(process.appender.submit(submit("a"), 500));
+  await process.pass(2_000);
+  expect(await unknown).toBeA(AppendUnknownError);
+  log.readsDown = false;
+  await process.pass(5_000);
+  expect(process.fold.units.liveCount).toEqual(1);
+  process.stop();
+});
+
+test("a full queue refuses at once", async () => {
+  const process = createProcess(new FakeLog());
+  const waiting = Array.from({ length: 5 }, (_, i) =>
+    settled(process.appender.submit(submit(`j${i}`), 1_000)),
+  );
+  expect(await settled(process.appender.submit(submit("last"), 1_000))).toBeA(
+    AppendRefusedError,
+  );
+  process.start();
+  await process.pass(200);
+  expect(
+    (await Promise.all(waiting)).every(
+      (verdict) => !(verdict instanceof Error),
+    ),
+  ).toEqual(true);
+  process.stop();
+});
+
+const withSnapshot = async (log: FakeLog) => {
+  const first = createProcess(log);
+  first.start();
+  const verdict = first.appender.submit(submit("old"), 5_000);
+  await first.pass(300);
+  await verdict;
+  const snapshot = {
+    covered: first.follower.position,
+    state: first.fold.toSnapshot(),
+  };
+  first.stop();
+  return snapshot;
+};
+
+test("a process that starts after a retention cut restores from the newest snapshot", async () => {
+  const log = new FakeLog();
+  const snapshot = await withSnapshot(log);
+  const store = new SnapshotStore(log);
+  await store.write(snapshot);
+  log.cut("records", 1);
+  const second = createProcess(log);
+  second.start();
+  await second.pass(300);
+  expect(second.follower.fault).toEqual(undefined);
+  expect([...second.fold.units.live()].map(({ id }) => String(id))).toEqual([
+    "job/old",
+  ]);
+  second.stop();
+});
+
+test("without a snapshot a peer's state will do, and the higher offset wins", async () => {
+  const log = new FakeLog();
+  const snapshot = await withSnapshot(log);
+  await new SnapshotStore(log).write({
+    covered: offset(0),
+    state: new Fold().toSnapshot(),
+  });
+  log.cut("records", 1);
+  const second = createProcess(log, () => snapshot);
+  second.start();
+  await second.pass(300);
+  expect([
+    Number(second.follower.position),
+    second.fold.units.liveCount,
+  ]).toEqual([1, 1]);
+  second.stop();
+});
+
+test("where the past is gone the process says so and does not start empty", async () => {
+  const log = new FakeLog();
+  await withSnapshot(log);
+  log.cut("records", 1);
+  const second = createProcess(log);
+  second.start();
+  await second.pass(300);
+  expect(second.follower.fault).toBeA(PastLostError);
+  expect(second.follower.caughtUp).toEqual(false);
+  second.stop();
+});
+
+test("a snapshot with a missing part is not used", async () => {
+  const log = new FakeLog();
+  const snapshot = await withSnapshot(log);
+  await new SnapshotStore(log).write(snapshot);
+  const stream = log.streams.get("snapshots");
+  stream?.entries.splice(0, 1, Buffer.from("damaged"));
+  expect(await new SnapshotStore(log).load()).toEqual(undefined);
+});
--- a/packages/state/tests/fold.test.ts
+++ b/packages/state/tests/fold.test.ts
@@ -275,17 +275,15 @@
   fc
     .constantFrom("job/a", "service/bays/0")
     .map((unit) => ({ type: "cancel", unit: unitId(unit) }) as const),
-  fc
-    .constantFrom(1, 2)
-    .map(
-      (generation) =>
-        ({
-          type: "hostEnded",
-          host: HOST,
-          generation: brand<HostGeneration>(generation),
-          certifiedBy: "hostList",
-        }) as const,
-    ),
+  fc.constantFrom(1, 2).map(
+    (generation) =>
+      ({
+        type: "hostEnded",
+        host: HOST,
+        generation: brand<HostGeneration>(generation),
+        certifiedBy: "hostList",
+      }) as const,
+  ),
 );
 
 test("a fold restored from a snapshot goes on exactly like the one it was taken from", () => {
