--- a/packages/jobs/src/UnitPlacer.ts
+++ b/packages/jobs/src/UnitPlacer.ts
@@ -15,7 +15,13 @@
   type UnitId,
 } from "@rackspan/common";
 import { RemoteError } from "@rackspan/protocol";
-import type { Appender, Fold, Priority, Unit } from "@rackspan/state";
+import {
+  familyOf,
+  type Appender,
+  type Fold,
+  type Priority,
+  type Unit,
+} from "@rackspan/state";
 import { FirstSeen } from "./FirstSeen.js";
 import type {
   HostDirectory,
@@ -102,7 +108,9 @@
     ) {
       return false;
     }
-    return openMs >= retryDelay(unit) + ownership.rank(unit.id) * takeoverMs;
+    // One entry places all replicas of a declaration, so that it can spread them.
+    const rank = ownership.rank(familyOf(unit));
+    return openMs >= retryDelay(unit) + rank * takeoverMs;
   }
 
   private enqueue(unit: Unit): void {
--- a/packages/scheduling/src/spreadPlacer.ts
+++ b/packages/scheduling/src/spreadPlacer.ts
@@ -4,17 +4,13 @@
  */
 
 import type { HostView, Placer } from "@rackspan/jobs";
-import type { Unit } from "@rackspan/state";
+import { familyOf, type Unit } from "@rackspan/state";
 import { freeShare, hostsWithRoom, placers, sortByScore } from "./placers.js";
 
 const ZONE_WEIGHT = 1;
 const RACK_WEIGHT = 10;
 const HOST_WEIGHT = 100;
 
-/** `service/roll-call/3` belongs to `service/roll-call/`. */
-const familyOf = (unit: string): string =>
-  unit.slice(0, unit.lastIndexOf("/") + 1);
-
 class Census {
   readonly byHost = new Map<string, number>();
   readonly byRack = new Map<string, number>();
@@ -53,7 +49,7 @@
     if (unit.spec.kind === "job") {
       return sortByScore(fitting, (host) => -freeShare(host));
     }
-    const census = new Census(familyOf(unit.id), hosts);
+    const census = new Census(familyOf(unit), hosts);
     return sortByScore(
       fitting,
       (host) => census.crowding(host) - freeShare(host),
--- a/packages/standins/src/WorkerStandin.ts
+++ b/packages/standins/src/WorkerStandin.ts
@@ -71,6 +71,8 @@
   peak: Resources = { processors: 0, memoryMiB: 0, accelerators: 0 };
   private owner: Incarnation | undefined;
   private readonly held = new Map<TaskId, HeldTask>();
+  /** Names that were stopped before they were started: a late start is refused. */
+  private readonly stoppedNames = new Set<TaskId>();
 
   constructor(private readonly options: WorkerOptions) {}
 
@@ -139,6 +141,8 @@
     this.checkOwner(order);
     const known = this.held.get(order.task);
     if (known) return known.status;
+    if (this.stoppedNames.has(order.task))
+      throw new Refused("it was stopped before");
     const run = PROGRAMS[order.program.name];
     if (!run) throw new Refused(`no program named ${order.program.name}`);
     const unit = order.notes["unit"] ?? order.task;
@@ -193,6 +197,7 @@
   private stop({ owner, task: name, checkpoint }: z.infer<typeof stopSchema>) {
     this.checkOwner({ owner });
     const task = this.held.get(name);
+    if (!task) this.stoppedNames.add(name);
     if (task?.status.state !== "running") return {};
     const saved = checkpoint ? task.program.checkpoint() : undefined;
     this.end(
