Policies in CEL at admission and placement; idle cost of following sides

Change: policies package (type-checked when published with line and column, bounded size, no loops, fall back to the built-in rule and counted), asked at admission and as a penalty in placement; a side's status call waits up to 10 s where nothing changes, since a change ends it at once.

--- /dev/null
+++ b/bench/src/capacity.ts
@@ -0,0 +1,149 @@
+/** What one more side costs an entry, and an entry a side, while nothing happens. */
+
+import { subscribe } from "node:diagnostics_channel";
+import type { Socket } from "node:net";
+import {
+  describeSite,
+  OperatorSession,
+  StandinPlatform,
+  waitUntil,
+} from "@rackspan/harness";
+import { SideProcess, sideSettingsSchema } from "@rackspan/side";
+import { registerBenchmark } from "./benchmarks.js";
+import { printRows, slopeOf, type Row } from "./output.js";
+import { RoleThread } from "./threads.js";
+
+const SIZES = [10, 50, 200] as const;
+const WINDOW_MS = 20_000;
+const SETTLE_MS = 3_000;
+const SECURITY = { mode: "development" };
+const ANY_PORT = { address: "127.0.0.1", port: 0 };
+
+/** Bytes of all connections that this thread's servers have taken. */
+class ServerBytes {
+  private readonly sockets = new Set<Socket>();
+
+  constructor() {
+    subscribe("net.server.socket", (message) => {
+      this.sockets.add((message as { socket: Socket }).socket);
+    });
+  }
+
+  /** Bytes on connections to one of the ports, both ways together. */
+  total(ports: ReadonlySet<number>): number {
+    let sum = 0;
+    for (const socket of this.sockets) {
+      if (!ports.has(socket.localPort ?? -1)) continue;
+      sum += socket.bytesRead + socket.bytesWritten;
+    }
+    return sum;
+  }
+}
+
+const portOf = (address: string): number => Number(address.split(":").at(-1));
+
+const startSides = async (
+  platform: StandinPlatform,
+  site: ReturnType<typeof describeSite>,
+) => {
+  const sides: SideProcess[] = [];
+  for (const place of site.workers) {
+    const { host, availabilityZone, rack } = place;
+    const settings = sideSettingsSchema.parse({
+      host,
+      availabilityZone,
+      rack,
+      generation: 1,
+      listen: ANY_PORT,
+      worker: { url: platform.workers.get(host)?.server.url },
+      security: SECURITY,
+      logLevel: "silent",
+      // Renewals of leases are the worker's traffic and are left out here.
+      tasks: { renewEveryMs: 300_000 },
+    });
+    const side = new SideProcess({ settings });
+    await side.start();
+    platform.listWorker(place, side.address);
+    sides.push(side);
+  }
+  return sides;
+};
+
+const measureSize = async (
+  workers: number,
+  bytes: ServerBytes,
+): Promise<Row> => {
+  const site = describeSite({ workers, entries: 1 });
+  const platform = new StandinPlatform(site);
+  await platform.start();
+  const sides = await startSides(platform, site);
+  const [place] = site.entries;
+  if (!place) throw new Error("the site has no entry");
+  const entry = await RoleThread.start({
+    role: "entry",
+    settings: {
+      host: place.host,
+      availabilityZone: place.availabilityZone,
+      listen: ANY_PORT,
+      control: ANY_PORT,
+      log: { url: platform.log.server.url },
+      hostList: { url: platform.hostList.server.url },
+      security: SECURITY,
+      logLevel: "silent",
+    },
+  });
+  const operator = new OperatorSession([entry.ready.control as string]);
+  await waitUntil("all sides are known", async () => {
+    const { out, code } = await operator.run("status", "--json");
+    return code === 0 && JSON.parse(out).hosts.length === workers;
+  });
+  await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+  const ports = new Set(sides.map(({ address }) => portOf(address)));
+  const before = {
+    usage: await entry.usage(),
+    bytes: bytes.total(ports),
+    active: performance.eventLoopUtilization().active,
+  };
+  await new Promise((resolve) => setTimeout(resolve, WINDOW_MS));
+  const after = {
+    usage: await entry.usage(),
+    bytes: bytes.total(ports),
+    active: performance.eventLoopUtilization().active,
+  };
+  const seconds = WINDOW_MS / 1_000;
+  const row = {
+    sides: workers,
+    "entry ms/s": (after.usage.activeMs - before.usage.activeMs) / seconds,
+    "entry heap MiB": after.usage.heapMiB,
+    "all sides ms/s": (after.active - before.active) / seconds,
+    "bytes/s a side": (after.bytes - before.bytes) / seconds / workers,
+  };
+  await entry.stop();
+  for (const side of sides) await side.kill();
+  await platform.close();
+  return row;
+};
+
+const runCapacity = async (): Promise<void> => {
+  const bytes = new ServerBytes();
+  const rows: Row[] = [];
+  for (const size of SIZES) rows.push(await measureSize(size, bytes));
+  printRows(
+    "capacity: one entry that follows N idle sides, status each 10 s",
+    rows,
+  );
+  const slope = (name: string): number =>
+    slopeOf(
+      rows.map((row) => ({ x: Number(row["sides"]), y: Number(row[name]) })),
+    );
+  printRows("capacity: slopes a side", [
+    {
+      "entry us/s": slope("entry ms/s") * 1_000,
+      "entry heap KiB": slope("entry heap MiB") * 1_024,
+      "side us/s": slope("all sides ms/s") * 1_000,
+      "bytes/s": rows.at(-1)?.["bytes/s a side"] ?? 0,
+    },
+  ]);
+};
+
+registerBenchmark("capacity", runCapacity);
--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -1,7 +1,9 @@
 /** `npm run bench -- NAME [options]`: runs one benchmark, or lists them. */
 
 import { benchmarks } from "./benchmarks.js";
+import "./capacity.js";
 import "./path.js";
+import "./state.js";
 
 const [name, ...args] = process.argv.slice(2);
 const run = name === undefined ? undefined : benchmarks.get(name);
--- a/packages/cli/src/readDeclarations.ts
+++ b/packages/cli/src/readDeclarations.ts
@@ -4,16 +4,19 @@
 import { join } from "node:path";
 import {
   checkDocument,
+  faultAt,
   parseDocument,
   readText,
   SettingsError,
   type Fault,
+  type SourceDocument,
 } from "@rackspan/kernel";
 import {
   declarationKey,
   declarationSchema,
   type Declaration,
 } from "@rackspan/state";
+import { compilePolicy, PolicyError } from "@rackspan/policies";
 import { z } from "zod";
 
 const FILE_PATTERN = /\.jsonc?$/;
@@ -35,9 +38,31 @@
 const readFile = (file: string): Declaration[] => {
   const document = parseDocument(file, readText(file));
   const value = checkDocument(fileSchema, document);
-  if (!Array.isArray(value))
-    return [checkDocument(declarationSchema, document)];
-  return checkDocument(z.array(declarationSchema), document);
+  const declarations = Array.isArray(value)
+    ? checkDocument(z.array(declarationSchema), document)
+    : [checkDocument(declarationSchema, document)];
+  const faults = declarations.flatMap((declaration, index) =>
+    policyFaults(document, declaration, Array.isArray(value) ? [index] : []),
+  );
+  if (faults.length > 0) throw new SettingsError(faults);
+  return declarations;
+};
+
+/** What is wrong with a policy's program; nothing for other declarations. */
+const policyFaults = (
+  document: SourceDocument,
+  declaration: Declaration,
+  path: readonly (string | number)[],
+): Fault[] => {
+  if (declaration.kind !== "policy") return [];
+  try {
+    compilePolicy(declaration.point, declaration.program);
+    return [];
+  } catch (err) {
+    if (!(err instanceof PolicyError)) throw err;
+    const { what, remedy } = err;
+    return [faultAt(document, [...path, "program"], { what, remedy })];
+  }
 };
 
 const duplicateFaults = (
--- a/packages/entry/src/EntryProcess.ts
+++ b/packages/entry/src/EntryProcess.ts
@@ -28,6 +28,7 @@
   type HostList,
   type LogService,
 } from "@rackspan/platform";
+import { PolicyBook } from "@rackspan/policies";
 import {
   DeadlineQueue,
   OutlierEjector,
@@ -44,6 +45,7 @@
 } from "@rackspan/state";
 import { AttemptLoop } from "./AttemptLoop.js";
 import { ControlServer } from "./ControlServer.js";
+import { PolicyPlacer } from "./PolicyPlacer.js";
 import { HostListWatcher } from "./HostListWatcher.js";
 import { HttpPeerSnapshots } from "./HttpPeerSnapshots.js";
 import { KeyedRequests } from "./KeyedRequests.js";
@@ -67,6 +69,7 @@
   readonly fold = new Fold();
   readonly sides: SideDirectory;
   readonly follower: LogFollower;
+  private readonly policies: PolicyBook;
   private readonly appender: Appender;
   private readonly hostList: HostListWatcher;
   private readonly requests: RequestServer;
@@ -99,6 +102,10 @@
       logger: this.logger,
     };
 
+    this.policies = new PolicyBook(shared);
+    fold.applied.on(({ record, verdict }) => {
+      if (record.type === "apply" && verdict.accepted) this.usePolicies();
+    });
     const writer = freshId<Incarnation>();
     const { appendsPerSecond } = logSettings;
     this.appender = new Appender({
@@ -158,7 +165,10 @@
       follower,
       placer: new UnitPlacer({
         ...unitOptions,
-        placer: placers.create(jobs.placer, { random }),
+        placer: new PolicyPlacer(
+          placers.create(jobs.placer, { random }),
+          this.policies,
+        ),
       }),
       keeper: new ClaimKeeper(unitOptions),
       certifier: new HostCertifier(unitOptions),
@@ -228,6 +238,7 @@
       sides,
       loop,
       keys: new KeyedRequests({ ...shared, fold, appender, appendTimeoutMs }),
+      policies: this.policies,
       queues: {
         check: new DeadlineQueue({ clock, ...classes.check }),
         query: new DeadlineQueue({ clock, ...classes.query }),
@@ -265,6 +276,10 @@
     });
   }
 
+  private usePolicies(): void {
+    this.policies.replace(this.fold.config.ofKind("policy"));
+  }
+
   private publishGauges(): void {
     const { metrics, fold, follower, appender, requests } = this;
     metrics.gauge("config_version", fold.config.version);
@@ -285,6 +300,7 @@
         name: "tasks",
         start: async () => {
           this.hostList.read.on((records) => this.sides.update(records));
+          this.follower.restoredState.on(() => this.usePolicies());
           tasks = Promise.all([
             this.follower.run(signal),
             this.appender.run(signal),
--- a/packages/entry/src/RequestRun.ts
+++ b/packages/entry/src/RequestRun.ts
@@ -20,6 +20,7 @@
   type BodyStream,
   type Problem,
 } from "@rackspan/protocol";
+import type { PolicyBook } from "@rackspan/policies";
 import type { DeadlineQueue } from "@rackspan/routing";
 import type { RequestClass } from "@rackspan/state";
 import {
@@ -47,6 +48,7 @@
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  readonly policies: PolicyBook;
   readonly keepBodyBytes: number;
   readonly keepAnswerBytes: number;
   readonly watchResumeMs: number;
@@ -82,6 +84,8 @@
 
   async run(): Promise<void> {
     const { clock, queues } = this.options;
+    const policy = this.refusedByPolicy();
+    if (policy !== undefined) return this.refuse(notAdmitted(policy));
     const timer = clock.after(this.request.timeoutMs, () => this.onDeadline());
     this.res.on("close", () => this.onCallerGone());
     try {
@@ -97,6 +101,23 @@
     }
   }
 
+  /** The admission policy that does not let this request in. */
+  private refusedByPolicy(): string | undefined {
+    const { policies, queues } = this.options;
+    if (!policies.has("admission")) return undefined;
+    const { match, timeoutMs } = this.request;
+    const queue = queues[match.route.class];
+    return policies.refusedBy({
+      service: match.service,
+      class: match.route.class,
+      path: this.req.url ?? "/",
+      repeatable: match.route.repeatable,
+      timeoutMs,
+      inProgress: queue.inProgress,
+      queued: queue.queued,
+    });
+  }
+
   private timeLeft(): number {
     return Math.max(0, this.deadline - this.options.clock.monotonic());
   }
@@ -392,6 +413,15 @@
   remedy: "send the whole body, or allow more time",
 };
 
+const notAdmitted = (policy: string): Problem => ({
+  status: 503,
+  reason: REASON.POLICY,
+  outcome: "not-run",
+  detail: `the policy ${policy} does not let this request in now`,
+  remedy: "retry after the time given; operators see rackspan get config",
+  retryAfterS: 1,
+});
+
 const notEntered = (why: "full" | "late"): Problem => ({
   status: why === "full" ? 503 : 504,
   reason: why === "full" ? REASON.QUEUE_FULL : REASON.DEADLINE,
--- a/packages/entry/src/operatorHandlers.ts
+++ b/packages/entry/src/operatorHandlers.ts
@@ -8,9 +8,11 @@
   type HostId,
   type Metrics,
 } from "@rackspan/common";
+import { compilePolicy } from "@rackspan/policies";
 import { RpcClient, type Handlers } from "@rackspan/protocol";
 import type {
   Appender,
+  Change,
   Fold,
   JobDeclaration,
   LogFollower,
@@ -69,6 +71,7 @@
   const { fold, appender, appendTimeoutMs, sides } = options;
   return {
     apply: async ({ operator, base, changes }) => {
+      checkPolicies(changes);
       const record = { type: "apply", operator, base, changes } as const;
       return toVerdict(await appender.submit(record, appendTimeoutMs));
     },
@@ -110,6 +113,15 @@
 
 const toVerdict = (verdict: Verdict): OperatorVerdict => ({ ...verdict });
 
+/** @throws PolicyError for the first program that may not be published */
+const checkPolicies = (changes: readonly Change[]): void => {
+  for (const change of changes) {
+    if (change.action !== "put" || change.declaration.kind !== "policy")
+      continue;
+    compilePolicy(change.declaration.point, change.declaration.program);
+  }
+};
+
 /** @throws NeverFitsError; a job that some host may hold later is let through */
 const checkFitsSomewhere = (
   job: JobDeclaration,
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -91,8 +91,8 @@
     .prefault({}),
   sides: z
     .strictObject({
-      /** Longest wait of one status call when nothing changes. */
-      syncMs: duration(10, 60_000, 2_000),
+      /** Longest wait of one status call when nothing changes; a change ends it at once. */
+      syncMs: duration(10, 60_000, 10_000),
     })
     .prefault({}),
   keys: z
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -124,6 +124,19 @@
   return 1;
 };
 
+/** A fault that is found after the schema's own checks. */
+export const faultAt = (
+  document: SourceDocument,
+  path: readonly (string | number)[],
+  { what, remedy }: Pick<Fault, "what" | "remedy">,
+): Fault => ({
+  file: document.file,
+  line: lineOfPath(document, [...path]),
+  path: path.join("."),
+  what,
+  remedy,
+});
+
 const remedyFor = (issue: z.core.$ZodIssue): string => {
   switch (issue.code) {
     case "unrecognized_keys":
--- /dev/null
+++ b/packages/policies/src/PolicyBook.ts
@@ -0,0 +1,95 @@
+/** The policies in force at one process, by point. */
+
+import type { ParseResult } from "@marcbachmann/cel-js";
+import { describeError, type Logger, type Metrics } from "@rackspan/common";
+import { compilePolicy } from "./compilePolicy.js";
+import {
+  POLICY_POINTS,
+  type PolicyPointName,
+  type ResultOf,
+  type VariablesOf,
+} from "./points.js";
+
+export interface PolicySource {
+  readonly name: string;
+  readonly point: PolicyPointName;
+  readonly program: string;
+}
+
+interface Compiled {
+  readonly name: string;
+  readonly program: ParseResult;
+}
+
+export interface PolicyBookOptions {
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+export class PolicyBook {
+  private byPoint = new Map<PolicyPointName, readonly Compiled[]>();
+
+  constructor(private readonly options: PolicyBookOptions) {}
+
+  /** Takes these in the place of those before; one that does not compile is left out. */
+  replace(sources: readonly PolicySource[]): void {
+    const byPoint = new Map<PolicyPointName, Compiled[]>();
+    for (const { name, point, program } of sources) {
+      try {
+        const compiled = { name, program: compilePolicy(point, program) };
+        byPoint.set(point, [...(byPoint.get(point) ?? []), compiled]);
+      } catch (err) {
+        this.fail(name, point, err);
+      }
+    }
+    this.byPoint = byPoint;
+  }
+
+  has(point: PolicyPointName): boolean {
+    return this.byPoint.has(point);
+  }
+
+  /** Names the first policy that does not let the request in. */
+  refusedBy(variables: VariablesOf<"admission">): string | undefined {
+    return (this.byPoint.get("admission") ?? []).find(
+      (policy) => !this.ask("admission", policy, variables),
+    )?.name;
+  }
+
+  /** The sum of what the policies add. */
+  penalty(variables: VariablesOf<"score">): number {
+    return (this.byPoint.get("score") ?? []).reduce(
+      (sum, policy) => sum + this.ask("score", policy, variables),
+      0,
+    );
+  }
+
+  /** A policy that fails answers as the built-in rule does, and is counted. */
+  private ask<P extends PolicyPointName>(
+    point: P,
+    { name, program }: Compiled,
+    variables: VariablesOf<P>,
+  ): ResultOf<P> {
+    const { fallback, result } = POLICY_POINTS[point];
+    try {
+      const value = program(variables as Record<string, unknown>);
+      const expected = result === "bool" ? "boolean" : "number";
+      if (typeof value !== expected || Number.isNaN(value)) {
+        throw new TypeError(`${String(value)} is not a ${result}`);
+      }
+      return value as ResultOf<P>;
+    } catch (err) {
+      this.fail(name, point, err);
+      return fallback as ResultOf<P>;
+    }
+  }
+
+  private fail(policy: string, point: PolicyPointName, err: unknown): void {
+    this.options.metrics.count("policy_failures", { policy, point });
+    this.options.logger.warn("policy.failed", {
+      policy,
+      point,
+      error: describeError(err),
+    });
+  }
+}
--- /dev/null
+++ b/packages/policies/src/compilePolicy.ts
@@ -0,0 +1,99 @@
+/** Compiles a policy, a CEL expression, and checks its types and its size. */
+
+import { Environment, type ParseResult } from "@marcbachmann/cel-js";
+import { RackspanError } from "@rackspan/common";
+import {
+  POLICY_POINTS,
+  type PolicyPoint,
+  type PolicyPointName,
+} from "./points.js";
+
+/** A program that may not be published. */
+export class PolicyError extends RackspanError {
+  readonly kind = "bad-policy";
+  constructor(
+    what: string,
+    /** From 1, where they are known. */
+    readonly line: number,
+    readonly column: number,
+  ) {
+    super({
+      what: `line ${line}, column ${column}: ${what}`,
+      remedy:
+        "see docs/INTERFACE.md for the variables and the result of each point",
+    });
+  }
+}
+
+/** Together they bound what one evaluation can cost. */
+const LIMITS = {
+  maxAstNodes: 200,
+  maxDepth: 24,
+  maxListElements: 64,
+  maxMapEntries: 16,
+};
+
+/** Loops over lists could multiply; no variable is a list, so nothing needs them. */
+const LOOP_PATTERN =
+  /\.\s*(all|exists|exists_one|map|filter|transformList|transformMap)\s*\(/;
+
+const environments = new Map<PolicyPointName, Environment>();
+
+const environmentOf = (name: PolicyPointName): Environment => {
+  let environment = environments.get(name);
+  if (!environment) {
+    environment = new Environment({ limits: LIMITS });
+    const point: PolicyPoint = POLICY_POINTS[name];
+    for (const [variable, type] of Object.entries(point.variables)) {
+      environment.registerVariable(variable, type);
+    }
+    environments.set(name, environment);
+  }
+  return environment;
+};
+
+interface Located {
+  readonly summary?: string;
+  readonly message: string;
+  readonly range?: { readonly start?: number };
+}
+
+const toPolicyError = (source: string, err: Located): PolicyError => {
+  const before = source.slice(0, err.range?.start ?? 0).split("\n");
+  const column = (before.at(-1)?.length ?? 0) + 1;
+  return new PolicyError(err.summary ?? err.message, before.length, column);
+};
+
+/** @throws PolicyError with the line and column of the fault */
+export const compilePolicy = (
+  point: PolicyPointName,
+  source: string,
+): ParseResult => {
+  const loop = LOOP_PATTERN.exec(source);
+  if (loop) {
+    const range = { start: loop.index };
+    throw toPolicyError(source, {
+      message: "loops are not allowed in policies",
+      range,
+    });
+  }
+  let program: ParseResult;
+  try {
+    program = environmentOf(point).parse(source);
+  } catch (err) {
+    throw toPolicyError(source, err as Located);
+  }
+  const checked = program.check();
+  if (!checked.valid) {
+    throw toPolicyError(
+      source,
+      (checked.error ?? new Error("not valid")) as Located,
+    );
+  }
+  const { result } = POLICY_POINTS[point];
+  if (checked.type !== result) {
+    const message = `the result is ${checked.type}, ${point} needs ${result}`;
+    throw toPolicyError(source, { message });
+  }
+  return program;
+};
--- /dev/null
+++ b/packages/policies/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./compilePolicy.js";
+export * from "./points.js";
+export * from "./PolicyBook.js";
--- a/packages/protocol/src/outcome.ts
+++ b/packages/protocol/src/outcome.ts
@@ -13,6 +13,7 @@
   SLOW_SENDER: "slow-sender",
   DEADLINE: "deadline",
   QUEUE_FULL: "queue-full",
+  POLICY: "policy",
   NO_ENDPOINT: "no-endpoint",
   SLOTS_BUSY: "slots-busy",
   CONNECTIONS_BUSY: "connections-busy",
--- a/packages/state/src/ConfigFold.ts
+++ b/packages/state/src/ConfigFold.ts
@@ -55,9 +55,18 @@
   }
 
   services(): readonly ServiceDeclaration[] {
-    return this.all()
-      .map(({ declaration }) => declaration)
-      .filter((declaration) => declaration.kind === "service");
+    return this.ofKind("service");
+  }
+
+  /** All declarations of one kind. */
+  ofKind<K extends DeclarationKind>(
+    kind: K,
+  ): readonly Extract<Declaration, { kind: K }>[] {
+    return this.all().flatMap(({ declaration }) =>
+      declaration.kind === kind
+        ? [declaration as Extract<Declaration, { kind: K }>]
+        : [],
+    );
   }
 
   /** The first declaration that changed after `base`, if any of the changes names it. */
--- a/packages/state/src/LogFollower.ts
+++ b/packages/state/src/LogFollower.ts
@@ -4,6 +4,7 @@
   AbortedError,
   ChangeSignal,
   describeError,
+  Emitter,
   jitter,
   offset,
   sleep,
@@ -43,6 +44,8 @@
 }
 
 export class LogFollower {
+  /** Tells when the fold was restored from a snapshot: its past was not applied one by one. */
+  readonly restoredState = new Emitter<void>();
   private from = offset(0);
   private restored = false;
   private reachedEnd = false;
@@ -135,6 +138,7 @@
     if (best) {
       fold.restore(best.state);
       this.from = best.covered;
+      this.restoredState.emit();
       logger.info("state.restored", {
         covered: best.covered,
         sequence: fold.sequence,
