--- /dev/null
+++ b/packages/cli/bin/rackspan.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/src/bin.js";
--- a/packages/cli/src/bin.ts
+++ b/packages/cli/src/bin.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** The `rackspan` binary. */
 
 import { stopSignal } from "./handleFailure.js";
