--- a/packages/harness/tests/failures.test.ts
+++ b/packages/harness/tests/failures.test.ts
@@ -32,6 +32,7 @@
         notStartedMs: 500,
         longestLeaseMs: 1_200,
         claimTimeoutMs: 1_000,
+        appendTimeoutMs: 3_000,
       },
     },
     sideSettings: {
--- a/packages/side/tests/side.test.ts
+++ b/packages/side/tests/side.test.ts
@@ -146,7 +146,7 @@
   expect([watch.admitted, gate.busySlots, gate.openConnections]).toEqual([
     true,
     2,
-    4,
+    3,
   ]);
 });
 
