--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -2,7 +2,9 @@
 
 import { benchmarks } from "./benchmarks.js";
 import "./capacity.js";
+import "./decisions.js";
 import "./path.js";
+import "./routing.js";
 import "./state.js";
 
 const [name, ...args] = process.argv.slice(2);
--- a/packages/checker/src/EntryNode.ts
+++ b/packages/checker/src/EntryNode.ts
@@ -120,6 +120,7 @@
     const hosts: HostDirectory = {
       views: () =>
         [...this.links.values()].flatMap(({ view }) => (view ? [view] : [])),
+      names: () => options.hosts.map(hostId),
       view: (host) => this.links.get(host)?.view,
       control: (host) => this.links.get(host),
     };
--- a/packages/entry/src/EntryProcess.ts
+++ b/packages/entry/src/EntryProcess.ts
@@ -146,6 +146,7 @@
       ...shared,
       entry,
       syncMs: settings.sides.syncMs,
+      subsetLeast: settings.routing.subsetLeast,
     });
 
     const { appender, sides, follower } = this;
@@ -301,7 +302,10 @@
       {
         name: "tasks",
         start: async () => {
-          this.hostList.read.on((records) => this.sides.update(records));
+          this.hostList.read.on((records) => {
+            this.sides.update(records);
+            this.sides.setEntries(this.hostList.liveEntryIds());
+          });
           this.follower.restoredState.on(() => this.usePolicies());
           tasks = Promise.all([
             this.follower.run(signal),
--- a/packages/entry/src/SideDirectory.ts
+++ b/packages/entry/src/SideDirectory.ts
@@ -12,6 +12,7 @@
 } from "@rackspan/common";
 import type { HostControl, HostDirectory, HostView } from "@rackspan/jobs";
 import type { HostRecord } from "@rackspan/platform";
+import { chooseSubset } from "@rackspan/routing";
 import { SidePeer } from "./SidePeer.js";
 
 export interface SideDirectoryOptions {
@@ -21,12 +22,17 @@
   readonly metrics: Metrics;
   readonly logger: Logger;
   readonly syncMs: number;
+  /** Services with up to this many endpoints are used whole by each entry. */
+  readonly subsetLeast: number;
 }
 
 export class SideDirectory implements HostDirectory {
   /** Tells of each change of any side. */
   readonly changed = new Emitter<void>();
   private readonly peers = new Map<HostId, SidePeer>();
+  /** Dropped when a host comes or goes. */
+  private hostNames: readonly HostId[] | undefined;
+  private entries: readonly HostId[] = [];
   /** Sides by service; dropped at each change and built when asked for. */
   private readonly byService = new Map<ServiceName, readonly SidePeer[]>();
 
@@ -46,6 +52,7 @@
       if (record && isSame(record, peer.record)) continue;
       peer.close();
       this.peers.delete(host);
+      this.hostNames = undefined;
       this.changed.emit();
     }
     for (const record of listed.values()) {
@@ -65,16 +72,40 @@
   serving(service: ServiceName): readonly SidePeer[] {
     let peers = this.byService.get(service);
     if (!peers) {
-      peers = this.all().filter((peer) => peer.serves(service));
+      peers = this.subset(this.all().filter((peer) => peer.serves(service)));
       this.byService.set(service, peers);
     }
     return peers;
   }
 
+  /** Entries came or went: each uses another part of the large services. */
+  setEntries(entries: readonly HostId[]): void {
+    const names = [...entries].sort();
+    if (names.join() === this.entries.join()) return;
+    this.entries = names;
+    this.byService.clear();
+  }
+
+  private subset(peers: readonly SidePeer[]): readonly SidePeer[] {
+    const { entry, subsetLeast } = this.options;
+    return chooseSubset({
+      members: peers,
+      nameOf: (peer) => peer.record.host,
+      place: Math.max(0, this.entries.indexOf(entry as string as HostId)),
+      places: this.entries.length,
+      least: subsetLeast,
+    });
+  }
+
   views(): readonly HostView[] {
     return this.all().flatMap(({ view }) => (view ? [view] : []));
   }
 
+  names(): readonly HostId[] {
+    this.hostNames ??= [...this.peers.keys()];
+    return this.hostNames;
+  }
+
   view(host: HostId): HostView | undefined {
     return this.peers.get(host)?.view;
   }
@@ -91,6 +122,7 @@
   private add(record: HostRecord): void {
     const peer = new SidePeer({ ...this.options, record });
     this.peers.set(record.host, peer);
+    this.hostNames = undefined;
     peer.changed.on(() => this.changed.emit());
     void peer.run();
   }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -50,7 +50,9 @@
     .strictObject({
       picker: z
         .enum(pickers.names() as [string, ...string[]])
-        .default("leastLoadedOfTwo"),
+        .default("pooled"),
+      /** Services with up to this many endpoints are used whole by each entry. */
+      subsetLeast: z.number().int().min(1).max(10_000).default(32),
       maxAttempts: z.number().int().min(1).max(20).default(3),
       /** Retries as a share of requests. */
       retryRatio: z.number().min(0).max(1).default(0.1),
--- a/packages/jobs/src/UnitPlacer.ts
+++ b/packages/jobs/src/UnitPlacer.ts
@@ -23,6 +23,7 @@
   type Unit,
 } from "@rackspan/state";
 import { FirstSeen } from "./FirstSeen.js";
+import { sampleHosts } from "./sampleHosts.js";
 import type {
   HostDirectory,
   HostView,
@@ -130,8 +131,8 @@
 
   private async place(unit: Unit): Promise<void> {
     if (!this.isStillOpen(unit)) return;
-    const { placer, hosts, metrics } = this.options;
-    const ranked = placer.rank(unit, hosts.views()).slice(0, HOSTS_TRIED);
+    const { metrics } = this.options;
+    const ranked = this.rank(unit).slice(0, HOSTS_TRIED);
     for (const view of ranked) {
       const reserved = await this.reserve(unit, view);
       if (!reserved) continue;
@@ -144,6 +145,16 @@
     this.backOff(unit);
   }
 
+  /** All hosts are looked at only when none of the sample has room. */
+  private rank(unit: Unit): readonly HostView[] {
+    const { placer, hosts, random } = this.options;
+    const sample = sampleHosts(hosts, random);
+    const ranked = placer.rank(unit, sample);
+    if (ranked.length > 0 || sample.length >= hosts.names().length)
+      return ranked;
+    return placer.rank(unit, hosts.views());
+  }
+
   private isStillOpen(unit: Unit): boolean {
     const now = this.options.fold.units.get(unit.id);
     return now?.phase === "open" && now.attempt === unit.attempt;
--- /dev/null
+++ b/packages/jobs/src/sampleHosts.ts
@@ -0,0 +1,23 @@
+/**
+ * A random part of the hosts, so that placing one unit costs the same at any size.
+ * The emptiest of a few dozen random hosts is nearly as empty as the emptiest of all.
+ */
+
+import { pickIndex, type HostId, type Random } from "@rackspan/common";
+import type { HostDirectory, HostView } from "./types.js";
+
+/** Sites up to this size are looked at whole. */
+export const SAMPLE_SIZE = 32;
+
+export const sampleHosts = (
+  directory: HostDirectory,
+  random: Random,
+): readonly HostView[] => {
+  const names = directory.names();
+  if (names.length <= SAMPLE_SIZE) return directory.views();
+  const chosen = new Set<HostId>();
+  while (chosen.size < SAMPLE_SIZE) {
+    chosen.add(names[pickIndex(random, names.length)] as HostId);
+  }
+  return [...chosen].flatMap((host) => directory.view(host) ?? []);
+};
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -52,6 +52,8 @@
 /** All hosts that this entry knows. */
 export interface HostDirectory {
   views(): readonly HostView[];
+  /** Names of all hosts, whether they have been heard of yet or not. */
+  names(): readonly HostId[];
   view(host: HostId): HostView | undefined;
   control(host: HostId): HostControl | undefined;
 }
--- /dev/null
+++ b/packages/routing/src/chooseSubset.ts
@@ -0,0 +1,50 @@
+/**
+ * The part of a large set of endpoints that one entry uses, so that the cost of a
+ * decision and the number of connections do not grow with the site. All entries
+ * together cover every endpoint at least twice.
+ */
+
+import { createHash } from "node:crypto";
+
+export interface SubsetOptions<T> {
+  readonly members: readonly T[];
+  readonly nameOf: (member: T) => string;
+  /** This entry's place among the live ones, from 0, and their number. */
+  readonly place: number;
+  readonly places: number;
+  /** Sets up to this size are used whole. */
+  readonly least: number;
+}
+
+/** Each endpoint is used by at least this many entries, where there are so many. */
+const COVERED_BY = 2;
+
+const orderOf = (name: string): string =>
+  createHash("md5").update(name).digest("hex");
+
+/** The same members for the same arguments, in whatever order they come. */
+export const chooseSubset = <T>({
+  members,
+  nameOf,
+  place,
+  places,
+  least,
+}: SubsetOptions<T>): readonly T[] => {
+  const count = members.length;
+  const size = Math.max(
+    least,
+    Math.ceil((COVERED_BY * count) / Math.max(1, places)),
+  );
+  if (size >= count) return members;
+  const ordered = members
+    .map((member) => ({ member, order: orderOf(nameOf(member)) }))
+    .sort((a, b) => (a.order < b.order ? -1 : 1));
+  const first = Math.floor((place * count) / Math.max(1, places));
+  const chosen: T[] = [];
+  for (let step = 0; step < size; step += 1) {
+    chosen.push(
+      (ordered[(first + step) % count] as (typeof ordered)[0]).member,
+    );
+  }
+  return chosen;
+};
--- /dev/null
+++ b/packages/routing/src/pooledPicker.ts
@@ -0,0 +1,83 @@
+/**
+ * The project's own picker: of a few drawn endpoints it takes the one with the
+ * lowest expected wait. Busy ones are set apart from idle ones first, since a
+ * measured latency says little about an endpoint whose slots are all taken.
+ * Source: docs/design/routing.md, with the measurements behind each part.
+ */
+
+import {
+  pickIndex,
+  type AvailabilityZone,
+  type Random,
+} from "@rackspan/common";
+import { pickers, type EndpointPicker } from "./EndpointPicker.js";
+import type { EndpointView } from "./types.js";
+
+export interface PooledPickerOptions {
+  readonly random: Random;
+  /** The zone of the picking entry; endpoints there are drawn more often. */
+  readonly availabilityZone: AvailabilityZone;
+  /** Endpoints drawn for each request. */
+  readonly draws: number;
+  /** What leaving the own zone must save before it is worth it, milliseconds. */
+  readonly zoneCostMs: number;
+  /** Share of slots in use from which an endpoint counts as hot, in [0, 1]. */
+  readonly hotShare: number;
+}
+
+export const POOLED_PICKER_DEFAULTS = {
+  draws: 3,
+  zoneCostMs: 0.5,
+  hotShare: 0.9,
+} as const;
+
+/** An endpoint that has not answered yet is taken for a good one, so that it is tried. */
+const UNKNOWN_LATENCY_MS = 0;
+
+export class PooledPicker implements EndpointPicker {
+  constructor(private readonly options: PooledPickerOptions) {}
+
+  pick(candidates: readonly EndpointView[]): EndpointView {
+    let best = this.draw(candidates);
+    for (let drawn = 1; drawn < this.options.draws; drawn += 1) {
+      const next = this.draw(candidates);
+      if (next !== best && this.isBetter(next, best)) best = next;
+    }
+    return best;
+  }
+
+  private draw(candidates: readonly EndpointView[]): EndpointView {
+    return candidates[
+      pickIndex(this.options.random, candidates.length)
+    ] as EndpointView;
+  }
+
+  private isBetter(a: EndpointView, b: EndpointView): boolean {
+    const hotA = this.isHot(a);
+    if (hotA !== this.isHot(b)) return !hotA;
+    return hotA ? loadShare(a) < loadShare(b) : this.cost(a) < this.cost(b);
+  }
+
+  private isHot(endpoint: EndpointView): boolean {
+    return loadShare(endpoint) >= this.options.hotShare;
+  }
+
+  /** Latency, weighed by the load that is there already, and by the way to it. */
+  private cost(endpoint: EndpointView): number {
+    const { availabilityZone, latencyMs } = endpoint;
+    const away = availabilityZone !== this.options.availabilityZone;
+    const known = latencyMs > 0 ? latencyMs : UNKNOWN_LATENCY_MS;
+    const expected = known * (1 + loadShare(endpoint));
+    return expected + (away ? this.options.zoneCostMs : 0);
+  }
+}
+
+/** The side's word may be old, and this entry's own count knows nothing of others. */
+const loadShare = ({ inFlight, busySlots, slots }: EndpointView): number =>
+  Math.max(inFlight, busySlots) / slots;
+
+pickers.register({
+  name: "pooled",
+  create: ({ random, availabilityZone }) =>
+    new PooledPicker({ random, availabilityZone, ...POOLED_PICKER_DEFAULTS }),
+});
