--- a/bench/src/main.ts
+++ b/bench/src/main.ts
@@ -2,9 +2,11 @@
 
 import { benchmarks } from "./benchmarks.js";
 import "./capacity.js";
+import "./config.js";
 import "./decisions.js";
 import "./path.js";
 import "./routing.js";
+import "./starts.js";
 import "./state.js";
 
 const [name, ...args] = process.argv.slice(2);
--- a/packages/entry/src/ControlServer.ts
+++ b/packages/entry/src/ControlServer.ts
@@ -6,9 +6,16 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
 import type { Metrics } from "@rackspan/common";
-import { RPC_PATH, RpcServer, type Handlers } from "@rackspan/protocol";
+import {
+  addressOf,
+  closeServer,
+  listenOn,
+  RPC_PATH,
+  RpcServer,
+  sendText,
+  type Handlers,
+} from "@rackspan/protocol";
 import { packSnapshot, type Fold, type LogFollower } from "@rackspan/state";
 import { SNAPSHOT_PATH } from "./HttpPeerSnapshots.js";
 import { OPERATOR_METHODS, type OperatorMethods } from "./operatorMethods.js";
@@ -35,25 +42,17 @@
     });
   }
 
-  listen(port: number, address: string): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen(port, address, resolve);
-    });
+  listen(on: { port: number; address: string }): Promise<void> {
+    return listenOn(this.server, on);
   }
 
   /** `IP:PORT`, as the host list names it. */
   get address(): string {
-    const { address, port } = this.server.address() as AddressInfo;
-    return `${address}:${port}`;
+    return addressOf(this.server);
   }
 
-  async close(): Promise<void> {
-    const closed = new Promise<void>((resolve) =>
-      this.server.close(() => resolve()),
-    );
-    this.server.closeAllConnections();
-    await closed;
+  close(): Promise<void> {
+    return closeServer(this.server);
   }
 
   private async serve(
@@ -95,8 +94,3 @@
     res.end(bytes);
   }
 }
-
-const sendText = (res: ServerResponse, status: number, text: string): void => {
-  res.writeHead(status, { "content-type": "text/plain; charset=utf-8" });
-  res.end(text);
-};
--- a/packages/entry/src/EntryProcess.ts
+++ b/packages/entry/src/EntryProcess.ts
@@ -325,12 +325,12 @@
       },
       {
         name: "control",
-        start: () => this.control.listen(control.port, control.address),
+        start: () => this.control.listen(control),
         stop: () => this.control.close(),
       },
       {
         name: "requests",
-        start: () => this.requests.listen(listen.port, listen.address),
+        start: () => this.requests.listen(listen),
         drain: async () => {
           // The balancer has to see first that this entry is not ready any more.
           await sleep(this.clock, drain.noticeMs);
--- a/packages/entry/src/RequestRun.ts
+++ b/packages/entry/src/RequestRun.ts
@@ -2,7 +2,6 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
-  sleep,
   type Clock,
   type Logger,
   type Metrics,
@@ -27,7 +26,6 @@
   Cancellation,
   type Answered,
   type AttemptLoop,
-  type LoopResult,
   type OutgoingRequest,
 } from "./AttemptLoop.js";
 import type { CallerRequest } from "./callerRequest.js";
@@ -37,13 +35,15 @@
   type KeyedRequests,
 } from "./KeyedRequests.js";
 import { LimitedBody } from "./LimitedBody.js";
-import { relayEvents, type WatchPosition } from "./relayEvents.js";
-import type { SideDirectory } from "./SideDirectory.js";
+import {
+  isEventStream,
+  WatchRelay,
+  type WatchRelayOptions,
+} from "./WatchRelay.js";
 
-export interface RequestRunOptions {
+export interface RequestRunOptions extends WatchRelayOptions {
   readonly loop: AttemptLoop;
   readonly keys: KeyedRequests;
-  readonly sides: SideDirectory;
   readonly queues: Readonly<Record<RequestClass, DeadlineQueue>>;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -51,13 +51,8 @@
   readonly policies: PolicyBook;
   readonly keepBodyBytes: number;
   readonly keepAnswerBytes: number;
-  readonly watchResumeMs: number;
-  /** True once this entry wants its watches to end. */
-  readonly closingWatches: () => boolean;
 }
 
-const WATCH_RETRY_MS = 200;
-const EVENT_STREAM = "text/event-stream";
 const NOT_FORWARDED: ReadonlySet<string> = new Set([
   ...INTERNAL_HEADERS,
   HEADER.REQUEST_ID,
@@ -270,58 +265,11 @@
     first: Answered,
   ): Promise<void> {
     if (!isEventStream(first)) return this.relay(first);
-    const position: WatchPosition = { lastEventId: undefined };
     this.writeHead(first.answer);
     this.res.flushHeaders();
-    let current: Answered | undefined = first;
-    while (current) {
-      const end = await this.relayFrom(current, position);
-      this.count(`watch-${end}`);
-      if (end === "ended" || this.options.closingWatches()) {
-        this.res.end();
-        return;
-      }
-      if (end === "receiver-gone") return;
-      current =
-        end === "too-long" ? undefined : await this.resume(outgoing, position);
-    }
-    this.res.destroy();
-  }
-
-  private async relayFrom(current: Answered, position: WatchPosition) {
-    const { sides, closingWatches } = this.options;
-    const shouldMove = (): boolean =>
-      closingWatches() || sides.get(current.host)?.leaving !== false;
-    const end = await relayEvents(
-      current.answer,
-      this.res,
-      position,
-      shouldMove,
-    );
-    current.release(end !== "broken");
-    current.answer.destroy();
-    return end;
-  }
-
-  /** Connects to another endpoint, from after the last event that was passed on. */
-  private async resume(
-    outgoing: OutgoingRequest,
-    { lastEventId }: WatchPosition,
-  ): Promise<Answered | undefined> {
-    const { clock, loop, watchResumeMs } = this.options;
-    const giveUpAt = clock.monotonic() + watchResumeMs;
-    const rawHeaders = withLastEventId(outgoing.rawHeaders, lastEventId);
-    while (!this.cancellation.reason && clock.monotonic() < giveUpAt) {
-      const request = { ...outgoing, rawHeaders, deadline: giveUpAt };
-      const result: LoopResult = await loop.run(request, this.cancellation);
-      if (result.kind === "answered" && isEventStream(result)) return result;
-      if (result.kind === "answered") {
-        result.release(false);
-        result.answer.destroy();
-      }
-      await sleep(clock, WATCH_RETRY_MS);
-    }
-    return undefined;
+    const { res, cancellation } = this;
+    const relay = new WatchRelay(this.options, { outgoing, res, cancellation });
+    await relay.follow(first, (end) => this.count(`watch-${end}`));
   }
 
   private writeHead(answer: IncomingMessage): void {
@@ -379,24 +327,6 @@
   }
 }
 
-const isEventStream = ({ answer }: Answered): boolean =>
-  answer.statusCode === 200 &&
-  (answer.headers["content-type"] ?? "").startsWith(EVENT_STREAM);
-
-const withLastEventId = (
-  rawHeaders: readonly string[],
-  lastEventId: string | undefined,
-): readonly string[] => {
-  if (lastEventId === undefined) return rawHeaders;
-  const kept: string[] = [];
-  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
-    const name = rawHeaders[i] as string;
-    if (name.toLowerCase() === "last-event-id") continue;
-    kept.push(name, rawHeaders[i + 1] as string);
-  }
-  return [...kept, "Last-Event-ID", lastEventId];
-};
-
 const bodyTooLarge: Problem = {
   status: 413,
   reason: REASON.BODY_TOO_LARGE,
--- a/packages/entry/src/RequestServer.ts
+++ b/packages/entry/src/RequestServer.ts
@@ -6,11 +6,14 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { describeError, sleep, type Sequence } from "@rackspan/common";
 import {
+  addressOf,
+  closeServer,
   endWithProblem,
+  listenOn,
   REASON,
   sendProblem,
   type Problem,
@@ -74,16 +77,12 @@
     );
   }
 
-  listen(port: number, address: string): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen(port, address, resolve);
-    });
+  listen(on: { port: number; address: string }): Promise<void> {
+    return listenOn(this.server, on);
   }
 
   get url(): string {
-    const { address, port } = this.server.address() as AddressInfo;
-    return `http://${address}:${port}`;
+    return `http://${addressOf(this.server)}`;
   }
 
   get requestsInProgress(): number {
@@ -111,11 +110,7 @@
 
   async close(): Promise<void> {
     for (const watch of this.watches) watch.destroy();
-    const closed = new Promise<void>((resolve) =>
-      this.server.close(() => resolve()),
-    );
-    this.server.closeAllConnections();
-    await closed;
+    await closeServer(this.server);
   }
 
   private async serve(
--- /dev/null
+++ b/packages/entry/src/WatchRelay.ts
@@ -0,0 +1,125 @@
+/** A watch from its first event to its end, on whatever endpoints it lives meanwhile. */
+
+import type { ServerResponse } from "node:http";
+import { sleep, type Clock } from "@rackspan/common";
+import type {
+  Answered,
+  AttemptLoop,
+  Cancellation,
+  OutgoingRequest,
+} from "./AttemptLoop.js";
+import {
+  relayEvents,
+  type EventsEnd,
+  type WatchPosition,
+} from "./relayEvents.js";
+import type { SideDirectory } from "./SideDirectory.js";
+
+export interface WatchRelayOptions {
+  readonly loop: AttemptLoop;
+  readonly sides: SideDirectory;
+  readonly clock: Clock;
+  /** How long a broken watch looks for another endpoint. */
+  readonly watchResumeMs: number;
+  /** True once this entry wants its watches to end. */
+  readonly closingWatches: () => boolean;
+}
+
+/** One caller's watch. */
+export interface WatchedRequest {
+  readonly outgoing: OutgoingRequest;
+  /** Its head has been written. */
+  readonly res: ServerResponse;
+  readonly cancellation: Cancellation;
+}
+
+const RETRY_MS = 200;
+const STATUS_OK = 200;
+const EVENT_STREAM = "text/event-stream";
+
+export const isEventStream = ({ answer }: Answered): boolean =>
+  answer.statusCode === STATUS_OK &&
+  (answer.headers["content-type"] ?? "").startsWith(EVENT_STREAM);
+
+export class WatchRelay {
+  private readonly position: WatchPosition = { lastEventId: undefined };
+
+  constructor(
+    private readonly options: WatchRelayOptions,
+    private readonly request: WatchedRequest,
+  ) {}
+
+  /** @param onEnd told of the end of each connection to an endpoint */
+  async follow(
+    first: Answered,
+    onEnd: (end: EventsEnd) => void,
+  ): Promise<void> {
+    const { res } = this.request;
+    let current: Answered | undefined = first;
+    while (current) {
+      const end = await this.relayFrom(current);
+      onEnd(end);
+      if (end === "ended" || this.options.closingWatches()) {
+        res.end();
+        return;
+      }
+      if (end === "receiver-gone") return;
+      current = end === "too-long" ? undefined : await this.resume();
+    }
+    res.destroy();
+  }
+
+  private async relayFrom(current: Answered): Promise<EventsEnd> {
+    const { sides, closingWatches } = this.options;
+    const shouldMove = (): boolean =>
+      closingWatches() || sides.get(current.host)?.leaving !== false;
+    const { res } = this.request;
+    const end = await relayEvents(
+      current.answer,
+      res,
+      this.position,
+      shouldMove,
+    );
+    current.release(end !== "broken");
+    current.answer.destroy();
+    return end;
+  }
+
+  /** Connects to another endpoint, from after the last event that was passed on. */
+  private async resume(): Promise<Answered | undefined> {
+    const { clock, loop, watchResumeMs } = this.options;
+    const { outgoing, cancellation } = this.request;
+    const deadline = clock.monotonic() + watchResumeMs;
+    const rawHeaders = withLastEventId(
+      outgoing.rawHeaders,
+      this.position.lastEventId,
+    );
+    while (!cancellation.reason && clock.monotonic() < deadline) {
+      const result = await loop.run(
+        { ...outgoing, rawHeaders, deadline },
+        cancellation,
+      );
+      if (result.kind === "answered") {
+        if (isEventStream(result)) return result;
+        result.release(false);
+        result.answer.destroy();
+      }
+      await sleep(clock, RETRY_MS);
+    }
+    return undefined;
+  }
+}
+
+const withLastEventId = (
+  rawHeaders: readonly string[],
+  lastEventId: string | undefined,
+): readonly string[] => {
+  if (lastEventId === undefined) return rawHeaders;
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < rawHeaders.length; i += 2) {
+    const name = rawHeaders[i] as string;
+    if (name.toLowerCase() === "last-event-id") continue;
+    kept.push(name, rawHeaders[i + 1] as string);
+  }
+  return [...kept, "Last-Event-ID", lastEventId];
+};
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./Attempt.js";
 export * from "./errors.js";
 export * from "./headers.js";
+export * from "./httpServer.js";
 export * from "./joinSockets.js";
 export * from "./jsonHttpClient.js";
 export * from "./outcome.js";
--- a/packages/side/src/SideProcess.ts
+++ b/packages/side/src/SideProcess.ts
@@ -6,7 +6,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
 import {
   createLogger,
   freshId,
@@ -19,7 +18,16 @@
 } from "@rackspan/common";
 import { Lifecycle } from "@rackspan/kernel";
 import { HttpWorker, type Worker } from "@rackspan/platform";
-import { HEADER, RPC_PATH, RpcServer, SIDE_METHODS } from "@rackspan/protocol";
+import {
+  addressOf,
+  closeServer,
+  HEADER,
+  listenOn,
+  RPC_PATH,
+  RpcServer,
+  sendText,
+  SIDE_METHODS,
+} from "@rackspan/protocol";
 import { AdmissionGate } from "./AdmissionGate.js";
 import { Commitments } from "./Commitments.js";
 import { RequestFences } from "./RequestFences.js";
@@ -117,8 +125,7 @@
 
   /** `IP:PORT` that entries call. */
   get address(): string {
-    const { address, port } = this.server.address() as AddressInfo;
-    return `${address}:${port}`;
+    return addressOf(this.server);
   }
 
   private createServer(): Server {
@@ -189,7 +196,7 @@
         },
         {
           name: "server",
-          start: () => this.listen(),
+          start: () => listenOn(this.server, this.options.settings.listen),
           drain: () => this.drain(),
           stop: () => this.close(),
         },
@@ -198,14 +205,6 @@
     );
   }
 
-  private listen(): Promise<void> {
-    const { address, port } = this.options.settings.listen;
-    return new Promise((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen(port, address, resolve);
-    });
-  }
-
   /** Tells the entries first, then refuses, then waits for what is in progress. */
   private async drain(): Promise<void> {
     const { noticeMs, limitMs } = this.options.settings.drain;
@@ -224,17 +223,8 @@
 
   private async close(): Promise<void> {
     this.board.close();
-    const closed = new Promise<void>((resolve) =>
-      this.server.close(() => resolve()),
-    );
-    this.server.closeAllConnections();
     this.handler.cutWatches();
     this.handler.close();
-    await closed;
+    await closeServer(this.server);
   }
 }
-
-const sendText = (res: ServerResponse, status: number, text: string): void => {
-  res.writeHead(status, { "content-type": "text/plain; charset=utf-8" });
-  res.end(text);
-};
