--- a/packages/cli/src/commands/units.ts
+++ b/packages/cli/src/commands/units.ts
@@ -49,3 +49,33 @@
     return worst;
   },
 });
+
+interface ThrottleOptions {
+  readonly share: string;
+}
+
+registerCommand<ThrottleOptions>({
+  name: "throttle",
+  summary: "limit the running attempt of a unit to a share of its processors",
+  define: (command) => {
+    command
+      .argument("<unit>", "a unit's id, as rackspan get units shows it")
+      .requiredOption(
+        "--share <share>",
+        "from 0.01 to 1; 1 takes the limit away",
+      );
+  },
+  perform: async ({ client, output }, [unit], { share }) => {
+    const limit = Number(share);
+    if (!(limit >= 0.01 && limit <= 1)) {
+      output.error(`--share ${share} is not from 0.01 to 1`);
+      return EXIT_CODE.BAD_INPUT;
+    }
+    const { host } = await client.call("throttle", {
+      unit: unitId(unit as string),
+      share: limit,
+    });
+    output.line(`${unit}: limited to ${limit} on ${host}`);
+    return EXIT_CODE.OK;
+  },
+});
--- a/packages/kernel/src/Registry.ts
+++ b/packages/common/src/Registry.ts
@@ -1,6 +1,6 @@
 /** Plug-in points: a package offers a point, plug-ins register themselves by name. */
 
-import { RackspanError } from "@rackspan/common";
+import { RackspanError } from "./errors.js";
 
 export interface Plugin<Options, T> {
   readonly name: string;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -10,4 +10,5 @@
 export * from "./ManualClock.js";
 export * from "./metrics.js";
 export * from "./random.js";
+export * from "./Registry.js";
 export * from "./resources.js";
--- a/packages/common/src/log.ts
+++ b/packages/common/src/log.ts
@@ -51,6 +51,8 @@
   }
 
   debug(event: string, fields: LogFields = {}): void {
+    // Debug lines stand on hot paths: nothing is put together for nobody.
+    if (this.sink.level < LogLevels.debug) return;
     this.sink.debug(formatLogLine(event, { ...this.fields, ...fields }));
   }
 
--- a/packages/entry/src/AttemptLoop.ts
+++ b/packages/entry/src/AttemptLoop.ts
@@ -150,6 +150,13 @@
       if (result.kind === "answered") return result;
       last = result.failure;
       mayHaveRun ||= last.outcome === "unknown";
+      this.options.logger.debug("attempt.failed", {
+        request: request.id,
+        attempt,
+        host: peer.record.host,
+        reason: last.reason,
+        outcome: last.outcome,
+      });
       metrics.count("attempt_failed", {
         reason: last.reason,
         outcome: last.outcome,
--- a/packages/entry/src/EntryProcess.ts
+++ b/packages/entry/src/EntryProcess.ts
@@ -24,8 +24,8 @@
 } from "@rackspan/jobs";
 import { Lifecycle, type Part } from "@rackspan/kernel";
 import {
-  HttpHostList,
-  HttpLogService,
+  hostLists,
+  logServices,
   type HostList,
   type LogService,
 } from "@rackspan/platform";
@@ -91,9 +91,11 @@
     const base = options.logger ?? createLogger({ level: settings.logLevel });
     this.logger = base.with({ role: "entry", host });
     const random = options.random ?? new SeededRandom(Date.now() ^ process.pid);
-    const log = options.log ?? new HttpLogService(logSettings.url);
+    const log =
+      options.log ?? logServices.create(logSettings.client, logSettings);
     const hostList =
-      options.hostList ?? new HttpHostList(settings.hostList.url);
+      options.hostList ??
+      hostLists.create(settings.hostList.client, settings.hostList);
     const entry = brand<EntryId>(host);
     const { fold } = this;
     const shared = {
--- a/packages/entry/src/RequestRun.ts
+++ b/packages/entry/src/RequestRun.ts
@@ -298,7 +298,13 @@
   }
 
   private count(end: string): void {
-    const { match } = this.request;
+    const { id, match } = this.request;
+    this.options.logger.debug("request.end", {
+      request: id,
+      service: match.service,
+      end,
+      status: this.res.statusCode,
+    });
     this.options.metrics.count("requests", { class: match.route.class, end });
   }
 }
--- a/packages/entry/src/SidePeer.ts
+++ b/packages/entry/src/SidePeer.ts
@@ -173,6 +173,10 @@
     await this.control("stop", { task, checkpoint });
   }
 
+  async throttle(task: TaskId, share: number): Promise<void> {
+    await this.control("throttle", { task, share });
+  }
+
   async fenceTask(task: TaskId): Promise<"held" | "never"> {
     return (await this.control("fenceTask", { task })).state;
   }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./AttemptLoop.js";
+export * from "./callerRequest.js";
 export * from "./EndpointState.js";
 export * from "./EntryProcess.js";
 export * from "./KeyedRequests.js";
--- a/packages/entry/src/operatorHandlers.ts
+++ b/packages/entry/src/operatorHandlers.ts
@@ -3,10 +3,12 @@
 import {
   firstShortage,
   RackspanError,
+  taskIdOf,
   type Clock,
   type HostGeneration,
   type HostId,
   type Metrics,
+  type UnitId,
 } from "@rackspan/common";
 import { compilePolicy } from "@rackspan/policies";
 import { RpcClient, type Handlers } from "@rackspan/protocol";
@@ -54,6 +56,16 @@
   }
 }
 
+export class NotRunningError extends RackspanError {
+  readonly kind = "not-running";
+  constructor(unit: UnitId) {
+    super({
+      what: `${unit} does not run now`,
+      remedy: "see rackspan get units for those that do",
+    });
+  }
+}
+
 /** No host that is known could ever hold the job. */
 export class NeverFitsError extends RackspanError {
   readonly kind = "never-fits";
@@ -99,6 +111,13 @@
       const record = { type: "hostDraining", host, generation } as const;
       return toVerdict(await appender.submit(record, appendTimeoutMs));
     },
+    throttle: async ({ unit: id, share }) => {
+      const unit = fold.units.get(id);
+      const side = unit?.claim && sides.get(unit.claim.host);
+      if (!unit || !side) throw new NotRunningError(id);
+      await side.throttle(taskIdOf(id, unit.attempt), share);
+      return { host: side.record.host as string };
+    },
     fence: async ({ host }) => {
       const generation = highestClaimed(fold, host);
       const record = {
--- a/packages/entry/src/operatorMethods.ts
+++ b/packages/entry/src/operatorMethods.ts
@@ -105,6 +105,14 @@
     params: z.strictObject({ host: idSchema<HostId>() }),
     result: verdictSchema,
   },
+  /** Limits the running attempt of a unit; its next attempt starts unlimited. */
+  throttle: {
+    params: z.strictObject({
+      unit: idSchema<UnitId>(),
+      share: z.number().min(0.01).max(1),
+    }),
+    result: z.object({ host: z.string() }),
+  },
   fence: {
     params: z.strictObject({ host: idSchema<HostId>() }),
     result: verdictSchema,
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -2,6 +2,7 @@
 
 import { z } from "zod";
 import { idSchema, type AvailabilityZone, type HostId } from "@rackspan/common";
+import { hostLists, logServices } from "@rackspan/platform";
 import { pickers } from "@rackspan/routing";
 import { placers } from "@rackspan/scheduling";
 
@@ -10,7 +11,11 @@
   port: z.number().int().min(0).max(65_535),
 });
 
-const urlSchema = z.strictObject({ url: z.url({ protocol: /^http$/ }) });
+const urlSchema = z.url({ protocol: /^http$/ });
+
+/** The wire format by which a service of the platform is spoken to. */
+const clientSchema = (names: readonly string[]) =>
+  z.enum(names as [string, ...string[]]).default("http");
 
 const classLimitsSchema = z.strictObject({
   /** Requests of the class that this entry has in progress at once. */
@@ -31,7 +36,8 @@
   /** Where operators and other entries come in. */
   control: listenSchema,
   log: z.strictObject({
-    ...urlSchema.shape,
+    url: urlSchema,
+    client: clientSchema(logServices.names()),
     /** This process's share of the platform's append budget. */
     appendsPerSecond: z.number().min(0.1).max(1_000).default(15),
     /** How long the log keeps entries. */
@@ -39,7 +45,8 @@
     snapshotEveryEntries: z.number().int().min(1).max(1e7).default(5_000),
   }),
   hostList: z.strictObject({
-    ...urlSchema.shape,
+    url: urlSchema,
+    client: clientSchema(hostLists.names()),
     everyMs: duration(10, 60_000, 1_000),
   }),
   security: z.strictObject({
--- a/packages/harness/tests/failures.test.ts
+++ b/packages/harness/tests/failures.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, test } from "node:test";
 import { expect } from "earl";
-import { hostId, unitId } from "@rackspan/common";
+import { createLogger, hostId, unitId } from "@rackspan/common";
 import type { Unit } from "@rackspan/state";
 import {
   Caller,
@@ -194,6 +194,46 @@
   expect(site.platform.tasks.entries.length).toEqual(2);
 });
 
+test("a throttled job goes on more slowly, and what does not run cannot be throttled", async () => {
+  const site = await startSite(1, 1);
+  await submit(site, job("a", { steps: 100_000 }));
+  await waitUntil(
+    "it runs",
+    () => site.platform.tasks.stepsOf("job/a").size > 2,
+  );
+  await site.operator.must("throttle", "job/a", "--share", "0.01");
+  const before = site.platform.tasks.stepsOf("job/a").size;
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  // Unlimited it would do some 25 steps in that time, limited none or one.
+  expect(site.platform.tasks.stepsOf("job/a").size - before <= 2).toEqual(true);
+  const { code } = await site.operator.run(
+    "throttle",
+    "job/none",
+    "--share",
+    "0.5",
+  );
+  expect(code).toEqual(3);
+});
+
+test("a request can be followed by its id through the logs of entry and side", async () => {
+  const lines: string[] = [];
+  const logger = createLogger({
+    level: "debug",
+    write: (line) => lines.push(line),
+  });
+  const site = await startSite(2, 1, { logger });
+  await startService(site);
+  const { headers } = await caller.call(`${site.urls[0]}/bays/1`);
+  const id = String(headers["rackspan-request-id"]);
+  const found = () => lines.filter((line) => line.includes(`request=${id}`));
+  await waitUntil("both have written their line", () => found().length === 2);
+  expect(
+    found()
+      .map((line) => /role=(\w+)/.exec(line)?.[1] ?? "")
+      .sort(),
+  ).toEqual(["entry", "side"]);
+});
+
 test("a cancelled job is stopped, and a host is never committed past what it has", async () => {
   const site = await startSite(2, 2);
   const jobs = Array.from({ length: 20 }, (_, i) =>
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -1,3 +1,2 @@
 export * from "./Lifecycle.js";
-export * from "./Registry.js";
 export * from "./settings.js";
--- a/packages/protocol/src/sideMethods.ts
+++ b/packages/protocol/src/sideMethods.ts
@@ -131,6 +131,14 @@
     }),
     result: emptySchema,
   },
+  /** Limits a task to this share of its processors until told otherwise. */
+  throttle: {
+    params: z.strictObject({
+      task: idSchema<TaskId>(),
+      share: z.number().min(0.01).max(1),
+    }),
+    result: emptySchema,
+  },
   /** Makes sure that a task which is not held here never starts here. */
   fenceTask: {
     params: z.strictObject({ task: idSchema<TaskId>() }),
--- a/packages/routing/src/EndpointPicker.ts
+++ b/packages/routing/src/EndpointPicker.ts
@@ -1,7 +1,6 @@
 /** Picks the endpoint for one attempt of a request. Source: brief, "What we measure". */
 
-import type { AvailabilityZone, Random } from "@rackspan/common";
-import { Registry } from "@rackspan/kernel";
+import { Registry, type AvailabilityZone, type Random } from "@rackspan/common";
 import type { EndpointView } from "./types.js";
 
 export interface EndpointPicker {
--- a/packages/scheduling/src/placers.ts
+++ b/packages/scheduling/src/placers.ts
@@ -1,8 +1,7 @@
 /** The plug-in point for placement, and what all placers share. */
 
-import { firstShortage, type Random } from "@rackspan/common";
+import { firstShortage, Registry, type Random } from "@rackspan/common";
 import type { HostView, Placer } from "@rackspan/jobs";
-import { Registry } from "@rackspan/kernel";
 import type { Unit } from "@rackspan/state";
 
 export interface PlacerOptions {
--- a/packages/side/src/RequestHandler.ts
+++ b/packages/side/src/RequestHandler.ts
@@ -153,6 +153,11 @@
     head: RequestHead | undefined,
     refusal: Refusal,
   ): void {
+    this.options.logger.debug("request.refused", {
+      request: head?.request,
+      attempt: head?.attempt,
+      reason: refusal.reason,
+    });
     this.options.metrics.count("side_refused", { reason: refusal.reason });
     res.setHeader(HEADER.BUSY_SLOTS, String(this.options.gate.busySlots));
     // An unread body would otherwise stand between this answer and the next request.
@@ -203,6 +208,13 @@
       res.off("close", onGone);
       if (head.watch) this.addWatch(res);
       const end = await this.relay(answer, res);
+      this.options.logger.debug("request.end", {
+        request: head.request,
+        attempt: head.attempt,
+        task,
+        end,
+        status: answer.statusCode,
+      });
       metrics.count("side_answered", { end });
       metrics.latency("endpoint").record(clock.monotonic() - startedAt);
     } catch (err) {
--- a/packages/side/src/SideProcess.ts
+++ b/packages/side/src/SideProcess.ts
@@ -17,7 +17,7 @@
   type Logger,
 } from "@rackspan/common";
 import { Lifecycle } from "@rackspan/kernel";
-import { HttpWorker, type Worker } from "@rackspan/platform";
+import { workers, type Worker } from "@rackspan/platform";
 import {
   addressOf,
   closeServer,
@@ -69,7 +69,8 @@
     const base = options.logger ?? createLogger({ level: settings.logLevel });
     const logger = base.with({ role: "side", host });
     const { metrics, incarnation } = this;
-    const worker = options.worker ?? new HttpWorker(settings.worker.url);
+    const worker =
+      options.worker ?? workers.create(settings.worker.client, settings.worker);
     const { reservationTtlMs, leaseMs, renewEveryMs } = settings.tasks;
     this.commitments = new Commitments({ clock, reservationTtlMs });
     const { commitments } = this;
--- a/packages/side/src/TaskHolder.ts
+++ b/packages/side/src/TaskHolder.ts
@@ -186,6 +186,16 @@
     }
   }
 
+  /** @throws UnknownTaskError when it does not run here */
+  async throttle(task: TaskId, share: number): Promise<void> {
+    if (this.tasks.get(task)?.state !== "running")
+      throw new UnknownTaskError(task);
+    const { worker, incarnation, logger, metrics } = this.options;
+    await worker.throttle(incarnation, task, share);
+    metrics.count("tasks_throttled");
+    logger.info("task.throttled", { task, share });
+  }
+
   /** Asks every running task to end, so that its unit goes on elsewhere. */
   async stopAll(): Promise<void> {
     for (const { identity, state } of this.list()) {
--- a/packages/side/src/settings.ts
+++ b/packages/side/src/settings.ts
@@ -9,6 +9,7 @@
   type HostId,
   type Rack,
 } from "@rackspan/common";
+import { workers } from "@rackspan/platform";
 
 export const sideSettingsSchema = z.strictObject({
   /** This host's name in the host list. */
@@ -22,7 +23,11 @@
     port: z.number().int().min(0).max(65_535),
   }),
   /** The worker agent of this host. */
-  worker: z.strictObject({ url: z.url({ protocol: /^http$/ }) }),
+  worker: z.strictObject({
+    url: z.url({ protocol: /^http$/ }),
+    /** The wire format by which it is spoken to. */
+    client: z.enum(workers.names() as [string, ...string[]]).default("http"),
+  }),
   security: z.strictObject({
     /** Peers and operators are not authenticated; must be asked for by name. */
     mode: z.literal("development"),
--- a/packages/side/src/sideHandlers.ts
+++ b/packages/side/src/sideHandlers.ts
@@ -60,6 +60,11 @@
     return {};
   },
 
+  throttle: async ({ task, share }) => {
+    await tasks.throttle(task, share);
+    return {};
+  },
+
   fenceTask: ({ task }) => {
     if (!tasks.ready) throw new NotReadyError();
     return { state: tasks.fence(task) };
--- a/packages/standins/src/WorkerStandin.ts
+++ b/packages/standins/src/WorkerStandin.ts
@@ -55,6 +55,11 @@
   tasks: z.array(idSchema<TaskId>()),
   leaseMs: z.number().min(1),
 });
+const throttleSchema = z.object({
+  ...owned,
+  task: idSchema<TaskId>(),
+  share: z.number().min(0.01).max(1),
+});
 const stopSchema = z.object({
   ...owned,
   task: idSchema<TaskId>(),
@@ -115,8 +120,7 @@
       case "/stop":
         return this.stop(stopSchema.parse(body));
       case "/throttle":
-        this.checkOwner(taskSchema.parse(body));
-        return {};
+        return this.throttle(throttleSchema.parse(body));
       case "/forget":
         return this.forget(taskSchema.parse(body));
       case "/usage":
@@ -209,6 +213,16 @@
     return {};
   }
 
+  private throttle({
+    owner,
+    task: name,
+    share,
+  }: z.infer<typeof throttleSchema>) {
+    this.checkOwner({ owner });
+    this.held.get(name)?.program.throttle?.(share);
+    return {};
+  }
+
   private forget({ owner, task: name }: z.infer<typeof taskSchema>) {
     this.checkOwner({ owner });
     const task = this.held.get(name);
--- a/packages/standins/src/batchProgram.ts
+++ b/packages/standins/src/batchProgram.ts
@@ -18,24 +18,25 @@
   const failOnce = numberArg(args, "failOnce", -1);
   const begun = stepFrom(context.checkpoint);
   let step = begun;
-  const timer = setInterval(
-    () => {
-      const failsNow =
-        step === failAt ||
-        (step === failOnce && !tasks.stepsOf(unit).has(step));
-      if (failsNow || step >= steps) {
-        clearInterval(timer);
-        if (step === failOnce) tasks.step(unit, step);
-        onEnd(failsNow ? "failed" : "succeeded", `step ${step}`);
-        return;
-      }
-      tasks.step(unit, step);
-      step += 1;
-    },
-    numberArg(args, "stepMs", 20),
-  );
+  const stepMs = numberArg(args, "stepMs", 20);
+  let share = 1;
+  let timer: NodeJS.Timeout;
+  const doStep = (): void => {
+    const failsNow =
+      step === failAt || (step === failOnce && !tasks.stepsOf(unit).has(step));
+    if (failsNow || step >= steps) {
+      if (step === failOnce) tasks.step(unit, step);
+      onEnd(failsNow ? "failed" : "succeeded", `step ${step}`);
+      return;
+    }
+    tasks.step(unit, step);
+    step += 1;
+    timer = setTimeout(doStep, stepMs / share);
+  };
+  timer = setTimeout(doStep, stepMs);
   return {
-    kill: () => clearInterval(timer),
+    kill: () => clearTimeout(timer),
+    throttle: (limit) => (share = limit),
     checkpoint: () => `step=${step}`,
   };
 };
--- a/packages/standins/src/programTypes.ts
+++ b/packages/standins/src/programTypes.ts
@@ -19,6 +19,8 @@
   readonly address?: string;
   /** Stops it at once; no further effect may follow. */
   kill(): void;
+  /** Limits it to a share of its speed, where it has one. */
+  throttle?(share: number): void;
   /** Progress that a later task can go on from. */
   checkpoint(): string | undefined;
 }
