RPC errors keep their kind; one way to run a program; bench sites shared

Cause: 'rackspan status' against a dead entry ended with 3 and did not go to the next address: the JSON-RPC library keeps only the message of an error in sending, so a refused connection arrived as a remote refusal. Ruled out: the HTTP client, which names the kind rightly. Change: the error of the sending is kept beside the call and thrown as it is.

--- a/bench/src/capacity.ts
+++ b/bench/src/capacity.ts
@@ -11,13 +11,11 @@
 import { SideProcess, sideSettingsSchema } from "@rackspan/side";
 import { registerBenchmark } from "./benchmarks.js";
 import { printRows, slopeOf, type Row } from "./output.js";
-import { RoleThread } from "./threads.js";
+import { sideSettingsFor, startEntryThread } from "./threadedSite.js";
 
 const SIZES = [10, 50, 200] as const;
 const WINDOW_MS = 20_000;
 const SETTLE_MS = 3_000;
-const SECURITY = { mode: "development" };
-const ANY_PORT = { address: "127.0.0.1", port: 0 };
 
 /** Bytes of all connections that this thread's servers have taken. */
 class ServerBytes {
@@ -48,19 +46,11 @@
 ) => {
   const sides: SideProcess[] = [];
   for (const place of site.workers) {
-    const { host, availabilityZone, rack } = place;
-    const settings = sideSettingsSchema.parse({
-      host,
-      availabilityZone,
-      rack,
-      generation: 1,
-      listen: ANY_PORT,
-      worker: { url: platform.workers.get(host)?.server.url },
-      security: SECURITY,
-      logLevel: "silent",
-      // Renewals of leases are the worker's traffic and are left out here.
-      tasks: { renewEveryMs: 300_000 },
-    });
+    // Renewals of leases are the worker's traffic and are left out here.
+    const tasks = { renewEveryMs: 300_000 };
+    const settings = sideSettingsSchema.parse(
+      sideSettingsFor(platform, place, { tasks }),
+    );
     const side = new SideProcess({ settings });
     await side.start();
     platform.listWorker(place, side.address);
@@ -77,21 +67,7 @@
   const platform = new StandinPlatform(site);
   await platform.start();
   const sides = await startSides(platform, site);
-  const [place] = site.entries;
-  if (!place) throw new Error("the site has no entry");
-  const entry = await RoleThread.start({
-    role: "entry",
-    settings: {
-      host: place.host,
-      availabilityZone: place.availabilityZone,
-      listen: ANY_PORT,
-      control: ANY_PORT,
-      log: { url: platform.log.server.url },
-      hostList: { url: platform.hostList.server.url },
-      security: SECURITY,
-      logLevel: "silent",
-    },
-  });
+  const entry = await startEntryThread(platform, site);
   const operator = new OperatorSession([entry.ready.control as string]);
   await waitUntil("all sides are known", async () => {
     const { out, code } = await operator.run("status", "--json");
--- a/bench/src/path.ts
+++ b/bench/src/path.ts
@@ -11,11 +11,10 @@
 } from "@rackspan/harness";
 import { registerBenchmark } from "./benchmarks.js";
 import { printRows, type Row } from "./output.js";
+import { sideSettingsFor, startEntryThread } from "./threadedSite.js";
 import { RoleThread, runLoad } from "./threads.js";
 import { writeTemporary } from "./writeTemporary.js";
 
-const SECURITY = { mode: "development" };
-const ANY_PORT = { address: "127.0.0.1", port: 0 };
 const WARM_UP_MS = 2_000;
 const RUN_MS = 4_000;
 const ROUNDS = 3;
@@ -45,40 +44,13 @@
   await platform.start();
   const sides: RoleThread[] = [];
   for (const place of description.workers) {
-    const { host, availabilityZone, rack } = place;
-    const side = await RoleThread.start({
-      role: "side",
-      settings: {
-        host,
-        availabilityZone,
-        rack,
-        generation: 1,
-        listen: ANY_PORT,
-        worker: { url: platform.workers.get(host)?.server.url },
-        security: SECURITY,
-        admission: { slots: SLOTS, connections: SLOTS },
-        logLevel: "silent",
-      },
-    });
+    const admission = { slots: SLOTS, connections: SLOTS };
+    const settings = sideSettingsFor(platform, place, { admission });
+    const side = await RoleThread.start({ role: "side", settings });
     platform.listWorker(place, side.ready.address);
     sides.push(side);
   }
-  const [place] = description.entries;
-  if (!place) throw new Error("the site has no entry");
-  const entry = await RoleThread.start({
-    role: "entry",
-    settings: {
-      host: place.host,
-      availabilityZone: place.availabilityZone,
-      listen: ANY_PORT,
-      control: ANY_PORT,
-      log: { url: platform.log.server.url },
-      hostList: { url: platform.hostList.server.url, everyMs: 200 },
-      security: SECURITY,
-      logLevel: "silent",
-    },
-  });
-  platform.listEntry(place, entry.ready.control as string);
+  const entry = await startEntryThread(platform, description);
   const operator = new OperatorSession([entry.ready.control as string]);
   await waitUntil(
     "the entry is ready",
--- a/packages/cli/src/runSide.ts
+++ b/packages/cli/src/runSide.ts
@@ -7,10 +7,9 @@
   overridesFromEnvironment,
 } from "@rackspan/kernel";
 import { SideProcess, sideSettingsSchema } from "@rackspan/side";
-import { EXIT_CODE, type ExitCode } from "./exitCodes.js";
-import { handleFailure } from "./handleFailure.js";
+import type { ExitCode } from "./exitCodes.js";
 import { runProcess } from "./runProcess.js";
-import type { RunOptions } from "./runRackspan.js";
+import { runProgram, type RunOptions } from "./runProgram.js";
 import { collectOverrides, type SettingsOptions } from "./settingsOptions.js";
 
 const settingsFrom = (
@@ -24,40 +23,25 @@
   });
 
 /** @returns the exit code; see exitCodes.ts */
-export const runSide = async ({
-  args,
-  env,
-  output,
-  stop,
-}: RunOptions): Promise<ExitCode> => {
-  let code: ExitCode = EXIT_CODE.OK;
-  const program = new Command("rackspan-side")
-    .description("the side process of an endpoint host")
-    .configureOutput({
-      writeOut: (text) => output.line(text.trimEnd()),
-      writeErr: (text) => output.error(text.trimEnd()),
+export const runSide = (options: RunOptions): Promise<ExitCode> => {
+  const { env, output, stop } = options;
+  return runProgram(options, (finish) => {
+    const run = new Command("run").description("run the side process");
+    collectOverrides(run);
+    run.action(async (given: SettingsOptions) => {
+      const settings = settingsFrom(given, env);
+      finish(await runProcess(new SideProcess({ settings }), stop));
     });
-  const run = new Command("run").description("run the side process");
-  collectOverrides(run);
-  run.action(async (options: SettingsOptions) => {
-    const settings = settingsFrom(options, env);
-    code = await runProcess(new SideProcess({ settings }), stop);
+    const check = new Command("check")
+      .description("find faults in settings")
+      .argument("<file>")
+      .action((file: string) => {
+        settingsFrom({ config: file, set: [] }, {});
+        output.line(`no faults in ${file}`);
+      });
+    return new Command("rackspan-side")
+      .description("the side process of an endpoint host")
+      .addCommand(run)
+      .addCommand(check);
   });
-  const check = new Command("check")
-    .description("find faults in settings")
-    .argument("<file>")
-    .action((file: string) => {
-      settingsFrom({ config: file, set: [] }, {});
-      output.line(`no faults in ${file}`);
-    });
-  program.addCommand(run).addCommand(check);
-  for (const command of [program, run, check]) {
-    command.exitOverride().copyInheritedSettings(program);
-  }
-  try {
-    await program.parseAsync([...args], { from: "user" });
-    return code;
-  } catch (err) {
-    return handleFailure(err, output);
-  }
 };
--- a/packages/harness/tests/failures.test.ts
+++ b/packages/harness/tests/failures.test.ts
@@ -2,10 +2,12 @@
 import { expect } from "earl";
 import { createLogger, hostId, unitId } from "@rackspan/common";
 import type { Unit } from "@rackspan/state";
+import { EXIT_CODE } from "@rackspan/cli";
 import {
   Caller,
   describeSite,
   EventWatch,
+  OperatorSession,
   Site,
   waitUntil,
 } from "@rackspan/harness";
@@ -270,6 +272,17 @@
   expect(unitAt(site, "job/a")?.finish).toEqual("succeeded");
 });
 
+test("a command goes to the next entry when the first is down, and says when none is up", async () => {
+  const site = await startSite(1, 1);
+  const down = "127.0.0.1:9";
+  const up = site.entry("entry-1").controlAddress;
+  const { code } = await new OperatorSession([down, up]).run("status");
+  expect(code).toEqual(EXIT_CODE.OK);
+  const failed = await new OperatorSession([down]).run("status");
+  expect(failed.code).toEqual(EXIT_CODE.UNREACHABLE);
+  expect(failed.err).toEqual(expect.includes("--entry"));
+});
+
 test("of two operators who start from the same version one is accepted and one is told of the conflict", async () => {
   const site = await startSite(1, 2);
   const quota = (maxJobs: number) =>
--- a/packages/protocol/src/rpc.ts
+++ b/packages/protocol/src/rpc.ts
@@ -135,19 +135,7 @@
     params: ParamsOf<T, M>,
     options: RpcCallOptions = {},
   ): Promise<ResultOf<T, M>> {
-    const client: JSONRPCClient = new JSONRPCClient(async (request) => {
-      const answer = await this.http.call(
-        { method: "POST", path: RPC_PATH, body: request, ...options },
-        rpcResponseSchema,
-      );
-      client.receive(answer as unknown as JSONRPCResponse);
-    });
-    let result: unknown;
-    try {
-      result = await client.request(method, params);
-    } catch (err) {
-      throw toRemoteError(err);
-    }
+    const result = await this.request(method, params, options);
     const shape = this.table[method] as MethodShape;
     const parsed = shape.result.safeParse(result);
     if (!parsed.success) throw new BadAnswerError(this.baseUrl, parsed.error);
@@ -157,12 +145,40 @@
   close(): void {
     this.http.close();
   }
+
+  /** The library keeps only the message of a failed sending, so the error itself is kept here. */
+  private async request(
+    method: string,
+    params: unknown,
+    options: RpcCallOptions,
+  ): Promise<unknown> {
+    let sendFailure: unknown;
+    const client: JSONRPCClient = new JSONRPCClient(async (request) => {
+      try {
+        const call = {
+          method: "POST",
+          path: RPC_PATH,
+          body: request,
+          ...options,
+        } as const;
+        const answer = await this.http.call(call, rpcResponseSchema);
+        client.receive(answer as unknown as JSONRPCResponse);
+      } catch (err) {
+        sendFailure = err;
+        throw err;
+      }
+    });
+    try {
+      return await client.request(method, params);
+    } catch (err) {
+      throw sendFailure ?? toRemoteError(err);
+    }
+  }
 }
 
 const rpcResponseSchema = z.looseObject({ jsonrpc: z.literal("2.0") });
 
-const toRemoteError = (err: unknown): unknown => {
-  if (err instanceof RackspanError) return err;
+const toRemoteError = (err: unknown): RemoteError => {
   const data = (err as { data?: unknown }).data;
   const parsed = remoteErrorSchema.safeParse(data);
   if (!parsed.success) {
