Requests whose time ran out do not keep others out of a queue

Cause: a waiter that had expired kept its place, so a full queue of the late refused requests that had all their time. Change: late waiters count no more, at the side's gate and the entry's queues.

--- a/packages/routing/src/DeadlineQueue.ts
+++ b/packages/routing/src/DeadlineQueue.ts
@@ -14,13 +14,15 @@
 export class DeadlineQueue {
   private readonly queue: PQueue;
   private running = 0;
+  private late = 0;
 
   constructor(private readonly options: DeadlineQueueOptions) {
     this.queue = new PQueue({ concurrency: options.concurrency });
   }
 
+  /** Work that waits; what is late keeps a place in the queue but counts no more. */
   get queued(): number {
-    return this.queue.size;
+    return this.queue.size - this.late;
   }
 
   get inProgress(): number {
@@ -34,16 +36,20 @@
       await this.queue.add(() => this.track(work));
       return "entered";
     }
-    if (this.queue.size >= maxQueued) return "full";
+    if (this.queued >= maxQueued) return "full";
     let state: "waiting" | "started" | "late" = "waiting";
     return new Promise((resolve, reject) => {
       const timer = clock.after(timeoutMs, () => {
         if (state !== "waiting") return;
         state = "late";
+        this.late += 1;
         resolve("late");
       });
       const task = async (): Promise<void> => {
-        if (state === "late") return;
+        if (state === "late") {
+          this.late -= 1;
+          return;
+        }
         state = "started";
         timer.cancel();
         await this.track(work);
--- a/packages/routing/tests/routing.test.ts
+++ b/packages/routing/tests/routing.test.ts
@@ -156,6 +156,7 @@
   );
   await clock.advance(51);
   expect(await late).toEqual("late");
+  expect(queue.queued).toEqual(1);
   release();
   expect([await first, await second]).toEqual(["entered", "entered"]);
   expect(order).toEqual(["second"]);
--- a/packages/side/src/AdmissionGate.ts
+++ b/packages/side/src/AdmissionGate.ts
@@ -28,6 +28,7 @@
 export class AdmissionGate {
   private readonly queue: PQueue;
   private open = 0;
+  private expired = 0;
 
   constructor(private readonly options: AdmissionGateOptions) {
     this.queue = new PQueue({ concurrency: options.slots });
@@ -37,8 +38,9 @@
     return this.queue.pending;
   }
 
+  /** Requests that wait; those whose time ran out keep a place in the queue but count no more. */
   get queued(): number {
-    return this.queue.size;
+    return this.queue.size - this.expired;
   }
 
   get openConnections(): number {
@@ -68,14 +70,18 @@
 
   private waitForSlot(timeoutMs: number): Promise<Permit | undefined> {
     return new Promise((resolve) => {
-      let expired = false;
+      let isExpired = false;
       const timer = this.options.clock.after(timeoutMs, () => {
-        expired = true;
+        isExpired = true;
+        this.expired += 1;
         resolve(undefined);
       });
       void this.queue.add(() => {
         timer.cancel();
-        if (expired) return Promise.resolve();
+        if (isExpired) {
+          this.expired -= 1;
+          return Promise.resolve();
+        }
         return new Promise<void>((free) => {
           resolve(
             oncePermit(() => {
--- a/packages/side/tests/side.test.ts
+++ b/packages/side/tests/side.test.ts
@@ -150,6 +150,24 @@
   ]);
 });
 
+test("a request whose time ran out does not keep others out of the queue", async () => {
+  const clock = new ManualClock();
+  const gate = new AdmissionGate({
+    clock,
+    slots: 1,
+    connections: 9,
+    maxQueued: 1,
+  });
+  const first = await gate.admitRequest(1_000);
+  const late = gate.admitRequest(10);
+  await clock.advance(11);
+  expect((await late).admitted).toEqual(false);
+  const next = gate.admitRequest(1_000);
+  expect(gate.queued).toEqual(1);
+  if (first.admitted) first.permit.release();
+  expect((await next).admitted).toEqual(true);
+});
+
 test("requests past the queue are refused at once", async () => {
   const gate = new AdmissionGate({
     clock: new ManualClock(),
