--- a/packages/checker/src/World.ts
+++ b/packages/checker/src/World.ts
@@ -11,18 +11,12 @@
   type Resources,
 } from "@rackspan/common";
 import type { HostRecord } from "@rackspan/platform";
-import {
-  decodeBatch,
-  Fold,
-  jobSchema,
-  jobUnitId,
-  RECORD_STREAM,
-  type RecordOf,
-} from "@rackspan/state";
+import { jobSchema, jobUnitId, RECORD_STREAM } from "@rackspan/state";
 import { EntryNode } from "./EntryNode.js";
 import type { RequestFault } from "./fakeAttempts.js";
 import { FakeLog } from "./FakeLog.js";
 import { FakeWorker } from "./FakeWorker.js";
+import { followLog } from "./followLog.js";
 import { History } from "./history.js";
 import { HostLink } from "./HostLink.js";
 import type { Mutant } from "./mutants.js";
@@ -63,7 +57,7 @@
     private readonly mutant?: Mutant,
   ) {
     this.random = new SeededRandom(seed);
-    this.followLog();
+    followLog(this.log, this.history);
     for (const name of HOSTS) {
       this.hosts.push({
         name,
@@ -297,40 +291,6 @@
     for (const { side } of this.hosts) side?.kill();
   }
 
-  /** What the log itself saw, by the rules with nothing switched off. */
-  private followLog(): void {
-    const truth = new Fold();
-    this.log.kept.on(({ stream, data }) => {
-      if (stream === RECORD_STREAM) truth.applyBatch(decodeBatch(data));
-    });
-    truth.applied.on(({ record, verdict }) => {
-      if (!verdict.accepted) return;
-      if (record.type === "submit") {
-        const unit = jobUnitId(record.job.name);
-        this.history.record({ type: "jobAccepted", unit });
-      }
-      if (record.type === "apply") this.recordConfig(record, verdict.sequence);
-    });
-  }
-
-  private recordConfig(
-    { base, changes }: RecordOf<"apply">,
-    version: number,
-  ): void {
-    for (const change of changes) {
-      if (change.action !== "put" || change.declaration.kind !== "quota")
-        continue;
-      const { name, maxJobs: value } = change.declaration;
-      this.history.record({
-        type: "configAccepted",
-        name,
-        value,
-        version,
-        base,
-      });
-    }
-  }
-
   /** Everything that was kept is read, and nothing is left to do. */
   private isAtRest(): boolean {
     const end = this.log.end(RECORD_STREAM);
--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -30,14 +30,6 @@
   }
 }
 
-/** The deadline passed before the work was done. */
-export class DeadlineError extends RackspanError {
-  readonly kind = "deadline";
-  constructor(what: string) {
-    super({ what, remedy: "allow more time or retry later" });
-  }
-}
-
 /** One line that names an error, whatever was thrown. */
 export const describeError = (err: unknown): string =>
   err instanceof Error ? `${err.name}: ${err.message}` : String(err);
--- a/packages/entry/src/KeyedRequests.ts
+++ b/packages/entry/src/KeyedRequests.ts
@@ -86,7 +86,7 @@
       if (err instanceof AppendUnknownError) this.abandoned.set(id, request);
       return refused(request, {
         status: 503,
-        reason: REASON.KEY_REQUIRES_LOG,
+        reason: REASON.LOG_UNAVAILABLE,
         outcome: "not-run",
         detail: describeError(err),
         remedy: "retry with the same key after the time given",
