Back pressure has a test

Cause: bodies are passed on by pipes, and nothing showed that a slow endpoint stops its caller. Change: a test with an endpoint that reads no body of 60 MiB; the stand-in can stall.

--- a/packages/harness/tests/requests.test.ts
+++ b/packages/harness/tests/requests.test.ts
@@ -31,6 +31,12 @@
         maxBodyBytes: 1_000,
       },
       { prefix: "/halls", class: "watch", repeatable: true },
+      {
+        prefix: "/upload",
+        class: "batch",
+        repeatable: true,
+        maxBodyBytes: 64 * 1024 * 1024,
+      },
     ],
   },
 ];
@@ -282,6 +288,35 @@
   }
 });
 
+test("a body that the endpoint does not read stops its caller, and fills no memory", async () => {
+  const chunk = Buffer.alloc(256 * 1024);
+  const total = 60 * 1024 * 1024;
+  const { hostname, port } = new URL(url("/"));
+  const socket = connect(Number(port), hostname);
+  socket.on("error", () => undefined);
+  socket.write(
+    `POST /upload?stall HTTP/1.1\r\nhost: x\r\ncontent-length: ${total}\r\n\r\n`,
+  );
+  let passed = 0;
+  const send = (): void => {
+    if (passed >= total) return;
+    socket.write(chunk, () => {
+      passed += chunk.length;
+      send();
+    });
+  };
+  send();
+  let before = -1;
+  while (passed !== before && passed < total) {
+    before = passed;
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+  }
+  // What went through stands in the buffers of three connections.
+  expect(passed < total).toEqual(true);
+  socket.destroy();
+  await entryIsHealthy();
+});
+
 test("upgraded connections pass bytes both ways", async () => {
   const { hostname, port } = new URL(url("/"));
   const received = await new Promise<string>((resolve, reject) => {
--- a/packages/standins/src/EndpointStandin.ts
+++ b/packages/standins/src/EndpointStandin.ts
@@ -22,7 +22,7 @@
 /**
  * Query parameters: `delayMs`, `status`, `bytes` (size of the answer),
  * `break` (cut the connection after that many bytes), `watch` (server-sent events),
- * `echo` (answer with the request's body, chunk by chunk).
+ * `stall` (read no body and answer nothing), `echo` (answer with the request's body, chunk by chunk).
  */
 export class EndpointStandin {
   readonly server: Server;
@@ -72,6 +72,7 @@
     const latencyMs = Number(
       url.searchParams.get("delayMs") ?? this.options.latencyMs ?? 0,
     );
+    if (url.searchParams.has("stall")) return;
     if (url.searchParams.has("watch")) return this.watch(req, res);
     if (url.searchParams.has("echo")) return echo(req, res);
     const digest = await digestOf(req);
