--- a/bench/src/config.ts
+++ b/bench/src/config.ts
@@ -8,7 +8,7 @@
   SystemClock,
   type Incarnation,
 } from "@rackspan/common";
-import { HttpLogService } from "@rackspan/platform";
+import { HttpLogService } from "@rackspan/ports";
 import {
   Appender,
   declarationSchema,
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,10 +5,10 @@
 const PACKAGE_ORDER = [
   "common",
   "protocol",
-  "platform",
+  "ports",
   "kernel",
   "state",
-  "membership",
+  "leadership",
   "routing",
   "jobs",
   "scheduling",
--- a/packages/checker/src/EntryNode.ts
+++ b/packages/checker/src/EntryNode.ts
@@ -24,7 +24,7 @@
   UnitPlacer,
   type HostDirectory,
 } from "@rackspan/jobs";
-import type { HostRecord, LogService } from "@rackspan/platform";
+import type { HostRecord, LogService } from "@rackspan/ports";
 import { OutlierEjector, pickers, RetryBudget } from "@rackspan/routing";
 import { placers } from "@rackspan/scheduling";
 import {
--- a/packages/checker/src/FakeLog.ts
+++ b/packages/checker/src/FakeLog.ts
@@ -15,7 +15,7 @@
   type LogPage,
   type LogService,
   type ReadOptions,
-} from "@rackspan/platform";
+} from "@rackspan/ports";
 
 interface Stream {
   oldest: number;
--- a/packages/checker/src/FakeWorker.ts
+++ b/packages/checker/src/FakeWorker.ts
@@ -16,7 +16,7 @@
   type Worker,
   type WorkerState,
   type WorkerTask,
-} from "@rackspan/platform";
+} from "@rackspan/ports";
 import type { History } from "./history.js";
 
 interface Held {
--- a/packages/checker/src/HostLink.ts
+++ b/packages/checker/src/HostLink.ts
@@ -21,7 +21,7 @@
 } from "@rackspan/protocol";
 import { RackspanError } from "@rackspan/common";
 import type { Unit } from "@rackspan/state";
-import type { HostRecord } from "@rackspan/platform";
+import type { HostRecord } from "@rackspan/ports";
 import type { SideNode } from "./SideNode.js";
 
 export interface HostLinkOptions {
--- a/packages/checker/src/SideNode.ts
+++ b/packages/checker/src/SideNode.ts
@@ -7,7 +7,7 @@
   type Clock,
   type Incarnation,
 } from "@rackspan/common";
-import type { Worker } from "@rackspan/platform";
+import type { Worker } from "@rackspan/ports";
 import type { Handlers, SideMethods } from "@rackspan/protocol";
 import {
   AdmissionGate,
--- a/packages/checker/src/World.ts
+++ b/packages/checker/src/World.ts
@@ -10,7 +10,7 @@
   type HostId,
   type Resources,
 } from "@rackspan/common";
-import type { HostRecord } from "@rackspan/platform";
+import type { HostRecord } from "@rackspan/ports";
 import { jobSchema, jobUnitId, RECORD_STREAM } from "@rackspan/state";
 import { EntryNode } from "./EntryNode.js";
 import type { RequestFault } from "./fakeAttempts.js";
--- a/packages/common/src/ids.ts
+++ b/packages/common/src/ids.ts
@@ -28,6 +28,17 @@
 /** Unique id that a writer gives to a record. */
 export type RecordId = Brand<string, "RecordId">;
 
+/** Counts the changes of a group; a later leader has a higher one. */
+export type Epoch = Brand<number, "Epoch">;
+/** One life of a worker; a restart takes a new one. */
+export type WorkerInstance = Brand<string, "WorkerInstance">;
+/** `JOB.OCCURRENCE.STEP.INDEX`, unique over all jobs. */
+export type JobTaskId = Brand<string, "JobTaskId">;
+/** Numbers the starts of a job's task; a later start has a higher one. */
+export type RunNumber = Brand<number, "RunNumber">;
+/** Milliseconds on a worker's steady clock, which may run some percent slow. */
+export type WorkerTime = Brand<number, "WorkerTime">;
+
 export const hostId = (value: string): HostId => brand<HostId>(value);
 export const unitId = (value: string): UnitId => brand<UnitId>(value);
 export const serviceName = (value: string): ServiceName =>
--- a/packages/entry/src/EntryProcess.ts
+++ b/packages/entry/src/EntryProcess.ts
@@ -28,7 +28,7 @@
   logServices,
   type HostList,
   type LogService,
-} from "@rackspan/platform";
+} from "@rackspan/ports";
 import { PolicyBook } from "@rackspan/policies";
 import {
   DeadlineQueue,
--- a/packages/entry/src/HostListWatcher.ts
+++ b/packages/entry/src/HostListWatcher.ts
@@ -10,7 +10,7 @@
   type Logger,
   type Metrics,
 } from "@rackspan/common";
-import type { HostList, HostRecord } from "@rackspan/platform";
+import type { HostList, HostRecord } from "@rackspan/ports";
 
 export interface HostListWatcherOptions {
   readonly hostList: HostList;
--- a/packages/entry/src/HttpPeerSnapshots.ts
+++ b/packages/entry/src/HttpPeerSnapshots.ts
@@ -2,7 +2,7 @@
 
 import { get } from "node:http";
 import { describeError, type HostId, type Logger } from "@rackspan/common";
-import type { HostList } from "@rackspan/platform";
+import type { HostList } from "@rackspan/ports";
 import { readBody } from "@rackspan/protocol";
 import {
   unpackSnapshot,
--- a/packages/entry/src/SideDirectory.ts
+++ b/packages/entry/src/SideDirectory.ts
@@ -11,7 +11,7 @@
   type ServiceName,
 } from "@rackspan/common";
 import type { HostControl, HostDirectory, HostView } from "@rackspan/jobs";
-import type { HostRecord } from "@rackspan/platform";
+import type { HostRecord } from "@rackspan/ports";
 import { chooseSubset } from "@rackspan/routing";
 import { SidePeer } from "./SidePeer.js";
 
--- a/packages/entry/src/SidePeer.ts
+++ b/packages/entry/src/SidePeer.ts
@@ -22,7 +22,7 @@
   type UnitId,
 } from "@rackspan/common";
 import type { HostControl, HostView, Reserved } from "@rackspan/jobs";
-import type { HostRecord } from "@rackspan/platform";
+import type { HostRecord } from "@rackspan/ports";
 import {
   parseAddress,
   RpcClient,
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -2,7 +2,7 @@
 
 import { z } from "zod";
 import { idSchema, type AvailabilityZone, type HostId } from "@rackspan/common";
-import { hostLists, logServices } from "@rackspan/platform";
+import { hostLists, logServices } from "@rackspan/ports";
 import { pickers } from "@rackspan/routing";
 import { placers } from "@rackspan/scheduling";
 
--- a/packages/harness/src/StandinPlatform.ts
+++ b/packages/harness/src/StandinPlatform.ts
@@ -1,7 +1,7 @@
 /** The whole platform of a site, played by stand-ins in this process. */
 
 import { brand, type HostGeneration, type HostId } from "@rackspan/common";
-import type { HostRecord } from "@rackspan/platform";
+import type { HostRecord } from "@rackspan/ports";
 import {
   HostListStandin,
   LogStandin,
--- a/packages/jobs/src/HostCertifier.ts
+++ b/packages/jobs/src/HostCertifier.ts
@@ -11,7 +11,7 @@
   type Logger,
   type Metrics,
 } from "@rackspan/common";
-import type { HostRecord } from "@rackspan/platform";
+import type { HostRecord } from "@rackspan/ports";
 import type { Appender, Fold } from "@rackspan/state";
 import { FirstSeen } from "./FirstSeen.js";
 import type { Ownership } from "./types.js";
--- a/packages/jobs/src/HostDrainer.ts
+++ b/packages/jobs/src/HostDrainer.ts
@@ -9,7 +9,7 @@
   type Logger,
   type Metrics,
 } from "@rackspan/common";
-import type { HostRecord } from "@rackspan/platform";
+import type { HostRecord } from "@rackspan/ports";
 import type { Fold } from "@rackspan/state";
 import type { HostDirectory, HostView } from "./types.js";
 
--- /dev/null
+++ b/packages/jobs/src/HostLedger.ts
@@ -0,0 +1,140 @@
+/**
+ * What the leader believes of one host: its worker, the room that is taken,
+ * the runs there, and until when they may go on if the host falls silent.
+ */
+
+import type {
+  AvailabilityZone,
+  HostId,
+  Monotonic,
+  RunNumber,
+  WorkerInstance,
+  WorkerTime,
+} from "@rackspan/common";
+import type { TaskNature, WorkerDescription } from "@rackspan/protocol";
+import type { JobTask } from "./JobRun.js";
+
+/**
+ * `starting`: ordered, not confirmed. `running`: seen by the worker.
+ * `unsure`: ordered without an answer; it may begin until its order lapses.
+ * `stopping`: a stop was ordered; its room is taken until the end is listed.
+ */
+export type RunPhase = "starting" | "running" | "unsure" | "stopping";
+
+export interface ActiveRun {
+  readonly task: JobTask;
+  readonly run: RunNumber;
+  phase: RunPhase;
+  /** On the leader's clock. */
+  readonly startedAt: Monotonic;
+  /** Worker's clock at the last answer that bears on this run; undefined before. */
+  answeredAt: WorkerTime | undefined;
+  /** Worker's clock after which an unanswered order does nothing. */
+  readonly orderLapsesAt: WorkerTime;
+  progressPercent: number;
+  /** When the progress last grew, on the leader's clock. */
+  progressedAt: Monotonic;
+  /** Tail latency in milliseconds, or thousandths of a core in use; see TaskHost. */
+  reading: number;
+  /** Why a stop was ordered, for logs; undefined before. */
+  stopReason: string | undefined;
+}
+
+export const natureOf = (task: JobTask): TaskNature => {
+  const { filling, tailTargetMs, lasting, image } = task.step.spec;
+  const serves = lasting && tailTargetMs > 0;
+  return {
+    kind: filling ? "filling" : serves ? "serving" : "plain",
+    tailTargetMs,
+    image,
+  };
+};
+
+/** Sums over the runs of one host; `filling` ones take memory only. */
+export interface RoomTaken {
+  plainMilliCores: number;
+  servingMilliCores: number;
+  fillingMilliCores: number;
+  memoryMiB: number;
+  accelerators: number;
+}
+
+const NOTHING_TAKEN: RoomTaken = {
+  plainMilliCores: 0,
+  servingMilliCores: 0,
+  fillingMilliCores: 0,
+  memoryMiB: 0,
+  accelerators: 0,
+};
+
+export class HostLedger {
+  readonly runs = new Map<JobTask, ActiveRun>();
+  /** Whether the host's side is attached under the current epoch. */
+  attached = false;
+  /** The worker's clock when it last reported, and when the report arrived. */
+  reportedAt: WorkerTime | undefined;
+  heardAt: Monotonic = -Infinity;
+  /** When every lease granted so far is over for certain. */
+  leaseOverBy: Monotonic = -Infinity;
+  /** Ends up to this number were taken note of, and are being kept. */
+  notedEnds = 0;
+  /** Ends up to this number are kept. */
+  acknowledgedEnds = 0;
+  private readonly taken: RoomTaken = { ...NOTHING_TAKEN };
+  private readonly perStep = new Map<object, number>();
+
+  constructor(
+    readonly host: HostId,
+    readonly availabilityZone: AvailabilityZone,
+    public worker: WorkerDescription,
+  ) {}
+
+  get instance(): WorkerInstance {
+    return this.worker.instance;
+  }
+
+  get room(): Readonly<RoomTaken> {
+    return this.taken;
+  }
+
+  add(run: ActiveRun): void {
+    this.runs.set(run.task, run);
+    this.account(run, 1);
+  }
+
+  remove(run: ActiveRun): void {
+    if (this.runs.get(run.task) !== run) return;
+    this.runs.delete(run.task);
+    this.account(run, -1);
+  }
+
+  countOfStep(step: object): number {
+    return this.perStep.get(step) ?? 0;
+  }
+
+  hasLabel(label: string): boolean {
+    return label === "" || this.worker.labels.includes(label);
+  }
+
+  /** A new life of the worker: nothing of the old one is left. */
+  replaceWorker(worker: WorkerDescription): void {
+    this.worker = worker;
+    this.reportedAt = undefined;
+    this.notedEnds = 0;
+    this.acknowledgedEnds = 0;
+  }
+
+  private account({ task }: ActiveRun, sign: 1 | -1): void {
+    const { demand } = task.step.spec;
+    const cores = sign * demand.milliCores;
+    const { kind } = natureOf(task);
+    if (kind === "filling") this.taken.fillingMilliCores += cores;
+    else if (kind === "serving") this.taken.servingMilliCores += cores;
+    else this.taken.plainMilliCores += cores;
+    this.taken.memoryMiB += sign * demand.memoryMiB;
+    this.taken.accelerators += sign * demand.accelerators;
+    const count = this.countOfStep(task.step) + sign;
+    if (count === 0) this.perStep.delete(task.step);
+    else this.perStep.set(task.step, count);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/JobRun.ts
@@ -0,0 +1,286 @@
+/**
+ * One accepted job as the leader works on it: its steps and tasks, which of
+ * them run, and how those that ended did. Knows nothing of hosts but their ids.
+ */
+
+import type { HostId, Instant, JobTaskId, RunNumber } from "@rackspan/common";
+import type { RunOutcome } from "@rackspan/ports";
+import {
+  decodeIndices,
+  encodeIndices,
+  taskIdAt,
+  type AcceptedJob,
+  type JobStateName,
+  type JobTerms,
+  type ProgressRecord,
+  type StepSpec,
+} from "@rackspan/state";
+
+export type TaskPhase = "waiting" | "placed" | "done";
+
+/** One task of a step; at most one of its runs is active at a time. */
+export class JobTask {
+  readonly id: JobTaskId;
+  phase: TaskPhase = "waiting";
+  /** Failed runs so far. */
+  failures = 0;
+  /** The last run whose failure was counted. */
+  lastFailedRun = 0;
+  /** From which the next run goes on; empty for none. */
+  checkpoint = "";
+  /** Hosts where it failed or stood still, the last ones. */
+  readonly avoid: HostId[] = [];
+
+  constructor(
+    readonly step: StepRun,
+    readonly index: number,
+  ) {
+    const { job, occurrence, number } = step;
+    this.id = taskIdAt({ job: job.id, occurrence, step: number, index });
+  }
+}
+
+const MAX_AVOIDED_HOSTS = 4;
+
+export const avoidHost = (task: JobTask, host: HostId): void => {
+  if (task.avoid.includes(host)) return;
+  task.avoid.push(host);
+  if (task.avoid.length > MAX_AVOIDED_HOSTS) task.avoid.shift();
+};
+
+/** One step in one occurrence of its job. */
+export class StepRun {
+  readonly tasks: readonly JobTask[];
+  /** In index order. */
+  readonly waiting: Set<JobTask>;
+  doneCount = 0;
+
+  constructor(
+    readonly job: JobRun,
+    readonly occurrence: number,
+    readonly number: number,
+    readonly spec: StepSpec,
+  ) {
+    this.tasks = Array.from(
+      { length: spec.taskCount },
+      (_, index) => new JobTask(this, index),
+    );
+    this.waiting = new Set(this.tasks);
+  }
+
+  get isDone(): boolean {
+    return this.doneCount === this.tasks.length;
+  }
+
+  /** Estimated milliseconds of one task, at least one. */
+  get estimateMs(): number {
+    return Math.max(1, this.spec.estimateMs);
+  }
+}
+
+const keyOf = (step: StepRun): string => `${step.occurrence}.${step.number}`;
+
+export class JobRun {
+  readonly terms: JobTerms;
+  state: JobStateName = "queued";
+  begun = false;
+  endedAt: Instant = 0;
+  private readonly occurrences = new Map<number, readonly StepRun[]>();
+  private doneOccurrences = 0;
+
+  constructor(
+    readonly accepted: AcceptedJob,
+    progress?: ProgressRecord,
+  ) {
+    this.terms = accepted.terms;
+    if (progress) this.restore(progress);
+    else this.occurrence(0);
+  }
+
+  get id(): AcceptedJob["spec"]["id"] {
+    return this.accepted.spec.id;
+  }
+
+  get occurrenceCount(): number {
+    return this.accepted.spec.repeat?.count ?? 1;
+  }
+
+  /** When an occurrence may begin; jobs without repeats may at once. */
+  dueAt(occurrence: number): Instant {
+    const { repeat } = this.accepted.spec;
+    if (!repeat) return this.accepted.acceptedAt;
+    return repeat.firstAt + occurrence * repeat.intervalMs;
+  }
+
+  task(
+    occurrence: number,
+    step: number,
+    index: number,
+  ): JobTask | undefined {
+    if (occurrence >= this.occurrenceCount) return undefined;
+    return this.occurrence(occurrence)[step]?.tasks[index];
+  }
+
+  /** Steps with tasks to start now. */
+  runnableSteps(now: Instant): StepRun[] {
+    const runnable: StepRun[] = [];
+    for (let number = 0; number < this.occurrenceCount; number += 1) {
+      const isDue = !this.accepted.spec.repeat || this.dueAt(number) <= now;
+      if (!isDue) break;
+      const steps = this.occurrence(number);
+      for (const step of steps) {
+        if (step.waiting.size === 0) continue;
+        if (this.isUnlocked(step, steps)) runnable.push(step);
+      }
+    }
+    return runnable;
+  }
+
+  /** When the next occurrence falls due; undefined when none is to come. */
+  nextDueAt(now: Instant): Instant | undefined {
+    if (!this.accepted.spec.repeat) return undefined;
+    for (let number = 0; number < this.occurrenceCount; number += 1) {
+      if (this.dueAt(number) > now) return this.dueAt(number);
+    }
+    return undefined;
+  }
+
+  /** All steps that were looked at so far. */
+  get steps(): StepRun[] {
+    return [...this.occurrences.values()].flat();
+  }
+
+  notePlaced(task: JobTask): void {
+    task.phase = "placed";
+    task.step.waiting.delete(task);
+    this.begun = true;
+    if (this.state === "queued") this.state = "running";
+  }
+
+  noteWaiting(task: JobTask): void {
+    if (task.phase === "done") return;
+    task.phase = "waiting";
+    task.step.waiting.add(task);
+  }
+
+  /**
+   * Takes note of how a run of the task ended.
+   * @returns whether what must be kept has changed
+   */
+  noteEnd(
+    task: JobTask,
+    run: RunNumber,
+    outcome: RunOutcome,
+    checkpoint: string,
+  ): boolean {
+    if (task.phase === "done") return false;
+    const hadCheckpoint = task.checkpoint;
+    if (checkpoint !== "") task.checkpoint = checkpoint;
+    if (outcome === "done" && !task.step.spec.lasting) {
+      this.noteDone(task);
+      return true;
+    }
+    if (outcome === "failed" && run > task.lastFailedRun) {
+      task.lastFailedRun = run;
+      task.failures += 1;
+      return true;
+    }
+    return task.checkpoint !== hadCheckpoint;
+  }
+
+  /** A gang ends as one: one member's end stands for all. */
+  noteGangDone(step: StepRun): void {
+    for (const task of step.tasks) {
+      if (task.phase !== "done") this.noteDone(task);
+    }
+  }
+
+  /** Whether a task has failed as often as its queue allows. */
+  hasSpentAttempts(task: JobTask): boolean {
+    if (task.step.spec.lasting) return false;
+    return task.failures >= this.terms.maxAttempts;
+  }
+
+  get isComplete(): boolean {
+    return this.doneOccurrences === this.occurrenceCount;
+  }
+
+  end(state: JobStateName, now: Instant): void {
+    this.state = state;
+    this.endedAt = now;
+  }
+
+  toRecord(): ProgressRecord {
+    const done: Record<string, string> = {};
+    const failures: ProgressRecord["failures"] = [];
+    const checkpoints: ProgressRecord["checkpoints"] = [];
+    for (const step of this.steps) {
+      const isDone = (task: JobTask): boolean => task.phase === "done";
+      const indices = step.tasks.filter(isDone).map(({ index }) => index);
+      if (indices.length > 0) done[keyOf(step)] = encodeIndices(indices);
+      for (const task of step.tasks) {
+        if (isDone(task)) continue;
+        const key = `${keyOf(step)}.${task.index}`;
+        if (task.failures > 0)
+          failures.push([key, task.failures, task.lastFailedRun]);
+        if (task.checkpoint) checkpoints.push([key, task.checkpoint]);
+      }
+    }
+    const { state, begun, endedAt } = this;
+    return { state, begun, endedAt, done, failures, checkpoints };
+  }
+
+  private restore(progress: ProgressRecord): void {
+    this.state = progress.state;
+    this.begun = progress.begun;
+    this.endedAt = progress.endedAt;
+    this.occurrence(0);
+    for (const [key, indices] of Object.entries(progress.done)) {
+      for (const index of decodeIndices(indices)) {
+        const task = this.taskAtKey(`${key}.${index}`);
+        if (task) this.noteDone(task);
+      }
+    }
+    for (const [key, failures, lastRun] of progress.failures) {
+      const task = this.taskAtKey(key);
+      if (!task) continue;
+      task.failures = failures;
+      task.lastFailedRun = lastRun;
+    }
+    for (const [key, checkpoint] of progress.checkpoints) {
+      const task = this.taskAtKey(key);
+      if (task) task.checkpoint = checkpoint;
+    }
+  }
+
+  private taskAtKey(key: string): JobTask | undefined {
+    const [occurrence, step, index] = key.split(".").map(Number);
+    if (index === undefined) return undefined;
+    return this.task(occurrence as number, step as number, index);
+  }
+
+  private occurrence(number: number): readonly StepRun[] {
+    let steps = this.occurrences.get(number);
+    if (!steps) {
+      steps = this.accepted.spec.steps.map(
+        (spec, step) => new StepRun(this, number, step, spec),
+      );
+      this.occurrences.set(number, steps);
+    }
+    return steps;
+  }
+
+  private isUnlocked(step: StepRun, steps: readonly StepRun[]): boolean {
+    return step.spec.after.every((number) => steps[number]?.isDone ?? true);
+  }
+
+  private noteDone(task: JobTask): void {
+    if (task.phase === "done") return;
+    task.phase = "done";
+    task.step.waiting.delete(task);
+    task.step.doneCount += 1;
+    if (!task.step.isDone) return;
+    const steps = this.occurrence(task.step.occurrence);
+    if (steps.every((step) => step.isDone)) this.doneOccurrences += 1;
+  }
+}
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -2,6 +2,8 @@
 export * from "./FirstSeen.js";
 export * from "./HostCertifier.js";
 export * from "./HostDrainer.js";
+export * from "./HostLedger.js";
+export * from "./JobRun.js";
 export * from "./RendezvousOwnership.js";
 export * from "./sampleHosts.js";
 export * from "./types.js";
--- /dev/null
+++ b/packages/leadership/src/LeaderElection.ts
@@ -0,0 +1,216 @@
+/**
+ * Decides whether this entry leads. Leadership is the ownership of a partition
+ * in a group of the store. An entry joins only when nobody owns it, so that the
+ * store has no reason to deal it to another member.
+ *
+ * The leader counts its lease from when it *sent* the last confirmed join, and
+ * the store from when that join *arrived*: the leader's ends first. A lease that
+ * ran out may be resumed only under a new epoch, unless the group did not change.
+ */
+
+import {
+  describeError,
+  sleep,
+  type Clock,
+  type Epoch,
+  type Incarnation,
+  type Logger,
+  type Monotonic,
+} from "@rackspan/common";
+import type { GroupMembership, TopicName } from "@rackspan/ports";
+import { formatMember, parseMember, type Member } from "./memberName.js";
+
+export const ELECTION = {
+  group: "leaders",
+  /** How often a follower looks for an owner. */
+  watchEveryMs: 500,
+  /** How often the leader renews. */
+  renewEveryMs: 500,
+  /** Between joins while the store deals partitions, and after a failure. */
+  retryMs: 80,
+  /** A call without an answer for this long is made again on a new connection. */
+  callTimeoutMs: 600,
+  /** The leader stops deciding this long before its lease is over. */
+  marginMs: 150,
+  /** Joins in a row that bring no ownership before the entry leaves the group. */
+  maxFruitlessJoins: 12,
+} as const;
+
+export interface LeaderElectionOptions {
+  readonly membership: GroupMembership;
+  readonly topic: TopicName;
+  readonly self: Member;
+  readonly ttlMs: number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Called once the entry leads under an epoch that it did not lead under before. */
+  readonly onAcquired: (epoch: Epoch) => void;
+  /** Called once the entry must not decide any more under the last epoch. */
+  readonly onLost: (reason: string) => void;
+}
+
+const NO_GENERATION = 0 as unknown as Epoch;
+
+export class LeaderElection {
+  private readonly abort = new AbortController();
+  private generation: Epoch = NO_GENERATION;
+  private epoch: Epoch | undefined;
+  private validUntil: Monotonic = -Infinity;
+  private joined = false;
+  private fruitlessJoins = 0;
+  private reachable = true;
+  private task: Promise<void> | undefined;
+  /** Counts the times that this process left the group. */
+  private departures = 0;
+
+  constructor(private readonly options: LeaderElectionOptions) {}
+
+  /**
+   * A new name after each departure: a call to leave that the store carries out
+   * late must not take away what was joined since.
+   */
+  private get name(): string {
+    const { self } = this.options;
+    const incarnation =
+      `${self.incarnation}.${this.departures}` as unknown as Incarnation;
+    return formatMember({ ...self, incarnation });
+  }
+
+  start(): void {
+    this.task ??= this.run();
+  }
+
+  /** Whether this entry may decide now. */
+  get leads(): boolean {
+    const now = this.options.clock.monotonic();
+    return this.epoch !== undefined && now < this.validUntil;
+  }
+
+  /** Hands leadership over at once; used by planned stops. */
+  async stop(): Promise<void> {
+    this.abort.abort();
+    this.resign("planned-stop");
+    await this.task;
+    if (this.joined) await this.leave();
+  }
+
+  /** Gives leadership up because something that it rests on has failed. */
+  async stepDown(reason: string): Promise<void> {
+    this.resign(reason);
+    await this.leave();
+  }
+
+  private async run(): Promise<void> {
+    const { clock } = this.options;
+    while (!this.abort.signal.aborted) {
+      const pauseMs = await this.step();
+      await sleep(clock, pauseMs, this.abort.signal).catch(() => undefined);
+    }
+  }
+
+  /** @returns milliseconds until the next step */
+  private async step(): Promise<number> {
+    try {
+      const pauseMs = this.joined ? await this.renew() : await this.watch();
+      this.noteReachable();
+      return pauseMs;
+    } catch (err) {
+      this.noteUnreachable(err);
+      return ELECTION.retryMs;
+    }
+  }
+
+  private async watch(): Promise<number> {
+    const { membership, topic, self, logger } = this.options;
+    const owner = await membership.owner(ELECTION.group, topic);
+    if (owner === undefined) return this.renew();
+    const isFormerSelf = parseMember(owner)?.entry === self.entry;
+    if (!isFormerSelf) return ELECTION.watchEveryMs;
+    // It held the partition under a name that it has given up since.
+    logger.info("leader.former-self", { member: owner });
+    await membership.leave(ELECTION.group, owner);
+    return this.renew();
+  }
+
+  private async renew(): Promise<number> {
+    const { membership, topic, ttlMs, clock } = this.options;
+    this.joined = true;
+    const sentAt = clock.monotonic();
+    const answer = await membership.join({
+      group: ELECTION.group,
+      member: this.name,
+      topic,
+      ttlMs,
+      generation: this.generation,
+      timeoutMs: ELECTION.callTimeoutMs,
+    });
+    const changed = answer.generation !== this.generation;
+    this.generation = answer.generation;
+    if (answer.owns) return this.confirm(sentAt, changed);
+    if (this.epoch !== undefined) this.resign("dealt-to-another");
+    this.fruitlessJoins += 1;
+    if (this.fruitlessJoins < ELECTION.maxFruitlessJoins)
+      return ELECTION.retryMs;
+    await this.leave();
+    return ELECTION.watchEveryMs;
+  }
+
+  private confirm(sentAt: Monotonic, changed: boolean): number {
+    const { ttlMs, onAcquired, logger } = this.options;
+    const lapsed = this.options.clock.monotonic() >= this.validUntil;
+    this.fruitlessJoins = 0;
+    this.validUntil = sentAt + ttlMs - ELECTION.marginMs;
+    const continues = this.epoch !== undefined && (!lapsed || !changed);
+    if (continues) return ELECTION.renewEveryMs;
+    if (this.epoch !== undefined) this.resign("lapsed");
+    this.epoch = this.generation;
+    logger.info("leader.acquired", { epoch: this.epoch, member: this.name });
+    onAcquired(this.epoch);
+    return ELECTION.renewEveryMs;
+  }
+
+  private resign(reason: string): void {
+    if (this.epoch === undefined) return;
+    const { logger, onLost } = this.options;
+    logger.info("leader.lost", { epoch: this.epoch, reason });
+    this.epoch = undefined;
+    this.validUntil = -Infinity;
+    onLost(reason);
+  }
+
+  private async leave(): Promise<void> {
+    const { membership, logger } = this.options;
+    const { name } = this;
+    this.joined = false;
+    this.generation = NO_GENERATION;
+    this.fruitlessJoins = 0;
+    this.departures += 1;
+    try {
+      await membership.leave(ELECTION.group, name);
+    } catch (err) {
+      // Harmless: the store drops a silent member by itself after its time.
+      logger.warn("leader.leave-failed", { error: describeError(err) });
+    }
+  }
+
+  private noteReachable(): void {
+    if (this.reachable) return;
+    this.reachable = true;
+    this.options.logger.info("membership.regained", {
+      generation: this.generation,
+    });
+  }
+
+  private noteUnreachable(err: unknown): void {
+    if (!this.reachable) return;
+    this.reachable = false;
+    const leaseLeftMs = Math.round(
+      this.validUntil - this.options.clock.monotonic(),
+    );
+    this.options.logger.warn("membership.lost", {
+      leads: this.leads,
+      leaseLeftMs,
+      error: describeError(err),
+    });
+  }
+}
--- /dev/null
+++ b/packages/leadership/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./LeaderElection.js";
+export * from "./leaseBounds.js";
+export * from "./memberName.js";
--- a/packages/platform/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -4,4 +4,6 @@
 export * from "./HttpWorker.js";
 export * from "./logService.js";
 export * from "./platformClients.js";
+export * from "./recordStore.js";
+export * from "./taskHost.js";
 export * from "./worker.js";
--- /dev/null
+++ b/packages/ports/src/taskHost.ts
@@ -0,0 +1,124 @@
+/**
+ * Port to the worker of one host as the job engine uses it: tasks run there
+ * under one lease, which ends at a time of the worker's own clock.
+ */
+
+import {
+  RackspanError,
+  type Epoch,
+  type JobTaskId,
+  type RunNumber,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+
+/** How a run ended: `lapsed` for want of a lease, `broken` and `alone` for gangs. */
+export type RunOutcome =
+  "done" | "failed" | "stopped" | "lapsed" | "broken" | "alone";
+
+export interface RunRef {
+  readonly task: JobTaskId;
+  readonly run: RunNumber;
+}
+
+export interface RunningTask extends RunRef {
+  /** Empty when there is none. */
+  readonly checkpoint: string;
+  /** 0 to 100. */
+  readonly progressPercent: number;
+  /**
+   * Over the last half second: the tail latency in milliseconds of a task that
+   * serves, the thousandths of a core in use of any other.
+   */
+  readonly reading: number;
+}
+
+export interface EndedRun extends RunRef {
+  /** Rises from 1 within one life of the worker. */
+  readonly number: number;
+  readonly outcome: RunOutcome;
+  readonly checkpoint: string;
+}
+
+export interface RunStart extends RunRef {
+  readonly spec: string;
+  /** A run that has not begun by then never does. */
+  readonly leaseUntil: WorkerTime;
+  readonly epoch: Epoch;
+  readonly checkpoint: string;
+  /** Permit of the advice service, where the queue asks for one. */
+  readonly ticket?: string;
+}
+
+/** Why a worker did not start a task. */
+export type StartRefusal =
+  "fenced" | "old-run" | "late" | "no-room" | "bad-ticket" | "unhealthy";
+
+export type StartOutcome =
+  | { readonly kind: "started"; readonly at: WorkerTime }
+  | { readonly kind: "refused"; readonly reason: StartRefusal };
+
+export interface HoldOrder {
+  readonly epoch: Epoch;
+  /** Ends up to this number may be forgotten by the worker. */
+  readonly acknowledged: number;
+  /** Extends the lease of everything that runs; never shortens it. */
+  readonly leaseUntil?: WorkerTime;
+  /** Milliseconds to wait for an end. */
+  readonly waitMs: number;
+}
+
+export interface HoldAnswer {
+  readonly at: WorkerTime;
+  readonly running: readonly RunningTask[];
+  readonly ended: readonly EndedRun[];
+}
+
+export interface PaceOrder extends RunRef {
+  /** Share at which the task may work, 0 to 100. */
+  readonly percent: number;
+  readonly epoch: Epoch;
+}
+
+/** All calls: @throws WorkerReplacedError, WorkerSilentError or TaskRefusedError. */
+export interface TaskHost {
+  start(instance: WorkerInstance, order: RunStart): Promise<StartOutcome>;
+  /** Bars the run for good, also when it had not begun. */
+  stop(
+    instance: WorkerInstance,
+    run: RunRef,
+    epoch: Epoch,
+  ): Promise<WorkerTime>;
+  hold(instance: WorkerInstance, order: HoldOrder): Promise<HoldAnswer>;
+  pace(instance: WorkerInstance, order: PaceOrder): Promise<void>;
+}
+
+/** Another life of the worker answers at its address: the old one is gone. */
+export class WorkerReplacedError extends RackspanError {
+  readonly kind = "worker-replaced";
+  constructor(instance: WorkerInstance) {
+    super({
+      what: `worker ${instance} is gone, another life answers at its address`,
+      remedy: "wait until the new life registers",
+    });
+  }
+}
+
+/** No answer: the call may have been carried out, or may be later. */
+export class WorkerSilentError extends RackspanError {
+  readonly kind = "worker-silent";
+  constructor(what: string, cause?: unknown) {
+    super({ what, remedy: "repeat the call; it is idempotent", cause });
+  }
+}
+
+/** The worker answered and did nothing. */
+export class TaskRefusedError extends RackspanError {
+  readonly kind = "task-call-refused";
+  constructor(
+    what: string,
+    readonly fenced: boolean,
+  ) {
+    super({ what, remedy: "see the reason that the worker gave" });
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/HttpClient.ts
@@ -0,0 +1,109 @@
+/** HTTP calls over Node's http, with bounded answers and honest failure kinds. */
+
+import { Agent, request, type IncomingMessage } from "node:http";
+import { ConnectError, LostAnswerError } from "./errors.js";
+import { readBody } from "./readBody.js";
+
+const DEFAULT_TIMEOUT_MS = 5_000;
+const DEFAULT_MAX_SOCKETS = 16;
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+export interface HttpCall {
+  readonly method: "GET" | "POST" | "PUT" | "DELETE";
+  readonly path: string;
+  readonly body?: Buffer | string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Milliseconds until the call is given up and its connection is closed. */
+  readonly timeoutMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+export interface HttpAnswer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+export interface HttpClientOptions {
+  /** `http://IP:PORT`, without a trailing slash. */
+  readonly baseUrl: string;
+  /** Connections kept open to the other process. */
+  readonly maxSockets?: number;
+}
+
+export class HttpClient {
+  private readonly agent: Agent;
+  private readonly baseUrl: string;
+
+  constructor({
+    baseUrl,
+    maxSockets = DEFAULT_MAX_SOCKETS,
+  }: HttpClientOptions) {
+    this.baseUrl = baseUrl.replace(/\/$/, "");
+    this.agent = new Agent({ keepAlive: true, maxSockets });
+  }
+
+  urlOf(path: string): string {
+    return `${this.baseUrl}${path}`;
+  }
+
+  /**
+   * Returns answers of any status.
+   * @throws ConnectError when nothing was sent
+   * @throws LostAnswerError when the call may have taken effect
+   */
+  async call(call: HttpCall): Promise<HttpAnswer> {
+    const url = this.urlOf(call.path);
+    const res = await this.send(url, call);
+    try {
+      const body = await readBody(res, MAX_ANSWER_BYTES);
+      return { status: res.statusCode ?? 0, body };
+    } catch (err) {
+      throw new LostAnswerError(`the answer of ${url} broke off`, err);
+    }
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private send(url: string, call: HttpCall): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      let connected = false;
+      const req = request(url, {
+        method: call.method,
+        agent: this.agent,
+        signal: call.signal,
+        headers: headersOf(call),
+      });
+      const timeoutMs = call.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+      const timer = setTimeout(
+        () => req.destroy(new Error(`no answer within ${timeoutMs} ms`)),
+        timeoutMs,
+      );
+      req.on("socket", (socket) => {
+        if (!socket.connecting) connected = true;
+        else socket.once("connect", () => (connected = true));
+      });
+      req.on("close", () => clearTimeout(timer));
+      req.on("response", resolve);
+      req.on("error", (err) => {
+        reject(
+          connected
+            ? new LostAnswerError(`${url}: ${err.message}`, err)
+            : new ConnectError(url, err),
+        );
+      });
+      req.end(call.body);
+    });
+  }
+}
+
+const headersOf = ({
+  body,
+  headers = {},
+}: HttpCall): Record<string, string> => ({
+  ...headers,
+  ...(body === undefined
+    ? {}
+    : { "content-length": String(Buffer.byteLength(body)) }),
+});
--- /dev/null
+++ b/packages/protocol/src/LineConnection.ts
@@ -0,0 +1,181 @@
+/**
+ * Typed JSON-RPC both ways over one TCP connection, a message a line. Each
+ * party may call the other; a connection that stays silent is closed.
+ */
+
+import type { Socket } from "node:net";
+import {
+  JSONRPCClient,
+  JSONRPCServer,
+  JSONRPCServerAndClient,
+  type JSONRPCResponse,
+} from "json-rpc-2.0";
+import { describeError, type Clock, type Logger } from "@rackspan/common";
+import { LostAnswerError } from "./errors.js";
+import {
+  addHandlers,
+  errorResponse,
+  toRemoteError,
+  type Handlers,
+  type MethodShape,
+  type MethodTable,
+  type ParamsOf,
+  type ResultOf,
+} from "./rpc.js";
+
+export const LINE_CONNECTION = {
+  /** A longer message closes the connection. */
+  maxLineBytes: 4 * 1024 * 1024,
+  /** More unsent bytes than this close the connection: the peer does not read. */
+  maxUnsentBytes: 8 * 1024 * 1024,
+} as const;
+
+const NEWLINE = 0x0a;
+
+export interface LineConnectionOptions<
+  Served extends MethodTable,
+  Called extends MethodTable,
+> {
+  readonly socket: Socket;
+  readonly serves: Served;
+  readonly handlers: Handlers<Served>;
+  readonly calls: Called;
+  /** Milliseconds without a byte after which the peer is taken as gone. */
+  readonly silenceMs: number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export class LineConnection<
+  Served extends MethodTable,
+  Called extends MethodTable,
+> {
+  /** Resolves once the connection is closed, with the reason. */
+  readonly closed: Promise<string>;
+  private readonly peer: JSONRPCServerAndClient;
+  private chunks: Buffer[] = [];
+  private gathered = 0;
+  private endReason: string | undefined;
+
+  constructor(private readonly options: LineConnectionOptions<Served, Called>) {
+    const { socket, serves, handlers, silenceMs } = options;
+    const server = new JSONRPCServer({ errorListener: () => undefined });
+    server.mapErrorToJSONRPCErrorResponse = errorResponse;
+    addHandlers(server, serves, handlers);
+    const client = new JSONRPCClient((message) => this.send(message));
+    this.peer = new JSONRPCServerAndClient(server, client);
+    socket.setNoDelay(true);
+    socket.setTimeout(silenceMs, () => this.close("silent"));
+    socket.on("data", (chunk: Buffer) => this.receive(chunk));
+    socket.on("error", (err) => this.close(describeError(err)));
+    socket.on("end", () => this.close("ended by the peer"));
+    this.closed = new Promise((resolve) => {
+      socket.on("close", () => {
+        const reason = this.endReason ?? "closed";
+        this.peer.rejectAllPendingRequests(reason);
+        resolve(reason);
+      });
+    });
+  }
+
+  get isOpen(): boolean {
+    return this.endReason === undefined && !this.options.socket.destroyed;
+  }
+
+  /**
+   * @throws RemoteError when the peer refused the call
+   * @throws LostAnswerError when the call may have taken effect
+   */
+  async call<M extends keyof Called & string>(
+    method: M,
+    params: ParamsOf<Called, M>,
+    timeoutMs: number,
+  ): Promise<ResultOf<Called, M>> {
+    const result = await this.request(method, params, timeoutMs);
+    const shape = this.options.calls[method] as MethodShape;
+    return shape.result.parse(result) as ResultOf<Called, M>;
+  }
+
+  /** Sends without an answer; lost when the connection is. */
+  notify<M extends keyof Called & string>(
+    method: M,
+    params: ParamsOf<Called, M>,
+  ): void {
+    if (this.isOpen) this.peer.notify(method, params);
+  }
+
+  close(reason: string): void {
+    this.endReason ??= reason;
+    this.options.socket.destroy();
+  }
+
+  private async request(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<unknown> {
+    if (!this.isOpen) throw new LostAnswerError(`${method}: not connected`);
+    const { clock } = this.options;
+    let cancelTimer = (): void => undefined;
+    const timedOut = new Promise<never>((_, reject) => {
+      const err = new LostAnswerError(`${method}: no answer in ${timeoutMs} ms`);
+      const timer = clock.after(timeoutMs, () => reject(err));
+      cancelTimer = () => timer.cancel();
+    });
+    try {
+      return await Promise.race([this.peer.request(method, params), timedOut]);
+    } catch (err) {
+      if (err instanceof LostAnswerError) throw err;
+      if (!this.isOpen) throw new LostAnswerError(`${method}: cut off`, err);
+      throw toRemoteError(err);
+    } finally {
+      cancelTimer();
+    }
+  }
+
+  private send(message: unknown): Promise<void> {
+    const { socket } = this.options;
+    if (!this.isOpen) return Promise.reject(new Error("not connected"));
+    socket.write(`${JSON.stringify(message)}\n`);
+    if (socket.writableLength > LINE_CONNECTION.maxUnsentBytes) {
+      this.close("the peer does not read");
+    }
+    return Promise.resolve();
+  }
+
+  private receive(chunk: Buffer): void {
+    let rest = chunk;
+    for (;;) {
+      const end = rest.indexOf(NEWLINE);
+      if (end < 0) break;
+      this.chunks.push(rest.subarray(0, end));
+      const line = Buffer.concat(this.chunks).toString("utf8");
+      this.chunks = [];
+      this.gathered = 0;
+      rest = rest.subarray(end + 1);
+      this.take(line);
+    }
+    if (rest.length === 0) return;
+    this.chunks.push(rest);
+    this.gathered += rest.length;
+    if (this.gathered > LINE_CONNECTION.maxLineBytes) {
+      this.close("a message is too long");
+    }
+  }
+
+  private take(line: string): void {
+    let message: unknown;
+    try {
+      message = JSON.parse(line);
+    } catch (err) {
+      this.close(`not a message: ${describeError(err)}`);
+      return;
+    }
+    this.peer
+      .receiveAndSend(message as JSONRPCResponse)
+      .catch((err: unknown) => {
+        const error = describeError(err);
+        this.options.logger.debug("connection.answer-lost", { error });
+      });
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/hostMethods.ts
@@ -0,0 +1,157 @@
+/** What a side process and the leading entry say to each other. */
+
+import { z } from "zod";
+import {
+  idSchema,
+  type AvailabilityZone,
+  type Brand,
+  type Epoch,
+  type HostId,
+  type JobTaskId,
+  type RunNumber,
+  type ServiceName,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+
+const numberOf = <B extends Brand<number, string>>() =>
+  z.number().transform((value) => value as unknown as B);
+
+const runShape = {
+  task: idSchema<JobTaskId>(),
+  run: numberOf<RunNumber>(),
+};
+
+const runningSchema = z.object({
+  ...runShape,
+  checkpoint: z.string(),
+  progressPercent: z.number(),
+  reading: z.number(),
+});
+
+const endedSchema = z.object({
+  ...runShape,
+  number: z.number(),
+  outcome: z.enum(["done", "failed", "stopped", "lapsed", "broken", "alone"]),
+  checkpoint: z.string(),
+});
+
+const workerSchema = z.object({
+  instance: idSchema<WorkerInstance>(),
+  service: idSchema<ServiceName>(),
+  labels: z.array(z.string()),
+  milliCores: z.number(),
+  memoryMiB: z.number(),
+  accelerators: z.number(),
+  draining: z.boolean(),
+  /** Least time until the worker leaves, milliseconds; absent when unknown. */
+  leavesInMs: z.number().optional(),
+});
+
+/** What a worker said of itself, as its side last heard it. */
+export type WorkerDescription = z.output<typeof workerSchema>;
+
+const reportSchema = z.object({
+  worker: workerSchema,
+  /** The worker's clock when it gave the lists. */
+  at: numberOf<WorkerTime>(),
+  running: z.array(runningSchema),
+  /** Ends that the leader has not acknowledged to this side yet. */
+  ended: z.array(endedSchema),
+});
+
+export type HostReport = z.output<typeof reportSchema>;
+
+const grantSchema = z.object({
+  /** Time on the worker's clock until which its tasks may run; absent for none. */
+  leaseUntil: numberOf<WorkerTime>().optional(),
+  /** Ends up to this number are kept; the worker may forget them. */
+  acknowledged: z.number(),
+});
+
+export type Grant = z.output<typeof grantSchema>;
+
+/** Served by the entry that leads. */
+export const leaderMethods = {
+  attach: {
+    params: z.object({
+      host: idSchema<HostId>(),
+      availabilityZone: idSchema<AvailabilityZone>(),
+    }),
+    result: z.object({ epoch: numberOf<Epoch>() }),
+  },
+  report: { params: reportSchema, result: grantSchema },
+};
+
+const natureSchema = z.object({
+  kind: z.enum(["serving", "filling", "plain"]),
+  /** Tail latency below which a serving task is to stay, milliseconds; else 0. */
+  tailTargetMs: z.number(),
+  image: z.string(),
+});
+
+/** How a task behaves beside others; the side paces by it. */
+export type TaskNature = z.output<typeof natureSchema>;
+
+const callResultSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("ok"), at: numberOf<WorkerTime>() }),
+  z.object({
+    kind: z.literal("refused"),
+    reason: z.enum([
+      "fenced",
+      "old-run",
+      "late",
+      "no-room",
+      "bad-ticket",
+      "unhealthy",
+    ]),
+  }),
+  /** No answer: the call may have been carried out, or may be later. */
+  z.object({ kind: z.literal("silent") }),
+  /** The life of the worker that was meant is over. */
+  z.object({ kind: z.literal("replaced") }),
+  /** The host takes no new tasks. */
+  z.object({ kind: z.literal("draining") }),
+]);
+
+export type HostCallResult = z.output<typeof callResultSchema>;
+
+const startSchema = z.object({
+  ...runShape,
+  instance: idSchema<WorkerInstance>(),
+  epoch: numberOf<Epoch>(),
+  spec: z.string(),
+  leaseUntil: numberOf<WorkerTime>(),
+  checkpoint: z.string(),
+  ticket: z.string().optional(),
+  nature: natureSchema,
+});
+
+export type StartTaskCall = z.output<typeof startSchema>;
+
+/** Served by the side of each host. */
+export const hostMethods = {
+  startTask: { params: startSchema, result: callResultSchema },
+  stopTask: {
+    params: z.object({
+      ...runShape,
+      instance: idSchema<WorkerInstance>(),
+      epoch: numberOf<Epoch>(),
+    }),
+    result: callResultSchema,
+  },
+  acknowledge: {
+    params: z.object({
+      instance: idSchema<WorkerInstance>(),
+      acknowledged: z.number(),
+    }),
+    result: z.object({}),
+  },
+  /** Tells what runs that the side did not start itself are. */
+  describe: {
+    params: z.object({
+      tasks: z.array(z.object({ task: idSchema<JobTaskId>(), nature: natureSchema })),
+    }),
+    result: z.object({}),
+  },
+};
--- a/packages/protocol/src/rpc.ts
+++ b/packages/protocol/src/rpc.ts
@@ -49,7 +49,7 @@
   remedy: z.string(),
 });
 
-const errorResponse = (id: JSONRPCID, error: unknown): JSONRPCErrorResponse => {
+export const errorResponse = (id: JSONRPCID, error: unknown): JSONRPCErrorResponse => {
   if (error instanceof RackspanError) {
     const { kind, what, remedy } = error;
     const data = { kind, what, remedy };
@@ -61,6 +61,21 @@
   return createJSONRPCErrorResponse(id, TYPED_ERROR_CODE, String(error));
 };
 
+/** Checks the parameters of each call before its handler sees them. */
+export const addHandlers = <T extends MethodTable>(
+  server: JSONRPCServer,
+  table: T,
+  handlers: Handlers<T>,
+): void => {
+  for (const name of Object.keys(table)) {
+    const shape = table[name] as MethodShape;
+    const handle = handlers[name] as (params: unknown) => unknown;
+    server.addMethod(name, async (params: unknown) =>
+      handle(shape.params.parse(params)),
+    );
+  }
+};
+
 /** Answers the calls of one method table. */
 export class RpcServer<T extends MethodTable> {
   private readonly server = new JSONRPCServer({
@@ -70,13 +85,7 @@
 
   constructor(table: T, handlers: Handlers<T>) {
     this.server.mapErrorToJSONRPCErrorResponse = errorResponse;
-    for (const name of Object.keys(table)) {
-      const shape = table[name] as MethodShape;
-      const handle = handlers[name] as (params: unknown) => unknown;
-      this.server.addMethod(name, async (params: unknown) =>
-        handle(shape.params.parse(params)),
-      );
-    }
+    addHandlers(this.server, table, handlers);
   }
 
   /** Handles one HTTP request to `RPC_PATH`. */
@@ -178,7 +187,7 @@
 
 const rpcResponseSchema = z.looseObject({ jsonrpc: z.literal("2.0") });
 
-const toRemoteError = (err: unknown): RemoteError => {
+export const toRemoteError = (err: unknown): RemoteError => {
   const data = (err as { data?: unknown }).data;
   const parsed = remoteErrorSchema.safeParse(data);
   if (!parsed.success) {
--- a/packages/side/src/SideProcess.ts
+++ b/packages/side/src/SideProcess.ts
@@ -17,7 +17,7 @@
   type Logger,
 } from "@rackspan/common";
 import { Lifecycle } from "@rackspan/kernel";
-import { workers, type Worker } from "@rackspan/platform";
+import { workers, type Worker } from "@rackspan/ports";
 import {
   addressOf,
   closeServer,
--- a/packages/side/src/TaskHolder.ts
+++ b/packages/side/src/TaskHolder.ts
@@ -22,7 +22,7 @@
   type Worker,
   type WorkerState,
   type WorkerTask,
-} from "@rackspan/platform";
+} from "@rackspan/ports";
 import type { EndKind, Program, TaskStatus } from "@rackspan/protocol";
 import type { Commitments } from "./Commitments.js";
 import { ReservationGoneError, UnknownTaskError } from "./errors.js";
--- a/packages/side/src/settings.ts
+++ b/packages/side/src/settings.ts
@@ -9,7 +9,7 @@
   type HostId,
   type Rack,
 } from "@rackspan/common";
-import { workers } from "@rackspan/platform";
+import { workers } from "@rackspan/ports";
 
 export const sideSettingsSchema = z.strictObject({
   /** This host's name in the host list. */
--- a/packages/side/src/taskIdentity.ts
+++ b/packages/side/src/taskIdentity.ts
@@ -6,7 +6,7 @@
   type TaskId,
   type UnitId,
 } from "@rackspan/common";
-import type { WorkerTask } from "@rackspan/platform";
+import type { WorkerTask } from "@rackspan/ports";
 import { taskKindSchema, type TaskKind } from "@rackspan/protocol";
 
 export interface TaskIdentity {
--- a/packages/standins/src/HostListStandin.ts
+++ b/packages/standins/src/HostListStandin.ts
@@ -1,7 +1,7 @@
 /** Stand-in of the host list: what it shows lags behind what is set. */
 
 import type { HostId } from "@rackspan/common";
-import type { HostRecord } from "@rackspan/platform";
+import type { HostRecord } from "@rackspan/ports";
 import { JsonServer } from "./JsonServer.js";
 
 export class HostListStandin {
--- a/packages/standins/src/WorkerStandin.ts
+++ b/packages/standins/src/WorkerStandin.ts
@@ -14,7 +14,7 @@
   taskNotesSchema,
   type UsageSample,
   type WorkerTask,
-} from "@rackspan/platform";
+} from "@rackspan/ports";
 import { programSchema } from "@rackspan/protocol";
 import { JsonServer, type JsonAnswer, type JsonRequest } from "./JsonServer.js";
 import { PROGRAMS } from "./programs.js";
--- a/packages/state/src/Appender.ts
+++ b/packages/state/src/Appender.ts
@@ -16,7 +16,7 @@
   type Random,
   type Timer,
 } from "@rackspan/common";
-import { LogUnavailableError, type LogService } from "@rackspan/platform";
+import { LogUnavailableError, type LogService } from "@rackspan/ports";
 import { encodeBatch } from "./codec.js";
 import { AppendRefusedError, AppendUnknownError } from "./errors.js";
 import type { Applied, Fold } from "./Fold.js";
--- a/packages/state/src/LogFollower.ts
+++ b/packages/state/src/LogFollower.ts
@@ -15,7 +15,7 @@
   type Offset,
   type Random,
 } from "@rackspan/common";
-import { RetentionError, type LogService } from "@rackspan/platform";
+import { RetentionError, type LogService } from "@rackspan/ports";
 import { RECORD_STREAM } from "./Appender.js";
 import { decodeBatch, UnreadableEntryError } from "./codec.js";
 import { PastLostError } from "./errors.js";
--- /dev/null
+++ b/packages/state/src/StampedWriter.ts
@@ -0,0 +1,200 @@
+/**
+ * Appends records to one topic in batches. Each batch carries a stamp, so that
+ * repeating a batch whose answer was lost never keeps it twice, and a writer
+ * that was deposed writes nothing more.
+ */
+
+import {
+  describeError,
+  sleep,
+  type Clock,
+  type Logger,
+} from "@rackspan/common";
+import {
+  FencedError,
+  SequenceError,
+  StoreAnswerLostError,
+  StoreRefusedError,
+  type KeyedRecord,
+  type RecordStore,
+  type TopicName,
+} from "@rackspan/ports";
+
+const WRITER = {
+  /** Time for one append; the store answers in some milliseconds when it is well. */
+  appendTimeoutMs: 700,
+  retryMs: 100,
+  maxBatchRecords: 200,
+  /** Under the least limit of a call that the platform states (2 MiB). */
+  maxBatchBytes: 1_000_000,
+  /** More waiting records than this are refused at once. */
+  maxQueued: 5_000,
+} as const;
+
+export interface StampedWriterOptions {
+  readonly topic: TopicName;
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly producer: string;
+  readonly epoch: number;
+  /** Time for which records are gathered before they are sent, milliseconds. */
+  readonly gatherMs: number;
+  /** Whether a batch that the store refused is sent again, or its writers told. */
+  readonly retriesRefused: boolean;
+}
+
+interface QueuedRecord {
+  readonly record: KeyedRecord;
+  readonly resolve: (next: number) => void;
+  readonly reject: (err: unknown) => void;
+}
+
+/** One record on its way to the store. */
+export interface PendingWrite {
+  /**
+   * Resolves with the offset behind the record once it is kept.
+   * Rejects with StoreRefusedError when it is not and never will be kept, with
+   * FencedError when another writer has taken over.
+   */
+  readonly kept: Promise<number>;
+  /**
+   * Gives up.
+   * @returns whether the record was certainly not sent, and never will be
+   */
+  readonly abandon: () => boolean;
+}
+
+export class StampedWriter {
+  private queue: QueuedRecord[] = [];
+  private sequence = 1;
+  private running = false;
+  private closed: Error | undefined;
+
+  constructor(private readonly options: StampedWriterOptions) {}
+
+  write(record: KeyedRecord): PendingWrite {
+    let queued: QueuedRecord | undefined;
+    const kept = new Promise<number>((resolve, reject) => {
+      const refusal = this.refusal();
+      if (refusal) {
+        reject(refusal);
+        return;
+      }
+      queued = { record, resolve, reject };
+      this.queue.push(queued);
+    });
+    void this.run();
+    return { kept, abandon: () => this.abandon(queued) };
+  }
+
+  /** Appends nothing, but bars writers of lower epochs. @throws FencedError */
+  async fenceOthers(signal?: AbortSignal): Promise<void> {
+    await this.send([], signal);
+  }
+
+  /** Refuses what has not been sent, and whatever comes later. */
+  close(reason: Error): void {
+    this.closed ??= reason;
+    const queue = this.queue;
+    this.queue = [];
+    for (const { reject } of queue) reject(this.closed);
+  }
+
+  private refusal(): Error | undefined {
+    if (this.closed) return this.closed;
+    if (this.queue.length < WRITER.maxQueued) return undefined;
+    return new StoreRefusedError(
+      `${this.queue.length} records wait for topic ${this.options.topic} already`,
+    );
+  }
+
+  private abandon(queued: QueuedRecord | undefined): boolean {
+    if (!queued) return true;
+    const at = this.queue.indexOf(queued);
+    if (at < 0) return false;
+    this.queue.splice(at, 1);
+    return true;
+  }
+
+  private async run(): Promise<void> {
+    if (this.running) return;
+    this.running = true;
+    const { clock, gatherMs } = this.options;
+    while (this.queue.length > 0) {
+      if (gatherMs > 0) await sleep(clock, gatherMs);
+      const batch = this.takeBatch();
+      if (batch.length > 0) await this.sendBatch(batch);
+    }
+    this.running = false;
+  }
+
+  private takeBatch(): QueuedRecord[] {
+    let bytes = 0;
+    let count = 0;
+    for (const { record } of this.queue) {
+      bytes += record.key.length + (record.value?.length ?? 0);
+      if (count > 0 && bytes > WRITER.maxBatchBytes) break;
+      if (count >= WRITER.maxBatchRecords) break;
+      count += 1;
+    }
+    return this.queue.splice(0, count);
+  }
+
+  private async sendBatch(batch: readonly QueuedRecord[]): Promise<void> {
+    try {
+      const next = await this.send(batch.map(({ record }) => record));
+      for (const { resolve } of batch) resolve(next);
+    } catch (err) {
+      for (const { reject } of batch) reject(err);
+    }
+  }
+
+  /** @throws StoreRefusedError when nothing was kept; FencedError */
+  private async send(
+    records: readonly KeyedRecord[],
+    signal?: AbortSignal,
+  ): Promise<number> {
+    const { clock, retriesRefused } = this.options;
+    let mayBeKept = false;
+    for (;;) {
+      signal?.throwIfAborted();
+      if (this.closed && !mayBeKept) throw this.closed;
+      try {
+        return await this.appendOnce(records);
+      } catch (err) {
+        if (err instanceof SequenceError && !mayBeKept) {
+          this.sequence = err.wanted;
+          continue;
+        }
+        const lost = err instanceof StoreAnswerLostError;
+        const refused = err instanceof StoreRefusedError;
+        if (!lost && !refused) throw this.noteFatal(err);
+        mayBeKept ||= lost;
+        if (!mayBeKept && !retriesRefused) throw err;
+        if (this.closed) throw err;
+      }
+      await sleep(clock, WRITER.retryMs);
+    }
+  }
+
+  private async appendOnce(records: readonly KeyedRecord[]): Promise<number> {
+    const { store, topic, producer, epoch } = this.options;
+    const next = await store.append({
+      topic,
+      records,
+      stamp: { producer, epoch, sequence: this.sequence },
+      timeoutMs: WRITER.appendTimeoutMs,
+    });
+    // An empty append only sets the epoch and takes no number.
+    if (records.length > 0) this.sequence += 1;
+    return next;
+  }
+
+  private noteFatal(err: unknown): unknown {
+    const { topic, logger, epoch } = this.options;
+    logger.warn("writer.closed", { topic, epoch, error: describeError(err) });
+    if (err instanceof FencedError) this.close(err);
+    return err;
+  }
+}
--- /dev/null
+++ b/packages/state/src/TopicFollower.ts
@@ -0,0 +1,157 @@
+/**
+ * Follows one keyed topic: first the newest record of each key, then every
+ * change by long polls. One task reads, for as long as the process runs.
+ */
+
+import {
+  describeError,
+  sleep,
+  type Clock,
+  type Logger,
+  type Monotonic,
+} from "@rackspan/common";
+import {
+  RecordsGoneError,
+  type KeyedRecord,
+  type RecordStore,
+  type TopicName,
+} from "@rackspan/ports";
+
+const FOLLOW = {
+  /** A poll that hears nothing returns after this, so that a silent store is noticed. */
+  pollMs: 1_500,
+  /** Pause after a failure; a store that comes back is noticed within this. */
+  retryMs: 150,
+} as const;
+
+export interface TopicFollowerOptions {
+  readonly topic: TopicName;
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Least time between two polls, milliseconds: each call has a price. */
+  readonly floorMs: number;
+  /** Called with the records of one page, in order. */
+  readonly onRecords: (records: readonly KeyedRecord[]) => void;
+}
+
+export class TopicFollower {
+  private readonly abort = new AbortController();
+  private next: number | undefined;
+  private confirmedAt: Monotonic | undefined;
+  private reachable = true;
+  private task: Promise<void> | undefined;
+  private readonly waiters = new Set<() => void>();
+  /** Ends the poll that is under way, so that a fresh one can be made. */
+  private pollAbort = new AbortController();
+
+  constructor(private readonly options: TopicFollowerOptions) {}
+
+  start(): void {
+    this.task ??= this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.abort.abort();
+    this.pollAbort.abort();
+    await this.task;
+  }
+
+  /** Whether the newest record of each key has been read once. */
+  get loaded(): boolean {
+    return this.next !== undefined;
+  }
+
+  /** Milliseconds since the view was last known to be complete; Infinity before. */
+  get ageMs(): number {
+    if (this.confirmedAt === undefined) return Infinity;
+    return this.options.clock.monotonic() - this.confirmedAt;
+  }
+
+  /** Resolves once everything that the store holds now has been handed on. */
+  async catchUp(signal?: AbortSignal): Promise<void> {
+    const askedAt = this.options.clock.monotonic();
+    while ((this.confirmedAt ?? -Infinity) < askedAt) {
+      signal?.throwIfAborted();
+      this.pollAbort.abort();
+      await new Promise<void>((resolve) => this.waiters.add(resolve));
+    }
+  }
+
+  private async run(): Promise<void> {
+    const { clock, floorMs } = this.options;
+    while (!this.abort.signal.aborted) {
+      const began = clock.monotonic();
+      const worked = await this.step();
+      const pause = worked && this.waiters.size > 0 ? 0 : worked
+        ? floorMs - (clock.monotonic() - began)
+        : FOLLOW.retryMs;
+      if (pause > 0) await sleep(clock, pause, this.abort.signal).catch(noop);
+    }
+  }
+
+  private async step(): Promise<boolean> {
+    try {
+      if (this.next === undefined) await this.load();
+      else await this.poll(this.next);
+      this.noteReachable();
+      return true;
+    } catch (err) {
+      if (this.abort.signal.aborted) return false;
+      if (this.pollAbort.signal.aborted) return true;
+      this.noteFailure(err);
+      return false;
+    }
+  }
+
+  private async load(): Promise<void> {
+    const { store, topic, clock, onRecords } = this.options;
+    const askedAt = clock.monotonic();
+    const page = await store.newest(topic);
+    onRecords(page.records);
+    this.next = page.next;
+    this.confirm(askedAt);
+  }
+
+  private async poll(from: number): Promise<void> {
+    const { store, topic, clock, onRecords } = this.options;
+    const askedAt = clock.monotonic();
+    const waitMs = this.waiters.size > 0 ? 0 : FOLLOW.pollMs;
+    this.pollAbort = new AbortController();
+    const { signal } = this.pollAbort;
+    const page = await store.read({ topic, from, waitMs, signal });
+    if (page.records.length > 0) onRecords(page.records);
+    this.next = page.next;
+    this.confirm(askedAt);
+  }
+
+  private confirm(askedAt: Monotonic): void {
+    this.confirmedAt = askedAt;
+    const waiters = [...this.waiters];
+    this.waiters.clear();
+    for (const wake of waiters) wake();
+  }
+
+  private noteReachable(): void {
+    if (this.reachable) return;
+    this.reachable = true;
+    const { topic, logger } = this.options;
+    logger.info("store.regained", { topic, next: this.next });
+  }
+
+  private noteFailure(err: unknown): void {
+    const { topic, logger } = this.options;
+    if (err instanceof RecordsGoneError) {
+      // Keyed topics keep each key's newest record: read those again.
+      logger.warn("topic.reload", { topic, error: describeError(err) });
+      this.next = undefined;
+      return;
+    }
+    if (!this.reachable) return;
+    this.reachable = false;
+    const age = Math.round(this.ageMs);
+    logger.warn("store.lost", { topic, age, error: describeError(err) });
+  }
+}
+
+const noop = (): void => undefined;
--- /dev/null
+++ b/packages/state/src/jobRecords.ts
@@ -0,0 +1,194 @@
+/** What the store keeps of jobs and hosts, and how it is written down. */
+
+import { z } from "zod";
+import { RackspanError, type Instant, type ServiceName } from "@rackspan/common";
+import type { TopicName } from "@rackspan/ports";
+import {
+  JOB_STATES,
+  type ImageName,
+  type JobId,
+  type JobSpec,
+  type QueueKey,
+  type StepSpec,
+} from "./jobModel.js";
+
+/** Keyed topics of the product. */
+export const TOPICS = {
+  /** Key: job id. Written by the entry that accepts the job. */
+  jobs: "jobs" as TopicName,
+  /** Key: job id. Written by the entry that accepts the cancel. */
+  cancels: "cancels" as TopicName,
+  /** Key: job id. Written by the leader. */
+  progress: "progress" as TopicName,
+  /** Key: host name. Written by the leader before it first grants a lease there. */
+  hosts: "hosts" as TopicName,
+  /** Key `config`: written by the operator. */
+  config: "config" as TopicName,
+  /** Never written: its only partition stands for leadership. */
+  leadership: "leadership" as TopicName,
+} as const;
+
+export class BadRecordError extends RackspanError {
+  readonly kind = "bad-record";
+  constructor(topic: TopicName, key: string, cause: unknown) {
+    super({
+      what: `the record ${key} of topic ${topic} cannot be read: ${String(cause)}`,
+      remedy: "see which version wrote it; the record is passed over",
+      cause,
+    });
+  }
+}
+
+const stepSchema = z.object({
+  taskCount: z.number().int().positive(),
+  demand: z.object({
+    milliCores: z.number().nonnegative(),
+    memoryMiB: z.number().nonnegative(),
+    accelerators: z.number().nonnegative(),
+  }),
+  estimateMs: z.number().nonnegative().default(0),
+  after: z.array(z.number().int().nonnegative()).default([]),
+  checkpointing: z.boolean().default(false),
+  gang: z.boolean().default(false),
+  sameRack: z.boolean().default(false),
+  requiredLabel: z.string().default(""),
+  dataRack: z.string().default(""),
+  maxPerHost: z.number().int().nonnegative().default(0),
+  replicable: z.boolean().default(false),
+  lasting: z.boolean().default(false),
+  image: z
+    .string()
+    .default("")
+    .transform((name) => name as unknown as ImageName),
+  tailTargetMs: z.number().nonnegative().default(0),
+  filling: z.boolean().default(false),
+  mayMiss: z.number().int().nonnegative().optional(),
+});
+
+const jobRecordSchema = z.object({
+  queue: z.string().transform((key) => key as unknown as QueueKey),
+  payload: z.string(),
+  steps: z.array(stepSchema).min(1),
+  repeat: z
+    .object({
+      count: z.number().int().positive(),
+      firstAt: z.number(),
+      intervalMs: z.number().nonnegative(),
+    })
+    .optional(),
+  acceptedAt: z.number(),
+  /** What the queue said when the job was accepted, for when it is dropped. */
+  terms: z.object({
+    service: z.string().transform((name) => name as unknown as ServiceName),
+    priority: z.number(),
+    maxAttempts: z.number(),
+    stretch: z.number(),
+    targetLatencyMs: z.number(),
+  }),
+});
+
+export type JobTerms = z.output<typeof jobRecordSchema>["terms"];
+
+export interface AcceptedJob {
+  readonly spec: JobSpec;
+  /** The accepting entry's time of day. */
+  readonly acceptedAt: Instant;
+  readonly terms: JobTerms;
+}
+
+const NO_DEFAULTS: ReadonlySet<unknown> = new Set(["", 0, false, undefined]);
+
+/** Leaves out what the schema puts in by itself. */
+const encodeStep = (step: StepSpec): object =>
+  Object.fromEntries(
+    Object.entries(step).filter(
+      ([name, value]) =>
+        name === "mayMiss" || !NO_DEFAULTS.has(value as unknown),
+    ),
+  );
+
+export const encodeJob = ({ spec, acceptedAt, terms }: AcceptedJob): Buffer =>
+  Buffer.from(
+    JSON.stringify({
+      queue: spec.queue,
+      payload: spec.payload,
+      steps: spec.steps.map(encodeStep),
+      repeat: spec.repeat,
+      acceptedAt,
+      terms,
+    }),
+  );
+
+const parseJson = <S extends z.ZodType>(
+  topic: TopicName,
+  key: string,
+  value: Buffer,
+  schema: S,
+): z.output<S> => {
+  try {
+    return schema.parse(JSON.parse(value.toString("utf8")));
+  } catch (err) {
+    throw new BadRecordError(topic, key, err);
+  }
+};
+
+/** @throws BadRecordError */
+export const decodeJob = (key: string, value: Buffer): AcceptedJob => {
+  const record = parseJson(TOPICS.jobs, key, value, jobRecordSchema);
+  const { queue, payload, steps, repeat, acceptedAt, terms } = record;
+  const id = key as unknown as JobId;
+  const complete = steps.map((step) => ({ ...step, mayMiss: step.mayMiss }));
+  return {
+    spec: { id, queue, payload, steps: complete, repeat },
+    acceptedAt,
+    terms,
+  };
+};
+
+const progressSchema = z.object({
+  state: z.enum(JOB_STATES),
+  /** Whether a task of the job was ever started. */
+  begun: z.boolean(),
+  /** Leader's time of day when the state became final; 0 before. */
+  endedAt: z.number(),
+  /** `occurrence.step` to the indices of its done tasks, as ranges `a-b`. */
+  done: z.record(z.string(), z.string()),
+  /** `occurrence.step.index`, failed runs, and the last of them that was counted. */
+  failures: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  /** `occurrence.step.index` and the checkpoint from which a run goes on. */
+  checkpoints: z.array(z.tuple([z.string(), z.string()])),
+});
+
+/** How far a job has come, as the leader last wrote it down. */
+export type ProgressRecord = z.output<typeof progressSchema>;
+
+export const encodeProgress = (record: ProgressRecord): Buffer =>
+  Buffer.from(JSON.stringify(record));
+
+/** @throws BadRecordError */
+export const decodeProgress = (key: string, value: Buffer): ProgressRecord =>
+  parseJson(TOPICS.progress, key, value, progressSchema);
+
+/** `[0,1,2,5]` as `0-2,5`. */
+export const encodeIndices = (indices: Iterable<number>): string => {
+  const sorted = [...indices].sort((a, b) => a - b);
+  const ranges: string[] = [];
+  for (let at = 0; at < sorted.length; ) {
+    let last = at;
+    while (sorted[last + 1] === (sorted[last] as number) + 1) last += 1;
+    ranges.push(
+      last === at ? `${sorted[at]}` : `${sorted[at]}-${sorted[last]}`,
+    );
+    at = last + 1;
+  }
+  return ranges.join(",");
+};
+
+export const decodeIndices = (text: string): number[] =>
+  text === ""
+    ? []
+    : text.split(",").flatMap((range) => {
+        const [first, last] = range.split("-").map(Number) as [number, number?];
+        const count = (last ?? first) - first + 1;
+        return Array.from({ length: count }, (_, n) => first + n);
+      });
--- a/packages/state/src/snapshots.ts
+++ b/packages/state/src/snapshots.ts
@@ -15,7 +15,7 @@
   RetentionError,
   type LogEntry,
   type LogService,
-} from "@rackspan/platform";
+} from "@rackspan/ports";
 import type { FoldSnapshot } from "./Fold.js";
 
 export const SNAPSHOT_STREAM = "snapshots";
--- a/packages/state/tests/appender.test.ts
+++ b/packages/state/tests/appender.test.ts
@@ -17,7 +17,7 @@
   type LogPage,
   type LogService,
   type ReadOptions,
-} from "@rackspan/platform";
+} from "@rackspan/ports";
 import {
   Appender,
   AppendRefusedError,
