--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -40,7 +40,15 @@
 }));
 
 export default tseslint.config(
-  { ignores: ["**/dist/**", "**/node_modules/**", "tmp/**"] },
+  {
+    ignores: [
+      "**/dist/**",
+      "**/node_modules/**",
+      "tmp/**",
+      "target/**",
+      "journal/**",
+    ],
+  },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./Emitter.js";
 export * from "./errors.js";
 export * from "./ids.js";
+export * from "./listenAddress.js";
 export * from "./log.js";
 export * from "./ManualClock.js";
 export * from "./metrics.js";
--- a/packages/common/src/log.ts
+++ b/packages/common/src/log.ts
@@ -85,3 +85,27 @@
 };
 
 export const silentLogger: Logger = createLogger({ level: "silent" });
+
+const OUTPUT = {
+  /** Lines are left out while more than this waits to be written, bytes. */
+  maxWaitingBytes: 256 * 1024,
+} as const;
+
+let leftOut = 0;
+
+/**
+ * Writes a line to standard output without ever waiting for its reader. Lines
+ * that would have to wait are left out; the next one tells how many.
+ */
+export const writeToStandardOutput = (line: string): void => {
+  const { stdout } = process;
+  if (stdout.writableLength > OUTPUT.maxWaitingBytes) {
+    leftOut += 1;
+    return;
+  }
+  if (leftOut > 0) {
+    stdout.write(`event=log.left-out lines=${leftOut}\n`);
+    leftOut = 0;
+  }
+  stdout.write(`${line}\n`);
+};
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -7,3 +7,4 @@
 export * from "./operatorMethods.js";
 export * from "./RouteTable.js";
 export * from "./settings.js";
+export * from "./jobs/index.js";
--- /dev/null
+++ b/packages/entry/src/jobs/JobDesk.ts
@@ -0,0 +1,210 @@
+/**
+ * What callers may ask of their jobs, apart from any wire format: hand one in,
+ * ask how it stands, cancel it, count what waits. Every entry answers from its
+ * own view of the store.
+ */
+
+import {
+  describeError,
+  type Clock,
+  type Logger,
+  type Metrics,
+  type Monotonic,
+} from "@rackspan/common";
+import { FencedError, StoreRefusedError } from "@rackspan/ports";
+import {
+  encodeJob,
+  isFinal,
+  type AcceptedJob,
+  type ConfigHolder,
+  type JobId,
+  type JobSpec,
+  type JobStateName,
+  type JobView,
+  type PendingWrite,
+  type QueueKey,
+  type QueueSpec,
+  type StampedWriter,
+  type TopicFollower,
+} from "@rackspan/state";
+
+export const DESK = {
+  /** A refused caller is asked to come back after this. */
+  retryAfterMs: 1_000,
+  /** A view older than this does not prove that a job does not exist. */
+  maxViewAgeMs: 2_600,
+  /** An answer is sent this long before the caller stops waiting for it. */
+  answerMarginMs: 120,
+} as const;
+
+/** `unknown` callers may repeat at once; `refused` was not and never will be run. */
+export type DeskOutcome =
+  | { readonly kind: "accepted" }
+  | {
+      readonly kind: "refused";
+      readonly reason: string;
+      readonly retryAfterMs: number;
+    }
+  | { readonly kind: "unknown"; readonly reason: string }
+  | { readonly kind: "no-such-job" };
+
+export type StateOutcome =
+  | { readonly kind: "known"; readonly state: JobStateName }
+  | { readonly kind: "no-such-job" }
+  | {
+      readonly kind: "refused";
+      readonly reason: string;
+      readonly retryAfterMs: number;
+    };
+
+export interface JobDeskOptions {
+  readonly view: JobView;
+  readonly config: ConfigHolder;
+  readonly jobsFollower: TopicFollower;
+  readonly jobsWriter: StampedWriter;
+  readonly cancelsWriter: StampedWriter;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+const refused = (reason: string) =>
+  ({ kind: "refused", reason, retryAfterMs: DESK.retryAfterMs }) as const;
+
+export class JobDesk {
+  constructor(private readonly options: JobDeskOptions) {}
+
+  /** Whether callers can be served at all. */
+  get isReady(): boolean {
+    const { config, jobsFollower } = this.options;
+    return config.current !== undefined && jobsFollower.loaded;
+  }
+
+  findQueue(hostName: string, path: string): QueueSpec | undefined {
+    return this.options.config.match(hostName, path);
+  }
+
+  get maxBodyBytes(): number | undefined {
+    return this.options.config.current?.maxBodyBytes;
+  }
+
+  /** @param deadline when the caller stops waiting, on the clock's steady time */
+  async submit(
+    queue: QueueSpec,
+    spec: JobSpec,
+    deadline: Monotonic,
+  ): Promise<DeskOutcome> {
+    const { view, jobsWriter, clock, metrics } = this.options;
+    const began = clock.monotonic();
+    const known = view.get(spec.id);
+    if (known) {
+      const isSame = known.accepted.spec.queue === spec.queue;
+      const outcome = isSame
+        ? ({ kind: "accepted" } as const)
+        : refused("the id belongs to a job of another queue");
+      return this.note("submit", spec.id, outcome, began);
+    }
+    const { service, priority, maxAttempts, stretch, targetLatencyMs } = queue;
+    const terms = { service, priority, maxAttempts, stretch, targetLatencyMs };
+    const job: AcceptedJob = { spec, acceptedAt: clock.now(), terms };
+    const write = jobsWriter.write({ key: spec.id, value: encodeJob(job) });
+    const outcome = await this.settle(write, deadline, () =>
+      view.noteAccepted(job),
+    );
+    if (outcome.kind === "accepted") {
+      metrics.latency("submit").record(clock.monotonic() - began);
+    }
+    return this.note("submit", spec.id, outcome, began);
+  }
+
+  state(queue: QueueKey, id: JobId): StateOutcome {
+    const { view, logger, jobsFollower } = this.options;
+    const entry = view.get(id);
+    const state = view.stateOf(id);
+    if (entry?.accepted.spec.queue === queue && state) {
+      return { kind: "known", state };
+    }
+    const viewAge = Math.round(jobsFollower.ageMs);
+    if (viewAge > DESK.maxViewAgeMs) {
+      logger.info("job.state-unsure", { job: id, viewAge });
+      return refused("the view of the store is too old to tell");
+    }
+    logger.info("job.not-found", { job: id, viewAge });
+    return { kind: "no-such-job" };
+  }
+
+  async cancel(
+    queue: QueueKey,
+    id: JobId,
+    deadline: Monotonic,
+  ): Promise<DeskOutcome> {
+    const { view, cancelsWriter, clock } = this.options;
+    const began = clock.monotonic();
+    const found = this.state(queue, id);
+    if (found.kind !== "known") return this.note("cancel", id, found, began);
+    if (isFinal(found.state)) {
+      return this.note("cancel", id, { kind: "accepted" }, began);
+    }
+    const value = Buffer.from(JSON.stringify({ at: clock.now() }));
+    const write = cancelsWriter.write({ key: id, value });
+    const outcome = await this.settle(write, deadline, () =>
+      view.noteCancelled(id),
+    );
+    return this.note("cancel", id, outcome, began);
+  }
+
+  pendingCount(queue: QueueKey): number {
+    return this.options.view.pendingCount(queue);
+  }
+
+  /** Waits for a write, and gives it up when the caller does. */
+  private async settle(
+    write: PendingWrite,
+    deadline: Monotonic,
+    onKept: () => void,
+  ): Promise<DeskOutcome> {
+    const { clock } = this.options;
+    const kept = write.kept.then(
+      (): DeskOutcome => {
+        onKept();
+        return { kind: "accepted" };
+      },
+      (err: unknown): DeskOutcome =>
+        err instanceof StoreRefusedError || err instanceof FencedError
+          ? refused(describeError(err))
+          : { kind: "unknown", reason: describeError(err) },
+    );
+    let cancelTimer = (): void => undefined;
+    const gaveUp = new Promise<DeskOutcome>((resolve) => {
+      const waitMs = deadline - clock.monotonic() - DESK.answerMarginMs;
+      const timer = clock.after(waitMs, () => {
+        const notSent = write.abandon();
+        const reason = "the store has not answered in time";
+        resolve(notSent ? refused(reason) : { kind: "unknown", reason });
+      });
+      cancelTimer = () => timer.cancel();
+    });
+    const outcome = await Promise.race([kept, gaveUp]);
+    cancelTimer();
+    return outcome;
+  }
+
+  private note<T extends DeskOutcome | StateOutcome>(
+    request: "submit" | "cancel",
+    job: JobId,
+    outcome: T,
+    began: Monotonic,
+  ): DeskOutcome {
+    const { logger, metrics, clock, config, jobsFollower } = this.options;
+    metrics.count("caller_requests", { request, outcome: outcome.kind });
+    logger.info(`job.${request}`, {
+      job,
+      outcome: outcome.kind,
+      reason: "reason" in outcome ? outcome.reason : undefined,
+      tookMs: Math.round(clock.monotonic() - began),
+      config: config.current?.version,
+      viewAge: Math.round(jobsFollower.ageMs),
+    });
+    return outcome as DeskOutcome;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -0,0 +1,223 @@
+/**
+ * What this entry does while it leads: fences former leaders off, rebuilds the
+ * view of all jobs, then runs the job engine until leadership is lost.
+ */
+
+import {
+  describeError,
+  type Clock,
+  type Epoch,
+  type Logger,
+  type Metrics,
+  type Unsubscribe,
+} from "@rackspan/common";
+import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
+import type { RecordStore } from "@rackspan/ports";
+import { JobEngine } from "@rackspan/scheduling";
+import {
+  isFinal,
+  StampedWriter,
+  TOPICS,
+  type ConfigHolder,
+  type JobId,
+  type JobView,
+  type TopicFollower,
+} from "@rackspan/state";
+import { StoredRoster } from "./StoredRoster.js";
+
+const LEADERSHIP = {
+  producer: "leader",
+  /** How often jobs that ended long ago are looked for. */
+  sweepEveryMs: 5_000,
+} as const;
+
+export interface LeadershipOptions {
+  readonly store: RecordStore;
+  readonly view: JobView;
+  readonly config: ConfigHolder;
+  readonly followers: readonly TopicFollower[];
+  /** The entry's own writers of jobs and cancels; used to drop old ones. */
+  readonly jobsWriter: StampedWriter;
+  readonly cancelsWriter: StampedWriter;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly leadershipTtlMs: number;
+  readonly leaseMs: number;
+  readonly stopMs: number;
+  /** Jobs that ended are kept this long. */
+  readonly keepEndedMs: number;
+  readonly progressGatherMs: number;
+  readonly order: string;
+  readonly placer: string;
+  readonly mayDecide: () => boolean;
+  /** Called when the writes of this leader are refused for good. */
+  readonly onDeposed: (reason: string) => void;
+}
+
+export interface LeadingEngine {
+  readonly epoch: Epoch;
+  readonly engine: JobEngine;
+}
+
+export class Leadership {
+  private term: Term | undefined;
+
+  constructor(private readonly options: LeadershipOptions) {}
+
+  /** Undefined while this entry does not lead, or has not read its view yet. */
+  get leading(): LeadingEngine | undefined {
+    const { term } = this;
+    if (!term?.engine) return undefined;
+    return { epoch: term.epoch, engine: term.engine };
+  }
+
+  begin(epoch: Epoch): void {
+    this.end();
+    this.term = new Term(this.options, epoch);
+    this.term.run().catch((err: unknown) => {
+      const error = describeError(err);
+      this.options.logger.warn("leader.term-failed", { epoch, error });
+      this.options.onDeposed(error);
+    });
+  }
+
+  end(): void {
+    this.term?.end();
+    this.term = undefined;
+  }
+}
+
+/** One time of leading, under one epoch. */
+class Term {
+  engine: JobEngine | undefined;
+  private readonly abort = new AbortController();
+  private readonly writers: readonly StampedWriter[];
+  private readonly progressWriter: StampedWriter;
+  private readonly hostsWriter: StampedWriter;
+  private readonly unsubscribes: Unsubscribe[] = [];
+
+  constructor(
+    private readonly options: LeadershipOptions,
+    readonly epoch: Epoch,
+  ) {
+    const { store, clock, logger } = options;
+    const writerOf = (topic: (typeof TOPICS)[keyof typeof TOPICS]) =>
+      new StampedWriter({
+        topic,
+        store,
+        clock,
+        logger,
+        producer: LEADERSHIP.producer,
+        epoch,
+        gatherMs: 0,
+        retriesRefused: true,
+      });
+    this.progressWriter = writerOf(TOPICS.progress);
+    this.hostsWriter = writerOf(TOPICS.hosts);
+    this.writers = [this.progressWriter, this.hostsWriter];
+  }
+
+  async run(): Promise<void> {
+    const { signal } = this.abort;
+    const { logger, clock, followers, metrics } = this.options;
+    const began = clock.monotonic();
+    await Promise.all(this.writers.map((writer) => writer.fenceOthers(signal)));
+    await Promise.all(followers.map((follower) => follower.catchUp(signal)));
+    if (signal.aborted) return;
+    const tookMs = clock.monotonic() - began;
+    this.engine = this.buildEngine(began);
+    metrics.latency("takeover").record(tookMs);
+    logger.info("leader.ready", {
+      epoch: this.epoch,
+      tookMs: Math.round(tookMs),
+      hosts: this.options.view.roster.size,
+    });
+    this.sweepLater();
+  }
+
+  end(): void {
+    this.abort.abort();
+    for (const unsubscribe of this.unsubscribes) unsubscribe();
+    this.engine?.stop();
+    const reason = new Error("this entry leads no more");
+    for (const writer of this.writers) writer.close(reason);
+  }
+
+  private buildEngine(takenOverAt: number): JobEngine {
+    const { view, config, clock, logger, metrics } = this.options;
+    const { leadershipTtlMs, leaseMs, stopMs, mayDecide } = this.options;
+    const roster = [...view.roster];
+    const engine = new JobEngine({
+      epoch: this.epoch,
+      clock,
+      logger,
+      metrics,
+      journal: new ProgressJournal({
+        writer: this.progressWriter,
+        clock,
+        gatherMs: this.options.progressGatherMs,
+      }),
+      roster: new StoredRoster(this.hostsWriter, logger, roster),
+      gate: new TakeoverGate({
+        takenOverAt,
+        roster,
+        leadershipTtlMs,
+        leaseMs,
+      }),
+      order: this.options.order,
+      placer: this.options.placer,
+      leaseMs,
+      stopMs,
+      mayDecide: () => !this.abort.signal.aborted && mayDecide(),
+      serviceOf: (queue) => config.queue(queue)?.service,
+    });
+    for (const { accepted, cancelled, progress } of view.all()) {
+      engine.addJob(accepted, progress);
+      const ended = progress !== undefined && isFinal(progress.state);
+      if (cancelled && !ended) engine.cancelJob(accepted.spec.id);
+    }
+    this.unsubscribes.push(
+      view.changes.on((change) => {
+        if (change.kind === "accepted") engine.addJob(change.job, undefined);
+        else engine.cancelJob(change.id);
+      }),
+      config.changes.on(() => engine.noteConfig()),
+    );
+    engine.start();
+    return engine;
+  }
+
+  private sweepLater(): void {
+    this.options.clock.after(LEADERSHIP.sweepEveryMs, () => {
+      if (this.abort.signal.aborted) return;
+      if (this.options.mayDecide()) this.sweep();
+      this.sweepLater();
+    });
+  }
+
+  /** Drops what the store need not keep of jobs that ended long ago. */
+  private sweep(): void {
+    const { engine } = this;
+    if (!engine) return;
+    for (const id of engine.expiredJobs(this.options.keepEndedMs)) {
+      engine.forgetJob(id);
+      this.dropJob(id).catch((err: unknown) => this.noteNotDropped(err));
+    }
+  }
+
+  /** The job goes before its progress: without that it would be run again. */
+  private async dropJob(id: JobId): Promise<void> {
+    const { jobsWriter, cancelsWriter, logger } = this.options;
+    const tombstone = { key: id, value: undefined };
+    await jobsWriter.write(tombstone).kept;
+    await cancelsWriter.write(tombstone).kept;
+    await this.progressWriter.write(tombstone).kept;
+    logger.info("job.forgotten", { job: id });
+  }
+
+  private noteNotDropped(err: unknown): void {
+    // The next leader finds it again and drops it then.
+    this.options.logger.warn("job.not-dropped", { error: describeError(err) });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/index.ts
@@ -0,0 +1,6 @@
+export * from "./callerFronts.js";
+export * from "./JobDesk.js";
+export * from "./JobEntryProcess.js";
+export * from "./settings.js";
+export { Leadership, type LeadingEngine } from "./Leadership.js";
+export { SideServer } from "./SideServer.js";
--- /dev/null
+++ b/packages/entry/src/jobs/settings.ts
@@ -0,0 +1,74 @@
+/** Settings of an entry process that takes jobs. */
+
+import { z } from "zod";
+import {
+  endpointSchema,
+  idSchema,
+  listenAddressSchema,
+  type AvailabilityZone,
+  type EntryId,
+} from "@rackspan/common";
+import { stepOrders, taskPlacers } from "@rackspan/scheduling";
+
+const millisecondsSchema = z.number().int().min(1).max(3_600_000);
+
+const secondsSchema = z.number().positive().max(86_400);
+
+const namesOf = (names: readonly string[]) =>
+  z.enum(names as [string, ...string[]]);
+
+export const jobEntrySettingsSchema = z.strictObject({
+  entry: idSchema<EntryId>(),
+  availabilityZone: idSchema<AvailabilityZone>(),
+  /** The plug-ins that speak to the platform. */
+  platform: z.strictObject({
+    client: z.string().min(1),
+    /** `IP:PORT` of the store. */
+    store: endpointSchema,
+  }),
+  /** Where callers hand in jobs. */
+  callers: listenAddressSchema,
+  /** Where the platform asks whether this entry takes callers. */
+  readiness: listenAddressSchema,
+  /** Where sides connect to the leader. */
+  sides: listenAddressSchema,
+  metrics: listenAddressSchema.optional(),
+  leases: z.strictObject({
+    /**
+     * Silence after which the store deals leadership to another entry. Shorter:
+     * a dead leader is replaced sooner; longer: a leader outlasts longer outages.
+     */
+    leadershipTtlMs: millisecondsSchema.default(2_500),
+    /** The least that the store takes; a lower `leadershipTtlMs` is raised to it. */
+    leastLeadershipTtlMs: millisecondsSchema.default(1),
+    /** Longest lease that workers grant. */
+    workerLeaseMs: millisecondsSchema,
+    /** Time that a worker may take to stop a task. */
+    stopMs: millisecondsSchema.default(500),
+  }),
+  /** A planned stop is over within this. */
+  graceSeconds: secondsSchema.default(6),
+  /** The state of a job that ended can be asked for this long. */
+  keepEndedSeconds: secondsSchema.default(120),
+  batching: z
+    .strictObject({
+      /** Submissions are gathered this long before they are sent to the store. */
+      submitMs: z.number().min(0).max(1_000).default(4),
+      /** Changes of progress likewise. */
+      progressMs: z.number().min(0).max(1_000).default(20),
+      /** Least time between two polls of one topic. */
+      pollFloorMs: z.number().min(0).max(1_000).default(25),
+    })
+    .prefault({}),
+  scheduling: z
+    .strictObject({
+      order: namesOf(stepOrders.names()).default("bySlack"),
+      placer: namesOf(taskPlacers.names()).default("colocating"),
+    })
+    .prefault({}),
+  logLevel: z
+    .enum(["error", "warn", "info", "debug", "silent"])
+    .default("info"),
+});
+
+export type JobEntrySettings = z.infer<typeof jobEntrySettingsSchema>;
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -112,11 +112,7 @@
     return repeat.firstAt + occurrence * repeat.intervalMs;
   }
 
-  task(
-    occurrence: number,
-    step: number,
-    index: number,
-  ): JobTask | undefined {
+  task(occurrence: number, step: number, index: number): JobTask | undefined {
     if (occurrence >= this.occurrenceCount) return undefined;
     return this.occurrence(occurrence)[step]?.tasks[index];
   }
--- /dev/null
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -0,0 +1,54 @@
+/** Keeps the progress of jobs in the store; many changes of a job become one record. */
+
+import type { Clock } from "@rackspan/common";
+import { encodeProgress, type StampedWriter } from "@rackspan/state";
+import type { JobRun } from "./JobRun.js";
+
+export interface ProgressJournalOptions {
+  readonly writer: StampedWriter;
+  readonly clock: Clock;
+  /** Time for which changes are gathered, milliseconds: each append has a price. */
+  readonly gatherMs: number;
+}
+
+interface Flush {
+  readonly jobs: Set<JobRun>;
+  readonly kept: Promise<void>;
+}
+
+export class ProgressJournal {
+  private next: Flush | undefined;
+
+  constructor(private readonly options: ProgressJournalOptions) {}
+
+  /**
+   * Resolves once the store keeps the job's progress, as it is now or newer.
+   * Rejects when another leader has taken over.
+   */
+  record(job: JobRun): Promise<void> {
+    this.next ??= this.openFlush();
+    this.next.jobs.add(job);
+    return this.next.kept;
+  }
+
+  private openFlush(): Flush {
+    const jobs = new Set<JobRun>();
+    const { clock, gatherMs } = this.options;
+    const kept = new Promise<void>((resolve, reject) => {
+      clock.after(gatherMs, () => {
+        this.next = undefined;
+        this.write(jobs).then(resolve, reject);
+      });
+    });
+    return { jobs, kept };
+  }
+
+  private async write(jobs: ReadonlySet<JobRun>): Promise<void> {
+    const { writer } = this.options;
+    const writes = [...jobs].map((job) => {
+      const value = encodeProgress(job.toRecord());
+      return writer.write({ key: job.id, value }).kept;
+    });
+    await Promise.all(writes);
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -0,0 +1,57 @@
+/**
+ * Holds starts back after a change of leader until no run of the former leader
+ * can be hidden. Starts are not written down, so what runs is known only once
+ * each host of the roster has reported to this leader, after which it obeys no
+ * former one, or once every lease that a former leader could grant is over.
+ */
+
+import type { HostId, Monotonic } from "@rackspan/common";
+import { leaseOverBy } from "@rackspan/leadership";
+
+export interface TakeoverGateOptions {
+  readonly takenOverAt: Monotonic;
+  /** Hosts to which a former leader may have granted leases. */
+  readonly roster: Iterable<HostId>;
+  /** A former leader decides nothing later than this after the take-over. */
+  readonly leadershipTtlMs: number;
+  /** The longest lease that it may have granted until then. */
+  readonly leaseMs: number;
+}
+
+export class TakeoverGate {
+  private readonly silent: Set<HostId>;
+  /** From then on no former leader decides anything. */
+  private readonly authorityOverBy: Monotonic;
+  /** From then on nothing that a former leader started runs on a silent host. */
+  private readonly leasesOverBy: Monotonic;
+
+  constructor(options: TakeoverGateOptions) {
+    const { takenOverAt, roster, leadershipTtlMs, leaseMs } = options;
+    this.silent = new Set(roster);
+    this.authorityOverBy = takenOverAt + leadershipTtlMs;
+    this.leasesOverBy = leaseOverBy(this.authorityOverBy, leaseMs);
+  }
+
+  /** The host told what runs there, and obeys only this leader from now on. */
+  noteHeard(host: HostId): void {
+    this.silent.delete(host);
+  }
+
+  /** Hosts that were not heard yet. */
+  get silentHosts(): readonly HostId[] {
+    return [...this.silent];
+  }
+
+  isOpen(now: Monotonic): boolean {
+    return this.silent.size === 0 || now >= this.leasesOverBy;
+  }
+
+  /**
+   * Whether tasks of a job may be started that no host is known to run.
+   * @param firstSeenAt when this leader first read the job from the store
+   */
+  mayStart(firstSeenAt: Monotonic, now: Monotonic): boolean {
+    if (this.isOpen(now)) return true;
+    return firstSeenAt > this.authorityOverBy;
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/reconcileReport.ts
@@ -0,0 +1,79 @@
+/** Compares what a host reports with what the leader believes of it. */
+
+import type { Monotonic } from "@rackspan/common";
+import type { HostReport } from "@rackspan/protocol";
+import type { EndedRun, RunningTask } from "@rackspan/ports";
+import type { ActiveRun, HostLedger } from "./HostLedger.js";
+
+export interface ReportChanges {
+  /** Ends that were not taken note of before, in the worker's order. */
+  readonly ended: readonly EndedRun[];
+  /** Runs that neither run nor are listed as ended: lapsed, or never begun. */
+  readonly vanished: readonly ActiveRun[];
+  /** Runs that are confirmed for the first time. */
+  readonly confirmed: readonly ActiveRun[];
+  /** Tasks that run there and that the leader did not know of. */
+  readonly unknown: readonly RunningTask[];
+}
+
+/** A report that was taken later than the last answer about the run. */
+const isLaterThan = (report: HostReport, run: ActiveRun): boolean =>
+  run.answeredAt !== undefined && report.at > run.answeredAt;
+
+const hasVanished = (report: HostReport, run: ActiveRun): boolean => {
+  switch (run.phase) {
+    case "starting":
+      return false;
+    case "unsure":
+      return report.at > run.orderLapsesAt;
+    case "running":
+    case "stopping":
+      return isLaterThan(report, run);
+  }
+};
+
+const noteReading = (
+  run: ActiveRun,
+  row: RunningTask,
+  now: Monotonic,
+): void => {
+  if (row.progressPercent > run.progressPercent) run.progressedAt = now;
+  run.progressPercent = row.progressPercent;
+  run.reading = row.reading;
+  if (row.checkpoint !== "") run.task.checkpoint = row.checkpoint;
+};
+
+/** Brings the ledger's runs up to date; what needs a decision is returned. */
+export const reconcileReport = (
+  ledger: HostLedger,
+  report: HostReport,
+  now: Monotonic,
+): ReportChanges => {
+  const ended = report.ended
+    .filter(({ number }) => number > ledger.notedEnds)
+    .sort((a, b) => a.number - b.number);
+  const endedRuns = new Set(ended.map(({ task, run }) => `${task}#${run}`));
+  const rows = new Map(report.running.map((row) => [row.task, row]));
+  const vanished: ActiveRun[] = [];
+  const confirmed: ActiveRun[] = [];
+  for (const run of ledger.runs.values()) {
+    const row = rows.get(run.task.id);
+    if (row?.run === run.run) {
+      rows.delete(run.task.id);
+      noteReading(run, row, now);
+      run.answeredAt = report.at;
+      if (run.phase === "starting" || run.phase === "unsure") {
+        run.phase = "running";
+        confirmed.push(run);
+      }
+      continue;
+    }
+    if (endedRuns.has(`${run.task.id}#${run.run}`)) continue;
+    if (hasVanished(report, run)) vanished.push(run);
+  }
+  const last = ended.at(-1);
+  if (last) ledger.notedEnds = last.number;
+  ledger.reportedAt = report.at;
+  ledger.heardAt = now;
+  return { ended, vanished, confirmed, unknown: [...rows.values()] };
+};
--- a/packages/leadership/src/leaseBounds.ts
+++ b/packages/leadership/src/leaseBounds.ts
@@ -16,5 +16,8 @@
  * When a lease of `leaseMs`, counted from a clock reading that was received at
  * `receivedAt`, is over for certain, on the receiver's clock.
  */
-export const leaseOverBy = (receivedAt: Monotonic, leaseMs: number): Monotonic =>
+export const leaseOverBy = (
+  receivedAt: Monotonic,
+  leaseMs: number,
+): Monotonic =>
   receivedAt + leaseMs * (1 + LEASE.workerClockDrift) + LEASE.marginMs;
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -5,5 +5,6 @@
 export * from "./logService.js";
 export * from "./platformClients.js";
 export * from "./recordStore.js";
+export * from "./storeClients.js";
 export * from "./taskHost.js";
 export * from "./worker.js";
--- a/packages/protocol/src/LineConnection.ts
+++ b/packages/protocol/src/LineConnection.ts
@@ -118,7 +118,9 @@
     const { clock } = this.options;
     let cancelTimer = (): void => undefined;
     const timedOut = new Promise<never>((_, reject) => {
-      const err = new LostAnswerError(`${method}: no answer in ${timeoutMs} ms`);
+      const err = new LostAnswerError(
+        `${method}: no answer in ${timeoutMs} ms`,
+      );
       const timer = clock.after(timeoutMs, () => reject(err));
       cancelTimer = () => timer.cancel();
     });
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -150,7 +150,9 @@
   /** Tells what runs that the side did not start itself are. */
   describe: {
     params: z.object({
-      tasks: z.array(z.object({ task: idSchema<JobTaskId>(), nature: natureSchema })),
+      tasks: z.array(
+        z.object({ task: idSchema<JobTaskId>(), nature: natureSchema }),
+      ),
     }),
     result: z.object({}),
   },
--- a/packages/protocol/src/rpc.ts
+++ b/packages/protocol/src/rpc.ts
@@ -49,7 +49,10 @@
   remedy: z.string(),
 });
 
-export const errorResponse = (id: JSONRPCID, error: unknown): JSONRPCErrorResponse => {
+export const errorResponse = (
+  id: JSONRPCID,
+  error: unknown,
+): JSONRPCErrorResponse => {
   if (error instanceof RackspanError) {
     const { kind, what, remedy } = error;
     const data = { kind, what, remedy };
--- a/packages/routing/src/OutlierEjector.ts
+++ b/packages/routing/src/OutlierEjector.ts
@@ -17,6 +17,9 @@
   readonly maxEjectedShare: number;
 }
 
+/** All that ejection rests on; what else a report says is passed over. */
+type HostOutcome = Pick<AttemptReport, "host" | "ok"> & Partial<AttemptReport>;
+
 interface Health {
   failuresInRow: number;
   ejections: number;
@@ -37,7 +40,7 @@
 
   constructor(private readonly options: OutlierEjectorOptions) {}
 
-  report({ host, ok }: AttemptReport): void {
+  report({ host, ok }: HostOutcome): void {
     const health = this.health.get(host) ?? fresh();
     this.health.set(host, health);
     if (ok) {
--- /dev/null
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -0,0 +1,202 @@
+/** Starts waiting tasks on hosts with room, in the order of work. */
+
+import type { HostLedger, JobRun, JobTask, StepRun } from "@rackspan/jobs";
+import type { OutlierEjector } from "@rackspan/routing";
+import {
+  ENGINE,
+  type EngineOptions,
+  type HostEntry,
+  type LiveJob,
+} from "./engineTypes.js";
+import type { HostBook } from "./HostBook.js";
+import type { RunControl } from "./RunControl.js";
+import type { Candidate, StepOrder } from "./stepOrders.js";
+import type { TaskPlacer } from "./taskPlacers.js";
+
+export interface DispatcherOptions {
+  readonly engine: EngineOptions;
+  readonly hosts: HostBook;
+  readonly runs: RunControl;
+  readonly order: StepOrder;
+  readonly placer: TaskPlacer;
+  readonly ejector: OutlierEjector;
+  /** Jobs that may have tasks to start; a pass drops those that have none. */
+  readonly active: Set<LiveJob>;
+}
+
+export class Dispatcher {
+  private passDue = false;
+
+  constructor(private readonly options: DispatcherOptions) {}
+
+  /** Makes a pass soon; many requests make one pass. */
+  requestPass(): void {
+    if (this.passDue) return;
+    this.passDue = true;
+    this.options.engine.clock.after(ENGINE.passFloorMs, () => {
+      this.passDue = false;
+      this.pass();
+    });
+  }
+
+  private pass(): void {
+    const { engine, order } = this.options;
+    if (!engine.mayDecide()) return;
+    const began = engine.clock.monotonic();
+    const now = engine.clock.now();
+    const candidates = order.sort(this.candidates(now), now);
+    const hostsByService = this.usableHosts();
+    for (const { step } of candidates) {
+      const service = this.serviceOf(step.job);
+      this.placeStep(step, hostsByService.get(service) ?? []);
+    }
+    engine.metrics
+      .latency("dispatch_pass")
+      .record(engine.clock.monotonic() - began);
+  }
+
+  private candidates(now: number): Candidate[] {
+    const { engine, active } = this.options;
+    const monotonic = engine.clock.monotonic();
+    const candidates: Candidate[] = [];
+    for (const live of active) {
+      const { job, firstSeenAt } = live;
+      const steps = job.runnableSteps(now);
+      if (steps.length === 0) {
+        if (job.nextDueAt(now) === undefined) active.delete(live);
+        continue;
+      }
+      if (!engine.gate.mayStart(firstSeenAt, monotonic)) continue;
+      candidates.push(...steps.map((step) => ({ job, step })));
+    }
+    return candidates;
+  }
+
+  private serviceOf(job: JobRun): string {
+    const { serviceOf } = this.options.engine;
+    return serviceOf(job.accepted.spec.queue) ?? job.terms.service;
+  }
+
+  private usableHosts(): ReadonlyMap<string, readonly HostLedger[]> {
+    const { hosts, ejector } = this.options;
+    const byService = new Map<string, HostLedger[]>();
+    const usable = [...hosts.all()].filter((entry) => this.isUsable(entry));
+    const healthy = usable.filter(
+      ({ ledger }) => !ejector.isEjected(ledger.host),
+    );
+    for (const { ledger } of healthy.length > 0 ? healthy : usable) {
+      const { service } = ledger.worker;
+      const list = byService.get(service) ?? [];
+      list.push(ledger);
+      byService.set(service, list);
+    }
+    return byService;
+  }
+
+  private isUsable({ ledger, session, rostered }: HostEntry): boolean {
+    const { clock } = this.options.engine;
+    if (!session || !rostered || ledger.worker.draining) return false;
+    if (ledger.reportedAt === undefined) return false;
+    return clock.monotonic() - ledger.heardAt < ENGINE.quietMs;
+  }
+
+  private placeStep(step: StepRun, hosts: readonly HostLedger[]): void {
+    if (step.spec.gang) {
+      this.placeGang(step, hosts);
+      return;
+    }
+    const { placer, runs } = this.options;
+    for (const task of [...step.waiting]) {
+      const host = placer.pick(task, hosts);
+      // Tasks of a step ask for the same, but each avoids hosts of its own.
+      if (!host) break;
+      this.startOn(host, task, runs.nextRun());
+    }
+  }
+
+  /** Starts all tasks of the step under one run number, or none. */
+  private placeGang(step: StepRun, hosts: readonly HostLedger[]): void {
+    const waiting = [...step.waiting];
+    if (waiting.length < step.tasks.length - step.doneCount) return;
+    const chosen = this.chooseGangHosts(step, waiting, hosts);
+    if (!chosen) return;
+    const number = this.options.runs.nextRun();
+    for (const [task, host] of chosen) this.startOn(host, task, number);
+  }
+
+  private chooseGangHosts(
+    step: StepRun,
+    waiting: readonly JobTask[],
+    hosts: readonly HostLedger[],
+  ): Map<JobTask, HostLedger> | undefined {
+    if (!step.spec.sameRack) return chooseHosts(waiting, hosts);
+    for (const group of groupByRack(hosts)) {
+      const chosen = chooseHosts(waiting, group);
+      if (chosen) return chosen;
+    }
+    return chooseHosts(waiting, hosts);
+  }
+
+  private startOn(
+    host: HostLedger,
+    task: JobTask,
+    number: ReturnType<RunControl["nextRun"]>,
+  ): void {
+    const { hosts, runs } = this.options;
+    const entry = hosts.get(host.host);
+    if (entry) runs.start(entry, task, number);
+  }
+}
+
+/** Spreads tasks over hosts by what each would have left; undefined when one has no place. */
+const chooseHosts = (
+  tasks: readonly JobTask[],
+  hosts: readonly HostLedger[],
+): Map<JobTask, HostLedger> | undefined => {
+  const left = new Map(
+    hosts.map((host) => [
+      host,
+      {
+        milliCores:
+          host.worker.milliCores -
+          host.room.plainMilliCores -
+          host.room.servingMilliCores,
+        memoryMiB: host.worker.memoryMiB - host.room.memoryMiB,
+        accelerators: host.worker.accelerators - host.room.accelerators,
+        ofStep: 0,
+      },
+    ]),
+  );
+  const chosen = new Map<JobTask, HostLedger>();
+  for (const task of tasks) {
+    const { demand, filling, requiredLabel, maxPerHost } = task.step.spec;
+    const host = hosts.find((candidate) => {
+      const room = left.get(candidate);
+      if (!room || !candidate.hasLabel(requiredLabel)) return false;
+      if (maxPerHost > 0 && room.ofStep >= maxPerHost) return false;
+      return (
+        (filling || demand.milliCores <= room.milliCores) &&
+        demand.memoryMiB <= room.memoryMiB &&
+        demand.accelerators <= room.accelerators
+      );
+    });
+    const room = host && left.get(host);
+    if (!host || !room) return undefined;
+    room.milliCores -= filling ? 0 : demand.milliCores;
+    room.memoryMiB -= demand.memoryMiB;
+    room.accelerators -= demand.accelerators;
+    room.ofStep += 1;
+    chosen.set(task, host);
+  }
+  return chosen;
+};
+
+/** Racks are told by the last label of a host. */
+const groupByRack = (hosts: readonly HostLedger[]): HostLedger[][] => {
+  const groups = new Map<string, HostLedger[]>();
+  for (const host of hosts) {
+    const rack = host.worker.labels.at(-1) ?? "";
+    groups.set(rack, [...(groups.get(rack) ?? []), host]);
+  }
+  return [...groups.values()];
+};
--- /dev/null
+++ b/packages/scheduling/src/EstimateBook.ts
@@ -0,0 +1,73 @@
+/**
+ * Corrects what callers guess about run times by what their queue's tasks took.
+ * Soft state: a new leader starts without corrections.
+ */
+
+import type { JobRun, StepRun } from "@rackspan/jobs";
+import type { QueueKey } from "@rackspan/state";
+
+const ESTIMATES = {
+  /** Weight of one observation in the moving mean of the logarithm. */
+  weight: 0.05,
+  /** A single observation counts as at most this factor, either way. */
+  maxFactor: 8,
+} as const;
+
+export class EstimateBook {
+  /** Mean natural logarithm of (time taken / estimate), by queue. */
+  private readonly corrections = new Map<QueueKey, number>();
+
+  /** @param tookMs run time of one task that ended done */
+  note(step: StepRun, tookMs: number): void {
+    if (step.spec.estimateMs <= 0 || tookMs <= 0) return;
+    const limit = Math.log(ESTIMATES.maxFactor);
+    const seen = Math.log(tookMs / step.spec.estimateMs);
+    const bounded = Math.max(-limit, Math.min(limit, seen));
+    const { queue } = step.job.accepted.spec;
+    const before = this.corrections.get(queue) ?? 0;
+    this.corrections.set(queue, before + ESTIMATES.weight * (bounded - before));
+  }
+
+  /** Expected run time of one task, milliseconds. */
+  taskMs(step: StepRun): number {
+    const { queue } = step.job.accepted.spec;
+    const correction = Math.exp(this.corrections.get(queue) ?? 0);
+    return step.estimateMs * correction;
+  }
+
+  /** Core-milliseconds that the job still needs; lasting steps count nothing. */
+  remainingWork(job: JobRun): number {
+    let total = 0;
+    for (const step of job.steps) {
+      if (step.spec.lasting) continue;
+      const tasks = step.tasks.length - step.doneCount;
+      total += tasks * this.taskMs(step) * step.spec.demand.milliCores;
+    }
+    return total / 1_000;
+  }
+
+  /** Milliseconds of the longest chain of steps, as if each ran at once. */
+  chainMs(job: JobRun, occurrence: number): number {
+    return this.longestChain(job, occurrence, () => true);
+  }
+
+  /** Milliseconds of the longest chain of the steps that are not done yet. */
+  remainingChainMs(job: JobRun, occurrence: number): number {
+    return this.longestChain(job, occurrence, (step) => !step.isDone);
+  }
+
+  private longestChain(
+    job: JobRun,
+    occurrence: number,
+    counts: (step: StepRun) => boolean,
+  ): number {
+    const steps = job.steps.filter((step) => step.occurrence === occurrence);
+    const ends: number[] = [];
+    for (const step of steps) {
+      const before = step.spec.after.map((number) => ends[number] ?? 0);
+      const own = counts(step) ? this.taskMs(step) : 0;
+      ends[step.number] = Math.max(0, ...before) + own;
+    }
+    return Math.max(0, ...ends);
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/RunControl.ts
@@ -0,0 +1,184 @@
+/** Orders hosts to start and stop runs, and takes note of what they answer. */
+
+import {
+  describeError,
+  type RunNumber,
+  type WorkerTime,
+} from "@rackspan/common";
+import { leaseOverBy } from "@rackspan/leadership";
+import {
+  avoidHost,
+  natureOf,
+  type ActiveRun,
+  type HostLedger,
+  type JobTask,
+} from "@rackspan/jobs";
+import type { HostCallResult } from "@rackspan/protocol";
+import { ENGINE, type EngineOptions, type HostEntry } from "./engineTypes.js";
+import type { HostBook } from "./HostBook.js";
+
+export interface RunControlOptions extends EngineOptions {
+  readonly hosts: HostBook;
+  /** Called when room was freed or a task waits again. */
+  readonly onChange: () => void;
+}
+
+export class RunControl {
+  private started = 0;
+
+  constructor(private readonly options: RunControlOptions) {}
+
+  nextRun(): RunNumber {
+    this.started += 1;
+    const { epoch } = this.options;
+    return (epoch * ENGINE.runsPerEpoch + this.started) as unknown as RunNumber;
+  }
+
+  start(host: HostEntry, task: JobTask, number: RunNumber): void {
+    const { clock, hosts, leaseMs } = this.options;
+    const now = clock.monotonic();
+    const { ledger } = host;
+    const orderMs = Math.min(ENGINE.startLeaseMs, leaseMs);
+    const run: ActiveRun = {
+      task,
+      run: number,
+      phase: "starting",
+      startedAt: now,
+      answeredAt: undefined,
+      orderLapsesAt: (workerClock(ledger, now) + orderMs) as WorkerTime,
+      progressPercent: 0,
+      progressedAt: now,
+      reading: 0,
+      stopReason: undefined,
+    };
+    ledger.leaseOverBy = Math.max(
+      ledger.leaseOverBy,
+      leaseOverBy(now, orderMs),
+    );
+    task.step.job.notePlaced(task);
+    hosts.place(host, run);
+    void this.orderStart(host, run);
+  }
+
+  /** Orders a stop; its room is taken until the worker lists the end. */
+  stop(host: HostEntry, run: ActiveRun, reason: string): void {
+    if (run.phase === "stopping") return;
+    run.phase = "stopping";
+    run.stopReason = reason;
+    run.answeredAt = undefined;
+    this.options.metrics.count("task_stops", { reason });
+    void this.orderStop(host, run);
+  }
+
+  /** Repeats a stop that was not answered. */
+  async orderStop(host: HostEntry, run: ActiveRun): Promise<void> {
+    const { epoch, logger } = this.options;
+    const { ledger, session } = host;
+    if (!session) return;
+    const { task, run: number } = run;
+    const call = {
+      instance: ledger.instance,
+      epoch,
+      task: task.id,
+      run: number,
+    };
+    try {
+      const result = await session.stopTask(call);
+      if (result.kind === "ok") run.answeredAt = result.at;
+      logger.info("task.stop", {
+        task: task.id,
+        run: number,
+        host: ledger.host,
+        reason: run.stopReason,
+        result: result.kind,
+      });
+    } catch (err) {
+      const error = describeError(err);
+      logger.warn("task.stop-unanswered", {
+        task: task.id,
+        run: number,
+        error,
+      });
+    }
+  }
+
+  /** Frees a run that does not run and never will, and lets its task wait again. */
+  giveBack(host: HostEntry, run: ActiveRun): void {
+    const { hosts, onChange } = this.options;
+    hosts.release(host, run);
+    run.task.step.job.noteWaiting(run.task);
+    onChange();
+  }
+
+  private async orderStart(host: HostEntry, run: ActiveRun): Promise<void> {
+    const { epoch, logger, metrics, clock } = this.options;
+    const { ledger, session } = host;
+    const { task, run: number } = run;
+    const sentAt = clock.monotonic();
+    const job = task.step.job;
+    let result: HostCallResult;
+    try {
+      if (!session) throw new Error("the host is not attached");
+      result = await session.startTask({
+        instance: ledger.instance,
+        epoch,
+        task: task.id,
+        run: number,
+        spec: job.accepted.spec.payload,
+        leaseUntil: run.orderLapsesAt,
+        checkpoint: task.checkpoint,
+        nature: natureOf(task),
+      });
+    } catch (err) {
+      result = { kind: "silent" };
+      logger.warn("task.start-unanswered", {
+        task: task.id,
+        run: number,
+        host: ledger.host,
+        error: describeError(err),
+      });
+    }
+    metrics.latency("task_start").record(clock.monotonic() - sentAt);
+    metrics.count("task_starts", { result: result.kind });
+    logger.info("task.start", {
+      task: task.id,
+      run: number,
+      host: ledger.host,
+      result: result.kind,
+      reason: result.kind === "refused" ? result.reason : undefined,
+      checkpoint: task.checkpoint === "" ? undefined : task.checkpoint,
+      reportAge: Math.round(sentAt - ledger.heardAt),
+    });
+    this.noteStartResult(host, run, result);
+  }
+
+  private noteStartResult(
+    host: HostEntry,
+    run: ActiveRun,
+    result: HostCallResult,
+  ): void {
+    if (run.phase !== "starting") return;
+    switch (result.kind) {
+      case "ok":
+        run.phase = "running";
+        run.answeredAt = result.at;
+        return;
+      case "silent":
+        run.phase = "unsure";
+        return;
+      case "replaced":
+      case "draining":
+        this.giveBack(host, run);
+        return;
+      case "refused":
+        if (result.reason === "unhealthy")
+          avoidHost(run.task, host.ledger.host);
+        this.giveBack(host, run);
+        return;
+    }
+  }
+}
+
+/** The worker's clock as it can be told from its last report. */
+const workerClock = (ledger: HostLedger, now: number): number =>
+  Math.floor((ledger.reportedAt ?? 0) + (now - ledger.heardAt));
--- /dev/null
+++ b/packages/scheduling/src/engineTypes.ts
@@ -0,0 +1,87 @@
+/** What the parts of the job engine share. */
+
+import type {
+  Clock,
+  Epoch,
+  HostId,
+  Logger,
+  Metrics,
+  Monotonic,
+  ServiceName,
+} from "@rackspan/common";
+import type {
+  ActiveRun,
+  HostLedger,
+  JobRun,
+  ProgressJournal,
+  TakeoverGate,
+} from "@rackspan/jobs";
+import type { QueueKey } from "@rackspan/state";
+import type { HostSession } from "./HostSession.js";
+
+export const ENGINE = {
+  /** An order to start that has not been carried out after this lapses; worker's clock. */
+  startLeaseMs: 2_500,
+  /** Time for a host's answer to an order; its side repeats calls to the worker within it. */
+  orderTimeoutMs: 1_800,
+  /** A host that is silent this long gets no new tasks. */
+  quietMs: 1_600,
+  /** Least time between two passes over the waiting work. */
+  passFloorMs: 8,
+  /** How often timers of the engine are looked at. */
+  tickMs: 250,
+  /** Runs of one leader; run numbers of a later one are all higher. */
+  runsPerEpoch: 2 ** 20,
+  /** A plain task that gains no percent for this long is moved. */
+  stallMs: 3_000,
+  /** The same for filling tasks, which may be slowed down to nothing for a while. */
+  fillingStallMs: 7_000,
+} as const;
+
+/** Keeps the list of hosts to which leases may have been granted. */
+export interface HostRoster {
+  /** Resolves once the store keeps the host. */
+  add(host: HostId): Promise<void>;
+  remove(host: HostId): void;
+  has(host: HostId): boolean;
+}
+
+export interface EngineOptions {
+  readonly epoch: Epoch;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly journal: ProgressJournal;
+  readonly roster: HostRoster;
+  readonly gate: TakeoverGate;
+  /** Name of the order of work; see stepOrders. */
+  readonly order: string;
+  /** Name of the placer of tasks; see taskPlacers. */
+  readonly placer: string;
+  /** Longest lease of a worker, milliseconds of its clock. */
+  readonly leaseMs: number;
+  /** Time that a worker may take to stop a task, milliseconds. */
+  readonly stopMs: number;
+  /** Whether this process may still decide. */
+  readonly mayDecide: () => boolean;
+  /** The service whose hosts run the queue's tasks now; undefined when it is dropped. */
+  readonly serviceOf: (queue: QueueKey) => ServiceName | undefined;
+}
+
+/** A host with the connection to its side, when there is one. */
+export interface HostEntry {
+  readonly ledger: HostLedger;
+  session: HostSession | undefined;
+  /** Whether the store keeps the host in the roster. */
+  rostered: boolean;
+}
+
+export interface LiveJob {
+  readonly job: JobRun;
+  readonly firstSeenAt: Monotonic;
+}
+
+export interface PlacedRun {
+  readonly host: HostEntry;
+  readonly run: ActiveRun;
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,6 +1,15 @@
+import "./baselineTaskPlacers.js";
 import "./bestFitPlacer.js";
+import "./byAgeOrder.js";
+import "./bySlackOrder.js";
+import "./colocatingTaskPlacer.js";
 import "./firstFitPlacer.js";
 import "./leastLoadedPlacer.js";
 import "./spreadPlacer.js";
 
+export { ENGINE, type EngineOptions, type HostRoster } from "./engineTypes.js";
+export type { HostSession, StopTaskCall } from "./HostSession.js";
+export { JobEngine } from "./JobEngine.js";
 export { placers, type PlacerOptions } from "./placers.js";
+export { stepOrders, type Candidate, type StepOrder } from "./stepOrders.js";
+export { taskPlacers, type TaskPlacer } from "./taskPlacers.js";
--- /dev/null
+++ b/packages/scheduling/src/taskPlacers.ts
@@ -0,0 +1,57 @@
+/** The plug-in point for placing the tasks of jobs, and what all placers share. */
+
+import { Registry } from "@rackspan/common";
+import type { HostLedger, JobTask } from "@rackspan/jobs";
+
+export interface TaskPlacer {
+  /**
+   * @param hosts hosts in service; those without room are among them
+   * @returns undefined when none can take the task now
+   */
+  pick(task: JobTask, hosts: readonly HostLedger[]): HostLedger | undefined;
+}
+
+export type TaskPlacerOptions = Readonly<Record<string, never>>;
+
+export const taskPlacers = new Registry<TaskPlacerOptions, TaskPlacer>(
+  "placer of tasks",
+);
+
+/** Thousandths of a core that no reservation holds; filling tasks hold none. */
+export const unreservedMilliCores = ({ worker, room }: HostLedger): number =>
+  worker.milliCores - room.plainMilliCores - room.servingMilliCores;
+
+/** Whether the worker would take the task by its own rules of room. */
+export const hasRoomFor = (task: JobTask, host: HostLedger): boolean => {
+  const { demand, filling } = task.step.spec;
+  const { worker, room } = host;
+  if (room.memoryMiB + demand.memoryMiB > worker.memoryMiB) return false;
+  const accelerators = room.accelerators + demand.accelerators;
+  if (accelerators > worker.accelerators) return false;
+  return filling || demand.milliCores <= unreservedMilliCores(host);
+};
+
+/** Whether the step's own rules let the task run there. */
+export const isAllowedOn = (task: JobTask, host: HostLedger): boolean => {
+  const { requiredLabel, maxPerHost } = task.step.spec;
+  if (!host.hasLabel(requiredLabel)) return false;
+  return maxPerHost === 0 || host.countOfStep(task.step) < maxPerHost;
+};
+
+/** The allowed host with room that has the highest score. */
+export const pickByScore = (
+  task: JobTask,
+  hosts: readonly HostLedger[],
+  score: (host: HostLedger) => number,
+): HostLedger | undefined => {
+  let best: HostLedger | undefined;
+  let bestScore = -Infinity;
+  for (const host of hosts) {
+    if (!isAllowedOn(task, host) || !hasRoomFor(task, host)) continue;
+    const value = score(host);
+    if (value <= bestScore) continue;
+    best = host;
+    bestScore = value;
+  }
+  return best;
+};
--- a/packages/side/src/index.ts
+++ b/packages/side/src/index.ts
@@ -8,3 +8,4 @@
 export * from "./StatusBoard.js";
 export * from "./TaskHolder.js";
 export * from "./taskIdentity.js";
+export * from "./jobs/index.js";
--- /dev/null
+++ b/packages/side/src/jobs/LeaderFinder.ts
@@ -0,0 +1,49 @@
+/**
+ * Finds the entry that leads: first by the store, which knows the owner of the
+ * leadership partition, then by the entries named in the settings, one of which
+ * may still lead while the store is away.
+ */
+
+import { describeError, type Clock, type Logger } from "@rackspan/common";
+import { ELECTION, parseMember } from "@rackspan/leadership";
+import type { GroupMembership, TopicName } from "@rackspan/ports";
+
+export interface LeaderFinderOptions {
+  readonly membership: GroupMembership;
+  readonly topic: TopicName;
+  /** `IP:PORT` of entries, some of which may be gone. */
+  readonly knownEntries: readonly string[];
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export class LeaderFinder {
+  private nextKnown = 0;
+  private storeAnswers = true;
+
+  constructor(private readonly options: LeaderFinderOptions) {}
+
+  /** `IP:PORT` of the likeliest leader; undefined when there is none now. */
+  async find(): Promise<string | undefined> {
+    const { membership, topic, logger } = this.options;
+    try {
+      const owner = await membership.owner(ELECTION.group, topic);
+      if (!this.storeAnswers) logger.info("store.regained", {});
+      this.storeAnswers = true;
+      return owner === undefined ? undefined : parseMember(owner)?.address;
+    } catch (err) {
+      if (this.storeAnswers) {
+        logger.warn("store.lost", { error: describeError(err) });
+      }
+      this.storeAnswers = false;
+      return this.nextKnownEntry();
+    }
+  }
+
+  private nextKnownEntry(): string | undefined {
+    const { knownEntries } = this.options;
+    if (knownEntries.length === 0) return undefined;
+    this.nextKnown = (this.nextKnown + 1) % knownEntries.length;
+    return knownEntries[this.nextKnown];
+  }
+}
--- /dev/null
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -0,0 +1,245 @@
+/**
+ * Keeps one connection to the leading entry: attaches, reports what the worker
+ * shows, takes leases and orders. One task, for as long as the process runs.
+ */
+
+import { connect, type Socket } from "node:net";
+import {
+  describeError,
+  sleep,
+  type AvailabilityZone,
+  type Clock,
+  type HostId,
+  type Logger,
+  type Monotonic,
+} from "@rackspan/common";
+import {
+  hostMethods,
+  leaderMethods,
+  LineConnection,
+  type Grant,
+} from "@rackspan/protocol";
+import type { LeaderFinder } from "./LeaderFinder.js";
+import type { Pacer } from "./Pacer.js";
+import type { TaskOrders } from "./TaskOrders.js";
+import type { WorkerRegistry } from "./WorkerRegistry.js";
+import type { Sighting, WorkerWatch } from "./WorkerWatch.js";
+
+const LINK = {
+  /** Between two looks for a leader. */
+  findEveryMs: 200,
+  connectTimeoutMs: 600,
+  callTimeoutMs: 1_200,
+  /** A report at least this often: it renews the lease. */
+  reportEveryMs: 500,
+  /** Least time between two reports, so that ends are told together. */
+  reportFloorMs: 12,
+  /** A connection without a byte for this long is closed. */
+  silenceMs: 4_000,
+  /** Unanswered reports in a row after which another leader is looked for. */
+  maxUnanswered: 2,
+} as const;
+
+type LeaderConnection = LineConnection<
+  typeof hostMethods,
+  typeof leaderMethods
+>;
+
+export interface LeaderLinkOptions {
+  readonly host: HostId;
+  readonly availabilityZone: AvailabilityZone;
+  readonly finder: LeaderFinder;
+  readonly registry: WorkerRegistry;
+  readonly watch: WorkerWatch;
+  readonly orders: TaskOrders;
+  readonly pacer: Pacer;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export class LeaderLink {
+  private readonly abort = new AbortController();
+  private connection: LeaderConnection | undefined;
+  private reportedAt: Monotonic = -Infinity;
+  private task: Promise<void> | undefined;
+
+  constructor(private readonly options: LeaderLinkOptions) {}
+
+  start(): void {
+    this.task ??= this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.abort.abort();
+    this.connection?.close("stopping");
+    this.options.watch.news.notify();
+    await this.task;
+  }
+
+  private async run(): Promise<void> {
+    const { finder, clock } = this.options;
+    while (!this.abort.signal.aborted) {
+      const address = await finder.find();
+      if (address !== undefined) await this.serve(address);
+      await sleep(clock, LINK.findEveryMs, this.abort.signal).catch(noop);
+    }
+  }
+
+  /** Attaches to the entry and reports for as long as it answers. */
+  private async serve(address: string): Promise<void> {
+    const { host, availabilityZone, watch, logger } = this.options;
+    let reason: string;
+    try {
+      const connection = await this.open(address);
+      const { epoch } = await connection.call(
+        "attach",
+        { host, availabilityZone },
+        LINK.callTimeoutMs,
+      );
+      if (epoch < (watch.currentEpoch ?? 0)) {
+        connection.close("an older leader");
+        return;
+      }
+      logger.info("leader.attached", { leader: address, epoch });
+      watch.raiseEpoch(epoch);
+      reason = await this.reportWhileOpen(connection);
+    } catch (err) {
+      reason = describeError(err);
+    }
+    this.connection?.close(reason);
+    this.connection = undefined;
+    logger.info("leader.detached", { leader: address, reason });
+  }
+
+  private async open(address: string): Promise<LeaderConnection> {
+    const { clock, logger } = this.options;
+    const socket = await openSocket(address, LINK.connectTimeoutMs);
+    this.connection = new LineConnection({
+      socket,
+      serves: hostMethods,
+      calls: leaderMethods,
+      handlers: this.handlers(),
+      silenceMs: LINK.silenceMs,
+      clock,
+      logger,
+    });
+    return this.connection;
+  }
+
+  private handlers(): ConstructorParameters<
+    typeof LineConnection<typeof hostMethods, typeof leaderMethods>
+  >[0]["handlers"] {
+    const { orders, watch, pacer } = this.options;
+    return {
+      startTask: (call) => orders.start(call),
+      stopTask: (call) => orders.stop(call),
+      acknowledge: ({ instance, acknowledged }) => {
+        watch.acknowledge(instance, acknowledged);
+        return {};
+      },
+      describe: ({ tasks }) => {
+        for (const { task, nature } of tasks) pacer.describe(task, nature);
+        return {};
+      },
+    };
+  }
+
+  /** @returns why it ended */
+  private async reportWhileOpen(connection: LeaderConnection): Promise<string> {
+    const { clock, watch } = this.options;
+    let lastSent: Sighting | undefined;
+    let unanswered = 0;
+    while (connection.isOpen && !this.abort.signal.aborted) {
+      const { sighting } = watch;
+      const isDue = this.isDue(sighting, lastSent);
+      if (sighting && isDue) {
+        lastSent = sighting;
+        unanswered = (await this.report(connection, sighting))
+          ? 0
+          : unanswered + 1;
+        if (unanswered >= LINK.maxUnanswered) return "reports unanswered";
+        await sleep(clock, LINK.reportFloorMs);
+        continue;
+      }
+      await Promise.race([
+        watch.news.wait(clock, LINK.reportEveryMs / 4),
+        connection.closed,
+      ]);
+    }
+    return connection.isOpen ? "stopping" : await connection.closed;
+  }
+
+  private isDue(
+    sighting: Sighting | undefined,
+    lastSent: Sighting | undefined,
+  ): boolean {
+    if (!sighting || sighting === lastSent) return false;
+    if (!lastSent) return true;
+    const { clock, watch, registry } = this.options;
+    const lastEnd = lastSent.answer.ended.at(-1)?.number ?? 0;
+    const hasNewEnds = watch.unacknowledged.some(
+      ({ number }) => number > lastEnd,
+    );
+    const worker = registry.worker;
+    if (hasNewEnds || sighting.instance !== lastSent.instance) return true;
+    const everyMs = worker?.draining
+      ? LINK.reportEveryMs / 2
+      : LINK.reportEveryMs;
+    return clock.monotonic() - this.reportedAt >= everyMs;
+  }
+
+  /** @returns whether the leader answered */
+  private async report(
+    connection: LeaderConnection,
+    { instance, answer }: Sighting,
+  ): Promise<boolean> {
+    const { registry, watch, clock, logger } = this.options;
+    const { worker } = registry;
+    if (worker?.instance !== instance) return true;
+    this.reportedAt = clock.monotonic();
+    const params = {
+      worker,
+      at: answer.at,
+      running: [...answer.running],
+      ended: [...watch.unacknowledged],
+    };
+    try {
+      const grant = await connection.call("report", params, LINK.callTimeoutMs);
+      this.take(instance, grant);
+      return true;
+    } catch (err) {
+      logger.warn("report.unanswered", { error: describeError(err) });
+      return false;
+    }
+  }
+
+  private take(instance: Sighting["instance"], grant: Grant): void {
+    const { watch } = this.options;
+    if (grant.leaseUntil !== undefined) watch.grant(instance, grant.leaseUntil);
+    watch.acknowledge(instance, grant.acknowledged);
+  }
+}
+
+const openSocket = (address: string, timeoutMs: number): Promise<Socket> =>
+  new Promise((resolve, reject) => {
+    const at = address.lastIndexOf(":");
+    const host = address.slice(0, at);
+    const port = Number(address.slice(at + 1));
+    const socket = connect({ host, port });
+    const timer = setTimeout(
+      () => socket.destroy(new Error(`no connection in ${timeoutMs} ms`)),
+      timeoutMs,
+    );
+    const fail = (err: Error): void => {
+      clearTimeout(timer);
+      reject(err);
+    };
+    socket.once("error", fail);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      socket.off("error", fail);
+      resolve(socket);
+    });
+  });
+
+const noop = (): void => undefined;
--- /dev/null
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -0,0 +1,138 @@
+/** Carries the leader's orders out at the worker; calls without an answer are repeated. */
+
+import {
+  describeError,
+  type Clock,
+  type Epoch,
+  type JobTaskId,
+  type Logger,
+  type Metrics,
+  type RunNumber,
+  type WorkerInstance,
+} from "@rackspan/common";
+import {
+  TaskRefusedError,
+  WorkerReplacedError,
+  WorkerSilentError,
+  type TaskHost,
+} from "@rackspan/ports";
+import type { HostCallResult, StartTaskCall } from "@rackspan/protocol";
+import type { Pacer } from "./Pacer.js";
+import type { WorkerRegistry } from "./WorkerRegistry.js";
+import type { WorkerWatch } from "./WorkerWatch.js";
+
+const ORDERS = {
+  /** Calls to the worker are repeated for this long; the leader waits a little longer. */
+  repeatForMs: 1_300,
+} as const;
+
+export interface StopCall {
+  readonly instance: WorkerInstance;
+  readonly epoch: Epoch;
+  readonly task: JobTaskId;
+  readonly run: RunNumber;
+}
+
+export interface TaskOrdersOptions {
+  readonly host: TaskHost;
+  readonly registry: WorkerRegistry;
+  readonly watch: WorkerWatch;
+  readonly pacer: Pacer;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+export class TaskOrders {
+  constructor(private readonly options: TaskOrdersOptions) {}
+
+  async start(call: StartTaskCall): Promise<HostCallResult> {
+    const refusal = this.refusal(call.epoch, call.instance);
+    if (refusal) return this.note("start", call, refusal);
+    const { registry, host, pacer } = this.options;
+    if (registry.worker?.draining) {
+      return this.note("start", call, { kind: "draining" });
+    }
+    pacer.describe(call.task, call.nature);
+    const { instance, ...order } = call;
+    const result = await this.repeat(instance, async () => {
+      const outcome = await host.start(instance, order);
+      return outcome.kind === "started"
+        ? { kind: "ok", at: outcome.at }
+        : { kind: "refused", reason: outcome.reason };
+    });
+    return this.note("start", call, result);
+  }
+
+  async stop(call: StopCall): Promise<HostCallResult> {
+    const refusal = this.refusal(call.epoch, call.instance);
+    if (refusal) return this.note("stop", call, refusal);
+    const { host } = this.options;
+    const result = await this.repeat(call.instance, async () => {
+      const at = await host.stop(call.instance, call, call.epoch);
+      return { kind: "ok", at };
+    });
+    return this.note("stop", call, result);
+  }
+
+  private refusal(
+    epoch: Epoch,
+    instance: WorkerInstance,
+  ): HostCallResult | undefined {
+    const { watch, registry } = this.options;
+    if (epoch < (watch.currentEpoch ?? 0)) {
+      return { kind: "refused", reason: "fenced" };
+    }
+    const { worker } = registry;
+    if (worker && worker.instance !== instance) return { kind: "replaced" };
+    return undefined;
+  }
+
+  private async repeat(
+    instance: WorkerInstance,
+    call: () => Promise<HostCallResult>,
+  ): Promise<HostCallResult> {
+    const { clock, registry } = this.options;
+    const giveUpAt = clock.monotonic() + ORDERS.repeatForMs;
+    for (;;) {
+      try {
+        return await call();
+      } catch (err) {
+        if (err instanceof WorkerReplacedError) {
+          registry.noteGone(instance, "another life answers");
+          return { kind: "replaced" };
+        }
+        if (err instanceof TaskRefusedError) {
+          return {
+            kind: "refused",
+            reason: err.fenced ? "fenced" : "unhealthy",
+          };
+        }
+        if (!(err instanceof WorkerSilentError)) throw err;
+        if (clock.monotonic() >= giveUpAt) {
+          this.options.logger.warn("worker.silent", {
+            error: describeError(err),
+          });
+          return { kind: "silent" };
+        }
+      }
+    }
+  }
+
+  private note(
+    order: "start" | "stop",
+    { task, run, epoch }: StopCall,
+    result: HostCallResult,
+  ): HostCallResult {
+    const { logger, metrics } = this.options;
+    metrics.count("worker_orders", { order, result: result.kind });
+    logger.info(`order.${order}`, {
+      task,
+      run,
+      epoch,
+      result: result.kind,
+      reason: result.kind === "refused" ? result.reason : undefined,
+    });
+    return result;
+  }
+}
--- /dev/null
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -0,0 +1,194 @@
+/**
+ * Looks at the worker all the time: renews its lease with what the leader has
+ * granted, and keeps the newest lists of what runs and what ended there.
+ */
+
+import {
+  ChangeSignal,
+  describeError,
+  sleep,
+  type Clock,
+  type Epoch,
+  type Logger,
+  type Monotonic,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+import {
+  WorkerReplacedError,
+  TaskRefusedError,
+  type EndedRun,
+  type HoldAnswer,
+  type TaskHost,
+} from "@rackspan/ports";
+import type { Pacer } from "./Pacer.js";
+import { PACING } from "./Pacer.js";
+import type { WorkerRegistry } from "./WorkerRegistry.js";
+
+const WATCH = {
+  /** Pause while there is no worker or no leader, and after a failure. */
+  idleMs: 100,
+  /** Pause while ends are listed that the leader has not acknowledged. */
+  unacknowledgedMs: 40,
+} as const;
+
+/** What one look at the worker has shown. */
+export interface Sighting {
+  readonly instance: WorkerInstance;
+  /** The epoch that the worker had heard by then. */
+  readonly epoch: Epoch;
+  readonly answer: HoldAnswer;
+}
+
+export interface WorkerWatchOptions {
+  readonly registry: WorkerRegistry;
+  readonly host: TaskHost;
+  readonly pacer: Pacer;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export class WorkerWatch {
+  /** Notified at the first look under an epoch, and when ends were listed. */
+  readonly news = new ChangeSignal();
+  private readonly abort = new AbortController();
+  private readonly wake = new ChangeSignal();
+  private epoch: Epoch | undefined;
+  private lastSighting: Sighting | undefined;
+  private leaseUntil: WorkerTime | undefined;
+  private acknowledged = 0;
+  private highestEnd = 0;
+  private pacedAt: Monotonic = -Infinity;
+  private answering = true;
+  private task: Promise<void> | undefined;
+
+  constructor(private readonly options: WorkerWatchOptions) {}
+
+  start(): void {
+    this.task ??= this.run();
+  }
+
+  async stop(): Promise<void> {
+    this.abort.abort();
+    this.wake.notify();
+    await this.task;
+  }
+
+  /** The newest sighting under the current epoch. */
+  get sighting(): Sighting | undefined {
+    const seen = this.lastSighting;
+    const { worker } = this.options.registry;
+    if (!seen || seen.epoch !== this.epoch) return undefined;
+    return seen.instance === worker?.instance ? seen : undefined;
+  }
+
+  get currentEpoch(): Epoch | undefined {
+    return this.epoch;
+  }
+
+  /** Obeys this epoch from now on, and no lower one. */
+  raiseEpoch(epoch: Epoch): void {
+    if (this.epoch !== undefined && epoch <= this.epoch) return;
+    this.epoch = epoch;
+    this.wake.notify();
+  }
+
+  /** The leader lets the worker's tasks run until then. */
+  grant(instance: WorkerInstance, leaseUntil: WorkerTime): void {
+    if (this.lastSighting?.instance !== instance) return;
+    this.leaseUntil = leaseUntil;
+  }
+
+  /** The store keeps all ends up to this number. */
+  acknowledge(instance: WorkerInstance, acknowledged: number): void {
+    if (this.lastSighting?.instance !== instance) return;
+    if (acknowledged <= this.acknowledged) return;
+    this.acknowledged = acknowledged;
+    this.wake.notify();
+  }
+
+  /** Ends that were not acknowledged, of the newest sighting. */
+  get unacknowledged(): readonly EndedRun[] {
+    const ended = this.sighting?.answer.ended ?? [];
+    return ended.filter(({ number }) => number > this.acknowledged);
+  }
+
+  private async run(): Promise<void> {
+    const { clock, registry } = this.options;
+    while (!this.abort.signal.aborted) {
+      const { worker } = registry;
+      if (!worker || this.epoch === undefined) {
+        await this.wake.wait(clock, WATCH.idleMs);
+        continue;
+      }
+      const seen = await this.look(worker.instance, this.epoch);
+      if (!seen) {
+        await sleep(clock, WATCH.idleMs, this.abort.signal).catch(noop);
+      } else if (this.unacknowledged.length > 0) {
+        await this.wake.wait(clock, WATCH.unacknowledgedMs);
+      }
+    }
+  }
+
+  private async look(instance: WorkerInstance, epoch: Epoch): Promise<boolean> {
+    const { host, registry } = this.options;
+    if (this.lastSighting && this.lastSighting.instance !== instance) {
+      this.forget();
+    }
+    const isFirst = this.sighting === undefined;
+    try {
+      const answer = await host.hold(instance, {
+        epoch,
+        acknowledged: this.acknowledged,
+        leaseUntil: this.leaseUntil,
+        waitMs: isFirst ? 0 : PACING.everyMs,
+      });
+      this.take({ instance, epoch, answer }, isFirst);
+      return true;
+    } catch (err) {
+      if (err instanceof WorkerReplacedError) {
+        registry.noteGone(instance, "another life answers");
+      }
+      this.noteFailure(err);
+      return false;
+    }
+  }
+
+  private take(seen: Sighting, isFirst: boolean): void {
+    const { pacer, clock, logger } = this.options;
+    if (!this.answering) {
+      this.answering = true;
+      logger.info("worker.regained", { instance: seen.instance });
+    }
+    this.lastSighting = seen;
+    const last = seen.answer.ended.at(-1)?.number ?? 0;
+    const hasNewEnds = last > this.highestEnd;
+    this.highestEnd = Math.max(this.highestEnd, last);
+    const now = clock.monotonic();
+    if (now - this.pacedAt >= PACING.everyMs) {
+      this.pacedAt = now;
+      pacer.adjust(seen.instance, seen.epoch, seen.answer.running);
+    }
+    if (isFirst || hasNewEnds) this.news.notify();
+  }
+
+  private noteFailure(err: unknown): void {
+    const { logger } = this.options;
+    if (err instanceof TaskRefusedError && err.fenced) {
+      logger.info("worker.fenced-us", { epoch: this.epoch });
+    }
+    if (!this.answering) return;
+    this.answering = false;
+    logger.warn("worker.lost", { error: describeError(err) });
+  }
+
+  /** Another life of the worker: its numbers and its clock begin anew. */
+  private forget(): void {
+    this.lastSighting = undefined;
+    this.leaseUntil = undefined;
+    this.acknowledged = 0;
+    this.highestEnd = 0;
+  }
+}
+
+const noop = (): void => undefined;
--- /dev/null
+++ b/packages/side/src/jobs/settings.ts
@@ -0,0 +1,36 @@
+/** Settings of a side process that runs the tasks of jobs. */
+
+import { z } from "zod";
+import {
+  endpointSchema,
+  idSchema,
+  listenAddressSchema,
+  type AvailabilityZone,
+  type HostId,
+} from "@rackspan/common";
+
+const portSchema = z.number().int().min(0).max(65_535);
+
+export const jobSideSettingsSchema = z.strictObject({
+  host: idSchema<HostId>(),
+  availabilityZone: idSchema<AvailabilityZone>(),
+  /** The plug-ins that speak to the platform. */
+  platform: z.strictObject({
+    client: z.string().min(1),
+    store: endpointSchema,
+  }),
+  /** Where the worker on this host takes calls. */
+  worker: z.strictObject({ address: endpointSchema }),
+  /** Where it reports itself. */
+  inbox: listenAddressSchema,
+  /** Some entries, any of which may be gone; asked while the store is away. */
+  entries: z.array(endpointSchema).default([]),
+  /** The port at which entries take connections of sides. */
+  entryPort: portSchema,
+  metrics: listenAddressSchema.optional(),
+  logLevel: z
+    .enum(["error", "warn", "info", "debug", "silent"])
+    .default("info"),
+});
+
+export type JobSideSettings = z.infer<typeof jobSideSettingsSchema>;
--- /dev/null
+++ b/packages/state/src/JobView.ts
@@ -0,0 +1,144 @@
+/** What the store says of all jobs, folded from its topics; every entry keeps one. */
+
+import {
+  describeError,
+  Emitter,
+  type HostId,
+  type Logger,
+  type Metrics,
+} from "@rackspan/common";
+import type { KeyedRecord } from "@rackspan/ports";
+import {
+  decodeJob,
+  decodeProgress,
+  type AcceptedJob,
+  type ProgressRecord,
+} from "./jobRecords.js";
+import {
+  isFinal,
+  type JobId,
+  type JobStateName,
+  type QueueKey,
+} from "./jobModel.js";
+
+export interface JobEntry {
+  readonly accepted: AcceptedJob;
+  readonly cancelled: boolean;
+  readonly progress: ProgressRecord | undefined;
+}
+
+export type JobChange =
+  | { readonly kind: "accepted"; readonly job: AcceptedJob }
+  | { readonly kind: "cancelled"; readonly id: JobId };
+
+export interface JobViewOptions {
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+export class JobView {
+  /** Emits what a leader has to act on. */
+  readonly changes = new Emitter<JobChange>();
+  private readonly jobs = new Map<JobId, AcceptedJob>();
+  private readonly cancels = new Set<JobId>();
+  private readonly progress = new Map<JobId, ProgressRecord>();
+  private readonly hosts = new Set<HostId>();
+
+  constructor(private readonly options: JobViewOptions) {}
+
+  get(id: JobId): JobEntry | undefined {
+    const accepted = this.jobs.get(id);
+    if (!accepted) return undefined;
+    const cancelled = this.cancels.has(id);
+    return { accepted, cancelled, progress: this.progress.get(id) };
+  }
+
+  /** What a caller is told; undefined for a job that is not known. */
+  stateOf(id: JobId): JobStateName | undefined {
+    const entry = this.get(id);
+    if (!entry) return undefined;
+    const state = entry.progress?.state ?? "queued";
+    if (isFinal(state)) return state;
+    return entry.cancelled ? "cancelled" : state;
+  }
+
+  all(): JobEntry[] {
+    return [...this.jobs.keys()].map((id) => this.get(id) as JobEntry);
+  }
+
+  /** Jobs of the queue of which no task has begun. */
+  pendingCount(queue: QueueKey): number {
+    let count = 0;
+    for (const [id, { spec }] of this.jobs) {
+      if (spec.queue !== queue || this.cancels.has(id)) continue;
+      const progress = this.progress.get(id);
+      if (!progress || (!progress.begun && !isFinal(progress.state)))
+        count += 1;
+    }
+    return count;
+  }
+
+  /** Hosts to which leases may have been granted. */
+  get roster(): ReadonlySet<HostId> {
+    return this.hosts;
+  }
+
+  /** Also called by the entry that wrote the record, before it reads it back. */
+  noteAccepted(job: AcceptedJob): void {
+    const { id } = job.spec;
+    if (this.jobs.has(id)) return;
+    this.jobs.set(id, job);
+    this.changes.emit({ kind: "accepted", job });
+  }
+
+  noteCancelled(id: JobId): void {
+    if (this.cancels.has(id)) return;
+    this.cancels.add(id);
+    this.changes.emit({ kind: "cancelled", id });
+  }
+
+  takeJobs(records: readonly KeyedRecord[]): void {
+    for (const { key, value } of records) {
+      if (value)
+        this.decode(key, () => this.noteAccepted(decodeJob(key, value)));
+      else this.jobs.delete(key as unknown as JobId);
+    }
+  }
+
+  takeCancels(records: readonly KeyedRecord[]): void {
+    for (const { key, value } of records) {
+      const id = key as unknown as JobId;
+      if (value) this.noteCancelled(id);
+      else this.cancels.delete(id);
+    }
+  }
+
+  takeProgress(records: readonly KeyedRecord[]): void {
+    for (const { key, value } of records) {
+      const id = key as unknown as JobId;
+      if (!value) {
+        this.progress.delete(id);
+        continue;
+      }
+      this.decode(key, () => this.progress.set(id, decodeProgress(key, value)));
+    }
+  }
+
+  takeHosts(records: readonly KeyedRecord[]): void {
+    for (const { key, value } of records) {
+      const host = key as unknown as HostId;
+      if (value) this.hosts.add(host);
+      else this.hosts.delete(host);
+    }
+  }
+
+  private decode(key: string, take: () => void): void {
+    try {
+      take();
+    } catch (err) {
+      const { logger, metrics } = this.options;
+      metrics.count("records_passed_over");
+      logger.error("record.unreadable", { key, error: describeError(err) });
+    }
+  }
+}
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -83,9 +83,12 @@
     while (!this.abort.signal.aborted) {
       const began = clock.monotonic();
       const worked = await this.step();
-      const pause = worked && this.waiters.size > 0 ? 0 : worked
-        ? floorMs - (clock.monotonic() - began)
-        : FOLLOW.retryMs;
+      const pause =
+        worked && this.waiters.size > 0
+          ? 0
+          : worked
+            ? floorMs - (clock.monotonic() - began)
+            : FOLLOW.retryMs;
       if (pause > 0) await sleep(clock, pause, this.abort.signal).catch(noop);
     }
   }
--- a/packages/state/src/jobModel.ts
+++ b/packages/state/src/jobModel.ts
@@ -1,11 +1,6 @@
 /** Jobs as callers submit them, and the queues that they are submitted to. */
 
-import type {
-  Brand,
-  Instant,
-  JobTaskId,
-  ServiceName,
-} from "@rackspan/common";
+import type { Brand, Instant, JobTaskId, ServiceName } from "@rackspan/common";
 
 /** Chosen by the caller; unique over all queues. */
 export type JobId = Brand<string, "JobId">;
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -1,7 +1,11 @@
 /** What the store keeps of jobs and hosts, and how it is written down. */
 
 import { z } from "zod";
-import { RackspanError, type Instant, type ServiceName } from "@rackspan/common";
+import {
+  RackspanError,
+  type Instant,
+  type ServiceName,
+} from "@rackspan/common";
 import type { TopicName } from "@rackspan/ports";
 import {
   JOB_STATES,
@@ -173,7 +177,7 @@
 export const encodeIndices = (indices: Iterable<number>): string => {
   const sorted = [...indices].sort((a, b) => a - b);
   const ranges: string[] = [];
-  for (let at = 0; at < sorted.length; ) {
+  for (let at = 0; at < sorted.length;) {
     let last = at;
     while (sorted[last + 1] === (sorted[last] as number) + 1) last += 1;
     ranges.push(
