A silent worker is not taken for a fresh one; tasks that vanish wait again

The new tests showed a second fault: a job whose last placed task vanished was not looked at again. Change: a side reports only sightings made since it attached, the engine passes over reports whose worker clock has not moved on, and a task that waits again puts its job back among those to serve.

--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -106,6 +106,7 @@
           const { host, zone, leading } = this.current();
           return leading.engine.report(host, zone, report);
         },
+        ping: () => ({}),
       },
       silenceMs: SERVER.silenceMs,
       clock,
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -81,6 +81,8 @@
     result: z.object({ epoch: numberOf<Epoch>() }),
   },
   report: { params: reportSchema, result: grantSchema },
+  /** Keeps the connection open while the worker shows nothing. */
+  ping: { params: z.object({}), result: z.object({}) },
 };
 
 const natureSchema = z.object({
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -70,7 +70,7 @@
     this.runs = new RunControl({
       ...options,
       hosts: this.hosts,
-      onChange: () => this.dispatcher.requestPass(),
+      onWaiting: (job) => this.activate(job),
     });
     this.dispatcher = new Dispatcher({
       engine: options,
@@ -160,7 +160,7 @@
 
   /** Takes a host's report. */
   report(host: HostId, zone: AvailabilityZone, report: HostReport): Grant {
-    const { clock, gate, mayDecide, leaseMs, roster } = this.options;
+    const { clock, gate, mayDecide, leaseMs, roster, logger } = this.options;
     const now = clock.monotonic();
     const entry = this.entryOf(host, zone, report, now);
     const { ledger } = entry;
@@ -168,6 +168,11 @@
       this.loseRuns(entry, "worker-replaced");
       ledger.replaceWorker(report.worker);
     }
+    if (ledger.reportedAt !== undefined && report.at <= ledger.reportedAt) {
+      // The worker has not answered since: nothing is known anew.
+      logger.warn("report.stale", { host, at: report.at });
+      return { acknowledged: ledger.acknowledgedEnds };
+    }
     this.noteWorker(entry, report);
     this.takeChanges(entry, reconcileReport(ledger, report, now));
     gate.noteHeard(host);
@@ -448,7 +453,9 @@
 
   private activate(job: JobRun): void {
     const live = this.jobs.get(job.id);
-    if (live && !isFinal(job.state)) this.active.add(live);
+    if (!live || isFinal(job.state)) return;
+    this.active.add(live);
+    this.dispatcher.requestPass();
   }
 
   private findTask({ task }: Pick<RunningTask, "task">): JobTask | undefined {
@@ -471,7 +478,6 @@
     });
     for (const run of [...ledger.runs.values()]) {
       this.runs.giveBack(entry, run);
-      this.activate(run.task.step.job);
     }
   }
 
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -11,6 +11,7 @@
   natureOf,
   type ActiveRun,
   type HostLedger,
+  type JobRun,
   type JobTask,
 } from "@rackspan/jobs";
 import type { HostCallResult } from "@rackspan/protocol";
@@ -19,8 +20,8 @@
 
 export interface RunControlOptions extends EngineOptions {
   readonly hosts: HostBook;
-  /** Called when room was freed or a task waits again. */
-  readonly onChange: () => void;
+  /** Called when a task of the job waits again. */
+  readonly onWaiting: (job: JobRun) => void;
 }
 
 export class RunControl {
@@ -104,10 +105,11 @@
 
   /** Frees a run that does not run and never will, and lets its task wait again. */
   giveBack(host: HostEntry, run: ActiveRun): void {
-    const { hosts, onChange } = this.options;
+    const { hosts, onWaiting } = this.options;
+    const { job } = run.task.step;
     hosts.release(host, run);
-    run.task.step.job.noteWaiting(run.task);
-    onChange();
+    job.noteWaiting(run.task);
+    onWaiting(job);
   }
 
   private async orderStart(host: HostEntry, run: ActiveRun): Promise<void> {
--- /dev/null
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -0,0 +1,322 @@
+/** A job engine on a manual clock, with hosts whose sides are played by the test. */
+
+import {
+  brand,
+  ManualClock,
+  Metrics,
+  silentLogger,
+  type AvailabilityZone,
+  type Epoch,
+  type HostId,
+  type JobTaskId,
+  type RunNumber,
+  type ServiceName,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
+import type { RunOutcome } from "@rackspan/ports";
+import type {
+  Grant,
+  HostCallResult,
+  HostReport,
+  StartTaskCall,
+} from "@rackspan/protocol";
+import {
+  JobEngine,
+  type HostRoster,
+  type HostSession,
+  type StopTaskCall,
+} from "@rackspan/scheduling";
+import {
+  StampedWriter,
+  TOPICS,
+  type AcceptedJob,
+  type ImageName,
+  type JobId,
+  type QueueKey,
+  type StepSpec,
+} from "@rackspan/state";
+import { MemoryStore } from "@rackspan/standins";
+
+export const LEASE_MS = 6_000;
+export const TTL_MS = 2_500;
+const SERVICE = brand<ServiceName>("kaigi");
+const ZONE = brand<AvailabilityZone>("obihiro-a");
+
+/** The side of one host and its worker, as the leader sees them. */
+export class FakeHost implements HostSession {
+  readonly starts: StartTaskCall[] = [];
+  readonly stops: StopTaskCall[] = [];
+  /** What the next orders are answered; `hang` never answers. */
+  answers: HostCallResult["kind"] | "hang" = "ok";
+  draining = false;
+  leavesInMs: number | undefined;
+  acknowledged = 0;
+  private running = new Map<JobTaskId, RunNumber>();
+  private ended: HostReport["ended"] = [];
+  private ends = 0;
+  private readonly percents = new Map<JobTaskId, number>();
+
+  constructor(
+    readonly host: HostId,
+    private readonly clock: ManualClock,
+    public instance = brand<WorkerInstance>(`${host}-1`),
+    private readonly milliCores = 32_000,
+  ) {}
+
+  get at(): WorkerTime {
+    return Math.floor(this.clock.monotonic()) as unknown as WorkerTime;
+  }
+
+  async startTask(call: StartTaskCall): Promise<HostCallResult> {
+    this.starts.push(call);
+    if (this.answers === "hang") return new Promise(() => undefined);
+    if (this.answers === "ok") this.running.set(call.task, call.run);
+    return this.answer();
+  }
+
+  async stopTask(call: StopTaskCall): Promise<HostCallResult> {
+    this.stops.push(call);
+    if (this.answers === "hang") return new Promise(() => undefined);
+    if (this.running.get(call.task) === call.run) {
+      this.end(call.task, "stopped");
+    }
+    return this.answer();
+  }
+
+  acknowledge(_instance: WorkerInstance, acknowledged: number): void {
+    this.acknowledged = Math.max(this.acknowledged, acknowledged);
+    this.ended = this.ended.filter(({ number }) => number > acknowledged);
+  }
+
+  describe(): void {
+    // Natures matter only to the pacer.
+  }
+
+  /** The worker has begun the run on its own, as a late order does. */
+  beginLate({ task, run }: StartTaskCall): void {
+    this.running.set(task, run);
+  }
+
+  end(task: JobTaskId, outcome: RunOutcome): void {
+    const run = this.running.get(task);
+    if (run === undefined) throw new Error(`${task} does not run`);
+    this.running.delete(task);
+    this.ends += 1;
+    this.ended.push({
+      number: this.ends,
+      task,
+      run,
+      outcome,
+      checkpoint: outcome === "stopped" ? `saved-${run}` : "",
+    });
+  }
+
+  progress(task: JobTaskId, percent: number): void {
+    this.percents.set(task, percent);
+  }
+
+  /** The worker crashed; another life stands at its address. */
+  replaceWorker(): void {
+    this.instance = brand<WorkerInstance>(`${this.instance}x`);
+    this.running.clear();
+    this.ended = [];
+    this.ends = 0;
+  }
+
+  isRunning(task: JobTaskId): boolean {
+    return this.running.has(task);
+  }
+
+  get runningTasks(): readonly JobTaskId[] {
+    return [...this.running.keys()];
+  }
+
+  report(): HostReport {
+    return {
+      worker: {
+        instance: this.instance,
+        service: SERVICE,
+        labels: ["a", "r1"],
+        milliCores: this.milliCores,
+        memoryMiB: 128_000,
+        accelerators: 0,
+        draining: this.draining,
+        leavesInMs: this.leavesInMs,
+      },
+      at: this.at,
+      running: [...this.running].map(([task, run]) => ({
+        task,
+        run,
+        checkpoint: "",
+        progressPercent: this.percents.get(task) ?? 1,
+        reading: 0,
+      })),
+      ended: [...this.ended],
+    };
+  }
+
+  private answer(): HostCallResult {
+    switch (this.answers) {
+      case "ok":
+        return { kind: "ok", at: this.at };
+      case "refused":
+        return { kind: "refused", reason: "no-room" };
+      case "silent":
+      case "replaced":
+      case "draining":
+        return { kind: this.answers };
+      case "hang":
+        throw new Error("handled before");
+    }
+  }
+}
+
+class OpenRoster implements HostRoster {
+  private readonly hosts = new Set<HostId>();
+
+  async add(host: HostId): Promise<void> {
+    this.hosts.add(host);
+  }
+
+  remove(host: HostId): void {
+    this.hosts.delete(host);
+  }
+
+  has(host: HostId): boolean {
+    return this.hosts.has(host);
+  }
+}
+
+export interface HarnessOptions {
+  readonly epoch?: number;
+  /** Hosts that a former leader may have left leases at. */
+  readonly roster?: readonly HostId[];
+  readonly clock?: ManualClock;
+}
+
+export class EngineHarness {
+  readonly clock: ManualClock;
+  readonly store: MemoryStore;
+  readonly engine: JobEngine;
+  readonly hosts: FakeHost[] = [];
+  leads = true;
+
+  constructor({ epoch = 1, roster = [], clock }: HarnessOptions = {}) {
+    this.clock = clock ?? new ManualClock();
+    this.store = new MemoryStore(this.clock);
+    const writer = new StampedWriter({
+      topic: TOPICS.progress,
+      store: this.store,
+      clock: this.clock,
+      logger: silentLogger,
+      producer: "leader",
+      epoch,
+      gatherMs: 0,
+      retriesRefused: true,
+    });
+    this.engine = new JobEngine({
+      epoch: epoch as unknown as Epoch,
+      clock: this.clock,
+      logger: silentLogger,
+      metrics: new Metrics(),
+      journal: new ProgressJournal({ writer, clock: this.clock, gatherMs: 5 }),
+      roster: new OpenRoster(),
+      gate: new TakeoverGate({
+        takenOverAt: this.clock.monotonic(),
+        roster,
+        leadershipTtlMs: TTL_MS,
+        leaseMs: LEASE_MS,
+      }),
+      order: "bySlack",
+      placer: "colocating",
+      leaseMs: LEASE_MS,
+      stopMs: 200,
+      mayDecide: () => this.leads,
+      serviceOf: () => SERVICE,
+    });
+    this.engine.start();
+  }
+
+  /** Attaches a host and lets it report once. */
+  async addHost(name: string): Promise<FakeHost> {
+    const host = new FakeHost(brand<HostId>(name), this.clock);
+    this.hosts.push(host);
+    this.engine.attach(host.host, host);
+    this.reportOf(host);
+    await this.clock.advance(1);
+    this.reportOf(host);
+    await this.clock.advance(20);
+    return host;
+  }
+
+  reportOf(host: FakeHost): Grant {
+    return this.engine.report(host.host, ZONE, host.report());
+  }
+
+  /** Lets time pass while the given hosts report as usual. */
+  async run(
+    ms: number,
+    reporting: readonly FakeHost[] = this.hosts,
+  ): Promise<void> {
+    const end = this.clock.monotonic() + ms;
+    while (this.clock.monotonic() < end) {
+      await this.clock.advance(Math.min(100, end - this.clock.monotonic()));
+      for (const host of reporting) {
+        const grant = this.reportOf(host);
+        host.acknowledge(host.instance, grant.acknowledged);
+      }
+    }
+    await this.clock.advance(20);
+  }
+
+  submit(id: string, steps: readonly Partial<StepSpec>[]): AcceptedJob {
+    const job = acceptedJob(id, steps, this.clock.now());
+    this.engine.addJob(job, undefined);
+    return job;
+  }
+}
+
+const PLAIN_STEP: StepSpec = {
+  taskCount: 1,
+  demand: { milliCores: 1_000, memoryMiB: 100, accelerators: 0 },
+  estimateMs: 1_000,
+  after: [],
+  checkpointing: false,
+  gang: false,
+  sameRack: false,
+  requiredLabel: "",
+  dataRack: "",
+  maxPerHost: 0,
+  replicable: false,
+  lasting: false,
+  image: "" as unknown as ImageName,
+  tailTargetMs: 0,
+  filling: false,
+  mayMiss: undefined,
+};
+
+export const acceptedJob = (
+  id: string,
+  steps: readonly Partial<StepSpec>[],
+  acceptedAt: number,
+): AcceptedJob => ({
+  spec: {
+    id: brand<JobId>(id),
+    queue: brand<QueueKey>("example/jobs/"),
+    payload: "work",
+    steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
+    repeat: undefined,
+  },
+  acceptedAt,
+  terms: {
+    service: SERVICE,
+    priority: 0,
+    maxAttempts: 2,
+    stretch: 2,
+    targetLatencyMs: 250,
+  },
+});
+
+export const taskId = (text: string): JobTaskId => brand<JobTaskId>(text);
--- /dev/null
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -0,0 +1,195 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { brand, type HostId } from "@rackspan/common";
+import { decodeProgress, TOPICS } from "@rackspan/state";
+import { EngineHarness, LEASE_MS, taskId, TTL_MS } from "./engineHarness.js";
+
+const lastProgress = (harness: EngineHarness, job: string) => {
+  const record = harness.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === job);
+  return record?.value && decodeProgress(job, record.value);
+};
+
+test("a job runs step by step, and its ends are kept before the worker may forget them", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ taskCount: 2 }, { after: [0] }]);
+  await harness.run(100);
+  expect(host.runningTasks).toEqual([taskId("j.0.0.0"), taskId("j.0.0.1")]);
+  host.end(taskId("j.0.0.0"), "done");
+  await harness.run(100);
+  expect(host.isRunning(taskId("j.0.1.0"))).toEqual(false);
+  harness.store.fault = "refuses";
+  host.end(taskId("j.0.0.1"), "done");
+  await harness.run(300);
+  expect(host.isRunning(taskId("j.0.1.0"))).toEqual(true);
+  expect(host.acknowledged).toEqual(1);
+  harness.store.fault = "none";
+  await harness.run(300);
+  expect(host.acknowledged).toEqual(2);
+  host.end(taskId("j.0.1.0"), "done");
+  await harness.run(200);
+  expect(lastProgress(harness, "j")?.state).toEqual("completed");
+});
+
+test("a report that shows nothing new neither renews the lease nor makes the host usable", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("first", [{}]);
+  await harness.run(100);
+  const stale = host.report();
+  harness.reportOf(host);
+  await harness.clock.advance(3_000);
+  // The side has attached again, but its worker has been silent since.
+  harness.engine.attach(host.host, host);
+  const grant = harness.engine.report(host.host, brand("obihiro-a"), stale);
+  expect(grant.leaseUntil).toEqual(undefined);
+  harness.submit("second", [{}]);
+  await harness.clock.advance(500);
+  expect(host.starts.map(({ task }) => task)).toEqual([taskId("first.0.0.0")]);
+});
+
+test("tasks of a silent host start elsewhere only when its lease is over", async () => {
+  const harness = new EngineHarness();
+  const lost = await harness.addHost("h1");
+  harness.submit("j", [{ lasting: true }]);
+  await harness.run(200);
+  expect(lost.isRunning(taskId("j.0.0.0"))).toEqual(true);
+  const other = await harness.addHost("h2");
+  harness.engine.detach(lost.host, lost);
+  await harness.run(LEASE_MS - 200, [other]);
+  expect(other.starts.length).toEqual(0);
+  await harness.run(700, [other]);
+  expect(other.isRunning(taskId("j.0.0.0"))).toEqual(true);
+});
+
+test("another life of the worker frees the tasks of the old one at once", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{}]);
+  await harness.run(100);
+  host.replaceWorker();
+  await harness.run(200);
+  const [first, second] = host.starts;
+  expect(second?.task).toEqual(first?.task as never);
+  expect((second?.run ?? 0) > (first?.run ?? 0)).toEqual(true);
+});
+
+test("an order without an answer is not given elsewhere before it lapses", async () => {
+  const harness = new EngineHarness();
+  const silent = await harness.addHost("h1");
+  silent.answers = "silent";
+  harness.submit("j", [{}]);
+  await harness.run(100);
+  expect(silent.starts.length).toEqual(1);
+  await harness.run(1_500);
+  expect(silent.starts.length).toEqual(1);
+  silent.answers = "ok";
+  await harness.run(2_000);
+  expect(silent.starts.length).toEqual(2);
+});
+
+test("an order that is carried out late is taken note of, not repeated", async () => {
+  const harness = new EngineHarness();
+  const silent = await harness.addHost("h1");
+  silent.answers = "silent";
+  harness.submit("j", [{}]);
+  await harness.run(100);
+  silent.beginLate(silent.starts[0] as never);
+  await harness.run(2_000);
+  silent.progress(taskId("j.0.0.0"), 50);
+  await harness.run(2_000);
+  expect(silent.starts.length).toEqual(1);
+  silent.end(taskId("j.0.0.0"), "done");
+  await harness.run(200);
+  expect(lastProgress(harness, "j")?.state).toEqual("completed");
+});
+
+test("a new leader starts nothing that a silent host may still run", async () => {
+  const silentHost = brand<HostId>("h1");
+  const harness = new EngineHarness({ epoch: 2, roster: [silentHost] });
+  harness.submit("j", [{}]);
+  const other = await harness.addHost("h2");
+  await harness.run(TTL_MS + LEASE_MS - 200);
+  expect(other.starts.length).toEqual(0);
+  await harness.run(1_000);
+  expect(other.starts.length).toEqual(1);
+});
+
+test("a new leader goes on at once when every host of the roster has reported", async () => {
+  const before = new EngineHarness();
+  const host = await before.addHost("h1");
+  before.submit("j", [{ taskCount: 2 }]);
+  await before.run(100);
+  const after = new EngineHarness({
+    epoch: 2,
+    roster: [host.host],
+    clock: before.clock,
+  });
+  before.leads = false;
+  after.submit("j", [{ taskCount: 2 }]);
+  after.submit("k", [{}]);
+  after.engine.attach(host.host, host);
+  await after.clock.advance(10);
+  after.hosts.push(host);
+  await after.run(200);
+  expect(host.starts.map(({ task }) => task)).toEqual([
+    taskId("j.0.0.0"),
+    taskId("j.0.0.1"),
+    taskId("k.0.0.0"),
+  ]);
+});
+
+test("cancelled jobs are stopped, and strays of jobs that ended as well", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  const { spec } = harness.submit("j", [{ lasting: true }]);
+  await harness.run(100);
+  harness.engine.cancelJob(spec.id);
+  await harness.run(200);
+  expect(host.runningTasks).toEqual([]);
+  expect(lastProgress(harness, "j")?.state).toEqual("cancelled");
+  host.beginLate(host.starts[0] as never);
+  await harness.run(200);
+  expect(host.runningTasks).toEqual([]);
+});
+
+test("a task is started no more once its attempts have failed", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{}]);
+  await harness.run(100);
+  host.end(taskId("j.0.0.0"), "failed");
+  await harness.run(200);
+  host.end(taskId("j.0.0.0"), "failed");
+  await harness.run(300);
+  expect(host.starts.length).toEqual(2);
+  expect(lastProgress(harness, "j")?.state).toEqual("failed");
+});
+
+test("lasting tasks leave a draining host for another one, with their checkpoint", async () => {
+  const harness = new EngineHarness();
+  const leaving = await harness.addHost("h1");
+  harness.submit("j", [{ lasting: true }]);
+  await harness.run(100);
+  const other = await harness.addHost("h2");
+  leaving.draining = true;
+  await harness.run(300);
+  expect(leaving.runningTasks).toEqual([]);
+  expect(other.isRunning(taskId("j.0.0.0"))).toEqual(true);
+  expect(other.starts[0]?.checkpoint).toEqual(
+    `saved-${leaving.starts[0]?.run}`,
+  );
+});
+
+test("an end that the worker's lease has outlived does not count", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ taskCount: 2 }]);
+  await harness.run(100);
+  host.end(taskId("j.0.0.0"), "done");
+  host.end(taskId("j.0.0.1"), "lapsed");
+  await harness.run(200);
+  expect(host.starts.length).toEqual(4);
+});
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -32,6 +32,8 @@
   callTimeoutMs: 1_200,
   /** A report at least this often: it renews the lease. */
   reportEveryMs: 500,
+  /** While there is nothing to report, the connection is kept open this often. */
+  pingEveryMs: 1_500,
   /** Least time between two reports, so that ends are told together. */
   reportFloorMs: 12,
   /** A connection without a byte for this long is closed. */
@@ -147,10 +149,11 @@
   /** @returns why it ended */
   private async reportWhileOpen(connection: LeaderConnection): Promise<string> {
     const { clock, watch } = this.options;
+    const attachedAt = clock.monotonic();
     let lastSent: Sighting | undefined;
     let unanswered = 0;
     while (connection.isOpen && !this.abort.signal.aborted) {
-      const { sighting } = watch;
+      const sighting = this.sightingSince(attachedAt);
       const isDue = this.isDue(sighting, lastSent);
       if (sighting && isDue) {
         lastSent = sighting;
@@ -161,6 +164,10 @@
         await sleep(clock, LINK.reportFloorMs);
         continue;
       }
+      if (clock.monotonic() - this.reportedAt > LINK.pingEveryMs) {
+        this.reportedAt = clock.monotonic();
+        connection.notify("ping", {});
+      }
       await Promise.race([
         watch.news.wait(clock, LINK.reportEveryMs / 4),
         connection.closed,
@@ -169,6 +176,12 @@
     return connection.isOpen ? "stopping" : await connection.closed;
   }
 
+  /** Older ones may show a worker that is gone, or runs that ended since. */
+  private sightingSince(attachedAt: Monotonic): Sighting | undefined {
+    const { sighting } = this.options.watch;
+    return sighting && sighting.askedAt >= attachedAt ? sighting : undefined;
+  }
+
   private isDue(
     sighting: Sighting | undefined,
     lastSent: Sighting | undefined,
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -38,6 +38,8 @@
   /** The epoch that the worker had heard by then. */
   readonly epoch: Epoch;
   readonly answer: HoldAnswer;
+  /** When the call was made that it answers, on the side's clock. */
+  readonly askedAt: Monotonic;
 }
 
 export interface WorkerWatchOptions {
@@ -136,6 +138,7 @@
       this.forget();
     }
     const isFirst = this.sighting === undefined;
+    const askedAt = this.options.clock.monotonic();
     try {
       const answer = await host.hold(instance, {
         epoch,
@@ -143,7 +146,7 @@
         leaseUntil: this.leaseUntil,
         waitMs: isFirst ? 0 : PACING.everyMs,
       });
-      this.take({ instance, epoch, answer }, isFirst);
+      this.take({ instance, epoch, answer, askedAt }, isFirst);
       return true;
     } catch (err) {
       if (err instanceof WorkerReplacedError) {
--- /dev/null
+++ b/packages/standins/src/MemoryStore.ts
@@ -0,0 +1,212 @@
+/**
+ * The platform's store in memory, by its port: keyed topics, stamps of
+ * producers, and one group whose only partition has one owner. Faults are
+ * switched by tests; time is the clock's.
+ */
+
+import type { Clock, Epoch, Monotonic } from "@rackspan/common";
+import {
+  FencedError,
+  SequenceError,
+  StoreAnswerLostError,
+  StoreRefusedError,
+  type AppendRequest,
+  type JoinAnswer,
+  type JoinRequest,
+  type ReadRequest,
+  type RecordPage,
+  type StoreClient,
+  type StoredRecord,
+  type TopicName,
+} from "@rackspan/ports";
+
+interface ProducerMark {
+  epoch: number;
+  sequence: number;
+  end: number;
+}
+
+interface Topic {
+  readonly records: StoredRecord[];
+  readonly producers: Map<string, ProducerMark>;
+  readonly waiting: Set<() => void>;
+}
+
+interface GroupMember {
+  readonly name: string;
+  expiresAt: Monotonic;
+}
+
+/** What becomes of the calls while a fault is on. */
+export type StoreFault = "none" | "refuses" | "loses-answers" | "silent";
+
+const SILENCE_MS = 500;
+
+export class MemoryStore implements StoreClient {
+  fault: StoreFault = "none";
+  appends = 0;
+  private readonly topics = new Map<TopicName, Topic>();
+  private members: GroupMember[] = [];
+  private ownerName: string | undefined;
+  private generation = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  async append(req: AppendRequest): Promise<number> {
+    await this.pass("before");
+    const topic = this.topic(req.topic);
+    const end = appendTo(topic, req);
+    this.appends += 1;
+    for (const wake of topic.waiting) wake();
+    topic.waiting.clear();
+    await this.pass("after");
+    return end;
+  }
+
+  async read({
+    topic,
+    from,
+    waitMs,
+    signal,
+  }: ReadRequest): Promise<RecordPage> {
+    await this.pass("before");
+    const { records, waiting } = this.topic(topic);
+    if (records.length <= from && waitMs > 0) {
+      await new Promise<void>((resolve) => {
+        const timer = this.clock.after(waitMs, resolve);
+        const wake = (): void => {
+          timer.cancel();
+          resolve();
+        };
+        waiting.add(wake);
+        signal?.addEventListener("abort", wake, { once: true });
+      });
+    }
+    signal?.throwIfAborted();
+    await this.pass("after");
+    return {
+      records: records.slice(from),
+      next: Math.max(from, records.length),
+    };
+  }
+
+  async newest(topic: TopicName): Promise<RecordPage> {
+    await this.pass("before");
+    const { records } = this.topic(topic);
+    const newest = new Map(records.map((record) => [record.key, record]));
+    const kept = [...newest.values()].filter(
+      ({ value }) => value !== undefined,
+    );
+    return { records: kept, next: records.length };
+  }
+
+  async join(req: JoinRequest): Promise<JoinAnswer> {
+    await this.pass("before");
+    this.expireMembers();
+    const expiresAt = this.clock.monotonic() + req.ttlMs;
+    const known = this.members.find(({ name }) => name === req.member);
+    if (known) known.expiresAt = expiresAt;
+    else {
+      this.members.push({ name: req.member, expiresAt });
+      this.generation += 1;
+    }
+    this.ownerName ??= req.member;
+    const owns = this.ownerName === req.member;
+    await this.pass("after");
+    return { generation: this.generation as unknown as Epoch, owns };
+  }
+
+  async leave(_group: string, member: string): Promise<void> {
+    await this.pass("before");
+    this.dropMember(member);
+    await this.pass("after");
+  }
+
+  async owner(): Promise<string | undefined> {
+    await this.pass("before");
+    this.expireMembers();
+    return this.ownerName;
+  }
+
+  /** Takes the partition from its owner, who is not told. */
+  revoke(): void {
+    if (this.ownerName !== undefined) this.dropMember(this.ownerName);
+  }
+
+  recordsOf(topic: TopicName): readonly StoredRecord[] {
+    return this.topic(topic).records;
+  }
+
+  close(): void {
+    // Nothing is open.
+  }
+
+  private dropMember(member: string): void {
+    const before = this.members.length;
+    this.members = this.members.filter(({ name }) => name !== member);
+    if (this.members.length === before) return;
+    this.generation += 1;
+    if (this.ownerName === member) this.ownerName = this.members[0]?.name;
+  }
+
+  private expireMembers(): void {
+    const now = this.clock.monotonic();
+    for (const { name, expiresAt } of this.members) {
+      if (expiresAt <= now) this.dropMember(name);
+    }
+  }
+
+  private topic(name: TopicName): Topic {
+    let topic = this.topics.get(name);
+    if (!topic) {
+      topic = { records: [], producers: new Map(), waiting: new Set() };
+      this.topics.set(name, topic);
+    }
+    return topic;
+  }
+
+  private async pass(when: "before" | "after"): Promise<void> {
+    switch (this.fault) {
+      case "none":
+        return;
+      case "refuses":
+        if (when === "before") throw new StoreRefusedError("switched off");
+        return;
+      case "loses-answers":
+        if (when === "before") return;
+        return this.fallSilent();
+      case "silent":
+        return this.fallSilent();
+    }
+  }
+
+  private async fallSilent(): Promise<never> {
+    await new Promise<void>((resolve) => this.clock.after(SILENCE_MS, resolve));
+    throw new StoreAnswerLostError("no answer");
+  }
+}
+
+const appendTo = (
+  topic: Topic,
+  { records, stamp, ...req }: AppendRequest,
+): number => {
+  const { producer, epoch, sequence } = stamp;
+  const mark = topic.producers.get(producer);
+  if (mark && epoch < mark.epoch)
+    throw new FencedError("a higher epoch was seen");
+  const continues = mark !== undefined && mark.epoch === epoch;
+  if (continues && records.length > 0) {
+    if (sequence === mark.sequence) return mark.end;
+    if (mark.sequence > 0 && sequence !== mark.sequence + 1) {
+      throw new SequenceError(req.topic, mark.sequence + 1);
+    }
+  }
+  for (const record of records) {
+    topic.records.push({ ...record, offset: topic.records.length });
+  }
+  const end = topic.records.length;
+  const isEmpty = records.length === 0;
+  const last = isEmpty ? (continues ? mark.sequence : 0) : sequence;
+  topic.producers.set(producer, { epoch, sequence: last, end });
+  return end;
+};
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./HostListStandin.js";
 export * from "./JsonServer.js";
 export * from "./LogStandin.js";
+export * from "./MemoryStore.js";
 export * from "./RequestLedger.js";
 export * from "./TaskLedger.js";
 export * from "./WorkerStandin.js";
