Writers wait longer for a slow store, and refuse at once while it is silent

Cause: one fixed time limit for appends gave up on a slow store and made callers wait behind a batch that a silent store never answered. Change: each further try of a batch waits twice as long; once a batch has been without an answer for 700 ms, submissions that were not sent are refused at once. Measured: unit tests (a lost answer is kept once; what was not sent is refused).

--- a/packages/state/src/StampedWriter.ts
+++ b/packages/state/src/StampedWriter.ts
@@ -9,6 +9,7 @@
   sleep,
   type Clock,
   type Logger,
+  type Monotonic,
 } from "@rackspan/common";
 import {
   FencedError,
@@ -21,9 +22,13 @@
 } from "@rackspan/ports";
 
 const WRITER = {
-  /** Time for one append; the store answers in some milliseconds when it is well. */
-  appendTimeoutMs: 700,
-  retryMs: 100,
+  /** Time for the first try; the store answers in some milliseconds when it is well. */
+  firstTimeoutMs: 300,
+  /** Each further try of a batch waits twice as long, up to this: a slow store needs it. */
+  maxTimeoutMs: 2_400,
+  retryMs: 60,
+  /** New records are refused at once while a batch has been without an answer this long. */
+  stuckAfterMs: 700,
   maxBatchRecords: 200,
   /** Under the least limit of a call that the platform states (2 MiB). */
   maxBatchBytes: 1_000_000,
@@ -69,6 +74,8 @@
   private queue: QueuedRecord[] = [];
   private sequence = 1;
   private running = false;
+  /** When the batch on its way was first sent; undefined when there is none. */
+  private sendingSince: Monotonic | undefined;
   private closed: Error | undefined;
 
   constructor(private readonly options: StampedWriterOptions) {}
@@ -103,12 +110,32 @@
 
   private refusal(): Error | undefined {
     if (this.closed) return this.closed;
+    if (this.isStuck()) return this.stuckError();
     if (this.queue.length < WRITER.maxQueued) return undefined;
     return new StoreRefusedError(
       `${this.queue.length} records wait for topic ${this.options.topic} already`,
     );
   }
 
+  /** Whether the store has not answered for so long that callers should not wait. */
+  private isStuck(): boolean {
+    const { retriesRefused, clock } = this.options;
+    if (retriesRefused || this.sendingSince === undefined) return false;
+    return clock.monotonic() - this.sendingSince > WRITER.stuckAfterMs;
+  }
+
+  private stuckError(): StoreRefusedError {
+    const { topic } = this.options;
+    return new StoreRefusedError(`topic ${topic} has not answered for a while`);
+  }
+
+  /** What has not been sent yet is refused rather than kept waiting. */
+  private refuseWaiting(): void {
+    const queue = this.queue;
+    this.queue = [];
+    for (const { reject } of queue) reject(this.stuckError());
+  }
+
   private abandon(queued: QueuedRecord | undefined): boolean {
     if (!queued) return true;
     const at = this.queue.indexOf(queued);
@@ -142,11 +169,14 @@
   }
 
   private async sendBatch(batch: readonly QueuedRecord[]): Promise<void> {
+    this.sendingSince = this.options.clock.monotonic();
     try {
       const next = await this.send(batch.map(({ record }) => record));
       for (const { resolve } of batch) resolve(next);
     } catch (err) {
       for (const { reject } of batch) reject(err);
+    } finally {
+      this.sendingSince = undefined;
     }
   }
 
@@ -157,11 +187,12 @@
   ): Promise<number> {
     const { clock, retriesRefused } = this.options;
     let mayBeKept = false;
+    let timeoutMs: number = WRITER.firstTimeoutMs;
     for (;;) {
       signal?.throwIfAborted();
       if (this.closed && !mayBeKept) throw this.closed;
       try {
-        return await this.appendOnce(records);
+        return await this.appendOnce(records, timeoutMs);
       } catch (err) {
         if (err instanceof SequenceError && !mayBeKept) {
           this.sequence = err.wanted;
@@ -173,18 +204,23 @@
         mayBeKept ||= lost;
         if (!mayBeKept && !retriesRefused) throw err;
         if (this.closed) throw err;
+        if (this.isStuck()) this.refuseWaiting();
+        if (lost) timeoutMs = Math.min(WRITER.maxTimeoutMs, 2 * timeoutMs);
       }
       await sleep(clock, WRITER.retryMs);
     }
   }
 
-  private async appendOnce(records: readonly KeyedRecord[]): Promise<number> {
+  private async appendOnce(
+    records: readonly KeyedRecord[],
+    timeoutMs: number,
+  ): Promise<number> {
     const { store, topic, producer, epoch } = this.options;
     const next = await store.append({
       topic,
       records,
       stamp: { producer, epoch, sequence: this.sequence },
-      timeoutMs: WRITER.appendTimeoutMs,
+      timeoutMs,
     });
     // An empty append only sets the epoch and takes no number.
     if (records.length > 0) this.sequence += 1;
--- /dev/null
+++ b/packages/state/tests/stampedWriter.test.ts
@@ -0,0 +1,92 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import { ManualClock, silentLogger } from "@rackspan/common";
+import { FencedError, StoreRefusedError } from "@rackspan/ports";
+import { MemoryStore } from "@rackspan/standins";
+import { StampedWriter, TOPICS } from "@rackspan/state";
+
+const record = (key: string) => ({ key, value: Buffer.from(key) });
+
+const setUp = ({ epoch = 1, retriesRefused = false } = {}) => {
+  const clock = new ManualClock();
+  const store = new MemoryStore(clock);
+  const writerOf = (of: number) =>
+    new StampedWriter({
+      topic: TOPICS.jobs,
+      store,
+      clock,
+      logger: silentLogger,
+      producer: "p",
+      epoch: of,
+      gatherMs: 2,
+      retriesRefused,
+    });
+  const keys = () => store.recordsOf(TOPICS.jobs).map(({ key }) => key);
+  return { clock, store, writer: writerOf(epoch), writerOf, keys };
+};
+
+test("records written together go out as one append", async () => {
+  const { clock, store, writer, keys } = setUp();
+  const writes = ["a", "b", "c"].map((key) => writer.write(record(key)).kept);
+  await clock.advance(10);
+  await Promise.all(writes);
+  expect(store.appends).toEqual(1);
+  expect(keys()).toEqual(["a", "b", "c"]);
+});
+
+test("a batch whose answer was lost is kept once", async () => {
+  const { clock, store, writer, keys } = setUp();
+  store.fault = "loses-answers";
+  const { kept } = writer.write(record("a"));
+  await clock.advance(1_200);
+  store.fault = "none";
+  await clock.advance(1_000);
+  await kept;
+  expect(keys()).toEqual(["a"]);
+});
+
+test("a refused record is told to its writer and never kept", async () => {
+  const { clock, store, writer, keys } = setUp();
+  store.fault = "refuses";
+  const { kept } = writer.write(record("a"));
+  const refusal = expect(kept).toBeRejectedWith(StoreRefusedError);
+  await clock.advance(100);
+  await refusal;
+  store.fault = "none";
+  const second = writer.write(record("b")).kept;
+  await clock.advance(100);
+  await second;
+  expect(keys()).toEqual(["b"]);
+});
+
+test("while the store is silent, what was not sent is refused at once", async () => {
+  const { clock, store, writer, keys } = setUp();
+  store.fault = "silent";
+  const first = writer.write(record("sent"));
+  await clock.advance(1_500);
+  const waiting = writer.write(record("waiting"));
+  await expect(waiting.kept).toBeRejectedWith(StoreRefusedError);
+  expect(first.abandon()).toEqual(false);
+  store.fault = "none";
+  await clock.advance(3_000);
+  await first.kept;
+  expect(keys()).toEqual(["sent"]);
+});
+
+test("a writer of a lower epoch writes nothing once a higher one has fenced it off", async () => {
+  const { clock, writer, writerOf, keys } = setUp({ retriesRefused: true });
+  const first = writer.write(record("a")).kept;
+  await clock.advance(10);
+  await first;
+  const next = writerOf(2);
+  await next.fenceOthers();
+  const late = expect(writer.write(record("late")).kept).toBeRejectedWith(
+    FencedError,
+  );
+  await clock.advance(10);
+  await late;
+  const second = next.write(record("b")).kept;
+  await clock.advance(10);
+  await second;
+  expect(keys()).toEqual(["a", "b"]);
+});
