Learnt pairs of images decide where filling tasks go and which are slowed

Readings show that few pairs of images disturb: of 4 x 9 pairs 6 add a tenth or more to the tail's logarithm a core, most add nothing (r2 of the fit 0.05 to 0.29). Change: the leader learns a weight a pair from its hosts' reports; the placer keeps images of serving tasks together and filling tasks away from what they disturb; the side slows only those that are to blame.

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -12,6 +12,7 @@
   WorkerTime,
 } from "@rackspan/common";
 import type { TaskNature, WorkerDescription } from "@rackspan/protocol";
+import type { ImageName } from "@rackspan/state";
 import type { JobTask } from "./JobRun.js";
 
 /**
@@ -67,6 +68,12 @@
   accelerators: 0,
 };
 
+export interface HostImages {
+  readonly serving: ReadonlySet<ImageName>;
+  /** Cores asked for, by image. */
+  readonly filling: ReadonlyMap<ImageName, number>;
+}
+
 export class HostLedger {
   readonly runs = new Map<JobTask, ActiveRun>();
   /** Whether the host's side is attached under the current epoch. */
@@ -112,6 +119,21 @@
     return this.perStep.get(step) ?? 0;
   }
 
+  /** Images of the serving tasks, and of the filling ones with the cores they may use. */
+  images(): HostImages {
+    const serving = new Set<ImageName>();
+    const filling = new Map<ImageName, number>();
+    for (const { task } of this.runs.values()) {
+      const { image, demand } = task.step.spec;
+      const { kind } = natureOf(task);
+      if (kind === "serving") serving.add(image);
+      if (kind !== "filling") continue;
+      const cores = demand.milliCores / 1_000;
+      filling.set(image, (filling.get(image) ?? 0) + cores);
+    }
+    return { serving, filling };
+  }
+
   hasLabel(label: string): boolean {
     return label === "" || this.worker.labels.includes(label);
   }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./HostCertifier.js";
 export * from "./HostDrainer.js";
 export * from "./HostLedger.js";
+export * from "./InterferenceBook.js";
 export * from "./JobRun.js";
 export * from "./ProgressJournal.js";
 export * from "./reconcileReport.js";
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -62,11 +62,25 @@
 
 export type HostReport = z.output<typeof reportSchema>;
 
+const disturbanceSchema = z.object({
+  /** Image of the serving task. */
+  serving: z.string(),
+  /** Image of the filling task. */
+  filling: z.string(),
+  /** What one core of it adds to the logarithm of the tail. */
+  weight: z.number(),
+});
+
+/** How much one image disturbs another, as the leader has learnt from all hosts. */
+export type Disturbance = z.output<typeof disturbanceSchema>;
+
 const grantSchema = z.object({
   /** Time on the worker's clock until which its tasks may run; absent for none. */
   leaseUntil: numberOf<WorkerTime>().optional(),
   /** Ends up to this number are kept; the worker may forget them. */
   acknowledged: z.number(),
+  /** Pairs of images on this host; those left out do not disturb. */
+  disturbances: z.array(disturbanceSchema).optional(),
 });
 
 export type Grant = z.output<typeof grantSchema>;
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -12,6 +12,7 @@
 import {
   avoidHost,
   HostLedger,
+  InterferenceBook,
   JobRun,
   natureOf,
   reconcileReport,
@@ -41,6 +42,7 @@
 } from "./engineTypes.js";
 import { HostBook } from "./HostBook.js";
 import type { HostSession } from "./HostSession.js";
+import { disturbancesOn, learnInterference } from "./learnInterference.js";
 import { RunControl } from "./RunControl.js";
 import { stepOrders } from "./stepOrders.js";
 import { taskPlacers } from "./taskPlacers.js";
@@ -58,6 +60,7 @@
   private readonly hosts = new HostBook();
   private readonly sessions = new Map<HostId, HostSession>();
   private readonly estimates = new EstimateBook();
+  private readonly interference = new InterferenceBook();
   private readonly ejector: OutlierEjector;
   private readonly runs: RunControl;
   private readonly dispatcher: Dispatcher;
@@ -77,7 +80,9 @@
       hosts: this.hosts,
       runs: this.runs,
       order: stepOrders.create(options.order, { estimates: this.estimates }),
-      placer: taskPlacers.create(options.placer, {}),
+      placer: taskPlacers.create(options.placer, {
+        interference: this.interference,
+      }),
       ejector: this.ejector,
       active: this.active,
     });
@@ -175,6 +180,7 @@
     }
     this.noteWorker(entry, report);
     this.takeChanges(entry, reconcileReport(ledger, report, now));
+    learnInterference(ledger, this.interference);
     gate.noteHeard(host);
     this.dispatcher.requestPass();
     entry.rostered = roster.has(host);
@@ -186,7 +192,8 @@
       leaseOverBy(now, leaseMs),
     );
     const leaseUntil = (report.at + leaseMs) as typeof report.at;
-    return { leaseUntil, acknowledged: ledger.acknowledgedEnds };
+    const disturbances = disturbancesOn(ledger, this.interference);
+    return { leaseUntil, acknowledged: ledger.acknowledgedEnds, disturbances };
   }
 
   private entryOf(
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -1,15 +1,22 @@
 /**
- * Keeps serving tasks together on few hosts and fills the others first, so that
- * few serving tasks are disturbed. Filling tasks may take what serving tasks
- * reserve and leave unused. Plain tasks go where most is left.
+ * Keeps serving tasks of one image together, on few hosts. Filling tasks may
+ * take what serving tasks reserve and leave unused, but go where they disturb
+ * least by what was learnt of the images. Plain tasks go where most is left.
  */
 
-import { natureOf, type HostLedger, type JobTask } from "@rackspan/jobs";
+import {
+  natureOf,
+  type HostLedger,
+  type InterferenceBook,
+  type JobTask,
+} from "@rackspan/jobs";
+import type { ImageName } from "@rackspan/state";
 import {
   pickByScore,
   taskPlacers,
   unreservedMilliCores,
   type TaskPlacer,
+  type TaskPlacerOptions,
 } from "./taskPlacers.js";
 
 const COLOCATION = {
@@ -20,7 +27,13 @@
   /** Share of a host that serving tasks leave to urgent plain ones. */
   plainReserve: 0.08,
   /** Points by which a host with serving tasks comes later for filling ones. */
-  servingPenalty: 0.5,
+  servingPenalty: 0.2,
+  /** Points by which a host whose serving tasks are of the same image comes first. */
+  sameImageBonus: 3,
+  /** Points a unit of expected tail logarithm, of which 0.1 means a tenth longer. */
+  tailPenalty: 0.6,
+  /** Logarithm of the share of its target up to which a tail is let grow (0.85). */
+  tailLimit: -0.16,
   /** Points by which a host on the rack of the step's data comes first. */
   dataRackBonus: 0.3,
   /** Points by which a host where the task failed before comes later. */
@@ -35,6 +48,12 @@
   room.fillingMilliCores;
 
 export class ColocatingTaskPlacer implements TaskPlacer {
+  private readonly interference: InterferenceBook;
+
+  constructor({ interference }: TaskPlacerOptions) {
+    this.interference = interference;
+  }
+
   pick(task: JobTask, hosts: readonly HostLedger[]): HostLedger | undefined {
     const extra = (host: HostLedger): number => bonusOf(task, host);
     switch (natureOf(task).kind) {
@@ -42,13 +61,13 @@
         return pickByScore(
           task,
           hosts.filter((host) => leavesReserve(task, host)),
-          (host) => servingScore(host) + extra(host),
+          (host) => this.servingScore(task, host) + extra(host),
         );
       case "filling":
         return pickByScore(
           task,
           hosts.filter((host) => isWorthFilling(task, host)),
-          (host) => fillingScore(host) + extra(host),
+          (host) => this.fillingScore(task, host) + extra(host),
         );
       case "plain":
         return pickByScore(
@@ -58,6 +77,51 @@
         );
     }
   }
+
+  /** Its own image first, then the most serving work, and little that disturbs it. */
+  private servingScore(task: JobTask, host: HostLedger): number {
+    const { image } = task.step.spec;
+    const { serving, filling } = host.images();
+    const isAlone = serving.size === 1 && serving.has(image);
+    const { worker, room } = host;
+    const packed = room.servingMilliCores / worker.milliCores;
+    const tail = this.interference.predict(image, filling);
+    const excess = Math.max(0, tail - COLOCATION.tailLimit);
+    return 2 * packed + (isAlone ? COLOCATION.sameImageBonus : 0) - excess;
+  }
+
+  /** @returns -Infinity where a serving task would be disturbed too much */
+  private fillingScore(task: JobTask, host: HostLedger): number {
+    const { image, demand } = task.step.spec;
+    const left = fillableMilliCores(host) / host.worker.milliCores;
+    if (host.room.servingMilliCores === 0) return left;
+    const { serving, filling } = host.images();
+    const cores = demand.milliCores / 1_000;
+    const beside = new Map(filling).set(
+      image,
+      (filling.get(image) ?? 0) + cores,
+    );
+    const added = this.addedTail(serving, image, cores, beside);
+    if (added === undefined) return -Infinity;
+    return left - COLOCATION.servingPenalty - COLOCATION.tailPenalty * added;
+  }
+
+  /** The most that the task adds to a tail; undefined when one would pass the limit. */
+  private addedTail(
+    serving: ReadonlySet<ImageName>,
+    image: ImageName,
+    cores: number,
+    beside: ReadonlyMap<ImageName, number>,
+  ): number | undefined {
+    let most = 0;
+    for (const server of serving) {
+      const added = this.interference.weight(server, image) * cores;
+      const tail = this.interference.predict(server, beside);
+      if (tail > COLOCATION.tailLimit && added > 0) return undefined;
+      most = Math.max(most, added);
+    }
+    return most;
+  }
 }
 
 const bonusOf = (task: JobTask, host: HostLedger): number => {
@@ -73,30 +137,19 @@
 const leavesReserve = (task: JobTask, host: HostLedger): boolean => {
   const { milliCores } = task.step.spec.demand;
   const reserve = COLOCATION.plainReserve * host.worker.milliCores;
-  return (
-    host.room.servingMilliCores + milliCores + reserve <= host.worker.milliCores
-  );
+  const taken = host.room.servingMilliCores + milliCores;
+  return taken + reserve <= host.worker.milliCores;
 };
 
-/** The most serving work first; among empty hosts the least filled one. */
-const servingScore = ({ worker, room }: HostLedger): number =>
-  (room.servingMilliCores * 2 - room.fillingMilliCores) / worker.milliCores;
-
 const isWorthFilling = (task: JobTask, host: HostLedger): boolean =>
   fillableMilliCores(host) >=
   COLOCATION.leastFillShare * task.step.spec.demand.milliCores;
 
-const fillingScore = (host: HostLedger): number => {
-  const serves = host.room.servingMilliCores > 0;
-  const left = fillableMilliCores(host) / host.worker.milliCores;
-  return left - (serves ? COLOCATION.servingPenalty : 0);
-};
-
 const plainScore = (host: HostLedger): number =>
   (unreservedMilliCores(host) - host.room.fillingMilliCores) /
   host.worker.milliCores;
 
 taskPlacers.register({
   name: "colocating",
-  create: () => new ColocatingTaskPlacer(),
+  create: (options) => new ColocatingTaskPlacer(options),
 });
--- /dev/null
+++ b/packages/scheduling/src/learnInterference.ts
@@ -0,0 +1,56 @@
+/** Feeds what a host reported into the book of interference, and tells its side what is known. */
+
+import {
+  natureOf,
+  type ActiveRun,
+  type HostLedger,
+  type InterferenceBook,
+} from "@rackspan/jobs";
+import type { Disturbance } from "@rackspan/protocol";
+import type { ImageName } from "@rackspan/state";
+
+const FULL_PROGRESS = 100;
+const MILLI = 1_000;
+/** Weaker pairs are not worth telling. */
+const LEAST_TOLD_WEIGHT = 0.01;
+
+/** Reads the runs of the ledger as the last report left them. */
+export const learnInterference = (
+  ledger: HostLedger,
+  book: InterferenceBook,
+): void => {
+  const filling = new Map<ImageName, number>();
+  const serving: ActiveRun[] = [];
+  for (const run of ledger.runs.values()) {
+    const { kind, image } = natureOf(run.task);
+    const name = image as unknown as ImageName;
+    if (kind === "filling") {
+      filling.set(name, (filling.get(name) ?? 0) + run.reading / MILLI);
+    }
+    // Tasks that are still warming up have no tail of their own yet.
+    if (kind === "serving" && run.progressPercent >= FULL_PROGRESS) {
+      serving.push(run);
+    }
+  }
+  for (const { task, reading } of serving) {
+    const { image, tailTargetMs } = task.step.spec;
+    book.learn(image, reading / tailTargetMs, filling);
+  }
+};
+
+/** What is known of the images that run there now. */
+export const disturbancesOn = (
+  ledger: HostLedger,
+  book: InterferenceBook,
+): Disturbance[] => {
+  const { serving, filling } = ledger.images();
+  const told: Disturbance[] = [];
+  for (const server of serving) {
+    for (const filler of filling.keys()) {
+      const weight = Math.round(book.weight(server, filler) * MILLI) / MILLI;
+      if (weight < LEAST_TOLD_WEIGHT) continue;
+      told.push({ serving: server, filling: filler, weight });
+    }
+  }
+  return told;
+};
--- a/packages/scheduling/src/taskPlacers.ts
+++ b/packages/scheduling/src/taskPlacers.ts
@@ -1,7 +1,7 @@
 /** The plug-in point for placing the tasks of jobs, and what all placers share. */
 
 import { Registry } from "@rackspan/common";
-import type { HostLedger, JobTask } from "@rackspan/jobs";
+import type { HostLedger, InterferenceBook, JobTask } from "@rackspan/jobs";
 
 export interface TaskPlacer {
   /**
@@ -11,7 +11,9 @@
   pick(task: JobTask, hosts: readonly HostLedger[]): HostLedger | undefined;
 }
 
-export type TaskPlacerOptions = Readonly<Record<string, never>>;
+export interface TaskPlacerOptions {
+  readonly interference: InterferenceBook;
+}
 
 export const taskPlacers = new Registry<TaskPlacerOptions, TaskPlacer>(
   "placer of tasks",
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -227,7 +227,8 @@
   }
 
   private take(instance: Sighting["instance"], grant: Grant): void {
-    const { watch } = this.options;
+    const { watch, pacer } = this.options;
+    pacer.learn(grant.disturbances ?? []);
     if (grant.leaseUntil !== undefined) watch.grant(instance, grant.leaseUntil);
     watch.acknowledge(instance, grant.acknowledged);
   }
--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -1,7 +1,8 @@
 /**
  * Slows filling tasks of this host down while a serving task beside them nears
- * its tail target, and speeds them up again while there is slack. The leader
- * need not be asked: readings are half a second old at most.
+ * its tail target, those first that are known to disturb it, and speeds them up
+ * again while there is slack. The leader need not be asked: readings are half a
+ * second old at most.
  */
 
 import {
@@ -13,7 +14,7 @@
   type WorkerInstance,
 } from "@rackspan/common";
 import type { RunningTask, TaskHost } from "@rackspan/ports";
-import type { TaskNature } from "@rackspan/protocol";
+import type { Disturbance, TaskNature } from "@rackspan/protocol";
 
 export const PACING = {
   /** Share of its target at which a tail slows filling tasks down. */
@@ -23,14 +24,26 @@
   /** They go on at this share of their pace. */
   slowFactor: 0.6,
   /** Points of percent by which they speed up at a time. */
-  speedPoints: 8,
+  speedPoints: 10,
   /** Their least pace, percent: some progress tells them from hung tasks. */
   leastPercent: 4,
   /** Time between two adjustments, milliseconds; a reading spans 500. */
   everyMs: 250,
+  /** A pair below this weight is taken as harmless while others are to blame. */
+  leastBlamedWeight: 0.03,
+  /** A task that adds less than this share of what the worst one adds is not to blame. */
+  leastBlamedShare: 0.2,
 } as const;
 
 const FULL_PACE = 100;
+const MILLI = 1_000;
+
+/** A serving task near or over its target. */
+interface Strained {
+  readonly image: string;
+  /** Share of the target. */
+  readonly tail: number;
+}
 
 export interface PacerOptions {
   readonly host: TaskHost;
@@ -40,9 +53,11 @@
 
 export class Pacer {
   private readonly natures = new Map<JobTaskId, TaskNature>();
-  /** The pace that all filling tasks of the host should have, percent. */
-  private wanted = FULL_PACE;
-  /** The pace last given to each run. */
+  /** By serving image, then filling image. */
+  private readonly weights = new Map<string, Map<string, number>>();
+  /** The pace last wanted for each run, percent. */
+  private readonly wanted = new Map<string, number>();
+  /** The pace last given to each run; absent when it is not known. */
   private readonly given = new Map<string, number>();
 
   constructor(private readonly options: PacerOptions) {}
@@ -51,6 +66,16 @@
     this.natures.set(task, nature);
   }
 
+  /** Takes what the leader knows of the images on this host. */
+  learn(disturbances: readonly Disturbance[]): void {
+    this.weights.clear();
+    for (const { serving, filling, weight } of disturbances) {
+      const row = this.weights.get(serving) ?? new Map<string, number>();
+      row.set(filling, weight);
+      this.weights.set(serving, row);
+    }
+  }
+
   /** Looks at the readings of one report and orders new paces where needed. */
   adjust(
     instance: WorkerInstance,
@@ -61,59 +86,125 @@
     const filling = running.filter(
       ({ task }) => this.natures.get(task)?.kind === "filling",
     );
-    this.wanted = this.nextPace(this.worstTail(running), filling.length > 0);
-    for (const row of filling) this.give(instance, epoch, row);
+    if (filling.length === 0) return;
+    const serving = this.servingTails(running);
+    const slowed = this.blamed(serving, filling);
+    for (const row of filling) {
+      const pace = this.nextPace(row, slowed.has(row), serving);
+      this.wanted.set(keyOf(row), pace);
+      this.give(instance, epoch, row, pace);
+    }
+    if (slowed.size > 0) this.logSlowed(serving, filling, slowed);
   }
 
-  /** The highest tail, as a share of its target; 0 when nothing serves. */
-  private worstTail(running: readonly RunningTask[]): number {
-    let worst = 0;
+  private servingTails(running: readonly RunningTask[]): Strained[] {
+    const tails: Strained[] = [];
     for (const { task, reading } of running) {
       const nature = this.natures.get(task);
       if (nature?.kind !== "serving" || nature.tailTargetMs <= 0) continue;
-      worst = Math.max(worst, reading / nature.tailTargetMs);
+      tails.push({ image: nature.image, tail: reading / nature.tailTargetMs });
     }
-    return worst;
+    return tails;
+  }
+
+  /** The filling tasks that are to slow down. */
+  private blamed(
+    serving: readonly Strained[],
+    filling: readonly RunningTask[],
+  ): Set<RunningTask> {
+    const blamed = new Set<RunningTask>();
+    for (const { image, tail } of serving) {
+      if (tail <= PACING.slowAbove) continue;
+      const added = filling.map((row) => this.addedBy(row, image));
+      const worst = Math.max(...added);
+      filling.forEach((row, at) => {
+        // Where no pair is known to disturb, any of them may be the cause.
+        const share = (added[at] as number) / Math.max(worst, Number.MIN_VALUE);
+        if (worst <= 0 || share >= PACING.leastBlamedShare) blamed.add(row);
+      });
+    }
+    return blamed;
+  }
+
+  /** What the task adds to the logarithm of the serving image's tail. */
+  private addedBy({ task, reading }: RunningTask, serving: string): number {
+    const weight = this.weightOf(serving, task);
+    if (weight < PACING.leastBlamedWeight) return 0;
+    return (weight * reading) / MILLI;
+  }
+
+  private weightOf(serving: string, task: JobTaskId): number {
+    const image = this.natures.get(task)?.image ?? "";
+    return this.weights.get(serving)?.get(image) ?? 0;
   }
 
-  private nextPace(worst: number, hasFilling: boolean): number {
-    if (!hasFilling) return FULL_PACE;
-    if (worst > PACING.slowAbove) {
-      const slower = Math.round(this.wanted * PACING.slowFactor);
+  private nextPace(
+    row: RunningTask,
+    isSlowed: boolean,
+    serving: readonly Strained[],
+  ): number {
+    const before = this.wanted.get(keyOf(row)) ?? FULL_PACE;
+    if (isSlowed) {
+      const slower = Math.round(before * PACING.slowFactor);
       return Math.max(PACING.leastPercent, slower);
     }
-    if (worst >= PACING.speedBelow) return this.wanted;
-    return Math.min(FULL_PACE, this.wanted + PACING.speedPoints);
+    const mayHarm = serving.some(
+      ({ image, tail }) =>
+        tail >= PACING.speedBelow &&
+        this.weightOf(image, row.task) >= PACING.leastBlamedWeight,
+    );
+    if (mayHarm) return before;
+    return Math.min(FULL_PACE, before + PACING.speedPoints);
   }
 
   private give(
     instance: WorkerInstance,
     epoch: Epoch,
-    { task, run }: RunningTask,
+    row: RunningTask,
+    percent: number,
   ): void {
-    const key = `${task}#${run}`;
+    const key = keyOf(row);
     const before = this.given.get(key) ?? FULL_PACE;
-    const percent = this.wanted;
     if (before === percent) return;
     this.given.set(key, percent);
     const { host, logger, metrics } = this.options;
+    const { task, run } = row;
     metrics.count("pace_orders", { way: percent < before ? "down" : "up" });
     host.pace(instance, { task, run, percent, epoch }).catch((err: unknown) => {
-      // Unknown now: the next look gives it again.
+      // Not known now: the next look gives it again.
       this.given.delete(key);
       logger.debug("pace.failed", { task, run, error: describeError(err) });
     });
   }
 
+  private logSlowed(
+    serving: readonly Strained[],
+    filling: readonly RunningTask[],
+    slowed: ReadonlySet<RunningTask>,
+  ): void {
+    const worst = serving.reduce((a, b) => (b.tail > a.tail ? b : a));
+    this.options.logger.info("pace.slowed", {
+      image: worst.image,
+      tail: worst.tail.toFixed(2),
+      slowed: slowed.size,
+      filling: filling.length,
+    });
+  }
+
   private forgetEnded(running: readonly RunningTask[]): void {
-    const keys = new Set(running.map(({ task, run }) => `${task}#${run}`));
-    for (const key of this.given.keys()) {
-      if (!keys.has(key)) this.given.delete(key);
+    const keys = new Set(running.map(keyOf));
+    for (const paces of [this.wanted, this.given]) {
+      for (const key of paces.keys()) if (!keys.has(key)) paces.delete(key);
     }
     const tasks = new Set(running.map(({ task }) => task));
-    if (this.natures.size <= 2 * tasks.size + 64) return;
+    if (this.natures.size <= 2 * tasks.size + KEPT_NATURES) return;
     for (const task of this.natures.keys()) {
       if (!tasks.has(task)) this.natures.delete(task);
     }
   }
 }
+
+/** Natures of tasks that were ordered and are not listed yet. */
+const KEPT_NATURES = 64;
+
+const keyOf = ({ task, run }: RunningTask): string => `${task}#${run}`;
