Each change of the leadership group begins a new term; tests of election, pacing and interference

Cause: a test showed that a leader whose lease had lapsed and was dealt to it again cleared the new lease while ending the old term, and that an owner that the store had dropped in between went on under its old epoch, below what hosts may have heard since. Change: the epoch is the group's generation; a changed generation ends the term and begins another before the lease is set. Measured: both tests fail before and pass after.

--- a/packages/leadership/src/LeaderElection.ts
+++ b/packages/leadership/src/LeaderElection.ts
@@ -4,8 +4,8 @@
  * store has no reason to deal it to another member.
  *
  * The leader counts its lease from when it *sent* the last confirmed join, and
- * the store from when that join *arrived*: the leader's ends first. A lease that
- * ran out may be resumed only under a new epoch, unless the group did not change.
+ * the store from when that join *arrived*: the leader's ends first. The epoch is
+ * the group's generation, so that each change of the group begins a new term.
  */
 
 import {
@@ -157,15 +157,15 @@
 
   private confirm(sentAt: Monotonic, changed: boolean): number {
     const { ttlMs, onAcquired, logger } = this.options;
-    const lapsed = this.options.clock.monotonic() >= this.validUntil;
+    if (this.epoch === undefined || changed) {
+      // A changed group may have had another owner for a moment.
+      this.resign("group-changed");
+      this.epoch = this.generation;
+      logger.info("leader.acquired", { epoch: this.epoch, member: this.name });
+      onAcquired(this.epoch);
+    }
     this.fruitlessJoins = 0;
     this.validUntil = sentAt + ttlMs - ELECTION.marginMs;
-    const continues = this.epoch !== undefined && (!lapsed || !changed);
-    if (continues) return ELECTION.renewEveryMs;
-    if (this.epoch !== undefined) this.resign("lapsed");
-    this.epoch = this.generation;
-    logger.info("leader.acquired", { epoch: this.epoch, member: this.name });
-    onAcquired(this.epoch);
     return ELECTION.renewEveryMs;
   }
 
--- /dev/null
+++ b/packages/leadership/tests/leaderElection.test.ts
@@ -0,0 +1,112 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  silentLogger,
+  type EntryId,
+  type Epoch,
+  type Incarnation,
+} from "@rackspan/common";
+import { LeaderElection } from "@rackspan/leadership";
+import type { TopicName } from "@rackspan/ports";
+import { MemoryStore } from "@rackspan/standins";
+
+const TTL_MS = 2_500;
+
+const setUp = () => {
+  const clock = new ManualClock();
+  const store = new MemoryStore(clock);
+  const terms: string[] = [];
+  const entry = (name: string, incarnation = "1") => {
+    const election = new LeaderElection({
+      membership: store,
+      topic: brand<TopicName>("leadership"),
+      self: {
+        entry: brand<EntryId>(name),
+        incarnation: brand<Incarnation>(incarnation),
+        address: `${name}:1`,
+      },
+      ttlMs: TTL_MS,
+      clock,
+      logger: silentLogger,
+      onAcquired: (epoch: Epoch) => terms.push(`${name} leads ${epoch}`),
+      onLost: (reason) => terms.push(`${name} lost: ${reason}`),
+    });
+    election.start();
+    return election;
+  };
+  return { clock, store, terms, entry };
+};
+
+test("one entry leads, and another takes over within its next look after a planned stop", async () => {
+  const { clock, terms, entry } = setUp();
+  const a = entry("a");
+  await clock.advance(100);
+  const b = entry("b");
+  await clock.advance(2_000);
+  expect([a.leads, b.leads]).toEqual([true, false]);
+  const stopped = a.stop();
+  await clock.advance(700);
+  await stopped;
+  expect([a.leads, b.leads]).toEqual([false, true]);
+  expect(terms[1]).toEqual("a lost: planned-stop");
+});
+
+test("a leader that cannot reach the store stops deciding before another can take over", async () => {
+  const { clock, store, entry } = setUp();
+  const a = entry("a");
+  await clock.advance(700);
+  store.fault = "silent";
+  await clock.advance(TTL_MS - 600);
+  expect(a.leads).toEqual(true);
+  await clock.advance(600);
+  expect(a.leads).toEqual(false);
+});
+
+test("leadership that lapsed goes on under the same epoch if the group did not change", async () => {
+  const { clock, store, terms, entry } = setUp();
+  store.timesWait = true;
+  const a = entry("a");
+  await clock.advance(700);
+  store.fault = "refuses";
+  await clock.advance(TTL_MS + 200);
+  expect(a.leads).toEqual(false);
+  store.fault = "none";
+  await clock.advance(300);
+  expect(a.leads).toEqual(true);
+  expect(terms).toEqual(["a leads 1"]);
+});
+
+test("leadership that the store has let lapse begins again under a higher epoch", async () => {
+  const { clock, store, terms, entry } = setUp();
+  const a = entry("a");
+  await clock.advance(700);
+  store.fault = "refuses";
+  await clock.advance(TTL_MS + 200);
+  store.fault = "none";
+  await clock.advance(300);
+  expect(a.leads).toEqual(true);
+  expect(terms).toEqual(["a leads 1", "a lost: group-changed", "a leads 3"]);
+});
+
+test("an owner whom the store has dropped in between begins a new term", async () => {
+  const { clock, store, terms, entry } = setUp();
+  const a = entry("a");
+  await clock.advance(700);
+  store.revoke();
+  await clock.advance(1_500);
+  expect(a.leads).toEqual(true);
+  expect(terms.at(-1)).toEqual("a leads 3");
+});
+
+test("a restarted process ends the membership of its former self and leads at once", async () => {
+  const { clock, entry, terms } = setUp();
+  const former = entry("a", "1");
+  await clock.advance(700);
+  void former;
+  const next = entry("a", "2");
+  await clock.advance(300);
+  expect(next.leads).toEqual(true);
+  expect(terms.includes("a leads 3")).toEqual(true);
+});
--- /dev/null
+++ b/packages/side/tests/pacer.test.ts
@@ -0,0 +1,90 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  Metrics,
+  silentLogger,
+  type Epoch,
+  type JobTaskId,
+  type RunNumber,
+  type WorkerInstance,
+} from "@rackspan/common";
+import type { PaceOrder, RunningTask, TaskHost } from "@rackspan/ports";
+import { Pacer } from "@rackspan/side";
+
+const INSTANCE = brand<WorkerInstance>("w");
+const EPOCH = brand<Epoch>(1);
+const TARGET_MS = 10;
+
+const setUp = () => {
+  const orders: PaceOrder[] = [];
+  const host = {
+    pace: async (_: WorkerInstance, order: PaceOrder) => {
+      orders.push(order);
+    },
+  } as unknown as TaskHost;
+  const pacer = new Pacer({
+    host,
+    logger: silentLogger,
+    metrics: new Metrics(),
+  });
+  const describe = (task: string, kind: "serving" | "filling", image: string) =>
+    pacer.describe(brand<JobTaskId>(task), {
+      kind,
+      image,
+      tailTargetMs: kind === "serving" ? TARGET_MS : 0,
+    });
+  describe("server", "serving", "web");
+  describe("heavy", "filling", "render");
+  describe("light", "filling", "index");
+  const look = (tailMs: number) =>
+    pacer.adjust(INSTANCE, EPOCH, [
+      row("server", tailMs),
+      row("heavy", 2_000),
+      row("light", 2_000),
+    ]);
+  const paceOf = (task: string) =>
+    orders.findLast((order) => order.task === brand<JobTaskId>(task))?.percent;
+  return { pacer, look, paceOf, orders };
+};
+
+const row = (task: string, reading: number): RunningTask => ({
+  task: brand<JobTaskId>(task),
+  run: brand<RunNumber>(1),
+  checkpoint: "",
+  progressPercent: 100,
+  reading,
+});
+
+test("all filling tasks slow down while no pair is known", () => {
+  const { look, paceOf } = setUp();
+  look(9.5);
+  expect([paceOf("heavy"), paceOf("light")]).toEqual([60, 60]);
+});
+
+test("only the image that is known to disturb is slowed", () => {
+  const { pacer, look, paceOf } = setUp();
+  pacer.learn([{ serving: "web", filling: "render", weight: 0.2 }]);
+  look(9.5);
+  look(9.5);
+  expect([paceOf("heavy"), paceOf("light")]).toEqual([36, undefined]);
+});
+
+test("a slowed task speeds up again only while the tail has slack", () => {
+  const { pacer, look, paceOf } = setUp();
+  pacer.learn([{ serving: "web", filling: "render", weight: 0.2 }]);
+  look(9.5);
+  look(8);
+  expect(paceOf("heavy")).toEqual(60);
+  look(5);
+  expect(paceOf("heavy")).toEqual(70);
+});
+
+test("a slowed task is never stopped whole, and a settled one is not ordered again", () => {
+  const { look, paceOf, orders } = setUp();
+  for (let turn = 0; turn < 20; turn += 1) look(30);
+  expect(paceOf("heavy")).toEqual(4);
+  const settled = orders.length;
+  look(30);
+  expect(orders.length).toEqual(settled);
+});
--- a/packages/standins/src/MemoryStore.ts
+++ b/packages/standins/src/MemoryStore.ts
@@ -44,6 +44,8 @@
 
 export class MemoryStore implements StoreClient {
   fault: StoreFault = "none";
+  /** Whether members' times wait, as they may while the store is away. */
+  timesWait = false;
   appends = 0;
   private readonly topics = new Map<TopicName, Topic>();
   private members: GroupMember[] = [];
@@ -150,6 +152,7 @@
   }
 
   private expireMembers(): void {
+    if (this.timesWait) return;
     const now = this.clock.monotonic();
     for (const { name, expiresAt } of this.members) {
       if (expiresAt <= now) this.dropMember(name);
