Slow hosts are told from long tasks; a host that refuses a start is left alone a while

Cause: a refused start was given to the same host again with each pass (40 times in 300 ms in the test), and plain tasks stayed on hosts that had turned slow. Change: a refusal pauses the host for 400 ms; progress against expected run times gives each host a slowness, by which plain tasks move and placement keeps away.

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -83,6 +83,13 @@
   heardAt: Monotonic = -Infinity;
   /** When every lease granted so far is over for certain. */
   leaseOverBy: Monotonic = -Infinity;
+  /** No tasks are started there before; set when the worker refuses one. */
+  pausedUntil: Monotonic = -Infinity;
+  /**
+   * Moving mean of the logarithm of (run time as it shows / run time expected)
+   * of plain tasks: 0 for an ordinary host, 0.7 for one half as fast.
+   */
+  slowness = 0;
   /** Ends up to this number were taken note of, and are being kept. */
   notedEnds = 0;
   /** Ends up to this number are kept. */
@@ -141,6 +148,8 @@
   /** A new life of the worker: nothing of the old one is left. */
   replaceWorker(worker: WorkerDescription): void {
     this.worker = worker;
+    this.slowness = 0;
+    this.pausedUntil = -Infinity;
     this.reportedAt = undefined;
     this.notedEnds = 0;
     this.acknowledgedEnds = 0;
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -97,7 +97,8 @@
     const { clock } = this.options.engine;
     if (!session || !rostered || ledger.worker.draining) return false;
     if (ledger.reportedAt === undefined) return false;
-    return clock.monotonic() - ledger.heardAt < ENGINE.quietMs;
+    const now = clock.monotonic();
+    return now >= ledger.pausedUntil && now - ledger.heardAt < ENGINE.quietMs;
   }
 
   private placeStep(step: StepRun, hosts: readonly HostLedger[]): void {
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -44,6 +44,7 @@
 import type { HostSession } from "./HostSession.js";
 import { disturbancesOn, learnInterference } from "./learnInterference.js";
 import { RunControl } from "./RunControl.js";
+import { learnSlowness, runsToMove, SLOWNESS } from "./slowHosts.js";
 import { stepOrders } from "./stepOrders.js";
 import { taskPlacers } from "./taskPlacers.js";
 
@@ -181,6 +182,7 @@
     this.noteWorker(entry, report);
     this.takeChanges(entry, reconcileReport(ledger, report, now));
     learnInterference(ledger, this.interference);
+    learnSlowness(ledger, this.estimates, now);
     gate.noteHeard(host);
     this.dispatcher.requestPass();
     entry.rostered = roster.has(host);
@@ -518,6 +520,7 @@
 
   private watchRuns(entry: HostEntry, now: number): void {
     if (!this.options.mayDecide() || !entry.session) return;
+    if (this.hasFasterHost(entry)) this.moveFromSlowHost(entry, now);
     for (const run of entry.ledger.runs.values()) {
       if (run.phase === "stopping" && run.answeredAt === undefined) {
         void this.runs.orderStop(entry, run);
@@ -530,6 +533,23 @@
       }
     }
   }
+
+  private hasFasterHost({ ledger }: HostEntry): boolean {
+    return [...this.hosts.all()].some(
+      (other) =>
+        other.session !== undefined &&
+        !other.ledger.worker.draining &&
+        other.ledger.slowness + SLOWNESS.clearlyFaster < ledger.slowness,
+    );
+  }
+
+  private moveFromSlowHost(entry: HostEntry, now: number): void {
+    const { ledger } = entry;
+    for (const run of runsToMove(ledger, this.estimates, now)) {
+      avoidHost(run.task, ledger.host);
+      this.runs.stop(entry, run, "slow-host");
+    }
+  }
 }
 
 const hasStalled = (run: ActiveRun, now: number): boolean => {
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -175,6 +175,8 @@
       case "refused":
         if (result.reason === "unhealthy")
           avoidHost(run.task, host.ledger.host);
+        host.ledger.pausedUntil =
+          this.options.clock.monotonic() + ENGINE.refusedPauseMs;
         this.giveBack(host, run);
         return;
     }
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -11,6 +11,7 @@
   type JobTask,
 } from "@rackspan/jobs";
 import type { ImageName } from "@rackspan/state";
+import { slownessPenalty } from "./slowHosts.js";
 import {
   pickByScore,
   taskPlacers,
@@ -130,6 +131,7 @@
   const avoided = task.avoid.includes(host.host);
   return (
     (near ? COLOCATION.dataRackBonus : 0) -
+    slownessPenalty(host) -
     (avoided ? COLOCATION.avoidedPenalty : 0)
   );
 };
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -34,6 +34,8 @@
   runsPerEpoch: 2 ** 20,
   /** A plain task that gains no percent for this long is moved. */
   stallMs: 3_000,
+  /** A host that refused a start gets none for this long. */
+  refusedPauseMs: 400,
   /** The same for filling tasks, which may be slowed down to nothing for a while. */
   fillingStallMs: 7_000,
 } as const;
