Ends are acknowledged in their order; sides leave a leader that grants nothing; workers that end are told

Change: acknowledgements wait for all earlier ones of the host; a side that is granted no lease for 700 ms asks the store who leads; a worker's own word that it ends drops its host and its place in the roster at once.

--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -106,6 +106,11 @@
           const { host, zone, leading } = this.current();
           return leading.engine.report(host, zone, report);
         },
+        workerGone: ({ instance }) => {
+          const { host, leading } = this.current();
+          leading.engine.noteWorkerGone(host, instance);
+          return {};
+        },
         ping: () => ({}),
       },
       silenceMs: SERVER.silenceMs,
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -95,6 +95,11 @@
     result: z.object({ epoch: numberOf<Epoch>() }),
   },
   report: { params: reportSchema, result: grantSchema },
+  /** That life of the worker has ended, and so has all that ran there. */
+  workerGone: {
+    params: z.object({ instance: idSchema<WorkerInstance>() }),
+    result: z.object({}),
+  },
   /** Keeps the connection open while the worker shows nothing. */
   ping: { params: z.object({}), result: z.object({}) },
 };
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -8,6 +8,7 @@
   type AvailabilityZone,
   type HostId,
   type Timer,
+  type WorkerInstance,
 } from "@rackspan/common";
 import {
   avoidHost,
@@ -67,6 +68,7 @@
   private readonly dispatcher: Dispatcher;
   private timer: Timer | undefined;
   private stopped = false;
+  private journalLost = false;
 
   constructor(private readonly options: EngineOptions) {
     const { clock } = options;
@@ -164,6 +166,13 @@
     if (entry) entry.session = undefined;
   }
 
+  /** The worker has ended, by its own word or since another life answers for it. */
+  noteWorkerGone(host: HostId, instance: WorkerInstance): void {
+    const entry = this.hosts.get(host);
+    if (entry?.ledger.instance === instance)
+      this.dropHost(entry, "worker-gone");
+  }
+
   /** Takes a host's report. */
   report(host: HostId, zone: AvailabilityZone, report: HostReport): Grant {
     const { clock, gate, mayDecide, leaseMs, roster, logger } = this.options;
@@ -209,7 +218,12 @@
     if (known) return known;
     const ledger = new HostLedger(host, zone, worker);
     const session = this.sessions.get(host);
-    const entry: HostEntry = { ledger, session, rostered: roster.has(host) };
+    const entry: HostEntry = {
+      ledger,
+      session,
+      keeping: Promise.resolve(),
+      rostered: roster.has(host),
+    };
     this.hosts.set(entry);
     // Until it is heard the host may hold leases of a former leader.
     ledger.leaseOverBy = leaseOverBy(now, this.options.leaseMs);
@@ -446,17 +460,18 @@
     const { ledger } = entry;
     const { instance, notedEnds } = ledger;
     const writes = [...changed].map((job) => journal.record(job));
-    Promise.all(writes).then(
-      () => {
-        if (ledger.instance !== instance) return;
-        ledger.acknowledgedEnds = Math.max(ledger.acknowledgedEnds, notedEnds);
-        entry.session?.acknowledge(instance, ledger.acknowledgedEnds);
-      },
-      (err: unknown) => this.noteLostJournal(err),
-    );
+    // Ends that change nothing wait for earlier ones all the same.
+    entry.keeping = Promise.all([entry.keeping, ...writes]).then(() => {
+      if (ledger.instance !== instance) return;
+      ledger.acknowledgedEnds = Math.max(ledger.acknowledgedEnds, notedEnds);
+      entry.session?.acknowledge(instance, ledger.acknowledgedEnds);
+    });
+    entry.keeping.catch((err: unknown) => this.noteLostJournal(err));
   }
 
   private noteLostJournal(err: unknown): void {
+    if (this.journalLost) return;
+    this.journalLost = true;
     this.options.logger.warn("journal.lost", { error: describeError(err) });
   }
 
@@ -501,18 +516,22 @@
   private tick(): void {
     const now = this.options.clock.monotonic();
     for (const entry of [...this.hosts.all()]) {
-      if (now >= entry.ledger.leaseOverBy) this.dropHost(entry);
+      if (now >= entry.ledger.leaseOverBy) this.dropHost(entry, "lease-over");
       else this.watchRuns(entry, now);
     }
     if (this.active.size > 0) this.dispatcher.requestPass();
   }
 
-  /** The host was silent until the last lease there was over. */
-  private dropHost(entry: HostEntry): void {
+  /** Nothing runs there any more: it ended, or was silent until its lease was over. */
+  private dropHost(entry: HostEntry, reason: string): void {
     const { logger, roster } = this.options;
     const { host } = entry.ledger;
-    this.loseRuns(entry, "lease-over");
-    logger.warn("host.gone", { host, instance: entry.ledger.instance });
+    this.loseRuns(entry, reason);
+    logger.warn("host.gone", {
+      host,
+      instance: entry.ledger.instance,
+      reason,
+    });
     this.hosts.delete(host);
     this.ejector.forget(host);
     roster.remove(host);
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -74,6 +74,8 @@
 export interface HostEntry {
   readonly ledger: HostLedger;
   session: HostSession | undefined;
+  /** Settles once all ends that were taken note of so far are kept. */
+  keeping: Promise<void>;
   /** Whether the store keeps the host in the roster. */
   rostered: boolean;
 }
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -222,3 +222,31 @@
   await harness.run(100);
   expect(slow.runningTasks).toEqual([]);
 });
+
+test("ends that change nothing do not acknowledge earlier ones that are not kept", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ taskCount: 2 }]);
+  harness.submit("k", [{ lasting: true }]);
+  await harness.run(100);
+  harness.store.fault = "refuses";
+  host.end(taskId("j.0.0.0"), "done");
+  await harness.run(200);
+  host.end(taskId("k.0.0.0"), "lapsed");
+  await harness.run(200);
+  expect(host.acknowledged).toEqual(0);
+  harness.store.fault = "none";
+  await harness.run(300);
+  expect(host.acknowledged).toEqual(2);
+});
+
+test("a worker that says that it has ended frees its tasks at once", async () => {
+  const harness = new EngineHarness();
+  const leaving = await harness.addHost("h1");
+  harness.submit("j", [{ lasting: true }]);
+  await harness.run(100);
+  const other = await harness.addHost("h2");
+  harness.engine.noteWorkerGone(leaving.host, leaving.instance);
+  await harness.run(100, [other]);
+  expect(other.runningTasks.length).toEqual(1);
+});
--- a/packages/side/src/jobs/LeaderFinder.ts
+++ b/packages/side/src/jobs/LeaderFinder.ts
@@ -40,6 +40,12 @@
     }
   }
 
+  /** The leader as the store knows it; undefined when there is none, or no answer. */
+  async findInStore(): Promise<string | undefined> {
+    const address = await this.find();
+    return this.storeAnswers ? address : undefined;
+  }
+
   private nextKnownEntry(): string | undefined {
     const { knownEntries } = this.options;
     if (knownEntries.length === 0) return undefined;
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -12,6 +12,7 @@
   type HostId,
   type Logger,
   type Monotonic,
+  type WorkerInstance,
 } from "@rackspan/common";
 import {
   hostMethods,
@@ -38,6 +39,8 @@
   reportFloorMs: 12,
   /** A connection without a byte for this long is closed. */
   silenceMs: 4_000,
+  /** A leader that grants no lease for this long may have been replaced. */
+  ungrantedMs: 700,
   /** Unanswered reports in a row after which another leader is looked for. */
   maxUnanswered: 2,
 } as const;
@@ -63,6 +66,9 @@
   private readonly abort = new AbortController();
   private connection: LeaderConnection | undefined;
   private reportedAt: Monotonic = -Infinity;
+  /** When the leader last granted a lease, or was last looked for since. */
+  private grantedAt: Monotonic = -Infinity;
+  private toldGone: WorkerInstance | undefined;
   private task: Promise<void> | undefined;
 
   constructor(private readonly options: LeaderLinkOptions) {}
@@ -104,7 +110,7 @@
       }
       logger.info("leader.attached", { leader: address, epoch });
       watch.raiseEpoch(epoch);
-      reason = await this.reportWhileOpen(connection);
+      reason = await this.reportWhileOpen(connection, address);
     } catch (err) {
       reason = describeError(err);
     }
@@ -147,9 +153,14 @@
   }
 
   /** @returns why it ended */
-  private async reportWhileOpen(connection: LeaderConnection): Promise<string> {
+  private async reportWhileOpen(
+    connection: LeaderConnection,
+    address: string,
+  ): Promise<string> {
     const { clock, watch } = this.options;
     const attachedAt = clock.monotonic();
+    this.grantedAt = attachedAt;
+    this.toldGone = undefined;
     let lastSent: Sighting | undefined;
     let unanswered = 0;
     while (connection.isOpen && !this.abort.signal.aborted) {
@@ -161,9 +172,11 @@
           ? 0
           : unanswered + 1;
         if (unanswered >= LINK.maxUnanswered) return "reports unanswered";
+        if (await this.isReplaced(address)) return "another entry leads";
         await sleep(clock, LINK.reportFloorMs);
         continue;
       }
+      this.tellGone(connection);
       if (clock.monotonic() - this.reportedAt > LINK.pingEveryMs) {
         this.reportedAt = clock.monotonic();
         connection.notify("ping", {});
@@ -176,6 +189,22 @@
     return connection.isOpen ? "stopping" : await connection.closed;
   }
 
+  private tellGone(connection: LeaderConnection): void {
+    const { lastGone } = this.options.registry;
+    if (lastGone === undefined || lastGone === this.toldGone) return;
+    this.toldGone = lastGone;
+    connection.notify("workerGone", { instance: lastGone });
+  }
+
+  /** Whether the store names another leader than this one, which grants nothing. */
+  private async isReplaced(address: string): Promise<boolean> {
+    const { clock, finder } = this.options;
+    if (clock.monotonic() - this.grantedAt < LINK.ungrantedMs) return false;
+    this.grantedAt = clock.monotonic();
+    const leader = await finder.findInStore();
+    return leader !== undefined && leader !== address;
+  }
+
   /** Older ones may show a worker that is gone, or runs that ended since. */
   private sightingSince(attachedAt: Monotonic): Sighting | undefined {
     const { sighting } = this.options.watch;
@@ -229,7 +258,10 @@
   private take(instance: Sighting["instance"], grant: Grant): void {
     const { watch, pacer } = this.options;
     pacer.learn(grant.disturbances ?? []);
-    if (grant.leaseUntil !== undefined) watch.grant(instance, grant.leaseUntil);
+    if (grant.leaseUntil !== undefined) {
+      this.grantedAt = this.options.clock.monotonic();
+      watch.grant(instance, grant.leaseUntil);
+    }
     watch.acknowledge(instance, grant.acknowledged);
   }
 }
--- a/packages/side/src/jobs/WorkerRegistry.ts
+++ b/packages/side/src/jobs/WorkerRegistry.ts
@@ -24,6 +24,8 @@
 export class WorkerRegistry {
   /** Notified when the worker or its state changes. */
   readonly changed = new ChangeSignal();
+  /** The life that ended last. */
+  lastGone: WorkerInstance | undefined;
   private heartbeat: WorkerHeartbeat | undefined;
   private heardAt: Monotonic = -Infinity;
   private readonly gone = new Set<WorkerInstance>();
@@ -70,6 +72,7 @@
       const [oldest] = this.gone;
       if (oldest) this.gone.delete(oldest);
     }
+    this.lastGone = instance;
     this.logger.info("worker.gone", { instance, reason });
     if (this.heartbeat?.worker.instance === instance) {
       this.heartbeat = undefined;
