Failures are counted run by run; slow hosts are told by tasks of the same step; paces from what was learnt

Tails went up and down as fast as paces did. Change: the numbers of failed runs are kept, not their count and the last; slowness compares tasks of one step on several hosts; the side holds filling tasks at the pace that the learnt weights allow, and new ones start at the pace of their image.

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -42,12 +42,13 @@
 }
 
 export const natureOf = (task: JobTask): TaskNature => {
-  const { filling, tailTargetMs, lasting, image } = task.step.spec;
+  const { filling, tailTargetMs, lasting, image, demand } = task.step.spec;
   const serves = lasting && tailTargetMs > 0;
   return {
     kind: filling ? "filling" : serves ? "serving" : "plain",
     tailTargetMs,
     image,
+    milliCores: demand.milliCores,
   };
 };
 
@@ -86,8 +87,8 @@
   /** No tasks are started there before; set when the worker refuses one. */
   pausedUntil: Monotonic = -Infinity;
   /**
-   * Moving mean of the logarithm of (run time as it shows / run time expected)
-   * of plain tasks: 0 for an ordinary host, 0.7 for one half as fast.
+   * Moving mean of the logarithm of (run time as it shows / that of tasks of the
+   * same step on other hosts): 0 for an ordinary host, 0.7 for one half as fast.
    */
   slowness = 0;
   /** Ends up to this number were taken note of, and are being kept. */
--- a/packages/jobs/src/InterferenceBook.ts
+++ b/packages/jobs/src/InterferenceBook.ts
@@ -19,8 +19,13 @@
   baseRate: 0.03,
   /** Weight of a pair that was never seen together, logarithm a core. */
   initialWeight: 0.03,
-  /** Share of each error that is corrected at once. */
-  rate: 0.08,
+  /** Share of each error that is corrected at once, with many cores beside. */
+  rate: 0.2,
+  /**
+   * Square of the cores at which half of that is corrected. Few cores teach
+   * little: what they seem to do is mostly the tail's own noise.
+   */
+  halfRateCores: 6,
   /** Errors count as at most this: readings jump far beyond what a model can tell. */
   maxError: 1.5,
   maxWeight: 0.6,
@@ -46,12 +51,14 @@
       this.learnBase(serving, reading);
       return;
     }
-    const { maxError, maxWeight, rate } = INTERFERENCE;
+    const { maxError, maxWeight, rate, halfRateCores } = INTERFERENCE;
     const missed = reading - this.predict(serving, beside);
     const error = Math.max(-maxError, Math.min(maxError, missed));
     const row = this.row(serving);
     for (const [image, cores] of beside) {
-      const moved = this.weight(serving, image) + (rate * error * cores) / norm;
+      const moved =
+        this.weight(serving, image) +
+        (rate * error * cores) / (norm + halfRateCores);
       row.set(image, Math.min(maxWeight, Math.max(0, moved)));
     }
   }
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -22,10 +22,8 @@
 export class JobTask {
   readonly id: JobTaskId;
   phase: TaskPhase = "waiting";
-  /** Failed runs so far. */
-  failures = 0;
-  /** The last run whose failure was counted. */
-  lastFailedRun = 0;
+  /** Runs that failed. A new leader may hear of them in any order, and again. */
+  readonly failedRuns = new Set<number>();
   /** From which the next run goes on; empty for none. */
   checkpoint = "";
   /** Hosts where it failed or stood still, the last ones. */
@@ -176,9 +174,9 @@
       this.noteDone(task);
       return true;
     }
-    if (outcome === "failed" && run > task.lastFailedRun) {
-      task.lastFailedRun = run;
-      task.failures += 1;
+    const isNewFailure = outcome === "failed" && !task.failedRuns.has(run);
+    if (isNewFailure && !task.step.spec.lasting) {
+      task.failedRuns.add(run);
       return true;
     }
     return task.checkpoint !== hadCheckpoint;
@@ -194,7 +192,7 @@
   /** Whether a task has failed as often as its queue allows. */
   hasSpentAttempts(task: JobTask): boolean {
     if (task.step.spec.lasting) return false;
-    return task.failures >= this.terms.maxAttempts;
+    return task.failedRuns.size >= this.terms.maxAttempts;
   }
 
   get isComplete(): boolean {
@@ -217,8 +215,8 @@
       for (const task of step.tasks) {
         if (isDone(task)) continue;
         const key = `${keyOf(step)}.${task.index}`;
-        if (task.failures > 0)
-          failures.push([key, task.failures, task.lastFailedRun]);
+        if (task.failedRuns.size > 0)
+          failures.push([key, [...task.failedRuns]]);
         if (task.checkpoint) checkpoints.push([key, task.checkpoint]);
       }
     }
@@ -237,11 +235,9 @@
         if (task) this.noteDone(task);
       }
     }
-    for (const [key, failures, lastRun] of progress.failures) {
+    for (const [key, runs] of progress.failures) {
       const task = this.taskAtKey(key);
-      if (!task) continue;
-      task.failures = failures;
-      task.lastFailedRun = lastRun;
+      for (const run of runs) task?.failedRuns.add(run);
     }
     for (const [key, checkpoint] of progress.checkpoints) {
       const task = this.taskAtKey(key);
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -81,6 +81,8 @@
   acknowledged: z.number(),
   /** Pairs of images on this host; those left out do not disturb. */
   disturbances: z.array(disturbanceSchema).optional(),
+  /** Logarithm of each serving image's tail when nothing disturbs it. */
+  bases: z.record(z.string(), z.number()).optional(),
 });
 
 export type Grant = z.output<typeof grantSchema>;
@@ -109,6 +111,8 @@
   /** Tail latency below which a serving task is to stay, milliseconds; else 0. */
   tailTargetMs: z.number(),
   image: z.string(),
+  /** What the task asks for, thousandths of a core. */
+  milliCores: z.number(),
 });
 
 /** How a task behaves beside others; the side paces by it. */
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -43,7 +43,11 @@
 } from "./engineTypes.js";
 import { HostBook } from "./HostBook.js";
 import type { HostSession } from "./HostSession.js";
-import { disturbancesOn, learnInterference } from "./learnInterference.js";
+import {
+  disturbancesOn,
+  learnInterference,
+  undisturbedTails,
+} from "./learnInterference.js";
 import { RunControl } from "./RunControl.js";
 import { learnSlowness, runsToMove, SLOWNESS } from "./slowHosts.js";
 import { stepOrders } from "./stepOrders.js";
@@ -191,7 +195,7 @@
     this.noteWorker(entry, report);
     this.takeChanges(entry, reconcileReport(ledger, report, now));
     learnInterference(ledger, this.interference);
-    learnSlowness(ledger, this.estimates, now);
+    learnSlowness(entry, this.hosts, now);
     gate.noteHeard(host);
     this.dispatcher.requestPass();
     entry.rostered = roster.has(host);
@@ -203,8 +207,12 @@
       leaseOverBy(now, leaseMs),
     );
     const leaseUntil = (report.at + leaseMs) as typeof report.at;
-    const disturbances = disturbancesOn(ledger, this.interference);
-    return { leaseUntil, acknowledged: ledger.acknowledgedEnds, disturbances };
+    return {
+      leaseUntil,
+      acknowledged: ledger.acknowledgedEnds,
+      disturbances: disturbancesOn(ledger, this.interference),
+      bases: undisturbedTails(ledger, this.interference),
+    };
   }
 
   private entryOf(
@@ -564,7 +572,7 @@
 
   private moveFromSlowHost(entry: HostEntry, now: number): void {
     const { ledger } = entry;
-    for (const run of runsToMove(ledger, this.estimates, now)) {
+    for (const run of runsToMove(entry, this.hosts, now)) {
       avoidHost(run.task, ledger.host);
       this.runs.stop(entry, run, "slow-host");
     }
--- a/packages/scheduling/src/learnInterference.ts
+++ b/packages/scheduling/src/learnInterference.ts
@@ -54,3 +54,15 @@
   }
   return told;
 };
+
+/** Tails of the serving images there when nothing disturbs them. */
+export const undisturbedTails = (
+  ledger: HostLedger,
+  book: InterferenceBook,
+): Record<string, number> => {
+  const bases: Record<string, number> = {};
+  for (const image of ledger.images().serving) {
+    bases[image] = Math.round(book.base(image) * MILLI) / MILLI;
+  }
+  return bases;
+};
--- a/packages/scheduling/src/slowHosts.ts
+++ b/packages/scheduling/src/slowHosts.ts
@@ -1,12 +1,19 @@
-/** Tells hosts that are slow from tasks that are long, by the progress of plain tasks. */
+/**
+ * Tells hosts that are slow from tasks that are long: tasks of one step are
+ * alike, so a host is slow where its tasks fall behind those of the same step on
+ * other hosts. Estimates of callers are too far off to compare with.
+ */
 
 import { natureOf, type ActiveRun, type HostLedger } from "@rackspan/jobs";
 import type { Monotonic } from "@rackspan/common";
-import type { EstimateBook } from "./EstimateBook.js";
+import type { HostEntry } from "./engineTypes.js";
+import type { HostBook } from "./HostBook.js";
 
 export const SLOWNESS = {
   /** Run time before which progress says too little, milliseconds. */
   leastRunMs: 400,
+  /** Tasks of the step on other hosts that a reading needs. */
+  leastSiblings: 2,
   /** Weight of one reading in the moving mean. */
   weight: 0.15,
   /** A single reading counts as at most this, either way. */
@@ -34,15 +41,33 @@
 const projectedMs = (run: ActiveRun, now: Monotonic): number =>
   ((now - run.startedAt) * 100) / Math.max(1, run.progressPercent);
 
+/** Median of the projected run times of the step's tasks on other hosts. */
+const siblingMs = (
+  run: ActiveRun,
+  host: HostEntry,
+  hosts: HostBook,
+  now: Monotonic,
+): number | undefined => {
+  const siblings = hosts
+    .runsOf(run.task.step.tasks)
+    .filter((other) => other.host !== host && isMeasured(other.run, now))
+    .map((other) => projectedMs(other.run, now))
+    .sort((a, b) => a - b);
+  if (siblings.length < SLOWNESS.leastSiblings) return undefined;
+  return siblings[Math.floor(siblings.length / 2)];
+};
+
 /** Reads the host's runs as the last report left them. */
 export const learnSlowness = (
-  ledger: HostLedger,
-  estimates: EstimateBook,
+  host: HostEntry,
+  hosts: HostBook,
   now: Monotonic,
 ): void => {
+  const { ledger } = host;
   for (const run of ledger.runs.values()) {
     if (!isMeasured(run, now)) continue;
-    const expectedMs = estimates.taskMs(run.task.step);
+    const expectedMs = siblingMs(run, host, hosts, now);
+    if (expectedMs === undefined) continue;
     const reading = Math.log(projectedMs(run, now) / expectedMs);
     const bounded = Math.max(
       -SLOWNESS.maxReading,
@@ -58,15 +83,18 @@
 
 /** Runs of a slow host that would end sooner if they began anew elsewhere. */
 export const runsToMove = (
-  ledger: HostLedger,
-  estimates: EstimateBook,
+  host: HostEntry,
+  hosts: HostBook,
   now: Monotonic,
 ): ActiveRun[] => {
+  const { ledger } = host;
   if (ledger.slowness < SLOWNESS.slowFrom) return [];
   return [...ledger.runs.values()].filter((run) => {
     if (!isMeasured(run, now)) return false;
     if (run.task.avoid.includes(ledger.host)) return false;
+    const freshMs = siblingMs(run, host, hosts, now);
+    if (freshMs === undefined) return false;
     const leftMs = projectedMs(run, now) - (now - run.startedAt);
-    return leftMs > SLOWNESS.moveGain * estimates.taskMs(run.task.step);
+    return leftMs > SLOWNESS.moveGain * freshMs;
   });
 };
--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -23,6 +23,12 @@
   speedBelow: 0.75,
   /** They go on at this share of their pace. */
   slowFactor: 0.6,
+  /** Share of its target that a tail is expected to reach when tasks speed up. */
+  aim: 0.8,
+  /** Tasks may go past what is expected to be right by this factor. */
+  overshoot: 1.25,
+  /** Least pace that an expectation alone holds a task to, percent. */
+  leastExpected: 12,
   /** Points of percent by which they speed up at a time. */
   speedPoints: 10,
   /** Their least pace, percent: some progress tells them from hung tasks. */
@@ -55,6 +61,8 @@
   private readonly natures = new Map<JobTaskId, TaskNature>();
   /** By serving image, then filling image. */
   private readonly weights = new Map<string, Map<string, number>>();
+  /** Logarithm of each serving image's tail when nothing disturbs it. */
+  private bases: Readonly<Record<string, number>> = {};
   /** The pace last wanted for each run, percent. */
   private readonly wanted = new Map<string, number>();
   /** The pace last given to each run; absent when it is not known. */
@@ -67,7 +75,11 @@
   }
 
   /** Takes what the leader knows of the images on this host. */
-  learn(disturbances: readonly Disturbance[]): void {
+  learn(
+    disturbances: readonly Disturbance[],
+    bases: Readonly<Record<string, number>>,
+  ): void {
+    this.bases = bases;
     this.weights.clear();
     for (const { serving, filling, weight } of disturbances) {
       const row = this.weights.get(serving) ?? new Map<string, number>();
@@ -89,8 +101,13 @@
     if (filling.length === 0) return;
     const serving = this.servingTails(running);
     const slowed = this.blamed(serving, filling);
+    const expected = this.expectedPaces(serving, filling);
     for (const row of filling) {
-      const pace = this.nextPace(row, slowed.has(row), serving);
+      const most = this.mostExpected(row, expected);
+      const pace = Math.min(
+        most,
+        this.nextPace(row, slowed.has(row), serving, filling),
+      );
       this.wanted.set(keyOf(row), pace);
       this.give(instance, epoch, row, pace);
     }
@@ -142,8 +159,10 @@
     row: RunningTask,
     isSlowed: boolean,
     serving: readonly Strained[],
+    filling: readonly RunningTask[],
   ): number {
-    const before = this.wanted.get(keyOf(row)) ?? FULL_PACE;
+    const known = this.wanted.get(keyOf(row));
+    const before = known ?? this.paceOfSiblings(row, filling);
     if (isSlowed) {
       const slower = Math.round(before * PACING.slowFactor);
       return Math.max(PACING.leastPercent, slower);
@@ -153,10 +172,56 @@
         tail >= PACING.speedBelow &&
         this.weightOf(image, row.task) >= PACING.leastBlamedWeight,
     );
-    if (mayHarm) return before;
+    if (mayHarm || known === undefined) return before;
     return Math.min(FULL_PACE, before + PACING.speedPoints);
   }
 
+  /** A new task goes on at the pace that others of its image have here. */
+  private paceOfSiblings(
+    { task }: RunningTask,
+    filling: readonly RunningTask[],
+  ): number {
+    const image = this.natures.get(task)?.image;
+    const paces = filling
+      .filter((other) => this.natures.get(other.task)?.image === image)
+      .map((other) => this.wanted.get(keyOf(other)) ?? FULL_PACE);
+    return Math.min(FULL_PACE, ...paces);
+  }
+
+  /** For each serving image: the pace of what disturbs it at which its tail is right. */
+  private expectedPaces(
+    serving: readonly Strained[],
+    filling: readonly RunningTask[],
+  ): Map<string, number> {
+    const paces = new Map<string, number>();
+    for (const image of new Set(serving.map((one) => one.image))) {
+      const base = this.bases[image];
+      if (base === undefined) continue;
+      let added = 0;
+      for (const { task } of filling) {
+        const cores = (this.natures.get(task)?.milliCores ?? 0) / MILLI;
+        added += this.weightOf(image, task) * cores;
+      }
+      const slack = Math.max(0, Math.log(PACING.aim) - base);
+      if (added > slack) paces.set(image, (FULL_PACE * slack) / added);
+    }
+    return paces;
+  }
+
+  /** The most that the expected paces let the task have, percent. */
+  private mostExpected(
+    { task }: RunningTask,
+    expected: ReadonlyMap<string, number>,
+  ): number {
+    let most = FULL_PACE;
+    for (const [image, pace] of expected) {
+      if (this.weightOf(image, task) < PACING.leastBlamedWeight) continue;
+      const bounded = Math.max(PACING.leastExpected, PACING.overshoot * pace);
+      most = Math.min(most, Math.round(bounded));
+    }
+    return most;
+  }
+
   private give(
     instance: WorkerInstance,
     epoch: Epoch,
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -157,8 +157,8 @@
   endedAt: z.number(),
   /** `occurrence.step` to the indices of its done tasks, as ranges `a-b`. */
   done: z.record(z.string(), z.string()),
-  /** `occurrence.step.index`, failed runs, and the last of them that was counted. */
-  failures: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  /** `occurrence.step.index` and the numbers of its runs that failed. */
+  failures: z.array(z.tuple([z.string(), z.array(z.number())])),
   /** `occurrence.step.index` and the checkpoint from which a run goes on. */
   checkpoints: z.array(z.tuple([z.string(), z.string()])),
 });
