Bulk work that disturbs everywhere is started all the same after a while; overdue passes are made and logged

Change: a job with nothing running for 1.5 s gets one task placed whatever it disturbs, paced by its side; a pass that is overdue by 400 ms is made at once with a log line.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -1,5 +1,6 @@
 /** Starts waiting tasks on hosts with room, in the order of work. */
 
+import type { Monotonic } from "@rackspan/common";
 import type { HostLedger, JobRun, JobTask, StepRun } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
 import {
@@ -25,18 +26,30 @@
 }
 
 export class Dispatcher {
-  private passDue = false;
+  /** When the pass that is due was asked for; undefined when none is. */
+  private dueSince: Monotonic | undefined;
 
   constructor(private readonly options: DispatcherOptions) {}
 
   /** Makes a pass soon; many requests make one pass. */
   requestPass(): void {
-    if (this.passDue) return;
-    this.passDue = true;
-    this.options.engine.clock.after(ENGINE.passFloorMs, () => {
-      this.passDue = false;
-      this.pass();
-    });
+    const { clock, logger } = this.options.engine;
+    const now = clock.monotonic();
+    if (this.dueSince === undefined) {
+      this.dueSince = now;
+      clock.after(ENGINE.passFloorMs, () => this.passIfDue());
+      return;
+    }
+    const overdueMs = now - this.dueSince;
+    if (overdueMs < ENGINE.passOverdueMs) return;
+    logger.warn("dispatch.overdue", { overdueMs: Math.round(overdueMs) });
+    this.passIfDue();
+  }
+
+  private passIfDue(): void {
+    if (this.dueSince === undefined) return;
+    this.dueSince = undefined;
+    this.pass();
   }
 
   private pass(): void {
@@ -46,9 +59,9 @@
     const now = engine.clock.now();
     const candidates = order.sort(this.candidates(now), now);
     const hostsByService = this.usableHosts();
-    for (const { step } of candidates) {
-      const service = this.serviceOf(step.job);
-      this.placeStep(step, hostsByService.get(service) ?? []);
+    for (const candidate of candidates) {
+      const service = this.serviceOf(candidate.job);
+      this.placeStep(candidate, hostsByService.get(service) ?? []);
     }
     engine.metrics
       .latency("dispatch_pass")
@@ -67,7 +80,9 @@
         continue;
       }
       if (!engine.gate.mayStart(firstSeenAt, monotonic)) continue;
-      candidates.push(...steps.map((step) => ({ job, step })));
+      if (this.options.hosts.hasRunsOf(job)) live.busyAt = monotonic;
+      const isStarved = monotonic - live.busyAt > ENGINE.starvedMs;
+      candidates.push(...steps.map((step) => ({ job, step, isStarved })));
     }
     return candidates;
   }
@@ -101,14 +116,18 @@
     return now >= ledger.pausedUntil && now - ledger.heardAt < ENGINE.quietMs;
   }
 
-  private placeStep(step: StepRun, hosts: readonly HostLedger[]): void {
+  private placeStep(
+    { job, step, isStarved }: Candidate,
+    hosts: readonly HostLedger[],
+  ): void {
     if (step.spec.gang) {
       this.placeGang(step, hosts);
       return;
     }
     const { placer, runs } = this.options;
     for (const task of [...step.waiting]) {
-      const host = placer.pick(task, hosts);
+      const mustPlace = isStarved && !this.options.hosts.hasRunsOf(job);
+      const host = placer.pick(task, hosts, mustPlace);
       // Tasks of a step ask for the same, but each avoids hosts of its own.
       if (!host) break;
       this.startOn(host, task, runs.nextRun());
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -109,7 +109,8 @@
   addJob(accepted: AcceptedJob, progress: ProgressRecord | undefined): void {
     if (this.jobs.has(accepted.spec.id)) return;
     const job = new JobRun(accepted, progress);
-    const live = { job, firstSeenAt: this.options.clock.monotonic() };
+    const now = this.options.clock.monotonic();
+    const live: LiveJob = { job, firstSeenAt: now, busyAt: now };
     this.jobs.set(job.id, live);
     if (isFinal(job.state)) return;
     this.active.add(live);
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -35,6 +35,8 @@
   tailPenalty: 0.6,
   /** Logarithm of the share of its target up to which a tail is let grow (0.85). */
   tailLimit: -0.16,
+  /** Points by which a host that would be disturbed comes later when it must be. */
+  disturbedPenalty: 5,
   /** Points by which a host on the rack of the step's data comes first. */
   dataRackBonus: 0.3,
   /** Points by which a host where the task failed before comes later. */
@@ -55,7 +57,11 @@
     this.interference = interference;
   }
 
-  pick(task: JobTask, hosts: readonly HostLedger[]): HostLedger | undefined {
+  pick(
+    task: JobTask,
+    hosts: readonly HostLedger[],
+    mustPlace: boolean,
+  ): HostLedger | undefined {
     const extra = (host: HostLedger): number => bonusOf(task, host);
     switch (natureOf(task).kind) {
       case "serving":
@@ -67,8 +73,8 @@
       case "filling":
         return pickByScore(
           task,
-          hosts.filter((host) => isWorthFilling(task, host)),
-          (host) => this.fillingScore(task, host) + extra(host),
+          hosts.filter((host) => mustPlace || isWorthFilling(task, host)),
+          (host) => this.fillingScore(task, host, mustPlace) + extra(host),
         );
       case "plain":
         return pickByScore(
@@ -92,7 +98,11 @@
   }
 
   /** @returns -Infinity where a serving task would be disturbed too much */
-  private fillingScore(task: JobTask, host: HostLedger): number {
+  private fillingScore(
+    task: JobTask,
+    host: HostLedger,
+    mustPlace: boolean,
+  ): number {
     const { image, demand } = task.step.spec;
     const left = fillableMilliCores(host) / host.worker.milliCores;
     if (host.room.servingMilliCores === 0) return left;
@@ -103,7 +113,9 @@
       (filling.get(image) ?? 0) + cores,
     );
     const added = this.addedTail(serving, image, cores, beside);
-    if (added === undefined) return -Infinity;
+    if (added === undefined) {
+      return mustPlace ? left - COLOCATION.disturbedPenalty : -Infinity;
+    }
     return left - COLOCATION.servingPenalty - COLOCATION.tailPenalty * added;
   }
 
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -28,6 +28,10 @@
   quietMs: 1_600,
   /** Least time between two passes over the waiting work. */
   passFloorMs: 8,
+  /** A pass that was due this long ago is made at once, and logged. */
+  passOverdueMs: 400,
+  /** A job with nothing running for this long gets one task started, whatever it disturbs. */
+  starvedMs: 1_500,
   /** How often timers of the engine are looked at. */
   tickMs: 250,
   /** Runs of one leader; run numbers of a later one are all higher. */
@@ -83,6 +87,8 @@
 export interface LiveJob {
   readonly job: JobRun;
   readonly firstSeenAt: Monotonic;
+  /** When a pass last saw a run of the job. */
+  busyAt: Monotonic;
 }
 
 export interface PlacedRun {
--- a/packages/scheduling/src/stepOrders.ts
+++ b/packages/scheduling/src/stepOrders.ts
@@ -8,6 +8,8 @@
 export interface Candidate {
   readonly job: JobRun;
   readonly step: StepRun;
+  /** Nothing of the job has run for a while. */
+  readonly isStarved: boolean;
 }
 
 export interface StepOrder {
--- a/packages/scheduling/src/taskPlacers.ts
+++ b/packages/scheduling/src/taskPlacers.ts
@@ -6,9 +6,14 @@
 export interface TaskPlacer {
   /**
    * @param hosts hosts in service; those without room are among them
+   * @param mustPlace whether to pick a host even if others there are disturbed
    * @returns undefined when none can take the task now
    */
-  pick(task: JobTask, hosts: readonly HostLedger[]): HostLedger | undefined;
+  pick(
+    task: JobTask,
+    hosts: readonly HostLedger[],
+    mustPlace: boolean,
+  ): HostLedger | undefined;
 }
 
 export interface TaskPlacerOptions {
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -57,6 +57,7 @@
   private ended: HostReport["ended"] = [];
   private ends = 0;
   private readonly percents = new Map<JobTaskId, number>();
+  private readonly readings = new Map<JobTaskId, number>();
 
   constructor(
     readonly host: HostId,
@@ -117,6 +118,11 @@
     this.percents.set(task, percent);
   }
 
+  /** The tail of a serving task, or the processor time of another; see TaskHost. */
+  read(task: JobTaskId, reading: number): void {
+    this.readings.set(task, reading);
+  }
+
   /** The worker crashed; another life stands at its address. */
   replaceWorker(): void {
     this.instance = brand<WorkerInstance>(`${this.instance}x`);
@@ -151,7 +157,7 @@
         run,
         checkpoint: "",
         progressPercent: this.percents.get(task) ?? 90,
-        reading: 0,
+        reading: this.readings.get(task) ?? 0,
       })),
       ended: [...this.ended],
     };
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -295,3 +295,20 @@
   expect(lastProgress(after, "j")?.state).toEqual("failed");
   expect(first.starts.length + second.starts.length).toEqual(2);
 });
+
+test("a filling job does not wait for ever beside serving tasks that it would disturb", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  const image = "web" as never;
+  harness.submit("s", [{ lasting: true, tailTargetMs: 10, image }]);
+  await harness.run(100);
+  const server = taskId("s.0.0.0");
+  host.progress(server, 100);
+  host.read(server, 30);
+  await harness.run(6_000);
+  harness.submit("f", [{ filling: true, image: "render" as never }]);
+  await harness.run(1_000);
+  expect(host.isRunning(taskId("f.0.0.0"))).toEqual(false);
+  await harness.run(1_500);
+  expect(host.isRunning(taskId("f.0.0.0"))).toEqual(true);
+});
