--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -1,4 +1,8 @@
-/** What a side process and the leading entry say to each other. */
+/**
+ * What a side process and the leading entry say to each other. The two are
+ * upgraded one after the other: a field that is added later has a default, and
+ * fields that are not known are passed over.
+ */
 
 import { z } from "zod";
 import {
@@ -111,8 +115,8 @@
   /** Tail latency below which a serving task is to stay, milliseconds; else 0. */
   tailTargetMs: z.number(),
   image: z.string(),
-  /** What the task asks for, thousandths of a core. */
-  milliCores: z.number(),
+  /** What the task asks for, thousandths of a core; 0 from an older leader. */
+  milliCores: z.number().default(0),
 });
 
 /** How a task behaves beside others; the side paces by it. */
