--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -3,7 +3,13 @@
  * them run, and how those that ended did. Knows nothing of hosts but their ids.
  */
 
-import type { HostId, Instant, JobTaskId, RunNumber } from "@rackspan/common";
+import type {
+  HostId,
+  Instant,
+  JobTaskId,
+  Monotonic,
+  RunNumber,
+} from "@rackspan/common";
 import type { RunOutcome } from "@rackspan/ports";
 import {
   decodeIndices,
@@ -52,6 +58,8 @@
   /** In index order. */
   readonly waiting: Set<JobTask>;
   doneCount = 0;
+  /** Since when a task of it has waited for a place in vain; undefined when none does. */
+  unplacedSince: Monotonic | undefined;
 
   constructor(
     readonly job: JobRun,
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -28,6 +28,8 @@
 export class Dispatcher {
   /** When the pass that is due was asked for; undefined when none is. */
   private dueSince: Monotonic | undefined;
+  /** Hosts that plain tasks keep off in this pass. */
+  private readonly heldBack = new Set<HostLedger>();
 
   constructor(private readonly options: DispatcherOptions) {}
 
@@ -56,6 +58,7 @@
     const { engine, order } = this.options;
     if (!engine.mayDecide()) return;
     const began = engine.clock.monotonic();
+    this.heldBack.clear();
     const now = engine.clock.now();
     const candidates = order.sort(this.candidates(now), now);
     const hostsByService = this.usableHosts();
@@ -126,12 +129,52 @@
     }
     const { placer, runs } = this.options;
     for (const task of [...step.waiting]) {
-      const mustPlace = isStarved && !this.options.hosts.hasRunsOf(job);
-      const host = placer.pick(task, hosts, mustPlace);
+      const mustPlace = step.spec.lasting
+        ? this.hasWaitedLong(step)
+        : isStarved && !this.options.hosts.hasRunsOf(job);
+      const host = placer.pick(task, this.openTo(step, hosts), mustPlace);
       // Tasks of a step ask for the same, but each avoids hosts of its own.
-      if (!host) break;
+      if (!host) {
+        this.noteUnplaced(step, hosts);
+        return;
+      }
       this.startOn(host, task, runs.nextRun());
     }
+    step.unplacedSince = undefined;
+  }
+
+  private hasWaitedLong({ unplacedSince }: StepRun): boolean {
+    if (unplacedSince === undefined) return false;
+    const waitedMs = this.options.engine.clock.monotonic() - unplacedSince;
+    return waitedMs > ENGINE.lastingPatienceMs;
+  }
+
+  /** Plain tasks keep off hosts that are being emptied for a lasting one. */
+  private openTo(
+    { spec }: StepRun,
+    hosts: readonly HostLedger[],
+  ): readonly HostLedger[] {
+    if (spec.lasting || spec.filling || this.heldBack.size === 0) return hosts;
+    return hosts.filter((host) => !this.heldBack.has(host));
+  }
+
+  /**
+   * Lasting tasks are large: room for one comes only when the plain tasks of a
+   * host end and no others take their place.
+   */
+  private noteUnplaced(step: StepRun, hosts: readonly HostLedger[]): void {
+    step.unplacedSince ??= this.options.engine.clock.monotonic();
+    const { lasting, demand } = step.spec;
+    if (!lasting || !this.hasWaitedLong(step)) return;
+    const withoutPlain = hosts.filter(
+      ({ worker, room }) =>
+        worker.milliCores - room.servingMilliCores >= demand.milliCores &&
+        worker.memoryMiB - room.memoryMiB >= demand.memoryMiB,
+    );
+    const [emptiest] = withoutPlain.sort(
+      (a, b) => a.room.plainMilliCores - b.room.plainMilliCores,
+    );
+    if (emptiest) this.heldBack.add(emptiest);
   }
 
   /** Starts all tasks of the step under one run number, or none. */
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -67,7 +67,7 @@
       case "serving":
         return pickByScore(
           task,
-          hosts.filter((host) => leavesReserve(task, host)),
+          hosts.filter((host) => mustPlace || leavesReserve(task, host)),
           (host) => this.servingScore(task, host) + extra(host),
         );
       case "filling":
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -32,6 +32,8 @@
   passOverdueMs: 400,
   /** A job with nothing running for this long gets one task started, whatever it disturbs. */
   starvedMs: 1_500,
+  /** A lasting task that found no place for this long may take what is kept for plain ones. */
+  lastingPatienceMs: 2_000,
   /** How often timers of the engine are looked at. */
   tickMs: 250,
   /** Runs of one leader; run numbers of a later one are all higher. */
--- a/packages/scheduling/src/taskPlacers.ts
+++ b/packages/scheduling/src/taskPlacers.ts
@@ -6,7 +6,8 @@
 export interface TaskPlacer {
   /**
    * @param hosts hosts in service; those without room are among them
-   * @param mustPlace whether to pick a host even if others there are disturbed
+   * @param mustPlace whether to pick a host even if others there are disturbed,
+   *   or room is taken that is kept for others
    * @returns undefined when none can take the task now
    */
   pick(
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -312,3 +312,21 @@
   await harness.run(1_500);
   expect(host.isRunning(taskId("f.0.0.0"))).toEqual(true);
 });
+
+test("a large lasting task gets a host that plain tasks are kept off", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  const cores = (milliCores: number) => ({
+    demand: { milliCores, memoryMiB: 10, accelerators: 0 },
+  });
+  harness.submit("p0", [{ taskCount: 30, ...cores(1_000) }]);
+  await harness.run(100);
+  harness.submit("s", [{ lasting: true, tailTargetMs: 5, ...cores(10_000) }]);
+  for (let turn = 1; turn <= 40; turn += 1) {
+    harness.submit(`p${turn}`, [{ ...cores(1_000) }]);
+    await harness.run(100);
+    const [oldest] = host.runningTasks.filter((task) => task.startsWith("p"));
+    if (oldest) host.end(oldest, "done");
+  }
+  expect(host.isRunning(taskId("s.0.0.0"))).toEqual(true);
+});
