--- a/packages/leadership/src/LeaderElection.ts
+++ b/packages/leadership/src/LeaderElection.ts
@@ -119,7 +119,7 @@
   /** @returns milliseconds until the next step */
   private async step(): Promise<number> {
     try {
-      const pauseMs = this.joined ? await this.renew() : await this.watch();
+      const pauseMs = await this.next();
       this.noteReachable();
       return pauseMs;
     } catch (err) {
@@ -128,6 +128,22 @@
     }
   }
 
+  private next(): Promise<number> {
+    if (!this.joined) return this.watch();
+    const hasLapsed = this.epoch !== undefined && !this.leads;
+    return hasLapsed ? this.resume() : this.renew();
+  }
+
+  /** To join again beside a new owner would deal the partition anew. */
+  private async resume(): Promise<number> {
+    const { membership, topic } = this.options;
+    const owner = await membership.owner(ELECTION.group, topic);
+    if (owner === undefined || owner === this.name) return this.renew();
+    this.resign("replaced");
+    await this.leave();
+    return ELECTION.watchEveryMs;
+  }
+
   private async watch(): Promise<number> {
     const { membership, topic, self, logger } = this.options;
     const owner = await membership.owner(ELECTION.group, topic);
--- a/packages/leadership/tests/leaderElection.test.ts
+++ b/packages/leadership/tests/leaderElection.test.ts
@@ -9,7 +9,11 @@
   type Incarnation,
 } from "@rackspan/common";
 import { LeaderElection } from "@rackspan/leadership";
-import type { TopicName } from "@rackspan/ports";
+import {
+  StoreRefusedError,
+  type GroupMembership,
+  type TopicName,
+} from "@rackspan/ports";
 import { MemoryStore } from "@rackspan/standins";
 
 const TTL_MS = 2_500;
@@ -18,9 +22,14 @@
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
   const terms: string[] = [];
-  const entry = (name: string, incarnation = "1", next = () => 0.2) => {
+  const entry = (
+    name: string,
+    incarnation = "1",
+    next = () => 0.2,
+    membership: GroupMembership = store,
+  ) => {
     const election = new LeaderElection({
-      membership: store,
+      membership,
       topic: brand<TopicName>("leadership"),
       self: {
         entry: brand<EntryId>(name),
@@ -122,3 +131,37 @@
   expect(terms).toEqual(["a leads 1"]);
   expect(await store.owner()).toEqual("a|1.0|a:1");
 });
+
+test("a leader that the store had turned away does not join again beside its successor", async () => {
+  const { clock, store, terms, entry } = setUp();
+  let isTurnedAway = false;
+  let joins = 0;
+  const turnAway = (): void => {
+    if (isTurnedAway) throw new StoreRefusedError("turned away");
+  };
+  const membership: GroupMembership = {
+    join: async (req) => {
+      turnAway();
+      joins += 1;
+      return store.join(req);
+    },
+    leave: async (group, member) => {
+      turnAway();
+      return store.leave(group, member);
+    },
+    owner: async () => {
+      turnAway();
+      return store.owner();
+    },
+  };
+  entry("a", "1", undefined, membership);
+  await clock.advance(700);
+  entry("b");
+  isTurnedAway = true;
+  await clock.advance(2 * TTL_MS);
+  const joinsBefore = joins;
+  isTurnedAway = false;
+  await clock.advance(2_000);
+  expect(joins).toEqual(joinsBefore);
+  expect(terms).toEqual(["a leads 1", "b leads 3", "a lost: replaced"]);
+});
