A cancel that is read before its job is carried out; a step without a permit holds up nothing else

Jobs and cancels are topics that the leader reads apart: a cancel read first was passed over, and the job would have run. A queue that wants permits, which are not built yet, would have paused each host that refused it for all other work. Change: the leader asks its view when it learns of a job; a refused permit holds back its own step for 2 s and leaves the host open.

--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -179,8 +179,14 @@
     }
     this.unsubscribes.push(
       view.changes.on((change) => {
-        if (change.kind === "accepted") engine.addJob(change.job, undefined);
-        else engine.cancelJob(change.id);
+        if (change.kind === "cancelled") {
+          engine.cancelJob(change.id);
+          return;
+        }
+        const { id } = change.job.spec;
+        engine.addJob(change.job, undefined);
+        // The two topics are read apart: the cancel may have come first.
+        if (view.get(id)?.cancelled) engine.cancelJob(id);
       }),
       config.changes.on(() => engine.noteConfig()),
     );
--- /dev/null
+++ b/packages/entry/tests/leadership.test.ts
@@ -0,0 +1,154 @@
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  Metrics,
+  silentLogger,
+  type Epoch,
+  type ServiceName,
+} from "@rackspan/common";
+import { Leadership } from "@rackspan/entry";
+import {
+  ConfigHolder,
+  decodeProgress,
+  encodeJob,
+  JobView,
+  StampedWriter,
+  TopicFollower,
+  TOPICS,
+  type AcceptedJob,
+  type JobId,
+  type QueueKey,
+} from "@rackspan/state";
+import { MemoryStore } from "@rackspan/standins";
+
+const JOB = brand<JobId>("5c0e7a21d94b36f8");
+
+const acceptedJob = (acceptedAt: number): AcceptedJob => ({
+  spec: {
+    id: JOB,
+    queue: brand<QueueKey>("calls.example/minutes/"),
+    payload: "",
+    steps: [
+      {
+        taskCount: 1,
+        demand: { milliCores: 100, memoryMiB: 10, accelerators: 0 },
+        estimateMs: 100,
+        after: [],
+        checkpointing: false,
+        gang: false,
+        sameRack: false,
+        requiredLabel: "",
+        dataRack: "",
+        maxPerHost: 0,
+        replicable: false,
+        lasting: false,
+        image: brand(""),
+        tailTargetMs: 0,
+        filling: false,
+        mayMiss: undefined,
+      },
+    ],
+    repeat: undefined,
+  },
+  acceptedAt,
+  terms: {
+    service: brand<ServiceName>("kaigi"),
+    priority: 0,
+    maxAttempts: 1,
+    stretch: 1,
+    targetLatencyMs: 100,
+  },
+});
+
+const setUp = () => {
+  const clock = new ManualClock();
+  const store = new MemoryStore(clock);
+  const logger = silentLogger;
+  const metrics = new Metrics();
+  const view = new JobView({ logger, metrics });
+  const writerOf = (topic: (typeof TOPICS)[keyof typeof TOPICS]) =>
+    new StampedWriter({
+      topic,
+      store,
+      clock,
+      logger,
+      producer: "entry",
+      epoch: 1,
+      gatherMs: 0,
+      retriesRefused: false,
+    });
+  // One writer a topic: numbers of one producer must not be given twice.
+  const jobsWriter = writerOf(TOPICS.jobs);
+  const jobs = new TopicFollower({
+    topic: TOPICS.jobs,
+    store,
+    clock,
+    logger,
+    floorMs: 20,
+    onRecords: (records) => view.takeJobs(records),
+  });
+  jobs.start();
+  const leadership = new Leadership({
+    store,
+    view,
+    config: new ConfigHolder({ decode: () => ({}) as never }, logger),
+    followers: [jobs],
+    jobsWriter,
+    cancelsWriter: writerOf(TOPICS.cancels),
+    clock,
+    logger,
+    metrics,
+    leadershipTtlMs: 2_500,
+    leaseMs: 6_000,
+    stopMs: 200,
+    keepEndedMs: 10_000,
+    progressGatherMs: 5,
+    order: "bySlack",
+    placer: "colocating",
+    mayDecide: () => true,
+    onDeposed: () => undefined,
+  });
+  const lastState = () => {
+    const record = store.recordsOf(TOPICS.progress).at(-1);
+    return record?.value && decodeProgress(JOB, record.value).state;
+  };
+  return { clock, store, view, jobsWriter, leadership, lastState, jobs };
+};
+
+test("a cancel that is read before its job is carried out all the same", async () => {
+  const { clock, view, jobsWriter, leadership, lastState, jobs } = setUp();
+  leadership.begin(brand<Epoch>(1));
+  await clock.advance(200);
+  view.noteCancelled(JOB);
+  const value = encodeJob(acceptedJob(clock.now()));
+  const kept = jobsWriter.write({ key: JOB, value }).kept;
+  await clock.advance(200);
+  await kept;
+  expect(lastState()).toEqual("cancelled");
+  leadership.end();
+  const stopped = jobs.stop();
+  await clock.advance(2_000);
+  await stopped;
+});
+
+test("a job that ended long ago is dropped from the store, its progress last", async () => {
+  const { clock, store, view, jobsWriter, leadership, jobs } = setUp();
+  const value = encodeJob(acceptedJob(clock.now()));
+  const kept = jobsWriter.write({ key: JOB, value }).kept;
+  await clock.advance(50);
+  await kept;
+  leadership.begin(brand<Epoch>(1));
+  await clock.advance(200);
+  view.noteCancelled(JOB);
+  await clock.advance(16_000);
+  for (const topic of [TOPICS.jobs, TOPICS.cancels, TOPICS.progress]) {
+    const last = store.recordsOf(topic).at(-1);
+    expect([last?.key, last?.value]).toEqual([JOB, undefined]);
+  }
+  leadership.end();
+  const stopped = jobs.stop();
+  await clock.advance(2_000);
+  await stopped;
+});
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -60,6 +60,8 @@
   doneCount = 0;
   /** Since when a task of it has waited for a place in vain; undefined when none does. */
   unplacedSince: Monotonic | undefined;
+  /** Nothing of it is started before; set when a host refuses it for the step's sake. */
+  heldUntil: Monotonic = -Infinity;
 
   constructor(
     readonly job: JobRun,
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -123,6 +123,7 @@
     { job, step, isStarved }: Candidate,
     hosts: readonly HostLedger[],
   ): void {
+    if (this.options.engine.clock.monotonic() < step.heldUntil) return;
     if (step.spec.gang) {
       this.placeGang(step, hosts);
       return;
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -14,6 +14,7 @@
   type JobRun,
   type JobTask,
 } from "@rackspan/jobs";
+import type { StartRefusal } from "@rackspan/ports";
 import type { HostCallResult } from "@rackspan/protocol";
 import { ENGINE, type EngineOptions, type HostEntry } from "./engineTypes.js";
 import type { HostBook } from "./HostBook.js";
@@ -154,6 +155,18 @@
     this.noteStartResult(host, run, result);
   }
 
+  /** A host that refuses is left alone, unless the step itself is refused. */
+  private pauseAfterRefusal(
+    { ledger }: HostEntry,
+    { task }: ActiveRun,
+    reason: StartRefusal,
+  ): void {
+    const now = this.options.clock.monotonic();
+    if (reason === "bad-ticket")
+      task.step.heldUntil = now + ENGINE.permitPauseMs;
+    else ledger.pausedUntil = now + ENGINE.refusedPauseMs;
+  }
+
   private noteStartResult(
     host: HostEntry,
     run: ActiveRun,
@@ -175,8 +188,7 @@
       case "refused":
         if (result.reason === "unhealthy")
           avoidHost(run.task, host.ledger.host);
-        host.ledger.pausedUntil =
-          this.options.clock.monotonic() + ENGINE.refusedPauseMs;
+        this.pauseAfterRefusal(host, run, result.reason);
         this.giveBack(host, run);
         return;
     }
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -38,6 +38,8 @@
   tickMs: 250,
   /** Runs of one leader; run numbers of a later one are all higher. */
   runsPerEpoch: 2 ** 20,
+  /** A step whose permit was refused is tried again after this. */
+  permitPauseMs: 2_000,
   /** A plain task that gains no percent for this long is moved. */
   stallMs: 3_000,
   /** A host that refused a start gets none for this long. */
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -15,7 +15,7 @@
   type WorkerTime,
 } from "@rackspan/common";
 import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
-import type { RunOutcome } from "@rackspan/ports";
+import type { RunOutcome, StartRefusal } from "@rackspan/ports";
 import type {
   Grant,
   HostCallResult,
@@ -50,6 +50,8 @@
   readonly stops: StopTaskCall[] = [];
   /** What the next orders are answered; `hang` never answers. */
   answers: HostCallResult["kind"] | "hang" = "ok";
+  /** Why orders are refused when they are. */
+  refusal: StartRefusal = "no-room";
   draining = false;
   leavesInMs: number | undefined;
   acknowledged = 0;
@@ -168,7 +170,7 @@
       case "ok":
         return { kind: "ok", at: this.at };
       case "refused":
-        return { kind: "refused", reason: "no-room" };
+        return { kind: "refused", reason: this.refusal };
       case "silent":
       case "replaced":
       case "draining":
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -330,3 +330,16 @@
   }
   expect(host.isRunning(taskId("s.0.0.0"))).toEqual(true);
 });
+
+test("a step without a permit keeps no other work from the host", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  host.answers = "refused";
+  host.refusal = "bad-ticket";
+  harness.submit("permit", [{}]);
+  await harness.run(30);
+  host.answers = "ok";
+  harness.submit("plain", [{}]);
+  await harness.run(30);
+  expect(host.runningTasks).toEqual([taskId("plain.0.0.0")]);
+});
