--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -1,6 +1,6 @@
 /** Starts waiting tasks on hosts with room, in the order of work. */
 
-import type { Monotonic } from "@rackspan/common";
+import type { Monotonic, RunNumber } from "@rackspan/common";
 import type { HostLedger, JobRun, JobTask, StepRun } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
 import {
@@ -200,11 +200,7 @@
     return chooseHosts(waiting, hosts);
   }
 
-  private startOn(
-    host: HostLedger,
-    task: JobTask,
-    number: ReturnType<RunControl["nextRun"]>,
-  ): void {
+  private startOn(host: HostLedger, task: JobTask, number: RunNumber): void {
     const { hosts, runs } = this.options;
     const entry = hosts.get(host.host);
     if (entry) runs.start(entry, task, number);
--- /dev/null
+++ b/packages/scheduling/src/EndTaker.ts
@@ -0,0 +1,102 @@
+/** Takes the ends of runs that workers list, in the order in which they came. */
+
+import { avoidHost, type JobRun, type JobTask } from "@rackspan/jobs";
+import type { EndedRun } from "@rackspan/ports";
+import { isFinal } from "@rackspan/state";
+import type { EngineParts } from "./engineParts.js";
+import type { HostEntry, PlacedRun } from "./engineTypes.js";
+import type { JobCloser } from "./JobCloser.js";
+import type { ProgressKeeper } from "./ProgressKeeper.js";
+
+export interface EndTakerOptions extends EngineParts {
+  readonly closer: JobCloser;
+  readonly keeper: ProgressKeeper;
+}
+
+export class EndTaker {
+  constructor(private readonly parts: EndTakerOptions) {}
+
+  take(entry: HostEntry, ended: readonly EndedRun[]): void {
+    if (ended.length === 0) return;
+    const changed = new Set<JobRun>();
+    for (const end of voidOutlived(ended)) {
+      const job = this.takeOne(entry, end);
+      if (job) changed.add(job);
+    }
+    this.parts.keeper.keepEnds(entry, changed);
+    this.parts.requestPass();
+  }
+
+  /** @returns the job when what must be kept of it has changed */
+  private takeOne(entry: HostEntry, end: EndedRun): JobRun | undefined {
+    const { jobs, hosts, runs, closer } = this.parts;
+    const task = jobs.findTask(end.task);
+    const placed = task && hosts.placementOf(task);
+    const active =
+      placed?.host === entry && placed.run.run === end.run ? placed : undefined;
+    this.logEnd(entry, end, active);
+    if (!task) return undefined;
+    const { job } = task.step;
+    if (active) hosts.release(entry, active.run);
+    if (isFinal(job.state)) return undefined;
+    // Another run of the task was ordered after this one was given up.
+    if (!active && placed) return undefined;
+    const changed = job.noteEnd(task, end.run, end.outcome, end.checkpoint);
+    this.learn(entry, task, end, active);
+    if (end.outcome === "done" && task.step.spec.gang) {
+      job.noteGangDone(task.step);
+    }
+    runs.letWait(task);
+    closer.closeIfEnded(job, task);
+    return changed || isFinal(job.state) ? job : undefined;
+  }
+
+  private logEnd(
+    { ledger }: HostEntry,
+    { task, run, outcome, number }: EndedRun,
+    active: PlacedRun | undefined,
+  ): void {
+    const { clock, logger, metrics } = this.parts.options;
+    metrics.count("task_ends", { outcome });
+    logger.info("task.ended", {
+      task,
+      run,
+      host: ledger.host,
+      outcome,
+      number,
+      ranMs: active
+        ? Math.round(clock.monotonic() - active.run.startedAt)
+        : undefined,
+    });
+  }
+
+  private learn(
+    { ledger }: HostEntry,
+    task: JobTask,
+    { outcome }: EndedRun,
+    active: PlacedRun | undefined,
+  ): void {
+    const { options, ejector, estimates } = this.parts;
+    const { host } = ledger;
+    if (outcome === "done") {
+      ejector.report({ host, ok: true });
+      // A run that went on from a checkpoint took less than the whole task.
+      if (!active || task.checkpoint !== "") return;
+      const tookMs = options.clock.monotonic() - active.run.startedAt;
+      estimates.note(task.step, tookMs);
+    }
+    if (outcome !== "failed") return;
+    ejector.report({ host, ok: false });
+    avoidHost(task, host);
+  }
+}
+
+/** An end that the lease outlived was never taken note of: it is void. */
+const voidOutlived = (ended: readonly EndedRun[]): EndedRun[] => {
+  const lastLapse = ended.findLastIndex(({ outcome }) => outcome === "lapsed");
+  return ended.map((end, at) =>
+    at < lastLapse && end.outcome !== "failed"
+      ? { ...end, outcome: "lapsed" }
+      : end,
+  );
+};
--- /dev/null
+++ b/packages/scheduling/src/HostIntake.ts
@@ -0,0 +1,116 @@
+/** Takes hosts in, and follows what their workers say of themselves. */
+
+import {
+  describeError,
+  type AvailabilityZone,
+  type HostId,
+  type Monotonic,
+} from "@rackspan/common";
+import { HostLedger } from "@rackspan/jobs";
+import { leaseOverBy } from "@rackspan/leadership";
+import type { HostReport } from "@rackspan/protocol";
+import type { EngineParts } from "./engineParts.js";
+import type { HostEntry } from "./engineTypes.js";
+import type { HostSession } from "./HostSession.js";
+
+export class HostIntake {
+  private readonly sessions = new Map<HostId, HostSession>();
+
+  constructor(private readonly parts: EngineParts) {}
+
+  attach(host: HostId, session: HostSession): void {
+    this.sessions.set(host, session);
+    const entry = this.parts.hosts.get(host);
+    if (!entry) return;
+    entry.session = session;
+    // What was ordered on the old connection may or may not have arrived.
+    for (const run of entry.ledger.runs.values()) {
+      if (run.phase === "starting") run.phase = "unsure";
+    }
+  }
+
+  detach(host: HostId, session: HostSession): void {
+    if (this.sessions.get(host) !== session) return;
+    this.sessions.delete(host);
+    const entry = this.parts.hosts.get(host);
+    if (entry) entry.session = undefined;
+  }
+
+  /** The host's entry; a host that is not known yet is taken in. */
+  entryOf(
+    host: HostId,
+    zone: AvailabilityZone,
+    { worker }: HostReport,
+    now: Monotonic,
+  ): HostEntry {
+    const { options, hosts } = this.parts;
+    const { roster, logger } = options;
+    const known = hosts.get(host);
+    if (known) return known;
+    const ledger = new HostLedger(host, zone, worker);
+    const entry: HostEntry = {
+      ledger,
+      session: this.sessions.get(host),
+      keeping: Promise.resolve(),
+      rostered: roster.has(host),
+    };
+    hosts.set(entry);
+    // Until it is heard the host may hold leases of a former leader.
+    ledger.leaseOverBy = leaseOverBy(now, options.leaseMs);
+    logger.info("host.joined", {
+      host,
+      instance: worker.instance,
+      zone,
+      milliCores: worker.milliCores,
+    });
+    if (!entry.rostered) this.addToRoster(entry);
+    return entry;
+  }
+
+  noteWorker(entry: HostEntry, { worker }: HostReport): void {
+    const { ledger } = entry;
+    const beganDraining = worker.draining && !ledger.worker.draining;
+    ledger.worker = worker;
+    if (beganDraining) {
+      const { logger } = this.parts.options;
+      const { host } = ledger;
+      logger.info("host.draining", { host, leavesInMs: worker.leavesInMs });
+    }
+    if (worker.draining) this.emptyHost(entry);
+  }
+
+  private addToRoster(entry: HostEntry): void {
+    const { options, requestPass } = this.parts;
+    const { host } = entry.ledger;
+    options.roster.add(host).then(
+      () => {
+        entry.rostered = true;
+        requestPass();
+      },
+      (err: unknown) =>
+        options.logger.warn("host.not-rostered", {
+          host,
+          error: describeError(err),
+        }),
+    );
+  }
+
+  /** Moves away what would not end before the worker leaves. */
+  private emptyHost(entry: HostEntry): void {
+    const { options, runs, estimates } = this.parts;
+    const { clock, stopMs } = options;
+    const { leavesInMs } = entry.ledger.worker;
+    for (const run of [...entry.ledger.runs.values()]) {
+      if (run.phase !== "running") continue;
+      const { step } = run.task;
+      if (step.spec.lasting) {
+        runs.stop(entry, run, "draining");
+        continue;
+      }
+      if (leavesInMs === undefined) continue;
+      const ranMs = clock.monotonic() - run.startedAt;
+      const expectedMs = Math.max(0, estimates.taskMs(step) - ranMs);
+      if (expectedMs + stopMs > leavesInMs) runs.stop(entry, run, "draining");
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/HostWatch.ts
@@ -0,0 +1,86 @@
+/** Watches hosts for silence, and their runs for stalls and slowness. */
+
+import type { Monotonic } from "@rackspan/common";
+import { avoidHost, natureOf, type ActiveRun } from "@rackspan/jobs";
+import type { EngineParts } from "./engineParts.js";
+import { ENGINE, type HostEntry } from "./engineTypes.js";
+import { runsToMove, SLOWNESS } from "./slowHosts.js";
+
+export class HostWatch {
+  constructor(private readonly parts: EngineParts) {}
+
+  look(): void {
+    const now = this.parts.options.clock.monotonic();
+    for (const entry of [...this.parts.hosts.all()]) {
+      if (now >= entry.ledger.leaseOverBy) this.dropHost(entry, "lease-over");
+      else this.watchRuns(entry, now);
+    }
+  }
+
+  /** Nothing runs there any more: it ended, or was silent until its lease was over. */
+  dropHost(entry: HostEntry, reason: string): void {
+    const { options, hosts, ejector } = this.parts;
+    const { host, instance } = entry.ledger;
+    this.loseRuns(entry, reason);
+    options.logger.warn("host.gone", { host, instance, reason });
+    hosts.delete(host);
+    ejector.forget(host);
+    options.roster.remove(host);
+  }
+
+  /** The runs ended with their worker: their tasks wait again. */
+  loseRuns(entry: HostEntry, reason: string): void {
+    const { options, runs } = this.parts;
+    const { ledger } = entry;
+    if (ledger.runs.size === 0) return;
+    options.logger.warn("host.runs-lost", {
+      host: ledger.host,
+      instance: ledger.instance,
+      reason,
+      runs: ledger.runs.size,
+    });
+    for (const run of [...ledger.runs.values()]) runs.giveBack(entry, run);
+  }
+
+  private watchRuns(entry: HostEntry, now: Monotonic): void {
+    const { options, runs, ejector } = this.parts;
+    const { host, runs: active } = entry.ledger;
+    if (!options.mayDecide() || !entry.session) return;
+    if (this.hasFasterHost(entry)) this.moveFromSlowHost(entry, now);
+    for (const run of active.values()) {
+      if (run.phase === "stopping" && run.answeredAt === undefined) {
+        void runs.orderStop(entry, run);
+        continue;
+      }
+      if (run.phase === "running" && hasStalled(run, now)) {
+        avoidHost(run.task, host);
+        ejector.report({ host, ok: false });
+        runs.stop(entry, run, "stalled");
+      }
+    }
+  }
+
+  private hasFasterHost({ ledger }: HostEntry): boolean {
+    return [...this.parts.hosts.all()].some(
+      (other) =>
+        other.session !== undefined &&
+        !other.ledger.worker.draining &&
+        other.ledger.slowness + SLOWNESS.clearlyFaster < ledger.slowness,
+    );
+  }
+
+  private moveFromSlowHost(entry: HostEntry, now: Monotonic): void {
+    const { hosts, runs } = this.parts;
+    for (const run of runsToMove(entry, hosts, now)) {
+      avoidHost(run.task, entry.ledger.host);
+      runs.stop(entry, run, "slow-host");
+    }
+  }
+}
+
+const hasStalled = (run: ActiveRun, now: Monotonic): boolean => {
+  const { kind } = natureOf(run.task);
+  if (run.task.step.spec.lasting) return false;
+  const limit = kind === "filling" ? ENGINE.fillingStallMs : ENGINE.stallMs;
+  return now - run.progressedAt > limit;
+};
--- /dev/null
+++ b/packages/scheduling/src/JobBook.ts
@@ -0,0 +1,53 @@
+/** All jobs that the leader knows, and which of them may have tasks to start. */
+
+import type { JobTaskId } from "@rackspan/common";
+import type { JobRun, JobTask } from "@rackspan/jobs";
+import { isFinal, parseTaskId, type JobId } from "@rackspan/state";
+import type { LiveJob } from "./engineTypes.js";
+
+export class JobBook {
+  /** Jobs that may have tasks to start; a pass drops those that have none. */
+  readonly active = new Set<LiveJob>();
+  private readonly entries = new Map<JobId, LiveJob>();
+
+  get(id: JobId): LiveJob | undefined {
+    return this.entries.get(id);
+  }
+
+  add(live: LiveJob): void {
+    this.entries.set(live.job.id, live);
+    if (!isFinal(live.job.state)) this.active.add(live);
+  }
+
+  delete(id: JobId): void {
+    const live = this.entries.get(id);
+    if (!live) return;
+    this.entries.delete(id);
+    this.active.delete(live);
+  }
+
+  /** @returns whether the job may have tasks to start now */
+  activate(job: JobRun): boolean {
+    const live = this.entries.get(job.id);
+    if (!live || isFinal(job.state)) return false;
+    this.active.add(live);
+    return true;
+  }
+
+  findTask(id: JobTaskId): JobTask | undefined {
+    const position = parseTaskId(id);
+    const live = position && this.entries.get(position.job);
+    if (!live) return undefined;
+    const { occurrence, step, index } = position;
+    return live.job.task(occurrence, step, index);
+  }
+
+  /** Jobs that ended before the given time, by the wall clock. */
+  endedBefore(time: number): JobId[] {
+    const ended: JobId[] = [];
+    for (const { job } of this.entries.values()) {
+      if (isFinal(job.state) && job.endedAt < time) ended.push(job.id);
+    }
+    return ended;
+  }
+}
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -105,11 +105,15 @@
 
   /** Frees a run that does not run and never will, and lets its task wait again. */
   giveBack(host: HostEntry, run: ActiveRun): void {
-    const { hosts, onWaiting } = this.options;
-    const { job } = run.task.step;
-    hosts.release(host, run);
-    job.noteWaiting(run.task);
-    onWaiting(job);
+    this.options.hosts.release(host, run);
+    this.letWait(run.task);
+  }
+
+  /** Lets a task that has no run any more wait for its next one. */
+  letWait(task: JobTask): void {
+    const { job } = task.step;
+    job.noteWaiting(task);
+    this.options.onWaiting(job);
   }
 
   private async orderStart(host: HostEntry, run: ActiveRun): Promise<void> {
