--- /dev/null
+++ b/packages/entry/src/jobs/wireJobEntry.ts
@@ -0,0 +1,228 @@
+/** Builds the parts of an entry process for jobs and ties them together. */
+
+import {
+  SeededRandom,
+  type Clock,
+  type Incarnation,
+  type Logger,
+  type Metrics,
+} from "@rackspan/common";
+import { LeaderElection } from "@rackspan/leadership";
+import {
+  storeClients,
+  type KeyedRecord,
+  type StoreClient,
+  type TopicName,
+} from "@rackspan/ports";
+import {
+  ConfigHolder,
+  configDecoders,
+  JobView,
+  StampedWriter,
+  TopicFollower,
+  TOPICS,
+} from "@rackspan/state";
+import { callerFronts, type CallerFront } from "./callerFronts.js";
+import { JobDesk } from "./JobDesk.js";
+import { Leadership } from "./Leadership.js";
+import type { JobEntrySettings } from "./settings.js";
+import { SideServer } from "./SideServer.js";
+
+const MS_PER_SECOND = 1_000;
+
+/** Hosts join and leave rarely: their topic is polled less often. */
+const HOSTS_POLL_FLOOR_MS = 250;
+
+/** Each life of an entry writes under a producer's name of its own, and so its first epoch. */
+const FIRST_EPOCH = 1;
+
+export interface JobEntryBase {
+  readonly settings: JobEntrySettings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly incarnation: Incarnation;
+}
+
+export interface JobEntryWiring extends JobEntryBase {
+  /** Whether the entry takes callers. */
+  readonly isReady: () => boolean;
+}
+
+export interface JobEntryParts {
+  readonly store: StoreClient;
+  readonly config: ConfigHolder;
+  readonly followers: readonly TopicFollower[];
+  readonly desk: JobDesk;
+  readonly election: LeaderElection;
+  readonly sideServer: SideServer;
+  readonly front: CallerFront;
+}
+
+/** What the entry knows of the store's records, and how it adds to them. */
+interface StoreParts {
+  readonly store: StoreClient;
+  readonly view: JobView;
+  readonly config: ConfigHolder;
+  readonly jobsFollower: TopicFollower;
+  /** Followers of all topics that a leader must have read. */
+  readonly stateFollowers: readonly TopicFollower[];
+  readonly configFollower: TopicFollower;
+  readonly jobsWriter: StampedWriter;
+  readonly cancelsWriter: StampedWriter;
+}
+
+export const wireJobEntry = (wiring: JobEntryWiring): JobEntryParts => {
+  const { settings, clock, logger, metrics, isReady } = wiring;
+  const storeParts = buildStoreParts(wiring);
+  const { store, view, config, jobsFollower } = storeParts;
+  const { jobsWriter, cancelsWriter } = storeParts;
+  const desk = new JobDesk({
+    view,
+    config,
+    jobsFollower,
+    jobsWriter,
+    cancelsWriter,
+    clock,
+    logger,
+    metrics,
+  });
+  const front = callerFronts.create(settings.platform.client, {
+    listen: settings.callers,
+    readiness: settings.readiness,
+    isReady,
+    desk,
+    clock,
+    logger,
+    metrics,
+  });
+  return {
+    store,
+    config,
+    followers: [...storeParts.stateFollowers, storeParts.configFollower],
+    desk,
+    ...buildLeading(wiring, storeParts),
+    front,
+  };
+};
+
+const buildStoreParts = (base: JobEntryBase): StoreParts => {
+  const { logger, metrics } = base;
+  const { client, store: address } = base.settings.platform;
+  const store = storeClients.create(client, { address });
+  const view = new JobView({ logger, metrics });
+  const config = new ConfigHolder(configDecoders.create(client, {}), logger);
+  const follow = (
+    topic: TopicName,
+    onRecords: (records: readonly KeyedRecord[]) => void,
+  ) => buildFollower(base, store, topic, onRecords);
+  const jobsFollower = follow(TOPICS.jobs, (r) => view.takeJobs(r));
+  return {
+    store,
+    view,
+    config,
+    jobsFollower,
+    stateFollowers: [
+      jobsFollower,
+      follow(TOPICS.cancels, (r) => view.takeCancels(r)),
+      follow(TOPICS.progress, (r) => view.takeProgress(r)),
+      follow(TOPICS.hosts, (r) => view.takeHosts(r)),
+    ],
+    configFollower: follow(TOPICS.config, (r) => config.take(r)),
+    jobsWriter: buildWriter(base, store, TOPICS.jobs),
+    cancelsWriter: buildWriter(base, store, TOPICS.cancels),
+  };
+};
+
+const buildFollower = (
+  { settings, clock, logger }: JobEntryBase,
+  store: StoreClient,
+  topic: TopicName,
+  onRecords: (records: readonly KeyedRecord[]) => void,
+): TopicFollower => {
+  const { pollFloorMs } = settings.batching;
+  return new TopicFollower({
+    topic,
+    store,
+    clock,
+    logger,
+    floorMs: topic === TOPICS.hosts ? HOSTS_POLL_FLOOR_MS : pollFloorMs,
+    onRecords,
+  });
+};
+
+const buildWriter = (
+  { settings, clock, logger, incarnation }: JobEntryBase,
+  store: StoreClient,
+  topic: TopicName,
+): StampedWriter =>
+  new StampedWriter({
+    topic,
+    store,
+    clock,
+    logger,
+    producer: `${settings.entry}/${incarnation}`,
+    epoch: FIRST_EPOCH,
+    gatherMs: settings.batching.submitMs,
+    retriesRefused: false,
+  });
+
+/** The election, and what it begins and ends. */
+const buildLeading = (
+  base: JobEntryBase,
+  storeParts: StoreParts,
+): Pick<JobEntryParts, "election" | "sideServer"> => {
+  const { settings, clock, logger, metrics, incarnation } = base;
+  const { store, view, config, stateFollowers } = storeParts;
+  const { jobsWriter, cancelsWriter } = storeParts;
+  const { leases, scheduling, batching, sides } = settings;
+  const leadershipTtlMs = Math.max(
+    leases.leadershipTtlMs,
+    leases.leastLeadershipTtlMs,
+  );
+  const leadership = new Leadership({
+    store,
+    view,
+    config,
+    followers: stateFollowers,
+    jobsWriter,
+    cancelsWriter,
+    clock,
+    logger,
+    metrics,
+    leadershipTtlMs,
+    leaseMs: leases.workerLeaseMs,
+    stopMs: leases.stopMs,
+    keepEndedMs: settings.keepEndedSeconds * MS_PER_SECOND,
+    progressGatherMs: batching.progressMs,
+    order: scheduling.order,
+    placer: scheduling.placer,
+    mayDecide: () => election.leads,
+    onDeposed: (reason) => void election.stepDown(reason),
+  });
+  const sideServer = new SideServer({
+    listen: sides,
+    leading: () => leadership.leading,
+    clock,
+    logger,
+  });
+  const election = new LeaderElection({
+    membership: store,
+    topic: TOPICS.leadership,
+    self: {
+      entry: settings.entry,
+      incarnation,
+      address: `${sides.address}:${sides.port}`,
+    },
+    ttlMs: leadershipTtlMs,
+    clock,
+    random: new SeededRandom(Date.now() ^ process.pid),
+    logger,
+    onAcquired: (epoch) => leadership.begin(epoch),
+    onLost: (reason) => {
+      leadership.end();
+      sideServer.disconnectAll(reason);
+    },
+  });
+  return { election, sideServer };
+};
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./joinSockets.js";
 export * from "./jsonHttpClient.js";
 export * from "./LineConnection.js";
+export * from "./MetricsServer.js";
 export * from "./outcome.js";
 export * from "./problem.js";
 export * from "./readBody.js";
--- a/packages/side/src/jobs/JobSideProcess.ts
+++ b/packages/side/src/jobs/JobSideProcess.ts
@@ -1,9 +1,9 @@
 /** The side process of a host whose worker runs the tasks of jobs. */
 
-import { createServer, type Server } from "node:http";
 import {
   createLogger,
   Metrics,
+  splitAddress,
   SystemClock,
   writeToStandardOutput,
   type Clock,
@@ -14,7 +14,7 @@
   taskHostClients,
   type StoreClient,
 } from "@rackspan/ports";
-import { closeServer, listenOn, sendText } from "@rackspan/protocol";
+import { MetricsServer } from "@rackspan/protocol";
 import { TOPICS } from "@rackspan/state";
 import { LeaderFinder } from "./LeaderFinder.js";
 import { LeaderLink } from "./LeaderLink.js";
@@ -38,12 +38,11 @@
 
 export class JobSideProcess {
   readonly logger: Logger;
-  private readonly metrics = new Metrics();
   private readonly store: StoreClient;
   private readonly watch: WorkerWatch;
   private readonly link: LeaderLink;
   private readonly inbox: WorkerInbox;
-  private readonly metricsServer: Server;
+  private readonly metricsServer: MetricsServer;
 
   constructor(private readonly options: JobSideProcessOptions) {
     const { settings } = options;
@@ -51,41 +50,24 @@
     this.logger =
       options.logger ??
       createLogger({ level: settings.logLevel, write: writeToStandardOutput });
-    const { logger, metrics } = this;
-    const { client } = settings.platform;
-    this.store = storeClients.create(client, {
-      address: settings.platform.store,
-    });
+    const { logger } = this;
+    const metrics = new Metrics();
+    const { client, store: address } = settings.platform;
+    this.store = storeClients.create(client, { address });
     const host = taskHostClients.create(client, {
       address: settings.worker.address,
       callTimeoutMs: SIDE.workerCallTimeoutMs,
     });
+    const base = { clock, logger, metrics };
     const registry = new WorkerRegistry(clock, logger);
     const pacer = new Pacer({ host, logger, metrics });
     const watch = new WorkerWatch({ registry, host, pacer, clock, logger });
-    const orders = new TaskOrders({
-      host,
-      registry,
-      watch,
-      pacer,
-      clock,
-      logger,
-      metrics,
-    });
-    const finder = new LeaderFinder({
-      membership: this.store,
-      topic: TOPICS.leadership,
-      knownEntries: settings.entries.map((entry) =>
-        withPort(entry, settings.entryPort),
-      ),
-      clock,
-      logger,
-    });
+    const orders = new TaskOrders({ host, registry, watch, pacer, ...base });
     this.watch = watch;
     this.link = new LeaderLink({
       host: settings.host,
       availabilityZone: settings.availabilityZone,
-      finder,
+      finder: buildFinder(settings, this.store, base),
       registry,
       watch,
       orders,
@@ -98,15 +80,16 @@
       registry,
       logger,
     });
-    this.metricsServer = createServer((_req, res) => {
-      void metrics.render().then((text) => sendText(res, 200, text));
+    this.metricsServer = new MetricsServer({
+      metrics,
+      listen: settings.metrics,
     });
   }
 
   async start(): Promise<void> {
     const { settings } = this.options;
     await this.inbox.start();
-    if (settings.metrics) await listenOn(this.metricsServer, settings.metrics);
+    await this.metricsServer.start();
     this.watch.start();
     this.link.start();
     this.logger.info("side.started", { host: settings.host, pid: process.pid });
@@ -118,11 +101,24 @@
     await this.link.stop();
     await this.watch.stop();
     await this.inbox.stop();
-    if (this.metricsServer.listening) await closeServer(this.metricsServer);
+    await this.metricsServer.stop();
     this.store.close();
     this.logger.info("side.stopped", { host: this.options.settings.host });
   }
 }
 
-const withPort = (address: string, port: number): string =>
-  `${address.slice(0, address.lastIndexOf(":"))}:${port}`;
+/** Settings list entries with another port than the one that sides connect to. */
+const buildFinder = (
+  { entries, entryPort }: JobSideSettings,
+  membership: StoreClient,
+  { clock, logger }: { readonly clock: Clock; readonly logger: Logger },
+): LeaderFinder =>
+  new LeaderFinder({
+    membership,
+    topic: TOPICS.leadership,
+    knownEntries: entries.map(
+      (entry) => `${splitAddress(entry).address}:${entryPort}`,
+    ),
+    clock,
+    logger,
+  });
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -7,6 +7,7 @@
 import {
   describeError,
   sleep,
+  splitAddress,
   type AvailabilityZone,
   type Clock,
   type HostId,
@@ -268,9 +269,7 @@
 
 const openSocket = (address: string, timeoutMs: number): Promise<Socket> =>
   new Promise((resolve, reject) => {
-    const at = address.lastIndexOf(":");
-    const host = address.slice(0, at);
-    const port = Number(address.slice(at + 1));
+    const { address: host, port } = splitAddress(address);
     const socket = connect({ host, port });
     const timer = setTimeout(
       () => socket.destroy(new Error(`no connection in ${timeoutMs} ms`)),
