--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -3,6 +3,7 @@
 import type { Monotonic, RunNumber } from "@rackspan/common";
 import type { HostLedger, JobRun, JobTask, StepRun } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
+import { chooseGangHosts } from "./chooseGangHosts.js";
 import {
   ENGINE,
   type EngineOptions,
@@ -181,81 +182,15 @@
   private placeGang(step: StepRun, hosts: readonly HostLedger[]): void {
     const waiting = [...step.waiting];
     if (waiting.length < step.tasks.length - step.doneCount) return;
-    const chosen = this.chooseGangHosts(step, waiting, hosts);
+    const chosen = chooseGangHosts(step, waiting, hosts);
     if (!chosen) return;
     const number = this.options.runs.nextRun();
     for (const [task, host] of chosen) this.startOn(host, task, number);
   }
 
-  private chooseGangHosts(
-    step: StepRun,
-    waiting: readonly JobTask[],
-    hosts: readonly HostLedger[],
-  ): Map<JobTask, HostLedger> | undefined {
-    if (!step.spec.sameRack) return chooseHosts(waiting, hosts);
-    for (const group of groupByRack(hosts)) {
-      const chosen = chooseHosts(waiting, group);
-      if (chosen) return chosen;
-    }
-    return chooseHosts(waiting, hosts);
-  }
-
   private startOn(host: HostLedger, task: JobTask, number: RunNumber): void {
     const { hosts, runs } = this.options;
     const entry = hosts.get(host.host);
     if (entry) runs.start(entry, task, number);
   }
 }
-
-/** Spreads tasks over hosts by what each would have left; undefined when one has no place. */
-const chooseHosts = (
-  tasks: readonly JobTask[],
-  hosts: readonly HostLedger[],
-): Map<JobTask, HostLedger> | undefined => {
-  const left = new Map(
-    hosts.map((host) => [
-      host,
-      {
-        milliCores:
-          host.worker.milliCores -
-          host.room.plainMilliCores -
-          host.room.servingMilliCores,
-        memoryMiB: host.worker.memoryMiB - host.room.memoryMiB,
-        accelerators: host.worker.accelerators - host.room.accelerators,
-        ofStep: 0,
-      },
-    ]),
-  );
-  const chosen = new Map<JobTask, HostLedger>();
-  for (const task of tasks) {
-    const { demand, filling, requiredLabel, maxPerHost } = task.step.spec;
-    const host = hosts.find((candidate) => {
-      const room = left.get(candidate);
-      if (!room || !candidate.hasLabel(requiredLabel)) return false;
-      if (maxPerHost > 0 && room.ofStep >= maxPerHost) return false;
-      return (
-        (filling || demand.milliCores <= room.milliCores) &&
-        demand.memoryMiB <= room.memoryMiB &&
-        demand.accelerators <= room.accelerators
-      );
-    });
-    const room = host && left.get(host);
-    if (!host || !room) return undefined;
-    room.milliCores -= filling ? 0 : demand.milliCores;
-    room.memoryMiB -= demand.memoryMiB;
-    room.accelerators -= demand.accelerators;
-    room.ofStep += 1;
-    chosen.set(task, host);
-  }
-  return chosen;
-};
-
-/** Racks are told by the last label of a host. */
-const groupByRack = (hosts: readonly HostLedger[]): HostLedger[][] => {
-  const groups = new Map<string, HostLedger[]>();
-  for (const host of hosts) {
-    const rack = host.worker.labels.at(-1) ?? "";
-    groups.set(rack, [...(groups.get(rack) ?? []), host]);
-  }
-  return [...groups.values()];
-};
--- /dev/null
+++ b/packages/scheduling/src/chooseGangHosts.ts
@@ -0,0 +1,56 @@
+/** Chooses hosts for all tasks of a gang at once, on one rack where the step asks for it. */
+
+import type { HostLedger, JobTask, StepRun } from "@rackspan/jobs";
+import { fitsInto, roomLeft } from "./taskPlacers.js";
+
+/** @returns undefined when the hosts do not have room for every task */
+export const chooseGangHosts = (
+  step: StepRun,
+  waiting: readonly JobTask[],
+  hosts: readonly HostLedger[],
+): Map<JobTask, HostLedger> | undefined => {
+  if (!step.spec.sameRack) return spread(waiting, hosts);
+  for (const group of groupByRack(hosts)) {
+    const chosen = spread(waiting, group);
+    if (chosen) return chosen;
+  }
+  return spread(waiting, hosts);
+};
+
+/** Gives each task the first host that has room for it beside those chosen before. */
+const spread = (
+  tasks: readonly JobTask[],
+  hosts: readonly HostLedger[],
+): Map<JobTask, HostLedger> | undefined => {
+  const left = new Map(
+    hosts.map((host) => [host, { ...roomLeft(host), ofStep: 0 }]),
+  );
+  const chosen = new Map<JobTask, HostLedger>();
+  for (const task of tasks) {
+    const { demand, filling, requiredLabel, maxPerHost } = task.step.spec;
+    const host = hosts.find((candidate) => {
+      const room = left.get(candidate);
+      if (!room || !candidate.hasLabel(requiredLabel)) return false;
+      if (maxPerHost > 0 && room.ofStep >= maxPerHost) return false;
+      return fitsInto(task, room);
+    });
+    const room = host && left.get(host);
+    if (!host || !room) return undefined;
+    room.milliCores -= filling ? 0 : demand.milliCores;
+    room.memoryMiB -= demand.memoryMiB;
+    room.accelerators -= demand.accelerators;
+    room.ofStep += 1;
+    chosen.set(task, host);
+  }
+  return chosen;
+};
+
+/** Racks are told by the last label of a host. */
+const groupByRack = (hosts: readonly HostLedger[]): HostLedger[][] => {
+  const groups = new Map<string, HostLedger[]>();
+  for (const host of hosts) {
+    const rack = host.worker.labels.at(-1) ?? "";
+    groups.set(rack, [...(groups.get(rack) ?? []), host]);
+  }
+  return [...groups.values()];
+};
--- a/packages/scheduling/src/taskPlacers.ts
+++ b/packages/scheduling/src/taskPlacers.ts
@@ -29,14 +29,28 @@
 export const unreservedMilliCores = ({ worker, room }: HostLedger): number =>
   worker.milliCores - room.plainMilliCores - room.servingMilliCores;
 
-/** Whether the worker would take the task by its own rules of room. */
-export const hasRoomFor = (task: JobTask, host: HostLedger): boolean => {
-  const { demand, filling } = task.step.spec;
+/** What reservations leave of a host; below 0 where it has less than it had. */
+export interface RoomLeft {
+  readonly milliCores: number;
+  readonly memoryMiB: number;
+  readonly accelerators: number;
+}
+
+export const roomLeft = (host: HostLedger): RoomLeft => {
   const { worker, room } = host;
-  if (room.memoryMiB + demand.memoryMiB > worker.memoryMiB) return false;
-  const accelerators = room.accelerators + demand.accelerators;
-  if (accelerators > worker.accelerators) return false;
-  return filling || demand.milliCores <= unreservedMilliCores(host);
+  return {
+    milliCores: unreservedMilliCores(host),
+    memoryMiB: worker.memoryMiB - room.memoryMiB,
+    accelerators: worker.accelerators - room.accelerators,
+  };
+};
+
+/** Whether a worker with this room would take the task by its own rules. */
+export const fitsInto = (task: JobTask, left: RoomLeft): boolean => {
+  const { demand, filling } = task.step.spec;
+  if (demand.memoryMiB > left.memoryMiB) return false;
+  if (demand.accelerators > left.accelerators) return false;
+  return filling || demand.milliCores <= left.milliCores;
 };
 
 /** Whether the step's own rules let the task run there. */
@@ -55,7 +69,7 @@
   let best: HostLedger | undefined;
   let bestScore = -Infinity;
   for (const host of hosts) {
-    if (!isAllowedOn(task, host) || !hasRoomFor(task, host)) continue;
+    if (!isAllowedOn(task, host) || !fitsInto(task, roomLeft(host))) continue;
     const value = score(host);
     if (value <= bestScore) continue;
     best = host;
