--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -77,8 +77,6 @@
 
 export class HostLedger {
   readonly runs = new Map<JobTask, ActiveRun>();
-  /** Whether the host's side is attached under the current epoch. */
-  attached = false;
   /** The worker's clock when it last reported, and when the report arrived. */
   reportedAt: WorkerTime | undefined;
   heardAt: Monotonic = -Infinity;
