--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -1,8 +1,7 @@
 /**
- * Slows filling tasks of this host down while a serving task beside them nears
- * its tail target, those first that are known to disturb it, and speeds them up
- * again while there is slack. The leader need not be asked: readings are half a
- * second old at most.
+ * Orders the worker to slow filling tasks down and to speed them up, as planned
+ * from the readings of its reports. The leader need not be asked: readings are
+ * half a second old at most.
  */
 
 import {
@@ -15,41 +14,13 @@
 } from "@rackspan/common";
 import type { RunningTask, TaskHost } from "@rackspan/ports";
 import type { Disturbance, TaskNature } from "@rackspan/protocol";
-
-export const PACING = {
-  /** Share of its target at which a tail slows filling tasks down. */
-  slowAbove: 0.9,
-  /** Share of its target below which they may speed up. */
-  speedBelow: 0.75,
-  /** They go on at this share of their pace. */
-  slowFactor: 0.6,
-  /** Share of its target that a tail is expected to reach when tasks speed up. */
-  aim: 0.8,
-  /** Tasks may go past what is expected to be right by this factor. */
-  overshoot: 1.25,
-  /** Least pace that an expectation alone holds a task to, percent. */
-  leastExpected: 12,
-  /** Points of percent by which they speed up at a time. */
-  speedPoints: 10,
-  /** Their least pace, percent: some progress tells them from hung tasks. */
-  leastPercent: 4,
-  /** Time between two adjustments, milliseconds; a reading spans 500. */
-  everyMs: 250,
-  /** A pair below this weight is taken as harmless while others are to blame. */
-  leastBlamedWeight: 0.03,
-  /** A task that adds less than this share of what the worst one adds is not to blame. */
-  leastBlamedShare: 0.2,
-} as const;
-
-const FULL_PACE = 100;
-const MILLI = 1_000;
-
-/** A serving task near or over its target. */
-interface Strained {
-  readonly image: string;
-  /** Share of the target. */
-  readonly tail: number;
-}
+import {
+  forgetOthers,
+  FULL_PACE,
+  PacePlanner,
+  runKeyOf,
+  type PacePlan,
+} from "./PacePlanner.js";
 
 export interface PacerOptions {
   readonly host: TaskHost;
@@ -58,20 +29,14 @@
 }
 
 export class Pacer {
-  private readonly natures = new Map<JobTaskId, TaskNature>();
-  /** By serving image, then filling image. */
-  private readonly weights = new Map<string, Map<string, number>>();
-  /** Logarithm of each serving image's tail when nothing disturbs it. */
-  private bases: Readonly<Record<string, number>> = {};
-  /** The pace last wanted for each run, percent. */
-  private readonly wanted = new Map<string, number>();
-  /** The pace last given to each run; absent when it is not known. */
+  private readonly planner = new PacePlanner();
+  /** The pace last given to each run, percent; absent when it is not known. */
   private readonly given = new Map<string, number>();
 
   constructor(private readonly options: PacerOptions) {}
 
   describe(task: JobTaskId, nature: TaskNature): void {
-    this.natures.set(task, nature);
+    this.planner.describe(task, nature);
   }
 
   /** Takes what the leader knows of the images on this host. */
@@ -79,13 +44,7 @@
     disturbances: readonly Disturbance[],
     bases: Readonly<Record<string, number>>,
   ): void {
-    this.bases = bases;
-    this.weights.clear();
-    for (const { serving, filling, weight } of disturbances) {
-      const row = this.weights.get(serving) ?? new Map<string, number>();
-      row.set(filling, weight);
-      this.weights.set(serving, row);
-    }
+    this.planner.learn(disturbances, bases);
   }
 
   /** Looks at the readings of one report and orders new paces where needed. */
@@ -94,132 +53,10 @@
     epoch: Epoch,
     running: readonly RunningTask[],
   ): void {
-    this.forgetEnded(running);
-    const filling = running.filter(
-      ({ task }) => this.natures.get(task)?.kind === "filling",
-    );
-    if (filling.length === 0) return;
-    const serving = this.servingTails(running);
-    const slowed = this.blamed(serving, filling);
-    const expected = this.expectedPaces(serving, filling);
-    for (const row of filling) {
-      const most = this.mostExpected(row, expected);
-      const pace = Math.min(
-        most,
-        this.nextPace(row, slowed.has(row), serving, filling),
-      );
-      this.wanted.set(keyOf(row), pace);
-      this.give(instance, epoch, row, pace);
-    }
-    if (slowed.size > 0) this.logSlowed(serving, filling, slowed);
-  }
-
-  private servingTails(running: readonly RunningTask[]): Strained[] {
-    const tails: Strained[] = [];
-    for (const { task, reading } of running) {
-      const nature = this.natures.get(task);
-      if (nature?.kind !== "serving" || nature.tailTargetMs <= 0) continue;
-      tails.push({ image: nature.image, tail: reading / nature.tailTargetMs });
-    }
-    return tails;
-  }
-
-  /** The filling tasks that are to slow down. */
-  private blamed(
-    serving: readonly Strained[],
-    filling: readonly RunningTask[],
-  ): Set<RunningTask> {
-    const blamed = new Set<RunningTask>();
-    for (const { image, tail } of serving) {
-      if (tail <= PACING.slowAbove) continue;
-      const added = filling.map((row) => this.addedBy(row, image));
-      const worst = Math.max(...added);
-      filling.forEach((row, at) => {
-        // Where no pair is known to disturb, any of them may be the cause.
-        const share = (added[at] as number) / Math.max(worst, Number.MIN_VALUE);
-        if (worst <= 0 || share >= PACING.leastBlamedShare) blamed.add(row);
-      });
-    }
-    return blamed;
-  }
-
-  /** What the task adds to the logarithm of the serving image's tail. */
-  private addedBy({ task, reading }: RunningTask, serving: string): number {
-    const weight = this.weightOf(serving, task);
-    if (weight < PACING.leastBlamedWeight) return 0;
-    return (weight * reading) / MILLI;
-  }
-
-  private weightOf(serving: string, task: JobTaskId): number {
-    const image = this.natures.get(task)?.image ?? "";
-    return this.weights.get(serving)?.get(image) ?? 0;
-  }
-
-  private nextPace(
-    row: RunningTask,
-    isSlowed: boolean,
-    serving: readonly Strained[],
-    filling: readonly RunningTask[],
-  ): number {
-    const known = this.wanted.get(keyOf(row));
-    const before = known ?? this.paceOfSiblings(row, filling);
-    if (isSlowed) {
-      const slower = Math.round(before * PACING.slowFactor);
-      return Math.max(PACING.leastPercent, slower);
-    }
-    const mayHarm = serving.some(
-      ({ image, tail }) =>
-        tail >= PACING.speedBelow &&
-        this.weightOf(image, row.task) >= PACING.leastBlamedWeight,
-    );
-    if (mayHarm || known === undefined) return before;
-    return Math.min(FULL_PACE, before + PACING.speedPoints);
-  }
-
-  /** A new task goes on at the pace that others of its image have here. */
-  private paceOfSiblings(
-    { task }: RunningTask,
-    filling: readonly RunningTask[],
-  ): number {
-    const image = this.natures.get(task)?.image;
-    const paces = filling
-      .filter((other) => this.natures.get(other.task)?.image === image)
-      .map((other) => this.wanted.get(keyOf(other)) ?? FULL_PACE);
-    return Math.min(FULL_PACE, ...paces);
-  }
-
-  /** For each serving image: the pace of what disturbs it at which its tail is right. */
-  private expectedPaces(
-    serving: readonly Strained[],
-    filling: readonly RunningTask[],
-  ): Map<string, number> {
-    const paces = new Map<string, number>();
-    for (const image of new Set(serving.map((one) => one.image))) {
-      const base = this.bases[image];
-      if (base === undefined) continue;
-      let added = 0;
-      for (const { task } of filling) {
-        const cores = (this.natures.get(task)?.milliCores ?? 0) / MILLI;
-        added += this.weightOf(image, task) * cores;
-      }
-      const slack = Math.max(0, Math.log(PACING.aim) - base);
-      if (added > slack) paces.set(image, (FULL_PACE * slack) / added);
-    }
-    return paces;
-  }
-
-  /** The most that the expected paces let the task have, percent. */
-  private mostExpected(
-    { task }: RunningTask,
-    expected: ReadonlyMap<string, number>,
-  ): number {
-    let most = FULL_PACE;
-    for (const [image, pace] of expected) {
-      if (this.weightOf(image, task) < PACING.leastBlamedWeight) continue;
-      const bounded = Math.max(PACING.leastExpected, PACING.overshoot * pace);
-      most = Math.min(most, Math.round(bounded));
-    }
-    return most;
+    forgetOthers(this.given, running);
+    const plan = this.planner.plan(running);
+    for (const [row, pace] of plan.paces) this.give(instance, epoch, row, pace);
+    if (plan.slowed.size > 0) this.logSlowed(plan);
   }
 
   private give(
@@ -228,7 +65,7 @@
     row: RunningTask,
     percent: number,
   ): void {
-    const key = keyOf(row);
+    const key = runKeyOf(row);
     const before = this.given.get(key) ?? FULL_PACE;
     if (before === percent) return;
     this.given.set(key, percent);
@@ -242,34 +79,13 @@
     });
   }
 
-  private logSlowed(
-    serving: readonly Strained[],
-    filling: readonly RunningTask[],
-    slowed: ReadonlySet<RunningTask>,
-  ): void {
+  private logSlowed({ serving, paces, slowed }: PacePlan): void {
     const worst = serving.reduce((a, b) => (b.tail > a.tail ? b : a));
     this.options.logger.info("pace.slowed", {
       image: worst.image,
       tail: worst.tail.toFixed(2),
       slowed: slowed.size,
-      filling: filling.length,
+      filling: paces.size,
     });
   }
-
-  private forgetEnded(running: readonly RunningTask[]): void {
-    const keys = new Set(running.map(keyOf));
-    for (const paces of [this.wanted, this.given]) {
-      for (const key of paces.keys()) if (!keys.has(key)) paces.delete(key);
-    }
-    const tasks = new Set(running.map(({ task }) => task));
-    if (this.natures.size <= 2 * tasks.size + KEPT_NATURES) return;
-    for (const task of this.natures.keys()) {
-      if (!tasks.has(task)) this.natures.delete(task);
-    }
-  }
 }
-
-/** Natures of tasks that were ordered and are not listed yet. */
-const KEPT_NATURES = 64;
-
-const keyOf = ({ task, run }: RunningTask): string => `${task}#${run}`;
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -22,7 +22,7 @@
   type TaskHost,
 } from "@rackspan/ports";
 import type { Pacer } from "./Pacer.js";
-import { PACING } from "./Pacer.js";
+import { PACING } from "./PacePlanner.js";
 import type { WorkerRegistry } from "./WorkerRegistry.js";
 
 const WATCH = {
--- a/packages/side/src/jobs/index.ts
+++ b/packages/side/src/jobs/index.ts
@@ -4,6 +4,7 @@
 export * from "./WorkerRegistry.js";
 export { LeaderFinder } from "./LeaderFinder.js";
 export { LeaderLink } from "./LeaderLink.js";
-export { Pacer, PACING } from "./Pacer.js";
+export { PACING } from "./PacePlanner.js";
+export { Pacer } from "./Pacer.js";
 export { TaskOrders } from "./TaskOrders.js";
 export { WorkerWatch } from "./WorkerWatch.js";
