--- a/packages/state/src/jobModel.ts
+++ b/packages/state/src/jobModel.ts
@@ -6,8 +6,6 @@
 export type JobId = Brand<string, "JobId">;
 /** Host name and path prefix under which callers reach a queue. */
 export type QueueKey = Brand<string, "QueueKey">;
-/** Name of a group of hosts that share a switch and a power supply. */
-export type RackLabel = Brand<string, "RackLabel">;
 /** Name of what the tasks of a step run; tasks of one image behave alike. */
 export type ImageName = Brand<string, "ImageName">;
 
