--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -16,13 +16,10 @@
   LineConnection,
   type HostCallResult,
   type StartTaskCall,
+  type StopTaskCall,
   type TaskNature,
 } from "@rackspan/protocol";
-import {
-  ENGINE,
-  type HostSession,
-  type StopTaskCall,
-} from "@rackspan/scheduling";
+import { ENGINE, type HostSession } from "@rackspan/scheduling";
 import type { LeadingEngine } from "./Leadership.js";
 
 const SERVER = {
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -158,15 +158,19 @@
 
 export type StartTaskCall = z.output<typeof startSchema>;
 
+const stopSchema = z.object({
+  ...runShape,
+  instance: idSchema<WorkerInstance>(),
+  epoch: numberOf<Epoch>(),
+});
+
+export type StopTaskCall = z.output<typeof stopSchema>;
+
 /** Served by the side of each host. */
 export const hostMethods = {
   startTask: { params: startSchema, result: callResultSchema },
   stopTask: {
-    params: z.object({
-      ...runShape,
-      instance: idSchema<WorkerInstance>(),
-      epoch: numberOf<Epoch>(),
-    }),
+    params: stopSchema,
     result: callResultSchema,
   },
   acknowledge: {
--- a/packages/scheduling/src/HostSession.ts
+++ b/packages/scheduling/src/HostSession.ts
@@ -1,24 +1,13 @@
 /** Port to the side of one host, as the engine gives orders through it. */
 
-import type {
-  Epoch,
-  JobTaskId,
-  RunNumber,
-  WorkerInstance,
-} from "@rackspan/common";
+import type { JobTaskId, WorkerInstance } from "@rackspan/common";
 import type {
   HostCallResult,
   StartTaskCall,
+  StopTaskCall,
   TaskNature,
 } from "@rackspan/protocol";
 
-export interface StopTaskCall {
-  readonly instance: WorkerInstance;
-  readonly epoch: Epoch;
-  readonly task: JobTaskId;
-  readonly run: RunNumber;
-}
-
 export interface HostSession {
   /** @throws LostAnswerError when the order may have arrived */
   startTask(call: StartTaskCall): Promise<HostCallResult>;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,7 +8,8 @@
 import "./spreadPlacer.js";
 
 export { ENGINE, type EngineOptions, type HostRoster } from "./engineTypes.js";
-export type { HostSession, StopTaskCall } from "./HostSession.js";
+export type { StopTaskCall } from "@rackspan/protocol";
+export type { HostSession } from "./HostSession.js";
 export { JobEngine } from "./JobEngine.js";
 export { placers, type PlacerOptions } from "./placers.js";
 export { stepOrders, type Candidate, type StepOrder } from "./stepOrders.js";
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -4,10 +4,8 @@
   describeError,
   type Clock,
   type Epoch,
-  type JobTaskId,
   type Logger,
   type Metrics,
-  type RunNumber,
   type WorkerInstance,
 } from "@rackspan/common";
 import {
@@ -16,7 +14,11 @@
   WorkerSilentError,
   type TaskHost,
 } from "@rackspan/ports";
-import type { HostCallResult, StartTaskCall } from "@rackspan/protocol";
+import type {
+  HostCallResult,
+  StartTaskCall,
+  StopTaskCall,
+} from "@rackspan/protocol";
 import type { Pacer } from "./Pacer.js";
 import type { WorkerRegistry } from "./WorkerRegistry.js";
 import type { WorkerWatch } from "./WorkerWatch.js";
@@ -26,13 +28,6 @@
   repeatForMs: 1_300,
 } as const;
 
-export interface StopCall {
-  readonly instance: WorkerInstance;
-  readonly epoch: Epoch;
-  readonly task: JobTaskId;
-  readonly run: RunNumber;
-}
-
 export interface TaskOrdersOptions {
   readonly host: TaskHost;
   readonly registry: WorkerRegistry;
@@ -64,7 +59,7 @@
     return this.note("start", call, result);
   }
 
-  async stop(call: StopCall): Promise<HostCallResult> {
+  async stop(call: StopTaskCall): Promise<HostCallResult> {
     const refusal = this.refusal(call.epoch, call.instance);
     if (refusal) return this.note("stop", call, refusal);
     const { host } = this.options;
@@ -121,7 +116,7 @@
 
   private note(
     order: "start" | "stop",
-    { task, run, epoch }: StopCall,
+    { task, run, epoch }: StopTaskCall,
     result: HostCallResult,
   ): HostCallResult {
     const { logger, metrics } = this.options;
