--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -13,3 +13,4 @@
 export * from "./random.js";
 export * from "./Registry.js";
 export * from "./resources.js";
+export * from "./unitFactors.js";
--- a/packages/entry/src/jobs/JobEntryProcess.ts
+++ b/packages/entry/src/jobs/JobEntryProcess.ts
@@ -4,6 +4,7 @@
   createLogger,
   freshId,
   Metrics,
+  MS_PER_SECOND,
   SystemClock,
   writeToStandardOutput,
   type Clock,
@@ -14,8 +15,6 @@
 import type { JobEntrySettings } from "./settings.js";
 import { wireJobEntry, type JobEntryParts } from "./wireJobEntry.js";
 
-const MS_PER_SECOND = 1_000;
-
 /** Of the time for a planned stop, this much is left for the end itself. */
 const STOP_MARGIN_MS = 700;
 
--- a/packages/entry/src/jobs/wireJobEntry.ts
+++ b/packages/entry/src/jobs/wireJobEntry.ts
@@ -1,6 +1,7 @@
 /** Builds the parts of an entry process for jobs and ties them together. */
 
 import {
+  MS_PER_SECOND,
   SeededRandom,
   type Clock,
   type Incarnation,
@@ -28,8 +29,6 @@
 import type { JobEntrySettings } from "./settings.js";
 import { SideServer } from "./SideServer.js";
 
-const MS_PER_SECOND = 1_000;
-
 /** Hosts join and leave rarely: their topic is polled less often. */
 const HOSTS_POLL_FLOOR_MS = 250;
 
--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -3,13 +3,14 @@
  * the runs there, and until when they may go on if the host falls silent.
  */
 
-import type {
-  AvailabilityZone,
-  HostId,
-  Monotonic,
-  RunNumber,
-  WorkerInstance,
-  WorkerTime,
+import {
+  MILLI_CORES_PER_CORE,
+  type AvailabilityZone,
+  type HostId,
+  type Monotonic,
+  type RunNumber,
+  type WorkerInstance,
+  type WorkerTime,
 } from "@rackspan/common";
 import type { TaskNature, WorkerDescription } from "@rackspan/protocol";
 import type { ImageName } from "@rackspan/state";
@@ -134,7 +135,7 @@
       const { kind } = natureOf(task);
       if (kind === "serving") serving.add(image);
       if (kind !== "filling") continue;
-      const cores = demand.milliCores / 1_000;
+      const cores = demand.milliCores / MILLI_CORES_PER_CORE;
       filling.set(image, (filling.get(image) ?? 0) + cores);
     }
     return { serving, filling };
--- a/packages/scheduling/src/EstimateBook.ts
+++ b/packages/scheduling/src/EstimateBook.ts
@@ -3,6 +3,7 @@
  * Soft state: a new leader starts without corrections.
  */
 
+import { MILLI_CORES_PER_CORE } from "@rackspan/common";
 import type { JobRun, StepRun } from "@rackspan/jobs";
 import type { QueueKey } from "@rackspan/state";
 
@@ -43,7 +44,7 @@
       const tasks = step.tasks.length - step.doneCount;
       total += tasks * this.taskMs(step) * step.spec.demand.milliCores;
     }
-    return total / 1_000;
+    return total / MILLI_CORES_PER_CORE;
   }
 
   /** Milliseconds of the longest chain of steps, as if each ran at once. */
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -4,6 +4,7 @@
  * least by what was learnt of the images. Plain tasks go where most is left.
  */
 
+import { MILLI_CORES_PER_CORE } from "@rackspan/common";
 import {
   natureOf,
   type HostLedger,
@@ -107,7 +108,7 @@
     const left = fillableMilliCores(host) / host.worker.milliCores;
     if (host.room.servingMilliCores === 0) return left;
     const { serving, filling } = host.images();
-    const cores = demand.milliCores / 1_000;
+    const cores = demand.milliCores / MILLI_CORES_PER_CORE;
     const beside = new Map(filling).set(
       image,
       (filling.get(image) ?? 0) + cores,
--- a/packages/scheduling/src/learnInterference.ts
+++ b/packages/scheduling/src/learnInterference.ts
@@ -1,5 +1,6 @@
 /** Feeds what a host reported into the book of interference, and tells its side what is known. */
 
+import { MILLI_CORES_PER_CORE } from "@rackspan/common";
 import {
   natureOf,
   type ActiveRun,
@@ -10,7 +11,8 @@
 import type { ImageName } from "@rackspan/state";
 
 const FULL_PROGRESS = 100;
-const MILLI = 1_000;
+/** Weights and tails are told to three decimal places. */
+const TOLD_STEPS = 1_000;
 /** Weaker pairs are not worth telling. */
 const LEAST_TOLD_WEIGHT = 0.01;
 
@@ -25,7 +27,10 @@
     const { kind, image } = natureOf(run.task);
     const name = image as unknown as ImageName;
     if (kind === "filling") {
-      filling.set(name, (filling.get(name) ?? 0) + run.reading / MILLI);
+      filling.set(
+        name,
+        (filling.get(name) ?? 0) + run.reading / MILLI_CORES_PER_CORE,
+      );
     }
     // Tasks that are still warming up have no tail of their own yet.
     if (kind === "serving" && run.progressPercent >= FULL_PROGRESS) {
@@ -47,7 +52,8 @@
   const told: Disturbance[] = [];
   for (const server of serving) {
     for (const filler of filling.keys()) {
-      const weight = Math.round(book.weight(server, filler) * MILLI) / MILLI;
+      const weight =
+        Math.round(book.weight(server, filler) * TOLD_STEPS) / TOLD_STEPS;
       if (weight < LEAST_TOLD_WEIGHT) continue;
       told.push({ serving: server, filling: filler, weight });
     }
@@ -62,7 +68,7 @@
 ): Record<string, number> => {
   const bases: Record<string, number> = {};
   for (const image of ledger.images().serving) {
-    bases[image] = Math.round(book.base(image) * MILLI) / MILLI;
+    bases[image] = Math.round(book.base(image) * TOLD_STEPS) / TOLD_STEPS;
   }
   return bases;
 };
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -34,6 +34,10 @@
   callTimeoutMs: 1_200,
   /** A report at least this often: it renews the lease. */
   reportEveryMs: 500,
+  /** The same while the worker drains: time is short then. */
+  drainingReportEveryMs: 250,
+  /** Longest wait for news before it is looked whether a report is due. */
+  newsWaitMs: 125,
   /** While there is nothing to report, the connection is kept open this often. */
   pingEveryMs: 1_500,
   /** Least time between two reports, so that ends are told together. */
@@ -183,7 +187,7 @@
         connection.notify("ping", {});
       }
       await Promise.race([
-        watch.news.wait(clock, LINK.reportEveryMs / 4),
+        watch.news.wait(clock, LINK.newsWaitMs),
         connection.closed,
       ]);
     }
@@ -226,7 +230,7 @@
     const worker = registry.worker;
     if (hasNewEnds || sighting.instance !== lastSent.instance) return true;
     const everyMs = worker?.draining
-      ? LINK.reportEveryMs / 2
+      ? LINK.drainingReportEveryMs
       : LINK.reportEveryMs;
     return clock.monotonic() - this.reportedAt >= everyMs;
   }
--- a/packages/side/src/jobs/PacePlanner.ts
+++ b/packages/side/src/jobs/PacePlanner.ts
@@ -4,7 +4,7 @@
  * disturb it, and faster again while there is slack. Gives no orders.
  */
 
-import type { JobTaskId } from "@rackspan/common";
+import { MILLI_CORES_PER_CORE, type JobTaskId } from "@rackspan/common";
 import type { RunningTask } from "@rackspan/ports";
 import type { Disturbance, TaskNature } from "@rackspan/protocol";
 
@@ -36,8 +36,6 @@
 /** Percent; the pace of a task that nobody slows. */
 export const FULL_PACE = 100;
 
-const MILLI = 1_000;
-
 /** Natures of tasks that were ordered and are not listed yet. */
 const KEPT_NATURES = 64;
 
@@ -136,7 +134,7 @@
   private addedBy({ task, reading }: RunningTask, serving: string): number {
     const weight = this.weightOf(serving, task);
     if (weight < PACING.leastBlamedWeight) return 0;
-    return (weight * reading) / MILLI;
+    return (weight * reading) / MILLI_CORES_PER_CORE;
   }
 
   private weightOf(serving: string, task: JobTaskId): number {
@@ -188,7 +186,8 @@
       if (base === undefined) continue;
       let added = 0;
       for (const { task } of filling) {
-        const cores = (this.natures.get(task)?.milliCores ?? 0) / MILLI;
+        const cores =
+          (this.natures.get(task)?.milliCores ?? 0) / MILLI_CORES_PER_CORE;
         added += this.weightOf(image, task) * cores;
       }
       const slack = Math.max(0, Math.log(PACING.aim) - base);
