--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -37,11 +37,6 @@
     this.silent.delete(host);
   }
 
-  /** Hosts that were not heard yet. */
-  get silentHosts(): readonly HostId[] {
-    return [...this.silent];
-  }
-
   isOpen(now: Monotonic): boolean {
     return this.silent.size === 0 || now >= this.leasesOverBy;
   }
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -10,8 +10,6 @@
   readonly ended: readonly EndedRun[];
   /** Runs that neither run nor are listed as ended: lapsed, or never begun. */
   readonly vanished: readonly ActiveRun[];
-  /** Runs that are confirmed for the first time. */
-  readonly confirmed: readonly ActiveRun[];
   /** Tasks that run there and that the leader did not know of. */
   readonly unknown: readonly RunningTask[];
 }
@@ -55,7 +53,6 @@
   const endedRuns = new Set(ended.map(({ task, run }) => `${task}#${run}`));
   const rows = new Map(report.running.map((row) => [row.task, row]));
   const vanished: ActiveRun[] = [];
-  const confirmed: ActiveRun[] = [];
   for (const run of ledger.runs.values()) {
     const row = rows.get(run.task.id);
     if (row?.run === run.run) {
@@ -64,7 +61,6 @@
       run.answeredAt = report.at;
       if (run.phase === "starting" || run.phase === "unsure") {
         run.phase = "running";
-        confirmed.push(run);
       }
       continue;
     }
@@ -75,5 +71,5 @@
   if (last) ledger.notedEnds = last.number;
   ledger.reportedAt = report.at;
   ledger.heardAt = now;
-  return { ended, vanished, confirmed, unknown: [...rows.values()] };
+  return { ended, vanished, unknown: [...rows.values()] };
 };
--- a/packages/scheduling/src/HostBook.ts
+++ b/packages/scheduling/src/HostBook.ts
@@ -25,10 +25,6 @@
     return this.entries.values();
   }
 
-  get size(): number {
-    return this.entries.size;
-  }
-
   placementOf(task: JobTask): PlacedRun | undefined {
     return this.placed.get(task);
   }
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -45,7 +45,7 @@
 } as const;
 
 /** Thousandths of a core that filling tasks can be expected to get. */
-export const fillableMilliCores = ({ worker, room }: HostLedger): number =>
+const fillableMilliCores = ({ worker, room }: HostLedger): number =>
   worker.milliCores -
   room.plainMilliCores -
   COLOCATION.servingUse * room.servingMilliCores -
