--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -67,3 +67,10 @@
     });
     signal?.addEventListener("abort", onAbort, { once: true });
   });
+
+/** Waits on the given clock, or until the signal ends the wait. */
+export const pause = (
+  clock: Clock,
+  ms: number,
+  signal: AbortSignal,
+): Promise<void> => sleep(clock, ms, signal).catch(() => undefined);
--- a/packages/leadership/src/LeaderElection.ts
+++ b/packages/leadership/src/LeaderElection.ts
@@ -10,7 +10,7 @@
 
 import {
   describeError,
-  sleep,
+  pause,
   type Clock,
   type Epoch,
   type Incarnation,
@@ -112,7 +112,7 @@
     const { clock } = this.options;
     while (!this.abort.signal.aborted) {
       const pauseMs = await this.step();
-      await sleep(clock, pauseMs, this.abort.signal).catch(() => undefined);
+      await pause(clock, pauseMs, this.abort.signal);
     }
   }
 
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -6,6 +6,7 @@
 import { connect, type Socket } from "node:net";
 import {
   describeError,
+  pause,
   sleep,
   splitAddress,
   type AvailabilityZone,
@@ -94,7 +95,7 @@
     while (!this.abort.signal.aborted) {
       const address = await finder.find();
       if (address !== undefined) await this.serve(address);
-      await sleep(clock, LINK.findEveryMs, this.abort.signal).catch(noop);
+      await pause(clock, LINK.findEveryMs, this.abort.signal);
     }
   }
 
@@ -290,5 +291,3 @@
       resolve(socket);
     });
   });
-
-const noop = (): void => undefined;
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -6,7 +6,7 @@
 import {
   ChangeSignal,
   describeError,
-  sleep,
+  pause,
   type Clock,
   type Epoch,
   type Logger,
@@ -125,7 +125,7 @@
       }
       const seen = await this.look(worker.instance, this.epoch);
       if (!seen) {
-        await sleep(clock, WATCH.idleMs, this.abort.signal).catch(noop);
+        await pause(clock, WATCH.idleMs, this.abort.signal);
       } else if (this.unacknowledged.length > 0) {
         await this.wake.wait(clock, WATCH.unacknowledgedMs);
       }
@@ -193,5 +193,3 @@
     this.highestEnd = 0;
   }
 }
-
-const noop = (): void => undefined;
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -5,7 +5,7 @@
 
 import {
   describeError,
-  sleep,
+  pause,
   type Clock,
   type Logger,
   type Monotonic,
@@ -83,13 +83,13 @@
     while (!this.abort.signal.aborted) {
       const began = clock.monotonic();
       const worked = await this.step();
-      const pause =
+      const pauseMs =
         worked && this.waiters.size > 0
           ? 0
           : worked
             ? floorMs - (clock.monotonic() - began)
             : FOLLOW.retryMs;
-      if (pause > 0) await sleep(clock, pause, this.abort.signal).catch(noop);
+      if (pauseMs > 0) await pause(clock, pauseMs, this.abort.signal);
     }
   }
 
@@ -156,5 +156,3 @@
     logger.warn("store.lost", { topic, age, error: describeError(err) });
   }
 }
-
-const noop = (): void => undefined;
