--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -3,13 +3,14 @@
  * the runs there, and until when they may go on if the host falls silent.
  */
 
-import type {
-  AvailabilityZone,
-  HostId,
-  Monotonic,
-  RunNumber,
-  WorkerInstance,
-  WorkerTime,
+import {
+  MILLI_CORES_PER_CORE,
+  type AvailabilityZone,
+  type HostId,
+  type Monotonic,
+  type RunNumber,
+  type WorkerInstance,
+  type WorkerTime,
 } from "@rackspan/common";
 import type { TaskNature, WorkerDescription } from "@rackspan/protocol";
 import type { ImageName } from "@rackspan/state";
@@ -77,8 +78,6 @@
 
 export class HostLedger {
   readonly runs = new Map<JobTask, ActiveRun>();
-  /** Whether the host's side is attached under the current epoch. */
-  attached = false;
   /** The worker's clock when it last reported, and when the report arrived. */
   reportedAt: WorkerTime | undefined;
   heardAt: Monotonic = -Infinity;
@@ -136,7 +135,7 @@
       const { kind } = natureOf(task);
       if (kind === "serving") serving.add(image);
       if (kind !== "filling") continue;
-      const cores = demand.milliCores / 1_000;
+      const cores = demand.milliCores / MILLI_CORES_PER_CORE;
       filling.set(image, (filling.get(image) ?? 0) + cores);
     }
     return { serving, filling };
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -6,7 +6,9 @@
 import { connect, type Socket } from "node:net";
 import {
   describeError,
+  pause,
   sleep,
+  splitAddress,
   type AvailabilityZone,
   type Clock,
   type HostId,
@@ -33,6 +35,10 @@
   callTimeoutMs: 1_200,
   /** A report at least this often: it renews the lease. */
   reportEveryMs: 500,
+  /** The same while the worker drains: time is short then. */
+  drainingReportEveryMs: 250,
+  /** Longest wait for news before it is looked whether a report is due. */
+  newsWaitMs: 125,
   /** While there is nothing to report, the connection is kept open this often. */
   pingEveryMs: 1_500,
   /** Least time between two reports, so that ends are told together. */
@@ -89,7 +95,7 @@
     while (!this.abort.signal.aborted) {
       const address = await finder.find();
       if (address !== undefined) await this.serve(address);
-      await sleep(clock, LINK.findEveryMs, this.abort.signal).catch(noop);
+      await pause(clock, LINK.findEveryMs, this.abort.signal);
     }
   }
 
@@ -182,7 +188,7 @@
         connection.notify("ping", {});
       }
       await Promise.race([
-        watch.news.wait(clock, LINK.reportEveryMs / 4),
+        watch.news.wait(clock, LINK.newsWaitMs),
         connection.closed,
       ]);
     }
@@ -225,7 +231,7 @@
     const worker = registry.worker;
     if (hasNewEnds || sighting.instance !== lastSent.instance) return true;
     const everyMs = worker?.draining
-      ? LINK.reportEveryMs / 2
+      ? LINK.drainingReportEveryMs
       : LINK.reportEveryMs;
     return clock.monotonic() - this.reportedAt >= everyMs;
   }
@@ -268,9 +274,7 @@
 
 const openSocket = (address: string, timeoutMs: number): Promise<Socket> =>
   new Promise((resolve, reject) => {
-    const at = address.lastIndexOf(":");
-    const host = address.slice(0, at);
-    const port = Number(address.slice(at + 1));
+    const { address: host, port } = splitAddress(address);
     const socket = connect({ host, port });
     const timer = setTimeout(
       () => socket.destroy(new Error(`no connection in ${timeoutMs} ms`)),
@@ -287,5 +291,3 @@
       resolve(socket);
     });
   });
-
-const noop = (): void => undefined;
