A host removed while it is being added is not listed; tries at a refusing worker pause; SIGHUP says what it does

A roster entry that was removed while the store had not kept it yet came back as listed when it was kept, though the store ends without it: the host could have got leases that a next leader does not wait for. A worker that refuses connections was called in a tight loop for 1.3 s. SIGHUP said reloaded and only checked. Change: additions that were overtaken by a removal do not count; 50 ms between tries; settings.checked and settings.faulty.

--- a/packages/cli/src/jobPrograms.ts
+++ b/packages/cli/src/jobPrograms.ts
@@ -58,14 +58,17 @@
     ],
   });
 
-/** Reads the settings again on SIGHUP; a faulty file changes nothing. */
-const reloadOnSignal = (read: () => unknown, logger: Logger): void => {
+/**
+ * Checks the settings again on SIGHUP, so that a fault shows before the next
+ * start needs them. What they say takes effect at that start.
+ */
+const checkOnSignal = (read: () => unknown, logger: Logger): void => {
   process.on("SIGHUP", () => {
     try {
       read();
-      logger.info("settings.reloaded", {});
+      logger.info("settings.checked", { takesEffect: "next-start" });
     } catch (err) {
-      logger.error("settings.not-reloaded", { error: describeError(err) });
+      logger.error("settings.faulty", { error: describeError(err) });
     }
   });
 };
@@ -80,7 +83,7 @@
     const run = settingsCommand(program.command, program.summary);
     run.action(async (given: Partial<SettingsOptions>) => {
       const job = program.create(loadFrom(schema, given, env));
-      reloadOnSignal(() => loadFrom(schema, given, env), job.logger);
+      checkOnSignal(() => loadFrom(schema, given, env), job.logger);
       finish(await runProcess(job, stop));
     });
     const check = settingsCommand("check", "find faults in settings");
--- a/packages/entry/src/jobs/StoredRoster.ts
+++ b/packages/entry/src/jobs/StoredRoster.ts
@@ -8,6 +8,8 @@
 
 export class StoredRoster implements HostRoster {
   private readonly kept: Set<HostId>;
+  /** How often each host was removed by this leader. */
+  private readonly removals = new Map<HostId, number>();
 
   constructor(
     private readonly writer: StampedWriter,
@@ -22,12 +24,15 @@
   }
 
   async add(host: HostId): Promise<void> {
+    const removals = this.removals.get(host);
     await this.writer.write({ key: host, value: LISTED }).kept;
-    this.kept.add(host);
+    // Removed while it was on its way: the store ends without the host.
+    if (this.removals.get(host) === removals) this.kept.add(host);
   }
 
   remove(host: HostId): void {
     this.kept.delete(host);
+    this.removals.set(host, (this.removals.get(host) ?? 0) + 1);
     this.writer
       .write({ key: host, value: undefined })
       .kept.catch((err: unknown) => {
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -2,6 +2,7 @@
 
 import {
   describeError,
+  sleep,
   type Clock,
   type Epoch,
   type Logger,
@@ -26,6 +27,8 @@
 const ORDERS = {
   /** Calls to the worker are repeated for this long; the leader waits a little longer. */
   repeatForMs: 1_300,
+  /** Between two tries: a worker that refuses connections does so at once. */
+  repeatPauseMs: 50,
 } as const;
 
 export interface TaskOrdersOptions {
@@ -111,6 +114,7 @@
           return { kind: "silent" };
         }
       }
+      await sleep(clock, ORDERS.repeatPauseMs);
     }
   }
 
