Sides pace what they found running, and stop filling tasks that keep a tail long

Change: the leader describes all tasks of a host when its side attaches; a run that this process did not start begins at the pace that its processor time shows; all filling tasks are slowed after a quarter of the time that a tail may be over its target, and stand still after 0.6 of it.

--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -17,8 +17,8 @@
   type HostCallResult,
   type StartTaskCall,
   type StopTaskCall,
-  type TaskNature,
 } from "@rackspan/protocol";
+import type { TaskDescription } from "@rackspan/jobs";
 import { ENGINE, type HostSession } from "@rackspan/scheduling";
 import type { LeadingEngine } from "./Leadership.js";
 
@@ -133,12 +133,7 @@
     this.connection.notify("acknowledge", { instance, acknowledged });
   }
 
-  describe(
-    tasks: readonly {
-      readonly task: StartTaskCall["task"];
-      readonly nature: TaskNature;
-    }[],
-  ): void {
+  describe(tasks: readonly TaskDescription[]): void {
     this.connection.notify("describe", { tasks: [...tasks] });
   }
 
--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -7,6 +7,7 @@
   MILLI_CORES_PER_CORE,
   type AvailabilityZone,
   type HostId,
+  type JobTaskId,
   type Monotonic,
   type RunNumber,
   type WorkerInstance,
@@ -53,6 +54,17 @@
   };
 };
 
+/** A task as its host is told of it. */
+export interface TaskDescription {
+  readonly task: JobTaskId;
+  readonly nature: TaskNature;
+}
+
+export const describeTask = (task: JobTask): TaskDescription => ({
+  task: task.id,
+  nature: natureOf(task),
+});
+
 /** Sums over the runs of one host; `filling` ones take memory only. */
 export interface RoomTaken {
   plainMilliCores: number;
--- a/packages/scheduling/src/HostIntake.ts
+++ b/packages/scheduling/src/HostIntake.ts
@@ -6,7 +6,7 @@
   type HostId,
   type Monotonic,
 } from "@rackspan/common";
-import { HostLedger } from "@rackspan/jobs";
+import { describeTask, HostLedger } from "@rackspan/jobs";
 import { leaseOverBy } from "@rackspan/leadership";
 import type { HostReport } from "@rackspan/protocol";
 import type { EngineParts } from "./engineParts.js";
@@ -27,6 +27,9 @@
     for (const run of entry.ledger.runs.values()) {
       if (run.phase === "starting") run.phase = "unsure";
     }
+    // A side that was restarted knows nothing of what runs on its host.
+    const tasks = [...entry.ledger.runs.keys()];
+    if (tasks.length > 0) session.describe(tasks.map(describeTask));
   }
 
   detach(host: HostId, session: HostSession): void {
--- a/packages/scheduling/src/HostSession.ts
+++ b/packages/scheduling/src/HostSession.ts
@@ -1,11 +1,11 @@
 /** Port to the side of one host, as the engine gives orders through it. */
 
-import type { JobTaskId, WorkerInstance } from "@rackspan/common";
+import type { WorkerInstance } from "@rackspan/common";
+import type { TaskDescription } from "@rackspan/jobs";
 import type {
   HostCallResult,
   StartTaskCall,
   StopTaskCall,
-  TaskNature,
 } from "@rackspan/protocol";
 
 export interface HostSession {
@@ -14,7 +14,6 @@
   /** @throws LostAnswerError when the order may have arrived */
   stopTask(call: StopTaskCall): Promise<HostCallResult>;
   acknowledge(instance: WorkerInstance, acknowledged: number): void;
-  describe(
-    tasks: readonly { readonly task: JobTaskId; readonly nature: TaskNature }[],
-  ): void;
+  /** Tells the side what the tasks on its host are, for it to pace them. */
+  describe(tasks: readonly TaskDescription[]): void;
 }
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -1,7 +1,7 @@
 /** Takes over runs that a former leader started, and stops those nobody wants. */
 
 import { describeError, type WorkerTime } from "@rackspan/common";
-import { natureOf, type ActiveRun, type JobTask } from "@rackspan/jobs";
+import { describeTask, type ActiveRun, type JobTask } from "@rackspan/jobs";
 import type { RunningTask } from "@rackspan/ports";
 import { isFinal } from "@rackspan/state";
 import type { EngineParts } from "./engineParts.js";
@@ -31,9 +31,7 @@
       adopted.push(task);
     }
     if (adopted.length === 0) return;
-    entry.session?.describe(
-      adopted.map((task) => ({ task: task.id, nature: natureOf(task) })),
-    );
+    entry.session?.describe(adopted.map(describeTask));
   }
 
   private findWaitingTask(row: RunningTask): JobTask | undefined {
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -14,7 +14,11 @@
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
-import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
+import {
+  ProgressJournal,
+  TakeoverGate,
+  type TaskDescription,
+} from "@rackspan/jobs";
 import type { RunOutcome, StartRefusal } from "@rackspan/ports";
 import type {
   Grant,
@@ -48,6 +52,8 @@
 export class FakeHost implements HostSession {
   readonly starts: StartTaskCall[] = [];
   readonly stops: StopTaskCall[] = [];
+  /** Tasks that the side was told the nature of, apart from starts. */
+  readonly described: JobTaskId[] = [];
   /** What the next orders are answered; `hang` never answers. */
   answers: HostCallResult["kind"] | "hang" = "ok";
   /** Why orders are refused when they are. */
@@ -93,8 +99,8 @@
     this.ended = this.ended.filter(({ number }) => number > acknowledged);
   }
 
-  describe(): void {
-    // Natures matter only to the pacer.
+  describe(tasks: readonly TaskDescription[]): void {
+    this.described.push(...tasks.map(({ task }) => task));
   }
 
   /** The worker has begun the run on its own, as a late order does. */
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -343,3 +343,14 @@
   await harness.run(30);
   expect(host.runningTasks).toEqual([taskId("plain.0.0.0")]);
 });
+
+test("a side that attaches again is told what runs on its host", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ taskCount: 2, filling: true }]);
+  await harness.run(200);
+  expect(host.described).toEqual([]);
+  harness.engine.detach(host.host, host);
+  harness.engine.attach(host.host, host);
+  expect(host.described).toEqual([taskId("j.0.0.0"), taskId("j.0.0.1")]);
+});
--- a/packages/side/src/jobs/JobSideProcess.ts
+++ b/packages/side/src/jobs/JobSideProcess.ts
@@ -60,7 +60,7 @@
     });
     const base = { clock, logger, metrics };
     const registry = new WorkerRegistry(clock, logger);
-    const pacer = new Pacer({ host, logger, metrics });
+    const pacer = new Pacer({ host, ...base, ...settings.pacing });
     const watch = new WorkerWatch({ registry, host, pacer, clock, logger });
     const orders = new TaskOrders({ host, registry, watch, pacer, ...base });
     this.watch = watch;
--- a/packages/side/src/jobs/PacePlanner.ts
+++ b/packages/side/src/jobs/PacePlanner.ts
@@ -4,8 +4,12 @@
  * disturb it, and faster again while there is slack. Gives no orders.
  */
 
-import { MILLI_CORES_PER_CORE, type JobTaskId } from "@rackspan/common";
-import type { RunningTask } from "@rackspan/ports";
+import {
+  MILLI_CORES_PER_CORE,
+  type JobTaskId,
+  type Monotonic,
+} from "@rackspan/common";
+import type { RunningTask, RunRef } from "@rackspan/ports";
 import type { Disturbance, TaskNature } from "@rackspan/protocol";
 
 export const PACING = {
@@ -31,11 +35,21 @@
   leastBlamedWeight: 0.03,
   /** A task that adds less than this share of what the worst one adds is not to blame. */
   leastBlamedShare: 0.2,
+  /**
+   * Share of the time that a tail may stay over its target after which every
+   * filling task is slowed: what was learnt of the images is then wrong.
+   */
+  blameAllAfter: 0.25,
+  /** Share of it after which they stand still; a reading is half a second old. */
+  haltAfter: 0.6,
 } as const;
 
 /** Percent; the pace of a task that nobody slows. */
 export const FULL_PACE = 100;
 
+/** Percent; the pace of a task that must not disturb at all for now. */
+const HALTED = 0;
+
 /** Natures of tasks that were ordered and are not listed yet. */
 const KEPT_NATURES = 64;
 
@@ -45,6 +59,14 @@
   readonly tail: number;
 }
 
+/** How long a serving task's tail has been over its target. */
+type Trouble = "none" | "blame-all" | "halt";
+
+export interface PacePlannerOptions {
+  /** Milliseconds for which a tail may stay over its target on end. */
+  readonly tailGraceMs: number;
+}
+
 export interface PacePlan {
   /** The pace wanted for each filling task, percent. */
   readonly paces: ReadonlyMap<RunningTask, number>;
@@ -61,6 +83,10 @@
   private bases: Readonly<Record<string, number>> = {};
   /** The pace last wanted for each run, percent. */
   private readonly wanted = new Map<string, number>();
+  /** Since when each serving task's tail has been over its target. */
+  private readonly overSince = new Map<JobTaskId, Monotonic>();
+
+  constructor(private readonly options: PacePlannerOptions) {}
 
   describe(task: JobTaskId, nature: TaskNature): void {
     this.natures.set(task, nature);
@@ -80,21 +106,40 @@
     }
   }
 
+  /**
+   * Takes a run that this process did not start: its pace is told by the
+   * processor time that it gets.
+   */
+  noteFound(row: RunningTask): void {
+    const nature = this.natures.get(row.task);
+    const key = runKeyOf(row);
+    if (nature?.kind !== "filling" || this.wanted.has(key)) return;
+    const demand = Math.max(1, nature.milliCores);
+    const share = Math.round((FULL_PACE * row.reading) / demand);
+    const pace = Math.min(FULL_PACE, Math.max(PACING.leastPercent, share));
+    this.wanted.set(key, pace);
+  }
+
   /** @param running the worker's running tasks with their latest readings */
-  plan(running: readonly RunningTask[]): PacePlan {
+  plan(running: readonly RunningTask[], now: Monotonic): PacePlan {
     this.forgetEnded(running);
     const filling = running.filter(
       ({ task }) => this.natures.get(task)?.kind === "filling",
     );
     const paces = new Map<RunningTask, number>();
     const serving = this.servingTails(running);
-    const slowed = this.blamed(serving, filling);
+    const trouble = this.noteTrouble(running, now);
+    const slowed =
+      trouble === "none" ? this.blamed(serving, filling) : new Set(filling);
     const expected = this.expectedPaces(serving, filling);
     for (const row of filling) {
-      const pace = Math.min(
-        this.mostExpected(row, expected),
-        this.nextPace(row, slowed.has(row), serving, filling),
-      );
+      const pace =
+        trouble === "halt"
+          ? HALTED
+          : Math.min(
+              this.mostExpected(row, expected),
+              this.nextPace(row, slowed.has(row), serving, filling),
+            );
       this.wanted.set(runKeyOf(row), pace);
       paces.set(row, pace);
     }
@@ -111,6 +156,28 @@
     return tails;
   }
 
+  /** The worst trouble of any serving task, by how long its tail has been too long. */
+  private noteTrouble(
+    running: readonly RunningTask[],
+    now: Monotonic,
+  ): Trouble {
+    let longestMs = 0;
+    for (const { task, reading } of running) {
+      const nature = this.natures.get(task);
+      if (nature?.kind !== "serving" || nature.tailTargetMs <= 0) continue;
+      if (reading <= nature.tailTargetMs) {
+        this.overSince.delete(task);
+        continue;
+      }
+      const since = this.overSince.get(task) ?? now;
+      this.overSince.set(task, since);
+      longestMs = Math.max(longestMs, now - since);
+    }
+    const share = longestMs / this.options.tailGraceMs;
+    if (share >= PACING.haltAfter) return "halt";
+    return share >= PACING.blameAllAfter ? "blame-all" : "none";
+  }
+
   /** The filling tasks that are to slow down. */
   private blamed(
     serving: readonly ServingTail[],
@@ -213,6 +280,9 @@
   private forgetEnded(running: readonly RunningTask[]): void {
     forgetOthers(this.wanted, running);
     const tasks = new Set(running.map(({ task }) => task));
+    for (const task of this.overSince.keys()) {
+      if (!tasks.has(task)) this.overSince.delete(task);
+    }
     if (this.natures.size <= 2 * tasks.size + KEPT_NATURES) return;
     for (const task of this.natures.keys()) {
       if (!tasks.has(task)) this.natures.delete(task);
@@ -221,8 +291,7 @@
 }
 
 /** Tells runs of one task apart. */
-export const runKeyOf = ({ task, run }: RunningTask): string =>
-  `${task}#${run}`;
+export const runKeyOf = ({ task, run }: RunRef): string => `${task}#${run}`;
 
 /** Drops the paces of runs that are not listed any more. */
 export const forgetOthers = (
--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -6,13 +6,14 @@
 
 import {
   describeError,
+  type Clock,
   type Epoch,
   type JobTaskId,
   type Logger,
   type Metrics,
   type WorkerInstance,
 } from "@rackspan/common";
-import type { RunningTask, TaskHost } from "@rackspan/ports";
+import type { RunningTask, RunRef, TaskHost } from "@rackspan/ports";
 import type { Disturbance, TaskNature } from "@rackspan/protocol";
 import {
   forgetOthers,
@@ -22,23 +23,41 @@
   type PacePlan,
 } from "./PacePlanner.js";
 
+/** Runs that were ordered and may not be listed yet; older ones are forgotten. */
+const MAX_UNLISTED = 64;
+
 export interface PacerOptions {
   readonly host: TaskHost;
+  readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Milliseconds for which a tail may stay over its target on end. */
+  readonly tailGraceMs: number;
 }
 
 export class Pacer {
-  private readonly planner = new PacePlanner();
+  private readonly planner: PacePlanner;
   /** The pace last given to each run, percent; absent when it is not known. */
   private readonly given = new Map<string, number>();
+  /** Runs that this process has ordered and the worker has not listed yet. */
+  private readonly unlisted = new Set<string>();
 
-  constructor(private readonly options: PacerOptions) {}
+  constructor(private readonly options: PacerOptions) {
+    this.planner = new PacePlanner(options);
+  }
 
   describe(task: JobTaskId, nature: TaskNature): void {
     this.planner.describe(task, nature);
   }
 
+  /** This process starts the run, at full pace. */
+  noteStarted(run: RunRef): void {
+    this.unlisted.add(runKeyOf(run));
+    if (this.unlisted.size <= MAX_UNLISTED) return;
+    const [oldest] = this.unlisted;
+    if (oldest !== undefined) this.unlisted.delete(oldest);
+  }
+
   /** Takes what the leader knows of the images on this host. */
   learn(
     disturbances: readonly Disturbance[],
@@ -53,12 +72,19 @@
     epoch: Epoch,
     running: readonly RunningTask[],
   ): void {
+    for (const row of running) this.noteListed(row);
     forgetOthers(this.given, running);
-    const plan = this.planner.plan(running);
+    const plan = this.planner.plan(running, this.options.clock.monotonic());
     for (const [row, pace] of plan.paces) this.give(instance, epoch, row, pace);
     if (plan.slowed.size > 0) this.logSlowed(plan);
   }
 
+  private noteListed(row: RunningTask): void {
+    const key = runKeyOf(row);
+    if (this.unlisted.delete(key)) this.given.set(key, FULL_PACE);
+    else if (!this.given.has(key)) this.planner.noteFound(row);
+  }
+
   private give(
     instance: WorkerInstance,
     epoch: Epoch,
@@ -66,12 +92,14 @@
     percent: number,
   ): void {
     const key = runKeyOf(row);
-    const before = this.given.get(key) ?? FULL_PACE;
+    const before = this.given.get(key);
     if (before === percent) return;
     this.given.set(key, percent);
     const { host, logger, metrics } = this.options;
     const { task, run } = row;
-    metrics.count("pace_orders", { way: percent < before ? "down" : "up" });
+    metrics.count("pace_orders", {
+      way: before === undefined ? "found" : percent < before ? "down" : "up",
+    });
     host.pace(instance, { task, run, percent, epoch }).catch((err: unknown) => {
       // Not known now: the next look gives it again.
       this.given.delete(key);
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -52,6 +52,7 @@
       return this.note("start", call, { kind: "draining" });
     }
     pacer.describe(call.task, call.nature);
+    pacer.noteStarted(call);
     const { instance, ...order } = call;
     const result = await this.repeat(instance, async () => {
       const outcome = await host.start(instance, order);
--- a/packages/side/src/jobs/settings.ts
+++ b/packages/side/src/jobs/settings.ts
@@ -27,6 +27,15 @@
   entries: z.array(endpointSchema).default([]),
   /** The port at which entries take connections of sides. */
   entryPort: portSchema,
+  pacing: z
+    .strictObject({
+      /**
+       * Milliseconds for which a serving task's tail may stay over its target
+       * on end: what the users' service agreement allows.
+       */
+      tailGraceMs: z.number().int().min(100).max(600_000).default(4_000),
+    })
+    .prefault({}),
   metrics: listenAddressSchema.optional(),
   logLevel: z
     .enum(["error", "warn", "info", "debug", "silent"])
