Permits: steps of queues with a policy run only where the service permits them

Cause: queues may ask for a permit (a ticket) with each start; the rule was decoded and ignored, so such a step was tried every 2 s and refused. Change: a port for the service, PermitBook at the leader (asks in the background, names as many hosts as a step may need, remembers refusals, renews tickets that run out, drops tickets that a worker refuses), an HTTP client in platform/, a stand-in of the service and of tickets at the worker. The rule is kept with the accepted job, for when its queue is dropped.

--- a/packages/entry/src/jobs/JobDesk.ts
+++ b/packages/entry/src/jobs/JobDesk.ts
@@ -20,6 +20,7 @@
   type JobId,
   type JobSpec,
   type JobStateName,
+  type JobTerms,
   type JobView,
   type PendingWrite,
   type QueueKey,
@@ -71,6 +72,23 @@
 const refused = (reason: string) =>
   ({ kind: "refused", reason, retryAfterMs: DESK.retryAfterMs }) as const;
 
+/** What of the queue must hold for the job even when the queue is dropped. */
+const termsOf = ({
+  service,
+  priority,
+  maxAttempts,
+  stretch,
+  targetLatencyMs,
+  advice,
+}: QueueSpec): JobTerms => ({
+  service,
+  priority,
+  maxAttempts,
+  stretch,
+  targetLatencyMs,
+  advice,
+});
+
 export class JobDesk {
   constructor(private readonly options: JobDeskOptions) {}
 
@@ -104,8 +122,7 @@
         : refused("the id belongs to a job of another queue");
       return this.note("submit", spec.id, outcome, began);
     }
-    const { service, priority, maxAttempts, stretch, targetLatencyMs } = queue;
-    const terms = { service, priority, maxAttempts, stretch, targetLatencyMs };
+    const terms = termsOf(queue);
     const job: AcceptedJob = { spec, acceptedAt: clock.now(), terms };
     const write = jobsWriter.write({ key: spec.id, value: encodeJob(job) });
     const outcome = await this.settle(write, deadline, () =>
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -12,7 +12,7 @@
   type Unsubscribe,
 } from "@rackspan/common";
 import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
-import type { RecordStore } from "@rackspan/ports";
+import type { PermitService, RecordStore } from "@rackspan/ports";
 import { JobEngine } from "@rackspan/scheduling";
 import {
   isFinal,
@@ -50,6 +50,8 @@
   readonly progressGatherMs: number;
   readonly order: string;
   readonly placer: string;
+  /** Undefined where the platform has no such service. */
+  readonly permits: PermitService | undefined;
   readonly mayDecide: () => boolean;
   /** Called when the writes of this leader are refused for good. */
   readonly onDeposed: (reason: string) => void;
@@ -170,7 +172,8 @@
       leaseMs,
       stopMs,
       mayDecide: () => !this.abort.signal.aborted && mayDecide(),
-      serviceOf: (queue) => config.queue(queue)?.service,
+      queueOf: (queue) => config.queue(queue),
+      permits: this.options.permits,
     });
     for (const { accepted, cancelled, progress } of view.all()) {
       engine.addJob(accepted, progress);
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -25,6 +25,8 @@
     client: z.string().min(1),
     /** `IP:PORT` of the store. */
     store: endpointSchema,
+    /** `IP:PORT` of the service that says which hosts may run a step, where there is one. */
+    permits: endpointSchema.optional(),
   }),
   /** Where callers hand in jobs. */
   callers: listenAddressSchema,
--- a/packages/entry/src/jobs/wireJobEntry.ts
+++ b/packages/entry/src/jobs/wireJobEntry.ts
@@ -10,8 +10,10 @@
 } from "@rackspan/common";
 import { LeaderElection } from "@rackspan/leadership";
 import {
+  permitServices,
   storeClients,
   type KeyedRecord,
+  type PermitService,
   type StoreClient,
   type TopicName,
 } from "@rackspan/ports";
@@ -166,6 +168,13 @@
     retriesRefused: false,
   });
 
+const buildPermitService = ({
+  platform,
+}: JobEntrySettings): PermitService | undefined =>
+  platform.permits === undefined
+    ? undefined
+    : permitServices.create(platform.client, { address: platform.permits });
+
 /** The election, and what it begins and ends. */
 const buildLeading = (
   base: JobEntryBase,
@@ -196,6 +205,7 @@
     progressGatherMs: batching.progressMs,
     order: scheduling.order,
     placer: scheduling.placer,
+    permits: buildPermitService(settings),
     mayDecide: () => election.leads,
     onDeposed: (reason) => void election.stepDown(reason),
   });
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -106,6 +106,7 @@
     keepEndedMs: 10_000,
     progressGatherMs: 5,
     order: "bySlack",
+    permits: undefined,
     placer: "colocating",
     mayDecide: () => true,
     onDeposed: () => undefined,
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -58,10 +58,10 @@
   /** In index order. */
   readonly waiting: Set<JobTask>;
   doneCount = 0;
+  /** Nothing of it is started before; set when a host refuses its ticket. */
+  heldUntil: Monotonic = -Infinity;
   /** Since when a task of it has waited for a place in vain; undefined when none does. */
   unplacedSince: Monotonic | undefined;
-  /** Nothing of it is started before; set when a host refuses it for the step's sake. */
-  heldUntil: Monotonic = -Infinity;
 
   constructor(
     readonly job: JobRun,
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./HttpLogService.js";
 export * from "./HttpWorker.js";
 export * from "./logService.js";
+export * from "./permitService.js";
 export * from "./platformClients.js";
 export * from "./recordStore.js";
 export * from "./storeClients.js";
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -3,6 +3,7 @@
 import type { Monotonic, RunNumber } from "@rackspan/common";
 import type { HostLedger, JobRun, JobTask, StepRun } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
+import type { AdviceRule } from "@rackspan/state";
 import { chooseGangHosts } from "./chooseGangHosts.js";
 import {
   ENGINE,
@@ -11,9 +12,14 @@
   type LiveJob,
 } from "./engineTypes.js";
 import type { HostBook } from "./HostBook.js";
+import type { PermitBook } from "./PermitBook.js";
 import type { RunControl } from "./RunControl.js";
 import type { Candidate, StepOrder } from "./stepOrders.js";
-import type { TaskPlacer } from "./taskPlacers.js";
+import {
+  isAllowedOn,
+  unreservedMilliCores,
+  type TaskPlacer,
+} from "./taskPlacers.js";
 
 export interface DispatcherOptions {
   readonly engine: EngineOptions;
@@ -22,6 +28,7 @@
   readonly order: StepOrder;
   readonly placer: TaskPlacer;
   readonly ejector: OutlierEjector;
+  readonly permits: PermitBook;
   /** Jobs that may have tasks to start; a pass drops those that have none. */
   readonly active: Set<LiveJob>;
 }
@@ -92,8 +99,13 @@
   }
 
   private serviceOf(job: JobRun): string {
-    const { serviceOf } = this.options.engine;
-    return serviceOf(job.accepted.spec.queue) ?? job.terms.service;
+    const queue = this.options.engine.queueOf(job.accepted.spec.queue);
+    return queue?.service ?? job.terms.service;
+  }
+
+  private adviceOf(job: JobRun): AdviceRule | undefined {
+    const queue = this.options.engine.queueOf(job.accepted.spec.queue);
+    return queue ? queue.advice : job.terms.advice;
   }
 
   private usableHosts(): ReadonlyMap<string, readonly HostLedger[]> {
@@ -125,6 +137,33 @@
     hosts: readonly HostLedger[],
   ): void {
     if (this.options.engine.clock.monotonic() < step.heldUntil) return;
+    const rule = this.adviceOf(job);
+    if (rule) this.placePermitted({ job, step, isStarved }, hosts, rule);
+    else this.placeTasks({ job, step, isStarved }, hosts);
+  }
+
+  /** Places what it can on hosts with a permit, and asks for more when some is left. */
+  private placePermitted(
+    candidate: Candidate,
+    hosts: readonly HostLedger[],
+    rule: AdviceRule,
+  ): void {
+    const { permits } = this.options;
+    const { step } = candidate;
+    const permitted = hosts.filter((host) => permits.ticketFor(step, host));
+    if (permitted.length > 0) this.placeTasks(candidate, permitted);
+    if (step.waiting.size === 0) return;
+    const [task] = step.waiting;
+    const able = hosts
+      .filter((host) => task && isAllowedOn(task, host))
+      .sort((a, b) => unreservedMilliCores(b) - unreservedMilliCores(a));
+    permits.want({ step, rule, hosts: able });
+  }
+
+  private placeTasks(
+    { job, step, isStarved }: Candidate,
+    hosts: readonly HostLedger[],
+  ): void {
     if (step.spec.gang) {
       this.placeGang(step, hosts);
       return;
@@ -190,8 +229,9 @@
   }
 
   private startOn(host: HostLedger, task: JobTask, number: RunNumber): void {
-    const { hosts, runs } = this.options;
+    const { hosts, runs, permits } = this.options;
     const entry = hosts.get(host.host);
-    if (entry) runs.start(entry, task, number);
+    const ticket = permits.ticketFor(task.step, host);
+    if (entry) runs.start(entry, task, number, ticket);
   }
 }
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -41,6 +41,7 @@
   learnInterference,
   undisturbedTails,
 } from "./learnInterference.js";
+import { PermitBook } from "./PermitBook.js";
 import { ProgressKeeper } from "./ProgressKeeper.js";
 import { RunAdopter } from "./RunAdopter.js";
 import { RunControl } from "./RunControl.js";
@@ -61,6 +62,7 @@
   private readonly jobs = new JobBook();
   private readonly hosts = new HostBook();
   private readonly interference = new InterferenceBook();
+  private readonly permits: PermitBook;
   private readonly runs: RunControl;
   private readonly dispatcher: Dispatcher;
   private readonly intake: HostIntake;
@@ -80,7 +82,18 @@
     const onWaiting = (job: JobRun) => {
       if (jobs.activate(job)) requestPass();
     };
-    const runs = new RunControl({ ...options, hosts, onWaiting });
+    const permits = new PermitBook({
+      ...options,
+      service: options.permits,
+      onPermits: requestPass,
+    });
+    this.permits = permits;
+    const runs = new RunControl({
+      ...options,
+      hosts,
+      permitBook: permits,
+      onWaiting,
+    });
     this.runs = runs;
     this.dispatcher = new Dispatcher({
       engine: options,
@@ -89,6 +102,7 @@
       order: stepOrders.create(order, { estimates }),
       placer: taskPlacers.create(placer, { interference }),
       ejector,
+      permits,
       active: jobs.active,
     });
     const parts: EngineParts = {
@@ -116,6 +130,7 @@
   /** Gives no more orders; hosts go on until their leases are over. */
   stop(): void {
     this.stopped = true;
+    this.permits.stop();
     this.timer?.cancel();
   }
 
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -18,9 +18,11 @@
 import type { HostCallResult } from "@rackspan/protocol";
 import { ENGINE, type EngineOptions, type HostEntry } from "./engineTypes.js";
 import type { HostBook } from "./HostBook.js";
+import type { PermitBook } from "./PermitBook.js";
 
 export interface RunControlOptions extends EngineOptions {
   readonly hosts: HostBook;
+  readonly permitBook: PermitBook;
   /** Called when a task of the job waits again. */
   readonly onWaiting: (job: JobRun) => void;
 }
@@ -36,7 +38,13 @@
     return (epoch * ENGINE.runsPerEpoch + this.started) as unknown as RunNumber;
   }
 
-  start(host: HostEntry, task: JobTask, number: RunNumber): void {
+  /** @param ticket the step's permit for the host, where its queue asks for one */
+  start(
+    host: HostEntry,
+    task: JobTask,
+    number: RunNumber,
+    ticket?: string,
+  ): void {
     const { clock, hosts, leaseMs } = this.options;
     const now = clock.monotonic();
     const { ledger } = host;
@@ -59,7 +67,7 @@
     );
     task.step.job.notePlaced(task);
     hosts.place(host, run);
-    void this.orderStart(host, run);
+    void this.orderStart(host, run, ticket);
   }
 
   /** Orders a stop; its room is taken until the worker lists the end. */
@@ -117,7 +125,11 @@
     this.options.onWaiting(job);
   }
 
-  private async orderStart(host: HostEntry, run: ActiveRun): Promise<void> {
+  private async orderStart(
+    host: HostEntry,
+    run: ActiveRun,
+    ticket: string | undefined,
+  ): Promise<void> {
     const { epoch, logger, metrics, clock } = this.options;
     const { ledger, session } = host;
     const { task, run: number } = run;
@@ -134,6 +146,7 @@
         spec: job.accepted.spec.payload,
         leaseUntil: run.orderLapsesAt,
         checkpoint: task.checkpoint,
+        ticket,
         nature: natureOf(task),
       });
     } catch (err) {
@@ -159,16 +172,20 @@
     this.noteStartResult(host, run, result);
   }
 
-  /** A host that refuses is left alone, unless the step itself is refused. */
+  /** A host that refuses is left alone, unless only the step's ticket is refused. */
   private pauseAfterRefusal(
     { ledger }: HostEntry,
     { task }: ActiveRun,
     reason: StartRefusal,
   ): void {
-    const now = this.options.clock.monotonic();
-    if (reason === "bad-ticket")
-      task.step.heldUntil = now + ENGINE.permitPauseMs;
-    else ledger.pausedUntil = now + ENGINE.refusedPauseMs;
+    const { clock, permitBook } = this.options;
+    const now = clock.monotonic();
+    if (reason !== "bad-ticket") {
+      ledger.pausedUntil = now + ENGINE.refusedPauseMs;
+      return;
+    }
+    permitBook.forget(task.step, ledger);
+    task.step.heldUntil = now + ENGINE.badTicketPauseMs;
   }
 
   private noteStartResult(
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -7,7 +7,6 @@
   Logger,
   Metrics,
   Monotonic,
-  ServiceName,
 } from "@rackspan/common";
 import type {
   ActiveRun,
@@ -16,7 +15,8 @@
   ProgressJournal,
   TakeoverGate,
 } from "@rackspan/jobs";
-import type { QueueKey } from "@rackspan/state";
+import type { PermitService } from "@rackspan/ports";
+import type { QueueKey, QueueSpec } from "@rackspan/state";
 import type { HostSession } from "./HostSession.js";
 
 export const ENGINE = {
@@ -38,8 +38,8 @@
   tickMs: 250,
   /** Runs of one leader; run numbers of a later one are all higher. */
   runsPerEpoch: 2 ** 20,
-  /** A step whose permit was refused is tried again after this. */
-  permitPauseMs: 2_000,
+  /** A step whose ticket was refused is tried again after this. */
+  badTicketPauseMs: 300,
   /** A plain task that gains no percent for this long is moved. */
   stallMs: 3_000,
   /** A host that refused a start gets none for this long. */
@@ -74,8 +74,10 @@
   readonly stopMs: number;
   /** Whether this process may still decide. */
   readonly mayDecide: () => boolean;
-  /** The service whose hosts run the queue's tasks now; undefined when it is dropped. */
-  readonly serviceOf: (queue: QueueKey) => ServiceName | undefined;
+  /** What the configuration says of the queue now; undefined when it is dropped. */
+  readonly queueOf: (queue: QueueKey) => QueueSpec | undefined;
+  /** Undefined where the platform has no such service. */
+  readonly permits: PermitService | undefined;
 }
 
 /** A host with the connection to its side, when there is one. */
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -19,7 +19,7 @@
   TakeoverGate,
   type TaskDescription,
 } from "@rackspan/jobs";
-import type { RunOutcome, StartRefusal } from "@rackspan/ports";
+import type { PermitService, RunOutcome, StartRefusal } from "@rackspan/ports";
 import type {
   Grant,
   HostCallResult,
@@ -36,9 +36,11 @@
   StampedWriter,
   TOPICS,
   type AcceptedJob,
+  type AdviceRule,
   type ImageName,
   type JobId,
   type QueueKey,
+  type QueueSpec,
   type StepSpec,
 } from "@rackspan/state";
 import { MemoryStore } from "@rackspan/standins";
@@ -204,6 +206,9 @@
 }
 
 export interface HarnessOptions {
+  readonly permits?: PermitService;
+  /** The queue's rule of permits. */
+  readonly advice?: AdviceRule;
   readonly epoch?: number;
   /** Hosts that a former leader may have left leases at. */
   readonly roster?: readonly HostId[];
@@ -217,7 +222,11 @@
   readonly hosts: FakeHost[] = [];
   leads = true;
 
-  constructor({ epoch = 1, roster = [], clock }: HarnessOptions = {}) {
+  private readonly queue: QueueSpec;
+
+  constructor(options: HarnessOptions = {}) {
+    const { epoch = 1, roster = [], clock, advice } = options;
+    this.queue = { ...QUEUE, advice };
     this.clock = clock ?? new ManualClock();
     this.store = new MemoryStore(this.clock);
     const writer = new StampedWriter({
@@ -248,7 +257,8 @@
       leaseMs: LEASE_MS,
       stopMs: 200,
       mayDecide: () => this.leads,
-      serviceOf: () => SERVICE,
+      queueOf: () => this.queue,
+      permits: options.permits,
     });
     this.engine.start();
   }
@@ -292,6 +302,19 @@
   }
 }
 
+const QUEUE: QueueSpec = {
+  key: brand<QueueKey>("example/jobs/"),
+  name: "jobs",
+  hostName: "example",
+  pathPrefix: "/jobs/",
+  service: SERVICE,
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 2,
+  targetLatencyMs: 250,
+  advice: undefined,
+};
+
 const PLAIN_STEP: StepSpec = {
   taskCount: 1,
   demand: { milliCores: 1_000, memoryMiB: 100, accelerators: 0 },
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -88,6 +88,13 @@
     maxAttempts: z.number(),
     stretch: z.number(),
     targetLatencyMs: z.number(),
+    advice: z
+      .object({
+        decideMs: z.number(),
+        eachMs: z.number(),
+        validMs: z.number(),
+      })
+      .optional(),
   }),
 });
 
