--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -6,7 +6,6 @@
   Metrics,
   silentLogger,
   type Epoch,
-  type ServiceName,
 } from "@rackspan/common";
 import { Leadership } from "@rackspan/entry";
 import {
@@ -19,48 +18,13 @@
   TOPICS,
   type AcceptedJob,
   type JobId,
-  type QueueKey,
 } from "@rackspan/state";
-import { MemoryStore } from "@rackspan/standins";
+import { MemoryStore, plainJob } from "@rackspan/standins";
 
 const JOB = brand<JobId>("5c0e7a21d94b36f8");
 
-const acceptedJob = (acceptedAt: number): AcceptedJob => ({
-  spec: {
-    id: JOB,
-    queue: brand<QueueKey>("calls.example/minutes/"),
-    payload: "",
-    steps: [
-      {
-        taskCount: 1,
-        demand: { milliCores: 100, memoryMiB: 10, accelerators: 0 },
-        estimateMs: 100,
-        after: [],
-        checkpointing: false,
-        gang: false,
-        sameRack: false,
-        requiredLabel: "",
-        dataRack: "",
-        maxPerHost: 0,
-        replicable: false,
-        lasting: false,
-        image: brand(""),
-        tailTargetMs: 0,
-        filling: false,
-        mayMiss: undefined,
-      },
-    ],
-    repeat: undefined,
-  },
-  acceptedAt,
-  terms: {
-    service: brand<ServiceName>("kaigi"),
-    priority: 0,
-    maxAttempts: 1,
-    stretch: 1,
-    targetLatencyMs: 100,
-  },
-});
+const acceptedJob = (acceptedAt: number): AcceptedJob =>
+  plainJob({ id: JOB, acceptedAt, terms: { maxAttempts: 1 } });
 
 const setUp = () => {
   const clock = new ManualClock();
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -95,6 +95,8 @@
   endedAt: Instant = 0;
   private readonly occurrences = new Map<number, readonly StepRun[]>();
   private doneOccurrences = 0;
+  /** Number of the first occurrence that is not done. */
+  private firstOpen = 0;
 
   constructor(
     readonly accepted: AcceptedJob,
@@ -128,7 +130,8 @@
   /** Steps with tasks to start now. */
   runnableSteps(now: Instant): StepRun[] {
     const runnable: StepRun[] = [];
-    for (let number = 0; number < this.occurrenceCount; number += 1) {
+    const count = this.occurrenceCount;
+    for (let number = this.firstOpen; number < count; number += 1) {
       const isDue = !this.accepted.spec.repeat || this.dueAt(number) <= now;
       if (!isDue) break;
       const steps = this.occurrence(number);
@@ -142,11 +145,12 @@
 
   /** When the next occurrence falls due; undefined when none is to come. */
   nextDueAt(now: Instant): Instant | undefined {
-    if (!this.accepted.spec.repeat) return undefined;
-    for (let number = 0; number < this.occurrenceCount; number += 1) {
-      if (this.dueAt(number) > now) return this.dueAt(number);
-    }
-    return undefined;
+    const { repeat } = this.accepted.spec;
+    if (!repeat) return undefined;
+    if (repeat.firstAt > now) return repeat.firstAt;
+    if (repeat.intervalMs <= 0) return undefined;
+    const begun = Math.floor((now - repeat.firstAt) / repeat.intervalMs) + 1;
+    return begun < repeat.count ? this.dueAt(begun) : undefined;
   }
 
   /** All steps that were looked at so far. */
@@ -282,7 +286,13 @@
     task.step.waiting.delete(task);
     task.step.doneCount += 1;
     if (!task.step.isDone) return;
-    const steps = this.occurrence(task.step.occurrence);
-    if (steps.every((step) => step.isDone)) this.doneOccurrences += 1;
+    if (!this.isOccurrenceDone(task.step.occurrence)) return;
+    this.doneOccurrences += 1;
+    while (this.isOccurrenceDone(this.firstOpen)) this.firstOpen += 1;
+  }
+
+  private isOccurrenceDone(number: number): boolean {
+    const steps = this.occurrences.get(number);
+    return steps !== undefined && steps.every((step) => step.isDone);
   }
 }
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -2,7 +2,7 @@
 
 import type { Monotonic } from "@rackspan/common";
 import type { HostReport } from "@rackspan/protocol";
-import type { EndedRun, RunningTask } from "@rackspan/ports";
+import { runKeyOf, type EndedRun, type RunningTask } from "@rackspan/ports";
 import type { ActiveRun, HostLedger } from "./HostLedger.js";
 
 export interface ReportChanges {
@@ -50,7 +50,7 @@
   const ended = report.ended
     .filter(({ number }) => number > ledger.notedEnds)
     .sort((a, b) => a.number - b.number);
-  const endedRuns = new Set(ended.map(({ task, run }) => `${task}#${run}`));
+  const endedRuns = new Set(ended.map(runKeyOf));
   const rows = new Map(report.running.map((row) => [row.task, row]));
   const vanished: ActiveRun[] = [];
   for (const run of ledger.runs.values()) {
@@ -64,7 +64,7 @@
       }
       continue;
     }
-    if (endedRuns.has(`${run.task.id}#${run.run}`)) continue;
+    if (endedRuns.has(runKeyOf({ task: run.task.id, run: run.run }))) continue;
     if (hasVanished(report, run)) vanished.push(run);
   }
   const last = ended.at(-1);
--- a/packages/ports/src/taskHost.ts
+++ b/packages/ports/src/taskHost.ts
@@ -21,6 +21,9 @@
   readonly run: RunNumber;
 }
 
+/** Tells runs of one task apart; for keys of maps. */
+export const runKeyOf = ({ task, run }: RunRef): string => `${task}#${run}`;
+
 export interface RunningTask extends RunRef {
   /** Empty when there is none. */
   readonly checkpoint: string;
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -44,6 +44,8 @@
   instance: idSchema<WorkerInstance>(),
   service: idSchema<ServiceName>(),
   labels: z.array(z.string()),
+  /** The label that names its rack; empty when it is not known, as from an older side. */
+  rack: z.string().default(""),
   milliCores: z.number(),
   memoryMiB: z.number(),
   accelerators: z.number(),
--- a/packages/scheduling/src/bySlackOrder.ts
+++ b/packages/scheduling/src/bySlackOrder.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Instant } from "@rackspan/common";
+import type { JobRun } from "@rackspan/jobs";
 import type { EstimateBook } from "./EstimateBook.js";
 import {
   sortByKeys,
@@ -32,11 +33,15 @@
   }
 
   sort(candidates: readonly Candidate[], now: Instant): readonly Candidate[] {
+    const work = new Map<JobRun, number>();
+    for (const { job } of candidates) {
+      if (!work.has(job)) work.set(job, this.estimates.remainingWork(job));
+    }
     return sortByKeys(candidates, (candidate) => [
       candidate.job.terms.priority,
       candidate.step.spec.lasting ? 0 : 1,
       this.hopeOf(candidate, now),
-      this.estimates.remainingWork(candidate.job),
+      work.get(candidate.job) ?? 0,
       candidate.step.number,
     ]);
   }
--- a/packages/scheduling/src/chooseGangHosts.ts
+++ b/packages/scheduling/src/chooseGangHosts.ts
@@ -45,11 +45,10 @@
   return chosen;
 };
 
-/** Racks are told by the last label of a host. */
 const groupByRack = (hosts: readonly HostLedger[]): HostLedger[][] => {
   const groups = new Map<string, HostLedger[]>();
   for (const host of hosts) {
-    const rack = host.worker.labels.at(-1) ?? "";
+    const rack = host.worker.rack;
     groups.set(rack, [...(groups.get(rack) ?? []), host]);
   }
   return [...groups.values()];
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -37,13 +37,11 @@
   TOPICS,
   type AcceptedJob,
   type AdviceRule,
-  type ImageName,
-  type JobId,
   type QueueKey,
   type QueueSpec,
   type StepSpec,
 } from "@rackspan/state";
-import { MemoryStore } from "@rackspan/standins";
+import { MemoryStore, plainJob } from "@rackspan/standins";
 
 export const LEASE_MS = 6_000;
 export const TTL_MS = 2_500;
@@ -155,6 +153,7 @@
         instance: this.instance,
         service: SERVICE,
         labels: ["a", "r1"],
+        rack: "r1",
         milliCores: this.milliCores,
         memoryMiB: 128_000,
         accelerators: 0,
@@ -296,7 +295,7 @@
   }
 
   submit(id: string, steps: readonly Partial<StepSpec>[]): AcceptedJob {
-    const job = acceptedJob(id, steps, this.clock.now());
+    const job = plainJob({ id, steps, acceptedAt: this.clock.now() });
     this.engine.addJob(job, undefined);
     return job;
   }
@@ -315,45 +314,4 @@
   advice: undefined,
 };
 
-const PLAIN_STEP: StepSpec = {
-  taskCount: 1,
-  demand: { milliCores: 1_000, memoryMiB: 100, accelerators: 0 },
-  estimateMs: 1_000,
-  after: [],
-  checkpointing: false,
-  gang: false,
-  sameRack: false,
-  requiredLabel: "",
-  dataRack: "",
-  maxPerHost: 0,
-  replicable: false,
-  lasting: false,
-  image: "" as unknown as ImageName,
-  tailTargetMs: 0,
-  filling: false,
-  mayMiss: undefined,
-};
-
-export const acceptedJob = (
-  id: string,
-  steps: readonly Partial<StepSpec>[],
-  acceptedAt: number,
-): AcceptedJob => ({
-  spec: {
-    id: brand<JobId>(id),
-    queue: brand<QueueKey>("example/jobs/"),
-    payload: "work",
-    steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })),
-    repeat: undefined,
-  },
-  acceptedAt,
-  terms: {
-    service: SERVICE,
-    priority: 0,
-    maxAttempts: 2,
-    stretch: 2,
-    targetLatencyMs: 250,
-  },
-});
-
 export const taskId = (text: string): JobTaskId => brand<JobTaskId>(text);
--- a/packages/side/src/jobs/PacePlanner.ts
+++ b/packages/side/src/jobs/PacePlanner.ts
@@ -9,7 +9,7 @@
   type JobTaskId,
   type Monotonic,
 } from "@rackspan/common";
-import type { RunningTask, RunRef } from "@rackspan/ports";
+import { runKeyOf, type RunningTask } from "@rackspan/ports";
 import type { Disturbance, TaskNature } from "@rackspan/protocol";
 
 export const PACING = {
@@ -290,9 +290,6 @@
   }
 }
 
-/** Tells runs of one task apart. */
-export const runKeyOf = ({ task, run }: RunRef): string => `${task}#${run}`;
-
 /** Drops the paces of runs that are not listed any more. */
 export const forgetOthers = (
   paces: Map<string, number>,
--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -13,13 +13,17 @@
   type Metrics,
   type WorkerInstance,
 } from "@rackspan/common";
-import type { RunningTask, RunRef, TaskHost } from "@rackspan/ports";
+import {
+  runKeyOf,
+  type RunningTask,
+  type RunRef,
+  type TaskHost,
+} from "@rackspan/ports";
 import type { Disturbance, TaskNature } from "@rackspan/protocol";
 import {
   forgetOthers,
   FULL_PACE,
   PacePlanner,
-  runKeyOf,
   type PacePlan,
 } from "./PacePlanner.js";
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./JsonServer.js";
 export * from "./LogStandin.js";
 export * from "./MemoryStore.js";
+export * from "./plainJob.js";
 export * from "./RequestLedger.js";
 export * from "./TaskLedger.js";
 export * from "./WorkerStandin.js";
