--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -107,6 +107,7 @@
     host.pace(instance, { task, run, percent, epoch }).catch((err: unknown) => {
       // Not known now: the next look gives it again.
       this.given.delete(key);
+      metrics.count("pace_orders_failed");
       logger.debug("pace.failed", { task, run, error: describeError(err) });
     });
   }
