Paces follow from one reading: what is missing to the aim is shared by what disturbs

Change: a tail and the processor time beside it are read over the same half second, so the use that is right follows from the two (paceFactors): the same reading gives the same pace. The bound from expectations is gone, and so are the undisturbed tails in the leader's answers.

--- a/packages/jobs/src/InterferenceBook.ts
+++ b/packages/jobs/src/InterferenceBook.ts
@@ -28,11 +28,6 @@
     );
   }
 
-  /** Logarithm of the tail, as a share of its target, when nothing disturbs it. */
-  base(serving: ImageName): number {
-    return this.models.get(serving)?.base ?? TAIL_MODEL.initialBase;
-  }
-
   /** Expected logarithm of the tail, as a share of its target. */
   predict(serving: ImageName, beside: FillingCores): number {
     return (this.models.get(serving) ?? new TailModel()).predict(beside);
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -87,8 +87,6 @@
   acknowledged: z.number(),
   /** Pairs of images on this host; those left out do not disturb. */
   disturbances: z.array(disturbanceSchema).optional(),
-  /** Logarithm of each serving image's tail when nothing disturbs it. */
-  bases: z.record(z.string(), z.number()).optional(),
 });
 
 export type Grant = z.output<typeof grantSchema>;
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -36,11 +36,7 @@
 import { HostWatch } from "./HostWatch.js";
 import { JobBook } from "./JobBook.js";
 import { JobCloser } from "./JobCloser.js";
-import {
-  disturbancesOn,
-  learnInterference,
-  undisturbedTails,
-} from "./learnInterference.js";
+import { disturbancesOn, learnInterference } from "./learnInterference.js";
 import { PermitBook } from "./PermitBook.js";
 import { ProgressKeeper } from "./ProgressKeeper.js";
 import { RunAdopter } from "./RunAdopter.js";
@@ -233,7 +229,6 @@
       leaseUntil: (report.at + leaseMs) as WorkerTime,
       acknowledged,
       disturbances: disturbancesOn(ledger, this.interference),
-      bases: undisturbedTails(ledger, this.interference),
     };
   }
 
--- a/packages/scheduling/src/learnInterference.ts
+++ b/packages/scheduling/src/learnInterference.ts
@@ -80,15 +80,3 @@
   }
   return told;
 };
-
-/** Tails of the serving images there when nothing disturbs them. */
-export const undisturbedTails = (
-  ledger: HostLedger,
-  book: InterferenceBook,
-): Record<string, number> => {
-  const bases: Record<string, number> = {};
-  for (const image of ledger.servingImages) {
-    bases[image] = Math.round(book.base(image) * TOLD_STEPS) / TOLD_STEPS;
-  }
-  return bases;
-};
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -263,7 +263,7 @@
 
   private take(instance: Sighting["instance"], grant: Grant): void {
     const { watch, pacer } = this.options;
-    pacer.learn(grant.disturbances ?? [], grant.bases ?? {});
+    pacer.learn(grant.disturbances ?? []);
     if (grant.leaseUntil !== undefined) {
       this.grantedAt = this.options.clock.monotonic();
       watch.grant(instance, grant.leaseUntil);
--- a/packages/side/src/jobs/PacePlanner.ts
+++ b/packages/side/src/jobs/PacePlanner.ts
@@ -11,30 +11,22 @@
 } from "@rackspan/common";
 import { runKeyOf, type RunningTask } from "@rackspan/ports";
 import type { Disturbance, TaskNature } from "@rackspan/protocol";
+import {
+  headroomOf,
+  PACE_LAW,
+  paceFactors,
+  type ServingTail,
+} from "./paceFactors.js";
 
 export const PACING = {
-  /** Share of its target at which a tail slows filling tasks down. */
-  slowAbove: 0.9,
-  /** Share of its target below which they may speed up. */
-  speedBelow: 0.75,
-  /** They go on at this share of their pace. */
-  slowFactor: 0.6,
-  /** Share of its target that a tail is expected to reach when tasks speed up. */
-  aim: 0.8,
-  /** Tasks may go past what is expected to be right by this factor. */
-  overshoot: 1.25,
-  /** Least pace that an expectation alone holds a task to, percent. */
-  leastExpected: 12,
-  /** Points of percent by which they speed up at a time. */
-  speedPoints: 10,
   /** Their least pace, percent: some progress tells them from hung tasks. */
   leastPercent: 4,
+  /** Least pace at which a new task begins, percent. */
+  leastFirstPercent: 15,
+  /** Points of percent by which they speed up at least. */
+  leastSpeedPoints: 8,
   /** Time between two adjustments, milliseconds; a reading spans 500. */
   everyMs: 250,
-  /** A pair below this weight is taken as harmless while others are to blame. */
-  leastBlamedWeight: 0.03,
-  /** A task that adds less than this share of what the worst one adds is not to blame. */
-  leastBlamedShare: 0.2,
   /**
    * Share of the time that a tail may stay over its target after which every
    * filling task is slowed: what was learnt of the images is then wrong.
@@ -53,13 +45,7 @@
 /** Natures of tasks that were ordered and are not listed yet. */
 const KEPT_NATURES = 64;
 
-export interface ServingTail {
-  readonly image: string;
-  /** Share of the target. */
-  readonly tail: number;
-}
-
-/** How long a serving task's tail has been over its target. */
+/** What the longest time of a tail over its target asks for. */
 type Trouble = "none" | "blame-all" | "halt";
 
 export interface PacePlannerOptions {
@@ -79,8 +65,6 @@
   private readonly natures = new Map<JobTaskId, TaskNature>();
   /** By serving image, then filling image. */
   private readonly weights = new Map<string, Map<string, number>>();
-  /** Logarithm of each serving image's tail when nothing disturbs it. */
-  private bases: Readonly<Record<string, number>> = {};
   /** The pace last wanted for each run, percent. */
   private readonly wanted = new Map<string, number>();
   /** Since when each serving task's tail has been over its target. */
@@ -93,11 +77,7 @@
   }
 
   /** Takes what the leader knows of the images on this host. */
-  learn(
-    disturbances: readonly Disturbance[],
-    bases: Readonly<Record<string, number>>,
-  ): void {
-    this.bases = bases;
+  learn(disturbances: readonly Disturbance[]): void {
     this.weights.clear();
     for (const { serving, filling, weight } of disturbances) {
       const row = this.weights.get(serving) ?? new Map<string, number>();
@@ -111,41 +91,45 @@
    * processor time that it gets.
    */
   noteFound(row: RunningTask): void {
-    const nature = this.natures.get(row.task);
     const key = runKeyOf(row);
-    if (nature?.kind !== "filling" || this.wanted.has(key)) return;
-    const demand = Math.max(1, nature.milliCores);
-    const share = Math.round((FULL_PACE * row.reading) / demand);
-    const pace = Math.min(FULL_PACE, Math.max(PACING.leastPercent, share));
-    this.wanted.set(key, pace);
+    if (this.kindOf(row) !== "filling" || this.wanted.has(key)) return;
+    const pace = Math.round(this.usedPercent(row));
+    this.wanted.set(
+      key,
+      Math.min(FULL_PACE, Math.max(PACING.leastPercent, pace)),
+    );
   }
 
   /** @param running the worker's running tasks with their latest readings */
   plan(running: readonly RunningTask[], now: Monotonic): PacePlan {
     this.forgetEnded(running);
-    const filling = running.filter(
-      ({ task }) => this.natures.get(task)?.kind === "filling",
-    );
-    const paces = new Map<RunningTask, number>();
+    const filling = running.filter((row) => this.kindOf(row) === "filling");
     const serving = this.servingTails(running);
     const trouble = this.noteTrouble(running, now);
-    const slowed =
-      trouble === "none" ? this.blamed(serving, filling) : new Set(filling);
-    const expected = this.expectedPaces(serving, filling);
+    const factors = paceFactors({
+      serving,
+      filling,
+      weightOf: (image, row) => this.weightOf(image, row),
+    });
+    const paces = new Map<RunningTask, number>();
+    const slowed = new Set<RunningTask>();
     for (const row of filling) {
+      const before =
+        this.wanted.get(runKeyOf(row)) ?? this.firstPace(row, serving, filling);
+      const factor = boundFactor(factors.get(row) ?? 1, trouble);
       const pace =
-        trouble === "halt"
-          ? HALTED
-          : Math.min(
-              this.mostExpected(row, expected),
-              this.nextPace(row, slowed.has(row), serving, filling),
-            );
+        trouble === "halt" ? HALTED : this.nextPace(row, before, factor);
+      if (pace < before) slowed.add(row);
       this.wanted.set(runKeyOf(row), pace);
       paces.set(row, pace);
     }
     return { paces, slowed, serving };
   }
 
+  private kindOf({ task }: RunningTask): TaskNature["kind"] | undefined {
+    return this.natures.get(task)?.kind;
+  }
+
   private servingTails(running: readonly RunningTask[]): ServingTail[] {
     const tails: ServingTail[] = [];
     for (const { task, reading } of running) {
@@ -178,103 +162,58 @@
     return share >= PACING.blameAllAfter ? "blame-all" : "none";
   }
 
-  /** The filling tasks that are to slow down. */
-  private blamed(
-    serving: readonly ServingTail[],
-    filling: readonly RunningTask[],
-  ): Set<RunningTask> {
-    const blamed = new Set<RunningTask>();
-    for (const { image, tail } of serving) {
-      if (tail <= PACING.slowAbove) continue;
-      const added = filling.map((row) => this.addedBy(row, image));
-      const worst = Math.max(...added);
-      filling.forEach((row, at) => {
-        // Where no pair is known to disturb, any of them may be the cause.
-        const share = (added[at] as number) / Math.max(worst, Number.MIN_VALUE);
-        if (worst <= 0 || share >= PACING.leastBlamedShare) blamed.add(row);
-      });
-    }
-    return blamed;
+  private weightOf(serving: string, { task }: RunningTask): number {
+    const image = this.natures.get(task)?.image ?? "";
+    return this.weights.get(serving)?.get(image) ?? 0;
   }
 
-  /** What the task adds to the logarithm of the serving image's tail. */
-  private addedBy({ task, reading }: RunningTask, serving: string): number {
-    const weight = this.weightOf(serving, task);
-    if (weight < PACING.leastBlamedWeight) return 0;
-    return (weight * reading) / MILLI_CORES_PER_CORE;
+  /** Thousandths of a core that the task asked for, at least one. */
+  private demandOf({ task }: RunningTask): number {
+    return Math.max(1, this.natures.get(task)?.milliCores ?? 0);
   }
 
-  private weightOf(serving: string, task: JobTaskId): number {
-    const image = this.natures.get(task)?.image ?? "";
-    return this.weights.get(serving)?.get(image) ?? 0;
+  /** Processor time that the task got, percent of what it asked for. */
+  private usedPercent(row: RunningTask): number {
+    return (FULL_PACE * row.reading) / this.demandOf(row);
   }
 
-  private nextPace(
-    row: RunningTask,
-    isSlowed: boolean,
-    serving: readonly ServingTail[],
-    filling: readonly RunningTask[],
-  ): number {
-    const known = this.wanted.get(runKeyOf(row));
-    const before = known ?? this.paceOfSiblings(row, filling);
-    if (isSlowed) {
-      const slower = Math.round(before * PACING.slowFactor);
-      return Math.max(PACING.leastPercent, slower);
+  private nextPace(row: RunningTask, before: number, factor: number): number {
+    const wanted = this.usedPercent(row) * factor;
+    if (factor < 1) {
+      const slower = Math.min(before, Math.round(wanted));
+      return Math.max(Math.min(before, PACING.leastPercent), slower);
     }
-    const mayHarm = serving.some(
-      ({ image, tail }) =>
-        tail >= PACING.speedBelow &&
-        this.weightOf(image, row.task) >= PACING.leastBlamedWeight,
+    if (factor === 1) return before;
+    const faster = Math.max(
+      before + PACING.leastSpeedPoints,
+      Math.min(wanted, before * PACE_LAW.mostFactor),
     );
-    if (mayHarm || known === undefined) return before;
-    return Math.min(FULL_PACE, before + PACING.speedPoints);
+    return Math.min(FULL_PACE, Math.round(faster));
   }
 
-  /** A new task goes on at the pace that others of its image have here. */
-  private paceOfSiblings(
-    { task }: RunningTask,
+  /** A new task goes on as others of its image do here, or as the tails allow. */
+  private firstPace(
+    row: RunningTask,
+    serving: readonly ServingTail[],
     filling: readonly RunningTask[],
   ): number {
-    const image = this.natures.get(task)?.image;
-    const paces = filling
+    const image = this.natures.get(row.task)?.image;
+    const siblings = filling
       .filter((other) => this.natures.get(other.task)?.image === image)
-      .map((other) => this.wanted.get(runKeyOf(other)) ?? FULL_PACE);
-    return Math.min(FULL_PACE, ...paces);
-  }
-
-  /** For each serving image: the pace of what disturbs it at which its tail is right. */
-  private expectedPaces(
-    serving: readonly ServingTail[],
-    filling: readonly RunningTask[],
-  ): Map<string, number> {
-    const paces = new Map<string, number>();
-    for (const image of new Set(serving.map((one) => one.image))) {
-      const base = this.bases[image];
-      if (base === undefined) continue;
-      let added = 0;
-      for (const { task } of filling) {
-        const cores =
-          (this.natures.get(task)?.milliCores ?? 0) / MILLI_CORES_PER_CORE;
-        added += this.weightOf(image, task) * cores;
-      }
-      const slack = Math.max(0, Math.log(PACING.aim) - base);
-      if (added > slack) paces.set(image, (FULL_PACE * slack) / added);
+      .map((other) => this.wanted.get(runKeyOf(other)))
+      .filter((pace) => pace !== undefined);
+    if (siblings.length > 0) {
+      return Math.max(PACING.leastFirstPercent, Math.min(...siblings));
     }
-    return paces;
-  }
-
-  /** The most that the expected paces let the task have, percent. */
-  private mostExpected(
-    { task }: RunningTask,
-    expected: ReadonlyMap<string, number>,
-  ): number {
-    let most = FULL_PACE;
-    for (const [image, pace] of expected) {
-      if (this.weightOf(image, task) < PACING.leastBlamedWeight) continue;
-      const bounded = Math.max(PACING.leastExpected, PACING.overshoot * pace);
-      most = Math.min(most, Math.round(bounded));
+    const cores = this.demandOf(row) / MILLI_CORES_PER_CORE;
+    let pace = FULL_PACE;
+    for (const server of serving) {
+      const weight = this.weightOf(server.image, row);
+      if (weight < PACE_LAW.leastWeight) continue;
+      const share = Math.max(0, headroomOf(server)) / (weight * cores);
+      pace = Math.min(pace, Math.round(FULL_PACE * share));
     }
-    return most;
+    return Math.max(PACING.leastFirstPercent, pace);
   }
 
   private forgetEnded(running: readonly RunningTask[]): void {
@@ -290,6 +229,10 @@
   }
 }
 
+/** A tail that stays too long shows that the tasks to blame are not known. */
+const boundFactor = (factor: number, trouble: Trouble): number =>
+  trouble === "none" ? factor : Math.min(factor, PACE_LAW.leastFactor);
+
 /** Drops the paces of runs that are not listed any more. */
 export const forgetOthers = (
   paces: Map<string, number>,
--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -63,11 +63,8 @@
   }
 
   /** Takes what the leader knows of the images on this host. */
-  learn(
-    disturbances: readonly Disturbance[],
-    bases: Readonly<Record<string, number>>,
-  ): void {
-    this.planner.learn(disturbances, bases);
+  learn(disturbances: readonly Disturbance[]): void {
+    this.planner.learn(disturbances);
   }
 
   /** Looks at the readings of one report and orders new paces where needed. */
--- /dev/null
+++ b/packages/side/src/jobs/paceFactors.ts
@@ -0,0 +1,108 @@
+/**
+ * Tells by how much filling tasks should use more or less than they do now, from
+ * one look at the worker. Tails and processor time in a look span the same half
+ * second, so the same look always gives the same answer: a second look before
+ * the first change shows does not change paces twice.
+ *
+ * The logarithm of a tail is taken to grow by a weight for each core in use
+ * beside it. What is missing to the aim, or left over, is shared among the tasks
+ * that disturb, in proportion to what they use.
+ */
+
+import { MILLI_CORES_PER_CORE } from "@rackspan/common";
+import type { RunningTask } from "@rackspan/ports";
+
+export const PACE_LAW = {
+  /** Share of its target at which a tail is held while filling tasks want more. */
+  aim: 0.9,
+  /** Differences to the aim below this change nothing; logarithm. */
+  deadband: 0.07,
+  /** Tasks use at least this share of what they did after one change. */
+  leastFactor: 0.4,
+  /** They use at most this many times as much. */
+  mostFactor: 2,
+  /** A pair below this weight is taken as harmless; logarithm a core. */
+  leastWeight: 0.02,
+  /** A task that adds less than this share of what the worst one adds is not to blame. */
+  leastBlamedShare: 0.1,
+} as const;
+
+export interface ServingTail {
+  readonly image: string;
+  /** Share of the target. */
+  readonly tail: number;
+}
+
+export interface PaceFactorsOptions {
+  readonly serving: readonly ServingTail[];
+  readonly filling: readonly RunningTask[];
+  /** What one core of the task adds to the logarithm of the serving image's tail. */
+  readonly weightOf: (serving: string, row: RunningTask) => number;
+}
+
+/** Below 1: use less. Exactly 1: go on as now. Above 1: use more. */
+export type PaceFactors = ReadonlyMap<RunningTask, number>;
+
+export const paceFactors = (options: PaceFactorsOptions): PaceFactors => {
+  const factors = new Map<RunningTask, number>();
+  for (const row of options.filling) factors.set(row, PACE_LAW.mostFactor);
+  for (const server of options.serving) {
+    for (const [row, factor] of factorsBeside(server, options)) {
+      factors.set(row, Math.min(factor, factors.get(row) ?? factor));
+    }
+  }
+  return factors;
+};
+
+/** Logarithm by which the tail may still grow; negative when it must shrink. */
+export const headroomOf = ({ tail }: ServingTail): number =>
+  Math.log(PACE_LAW.aim / Math.max(tail, Number.MIN_VALUE));
+
+const factorsBeside = (
+  server: ServingTail,
+  { filling, weightOf }: PaceFactorsOptions,
+): Map<RunningTask, number> => {
+  const added = new Map<RunningTask, number>();
+  for (const row of filling) {
+    const weight = weightOf(server.image, row);
+    if (weight < PACE_LAW.leastWeight) continue;
+    added.set(row, (weight * row.reading) / MILLI_CORES_PER_CORE);
+  }
+  const headroom = headroomOf(server);
+  if (headroom < -PACE_LAW.deadband) return slowDown(filling, added, headroom);
+  const isNear = headroom <= PACE_LAW.deadband;
+  const factor = isNear ? 1 : speedUpFactor(added, headroom);
+  return new Map([...added.keys()].map((row) => [row, factor]));
+};
+
+const slowDown = (
+  filling: readonly RunningTask[],
+  added: ReadonlyMap<RunningTask, number>,
+  headroom: number,
+): Map<RunningTask, number> => {
+  const total = sumOf(added.values());
+  if (total <= 0) {
+    // No pair is known to disturb: any of the tasks may be the cause.
+    const factor = Math.max(PACE_LAW.leastFactor, Math.exp(headroom));
+    return new Map(filling.map((row) => [row, factor]));
+  }
+  const factor = Math.max(PACE_LAW.leastFactor, 1 + headroom / total);
+  const least = PACE_LAW.leastBlamedShare * Math.max(...added.values());
+  const blamed = [...added].filter(([, share]) => share >= least);
+  return new Map(blamed.map(([row]) => [row, factor]));
+};
+
+const speedUpFactor = (
+  added: ReadonlyMap<RunningTask, number>,
+  headroom: number,
+): number => {
+  const total = sumOf(added.values());
+  if (total <= 0) return PACE_LAW.mostFactor;
+  return Math.min(PACE_LAW.mostFactor, 1 + headroom / total);
+};
+
+const sumOf = (values: Iterable<number>): number => {
+  let sum = 0;
+  for (const value of values) sum += value;
+  return sum;
+};
