What a side knows of its tasks, and long tails, are apart from what decides paces

PacePlanner did four jobs; the natures and weights that the leader tells, and the times of tails over their targets, are modules of their own. Pacing is unchanged.

--- /dev/null
+++ b/packages/side/src/jobs/KnownTasks.ts
@@ -0,0 +1,70 @@
+/**
+ * What the leader told this side of the tasks on its host: what each of them is,
+ * and how much the images there disturb each other.
+ */
+
+import type { JobTaskId } from "@rackspan/common";
+import type { RunningTask } from "@rackspan/ports";
+import type { Disturbance, TaskNature } from "@rackspan/protocol";
+import type { ServingTail } from "./paceFactors.js";
+
+/** Tasks that were ordered and are not listed yet, whose natures are kept at most. */
+const KEPT_UNLISTED = 64;
+
+export class KnownTasks {
+  private readonly natures = new Map<JobTaskId, TaskNature>();
+  /** By serving image, then filling image. */
+  private readonly weights = new Map<string, Map<string, number>>();
+
+  describe(task: JobTaskId, nature: TaskNature): void {
+    this.natures.set(task, nature);
+  }
+
+  /** Takes what the leader knows of the images on this host, in place of all before. */
+  learn(disturbances: readonly Disturbance[]): void {
+    this.weights.clear();
+    for (const { serving, filling, weight } of disturbances) {
+      const row = this.weights.get(serving) ?? new Map<string, number>();
+      row.set(filling, weight);
+      this.weights.set(serving, row);
+    }
+  }
+
+  isFilling({ task }: RunningTask): boolean {
+    return this.natures.get(task)?.kind === "filling";
+  }
+
+  imageOf({ task }: RunningTask): string | undefined {
+    return this.natures.get(task)?.image;
+  }
+
+  /** What one core of the task adds to the logarithm of the serving image's tail. */
+  weightOf(serving: string, row: RunningTask): number {
+    return this.weights.get(serving)?.get(this.imageOf(row) ?? "") ?? 0;
+  }
+
+  /** Thousandths of a core that the task asked for, at least one. */
+  demandOf({ task }: RunningTask): number {
+    return Math.max(1, this.natures.get(task)?.milliCores ?? 0);
+  }
+
+  /** The tails of the serving tasks among those that run. */
+  servingTails(running: readonly RunningTask[]): ServingTail[] {
+    const tails: ServingTail[] = [];
+    for (const { task, reading } of running) {
+      const nature = this.natures.get(task);
+      if (nature?.kind !== "serving" || nature.tailTargetMs <= 0) continue;
+      const { image, tailTargetMs } = nature;
+      tails.push({ task, image, tail: reading / tailTargetMs });
+    }
+    return tails;
+  }
+
+  /** Drops what is known of tasks that run no more, once that is much. */
+  forgetOthers(tasks: ReadonlySet<JobTaskId>): void {
+    if (this.natures.size <= 2 * tasks.size + KEPT_UNLISTED) return;
+    for (const task of this.natures.keys()) {
+      if (!tasks.has(task)) this.natures.delete(task);
+    }
+  }
+}
--- a/packages/side/src/jobs/PacePlanner.ts
+++ b/packages/side/src/jobs/PacePlanner.ts
@@ -11,6 +11,9 @@
 } from "@rackspan/common";
 import { runKeyOf, type RunningTask } from "@rackspan/ports";
 import type { Disturbance, TaskNature } from "@rackspan/protocol";
+import { forgetOtherRuns } from "./forgetOtherRuns.js";
+import { KnownTasks } from "./KnownTasks.js";
+import { LongTails } from "./LongTails.js";
 import {
   headroomOf,
   PACE_LAW,
@@ -42,9 +45,6 @@
 /** Percent; the pace of a task that must not disturb at all for now. */
 const HALTED = 0;
 
-/** Natures of tasks that were ordered and are not listed yet. */
-const KEPT_NATURES = 64;
-
 /** What the longest time of a tail over its target asks for. */
 type Trouble = "none" | "blame-all" | "halt";
 
@@ -62,28 +62,20 @@
 }
 
 export class PacePlanner {
-  private readonly natures = new Map<JobTaskId, TaskNature>();
-  /** By serving image, then filling image. */
-  private readonly weights = new Map<string, Map<string, number>>();
+  private readonly tasks = new KnownTasks();
+  private readonly longTails = new LongTails();
   /** The pace last wanted for each run, percent. */
   private readonly wanted = new Map<string, number>();
-  /** Since when each serving task's tail has been over its target. */
-  private readonly overSince = new Map<JobTaskId, Monotonic>();
 
   constructor(private readonly options: PacePlannerOptions) {}
 
   describe(task: JobTaskId, nature: TaskNature): void {
-    this.natures.set(task, nature);
+    this.tasks.describe(task, nature);
   }
 
   /** Takes what the leader knows of the images on this host. */
   learn(disturbances: readonly Disturbance[]): void {
-    this.weights.clear();
-    for (const { serving, filling, weight } of disturbances) {
-      const row = this.weights.get(serving) ?? new Map<string, number>();
-      row.set(filling, weight);
-      this.weights.set(serving, row);
-    }
+    this.tasks.learn(disturbances);
   }
 
   /**
@@ -92,7 +84,7 @@
    */
   noteFound(row: RunningTask): void {
     const key = runKeyOf(row);
-    if (this.kindOf(row) !== "filling" || this.wanted.has(key)) return;
+    if (!this.tasks.isFilling(row) || this.wanted.has(key)) return;
     const pace = Math.round(this.usedPercent(row));
     this.wanted.set(
       key,
@@ -103,13 +95,13 @@
   /** @param running the worker's running tasks with their latest readings */
   plan(running: readonly RunningTask[], now: Monotonic): PacePlan {
     this.forgetEnded(running);
-    const filling = running.filter((row) => this.kindOf(row) === "filling");
-    const serving = this.servingTails(running);
-    const trouble = this.noteTrouble(running, now);
+    const filling = running.filter((row) => this.tasks.isFilling(row));
+    const serving = this.tasks.servingTails(running);
+    const trouble = this.troubleAfter(this.longTails.note(serving, now));
     const factors = paceFactors({
       serving,
       filling,
-      weightOf: (image, row) => this.weightOf(image, row),
+      weightOf: (image, row) => this.tasks.weightOf(image, row),
     });
     const paces = new Map<RunningTask, number>();
     const slowed = new Set<RunningTask>();
@@ -126,55 +118,16 @@
     return { paces, slowed, serving };
   }
 
-  private kindOf({ task }: RunningTask): TaskNature["kind"] | undefined {
-    return this.natures.get(task)?.kind;
-  }
-
-  private servingTails(running: readonly RunningTask[]): ServingTail[] {
-    const tails: ServingTail[] = [];
-    for (const { task, reading } of running) {
-      const nature = this.natures.get(task);
-      if (nature?.kind !== "serving" || nature.tailTargetMs <= 0) continue;
-      tails.push({ image: nature.image, tail: reading / nature.tailTargetMs });
-    }
-    return tails;
-  }
-
-  /** The worst trouble of any serving task, by how long its tail has been too long. */
-  private noteTrouble(
-    running: readonly RunningTask[],
-    now: Monotonic,
-  ): Trouble {
-    let longestMs = 0;
-    for (const { task, reading } of running) {
-      const nature = this.natures.get(task);
-      if (nature?.kind !== "serving" || nature.tailTargetMs <= 0) continue;
-      if (reading <= nature.tailTargetMs) {
-        this.overSince.delete(task);
-        continue;
-      }
-      const since = this.overSince.get(task) ?? now;
-      this.overSince.set(task, since);
-      longestMs = Math.max(longestMs, now - since);
-    }
+  /** @param longestMs the longest time of any tail over its target */
+  private troubleAfter(longestMs: number): Trouble {
     const share = longestMs / this.options.tailGraceMs;
     if (share >= PACING.haltAfter) return "halt";
     return share >= PACING.blameAllAfter ? "blame-all" : "none";
   }
 
-  private weightOf(serving: string, { task }: RunningTask): number {
-    const image = this.natures.get(task)?.image ?? "";
-    return this.weights.get(serving)?.get(image) ?? 0;
-  }
-
-  /** Thousandths of a core that the task asked for, at least one. */
-  private demandOf({ task }: RunningTask): number {
-    return Math.max(1, this.natures.get(task)?.milliCores ?? 0);
-  }
-
   /** Processor time that the task got, percent of what it asked for. */
   private usedPercent(row: RunningTask): number {
-    return (FULL_PACE * row.reading) / this.demandOf(row);
+    return (FULL_PACE * row.reading) / this.tasks.demandOf(row);
   }
 
   private nextPace(row: RunningTask, before: number, factor: number): number {
@@ -197,47 +150,45 @@
     serving: readonly ServingTail[],
     filling: readonly RunningTask[],
   ): number {
-    const image = this.natures.get(row.task)?.image;
-    const siblings = filling
-      .filter((other) => this.natures.get(other.task)?.image === image)
+    const pace =
+      this.paceOfSiblings(row, filling) ?? this.paceFor(row, serving);
+    return Math.max(PACING.leastFirstPercent, pace);
+  }
+
+  /** The least pace of other tasks of the image; undefined when there are none. */
+  private paceOfSiblings(
+    row: RunningTask,
+    filling: readonly RunningTask[],
+  ): number | undefined {
+    const image = this.tasks.imageOf(row);
+    const paces = filling
+      .filter((other) => this.tasks.imageOf(other) === image)
       .map((other) => this.wanted.get(runKeyOf(other)))
       .filter((pace) => pace !== undefined);
-    if (siblings.length > 0) {
-      return Math.max(PACING.leastFirstPercent, Math.min(...siblings));
-    }
-    const cores = this.demandOf(row) / MILLI_CORES_PER_CORE;
+    return paces.length > 0 ? Math.min(...paces) : undefined;
+  }
+
+  /** The pace at which the task alone would take up the headroom of a tail. */
+  private paceFor(row: RunningTask, serving: readonly ServingTail[]): number {
+    const cores = this.tasks.demandOf(row) / MILLI_CORES_PER_CORE;
     let pace = FULL_PACE;
     for (const server of serving) {
-      const weight = this.weightOf(server.image, row);
+      const weight = this.tasks.weightOf(server.image, row);
       if (weight < PACE_LAW.leastWeight) continue;
       const share = Math.max(0, headroomOf(server)) / (weight * cores);
       pace = Math.min(pace, Math.round(FULL_PACE * share));
     }
-    return Math.max(PACING.leastFirstPercent, pace);
+    return pace;
   }
 
   private forgetEnded(running: readonly RunningTask[]): void {
-    forgetOthers(this.wanted, running);
+    forgetOtherRuns(this.wanted, running);
     const tasks = new Set(running.map(({ task }) => task));
-    for (const task of this.overSince.keys()) {
-      if (!tasks.has(task)) this.overSince.delete(task);
-    }
-    if (this.natures.size <= 2 * tasks.size + KEPT_NATURES) return;
-    for (const task of this.natures.keys()) {
-      if (!tasks.has(task)) this.natures.delete(task);
-    }
+    this.longTails.forgetOthers(tasks);
+    this.tasks.forgetOthers(tasks);
   }
 }
 
 /** A tail that stays too long shows that the tasks to blame are not known. */
 const boundFactor = (factor: number, trouble: Trouble): number =>
   trouble === "none" ? factor : Math.min(factor, PACE_LAW.leastFactor);
-
-/** Drops the paces of runs that are not listed any more. */
-export const forgetOthers = (
-  paces: Map<string, number>,
-  running: readonly RunningTask[],
-): void => {
-  const keys = new Set(running.map(runKeyOf));
-  for (const key of paces.keys()) if (!keys.has(key)) paces.delete(key);
-};
--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -20,12 +20,8 @@
   type TaskHost,
 } from "@rackspan/ports";
 import type { Disturbance, TaskNature } from "@rackspan/protocol";
-import {
-  forgetOthers,
-  FULL_PACE,
-  PacePlanner,
-  type PacePlan,
-} from "./PacePlanner.js";
+import { forgetOtherRuns } from "./forgetOtherRuns.js";
+import { FULL_PACE, PacePlanner, type PacePlan } from "./PacePlanner.js";
 
 /** Runs that were ordered and may not be listed yet; older ones are forgotten. */
 const MAX_UNLISTED = 64;
@@ -74,7 +70,7 @@
     running: readonly RunningTask[],
   ): void {
     for (const row of running) this.noteListed(row);
-    forgetOthers(this.given, running);
+    forgetOtherRuns(this.given, running);
     const plan = this.planner.plan(running, this.options.clock.monotonic());
     for (const [row, pace] of plan.paces) this.give(instance, epoch, row, pace);
     if (plan.slowed.size > 0) this.logSlowed(plan);
@@ -98,9 +94,7 @@
     this.given.set(key, percent);
     const { host, logger, metrics } = this.options;
     const { task, run } = row;
-    metrics.count("pace_orders", {
-      way: before === undefined ? "found" : percent < before ? "down" : "up",
-    });
+    metrics.count("pace_orders", { way: wayOf(before, percent) });
     host.pace(instance, { task, run, percent, epoch }).catch((err: unknown) => {
       // Not known now: the next look gives it again.
       this.given.delete(key);
@@ -119,3 +113,9 @@
     });
   }
 }
+
+/** Where the pace goes from the one given before, for the metrics. */
+const wayOf = (before: number | undefined, percent: number): string => {
+  if (before === undefined) return "found";
+  return percent < before ? "down" : "up";
+};
--- a/packages/side/src/jobs/paceFactors.ts
+++ b/packages/side/src/jobs/paceFactors.ts
@@ -9,7 +9,7 @@
  * that disturb, in proportion to what they use.
  */
 
-import { MILLI_CORES_PER_CORE } from "@rackspan/common";
+import { MILLI_CORES_PER_CORE, type JobTaskId } from "@rackspan/common";
 import type { RunningTask } from "@rackspan/ports";
 
 export const PACE_LAW = {
@@ -28,6 +28,7 @@
 } as const;
 
 export interface ServingTail {
+  readonly task: JobTaskId;
   readonly image: string;
   /** Share of the target. */
   readonly tail: number;
