--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -10,15 +10,16 @@
   type Logger,
   type WorkerInstance,
 } from "@rackspan/common";
+import type { TaskDescription } from "@rackspan/jobs";
 import {
   hostMethods,
   leaderMethods,
   LineConnection,
+  listenOn,
   type HostCallResult,
   type StartTaskCall,
   type StopTaskCall,
 } from "@rackspan/protocol";
-import type { TaskDescription } from "@rackspan/jobs";
 import { ENGINE, type HostSession } from "@rackspan/scheduling";
 import type { LeadingEngine } from "./Leadership.js";
 
@@ -57,11 +58,7 @@
   }
 
   start(): Promise<void> {
-    const { port, address } = this.options.listen;
-    return new Promise((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen(port, address, () => resolve());
-    });
+    return listenOn(this.server, this.options.listen);
   }
 
   /** Closes all connections, so that sides look for the next leader at once. */
--- a/packages/protocol/src/httpServer.ts
+++ b/packages/protocol/src/httpServer.ts
@@ -1,11 +1,11 @@
-/** What all of our HTTP listeners share. */
+/** What all of our listeners share; the first two functions take any TCP server. */
 
 import type { Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Server as TcpServer } from "node:net";
 
 /** Resolves once connections are taken; port 0 takes any free one. */
 export const listenOn = (
-  server: Server,
+  server: TcpServer,
   { port, address }: { readonly port: number; readonly address: string },
 ): Promise<void> =>
   new Promise((resolve, reject) => {
@@ -17,7 +17,7 @@
   });
 
 /** `IP:PORT` of a server that listens. */
-export const addressOf = (server: Server): string => {
+export const addressOf = (server: TcpServer): string => {
   const { address, port } = server.address() as AddressInfo;
   return `${address}:${port}`;
 };
