One groupBy for racks, images and services; usable hosts and used cores have functions of their own

Three loops grouped alike. A queue's service and advice are read by one rule: what the configuration says now, else the terms of the job, as before.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./clock.js";
 export * from "./Emitter.js";
 export * from "./errors.js";
+export * from "./groupBy.js";
 export * from "./ids.js";
 export * from "./listenAddress.js";
 export * from "./log.js";
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -3,14 +3,9 @@
 import type { Monotonic, RunNumber } from "@rackspan/common";
 import type { HostLedger, JobRun, JobTask, StepRun } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
-import type { AdviceRule } from "@rackspan/state";
+import type { AdviceRule, JobTerms, QueueSpec } from "@rackspan/state";
 import { chooseGangHosts } from "./chooseGangHosts.js";
-import {
-  ENGINE,
-  type EngineOptions,
-  type HostEntry,
-  type LiveJob,
-} from "./engineTypes.js";
+import { ENGINE, type EngineOptions, type LiveJob } from "./engineTypes.js";
 import type { HostBook } from "./HostBook.js";
 import type { PermitBook } from "./PermitBook.js";
 import type { RunControl } from "./RunControl.js";
@@ -20,6 +15,7 @@
   unreservedMilliCores,
   type TaskPlacer,
 } from "./taskPlacers.js";
+import { usableHosts } from "./usableHosts.js";
 
 export interface DispatcherOptions {
   readonly engine: EngineOptions;
@@ -63,15 +59,19 @@
   }
 
   private pass(): void {
-    const { engine, order } = this.options;
+    const { engine, order, hosts, ejector } = this.options;
     if (!engine.mayDecide()) return;
     const began = engine.clock.monotonic();
     this.heldBack.clear();
     const now = engine.clock.now();
     const candidates = order.sort(this.candidates(now), now);
-    const hostsByService = this.usableHosts();
+    const hostsByService = usableHosts({
+      entries: hosts.all(),
+      ejector,
+      now: engine.clock.monotonic(),
+    });
     for (const candidate of candidates) {
-      const service = this.serviceOf(candidate.job);
+      const { service } = this.termsOf(candidate.job);
       this.placeStep(candidate, hostsByService.get(service) ?? []);
     }
     engine.metrics
@@ -98,48 +98,17 @@
     return candidates;
   }
 
-  private serviceOf(job: JobRun): string {
-    const queue = this.options.engine.queueOf(job.accepted.spec.queue);
-    return queue?.service ?? job.terms.service;
-  }
-
-  private adviceOf(job: JobRun): AdviceRule | undefined {
-    const queue = this.options.engine.queueOf(job.accepted.spec.queue);
-    return queue ? queue.advice : job.terms.advice;
-  }
-
-  private usableHosts(): ReadonlyMap<string, readonly HostLedger[]> {
-    const { hosts, ejector } = this.options;
-    const byService = new Map<string, HostLedger[]>();
-    const usable = [...hosts.all()].filter((entry) => this.isUsable(entry));
-    const healthy = usable.filter(
-      ({ ledger }) => !ejector.isEjected(ledger.host),
-    );
-    for (const { ledger } of healthy.length > 0 ? healthy : usable) {
-      const { service } = ledger.worker;
-      const list = byService.get(service) ?? [];
-      list.push(ledger);
-      byService.set(service, list);
-    }
-    return byService;
+  /** What holds of the job's queue now; what held at first when it is dropped. */
+  private termsOf(job: JobRun): QueueSpec | JobTerms {
+    return this.options.engine.queueOf(job.accepted.spec.queue) ?? job.terms;
   }
 
-  private isUsable({ ledger, session, rostered }: HostEntry): boolean {
-    const { clock } = this.options.engine;
-    if (!session || !rostered || ledger.worker.draining) return false;
-    if (ledger.reportedAt === undefined) return false;
-    const now = clock.monotonic();
-    return now >= ledger.pausedUntil && now - ledger.heardAt < ENGINE.quietMs;
-  }
-
-  private placeStep(
-    { job, step, isStarved }: Candidate,
-    hosts: readonly HostLedger[],
-  ): void {
+  private placeStep(candidate: Candidate, hosts: readonly HostLedger[]): void {
+    const { job, step } = candidate;
     if (this.options.engine.clock.monotonic() < step.heldUntil) return;
-    const rule = this.adviceOf(job);
-    if (rule) this.placePermitted({ job, step, isStarved }, hosts, rule);
-    else this.placeTasks({ job, step, isStarved }, hosts);
+    const { advice } = this.termsOf(job);
+    if (advice) this.placePermitted(candidate, hosts, advice);
+    else this.placeTasks(candidate, hosts);
   }
 
   /** Places what it can on hosts with a permit, and asks for more when some is left. */
--- a/packages/scheduling/src/chooseGangHosts.ts
+++ b/packages/scheduling/src/chooseGangHosts.ts
@@ -1,5 +1,6 @@
 /** Chooses hosts for all tasks of a gang at once, on one rack where the step asks for it. */
 
+import { groupBy } from "@rackspan/common";
 import type { HostLedger, JobTask, StepRun } from "@rackspan/jobs";
 import { fitsInto, roomLeft } from "./taskPlacers.js";
 
@@ -10,7 +11,8 @@
   hosts: readonly HostLedger[],
 ): Map<JobTask, HostLedger> | undefined => {
   if (!step.spec.sameRack) return spread(waiting, hosts);
-  for (const group of groupByRack(hosts)) {
+  const racks = groupBy(hosts, ({ worker }) => worker.rack);
+  for (const group of racks.values()) {
     const chosen = spread(waiting, group);
     if (chosen) return chosen;
   }
@@ -44,12 +46,3 @@
   }
   return chosen;
 };
-
-const groupByRack = (hosts: readonly HostLedger[]): HostLedger[][] => {
-  const groups = new Map<string, HostLedger[]>();
-  for (const host of hosts) {
-    const rack = host.worker.rack;
-    groups.set(rack, [...(groups.get(rack) ?? []), host]);
-  }
-  return [...groups.values()];
-};
--- a/packages/scheduling/src/learnInterference.ts
+++ b/packages/scheduling/src/learnInterference.ts
@@ -1,9 +1,10 @@
 /** Feeds what a host reported into the book of interference, and tells its side what is known. */
 
-import { MILLI_CORES_PER_CORE } from "@rackspan/common";
+import { groupBy, MILLI_CORES_PER_CORE } from "@rackspan/common";
 import {
   natureOf,
   type ActiveRun,
+  type FillingCores,
   type HostLedger,
   type InterferenceBook,
 } from "@rackspan/jobs";
@@ -11,7 +12,7 @@
 import type { ImageName } from "@rackspan/state";
 
 const FULL_PROGRESS = 100;
-/** Weights and tails are told to three decimal places. */
+/** Weights are told to three decimal places. */
 const TOLD_STEPS = 1_000;
 /** The least share that a tail is taken as; below it differences mean nothing. */
 const LEAST_TAIL = 0.05;
@@ -23,41 +24,35 @@
   ledger: HostLedger,
   book: InterferenceBook,
 ): void => {
-  const usedCores = new Map<ImageName, number>();
-  const serving: ActiveRun[] = [];
-  for (const run of ledger.runs.values()) {
-    const { image } = run.task.step.spec;
-    const { kind } = natureOf(run.task);
-    if (kind === "filling") {
-      const cores = run.reading / MILLI_CORES_PER_CORE;
-      usedCores.set(image, (usedCores.get(image) ?? 0) + cores);
-    }
-    // Tasks that are still warming up have no tail of their own yet.
-    if (kind === "serving" && run.progressPercent >= FULL_PROGRESS) {
-      serving.push(run);
-    }
-  }
+  const runs = [...ledger.runs.values()];
+  const usedCores = usedCoresOf(runs);
   const tails = new Map<ImageName, number>();
-  for (const [image, runs] of groupByImage(serving)) {
-    const readings = runs.map(logarithmOfTail);
+  for (const [image, serving] of groupBy(runs.filter(hasTail), imageOf)) {
+    const readings = serving.map(logarithmOfTail);
     const mean = readings.reduce((a, b) => a + b) / readings.length;
-    book.learn(image, { tail: mean, tasks: runs.length, beside: usedCores });
+    book.learn(image, { tail: mean, tasks: serving.length, beside: usedCores });
     tails.set(image, Math.max(...readings));
   }
   ledger.readings = { tails, usedCores };
 };
 
-const groupByImage = (
-  runs: readonly ActiveRun[],
-): ReadonlyMap<ImageName, ActiveRun[]> => {
-  const groups = new Map<ImageName, ActiveRun[]>();
+const imageOf = ({ task }: ActiveRun): ImageName => task.step.spec.image;
+
+/** Cores in use by the filling ones of the runs, by image. */
+const usedCoresOf = (runs: readonly ActiveRun[]): FillingCores => {
+  const usedCores = new Map<ImageName, number>();
   for (const run of runs) {
-    const { image } = run.task.step.spec;
-    groups.set(image, [...(groups.get(image) ?? []), run]);
+    if (natureOf(run.task).kind !== "filling") continue;
+    const cores = run.reading / MILLI_CORES_PER_CORE;
+    usedCores.set(imageOf(run), (usedCores.get(imageOf(run)) ?? 0) + cores);
   }
-  return groups;
+  return usedCores;
 };
 
+/** Tasks that are still warming up have no tail of their own yet. */
+const hasTail = ({ task, progressPercent }: ActiveRun): boolean =>
+  natureOf(task).kind === "serving" && progressPercent >= FULL_PROGRESS;
+
 /** Logarithm of the tail as a share of its target. */
 const logarithmOfTail = ({ task, reading }: ActiveRun): number => {
   const tail = reading / task.step.spec.tailTargetMs;
