--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -7,14 +7,14 @@
   MILLI_CORES_PER_CORE,
   type AvailabilityZone,
   type HostId,
-  type JobTaskId,
   type Monotonic,
   type RunNumber,
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
-import type { TaskNature, WorkerDescription } from "@rackspan/protocol";
+import type { WorkerDescription } from "@rackspan/protocol";
 import type { ImageName } from "@rackspan/state";
+import { natureOf } from "./describeTask.js";
 import type { JobTask } from "./JobRun.js";
 
 /**
@@ -43,28 +43,6 @@
   stopReason: string | undefined;
 }
 
-export const natureOf = (task: JobTask): TaskNature => {
-  const { filling, tailTargetMs, lasting, image, demand } = task.step.spec;
-  const serves = lasting && tailTargetMs > 0;
-  return {
-    kind: filling ? "filling" : serves ? "serving" : "plain",
-    tailTargetMs,
-    image,
-    milliCores: demand.milliCores,
-  };
-};
-
-/** A task as its host is told of it. */
-export interface TaskDescription {
-  readonly task: JobTaskId;
-  readonly nature: TaskNature;
-}
-
-export const describeTask = (task: JobTask): TaskDescription => ({
-  task: task.id,
-  nature: natureOf(task),
-});
-
 /** Sums over the runs of one host; `filling` ones take memory only. */
 export interface RoomTaken {
   plainMilliCores: number;
@@ -142,6 +120,11 @@
     this.account(run, -1);
   }
 
+  /** A lease was granted, or an order given, that is over by then for certain. */
+  noteLease(overBy: Monotonic): void {
+    this.leaseOverBy = Math.max(this.leaseOverBy, overBy);
+  }
+
   countOfStep(step: object): number {
     return this.perStep.get(step) ?? 0;
   }
--- /dev/null
+++ b/packages/jobs/src/describeTask.ts
@@ -0,0 +1,27 @@
+/** What a host is told of a task, for its side to pace it. */
+
+import type { JobTaskId } from "@rackspan/common";
+import type { TaskNature } from "@rackspan/protocol";
+import type { JobTask } from "./JobRun.js";
+
+/** A task as its host is told of it. */
+export interface TaskDescription {
+  readonly task: JobTaskId;
+  readonly nature: TaskNature;
+}
+
+export const natureOf = (task: JobTask): TaskNature => {
+  const { filling, tailTargetMs, lasting, image, demand } = task.step.spec;
+  const serves = lasting && tailTargetMs > 0;
+  return {
+    kind: filling ? "filling" : serves ? "serving" : "plain",
+    tailTargetMs,
+    image,
+    milliCores: demand.milliCores,
+  };
+};
+
+export const describeTask = (task: JobTask): TaskDescription => ({
+  task: task.id,
+  nature: natureOf(task),
+});
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./ClaimKeeper.js";
+export * from "./describeTask.js";
 export * from "./FirstSeen.js";
 export * from "./HostCertifier.js";
 export * from "./HostDrainer.js";
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -221,10 +221,7 @@
     const { mayDecide, leaseMs } = this.options;
     const acknowledged = ledger.acknowledgedEnds;
     if (!mayDecide() || !rostered) return { acknowledged };
-    ledger.leaseOverBy = Math.max(
-      ledger.leaseOverBy,
-      leaseOverBy(now, leaseMs),
-    );
+    ledger.noteLease(leaseOverBy(now, leaseMs));
     return {
       leaseUntil: (report.at + leaseMs) as WorkerTime,
       acknowledged,
