--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -2,6 +2,7 @@
 
 import {
   describeError,
+  type Monotonic,
   type RunNumber,
   type WorkerTime,
 } from "@rackspan/common";
@@ -61,10 +62,7 @@
       reading: 0,
       stopReason: undefined,
     };
-    ledger.leaseOverBy = Math.max(
-      ledger.leaseOverBy,
-      leaseOverBy(now, orderMs),
-    );
+    ledger.noteLease(leaseOverBy(now, orderMs));
     task.step.job.notePlaced(task);
     hosts.place(host, run);
     void this.orderStart(host, run, ticket);
@@ -130,62 +128,61 @@
     run: ActiveRun,
     ticket: string | undefined,
   ): Promise<void> {
-    const { epoch, logger, metrics, clock } = this.options;
-    const { ledger, session } = host;
-    const { task, run: number } = run;
+    const { clock, metrics } = this.options;
     const sentAt = clock.monotonic();
-    const job = task.step.job;
-    let result: HostCallResult;
+    const result = await this.callStart(host, run, ticket);
+    metrics.latency("task_start").record(clock.monotonic() - sentAt);
+    metrics.count("task_starts", { result: result.kind });
+    this.logStart(host, run, result, sentAt);
+    this.noteStartResult(host, run, result);
+  }
+
+  /** An order without an answer is taken as one to a silent worker. */
+  private async callStart(
+    { ledger, session }: HostEntry,
+    { task, run, orderLapsesAt }: ActiveRun,
+    ticket: string | undefined,
+  ): Promise<HostCallResult> {
+    const { epoch, logger } = this.options;
     try {
       if (!session) throw new Error("the host is not attached");
-      result = await session.startTask({
+      return await session.startTask({
         instance: ledger.instance,
         epoch,
         task: task.id,
-        run: number,
-        spec: job.accepted.spec.payload,
-        leaseUntil: run.orderLapsesAt,
+        run,
+        spec: task.step.job.accepted.spec.payload,
+        leaseUntil: orderLapsesAt,
         checkpoint: task.checkpoint,
         ticket,
         nature: natureOf(task),
       });
     } catch (err) {
-      result = { kind: "silent" };
       logger.warn("task.start-unanswered", {
         task: task.id,
-        run: number,
+        run,
         host: ledger.host,
         error: describeError(err),
       });
+      return { kind: "silent" };
     }
-    metrics.latency("task_start").record(clock.monotonic() - sentAt);
-    metrics.count("task_starts", { result: result.kind });
-    logger.info("task.start", {
+  }
+
+  private logStart(
+    { ledger }: HostEntry,
+    { task, run }: ActiveRun,
+    result: HostCallResult,
+    sentAt: Monotonic,
+  ): void {
+    this.options.logger.info("task.start", {
       task: task.id,
-      run: number,
+      run,
       host: ledger.host,
       result: result.kind,
       reason: result.kind === "refused" ? result.reason : undefined,
       checkpoint: task.checkpoint === "" ? undefined : task.checkpoint,
       reportAge: Math.round(sentAt - ledger.heardAt),
     });
-    this.noteStartResult(host, run, result);
-  }
-
-  /** A host that refuses is left alone, unless only the step's ticket is refused. */
-  private pauseAfterRefusal(
-    { ledger }: HostEntry,
-    { task }: ActiveRun,
-    reason: StartRefusal,
-  ): void {
-    const { clock, permitBook } = this.options;
-    const now = clock.monotonic();
-    if (reason !== "bad-ticket") {
-      ledger.pausedUntil = now + ENGINE.refusedPauseMs;
-      return;
-    }
-    permitBook.forget(task.step, ledger);
-    task.step.heldUntil = now + ENGINE.badTicketPauseMs;
   }
 
   private noteStartResult(
@@ -214,6 +211,22 @@
         return;
     }
   }
+
+  /** A host that refuses is left alone, unless only the step's ticket is refused. */
+  private pauseAfterRefusal(
+    { ledger }: HostEntry,
+    { task }: ActiveRun,
+    reason: StartRefusal,
+  ): void {
+    const { clock, permitBook } = this.options;
+    const now = clock.monotonic();
+    if (reason !== "bad-ticket") {
+      ledger.pausedUntil = now + ENGINE.refusedPauseMs;
+      return;
+    }
+    permitBook.forget(task.step, ledger);
+    task.step.heldUntil = now + ENGINE.badTicketPauseMs;
+  }
 }
 
 /** The worker's clock as it can be told from its last report. */
