--- a/packages/scheduling/src/PermitBook.ts
+++ b/packages/scheduling/src/PermitBook.ts
@@ -16,11 +16,11 @@
 import type { HostLedger, StepRun } from "@rackspan/jobs";
 import {
   PERMIT_LIMITS,
-  type Permit,
   type PermitAnswer,
   type PermitService,
 } from "@rackspan/ports";
 import type { AdviceRule } from "@rackspan/state";
+import { StepPermits } from "./StepPermits.js";
 
 export const PERMITS = {
   /** Requests on their way at once: the service works on one at a time, in turn. */
@@ -31,28 +31,12 @@
   hostsPerTask: 3,
   /** Hosts named at least, where there are as many. */
   leastNamed: 8,
-  /** A ticket that holds for less than this is not used for a start; milliseconds. */
-  marginMs: 150,
-  /** A step whose request failed asks again after this. */
+  /** A step whose request failed asks again after this; milliseconds. */
   retryMs: 250,
-  /** Time for an answer beyond what the queue says that the service takes. */
+  /** Time for an answer beyond what the queue says that the service takes; milliseconds. */
   slackMs: 1_000,
 } as const;
 
-interface Ticket {
-  readonly ticket: string;
-  readonly validUntil: Monotonic;
-}
-
-interface StepPermits {
-  readonly tickets: Map<WorkerInstance, Ticket>;
-  /** Lives of workers that may not run the step; that never changes. */
-  readonly refused: Set<WorkerInstance>;
-  asking: boolean;
-  /** Not asked again before. */
-  pausedUntil: Monotonic;
-}
-
 export interface PermitBookOptions {
   /** Undefined where the platform has no such service. */
   readonly service: PermitService | undefined;
@@ -74,7 +58,7 @@
   private readonly steps = new WeakMap<StepRun, StepPermits>();
   private readonly queue = new PQueue({ concurrency: PERMITS.concurrency });
   private stopped = false;
-  private noted = false;
+  private loggedNoService = false;
 
   constructor(private readonly options: PermitBookOptions) {}
 
@@ -85,30 +69,26 @@
 
   /** The ticket to start tasks of the step there with now, if there is one. */
   ticketFor(step: StepRun, host: HostLedger): string | undefined {
-    const ticket = this.steps.get(step)?.tickets.get(host.instance);
-    if (!ticket || !this.isValid(ticket)) return undefined;
-    return ticket.ticket;
+    const now = this.options.clock.monotonic();
+    return this.steps.get(step)?.ticketFor(host.instance, now);
   }
 
   /** The worker refused the ticket: it is asked for anew. */
   forget(step: StepRun, host: HostLedger): void {
-    this.steps.get(step)?.tickets.delete(host.instance);
+    this.steps.get(step)?.forget(host.instance);
   }
 
   /** Asks for more permits of the step, unless that is under way. */
-  want({ step, rule, hosts }: PermitWish): void {
-    const { service, clock, logger } = this.options;
+  want(wish: PermitWish): void {
+    const { service } = this.options;
+    const { step, rule } = wish;
     if (!service) {
-      if (!this.noted)
-        logger.error("permits.no-service", { step: nameOf(step) });
-      this.noted = true;
+      this.logNoService(step);
       return;
     }
     const permits = this.permitsOf(step);
-    const isPaused = clock.monotonic() < permits.pausedUntil;
-    if (permits.asking || isPaused || this.stopped) return;
-    if (this.queue.size >= PERMITS.maxQueued) return;
-    const instances = this.toName(step, permits, hosts);
+    if (!this.mayAsk(permits)) return;
+    const instances = this.toName(wish, permits);
     if (instances.length === 0) return;
     permits.asking = true;
     const priority = -step.job.terms.priority;
@@ -117,22 +97,32 @@
     });
   }
 
+  /** Once: without a service, steps that want a permit never start. */
+  private logNoService(step: StepRun): void {
+    if (this.loggedNoService) return;
+    this.loggedNoService = true;
+    this.options.logger.error("permits.no-service", { step: nameOf(step) });
+  }
+
+  private mayAsk({ asking, pausedUntil }: StepPermits): boolean {
+    if (asking || this.stopped) return false;
+    if (this.options.clock.monotonic() < pausedUntil) return false;
+    return this.queue.size < PERMITS.maxQueued;
+  }
+
+  /** Workers without a ticket that may get one, as many as are worth asking for. */
   private toName(
-    step: StepRun,
+    { step, hosts }: PermitWish,
     permits: StepPermits,
-    hosts: readonly HostLedger[],
   ): WorkerInstance[] {
+    const now = this.options.clock.monotonic();
     const most = Math.min(
       PERMIT_LIMITS.maxNamed,
       Math.max(PERMITS.leastNamed, PERMITS.hostsPerTask * step.waiting.size),
     );
     return hosts
       .map(({ instance }) => instance)
-      .filter((instance) => {
-        if (permits.refused.has(instance)) return false;
-        const ticket = permits.tickets.get(instance);
-        return !ticket || !this.isValid(ticket);
-      })
+      .filter((instance) => permits.lacks(instance, now))
       .slice(0, most);
   }
 
@@ -142,7 +132,7 @@
     { decideMs, eachMs }: AdviceRule,
     instances: readonly WorkerInstance[],
   ): Promise<void> {
-    const { clock, logger, metrics, onPermits } = this.options;
+    const { clock, onPermits } = this.options;
     const began = clock.monotonic();
     const permits = this.permitsOf(step);
     const takesMs = decideMs + eachMs * instances.length;
@@ -152,58 +142,47 @@
         instances,
         timeoutMs: PERMITS.concurrency * takesMs + PERMITS.slackMs,
       });
-      this.take(permits, instances, answer, began);
-      metrics.count("permit_requests", { result: "answered" });
-      metrics.latency("permit_request").record(clock.monotonic() - began);
-      logger.info("permits.taken", {
-        step: nameOf(step),
-        asked: instances.length,
-        good: answer.permits.length,
-        validMs: answer.validMs,
-        tookMs: Math.round(clock.monotonic() - began),
-      });
+      permits.take(instances, answer, began);
+      this.noteAnswer(step, instances.length, answer, began);
     } catch (err) {
       permits.pausedUntil = clock.monotonic() + PERMITS.retryMs;
-      metrics.count("permit_requests", { result: "failed" });
-      const error = describeError(err);
-      logger.warn("permits.unavailable", { step: nameOf(step), error });
+      this.noteFailure(step, err);
     } finally {
       permits.asking = false;
     }
     if (!this.stopped) onPermits();
   }
 
-  private take(
-    { tickets, refused }: StepPermits,
-    asked: readonly WorkerInstance[],
+  private noteAnswer(
+    step: StepRun,
+    asked: number,
     { permits, validMs }: PermitAnswer,
-    askedAt: Monotonic,
+    began: Monotonic,
   ): void {
-    const good = new Map<WorkerInstance, Permit>(
-      permits.map((permit) => [permit.instance, permit]),
-    );
-    // Counted from when it was asked for: it cannot be valid for longer.
-    const validUntil = askedAt + validMs;
-    for (const instance of asked) {
-      const permit = good.get(instance);
-      if (permit) tickets.set(instance, { ticket: permit.ticket, validUntil });
-      else refused.add(instance);
-    }
+    const { clock, logger, metrics } = this.options;
+    const tookMs = clock.monotonic() - began;
+    metrics.count("permit_requests", { result: "answered" });
+    metrics.latency("permit_request").record(tookMs);
+    logger.info("permits.taken", {
+      step: nameOf(step),
+      asked,
+      good: permits.length,
+      validMs,
+      tookMs: Math.round(tookMs),
+    });
   }
 
-  private isValid({ validUntil }: Ticket): boolean {
-    return this.options.clock.monotonic() + PERMITS.marginMs < validUntil;
+  private noteFailure(step: StepRun, err: unknown): void {
+    const { logger, metrics } = this.options;
+    metrics.count("permit_requests", { result: "failed" });
+    const error = describeError(err);
+    logger.warn("permits.unavailable", { step: nameOf(step), error });
   }
 
   private permitsOf(step: StepRun): StepPermits {
     const known = this.steps.get(step);
     if (known) return known;
-    const permits: StepPermits = {
-      tickets: new Map(),
-      refused: new Set(),
-      asking: false,
-      pausedUntil: -Infinity,
-    };
+    const permits = new StepPermits();
     this.steps.set(step, permits);
     return permits;
   }
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -14,4 +14,3 @@
 export { placers, type PlacerOptions } from "./placers.js";
 export { stepOrders, type Candidate, type StepOrder } from "./stepOrders.js";
 export { taskPlacers, type TaskPlacer } from "./taskPlacers.js";
-export * from "./PermitBook.js";
