--- a/packages/jobs/src/TailModel.ts
+++ b/packages/jobs/src/TailModel.ts
@@ -27,6 +27,7 @@
   driftVariance: 3e-5,
   /** Errors count as at most this many standard deviations: readings jump. */
   maxDeviations: 2,
+  /** Weights are kept within these two bounds; logarithm a core. */
   minWeight: -0.02,
   maxWeight: 0.8,
   /** Fewer cores than this of an image teach nothing of it. */
@@ -47,6 +48,7 @@
   readonly beside: FillingCores;
 }
 
+/** Place of the base in `mean`; weights stand behind it. */
 const BASE = 0;
 
 export class TailModel {
@@ -78,17 +80,14 @@
   learn({ tail, tasks, beside }: TailReading): void {
     const inputs = this.inputsOf(beside);
     this.drift(inputs);
-    const { taskVariance, hostVariance, maxDeviations } = TAIL_MODEL;
     const spread = this.mean.map((_, place) => this.spreadAt(place, inputs));
-    let variance = hostVariance + (taskVariance - hostVariance) / tasks;
+    let variance = readingVariance(tasks);
     let expected = 0;
     for (const [place, input] of inputs) {
       variance += input * (spread[place] as number);
       expected += input * (this.mean[place] as number);
     }
-    const most = maxDeviations * Math.sqrt(variance);
-    const error = Math.max(-most, Math.min(most, tail - expected));
-    this.correct(spread, variance, error);
+    this.correct(spread, variance, boundError(tail - expected, variance));
   }
 
   /** What the reading's parts are multiplied with, by place; the base counts once. */
@@ -112,8 +111,9 @@
   private spreadAt(place: number, inputs: ReadonlyMap<number, number>): number {
     const row = this.covariance[place] as number[];
     let spread = 0;
-    for (const [other, input] of inputs)
+    for (const [other, input] of inputs) {
       spread += (row[other] as number) * input;
+    }
     return spread;
   }
 
@@ -175,3 +175,14 @@
     row[place] = TAIL_MODEL.weightDeviation ** 2;
   }
 }
+
+/** Variance of a reading that is the mean of so many tasks of one host. */
+const readingVariance = (tasks: number): number => {
+  const { taskVariance, hostVariance } = TAIL_MODEL;
+  return hostVariance + (taskVariance - hostVariance) / tasks;
+};
+
+const boundError = (error: number, variance: number): number => {
+  const most = TAIL_MODEL.maxDeviations * Math.sqrt(variance);
+  return Math.max(-most, Math.min(most, error));
+};
