--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -15,7 +15,7 @@
 import type { WorkerDescription } from "@rackspan/protocol";
 import type { ImageName } from "@rackspan/state";
 import { natureOf } from "./describeTask.js";
-import type { JobTask } from "./JobRun.js";
+import type { JobTask } from "./JobTask.js";
 
 /**
  * `starting`: ordered, not confirmed. `running`: seen by the worker.
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -3,88 +3,18 @@
  * them run, and how those that ended did. Knows nothing of hosts but their ids.
  */
 
-import type {
-  HostId,
-  Instant,
-  JobTaskId,
-  Monotonic,
-  RunNumber,
-} from "@rackspan/common";
+import type { Instant, RunNumber } from "@rackspan/common";
 import type { RunOutcome } from "@rackspan/ports";
 import {
   decodeIndices,
   encodeIndices,
-  taskIdAt,
   type AcceptedJob,
   type JobStateName,
   type JobTerms,
   type ProgressRecord,
-  type StepSpec,
 } from "@rackspan/state";
-
-export type TaskPhase = "waiting" | "placed" | "done";
-
-/** One task of a step; at most one of its runs is active at a time. */
-export class JobTask {
-  readonly id: JobTaskId;
-  phase: TaskPhase = "waiting";
-  /** Runs that failed. A new leader may hear of them in any order, and again. */
-  readonly failedRuns = new Set<number>();
-  /** From which the next run goes on; empty for none. */
-  checkpoint = "";
-  /** Hosts where it failed or stood still, the last ones. */
-  readonly avoid: HostId[] = [];
-
-  constructor(
-    readonly step: StepRun,
-    readonly index: number,
-  ) {
-    const { job, occurrence, number } = step;
-    this.id = taskIdAt({ job: job.id, occurrence, step: number, index });
-  }
-}
-
-const MAX_AVOIDED_HOSTS = 4;
-
-export const avoidHost = (task: JobTask, host: HostId): void => {
-  if (task.avoid.includes(host)) return;
-  task.avoid.push(host);
-  if (task.avoid.length > MAX_AVOIDED_HOSTS) task.avoid.shift();
-};
-
-/** One step in one occurrence of its job. */
-export class StepRun {
-  readonly tasks: readonly JobTask[];
-  /** In index order. */
-  readonly waiting: Set<JobTask>;
-  doneCount = 0;
-  /** Nothing of it is started before; set when a host refuses its ticket. */
-  heldUntil: Monotonic = -Infinity;
-  /** Since when a task of it has waited for a place in vain; undefined when none does. */
-  unplacedSince: Monotonic | undefined;
-
-  constructor(
-    readonly job: JobRun,
-    readonly occurrence: number,
-    readonly number: number,
-    readonly spec: StepSpec,
-  ) {
-    this.tasks = Array.from(
-      { length: spec.taskCount },
-      (_, index) => new JobTask(this, index),
-    );
-    this.waiting = new Set(this.tasks);
-  }
-
-  get isDone(): boolean {
-    return this.doneCount === this.tasks.length;
-  }
-
-  /** Estimated milliseconds of one task, at least one. */
-  get estimateMs(): number {
-    return Math.max(1, this.spec.estimateMs);
-  }
-}
+import type { JobTask } from "./JobTask.js";
+import { StepRun } from "./StepRun.js";
 
 const keyOf = (step: StepRun): string => `${step.occurrence}.${step.number}`;
 
--- /dev/null
+++ b/packages/jobs/src/JobTask.ts
@@ -0,0 +1,35 @@
+/** One task of a step as the leader works on it, whichever of its runs is active. */
+
+import type { HostId, JobTaskId } from "@rackspan/common";
+import { taskIdAt } from "@rackspan/state";
+import type { StepRun } from "./StepRun.js";
+
+export type TaskPhase = "waiting" | "placed" | "done";
+
+/** One task of a step; at most one of its runs is active at a time. */
+export class JobTask {
+  readonly id: JobTaskId;
+  phase: TaskPhase = "waiting";
+  /** Runs that failed. A new leader may hear of them in any order, and again. */
+  readonly failedRuns = new Set<number>();
+  /** From which the next run goes on; empty for none. */
+  checkpoint = "";
+  /** Hosts where it failed or stood still, the last ones. */
+  readonly avoid: HostId[] = [];
+
+  constructor(
+    readonly step: StepRun,
+    readonly index: number,
+  ) {
+    const { job, occurrence, number } = step;
+    this.id = taskIdAt({ job: job.id, occurrence, step: number, index });
+  }
+}
+
+const MAX_AVOIDED_HOSTS = 4;
+
+export const avoidHost = (task: JobTask, host: HostId): void => {
+  if (task.avoid.includes(host)) return;
+  task.avoid.push(host);
+  if (task.avoid.length > MAX_AVOIDED_HOSTS) task.avoid.shift();
+};
--- /dev/null
+++ b/packages/jobs/src/StepRun.ts
@@ -0,0 +1,40 @@
+/** One step of a job as the leader works on it, and which of its tasks wait. */
+
+import type { Monotonic } from "@rackspan/common";
+import type { StepSpec } from "@rackspan/state";
+import type { JobRun } from "./JobRun.js";
+import { JobTask } from "./JobTask.js";
+
+/** One step in one occurrence of its job. */
+export class StepRun {
+  readonly tasks: readonly JobTask[];
+  /** In index order. */
+  readonly waiting: Set<JobTask>;
+  doneCount = 0;
+  /** Nothing of it is started before; set when a host refuses its ticket. */
+  heldUntil: Monotonic = -Infinity;
+  /** Since when a task of it has waited for a place in vain; undefined when none does. */
+  unplacedSince: Monotonic | undefined;
+
+  constructor(
+    readonly job: JobRun,
+    readonly occurrence: number,
+    readonly number: number,
+    readonly spec: StepSpec,
+  ) {
+    this.tasks = Array.from(
+      { length: spec.taskCount },
+      (_, index) => new JobTask(this, index),
+    );
+    this.waiting = new Set(this.tasks);
+  }
+
+  get isDone(): boolean {
+    return this.doneCount === this.tasks.length;
+  }
+
+  /** Estimated milliseconds of one task, at least one. */
+  get estimateMs(): number {
+    return Math.max(1, this.spec.estimateMs);
+  }
+}
--- a/packages/jobs/src/describeTask.ts
+++ b/packages/jobs/src/describeTask.ts
@@ -2,7 +2,7 @@
 
 import type { JobTaskId } from "@rackspan/common";
 import type { TaskNature } from "@rackspan/protocol";
-import type { JobTask } from "./JobRun.js";
+import type { JobTask } from "./JobTask.js";
 
 /** A task as its host is told of it. */
 export interface TaskDescription {
