--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -122,11 +122,7 @@
     const permitted = hosts.filter((host) => permits.ticketFor(step, host));
     if (permitted.length > 0) this.placeTasks(candidate, permitted);
     if (step.waiting.size === 0) return;
-    const [task] = step.waiting;
-    const able = hosts
-      .filter((host) => task && isAllowedOn(task, host))
-      .sort((a, b) => unreservedMilliCores(b) - unreservedMilliCores(a));
-    permits.want({ step, rule, hosts: able });
+    permits.want({ step, rule, hosts: ableHosts(step, hosts) });
   }
 
   private placeTasks(
@@ -204,3 +200,15 @@
     if (entry) runs.start(entry, task, number, ticket);
   }
 }
+
+/** Hosts that could run the step's first waiting task, those with most left first. */
+const ableHosts = (
+  step: StepRun,
+  hosts: readonly HostLedger[],
+): readonly HostLedger[] => {
+  const [task] = step.waiting;
+  if (!task) return [];
+  return hosts
+    .filter((host) => isAllowedOn(task, host))
+    .sort((a, b) => unreservedMilliCores(b) - unreservedMilliCores(a));
+};
