--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -5,14 +5,9 @@
  */
 
 import { MILLI_CORES_PER_CORE } from "@rackspan/common";
-import {
-  natureOf,
-  type HostLedger,
-  type InterferenceBook,
-  type JobTask,
-} from "@rackspan/jobs";
-import type { ImageName } from "@rackspan/state";
+import { natureOf, type HostLedger, type JobTask } from "@rackspan/jobs";
 import { slownessPenalty } from "./slowHosts.js";
+import { TailForecast } from "./TailForecast.js";
 import {
   pickByScore,
   taskPlacers,
@@ -30,6 +25,8 @@
   plainReserve: 0.08,
   /** Points by which a host with serving tasks comes later for filling ones. */
   servingPenalty: 0.2,
+  /** Points a host's worth of serving work that stands there already. */
+  packedBonus: 2,
   /** Points by which a host that serves this image alone comes first. */
   sameImageBonus: 3,
   /**
@@ -39,10 +36,6 @@
   freeHostExcess: 0.6,
   /** Points a unit of expected tail logarithm, of which 0.1 means a tenth longer. */
   tailPenalty: 0.6,
-  /** What is added to the logarithm of a tail below this disturbs nobody. */
-  negligible: 0.02,
-  /** Logarithm of the share of its target up to which a tail is let grow (0.85). */
-  tailLimit: -0.16,
   /** Points by which a host that would be disturbed comes later when it must be. */
   disturbedPenalty: 5,
   /** Points by which a host on the rack of the step's data comes first. */
@@ -59,10 +52,10 @@
   room.fillingMilliCores;
 
 export class ColocatingTaskPlacer implements TaskPlacer {
-  private readonly interference: InterferenceBook;
+  private readonly forecast: TailForecast;
 
   constructor({ interference }: TaskPlacerOptions) {
-    this.interference = interference;
+    this.forecast = new TailForecast(interference);
   }
 
   pick(
@@ -98,10 +91,9 @@
     const { image } = task.step.spec;
     const { worker, room } = host;
     const packed = room.servingMilliCores / worker.milliCores;
-    const tail = this.interference.predict(image, host.fillingCores);
-    const excess = Math.max(0, tail - COLOCATION.tailLimit);
     const bonus = host.servesOnly(image) ? COLOCATION.sameImageBonus : 0;
-    return 2 * packed + bonus - excess;
+    const excess = this.forecast.excess(host, image);
+    return COLOCATION.packedBonus * packed + bonus - excess;
   }
 
   /** @returns -Infinity where a serving task would be disturbed too much */
@@ -114,48 +106,12 @@
     const left = fillableMilliCores(host) / host.worker.milliCores;
     if (host.room.servingMilliCores === 0) return left;
     const cores = demand.milliCores / MILLI_CORES_PER_CORE;
-    const added = this.mostAdded(host, image, cores);
+    const added = this.forecast.mostAdded(host, image, cores);
     if (added === undefined) {
       return mustPlace ? left - COLOCATION.disturbedPenalty : -Infinity;
     }
     return left - COLOCATION.servingPenalty - COLOCATION.tailPenalty * added;
   }
-
-  /** The most that the task adds to a tail; undefined when one would pass the limit. */
-  private mostAdded(
-    host: HostLedger,
-    image: ImageName,
-    cores: number,
-  ): number | undefined {
-    let most = 0;
-    for (const server of host.servingImages) {
-      const added = this.interference.weight(server, image) * cores;
-      if (added > COLOCATION.negligible) {
-        const tail = this.expectedTail(host, server) + added;
-        if (tail > COLOCATION.tailLimit) return undefined;
-      }
-      most = Math.max(most, added);
-    }
-    return most;
-  }
-
-  /**
-   * Logarithm of the tail once all that was placed there runs at full pace: what
-   * was read last, and what tasks add that got less than they ask for by then.
-   */
-  private expectedTail(host: HostLedger, server: ImageName): number {
-    const { tails, usedCores } = host.readings;
-    const read = tails.get(server);
-    if (read === undefined) {
-      return this.interference.predict(server, host.fillingCores);
-    }
-    let tail = read;
-    for (const [image, asked] of host.fillingCores) {
-      const unused = Math.max(0, asked - (usedCores.get(image) ?? 0));
-      tail += this.interference.weight(server, image) * unused;
-    }
-    return tail;
-  }
 }
 
 const bonusOf = (task: JobTask, host: HostLedger): number => {
