--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -83,30 +83,20 @@
     const { epoch, logger } = this.options;
     const { ledger, session } = host;
     if (!session) return;
-    const { task, run: number } = run;
-    const call = {
-      instance: ledger.instance,
-      epoch,
-      task: task.id,
-      run: number,
-    };
+    const { instance } = ledger;
+    const ref = { task: run.task.id, run: run.run };
     try {
-      const result = await session.stopTask(call);
+      const result = await session.stopTask({ instance, epoch, ...ref });
       if (result.kind === "ok") run.answeredAt = result.at;
       logger.info("task.stop", {
-        task: task.id,
-        run: number,
+        ...ref,
         host: ledger.host,
         reason: run.stopReason,
         result: result.kind,
       });
     } catch (err) {
       const error = describeError(err);
-      logger.warn("task.stop-unanswered", {
-        task: task.id,
-        run: number,
-        error,
-      });
+      logger.warn("task.stop-unanswered", { ...ref, error });
     }
   }
 
