--- a/packages/jobs/tests/interferenceBook.test.ts
+++ b/packages/jobs/tests/interferenceBook.test.ts
@@ -1,10 +1,10 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { SeededRandom } from "@rackspan/common";
+import { brand, SeededRandom } from "@rackspan/common";
 import { InterferenceBook, TAIL_MODEL } from "@rackspan/jobs";
 import type { ImageName } from "@rackspan/state";
 
-const image = (name: string): ImageName => name as unknown as ImageName;
+const image = (name: string): ImageName => brand<ImageName>(name);
 const WEB = image("web");
 const TRUE_WEIGHTS = new Map([
   [image("render"), 0.2],
--- a/packages/jobs/tests/jobRun.test.ts
+++ b/packages/jobs/tests/jobRun.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import type { RunNumber } from "@rackspan/common";
+import { brand, type RunNumber } from "@rackspan/common";
 import { JobRun } from "@rackspan/jobs";
 import { plainJob } from "@rackspan/standins";
 
@@ -16,7 +16,7 @@
 
 const finish = (job: JobRun, occurrence: number): void => {
   const task = job.task(occurrence, 0, 0);
-  if (task) job.noteEnd(task, 1 as unknown as RunNumber, "done", "");
+  if (task) job.noteEnd(task, brand<RunNumber>(1), "done", "");
 };
 
 test("no occurrence runs before it is due", () => {
--- a/packages/scheduling/tests/colocatingTaskPlacer.test.ts
+++ b/packages/scheduling/tests/colocatingTaskPlacer.test.ts
@@ -1,10 +1,11 @@
 import { test } from "node:test";
 import { expect } from "earl";
+import { brand } from "@rackspan/common";
 import type { ImageName } from "@rackspan/state";
 import { EngineHarness, taskId } from "./engineHarness.js";
 
-const WEB = "web" as unknown as ImageName;
-const RENDER = "render" as unknown as ImageName;
+const WEB = brand<ImageName>("web");
+const RENDER = brand<ImageName>("render");
 const TARGET_MS = 10;
 
 const cores = (milliCores: number) => ({
