Mend what the tidying showed: halted tasks go on, the listener of sides outlives errors

Tasks that stood still for a tail that was too long stayed at nothing when the tail came down to just below its aim; they go on at their least pace now. The listener of sides logs errors after its start instead of ending the process. An empty ticket counts as one; requests for permits that are left out are counted. The rule is named for permits in all packages, and logs say permitted.

--- a/packages/entry/src/jobs/JobDesk.ts
+++ b/packages/entry/src/jobs/JobDesk.ts
@@ -79,14 +79,14 @@
   maxAttempts,
   stretch,
   targetLatencyMs,
-  advice,
+  permitRule,
 }: QueueSpec): JobTerms => ({
   service,
   priority,
   maxAttempts,
   stretch,
   targetLatencyMs,
-  advice,
+  permitRule,
 });
 
 export class JobDesk {
--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -2,6 +2,7 @@
 
 import { createServer, type Server, type Socket } from "node:net";
 import {
+  describeError,
   RackspanError,
   type AvailabilityZone,
   type Clock,
@@ -58,6 +59,11 @@
   }
 
   start(): Promise<void> {
+    const { logger } = this.options;
+    // Such as too many open files; later connections may work again.
+    this.server.on("error", (err) =>
+      logger.error("sides.listener-failed", { error: describeError(err) }),
+    );
     return listenOn(this.server, this.options.listen);
   }
 
--- a/packages/ports/src/taskHost.ts
+++ b/packages/ports/src/taskHost.ts
@@ -49,7 +49,7 @@
   readonly leaseUntil: WorkerTime;
   readonly epoch: Epoch;
   readonly checkpoint: string;
-  /** Permit of the advice service, where the queue asks for one. */
+  /** Ticket of a permit, where the queue asks for one. */
   readonly ticket?: string;
 }
 
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -3,7 +3,7 @@
 import type { Monotonic, RunNumber } from "@rackspan/common";
 import type { HostLedger, JobRun, JobTask, StepRun } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
-import type { AdviceRule, JobTerms, QueueSpec } from "@rackspan/state";
+import type { PermitRule, JobTerms, QueueSpec } from "@rackspan/state";
 import { chooseGangHosts } from "./chooseGangHosts.js";
 import { ENGINE, type EngineOptions, type LiveJob } from "./engineTypes.js";
 import type { HostBook } from "./HostBook.js";
@@ -106,8 +106,8 @@
   private placeStep(candidate: Candidate, hosts: readonly HostLedger[]): void {
     const { job, step } = candidate;
     if (this.options.engine.clock.monotonic() < step.heldUntil) return;
-    const { advice } = this.termsOf(job);
-    if (advice) this.placePermitted(candidate, hosts, advice);
+    const { permitRule } = this.termsOf(job);
+    if (permitRule) this.placePermitted(candidate, hosts, permitRule);
     else this.placeTasks(candidate, hosts);
   }
 
@@ -115,11 +115,13 @@
   private placePermitted(
     candidate: Candidate,
     hosts: readonly HostLedger[],
-    rule: AdviceRule,
+    rule: PermitRule,
   ): void {
     const { permits } = this.options;
     const { step } = candidate;
-    const permitted = hosts.filter((host) => permits.ticketFor(step, host));
+    const permitted = hosts.filter(
+      (host) => permits.ticketFor(step, host) !== undefined,
+    );
     if (permitted.length > 0) this.placeTasks(candidate, permitted);
     if (step.waiting.size === 0) return;
     permits.want({ step, rule, hosts: ableHosts(step, hosts) });
--- a/packages/scheduling/src/PermitBook.ts
+++ b/packages/scheduling/src/PermitBook.ts
@@ -19,7 +19,7 @@
   type PermitAnswer,
   type PermitService,
 } from "@rackspan/ports";
-import type { AdviceRule } from "@rackspan/state";
+import type { PermitRule } from "@rackspan/state";
 import { StepPermits } from "./StepPermits.js";
 
 export const PERMITS = {
@@ -49,7 +49,7 @@
 
 export interface PermitWish {
   readonly step: StepRun;
-  readonly rule: AdviceRule;
+  readonly rule: PermitRule;
   /** Hosts that could run the step, the best first. */
   readonly hosts: readonly HostLedger[];
 }
@@ -107,7 +107,10 @@
   private mayAsk({ asking, pausedUntil }: StepPermits): boolean {
     if (asking || this.stopped) return false;
     if (this.options.clock.monotonic() < pausedUntil) return false;
-    return this.queue.size < PERMITS.maxQueued;
+    if (this.queue.size < PERMITS.maxQueued) return true;
+    // The step asks again at a later pass.
+    this.options.metrics.count("permit_requests", { result: "left-out" });
+    return false;
   }
 
   /** Workers without a ticket that may get one, as many as are worth asking for. */
@@ -129,7 +132,7 @@
   private async ask(
     service: PermitService,
     step: StepRun,
-    { decideMs, eachMs }: AdviceRule,
+    { decideMs, eachMs }: PermitRule,
     instances: readonly WorkerInstance[],
   ): Promise<void> {
     const { clock, onPermits } = this.options;
@@ -166,7 +169,7 @@
     logger.info("permits.taken", {
       step: nameOf(step),
       asked,
-      good: permits.length,
+      permitted: permits.length,
       validMs,
       tookMs: Math.round(tookMs),
     });
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -36,7 +36,7 @@
   StampedWriter,
   TOPICS,
   type AcceptedJob,
-  type AdviceRule,
+  type PermitRule,
   type QueueKey,
   type QueueSpec,
   type StepSpec,
@@ -207,7 +207,7 @@
 export interface HarnessOptions {
   readonly permits?: PermitService;
   /** The queue's rule of permits. */
-  readonly advice?: AdviceRule;
+  readonly permitRule?: PermitRule;
   readonly epoch?: number;
   /** Hosts that a former leader may have left leases at. */
   readonly roster?: readonly HostId[];
@@ -224,8 +224,8 @@
   private readonly queue: QueueSpec;
 
   constructor(options: HarnessOptions = {}) {
-    const { epoch = 1, roster = [], clock, advice } = options;
-    this.queue = { ...QUEUE, advice };
+    const { epoch = 1, roster = [], clock, permitRule } = options;
+    this.queue = { ...QUEUE, permitRule };
     this.clock = clock ?? new ManualClock();
     this.store = new MemoryStore(this.clock);
     const writer = new StampedWriter({
@@ -311,7 +311,7 @@
   maxAttempts: 2,
   stretch: 2,
   targetLatencyMs: 250,
-  advice: undefined,
+  permitRule: undefined,
 };
 
 export const taskId = (text: string): JobTaskId => brand<JobTaskId>(text);
--- a/packages/scheduling/tests/permits.test.ts
+++ b/packages/scheduling/tests/permits.test.ts
@@ -10,7 +10,7 @@
 import { EngineHarness, taskId } from "./engineHarness.js";
 
 const VALID_MS = 1_000;
-const ADVICE = { decideMs: 20, eachMs: 1, validMs: VALID_MS };
+const RULE = { decideMs: 20, eachMs: 1, validMs: VALID_MS };
 
 /** Permits the workers whose ids begin with one of the given hosts. */
 class FakePermits implements PermitService {
@@ -34,7 +34,7 @@
 
 const setUp = async (good: readonly string[]) => {
   const permits = new FakePermits(good);
-  const harness = new EngineHarness({ permits, advice: ADVICE });
+  const harness = new EngineHarness({ permits, permitRule: RULE });
   const bad = await harness.addHost("bad");
   const fine = await harness.addHost("fine");
   return { permits, harness, bad, fine };
--- a/packages/side/src/jobs/PacePlanner.ts
+++ b/packages/side/src/jobs/PacePlanner.ts
@@ -109,8 +109,10 @@
       const before =
         this.wanted.get(runKeyOf(row)) ?? this.firstPace(row, serving, filling);
       const factor = boundFactor(factors.get(row) ?? 1, trouble);
+      // Nobody stands still any longer than the trouble does.
+      const going = Math.max(before, PACING.leastPercent);
       const pace =
-        trouble === "halt" ? HALTED : this.nextPace(row, before, factor);
+        trouble === "halt" ? HALTED : this.nextPace(row, going, factor);
       if (pace < before) slowed.add(row);
       this.wanted.set(runKeyOf(row), pace);
       paces.set(row, pace);
--- a/packages/side/tests/pacer.test.ts
+++ b/packages/side/tests/pacer.test.ts
@@ -180,8 +180,11 @@
   expect(paceOf("light")).toEqual(20);
   await lookFor(11, GRACE_MS * 0.6);
   expect([paceOf("heavy"), paceOf("light")]).toEqual([0, 0]);
+  // The tail is right again, and no more: they go on at their least pace.
+  look(9);
+  expect([paceOf("heavy"), paceOf("light")]).toEqual([4, 12]);
   look(5);
-  expect([paceOf("heavy"), paceOf("light")]).toEqual([8, 8]);
+  expect([paceOf("heavy"), paceOf("light")]).toEqual([12, 24]);
 });
 
 test("a short time over the target does not count against what was learnt", async () => {
--- a/packages/state/src/jobModel.ts
+++ b/packages/state/src/jobModel.ts
@@ -64,8 +64,8 @@
   readonly repeat: RepeatSpec | undefined;
 }
 
-export interface AdviceRule {
-  /** Milliseconds that the advice service takes for a call, and more for each host named. */
+export interface PermitRule {
+  /** Milliseconds that the permit service takes for a call, and more for each host named. */
   readonly decideMs: number;
   readonly eachMs: number;
   /** Milliseconds for which a permit holds. */
@@ -86,7 +86,7 @@
   /** A job's objective is this times its longest chain of work, and `targetLatencyMs` more. */
   readonly stretch: number;
   readonly targetLatencyMs: number;
-  readonly advice: AdviceRule | undefined;
+  readonly permitRule: PermitRule | undefined;
 }
 
 export interface SiteConfig {
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -88,7 +88,7 @@
     maxAttempts: z.number(),
     stretch: z.number(),
     targetLatencyMs: z.number(),
-    advice: z
+    permitRule: z
       .object({
         decideMs: z.number(),
         eachMs: z.number(),
