Filling tasks that crawl go on elsewhere from their checkpoint

Change: a filling task that gets under 0.35 of what it asks for during 1.2 s, and saves its progress, is stopped and placed anew; once a host, so that a task that crawls everywhere is not moved about for ever.

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -39,6 +39,8 @@
   progressedAt: Monotonic;
   /** Tail latency in milliseconds, or thousandths of a core in use; see TaskHost. */
   reading: number;
+  /** Since when a filling task has crawled, on the leader's clock; undefined while it does not. */
+  crawlingSince: Monotonic | undefined;
   /** Why a stop was ordered, for logs; undefined before. */
   stopReason: string | undefined;
 }
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -30,6 +30,14 @@
   }
 };
 
+/** A filling task that gets less than this share of what it asks for crawls. */
+const CRAWL_SHARE = 0.35;
+
+const crawls = ({ task, reading }: ActiveRun): boolean => {
+  const { filling, demand } = task.step.spec;
+  return filling && reading < CRAWL_SHARE * demand.milliCores;
+};
+
 const noteReading = (
   run: ActiveRun,
   row: RunningTask,
@@ -38,6 +46,7 @@
   if (row.progressPercent > run.progressPercent) run.progressedAt = now;
   run.progressPercent = row.progressPercent;
   run.reading = row.reading;
+  run.crawlingSince = crawls(run) ? (run.crawlingSince ?? now) : undefined;
   if (row.checkpoint !== "") run.task.checkpoint = row.checkpoint;
 };
 
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -1,6 +1,6 @@
 /** Watches hosts for silence, and their runs for stalls and slowness. */
 
-import type { Monotonic } from "@rackspan/common";
+import type { HostId, Monotonic } from "@rackspan/common";
 import { avoidHost, natureOf, type ActiveRun } from "@rackspan/jobs";
 import type { EngineParts } from "./engineParts.js";
 import { ENGINE, type HostEntry } from "./engineTypes.js";
@@ -52,6 +52,11 @@
         void runs.orderStop(entry, run);
         continue;
       }
+      if (run.phase === "running" && shouldLeave(run, host, now)) {
+        avoidHost(run.task, host);
+        runs.stop(entry, run, "crawling");
+        continue;
+      }
       if (run.phase === "running" && hasStalled(run, now)) {
         avoidHost(run.task, host);
         ejector.report({ host, ok: false });
@@ -78,6 +83,15 @@
   }
 }
 
+/** Whether the task crawls there, saves its progress, and was not moved off before. */
+const shouldLeave = (run: ActiveRun, host: HostId, now: Monotonic): boolean => {
+  const { task, crawlingSince } = run;
+  if (!task.step.spec.checkpointing || crawlingSince === undefined)
+    return false;
+  if (task.avoid.includes(host)) return false;
+  return now - crawlingSince > ENGINE.crawlMs;
+};
+
 const hasStalled = (run: ActiveRun, now: Monotonic): boolean => {
   const { kind } = natureOf(run.task);
   if (run.task.step.spec.lasting) return false;
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -56,6 +56,7 @@
       progressPercent,
       progressedAt: now,
       reading,
+      crawlingSince: undefined,
       stopReason: undefined,
     };
   }
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -60,6 +60,7 @@
       progressPercent: 0,
       progressedAt: now,
       reading: 0,
+      crawlingSince: undefined,
       stopReason: undefined,
     };
     ledger.noteLease(leaseOverBy(now, orderMs));
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -42,6 +42,11 @@
   badTicketPauseMs: 300,
   /** A plain task that gains no percent for this long is moved. */
   stallMs: 3_000,
+  /**
+   * A filling task that crawls for this long is stopped, and goes on elsewhere
+   * from its checkpoint: one such task holds its whole step back.
+   */
+  crawlMs: 1_200,
   /** A host that refused a start gets none for this long. */
   refusedPauseMs: 400,
   /** The same for filling tasks, which may be slowed down to nothing for a while. */
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -354,3 +354,35 @@
   harness.engine.attach(host.host, host);
   expect(host.described).toEqual([taskId("j.0.0.0"), taskId("j.0.0.1")]);
 });
+
+test("a filling task that crawls goes on elsewhere from its checkpoint, once a host", async () => {
+  const harness = new EngineHarness();
+  const hosts = [await harness.addHost("h1"), await harness.addHost("h2")];
+  harness.submit("f", [{ filling: true, checkpointing: true }]);
+  await harness.run(100);
+  const task = taskId("f.0.0.0");
+  const [first, second] = hosts[0]?.isRunning(task) ? hosts : hosts.reverse();
+  if (!first || !second) throw new Error("there are two hosts");
+  first.read(task, 100);
+  second.read(task, 100);
+  await harness.run(1_000);
+  expect(first.stops.length).toEqual(0);
+  await harness.run(700);
+  expect(first.stops.length).toEqual(1);
+  expect(second.isRunning(task)).toEqual(true);
+  expect(second.starts[0]?.checkpoint).toEqual(`saved-${first.starts[0]?.run}`);
+  // It crawls everywhere: moving it about does not help.
+  await harness.run(6_000);
+  expect(first.stops.length + second.stops.length).toEqual(2);
+});
+
+test("a filling task that does not save its progress is not moved for crawling", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  await harness.addHost("h2");
+  harness.submit("f", [{ taskCount: 2, maxPerHost: 1, filling: true }]);
+  await harness.run(100);
+  for (const task of host.runningTasks) host.read(task, 50);
+  await harness.run(3_000);
+  expect(host.stops.length).toEqual(0);
+});
