--- a/packages/jobs/src/TailModel.ts
+++ b/packages/jobs/src/TailModel.ts
@@ -10,6 +10,11 @@
 
 import type { ImageName } from "@rackspan/state";
 
+/**
+ * Bases, variances and weights are from readings of played days, chosen by the
+ * error of the next reading (docs/measurements/platform.md, "Interference" and
+ * "Which change gained what"); bounds without a source keep numbers in range.
+ */
 export const TAIL_MODEL = {
   /** Logarithm of a tail's share of its target when nothing disturbs (0.42). */
   initialBase: -0.87,
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -30,7 +30,7 @@
   }
 };
 
-/** A filling task that gets less than this share of what it asks for crawls. */
+/** A filling task that gets less than this share of what it asks for crawls; tried on played days. */
 const CRAWL_SHARE = 0.35;
 
 const crawls = ({ task, reading }: ActiveRun): boolean => {
--- a/packages/jobs/tests/interferenceBook.test.ts
+++ b/packages/jobs/tests/interferenceBook.test.ts
@@ -85,3 +85,23 @@
   expect(book.weight(WEB, image("first"))).toEqual(TAIL_MODEL.initialWeight);
   expect(book.weight(WEB, image("image0")) > 0.05).toEqual(true);
 });
+
+test("what is learnt stays finite over hours of readings", () => {
+  const book = new InterferenceBook();
+  const random = new SeededRandom(11);
+  const images = Array.from({ length: 9 }, (_, at) => image(`image${at}`));
+  for (let at = 0; at < 200_000; at += 1) {
+    const beside = new Map(
+      images
+        .filter(() => random.next() < 0.4)
+        .map((name) => [name, random.next() * 20]),
+    );
+    const tail = 4 * (random.next() - 0.5);
+    book.learn(WEB, { tail, tasks: 1 + Math.floor(random.next() * 5), beside });
+  }
+  for (const name of images) {
+    const weight = book.weight(WEB, name);
+    expect(weight >= 0 && weight <= TAIL_MODEL.maxWeight).toEqual(true);
+  }
+  expect(Math.abs(book.predict(WEB, new Map())) < 2).toEqual(true);
+});
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -30,7 +30,7 @@
   /** Points by which a host that serves this image alone comes first. */
   sameImageBonus: 3,
   /**
-   * Share of a host without serving tasks, beyond its processors, up to which it
+   * Share of a host without serving tasks (1.0 was tried and gained nothing), beyond its processors, up to which it
    * is filled: filling tasks there disturb nobody and seldom use all they ask for.
    */
   freeHostExcess: 0.6,
--- a/packages/side/src/jobs/PacePlanner.ts
+++ b/packages/side/src/jobs/PacePlanner.ts
@@ -21,6 +21,10 @@
   type ServingTail,
 } from "./paceFactors.js";
 
+/**
+ * Paces are chosen by trials on played days; shares of the allowed time leave
+ * two readings between slowing everything, halting it, and the end of that time.
+ */
 export const PACING = {
   /** Their least pace, percent: some progress tells them from hung tasks. */
   leastPercent: 4,
--- a/packages/side/src/jobs/paceFactors.ts
+++ b/packages/side/src/jobs/paceFactors.ts
@@ -12,6 +12,7 @@
 import { MILLI_CORES_PER_CORE, type JobTaskId } from "@rackspan/common";
 import type { RunningTask } from "@rackspan/ports";
 
+/** Chosen by trials on played days (docs/measurements/platform.md, "Which change gained what"). */
 export const PACE_LAW = {
   /** Share of its target at which a tail is held while filling tasks want more. */
   aim: 0.9,
