A late heartbeat of an earlier life does not take its host's place

Cause: any life that was not known to be over replaced the present one, and a life that a registration replaced was never noted as over; a heartbeat that a cut had delayed took the place of the new life until a call failed. Change: the life before is kept aside until the new one has answered a call; if another life answers instead, it is put back. Measured: three tests at the registry, red with the rule switched off, green with it.

--- a/packages/side/src/jobs/WorkerRegistry.ts
+++ b/packages/side/src/jobs/WorkerRegistry.ts
@@ -28,6 +28,12 @@
   lastGone: WorkerInstance | undefined;
   private heartbeat: WorkerHeartbeat | undefined;
   private heardAt: Monotonic = -Infinity;
+  /**
+   * The life before, until the present one has answered a call. A heartbeat may
+   * be delayed until after its sender has crashed and the next life registered,
+   * so which of two lives stands here is known only from an answer.
+   */
+  private displaced: WorkerHeartbeat | undefined;
   private readonly gone = new Set<WorkerInstance>();
 
   constructor(
@@ -49,7 +55,9 @@
     const { instance } = beat.worker;
     const current = this.heartbeat;
     if (this.gone.has(instance)) return;
+    if (this.displaced?.worker.instance === instance) return;
     const isSame = current?.worker.instance === instance;
+    if (current && !isSame) this.displace(current);
     if (isSame && beat.sequence <= current.sequence) return;
     this.heartbeat = beat;
     this.heardAt = this.clock.monotonic();
@@ -64,19 +72,41 @@
     this.changed.notify();
   }
 
+  /** That life of the worker has answered a call: the one before is over. */
+  noteAnswered(instance: WorkerInstance): void {
+    if (!this.displaced || this.heartbeat?.worker.instance !== instance) return;
+    this.ban(this.displaced.worker.instance);
+    this.displaced = undefined;
+  }
+
   /** That life of the worker is over. */
   noteGone(instance: WorkerInstance, reason: string): void {
     if (this.gone.has(instance)) return;
-    this.gone.add(instance);
-    if (this.gone.size > REGISTRY.maxGone) {
-      const [oldest] = this.gone;
-      if (oldest) this.gone.delete(oldest);
-    }
+    this.ban(instance);
     this.lastGone = instance;
     this.logger.info("worker.gone", { instance, reason });
+    if (this.displaced?.worker.instance === instance) {
+      this.displaced = undefined;
+    }
     if (this.heartbeat?.worker.instance === instance) {
-      this.heartbeat = undefined;
+      // Its heartbeat came late: the life before may be the present one.
+      this.heartbeat = this.displaced;
+      this.displaced = undefined;
     }
     this.changed.notify();
   }
+
+  /** @param current the life that a heartbeat of another one replaces */
+  private displace(current: WorkerHeartbeat): void {
+    if (this.displaced) this.ban(this.displaced.worker.instance);
+    this.displaced = current;
+  }
+
+  /** Passes over heartbeats of that life from now on. */
+  private ban(instance: WorkerInstance): void {
+    this.gone.add(instance);
+    if (this.gone.size <= REGISTRY.maxGone) return;
+    const [oldest] = this.gone;
+    if (oldest) this.gone.delete(oldest);
+  }
 }
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -146,6 +146,7 @@
         leaseUntil: this.leaseUntil,
         waitMs: isFirst ? 0 : PACING.everyMs,
       });
+      registry.noteAnswered(instance);
       this.take({ instance, epoch, answer, askedAt }, isFirst);
       return true;
     } catch (err) {
--- /dev/null
+++ b/packages/side/tests/workerRegistry.test.ts
@@ -0,0 +1,63 @@
+/** Which life of a worker a side takes as the present one. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  silentLogger,
+  type ServiceName,
+  type WorkerInstance,
+} from "@rackspan/common";
+import { WorkerRegistry } from "@rackspan/side";
+
+const beatOf = (name: string, sequence: number) => ({
+  worker: {
+    instance: brand<WorkerInstance>(name),
+    service: brand<ServiceName>("kaigi"),
+    labels: [],
+    rack: "r1",
+    milliCores: 16_000,
+    memoryMiB: 64_000,
+    accelerators: 0,
+    draining: false,
+    leavesInMs: undefined,
+  },
+  sequence,
+});
+
+const createRegistry = () =>
+  new WorkerRegistry(new ManualClock(), silentLogger);
+
+test("a heartbeat of the life before that arrives late changes nothing", () => {
+  const registry = createRegistry();
+  registry.noteHeartbeat(beatOf("old", 4));
+  registry.noteHeartbeat(beatOf("new", 1));
+  registry.noteHeartbeat(beatOf("old", 5));
+  expect(registry.worker?.instance).toEqual(brand<WorkerInstance>("new"));
+  registry.noteHeartbeat(beatOf("new", 2));
+  expect(registry.worker?.instance).toEqual(brand<WorkerInstance>("new"));
+});
+
+test("a life that was never heard before does not keep the present one out", () => {
+  const registry = createRegistry();
+  registry.noteHeartbeat(beatOf("present", 3));
+  // This side was started after that life had ended.
+  registry.noteHeartbeat(beatOf("former", 9));
+  registry.noteGone(brand<WorkerInstance>("former"), "another life answers");
+  expect(registry.worker?.instance).toEqual(brand<WorkerInstance>("present"));
+  registry.noteHeartbeat(beatOf("former", 10));
+  registry.noteHeartbeat(beatOf("present", 4));
+  expect(registry.worker?.instance).toEqual(brand<WorkerInstance>("present"));
+});
+
+test("a life that the next one has replaced for good does not come back", () => {
+  const registry = createRegistry();
+  registry.noteHeartbeat(beatOf("first", 3));
+  registry.noteHeartbeat(beatOf("second", 1));
+  registry.noteAnswered(brand<WorkerInstance>("second"));
+  registry.noteGone(brand<WorkerInstance>("second"), "the worker left");
+  expect(registry.worker).toEqual(undefined);
+  registry.noteHeartbeat(beatOf("first", 4));
+  expect(registry.worker).toEqual(undefined);
+});
