A refusal that may pass does not speak for an unanswered try before it

Cause: a start that got no answer is repeated; a refusal of the second try for want of room, of a ticket or of health was taken to mean that the run never begins, though the first try may be carried out seconds later. The task was then started elsewhere at once: two runs side by side. Change: such a refusal after an unanswered try counts as no answer; the run stays unsure until its order has lapsed.

--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -54,13 +54,16 @@
     pacer.describe(call.task, call.nature);
     pacer.noteStarted(call);
     const { instance, ...order } = call;
+    let tries = 0;
     const result = await this.repeat(instance, async () => {
+      tries += 1;
       const outcome = await host.start(instance, order);
       return outcome.kind === "started"
         ? { kind: "ok", at: outcome.at }
         : { kind: "refused", reason: outcome.reason };
     });
-    return this.note("start", call, result);
+    const mayBegin = tries > 1 && isPassing(result);
+    return this.note("start", call, mayBegin ? { kind: "silent" } : result);
   }
 
   async stop(call: StopTaskCall): Promise<HostCallResult> {
@@ -136,3 +139,22 @@
     return result;
   }
 }
+
+/**
+ * Whether the worker refused for a reason that may be gone a moment later. A try
+ * before it that got no answer may still be carried out then, so such an answer
+ * does not say that the run never begins; it would be started elsewhere too.
+ */
+const isPassing = (result: HostCallResult): boolean => {
+  if (result.kind !== "refused") return false;
+  switch (result.reason) {
+    case "no-room":
+    case "bad-ticket":
+    case "unhealthy":
+      return true;
+    case "fenced":
+    case "old-run":
+    case "late":
+      return false;
+  }
+};
--- /dev/null
+++ b/packages/side/tests/taskOrders.test.ts
@@ -0,0 +1,92 @@
+/** What a side makes of the worker's answers to orders. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  Metrics,
+  silentLogger,
+  type Epoch,
+  type JobTaskId,
+  type RunNumber,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+import {
+  WorkerSilentError,
+  type StartOutcome,
+  type StartRefusal,
+  type TaskHost,
+} from "@rackspan/ports";
+import type { HostCallResult, StartTaskCall } from "@rackspan/protocol";
+import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
+
+const CALL: StartTaskCall = {
+  instance: brand<WorkerInstance>("w"),
+  epoch: 1 as unknown as Epoch,
+  task: brand<JobTaskId>("j.0.0.0"),
+  run: 7 as unknown as RunNumber,
+  spec: "",
+  leaseUntil: 2_500 as unknown as WorkerTime,
+  checkpoint: "",
+  nature: { kind: "plain", tailTargetMs: 0, image: "", milliCores: 100 },
+};
+
+/** Orders a start at a worker that gives these answers in turn; undefined for none. */
+const startWith = async (
+  answers: readonly (StartOutcome | undefined)[],
+): Promise<HostCallResult> => {
+  const clock = new ManualClock();
+  const left = [...answers];
+  const host = {
+    start: async () => {
+      const answer = left.shift();
+      if (!answer) throw new WorkerSilentError("no answer");
+      return answer;
+    },
+  } as unknown as TaskHost;
+  const logger = silentLogger;
+  const metrics = new Metrics();
+  const pacer = new Pacer({ host, clock, logger, metrics, tailGraceMs: 4_000 });
+  const registry = new WorkerRegistry(clock, logger);
+  const watch = new WorkerWatch({ registry, host, pacer, clock, logger });
+  const orders = new TaskOrders({
+    host,
+    registry,
+    watch,
+    pacer,
+    clock,
+    logger,
+    metrics,
+  });
+  const result = orders.start(CALL);
+  await clock.advance(2_000);
+  return result;
+};
+
+const refused = (reason: StartRefusal): StartOutcome => ({
+  kind: "refused",
+  reason,
+});
+
+test("a refusal is taken as one when no try before it was left unanswered", async () => {
+  expect(await startWith([refused("unhealthy")])).toEqual({
+    kind: "refused",
+    reason: "unhealthy",
+  });
+});
+
+test("a refusal that may pass says nothing of an unanswered try before it", async () => {
+  for (const reason of ["no-room", "unhealthy", "bad-ticket"] as const) {
+    const result = await startWith([undefined, refused(reason)]);
+    expect(result).toEqual({ kind: "silent" });
+  }
+});
+
+test("a refusal for good covers the unanswered try before it", async () => {
+  for (const reason of ["fenced", "old-run", "late"] as const) {
+    const result = await startWith([undefined, refused(reason)]);
+    expect(result).toEqual({ kind: "refused", reason });
+  }
+});
