A failure heard of while a later run is under way counts as an attempt

Cause: a new leader adopts the running run of a task from one host, and hears from other hosts that earlier runs of it had failed; those ends were passed over because another run was placed, and acknowledged all the same. Change: such failures are noted, and end the job when they are the last one allowed. Measured: a test at the engine, red before, green after.

--- a/packages/scheduling/src/EndTaker.ts
+++ b/packages/scheduling/src/EndTaker.ts
@@ -40,8 +40,7 @@
     const { job } = task.step;
     if (active) hosts.release(entry, active.run);
     if (isFinal(job.state)) return undefined;
-    // Another run of the task was ordered after this one was given up.
-    if (!active && placed) return undefined;
+    if (!active && placed) return this.takeEarlier(task, end);
     const changed = job.noteEnd(task, end.run, end.outcome, end.checkpoint);
     this.learn(entry, task, end, active);
     if (end.outcome === "done" && task.step.spec.gang) {
@@ -52,6 +51,19 @@
     return changed || isFinal(job.state) ? job : undefined;
   }
 
+  /**
+   * Takes the end of a run when a later one of the task is under way. Only a
+   * failure counts: a new leader hears of runs in any order of hosts, and one
+   * that passed such failures over started a task twice past its attempts.
+   */
+  private takeEarlier(task: JobTask, end: EndedRun): JobRun | undefined {
+    if (end.outcome !== "failed") return undefined;
+    const { job } = task.step;
+    const changed = job.noteEnd(task, end.run, end.outcome, end.checkpoint);
+    this.parts.closer.closeIfEnded(job, task);
+    return changed ? job : undefined;
+  }
+
   private logEnd(
     { ledger }: HostEntry,
     { task, run, outcome, number }: EndedRun,
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -431,3 +431,35 @@
   await after.run(200);
   expect(host.isRunning(taskId("new.0.0.0"))).toEqual(true);
 });
+
+test("failures that are heard of while another run is under way count as attempts", async () => {
+  const before = new EngineHarness();
+  const first = await before.addHost("h1");
+  before.submit("j", [{}]);
+  await before.run(100);
+  const { starts } = first;
+  // The end is listed, but the leader that acts on it cannot keep it any more.
+  before.store.fault = "refuses";
+  first.end(taskId("j.0.0.0"), "failed");
+  const second = await before.addHost("h2");
+  await before.run(300);
+  expect(starts.length + second.starts.length).toEqual(2);
+  expect(second.isRunning(taskId("j.0.0.0"))).toEqual(true);
+  before.leads = false;
+  const after = new EngineHarness({
+    epoch: 2,
+    roster: [first.host, second.host],
+    clock: before.clock,
+  });
+  after.submit("j", [{}]);
+  for (const host of [second, first]) {
+    after.engine.attach(host.host, host);
+    after.reportOf(host);
+    after.hosts.push(host);
+  }
+  await after.run(200);
+  second.end(taskId("j.0.0.0"), "failed");
+  await after.run(300);
+  expect(lastProgress(after, "j")?.state).toEqual("failed");
+  expect(starts.length + second.starts.length).toEqual(2);
+});
