Mechanisms of the scheduler are settings; checkpoints are kept while tasks run

Cause: no mechanism could be switched off, so none could be priced. Change: SchedulingPolicy holds a switch or a figure for each mechanism, checked with the settings; checkpoints of running tasks are kept once a second.

--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -13,7 +13,7 @@
 } from "@rackspan/common";
 import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
 import type { PermitService, RecordStore } from "@rackspan/ports";
-import { JobEngine } from "@rackspan/scheduling";
+import { JobEngine, type SchedulingPolicy } from "@rackspan/scheduling";
 import {
   isFinal,
   StampedWriter,
@@ -50,6 +50,7 @@
   readonly progressGatherMs: number;
   readonly order: string;
   readonly placer: string;
+  readonly policy: SchedulingPolicy;
   /** Undefined where the platform has no such service. */
   readonly permits: PermitService | undefined;
   readonly mayDecide: () => boolean;
@@ -169,6 +170,7 @@
       }),
       order: this.options.order,
       placer: this.options.placer,
+      policy: this.options.policy,
       leaseMs,
       stopMs,
       mayDecide: () => !this.abort.signal.aborted && mayDecide(),
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -8,7 +8,12 @@
   type AvailabilityZone,
   type EntryId,
 } from "@rackspan/common";
-import { stepOrders, taskPlacers } from "@rackspan/scheduling";
+import {
+  DEFAULT_POLICY,
+  stepOrders,
+  taskPlacers,
+  type SchedulingPolicy,
+} from "@rackspan/scheduling";
 
 const millisecondsSchema = z.number().int().min(1).max(3_600_000);
 
@@ -17,6 +22,22 @@
 const namesOf = (names: readonly string[]) =>
   z.enum(names as [string, ...string[]]);
 
+const onOrOff = z.boolean();
+
+/** See SchedulingPolicy for what each of them does. */
+const policySchema = z.strictObject({
+  fillingTailLimit: z.number().min(0.1).max(2),
+  overfillsFreeHosts: onOrOff,
+  packsServing: onOrOff,
+  learnsInterference: onOrOff,
+  correctsEstimates: onOrOff,
+  movesCrawling: onOrOff,
+  movesStalled: onOrOff,
+  movesFromSlowHosts: onOrOff,
+  ejectsFailingHosts: onOrOff,
+  checkpointEveryMs: z.number().int().min(0).max(60_000),
+}) satisfies z.ZodType<SchedulingPolicy>;
+
 export const jobEntrySettingsSchema = z.strictObject({
   entry: idSchema<EntryId>(),
   availabilityZone: idSchema<AvailabilityZone>(),
@@ -66,6 +87,13 @@
     .strictObject({
       order: namesOf(stepOrders.names()).default("bySlack"),
       placer: namesOf(taskPlacers.names()).default("colocating"),
+      policy: policySchema
+        .partial()
+        .transform((given): SchedulingPolicy => ({
+          ...DEFAULT_POLICY,
+          ...given,
+        }))
+        .prefault({}),
     })
     .prefault({}),
   logLevel: z
--- a/packages/entry/src/jobs/wireJobEntry.ts
+++ b/packages/entry/src/jobs/wireJobEntry.ts
@@ -205,6 +205,7 @@
     progressGatherMs: batching.progressMs,
     order: scheduling.order,
     placer: scheduling.placer,
+    policy: scheduling.policy,
     permits: buildPermitService(settings),
     mayDecide: () => election.leads,
     onDeposed: (reason) => void election.stepDown(reason),
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -1,5 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
+import { DEFAULT_POLICY } from "@rackspan/scheduling";
 import {
   brand,
   ManualClock,
@@ -72,6 +73,7 @@
     order: "bySlack",
     permits: undefined,
     placer: "colocating",
+    policy: DEFAULT_POLICY,
     mayDecide: () => true,
     onDeposed: () => undefined,
   });
--- a/packages/jobs/src/InterferenceBook.ts
+++ b/packages/jobs/src/InterferenceBook.ts
@@ -15,7 +15,11 @@
 export class InterferenceBook {
   private readonly models = new Map<ImageName, TailModel>();
 
+  /** @param learns whether readings change anything; else all pairs are alike */
+  constructor(private readonly learns = true) {}
+
   learn(serving: ImageName, reading: TailReading): void {
+    if (!this.learns) return;
     const model = this.models.get(serving) ?? new TailModel();
     this.models.set(serving, model);
     model.learn(reading);
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -23,6 +23,8 @@
   state: JobStateName = "queued";
   begun = false;
   endedAt: Instant = 0;
+  /** Whether a task has a checkpoint that no record holds yet. */
+  hasNewCheckpoints = false;
   private readonly occurrences = new Map<number, readonly StepRun[]>();
   private doneOccurrences = 0;
   /** Number of the first occurrence that is not done. */
@@ -112,8 +114,7 @@
     checkpoint: string,
   ): boolean {
     if (task.phase === "done") return false;
-    const hadCheckpoint = task.checkpoint;
-    if (checkpoint !== "") task.checkpoint = checkpoint;
+    const isNewCheckpoint = this.noteCheckpoint(task, checkpoint);
     if (outcome === "done" && !task.step.spec.lasting) {
       this.noteDone(task);
       return true;
@@ -123,7 +124,18 @@
       task.failedRuns.add(run);
       return true;
     }
-    return task.checkpoint !== hadCheckpoint;
+    return isNewCheckpoint;
+  }
+
+  /**
+   * Takes the newest checkpoint of a task; an empty one says nothing.
+   * @returns whether it is another than before
+   */
+  noteCheckpoint(task: JobTask, checkpoint: string): boolean {
+    if (checkpoint === "" || checkpoint === task.checkpoint) return false;
+    task.checkpoint = checkpoint;
+    this.hasNewCheckpoints = true;
+    return true;
   }
 
   /** A gang ends as one: one member's end stands for all. */
@@ -148,7 +160,9 @@
     this.endedAt = now;
   }
 
+  /** What the store is to keep; asked for when it is about to be written. */
   toRecord(): ProgressRecord {
+    this.hasNewCheckpoints = false;
     const done: Record<string, string> = {};
     const failures: ProgressRecord["failures"] = [];
     const checkpoints: ProgressRecord["checkpoints"] = [];
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -47,7 +47,7 @@
   run.progressPercent = row.progressPercent;
   run.reading = row.reading;
   run.crawlingSince = crawls(run) ? (run.crawlingSince ?? now) : undefined;
-  if (row.checkpoint !== "") run.task.checkpoint = row.checkpoint;
+  run.task.step.job.noteCheckpoint(run.task, row.checkpoint);
 };
 
 /** Brings the ledger's runs up to date; what needs a decision is returned. */
--- /dev/null
+++ b/packages/scheduling/src/CheckpointKeeper.ts
@@ -0,0 +1,66 @@
+/**
+ * Keeps checkpoints of running tasks in the store at an interval, so that work
+ * survives when all processes and workers are lost at once.
+ */
+
+import {
+  describeError,
+  type Clock,
+  type Logger,
+  type Timer,
+} from "@rackspan/common";
+import type { JobRun, JobTask, ProgressJournal } from "@rackspan/jobs";
+import { isFinal } from "@rackspan/state";
+
+export interface CheckpointKeeperOptions {
+  readonly journal: ProgressJournal;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Milliseconds; 0 for never. */
+  readonly everyMs: number;
+}
+
+export class CheckpointKeeper {
+  /** Jobs with checkpoints that the store does not keep yet. */
+  private readonly changed = new Set<JobRun>();
+  private timer: Timer | undefined;
+
+  constructor(private readonly options: CheckpointKeeperOptions) {}
+
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  /** Takes tasks of which a host has just reported. */
+  noteTasks(tasks: Iterable<JobTask>): void {
+    const { clock, everyMs } = this.options;
+    if (everyMs === 0) return;
+    for (const { step } of tasks) {
+      if (step.job.hasNewCheckpoints) this.changed.add(step.job);
+    }
+    if (this.changed.size === 0 || this.timer) return;
+    this.timer = clock.after(everyMs, () => {
+      this.timer = undefined;
+      this.keep();
+    });
+  }
+
+  private keep(): void {
+    const { journal, logger } = this.options;
+    const jobs = [...this.changed].filter(
+      ({ state, hasNewCheckpoints }) => hasNewCheckpoints && !isFinal(state),
+    );
+    this.changed.clear();
+    if (jobs.length === 0) return;
+    logger.debug("checkpoints.kept", { jobs: jobs.length });
+    for (const job of jobs) {
+      journal.record(job).catch((err: unknown) =>
+        // Another leader has taken over, and keeps what it sees itself.
+        logger.warn("checkpoints.not-kept", {
+          job: job.id,
+          error: describeError(err),
+        }),
+      );
+    }
+  }
+}
--- a/packages/scheduling/src/EstimateBook.ts
+++ b/packages/scheduling/src/EstimateBook.ts
@@ -18,9 +18,12 @@
   /** Mean natural logarithm of (time taken / estimate), by queue. */
   private readonly corrections = new Map<QueueKey, number>();
 
+  /** @param corrects whether run times that were seen change anything */
+  constructor(private readonly corrects: boolean) {}
+
   /** @param tookMs run time of one task that ended done */
   note(step: StepRun, tookMs: number): void {
-    if (step.spec.estimateMs <= 0 || tookMs <= 0) return;
+    if (!this.corrects || step.spec.estimateMs <= 0 || tookMs <= 0) return;
     const limit = Math.log(ESTIMATES.maxFactor);
     const seen = Math.log(tookMs / step.spec.estimateMs);
     const bounded = Math.max(-limit, Math.min(limit, seen));
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -46,18 +46,22 @@
     const { options, runs, ejector } = this.parts;
     const { host, runs: active } = entry.ledger;
     if (!options.mayDecide() || !entry.session) return;
-    if (this.hasFasterHost(entry)) this.moveFromSlowHost(entry, now);
+    const { policy } = options;
+    if (policy.movesFromSlowHosts && this.hasFasterHost(entry)) {
+      this.moveFromSlowHost(entry, now);
+    }
     for (const run of active.values()) {
       if (run.phase === "stopping" && run.answeredAt === undefined) {
         void runs.orderStop(entry, run);
         continue;
       }
-      if (run.phase === "running" && shouldLeave(run, host, now)) {
+      if (run.phase !== "running") continue;
+      if (policy.movesCrawling && shouldLeave(run, host, now)) {
         avoidHost(run.task, host);
         runs.stop(entry, run, "crawling");
         continue;
       }
-      if (run.phase === "running" && hasStalled(run, now)) {
+      if (policy.movesStalled && hasStalled(run, now)) {
         avoidHost(run.task, host);
         ejector.report({ host, ok: false });
         runs.stop(entry, run, "stalled");
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -25,6 +25,7 @@
   type JobId,
   type ProgressRecord,
 } from "@rackspan/state";
+import { CheckpointKeeper } from "./CheckpointKeeper.js";
 import { Dispatcher } from "./Dispatcher.js";
 import { EndTaker } from "./EndTaker.js";
 import type { EngineParts } from "./engineParts.js";
@@ -57,7 +58,8 @@
 export class JobEngine {
   private readonly jobs = new JobBook();
   private readonly hosts = new HostBook();
-  private readonly interference = new InterferenceBook();
+  private readonly interference: InterferenceBook;
+  private readonly checkpoints: CheckpointKeeper;
   private readonly permits: PermitBook;
   private readonly runs: RunControl;
   private readonly dispatcher: Dispatcher;
@@ -70,10 +72,15 @@
   private stopped = false;
 
   constructor(private readonly options: EngineOptions) {
-    const { clock, journal, logger, order, placer } = options;
-    const { jobs, hosts, interference } = this;
-    const estimates = new EstimateBook();
-    const ejector = new OutlierEjector({ clock, ...EJECTION });
+    const { clock, journal, logger, order, placer, policy } = options;
+    const { jobs, hosts } = this;
+    const interference = new InterferenceBook(policy.learnsInterference);
+    this.interference = interference;
+    const estimates = new EstimateBook(policy.correctsEstimates);
+    const failuresToEject = policy.ejectsFailingHosts
+      ? EJECTION.failuresToEject
+      : Infinity;
+    const ejector = new OutlierEjector({ clock, ...EJECTION, failuresToEject });
     const requestPass = () => this.dispatcher.requestPass();
     const onWaiting = (job: JobRun) => {
       if (jobs.activate(job)) requestPass();
@@ -96,7 +103,7 @@
       hosts,
       runs,
       order: stepOrders.create(order, { estimates }),
-      placer: taskPlacers.create(placer, { interference }),
+      placer: taskPlacers.create(placer, { interference, policy }),
       ejector,
       permits,
       active: jobs.active,
@@ -111,6 +118,13 @@
       requestPass,
     };
     const keeper = new ProgressKeeper({ journal, logger });
+    const everyMs = policy.checkpointEveryMs;
+    this.checkpoints = new CheckpointKeeper({
+      journal,
+      clock,
+      logger,
+      everyMs,
+    });
     this.intake = new HostIntake(parts);
     this.watch = new HostWatch(parts);
     this.adopter = new RunAdopter(parts);
@@ -127,6 +141,7 @@
   stop(): void {
     this.stopped = true;
     this.permits.stop();
+    this.checkpoints.stop();
     this.timer?.cancel();
   }
 
@@ -204,6 +219,7 @@
     }
     this.intake.noteWorker(entry, report);
     this.takeChanges(entry, reconcileReport(ledger, report, now));
+    this.checkpoints.noteTasks(ledger.runs.keys());
     learnInterference(ledger, this.interference);
     learnSlowness(entry, this.hosts, now);
     gate.noteHeard(host);
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -32,7 +32,7 @@
         this.stopStray(entry, row);
         continue;
       }
-      if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
+      task.step.job.noteCheckpoint(task, row.checkpoint);
       task.step.job.notePlaced(task);
       hosts.place(entry, this.runOf(entry, task, row));
       adopted.push(task);
--- a/packages/scheduling/src/TailForecast.ts
+++ b/packages/scheduling/src/TailForecast.ts
@@ -3,21 +3,29 @@
 import type { HostLedger, InterferenceBook } from "@rackspan/jobs";
 import type { ImageName } from "@rackspan/state";
 
-/** Logarithms of the share of its target that a tail takes. */
-export const TAIL_BOUNDS = {
-  /** Up to which a tail is let grow (0.85). */
-  limit: -0.16,
-  /** What adds less than this to a tail disturbs nobody. */
-  negligible: 0.02,
-} as const;
+/** What adds less than this to the logarithm of a tail disturbs nobody. */
+const NEGLIGIBLE = 0.02;
+
+export interface TailForecastOptions {
+  readonly interference: InterferenceBook;
+  /** Share of its target up to which a tail is let grow. */
+  readonly limit: number;
+}
 
 export class TailForecast {
-  constructor(private readonly interference: InterferenceBook) {}
+  private readonly interference: InterferenceBook;
+  /** Logarithm of the share of its target. */
+  private readonly limit: number;
+
+  constructor({ interference, limit }: TailForecastOptions) {
+    this.interference = interference;
+    this.limit = Math.log(limit);
+  }
 
   /** By how much the tail of a serving task placed there would pass the limit. */
   excess(host: HostLedger, image: ImageName): number {
     const tail = this.interference.predict(image, host.fillingCores);
-    return Math.max(0, tail - TAIL_BOUNDS.limit);
+    return Math.max(0, tail - this.limit);
   }
 
   /**
@@ -33,9 +41,9 @@
     let most = 0;
     for (const serving of host.servingImages) {
       const added = this.interference.weight(serving, filling) * cores;
-      if (added > TAIL_BOUNDS.negligible) {
+      if (added > NEGLIGIBLE) {
         const tail = this.atFullPace(host, serving) + added;
-        if (tail > TAIL_BOUNDS.limit) return undefined;
+        if (tail > this.limit) return undefined;
       }
       most = Math.max(most, added);
     }
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -6,6 +6,7 @@
 
 import { MILLI_CORES_PER_CORE } from "@rackspan/common";
 import { natureOf, type HostLedger, type JobTask } from "@rackspan/jobs";
+import type { SchedulingPolicy } from "./policy.js";
 import { slownessPenalty } from "./slowHosts.js";
 import { TailForecast } from "./TailForecast.js";
 import {
@@ -53,9 +54,12 @@
 
 export class ColocatingTaskPlacer implements TaskPlacer {
   private readonly forecast: TailForecast;
+  private readonly policy: SchedulingPolicy;
 
-  constructor({ interference }: TaskPlacerOptions) {
-    this.forecast = new TailForecast(interference);
+  constructor({ interference, policy }: TaskPlacerOptions) {
+    this.policy = policy;
+    const limit = policy.fillingTailLimit;
+    this.forecast = new TailForecast({ interference, limit });
   }
 
   pick(
@@ -74,7 +78,7 @@
       case "filling":
         return pickByScore(
           task,
-          hosts.filter((host) => mustPlace || isWorthFilling(task, host)),
+          hosts.filter((host) => mustPlace || this.isWorthFilling(task, host)),
           (host) => this.fillingScore(task, host, mustPlace) + extra(host),
         );
       case "plain":
@@ -93,9 +97,20 @@
     const packed = room.servingMilliCores / worker.milliCores;
     const bonus = host.servesOnly(image) ? COLOCATION.sameImageBonus : 0;
     const excess = this.forecast.excess(host, image);
+    if (!this.policy.packsServing) return -packed - excess;
     return COLOCATION.packedBonus * packed + bonus - excess;
   }
 
+  private isWorthFilling(task: JobTask, host: HostLedger): boolean {
+    const isFree = host.room.servingMilliCores === 0;
+    const excess =
+      isFree && this.policy.overfillsFreeHosts
+        ? COLOCATION.freeHostExcess * host.worker.milliCores
+        : 0;
+    const least = COLOCATION.leastFillShare * task.step.spec.demand.milliCores;
+    return fillableMilliCores(host) + excess >= least;
+  }
+
   /** @returns -Infinity where a serving task would be disturbed too much */
   private fillingScore(
     task: JobTask,
@@ -132,15 +147,6 @@
   return taken + reserve <= host.worker.milliCores;
 };
 
-const isWorthFilling = (task: JobTask, host: HostLedger): boolean => {
-  const isFree = host.room.servingMilliCores === 0;
-  const excess = isFree
-    ? COLOCATION.freeHostExcess * host.worker.milliCores
-    : 0;
-  const least = COLOCATION.leastFillShare * task.step.spec.demand.milliCores;
-  return fillableMilliCores(host) + excess >= least;
-};
-
 const plainScore = (host: HostLedger): number =>
   (unreservedMilliCores(host) - host.room.fillingMilliCores) /
   host.worker.milliCores;
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -18,6 +18,7 @@
 import type { PermitService } from "@rackspan/ports";
 import type { QueueKey, QueueSpec } from "@rackspan/state";
 import type { HostSession } from "./HostSession.js";
+import type { SchedulingPolicy } from "./policy.js";
 
 export const ENGINE = {
   /** An order to start that has not been carried out after this lapses; worker's clock. */
@@ -74,6 +75,7 @@
   readonly order: string;
   /** Name of the placer of tasks; see taskPlacers. */
   readonly placer: string;
+  readonly policy: SchedulingPolicy;
   /** Longest lease of a worker, milliseconds of its clock. */
   readonly leaseMs: number;
   /** Time that a worker may take to stop a task, milliseconds. */
--- a/packages/scheduling/src/taskPlacers.ts
+++ b/packages/scheduling/src/taskPlacers.ts
@@ -2,6 +2,7 @@
 
 import { Registry } from "@rackspan/common";
 import type { HostLedger, InterferenceBook, JobTask } from "@rackspan/jobs";
+import type { SchedulingPolicy } from "./policy.js";
 
 export interface TaskPlacer {
   /**
@@ -19,6 +20,7 @@
 
 export interface TaskPlacerOptions {
   readonly interference: InterferenceBook;
+  readonly policy: SchedulingPolicy;
 }
 
 export const taskPlacers = new Registry<TaskPlacerOptions, TaskPlacer>(
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -27,9 +27,11 @@
   StartTaskCall,
 } from "@rackspan/protocol";
 import {
+  DEFAULT_POLICY,
   JobEngine,
   type HostRoster,
   type HostSession,
+  type SchedulingPolicy,
   type StopTaskCall,
 } from "@rackspan/scheduling";
 import {
@@ -68,6 +70,7 @@
   private ends = 0;
   private readonly percents = new Map<JobTaskId, number>();
   private readonly readings = new Map<JobTaskId, number>();
+  private readonly saved = new Map<JobTaskId, string>();
 
   constructor(
     readonly host: HostId,
@@ -124,6 +127,11 @@
     });
   }
 
+  /** The running task has saved its progress. */
+  save(task: JobTaskId, checkpoint: string): void {
+    this.saved.set(task, checkpoint);
+  }
+
   progress(task: JobTaskId, percent: number): void {
     this.percents.set(task, percent);
   }
@@ -166,7 +174,7 @@
       running: [...this.running].map(([task, run]) => ({
         task,
         run,
-        checkpoint: "",
+        checkpoint: this.saved.get(task) ?? "",
         progressPercent: this.percents.get(task) ?? 90,
         reading: this.readings.get(task) ?? 0,
       })),
@@ -214,6 +222,8 @@
   /** Hosts that a former leader may have left leases at. */
   readonly roster?: readonly HostId[];
   readonly clock?: ManualClock;
+  /** What differs from the usual policy. */
+  readonly policy?: Partial<SchedulingPolicy>;
 }
 
 export class EngineHarness {
@@ -255,6 +265,7 @@
       }),
       order: "bySlack",
       placer: "colocating",
+      policy: { ...DEFAULT_POLICY, ...options.policy },
       leaseMs: LEASE_MS,
       stopMs: 200,
       mayDecide: () => this.leads,
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -432,6 +432,29 @@
   expect(host.isRunning(taskId("new.0.0.0"))).toEqual(true);
 });
 
+test("checkpoints of running tasks are kept before any task of the job ends", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ checkpointing: true }]);
+  await harness.run(100);
+  host.save(taskId("j.0.0.0"), "half");
+  await harness.run(1_300);
+  expect(lastProgress(harness, "j")?.checkpoints).toEqual([["0.0.0", "half"]]);
+  const kept = harness.store.recordsOf(TOPICS.progress).length;
+  await harness.run(1_500);
+  expect(harness.store.recordsOf(TOPICS.progress).length).toEqual(kept);
+});
+
+test("checkpoints are kept with ends only when their interval is switched off", async () => {
+  const harness = new EngineHarness({ policy: { checkpointEveryMs: 0 } });
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ checkpointing: true }]);
+  await harness.run(100);
+  host.save(taskId("j.0.0.0"), "half");
+  await harness.run(3_000);
+  expect(lastProgress(harness, "j")).toEqual(undefined);
+});
+
 test("failures that are heard of while another run is under way count as attempts", async () => {
   const before = new EngineHarness();
   const first = await before.addHost("h1");
