--- a/packages/entry/src/jobs/JobDesk.ts
+++ b/packages/entry/src/jobs/JobDesk.ts
@@ -28,6 +28,7 @@
   type StampedWriter,
   type TopicFollower,
 } from "@rackspan/state";
+import type { StoreReach } from "./StoreReach.js";
 
 export const DESK = {
   /** A refused caller is asked to come back after this. */
@@ -62,6 +63,7 @@
   readonly view: JobView;
   readonly config: ConfigHolder;
   readonly jobsFollower: TopicFollower;
+  readonly reach: StoreReach;
   readonly jobsWriter: StampedWriter;
   readonly cancelsWriter: StampedWriter;
   readonly clock: Clock;
@@ -98,6 +100,11 @@
     return config.current !== undefined && jobsFollower.loaded;
   }
 
+  /** Whether jobs can be kept now; callers are better off elsewhere while not. */
+  get reachesStore(): boolean {
+    return this.options.reach.isReached;
+  }
+
   findQueue(hostName: string, path: string): QueueSpec | undefined {
     return this.options.config.match(hostName, path);
   }
--- a/packages/entry/src/jobs/JobEntryProcess.ts
+++ b/packages/entry/src/jobs/JobEntryProcess.ts
@@ -85,12 +85,18 @@
 
   private isReady(): boolean {
     const { desk, config } = this.parts;
-    const ready = !this.stopping && desk.isReady;
+    const { isReady, reachesStore } = desk;
+    const ready = !this.stopping && isReady && reachesStore;
     if (ready !== this.wasReady) {
       this.wasReady = ready;
       const { stopping } = this;
       const version = config.current?.version;
-      this.logger.info("entry.readiness", { ready, stopping, config: version });
+      this.logger.info("entry.readiness", {
+        ready,
+        stopping,
+        reachesStore,
+        config: version,
+      });
     }
     return ready;
   }
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -53,6 +53,8 @@
   callers: listenAddressSchema,
   /** Where the platform asks whether this entry takes callers. */
   readiness: listenAddressSchema,
+  /** Whether an entry that cannot reach the store says that it is not ready. */
+  readyFollowsStore: z.boolean().default(true),
   /** Where sides connect to the leader. */
   sides: listenAddressSchema,
   metrics: listenAddressSchema.optional(),
--- a/packages/entry/src/jobs/wireJobEntry.ts
+++ b/packages/entry/src/jobs/wireJobEntry.ts
@@ -29,6 +29,7 @@
 import { JobDesk } from "./JobDesk.js";
 import { Leadership } from "./Leadership.js";
 import type { JobEntrySettings } from "./settings.js";
+import { StoreReach } from "./StoreReach.js";
 import { SideServer } from "./SideServer.js";
 
 /** Hosts join and leave rarely: their topic is polled less often. */
@@ -82,6 +83,12 @@
     view,
     config,
     jobsFollower,
+    reach: new StoreReach({
+      followers: [...storeParts.stateFollowers, storeParts.configFollower],
+      writers: [jobsWriter, cancelsWriter],
+      clock,
+      watches: settings.readyFollowsStore,
+    }),
     jobsWriter,
     cancelsWriter,
     clock,
--- a/packages/state/src/StampedWriter.ts
+++ b/packages/state/src/StampedWriter.ts
@@ -75,11 +75,16 @@
   private sequence = 1;
   private running = false;
   /** When the batch on its way was first sent; undefined when there is none. */
-  private sendingSince: Monotonic | undefined;
+  private batchSentAt: Monotonic | undefined;
   private closed: Error | undefined;
 
   constructor(private readonly options: StampedWriterOptions) {}
 
+  /** Since when a batch has been on its way; undefined when none is. */
+  get sendingSince(): Monotonic | undefined {
+    return this.batchSentAt;
+  }
+
   write(record: KeyedRecord): PendingWrite {
     let queued: QueuedRecord | undefined;
     const kept = new Promise<number>((resolve, reject) => {
@@ -169,14 +174,14 @@
   }
 
   private async sendBatch(batch: readonly QueuedRecord[]): Promise<void> {
-    this.sendingSince = this.options.clock.monotonic();
+    this.batchSentAt = this.options.clock.monotonic();
     try {
       const next = await this.send(batch.map(({ record }) => record));
       for (const { resolve } of batch) resolve(next);
     } catch (err) {
       for (const { reject } of batch) reject(err);
     } finally {
-      this.sendingSince = undefined;
+      this.batchSentAt = undefined;
     }
   }
 
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -39,6 +39,7 @@
   private readonly abort = new AbortController();
   private next: number | undefined;
   private confirmedAt: Monotonic | undefined;
+  private answeredAt: Monotonic = -Infinity;
   private reachable = true;
   private task: Promise<void> | undefined;
   private readonly waiters = new Set<() => void>();
@@ -68,6 +69,16 @@
     return this.options.clock.monotonic() - this.confirmedAt;
   }
 
+  /** When the store last answered a poll; -Infinity before. */
+  get heardAt(): Monotonic {
+    return this.answeredAt;
+  }
+
+  /** Whether the last poll failed. */
+  get failing(): boolean {
+    return !this.reachable;
+  }
+
   /** Resolves once everything that the store holds now has been handed on. */
   async catchUp(signal?: AbortSignal): Promise<void> {
     const askedAt = this.options.clock.monotonic();
@@ -130,6 +141,7 @@
 
   private confirm(askedAt: Monotonic): void {
     this.confirmedAt = askedAt;
+    this.answeredAt = this.options.clock.monotonic();
     const waiters = [...this.waiters];
     this.waiters.clear();
     for (const wake of waiters) wake();
