What a leader has learnt goes over to the next; entries that follow poll less, and ask before they deny a job

Change: models of images and corrections of estimates are kept in a topic every 2 s and read by the next leader, beside its first starts. Entries that do not lead poll every 100 ms; a caller who asks for an unknown job is answered after a look into the store. Tests for the records, the engine and the desk.

--- a/packages/entry/src/jobs/JobDesk.ts
+++ b/packages/entry/src/jobs/JobDesk.ts
@@ -6,6 +6,7 @@
 
 import {
   describeError,
+  pause,
   type Clock,
   type Logger,
   type Metrics,
@@ -35,6 +36,8 @@
   retryAfterMs: 1_000,
   /** A view older than this does not prove that a job does not exist. */
   maxViewAgeMs: 2_600,
+  /** Longest wait for a fresh view; the store answers in some milliseconds when it is well. */
+  refreshMs: 400,
   /** An answer is sent this long before the caller stops waiting for it. */
   answerMarginMs: 120,
 } as const;
@@ -141,13 +144,50 @@
     return this.note("submit", spec.id, outcome, began);
   }
 
-  state(queue: QueueKey, id: JobId): StateOutcome {
-    const { view, logger, jobsFollower } = this.options;
+  /**
+   * How the job stands. A job that this entry does not know is looked for in the
+   * store first: another entry may have accepted it a moment ago.
+   *
+   * @param deadline when the caller stops waiting, on the clock's steady time
+   */
+  async state(
+    queue: QueueKey,
+    id: JobId,
+    deadline: Monotonic,
+  ): Promise<StateOutcome> {
+    const known = this.knownState(queue, id);
+    if (known) return known;
+    await this.refreshJobs(deadline);
+    return this.knownState(queue, id) ?? this.unknownJob(id);
+  }
+
+  private knownState(queue: QueueKey, id: JobId): StateOutcome | undefined {
+    const { view } = this.options;
     const entry = view.get(id);
     const state = view.stateOf(id);
-    if (entry?.accepted.spec.queue === queue && state) {
-      return { kind: "known", state };
-    }
+    if (entry?.accepted.spec.queue !== queue || !state) return undefined;
+    return { kind: "known", state };
+  }
+
+  /** Waits until the view is fresh, or until the caller must be answered. */
+  private async refreshJobs(deadline: Monotonic): Promise<void> {
+    const { clock, jobsFollower, reach } = this.options;
+    if (!reach.isReached) return;
+    const waitMs = Math.min(
+      DESK.refreshMs,
+      deadline - clock.monotonic() - DESK.answerMarginMs,
+    );
+    if (waitMs <= 0) return;
+    const abort = new AbortController();
+    await Promise.race([
+      jobsFollower.catchUp(),
+      pause(clock, waitMs, abort.signal),
+    ]);
+    abort.abort();
+  }
+
+  private unknownJob(id: JobId): StateOutcome {
+    const { logger, jobsFollower } = this.options;
     const viewAge = Math.round(jobsFollower.ageMs);
     if (viewAge > DESK.maxViewAgeMs) {
       logger.info("job.state-unsure", { job: id, viewAge });
@@ -164,7 +204,7 @@
   ): Promise<DeskOutcome> {
     const { view, cancelsWriter, clock } = this.options;
     const began = clock.monotonic();
-    const found = this.state(queue, id);
+    const found = await this.state(queue, id, deadline);
     if (found.kind !== "known") return this.note("cancel", id, found, began);
     if (isFinal(found.state)) {
       return this.note("cancel", id, { kind: "accepted" }, began);
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -12,15 +12,19 @@
   type Unsubscribe,
 } from "@rackspan/common";
 import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
-import type { PermitService, RecordStore } from "@rackspan/ports";
+import type { KeyedRecord, PermitService, RecordStore } from "@rackspan/ports";
 import { JobEngine, type SchedulingPolicy } from "@rackspan/scheduling";
 import {
+  decodeLearnt,
+  encodeLearnt,
   isFinal,
+  learntKeyOf,
   StampedWriter,
   TOPICS,
   type ConfigHolder,
   type JobId,
   type JobView,
+  type LearntRecord,
   type TopicFollower,
 } from "@rackspan/state";
 import { StoredRoster } from "./StoredRoster.js";
@@ -97,6 +101,7 @@
   private readonly abort = new AbortController();
   private readonly writers: readonly StampedWriter[];
   private readonly progressWriter: StampedWriter;
+  private readonly learntWriter: StampedWriter;
   private readonly hostsWriter: StampedWriter;
   private readonly unsubscribes: Unsubscribe[] = [];
 
@@ -116,6 +121,7 @@
         gatherMs: 0,
         retriesRefused: true,
       });
+    this.learntWriter = writerOf(TOPICS.learnt);
     this.progressWriter = writerOf(TOPICS.progress);
     this.hostsWriter = writerOf(TOPICS.hosts);
     this.writers = [this.progressWriter, this.hostsWriter];
@@ -137,6 +143,45 @@
       hosts: this.options.view.roster.size,
     });
     this.sweepLater();
+    await this.restoreLearnt(this.engine);
+  }
+
+  /** Not waited for before the first starts: to know less only costs some worth. */
+  private async restoreLearnt(engine: JobEngine): Promise<void> {
+    const { store, logger } = this.options;
+    try {
+      const { records } = await store.newest(TOPICS.learnt);
+      if (this.abort.signal.aborted) return;
+      engine.restoreLearnt(
+        records.flatMap((record) => this.readLearnt(record)),
+      );
+    } catch (err) {
+      const error = describeError(err);
+      logger.warn("learnt.not-read", { epoch: this.epoch, error });
+    }
+  }
+
+  private readLearnt({ key, value }: KeyedRecord): LearntRecord[] {
+    if (!value) return [];
+    try {
+      return [decodeLearnt(key, value)];
+    } catch (err) {
+      const error = describeError(err);
+      this.options.logger.warn("learnt.unreadable", { key, error });
+      return [];
+    }
+  }
+
+  private keepLearnt(record: LearntRecord): void {
+    const { logger, mayDecide } = this.options;
+    if (!mayDecide()) return;
+    const key = learntKeyOf(record);
+    this.learntWriter
+      .write({ key, value: encodeLearnt(record) })
+      .kept.catch((err: unknown) => {
+        // Written again while more is learnt; the next leader misses little.
+        logger.info("learnt.not-kept", { key, error: describeError(err) });
+      });
   }
 
   end(): void {
@@ -144,7 +189,9 @@
     for (const unsubscribe of this.unsubscribes) unsubscribe();
     this.engine?.stop();
     const reason = new Error("this entry leads no more");
-    for (const writer of this.writers) writer.close(reason);
+    for (const writer of [...this.writers, this.learntWriter]) {
+      writer.close(reason);
+    }
   }
 
   private buildEngine(takenOverAt: number): JobEngine {
@@ -175,6 +222,7 @@
       stopMs,
       mayDecide: () => !this.abort.signal.aborted && mayDecide(),
       queueOf: (queue) => config.queue(queue),
+      keepLearnt: (record) => this.keepLearnt(record),
       permits: this.options.permits,
     });
     for (const { accepted, cancelled, progress } of view.all()) {
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -36,6 +36,7 @@
   movesFromSlowHosts: onOrOff,
   ejectsFailingHosts: onOrOff,
   checkpointEveryMs: z.number().int().min(0).max(60_000),
+  learntEveryMs: z.number().int().min(0).max(60_000),
 }) satisfies z.ZodType<SchedulingPolicy>;
 
 export const jobEntrySettingsSchema = z.strictObject({
@@ -81,8 +82,13 @@
       submitMs: z.number().min(0).max(1_000).default(4),
       /** Changes of progress likewise. */
       progressMs: z.number().min(0).max(1_000).default(20),
-      /** Least time between two polls of one topic. */
+      /** Least time between two polls of one topic by the entry that leads. */
       pollFloorMs: z.number().min(0).max(1_000).default(25),
+      /**
+       * The same for entries that do not lead: how late they may hear that a job
+       * has ended. Every entry polls for itself, so their calls are the most.
+       */
+      followFloorMs: z.number().min(0).max(1_000).default(100),
     })
     .prefault({}),
   scheduling: z
--- a/packages/entry/src/jobs/wireJobEntry.ts
+++ b/packages/entry/src/jobs/wireJobEntry.ts
@@ -76,7 +76,9 @@
 
 export const wireJobEntry = (wiring: JobEntryWiring): JobEntryParts => {
   const { settings, clock, logger, metrics, isReady } = wiring;
-  const storeParts = buildStoreParts(wiring);
+  const leads = (): boolean => leading.election.leads;
+  const storeParts = buildStoreParts({ ...wiring, leads });
+  const leading = buildLeading(wiring, storeParts);
   const { store, view, config, jobsFollower } = storeParts;
   const { jobsWriter, cancelsWriter } = storeParts;
   const desk = new JobDesk({
@@ -109,12 +111,17 @@
     config,
     followers: [...storeParts.stateFollowers, storeParts.configFollower],
     desk,
-    ...buildLeading(wiring, storeParts),
+    ...leading,
     front,
   };
 };
 
-const buildStoreParts = (base: JobEntryBase): StoreParts => {
+/** Whether this entry leads now; it follows topics more closely then. */
+interface StoreWiring extends JobEntryBase {
+  readonly leads: () => boolean;
+}
+
+const buildStoreParts = (base: StoreWiring): StoreParts => {
   const { logger, metrics } = base;
   const { client, store: address } = base.settings.platform;
   const store = storeClients.create(client, { address });
@@ -143,18 +150,21 @@
 };
 
 const buildFollower = (
-  { settings, clock, logger }: JobEntryBase,
+  { settings, clock, logger, leads }: StoreWiring,
   store: StoreClient,
   topic: TopicName,
   onRecords: (records: readonly KeyedRecord[]) => void,
 ): TopicFollower => {
-  const { pollFloorMs } = settings.batching;
+  const { pollFloorMs, followFloorMs } = settings.batching;
   return new TopicFollower({
     topic,
     store,
     clock,
     logger,
-    floorMs: topic === TOPICS.hosts ? HOSTS_POLL_FLOOR_MS : pollFloorMs,
+    floorMs: () => {
+      if (topic === TOPICS.hosts) return HOSTS_POLL_FLOOR_MS;
+      return leads() ? pollFloorMs : followFloorMs;
+    },
     onRecords,
   });
 };
--- /dev/null
+++ b/packages/entry/tests/jobDesk.test.ts
@@ -0,0 +1,117 @@
+/** What callers are told of jobs that another entry has taken. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  Metrics,
+  silentLogger,
+  type Monotonic,
+} from "@rackspan/common";
+import { JobDesk, StoreReach } from "@rackspan/entry";
+import {
+  ConfigHolder,
+  encodeJob,
+  JobView,
+  StampedWriter,
+  TopicFollower,
+  TOPICS,
+  type JobId,
+} from "@rackspan/state";
+import { MemoryStore, plainJob } from "@rackspan/standins";
+
+const JOB = brand<JobId>("5c0e7a21d94b36f8");
+const NEVER = brand<JobId>("0000000000000000");
+/** So long that nothing is heard by an ordinary poll within a test. */
+const FLOOR_MS = 60_000;
+
+const setUp = async () => {
+  const clock = new ManualClock();
+  const store = new MemoryStore(clock);
+  const logger = silentLogger;
+  const metrics = new Metrics();
+  const view = new JobView({ logger, metrics });
+  const writerOf = (topic: (typeof TOPICS)["jobs" | "cancels"], name: string) =>
+    new StampedWriter({
+      topic,
+      store,
+      clock,
+      logger,
+      producer: name,
+      epoch: 1,
+      gatherMs: 0,
+      retriesRefused: false,
+    });
+  const jobsFollower = new TopicFollower({
+    topic: TOPICS.jobs,
+    store,
+    clock,
+    logger,
+    floorMs: () => FLOOR_MS,
+    onRecords: (records) => view.takeJobs(records),
+  });
+  jobsFollower.start();
+  await clock.advance(10);
+  const jobsWriter = writerOf(TOPICS.jobs, "entry");
+  const cancelsWriter = writerOf(TOPICS.cancels, "entry");
+  const reach = new StoreReach({
+    followers: [jobsFollower],
+    writers: [jobsWriter],
+    clock,
+    watches: true,
+  });
+  const desk = new JobDesk({
+    view,
+    config: new ConfigHolder({ decode: () => ({}) as never }, logger),
+    jobsFollower,
+    reach,
+    jobsWriter,
+    cancelsWriter,
+    clock,
+    logger,
+    metrics,
+  });
+  const job = plainJob({ id: JOB, acceptedAt: clock.now() });
+  const elsewhere = writerOf(TOPICS.jobs, "other-entry");
+  const kept = elsewhere.write({ key: JOB, value: encodeJob(job) }).kept;
+  await clock.advance(10);
+  await kept;
+  const deadline = (): Monotonic => clock.monotonic() + 3_000;
+  const stop = async (): Promise<void> => {
+    const stopped = jobsFollower.stop();
+    await clock.advance(2_000);
+    await stopped;
+  };
+  return { clock, store, desk, job, deadline, stop };
+};
+
+test("a job that another entry took a moment ago is known at once", async () => {
+  const { clock, desk, job, deadline, stop } = await setUp();
+  const answer = desk.state(job.spec.queue, JOB, deadline());
+  await clock.advance(20);
+  expect(await answer).toEqual({ kind: "known", state: "queued" });
+  await stop();
+});
+
+test("a job that another entry took a moment ago can be cancelled", async () => {
+  const { clock, store, desk, job, deadline, stop } = await setUp();
+  const answer = desk.cancel(job.spec.queue, JOB, deadline());
+  await clock.advance(20);
+  expect(await answer).toEqual({ kind: "accepted" });
+  expect(store.recordsOf(TOPICS.cancels).length).toEqual(1);
+  await stop();
+});
+
+test("that a job does not exist is said only after a look into the store", async () => {
+  const { clock, store, desk, job, deadline, stop } = await setUp();
+  const answer = desk.state(job.spec.queue, NEVER, deadline());
+  await clock.advance(20);
+  expect(await answer).toEqual({ kind: "no-such-job" });
+  store.fault = "refuses";
+  await clock.advance(3_000);
+  const later = desk.state(job.spec.queue, NEVER, deadline());
+  await clock.advance(500);
+  expect((await later).kind).toEqual("refused");
+  await stop();
+});
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -51,7 +51,7 @@
     store,
     clock,
     logger,
-    floorMs: 20,
+    floorMs: () => 20,
     onRecords: (records) => view.takeJobs(records),
   });
   jobs.start();
--- a/packages/jobs/src/InterferenceBook.ts
+++ b/packages/jobs/src/InterferenceBook.ts
@@ -4,7 +4,8 @@
  * (docs/measurements/platform.md, "Interference").
  */
 
-import type { ImageName } from "@rackspan/state";
+import type { Instant } from "@rackspan/common";
+import type { ImageName, LearntTail } from "@rackspan/state";
 import {
   TAIL_MODEL,
   TailModel,
@@ -12,17 +13,68 @@
   type TailReading,
 } from "./TailModel.js";
 
+/** Serving images followed at once; the one first learnt is forgotten. */
+const MAX_MODELS = 256;
+
 export class InterferenceBook {
+  /** In the order in which they were first learnt. */
   private readonly models = new Map<ImageName, TailModel>();
+  /** Serving images of which more was learnt since they were last kept. */
+  private readonly changed = new Set<ImageName>();
 
   /** @param learns whether readings change anything; else all pairs are alike */
   constructor(private readonly learns = true) {}
 
   learn(serving: ImageName, reading: TailReading): void {
     if (!this.learns) return;
-    const model = this.models.get(serving) ?? new TailModel();
+    this.modelOf(serving).learn(reading);
+    this.changed.add(serving);
+  }
+
+  /** Models that have changed since they were last taken here. */
+  takeChanged(now: Instant): LearntTail[] {
+    const records: LearntTail[] = [];
+    for (const serving of this.changed) {
+      const snapshot = this.models.get(serving)?.snapshot();
+      if (!snapshot) continue;
+      const { filling, mean, covariance } = snapshot;
+      records.push({
+        kind: "tail",
+        writtenAt: now,
+        serving,
+        filling: [...filling],
+        mean: [...mean],
+        covariance: covariance.map((row) => [...row]),
+      });
+    }
+    this.changed.clear();
+    return records;
+  }
+
+  /**
+   * Takes what a former leader learnt of an image.
+   * @returns whether it was of use: nothing is known of the image yet
+   */
+  restore(record: LearntTail, ageMs: number): boolean {
+    if (!this.learns || this.models.has(record.serving)) return false;
+    const model = TailModel.restore(record, ageMs);
+    if (model) this.add(record.serving, model);
+    return model !== undefined;
+  }
+
+  private modelOf(serving: ImageName): TailModel {
+    const known = this.models.get(serving);
+    if (known) return known;
+    const model = new TailModel();
+    this.add(serving, model);
+    return model;
+  }
+
+  private add(serving: ImageName, model: TailModel): void {
     this.models.set(serving, model);
-    model.learn(reading);
+    if (this.models.size <= MAX_MODELS) return;
+    const [oldest] = this.models.keys();
+    if (oldest !== undefined) this.models.delete(oldest);
   }
 
   /** What one core of the filling image adds to the logarithm of the tail. */
--- a/packages/jobs/src/TailModel.ts
+++ b/packages/jobs/src/TailModel.ts
@@ -65,6 +65,16 @@
   readonly beside: FillingCores;
 }
 
+/** What a model knows, as it is kept for the next leader. */
+export interface TailSnapshot {
+  /** In the order of their weights in `mean`. */
+  readonly filling: readonly ImageName[];
+  /** The base, then the weights. */
+  readonly mean: readonly number[];
+  /** Lower triangle, row by row. */
+  readonly covariance: readonly (readonly number[])[];
+}
+
 /** Place of the base in `mean`; weights stand behind it. */
 const BASE = 0;
 
@@ -121,11 +131,17 @@
   }
 
   private driftBase(at: Monotonic): void {
-    const sinceMs = Math.max(0, at - (this.learntAt ?? at));
+    this.widenBase(Math.max(0, at - (this.learntAt ?? at)));
     this.learntAt = at;
+  }
+
+  /** The base may have moved since it was last read, but not past all bounds. */
+  private widenBase(sinceMs: number): void {
+    const { baseDriftVariance, baseDeviation } = TAIL_MODEL;
     const row = this.covariance[BASE] as number[];
-    const seconds = sinceMs / MS_PER_SECOND;
-    row[BASE] = (row[BASE] as number) + seconds * TAIL_MODEL.baseDriftVariance;
+    const known = row[BASE] as number;
+    const drifted = known + (sinceMs / MS_PER_SECOND) * baseDriftVariance;
+    row[BASE] = Math.max(known, Math.min(drifted, baseDeviation ** 2));
   }
 
   private drift(inputs: ReadonlyMap<number, number>): void {
@@ -166,6 +182,49 @@
     });
   }
 
+  /** What is known, with numbers rounded to what matters. */
+  snapshot(): TailSnapshot {
+    const filling = [...this.places]
+      .sort(([, a], [, b]) => a - b)
+      .map(([image]) => image);
+    return {
+      filling,
+      mean: this.mean.map(rounded),
+      covariance: this.covariance.map((row, place) =>
+        row.slice(0, place + 1).map(rounded),
+      ),
+    };
+  }
+
+  /**
+   * @param ageMs how long ago the snapshot was taken; the base has moved since
+   * @returns undefined when its parts do not belong together
+   */
+  static restore(
+    { filling, mean, covariance }: TailSnapshot,
+    ageMs: number,
+  ): TailModel | undefined {
+    const size = filling.length + 1;
+    const fits =
+      size <= TAIL_MODEL.maxImages + 1 &&
+      mean.length === size &&
+      covariance.length === size &&
+      covariance.every((row, place) => row.length === place + 1);
+    if (!fits) return undefined;
+    const model = new TailModel();
+    filling.forEach((image, at) => model.places.set(image, at + 1));
+    model.mean = [...mean];
+    model.covariance = covariance.map((row, place) =>
+      mean.map((_, column) =>
+        column <= place
+          ? (row[column] as number)
+          : (covariance[column]?.[place] as number),
+      ),
+    );
+    model.widenBase(ageMs);
+    return model;
+  }
+
   /** The place of the image's weight; an image that is not known gets one. */
   private placeOf(image: ImageName): number {
     const known = this.places.get(image);
@@ -215,3 +274,9 @@
   const most = TAIL_MODEL.maxDeviations * Math.sqrt(variance);
   return Math.max(-most, Math.min(most, error));
 };
+
+/** Weights and variances below this tell nothing. */
+const ROUNDING = 1e6;
+
+const rounded = (value: number): number =>
+  Math.round(value * ROUNDING) / ROUNDING;
--- a/packages/jobs/tests/interferenceBook.test.ts
+++ b/packages/jobs/tests/interferenceBook.test.ts
@@ -147,3 +147,36 @@
   expect(Math.abs(book.weight(WEB, render) - 0.2) < 0.04).toEqual(true);
   expect(book.weight(WEB, index) < 0.06).toEqual(true);
 });
+
+test("what was learnt goes over to the next leader, and is taken only once", () => {
+  const book = new InterferenceBook();
+  teach(book, 200);
+  const [record] = book.takeChanged(1_000);
+  if (!record) throw new Error("nothing was kept");
+  expect(book.takeChanged(2_000)).toEqual([]);
+  const next = new InterferenceBook();
+  expect(next.restore(record, 500)).toEqual(true);
+  const render = image("render");
+  const lost = next.weight(WEB, render) - book.weight(WEB, render);
+  expect(Math.abs(lost) < 1e-5).toEqual(true);
+  // What this leader knows itself is newer.
+  expect(next.restore({ ...record, mean: [0, 0, 0] }, 500)).toEqual(false);
+  teach(next, 20);
+  expect(next.weight(WEB, render) > 0.15).toEqual(true);
+});
+
+test("a record whose parts do not belong together is not taken", () => {
+  const book = new InterferenceBook();
+  teach(book, 20);
+  const [record] = book.takeChanged(1_000);
+  if (!record) throw new Error("nothing was kept");
+  for (const broken of [
+    { ...record, mean: record.mean.slice(1) },
+    { ...record, covariance: record.covariance.map((row) => [...row, 0]) },
+    { ...record, filling: [...record.filling, image("more")] },
+  ]) {
+    const next = new InterferenceBook();
+    expect(next.restore(broken, 0)).toEqual(false);
+    expect(next.weight(WEB, image("render"))).toEqual(TAIL_MODEL.initialWeight);
+  }
+});
--- a/packages/scheduling/src/EstimateBook.ts
+++ b/packages/scheduling/src/EstimateBook.ts
@@ -3,9 +3,9 @@
  * Soft state: a new leader starts without corrections.
  */
 
-import { MILLI_CORES_PER_CORE } from "@rackspan/common";
+import { MILLI_CORES_PER_CORE, type Instant } from "@rackspan/common";
 import type { JobRun, StepRun } from "@rackspan/jobs";
-import type { QueueKey } from "@rackspan/state";
+import type { LearntEstimates, QueueKey } from "@rackspan/state";
 
 const ESTIMATES = {
   /** Weight of one observation in the moving mean of the logarithm. */
@@ -18,6 +18,8 @@
   /** Mean natural logarithm of (time taken / estimate), by queue. */
   private readonly corrections = new Map<QueueKey, number>();
 
+  private changed = false;
+
   /** @param corrects whether run times that were seen change anything */
   constructor(private readonly corrects: boolean) {}
 
@@ -30,6 +32,26 @@
     const { queue } = step.job.accepted.spec;
     const before = this.corrections.get(queue) ?? 0;
     this.corrections.set(queue, before + ESTIMATES.weight * (bounded - before));
+    this.changed = true;
+  }
+
+  /** What was learnt; undefined when that is nothing new since it was last taken here. */
+  takeChanged(now: Instant): LearntEstimates | undefined {
+    if (!this.changed) return undefined;
+    this.changed = false;
+    const corrections = [...this.corrections];
+    return { kind: "estimates", writtenAt: now, corrections };
+  }
+
+  /**
+   * Takes what a former leader learnt.
+   * @returns whether it was of use: nothing was learnt here yet
+   */
+  restore({ corrections }: LearntEstimates): boolean {
+    if (!this.corrects || this.corrections.size > 0) return false;
+    for (const [queue, value] of corrections)
+      this.corrections.set(queue, value);
+    return true;
   }
 
   /** Expected run time of one task, milliseconds. */
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -23,6 +23,7 @@
   isFinal,
   type AcceptedJob,
   type JobId,
+  type LearntRecord,
   type ProgressRecord,
 } from "@rackspan/state";
 import { CheckpointKeeper } from "./CheckpointKeeper.js";
@@ -39,6 +40,7 @@
 import { JobCloser } from "./JobCloser.js";
 import { disturbancesOn, learnInterference } from "./learnInterference.js";
 import { PermitBook } from "./PermitBook.js";
+import { LearntKeeper } from "./LearntKeeper.js";
 import { ProgressKeeper } from "./ProgressKeeper.js";
 import { RunAdopter } from "./RunAdopter.js";
 import { RunControl } from "./RunControl.js";
@@ -60,6 +62,7 @@
   private readonly hosts = new HostBook();
   private readonly interference: InterferenceBook;
   private readonly checkpoints: CheckpointKeeper;
+  private readonly learnt: LearntKeeper;
   private readonly permits: PermitBook;
   private readonly runs: RunControl;
   private readonly dispatcher: Dispatcher;
@@ -117,6 +120,14 @@
       ejector,
       requestPass,
     };
+    this.learnt = new LearntKeeper({
+      interference,
+      estimates,
+      clock,
+      logger,
+      everyMs: policy.learntEveryMs,
+      write: options.keepLearnt,
+    });
     const keeper = new ProgressKeeper({ journal, logger });
     const everyMs = policy.checkpointEveryMs;
     this.checkpoints = new CheckpointKeeper({
@@ -134,6 +145,7 @@
 
   start(): void {
     this.schedule();
+    this.learnt.start();
     this.dispatcher.requestPass();
   }
 
@@ -142,9 +154,15 @@
     this.stopped = true;
     this.permits.stop();
     this.checkpoints.stop();
+    this.learnt.stop();
     this.timer?.cancel();
   }
 
+  /** Takes what a former leader has learnt; it may come at any time. */
+  restoreLearnt(records: readonly LearntRecord[]): void {
+    this.learnt.restore(records);
+  }
+
   addJob(accepted: AcceptedJob, progress: ProgressRecord | undefined): void {
     if (this.jobs.get(accepted.spec.id)) return;
     const { clock, logger } = this.options;
--- /dev/null
+++ b/packages/scheduling/src/LearntKeeper.ts
@@ -0,0 +1,66 @@
+/**
+ * Keeps in the store, at an interval, what this leader has learnt, and takes
+ * over what the last one had: a new leader would disturb serving tasks for as
+ * long as it takes to learn the pairs of images again.
+ */
+
+import type { Clock, Logger, Timer } from "@rackspan/common";
+import type { InterferenceBook } from "@rackspan/jobs";
+import { ageOf, learntKeyOf, type LearntRecord } from "@rackspan/state";
+import type { EstimateBook } from "./EstimateBook.js";
+
+/** Older records say nothing of what runs now, milliseconds. */
+const MAX_AGE_MS = 600_000;
+
+export interface LearntKeeperOptions {
+  readonly interference: InterferenceBook;
+  readonly estimates: EstimateBook;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Milliseconds; 0 for never. */
+  readonly everyMs: number;
+  readonly write: (record: LearntRecord) => void;
+}
+
+export class LearntKeeper {
+  private timer: Timer | undefined;
+
+  constructor(private readonly options: LearntKeeperOptions) {}
+
+  start(): void {
+    const { clock, everyMs } = this.options;
+    if (everyMs === 0) return;
+    this.timer = clock.after(everyMs, () => {
+      this.keep();
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.timer?.cancel();
+  }
+
+  /** Takes what a former leader had learnt, where this one knows nothing yet. */
+  restore(records: readonly LearntRecord[]): void {
+    const { interference, estimates, clock, logger, everyMs } = this.options;
+    if (everyMs === 0) return;
+    for (const record of records) {
+      const age = ageOf(record, clock.now());
+      const taken =
+        age <= MAX_AGE_MS &&
+        (record.kind === "tail"
+          ? interference.restore(record, age)
+          : estimates.restore(record));
+      const key = learntKeyOf(record);
+      logger.info("learnt.restored", { key, age: Math.round(age), taken });
+    }
+  }
+
+  private keep(): void {
+    const { interference, estimates, clock, write } = this.options;
+    const now = clock.now();
+    for (const record of interference.takeChanged(now)) write(record);
+    const corrections = estimates.takeChanged(now);
+    if (corrections) write(corrections);
+  }
+}
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -16,7 +16,7 @@
   TakeoverGate,
 } from "@rackspan/jobs";
 import type { PermitService } from "@rackspan/ports";
-import type { QueueKey, QueueSpec } from "@rackspan/state";
+import type { LearntRecord, QueueKey, QueueSpec } from "@rackspan/state";
 import type { HostSession } from "./HostSession.js";
 import type { SchedulingPolicy } from "./policy.js";
 
@@ -84,6 +84,8 @@
   readonly mayDecide: () => boolean;
   /** What the configuration says of the queue now; undefined when it is dropped. */
   readonly queueOf: (queue: QueueKey) => QueueSpec | undefined;
+  /** Keeps what was learnt for the next leader. */
+  readonly keepLearnt: (record: LearntRecord) => void;
   /** Undefined where the platform has no such service. */
   readonly permits: PermitService | undefined;
 }
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -27,6 +27,8 @@
    * 0 keeps them only when a task of the job ends.
    */
   readonly checkpointEveryMs: number;
+  /** How often what was learnt is kept for the next leader, milliseconds; 0 for never. */
+  readonly learntEveryMs: number;
 }
 
 /** What holds where the settings say nothing. */
@@ -41,4 +43,5 @@
   movesFromSlowHosts: true,
   ejectsFailingHosts: true,
   checkpointEveryMs: 1_000,
+  learntEveryMs: 2_000,
 };
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -38,6 +38,7 @@
   StampedWriter,
   TOPICS,
   type AcceptedJob,
+  type LearntRecord,
   type PermitRule,
   type QueueKey,
   type QueueSpec,
@@ -232,6 +233,8 @@
   readonly engine: JobEngine;
   readonly hosts: FakeHost[] = [];
   leads = true;
+  /** What the engine has kept for the next leader, in order. */
+  readonly learnt: LearntRecord[] = [];
 
   private readonly queue: QueueSpec;
 
@@ -270,6 +273,7 @@
       stopMs: 200,
       mayDecide: () => this.leads,
       queueOf: () => this.queue,
+      keepLearnt: (record) => this.learnt.push(record),
       permits: options.permits,
     });
     this.engine.start();
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -486,3 +486,36 @@
   expect(lastProgress(after, "j")?.state).toEqual("failed");
   expect(starts.length + second.starts.length).toEqual(2);
 });
+
+test("a new leader goes on with what the last one learnt of images", async () => {
+  const before = new EngineHarness();
+  const host = await before.addHost("h1");
+  const image = "web" as never;
+  before.submit("s", [{ lasting: true, tailTargetMs: 10, image }]);
+  before.submit("f", [{ filling: true, image: "render" as never }]);
+  await before.run(100);
+  host.progress(taskId("s.0.0.0"), 100);
+  host.read(taskId("s.0.0.0"), 30);
+  host.read(taskId("f.0.0.0"), 4_000);
+  await before.run(2_500);
+  const [record] = before.learnt;
+  expect(record?.kind).toEqual("tail");
+  before.leads = false;
+  const after = new EngineHarness({ epoch: 2, clock: before.clock });
+  after.engine.restoreLearnt(before.learnt.slice(0, 1));
+  after.submit("s", [{ lasting: true, tailTargetMs: 10, image }]);
+  after.submit("f", [{ filling: true, image: "render" as never }]);
+  after.engine.attach(host.host, host);
+  const [known] = after.reportOf(host).disturbances ?? [];
+  expect((known?.weight ?? 0) > 0.1).toEqual(true);
+});
+
+test("nothing is kept of what is learnt where that is switched off", async () => {
+  const harness = new EngineHarness({ policy: { learntEveryMs: 0 } });
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ estimateMs: 100 }]);
+  await harness.run(200);
+  host.end(taskId("j.0.0.0"), "done");
+  await harness.run(5_000);
+  expect(harness.learnt).toEqual([]);
+});
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -29,8 +29,11 @@
   readonly store: RecordStore;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Least time between two polls, milliseconds: each call has a price. */
-  readonly floorMs: number;
+  /**
+   * Least time between two polls, milliseconds: each call has a price. Asked for
+   * before each pause, since an entry that leads must hear of news sooner.
+   */
+  readonly floorMs: () => number;
   /** Called with the records of one page, in order. */
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
 }
@@ -98,12 +101,19 @@
         worked && this.waiters.size > 0
           ? 0
           : worked
-            ? floorMs - (clock.monotonic() - began)
+            ? floorMs() - (clock.monotonic() - began)
             : FOLLOW.retryMs;
-      if (pauseMs > 0) await pause(clock, pauseMs, this.abort.signal);
+      if (pauseMs > 0) await this.pauseFor(pauseMs);
     }
   }
 
+  /** Ends early when somebody waits for a fresh view. */
+  private async pauseFor(ms: number): Promise<void> {
+    this.pollAbort = new AbortController();
+    const signals = [this.abort.signal, this.pollAbort.signal];
+    await pause(this.options.clock, ms, AbortSignal.any(signals));
+  }
+
   private async step(): Promise<boolean> {
     try {
       if (this.next === undefined) await this.load();
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./jobModel.js";
 export * from "./jobRecords.js";
 export * from "./JobView.js";
+export * from "./learntRecords.js";
 export * from "./LogFollower.js";
 export * from "./records.js";
 export * from "./replicasInPlace.js";
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -26,6 +26,8 @@
   progress: "progress" as TopicName,
   /** Key: host name. Written by the leader before it first grants a lease there. */
   hosts: "hosts" as TopicName,
+  /** Key: see learntKeyOf. Written by the leader, read by the next one. */
+  learnt: "learnt" as TopicName,
   /** Key `config`: written by the operator. */
   config: "config" as TopicName,
   /** Never written: its only partition stands for leadership. */
@@ -130,7 +132,8 @@
     }),
   );
 
-const parseJson = <S extends z.ZodType>(
+/** @throws BadRecordError */
+export const parseRecord = <S extends z.ZodType>(
   topic: TopicName,
   key: string,
   value: Buffer,
@@ -145,7 +148,7 @@
 
 /** @throws BadRecordError */
 export const decodeJob = (key: string, value: Buffer): AcceptedJob => {
-  const record = parseJson(TOPICS.jobs, key, value, jobRecordSchema);
+  const record = parseRecord(TOPICS.jobs, key, value, jobRecordSchema);
   const { queue, payload, steps, repeat, acceptedAt, terms } = record;
   const id = key as unknown as JobId;
   const complete = steps.map((step) => ({ ...step, mayMiss: step.mayMiss }));
@@ -178,7 +181,7 @@
 
 /** @throws BadRecordError */
 export const decodeProgress = (key: string, value: Buffer): ProgressRecord =>
-  parseJson(TOPICS.progress, key, value, progressSchema);
+  parseRecord(TOPICS.progress, key, value, progressSchema);
 
 /** `[0,1,2,5]` as `0-2,5`. */
 export const encodeIndices = (indices: Iterable<number>): string => {
--- /dev/null
+++ b/packages/state/src/learntRecords.ts
@@ -0,0 +1,59 @@
+/**
+ * What a leader has learnt while it led, kept for the next one: how images
+ * disturb each other, and how far off estimates are. Losing it costs only time.
+ */
+
+import { z } from "zod";
+import type { Instant } from "@rackspan/common";
+import { parseRecord, TOPICS } from "./jobRecords.js";
+import type { ImageName, QueueKey } from "./jobModel.js";
+
+const imageSchema = z
+  .string()
+  .transform((name) => name as unknown as ImageName);
+const queueSchema = z.string().transform((key) => key as unknown as QueueKey);
+
+const tailSchema = z.object({
+  kind: z.literal("tail"),
+  /** Time of day at which it was written, milliseconds. */
+  writtenAt: z.number(),
+  /** The serving image. */
+  serving: imageSchema,
+  /** Filling images, in the order of their weights in `mean`. */
+  filling: z.array(imageSchema),
+  /** The base, then a weight for each filling image; logarithms. */
+  mean: z.array(z.number()),
+  /** Lower triangle, row by row. */
+  covariance: z.array(z.array(z.number())),
+});
+
+const estimatesSchema = z.object({
+  kind: z.literal("estimates"),
+  writtenAt: z.number(),
+  /** Mean natural logarithm of (time taken / estimate), by queue. */
+  corrections: z.array(z.tuple([queueSchema, z.number()])),
+});
+
+const learntSchema = z.discriminatedUnion("kind", [
+  tailSchema,
+  estimatesSchema,
+]);
+
+export type LearntTail = z.output<typeof tailSchema>;
+export type LearntEstimates = z.output<typeof estimatesSchema>;
+export type LearntRecord = z.output<typeof learntSchema>;
+
+/** The key under which a record is kept; one for each serving image. */
+export const learntKeyOf = (record: LearntRecord): string =>
+  record.kind === "tail" ? `tail:${record.serving}` : record.kind;
+
+export const encodeLearnt = (record: LearntRecord): Buffer =>
+  Buffer.from(JSON.stringify(record));
+
+/** @throws BadRecordError */
+export const decodeLearnt = (key: string, value: Buffer): LearntRecord =>
+  parseRecord(TOPICS.learnt, key, value, learntSchema);
+
+/** Milliseconds since the record was written; clocks of hosts may disagree. */
+export const ageOf = (record: LearntRecord, now: Instant): number =>
+  Math.max(0, now - record.writtenAt);
