Connections that fall silent cost one time-out, not one each

Cause: open connections may go silent for good while new ones work. Calls took kept-open connections one after the other, and each waited its whole time-out; four silent ones cost a leader more than its lease of 2.5 s. Change: when a kept-open connection gives no answer in time, the idle ones beside it are closed. Measured: a test with four silenced connections, red without the change.

--- a/packages/protocol/src/HttpClient.ts
+++ b/packages/protocol/src/HttpClient.ts
@@ -66,6 +66,16 @@
     this.agent.destroy();
   }
 
+  /**
+   * A connection that was kept open has fallen silent, so those kept beside it
+   * may have too: without this, each of them costs a call its whole time-out.
+   */
+  private closeIdle(): void {
+    for (const sockets of Object.values(this.agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
   private send(url: string, call: HttpCall): Promise<IncomingMessage> {
     return new Promise((resolve, reject) => {
       let connected = false;
@@ -76,10 +86,10 @@
         headers: headersOf(call),
       });
       const timeoutMs = call.timeoutMs ?? DEFAULT_TIMEOUT_MS;
-      const timer = setTimeout(
-        () => req.destroy(new Error(`no answer within ${timeoutMs} ms`)),
-        timeoutMs,
-      );
+      const timer = setTimeout(() => {
+        if (req.reusedSocket) this.closeIdle();
+        req.destroy(new Error(`no answer within ${timeoutMs} ms`));
+      }, timeoutMs);
       req.on("socket", (socket) => {
         if (!socket.connecting) connected = true;
         else socket.once("connect", () => (connected = true));
--- /dev/null
+++ b/packages/protocol/tests/httpClient.test.ts
@@ -0,0 +1,58 @@
+/** What an HTTP client makes of connections that fall silent while new ones work. */
+
+import { createServer, type ServerResponse } from "node:http";
+import { once } from "node:events";
+import type { Socket } from "node:net";
+import { test } from "node:test";
+import { expect } from "earl";
+import { addressOf, closeServer, HttpClient } from "@rackspan/protocol";
+
+const TIMEOUT_MS = 150;
+const KEPT_OPEN = 4;
+
+const createSilencingServer = async () => {
+  const silent = new Set<Socket>();
+  const waiting: ServerResponse[] = [];
+  let gathers = true;
+  const server = createServer((req, res) => {
+    if (silent.has(req.socket)) return;
+    if (gathers) waiting.push(res);
+    else res.end("fresh");
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  /** Answers what is waiting, then never speaks on those connections again. */
+  const fallSilent = (): void => {
+    gathers = false;
+    for (const res of waiting) {
+      if (res.socket) silent.add(res.socket);
+      res.end("first");
+    }
+  };
+  return { server, waiting, fallSilent };
+};
+
+test("connections that fell silent cost one time-out, not one each", async () => {
+  const { server, waiting, fallSilent } = await createSilencingServer();
+  const client = new HttpClient({ baseUrl: `http://${addressOf(server)}` });
+  const call = () =>
+    client.call({ method: "GET", path: "/", timeoutMs: TIMEOUT_MS });
+  const first = Array.from({ length: KEPT_OPEN }, () =>
+    client.call({ method: "GET", path: "/" }),
+  );
+  while (waiting.length < KEPT_OPEN) await new Promise(setImmediate);
+  fallSilent();
+  await Promise.all(first);
+  const outcomes: string[] = [];
+  for (let tries = 0; tries < 2; tries += 1) {
+    const outcome = await call().then(
+      ({ body }) => body.toString("utf8"),
+      () => "no answer",
+    );
+    outcomes.push(outcome);
+  }
+  expect(outcomes).toEqual(["no answer", "fresh"]);
+  client.close();
+  server.closeAllConnections();
+  await closeServer(server);
+});
