Two comments tell that what was learnt goes over to the next leader

Cause: the models of tails and the corrections of estimates said that a new leader learns anew; it takes over what the last one kept. Measured: format, lint and 247 of 247 tests.

--- a/packages/jobs/src/TailModel.ts
+++ b/packages/jobs/src/TailModel.ts
@@ -5,7 +5,8 @@
  * and followed by a Kalman filter: what stands beside the tail at one time is
  * told apart by what stood beside it, or did not, at others.
  *
- * Soft state: a new leader learns anew within some seconds.
+ * Soft state: a new leader takes over what the last one kept, where there is any,
+ * and learns the rest anew within some seconds.
  */
 
 import { MS_PER_SECOND, type Monotonic } from "@rackspan/common";
--- a/packages/scheduling/src/EstimateBook.ts
+++ b/packages/scheduling/src/EstimateBook.ts
@@ -1,6 +1,6 @@
 /**
  * Corrects what callers guess about run times by what their queue's tasks took.
- * Soft state: a new leader starts without corrections.
+ * Soft state: a new leader takes over what the last one kept, where there is any.
  */
 
 import { MILLI_CORES_PER_CORE, type Instant } from "@rackspan/common";
