A run that is given back has a log line that names the task's current run

Cause: when a task waited again although a run of it was under way, no line told who had put it back, nor which run it had at that moment. Change: task.given-back with the reason and the current run; a counter by reason. No logic is changed.

--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -39,7 +39,9 @@
       reason,
       runs: ledger.runs.size,
     });
-    for (const run of [...ledger.runs.values()]) runs.giveBack(entry, run);
+    for (const run of [...ledger.runs.values()]) {
+      runs.giveBack(entry, run, reason);
+    }
   }
 
   private watchRuns(entry: HostEntry, now: Monotonic): void {
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -275,7 +275,7 @@
         host: ledger.host,
         phase: run.phase,
       });
-      this.runs.giveBack(entry, run);
+      this.runs.giveBack(entry, run, "vanished");
     }
     this.adopter.adopt(entry, changes.unknown);
     this.ends.take(entry, changes.ended);
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -117,12 +117,36 @@
     }
   }
 
-  /** Frees a run that does not run and never will, and lets its task wait again. */
-  giveBack(host: HostEntry, run: ActiveRun): void {
+  /**
+   * Frees a run that does not run and never will, and lets its task wait again.
+   * @param reason what showed that it never will, for logs
+   */
+  giveBack(host: HostEntry, run: ActiveRun, reason: string): void {
+    this.logGivenBack(host, run, reason);
     this.options.hosts.release(host, run);
     this.letWait(run.task);
   }
 
+  /** Tells which run the task has at that moment: it should be the one given back. */
+  private logGivenBack(
+    { ledger }: HostEntry,
+    { task, run, phase }: ActiveRun,
+    reason: string,
+  ): void {
+    const { hosts, logger, metrics } = this.options;
+    const current = hosts.placementOf(task);
+    metrics.count("runs_given_back", { reason });
+    logger.info("task.given-back", {
+      task: task.id,
+      run,
+      host: ledger.host,
+      reason,
+      phase,
+      currentRun: current?.run.run,
+      currentHost: current?.host.ledger.host,
+    });
+  }
+
   /** Lets a task that has no run any more wait for its next one. */
   letWait(task: JobTask): void {
     const { job } = task.step;
@@ -216,13 +240,13 @@
         return;
       case "replaced":
       case "draining":
-        this.giveBack(host, run);
+        this.giveBack(host, run, `start-${result.kind}`);
         return;
       case "refused":
         if (result.reason === "unhealthy")
           avoidHost(run.task, host.ledger.host);
         this.pauseAfterRefusal(host, run, result.reason);
-        this.giveBack(host, run);
+        this.giveBack(host, run, `start-${result.reason}`);
         return;
     }
   }
