A task waits again only when its own run is released

Cause: an order's answer that arrives after its run was lost gave the run back a second time. HostBook.release checked that the run was the task's current one, but RunControl.letWait did not: the task waited, and was started beside its next run. In the book, one run then hid the other: an end of the hidden one was passed over, it then counted as vanished, and its task was started again; a cancel stopped only the run that was placed last. Class: an answer that speaks of one run was applied to the task, which had moved on. Change: the book of hosts alone lets a task wait, when it releases the run that the task has at that moment, and places no second one; answers for any other run are passed over, so that they do not pause the host's next life either.

--- a/packages/scheduling/src/EndTaker.ts
+++ b/packages/scheduling/src/EndTaker.ts
@@ -46,7 +46,7 @@
     if (end.outcome === "done" && task.step.spec.gang) {
       job.noteGangDone(task.step);
     }
-    runs.letWait(task);
+    runs.noteWaiting(task);
     closer.closeIfEnded(job, task);
     return changed || isFinal(job.state) ? job : undefined;
   }
--- a/packages/scheduling/src/HostBook.ts
+++ b/packages/scheduling/src/HostBook.ts
@@ -1,4 +1,8 @@
-/** All hosts that the leader knows, and which run of a task is where. */
+/**
+ * All hosts that the leader knows, and which run of a task is where. A task waits
+ * when its run is released here, and at no other time: whatever else speaks of a
+ * run (an answer, a report, a timer) may be about one that was released before.
+ */
 
 import type { HostId } from "@rackspan/common";
 import type { ActiveRun, JobRun, JobTask } from "@rackspan/jobs";
@@ -29,18 +33,37 @@
     return this.placed.get(task);
   }
 
-  place(host: HostEntry, run: ActiveRun): void {
+  /** Whether the run is the one that its task has now. */
+  isCurrent(run: ActiveRun): boolean {
+    return this.placed.get(run.task)?.run === run;
+  }
+
+  /** @returns false, and does nothing, when the task has a run already */
+  place(host: HostEntry, run: ActiveRun): boolean {
+    const { task } = run;
+    if (this.placed.has(task)) return false;
     host.ledger.add(run);
-    this.placed.set(run.task, { host, run });
+    this.placed.set(task, { host, run });
     this.countRun(run, 1);
+    task.step.job.notePlaced(task);
+    return true;
   }
 
-  /** Frees the run's room; does nothing when it was freed before. */
-  release(host: HostEntry, run: ActiveRun): void {
+  /**
+   * Frees the run's room and lets its task wait, unless the task is done.
+   *
+   * @returns false, and does nothing, when the run was released before. Its task
+   * may have its next run by then: a late answer that made such a task wait
+   * started 15 tasks beside their own runs in four seconds of a played day.
+   */
+  release(host: HostEntry, run: ActiveRun): boolean {
+    if (!this.isCurrent(run)) return false;
+    const { task } = run;
     host.ledger.remove(run);
-    if (this.placed.get(run.task)?.run !== run) return;
-    this.placed.delete(run.task);
+    this.placed.delete(task);
     this.countRun(run, -1);
+    task.step.job.noteWaiting(task);
+    return true;
   }
 
   hasRunsOf(job: JobRun): boolean {
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -33,7 +33,6 @@
         continue;
       }
       task.step.job.noteCheckpoint(task, row.checkpoint);
-      task.step.job.notePlaced(task);
       hosts.place(entry, this.runOf(entry, task, row));
       adopted.push(task);
     }
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -77,11 +77,13 @@
       crawlingSince: undefined,
       stopReason: undefined,
     };
-    ledger.noteLease(leaseOverBy(now, orderMs));
-    task.step.job.notePlaced(task);
     // Told before the run is in the ledger: the forecast counts what is there.
     const firstPercent = this.firstPercent(ledger, task);
-    hosts.place(host, run);
+    if (!hosts.place(host, run)) {
+      this.logAlreadyPlaced(host, run);
+      return;
+    }
+    ledger.noteLease(leaseOverBy(now, orderMs));
     void this.orderStart(host, run, { ticket, firstPercent });
   }
 
@@ -123,8 +125,12 @@
    */
   giveBack(host: HostEntry, run: ActiveRun, reason: string): void {
     this.logGivenBack(host, run, reason);
-    this.options.hosts.release(host, run);
-    this.letWait(run.task);
+    if (this.options.hosts.release(host, run)) this.noteWaiting(run.task);
+  }
+
+  /** A task has no run any more: it may have its next one. */
+  noteWaiting(task: JobTask): void {
+    this.options.onWaiting(task.step.job);
   }
 
   /** Tells which run the task has at that moment: it should be the one given back. */
@@ -147,11 +153,21 @@
     });
   }
 
-  /** Lets a task that has no run any more wait for its next one. */
-  letWait(task: JobTask): void {
-    const { job } = task.step;
-    job.noteWaiting(task);
-    this.options.onWaiting(job);
+  /** Only a fault of the caller's: waiting tasks have no run. */
+  private logAlreadyPlaced(
+    { ledger }: HostEntry,
+    { task, run }: ActiveRun,
+  ): void {
+    const { hosts, logger, metrics } = this.options;
+    const current = hosts.placementOf(task);
+    metrics.count("starts_beside_a_run");
+    logger.error("task.already-placed", {
+      task: task.id,
+      run,
+      host: ledger.host,
+      currentRun: current?.run.run,
+      currentHost: current?.host.ledger.host,
+    });
   }
 
   private firstPercent(host: HostLedger, { step }: JobTask): number {
@@ -229,7 +245,8 @@
     run: ActiveRun,
     result: HostCallResult,
   ): void {
-    if (run.phase !== "starting") return;
+    // A run that was lost with its host may be answered for after that.
+    if (!this.options.hosts.isCurrent(run) || run.phase !== "starting") return;
     switch (result.kind) {
       case "ok":
         run.phase = "running";
