--- a/packages/common/src/ManualClock.ts
+++ b/packages/common/src/ManualClock.ts
@@ -46,6 +46,11 @@
     this.time = end;
   }
 
+  /** Time passes while the process stands still: timers run at the next advance. */
+  freeze(ms: number): void {
+    this.time += ms;
+  }
+
   private nextDue(end: Monotonic): PendingTimer | undefined {
     let first: PendingTimer | undefined;
     for (const timer of this.timers) {
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -132,6 +132,11 @@
     });
   }
 
+  /** The task runs no more, and no end of it is listed. */
+  vanish(task: JobTaskId): void {
+    this.running.delete(task);
+  }
+
   /** The running task has saved its progress. */
   save(task: JobTaskId, checkpoint: string): void {
     this.saved.set(task, checkpoint);
--- /dev/null
+++ b/packages/scheduling/tests/reportAfterFreeze.test.ts
@@ -0,0 +1,65 @@
+/**
+ * What users would see: a task started once more than its attempts allow, or a
+ * second run of a task that its host had just listed.
+ *
+ * Order of events: the leader's process stands still for a while, with a pass
+ * over the waiting work due. When it wakes, the reports that have come meanwhile
+ * are taken before its timers run.
+ *
+ * Cause: a pass that is overdue was made at once, by whoever asked for it, and
+ * taking a report asks for one at every run that it frees: the pass then worked
+ * on books of which the report was half taken.
+ *
+ * Evidence: these tests, which fail where the pass is made inside the report.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { EngineHarness, LEASE_MS, taskId } from "./engineHarness.js";
+
+/** Longer than a pass may be overdue. */
+const FREEZE_MS = 600;
+
+test("a report after a freeze counts the last failure before anything is started", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{}]);
+  await harness.run(100);
+  host.end(taskId("j.0.0.0"), "failed");
+  await harness.run(200);
+  expect(host.isRunning(taskId("j.0.0.0"))).toEqual(true);
+  harness.engine.noteConfig();
+  harness.clock.freeze(FREEZE_MS);
+  host.end(taskId("j.0.0.0"), "failed");
+  harness.reportOf(host);
+  await harness.run(300);
+  expect(host.starts.length).toEqual(2);
+});
+
+test("a report after a freeze is compared whole before anything is started", async () => {
+  const harness = new EngineHarness();
+  const late = await harness.addHost("h1");
+  late.answers = "silent";
+  harness.submit("late", [{}]);
+  await harness.run(100);
+  const [order] = late.starts;
+  if (!order) throw new Error("no start was ordered");
+  late.answers = "ok";
+  harness.submit("lost", [{}]);
+  await harness.run(100);
+  // Nothing may be started while both the lost run and the late one are settled.
+  harness.leads = false;
+  await harness.run(LEASE_MS / 2);
+  const other = await harness.addHost("h2");
+  harness.leads = true;
+  expect(late.isRunning(taskId("late.0.0.0"))).toEqual(false);
+  late.vanish(taskId("lost.0.0.0"));
+  late.beginLate(order);
+  harness.engine.noteConfig();
+  harness.clock.freeze(FREEZE_MS);
+  harness.reportOf(late);
+  await harness.run(300);
+  const starts = [late, other].flatMap(({ starts }) => starts);
+  const ofLate = starts.filter(({ task }) => task === taskId("late.0.0.0"));
+  expect(ofLate.length).toEqual(1);
+});
