An overdue pass is made between reports, never inside one

Whoever takes a report asks for passes while it frees runs, so that the pass worked on books of which the report was half taken. Change: requestPass only schedules; the engine makes an overdue pass once a report is taken.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -37,16 +37,24 @@
 
   constructor(private readonly options: DispatcherOptions) {}
 
-  /** Makes a pass soon; many requests make one pass. */
+  /** Makes a pass soon; many requests make one pass. Never makes it at once. */
   requestPass(): void {
+    if (this.dueSince !== undefined) return;
+    const { clock } = this.options.engine;
+    this.dueSince = clock.monotonic();
+    clock.after(ENGINE.passFloorMs, () => this.passIfDue());
+  }
+
+  /**
+   * Makes a pass that was due long ago, without waiting for its timer: timers of
+   * a process that is short of time run late. Only for callers between two
+   * changes of the books. A pass in the middle of a report started a task past
+   * its attempts, and another beside a run that the report listed.
+   */
+  passIfOverdue(): void {
+    if (this.dueSince === undefined) return;
     const { clock, logger } = this.options.engine;
-    const now = clock.monotonic();
-    if (this.dueSince === undefined) {
-      this.dueSince = now;
-      clock.after(ENGINE.passFloorMs, () => this.passIfDue());
-      return;
-    }
-    const overdueMs = now - this.dueSince;
+    const overdueMs = clock.monotonic() - this.dueSince;
     if (overdueMs < ENGINE.passOverdueMs) return;
     logger.warn("dispatch.overdue", { overdueMs: Math.round(overdueMs) });
     this.passIfDue();
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -246,6 +246,7 @@
     gate.noteHeard(host);
     this.dispatcher.requestPass();
     entry.rostered = roster.has(host);
+    this.dispatcher.passIfOverdue();
     return this.grant(entry, report, now);
   }
 
