A job is new to a leader only once its view was read after the former term

Cause: the gate of a take-over lets jobs start at once that were first seen after the former leader's term. A take-over that lasted longer than that term (a process that stood still, a store that answered late) first saw all jobs then, and started their tasks beside runs on hosts that were still silent. Change: a job counts as new when it was first seen after the leader has read its view once more when no former leader decided.

--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -24,7 +24,7 @@
 } from "@rackspan/state";
 import { MemoryStore, plainJob, type StoreFault } from "@rackspan/standins";
 import { HostModel } from "./HostModel.js";
-import { LEADERSHIP, LeaderModel } from "./LeaderModel.js";
+import { LEADERSHIP, LeaderModel, VIEW_LAG_MS } from "./LeaderModel.js";
 import { RunHistory } from "./RunHistory.js";
 import { WorkerModel, type TaskTraits } from "./WorkerModel.js";
 
@@ -32,8 +32,6 @@
   hosts: 5,
   milliCores: 4_000,
   maxAttempts: 3,
-  /** Time until the leader's view holds what a caller was promised, milliseconds. */
-  viewDelayMs: 60,
   /** A step's tasks fail this often by themselves. */
   failShare: 0.06,
   electionMs: { every: 100, wait: 300 },
@@ -94,15 +92,15 @@
       terms: { maxAttempts: WORLD.maxAttempts },
     });
     jobs.set(job.spec.id, job);
-    clock.after(random.next() * WORLD.viewDelayMs, () =>
+    clock.after(random.next() * VIEW_LAG_MS, () =>
       this.tellLeader((leader) => leader.addJob(job)),
     );
   }
 
   cancel(id: JobId): void {
     this.cancelled.add(id);
-    const delayMs = this.random.next() * WORLD.viewDelayMs;
-    this.clock.after(WORLD.viewDelayMs + delayMs, () =>
+    const delayMs = this.random.next() * VIEW_LAG_MS;
+    this.clock.after(VIEW_LAG_MS + delayMs, () =>
       this.tellLeader((leader) => leader.cancelJob(id)),
     );
   }
--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -35,6 +35,9 @@
   stopMs: 200,
 } as const;
 
+/** Longest time until a leader sees what the store keeps, milliseconds. */
+export const VIEW_LAG_MS = 60;
+
 export interface LeaderModelOptions {
   readonly epoch: Epoch;
   readonly clock: Clock;
@@ -79,6 +82,12 @@
     if (this.isOver || this.isDead) return;
     const roster = [...hosts.keys()] as unknown as HostId[];
     const { leaseMs, ttlMs, stopMs } = LEADERSHIP;
+    const gate = new TakeoverGate({
+      takenOverAt,
+      roster,
+      leadershipTtlMs: ttlMs,
+      leaseMs,
+    });
     const engine = new JobEngine({
       epoch,
       clock: this.clock,
@@ -90,12 +99,7 @@
         gatherMs: 5,
       }),
       roster: new StoredRoster(hostsWriter, silentLogger, roster),
-      gate: new TakeoverGate({
-        takenOverAt,
-        roster,
-        leadershipTtlMs: ttlMs,
-        leaseMs,
-      }),
+      gate,
       order: "bySlack",
       placer: "colocating",
       policy: DEFAULT_POLICY,
@@ -115,6 +119,10 @@
       if (isCancelled) engine.cancelJob(id);
     }
     engine.start();
+    const waitMs = gate.authorityOverBy + VIEW_LAG_MS - this.clock.monotonic();
+    this.clock.after(waitMs, () =>
+      gate.noteViewCurrent(this.clock.monotonic()),
+    );
   }
 
   addJob(job: AcceptedJob): void {
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -198,6 +198,12 @@
     const { view, config, clock, logger, metrics } = this.options;
     const { leadershipTtlMs, leaseMs, stopMs, mayDecide } = this.options;
     const roster = [...view.roster];
+    const gate = new TakeoverGate({
+      takenOverAt,
+      roster,
+      leadershipTtlMs,
+      leaseMs,
+    });
     const engine = new JobEngine({
       epoch: this.epoch,
       clock,
@@ -209,12 +215,7 @@
         gatherMs: this.options.progressGatherMs,
       }),
       roster: new StoredRoster(this.hostsWriter, logger, roster),
-      gate: new TakeoverGate({
-        takenOverAt,
-        roster,
-        leadershipTtlMs,
-        leaseMs,
-      }),
+      gate,
       order: this.options.order,
       placer: this.options.placer,
       policy: this.options.policy,
@@ -244,9 +245,29 @@
       config.changes.on(() => engine.noteConfig()),
     );
     engine.start();
+    this.tellNewJobsLater(gate);
     return engine;
   }
 
+  /** Reads the view once more when no former leader decides: later jobs are new. */
+  private tellNewJobsLater(gate: TakeoverGate): void {
+    const { clock, followers, logger } = this.options;
+    const { signal } = this.abort;
+    const waitMs = gate.authorityOverBy - clock.monotonic();
+    clock.after(waitMs, () => {
+      if (signal.aborted) return;
+      Promise.all(followers.map((follower) => follower.catchUp(signal))).then(
+        () => gate.noteViewCurrent(clock.monotonic()),
+        // The term is over; until then the gate treats all jobs as old ones.
+        (err: unknown) =>
+          logger.info("leader.view-not-read", {
+            epoch: this.epoch,
+            error: describeError(err),
+          }),
+      );
+    });
+  }
+
   private sweepLater(): void {
     this.options.clock.after(LEADERSHIP.sweepEveryMs, () => {
       if (this.abort.signal.aborted) return;
--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -21,9 +21,11 @@
 export class TakeoverGate {
   private readonly silent: Set<HostId>;
   /** From then on no former leader decides anything. */
-  private readonly authorityOverBy: Monotonic;
+  readonly authorityOverBy: Monotonic;
   /** From then on nothing that a former leader started runs on a silent host. */
   private readonly leasesOverBy: Monotonic;
+  /** Jobs that were first seen after this are new for certain. */
+  private viewCurrentAt: Monotonic = Infinity;
 
   constructor(options: TakeoverGateOptions) {
     const { takenOverAt, roster, leadershipTtlMs, leaseMs } = options;
@@ -37,6 +39,17 @@
     this.silent.delete(host);
   }
 
+  /**
+   * This leader has seen every job that the store kept when no former leader
+   * decided any more. To be seen late is not to be new: a take-over that lasted
+   * longer than the former term took all jobs for new ones, and started eight
+   * tasks beside their runs (seed 145 of the random schedules).
+   */
+  noteViewCurrent(now: Monotonic): void {
+    if (now < this.authorityOverBy) return;
+    this.viewCurrentAt = Math.min(this.viewCurrentAt, now);
+  }
+
   isOpen(now: Monotonic): boolean {
     return this.silent.size === 0 || now >= this.leasesOverBy;
   }
@@ -47,6 +60,6 @@
    */
   mayStart(firstSeenAt: Monotonic, now: Monotonic): boolean {
     if (this.isOpen(now)) return true;
-    return firstSeenAt > this.authorityOverBy;
+    return firstSeenAt > this.viewCurrentAt;
   }
 }
