--- a/packages/entry/tests/jobDesk.test.ts
+++ b/packages/entry/tests/jobDesk.test.ts
@@ -115,3 +115,28 @@
   expect((await later).kind).toEqual("refused");
   await stop();
 });
+
+test("a cancel is denied only when the store has been asked since it came", async () => {
+  // Users saw a job run on whose cancel had been answered with "no such job".
+  // Order: another entry takes the job, this one loses the store, the cancel comes.
+  // Cause: a view that was some seconds old was taken to prove that no such job exists.
+  const { clock, store, desk, job, deadline, stop } = await setUp();
+  store.fault = "refuses";
+  const cancel = desk.cancel(job.spec.queue, JOB, deadline());
+  await clock.advance(500);
+  expect((await cancel).kind).toEqual("refused");
+  store.fault = "none";
+  await clock.advance(500);
+  const again = desk.cancel(job.spec.queue, JOB, deadline());
+  await clock.advance(200);
+  expect(await again).toEqual({ kind: "accepted" });
+  await stop();
+});
+
+test("a cancel of a job that the store has been asked for in vain is denied", async () => {
+  const { clock, desk, job, deadline, stop } = await setUp();
+  const cancel = desk.cancel(job.spec.queue, NEVER, deadline());
+  await clock.advance(200);
+  expect(await cancel).toEqual({ kind: "no-such-job" });
+  await stop();
+});
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -19,7 +19,13 @@
   TakeoverGate,
   type TaskDescription,
 } from "@rackspan/jobs";
-import type { PermitService, RunOutcome, StartRefusal } from "@rackspan/ports";
+import {
+  runKeyOf,
+  type PermitService,
+  type RunOutcome,
+  type RunRef,
+  type StartRefusal,
+} from "@rackspan/ports";
 import type {
   Grant,
   HostCallResult,
@@ -66,7 +72,12 @@
   acknowledged = 0;
   /** Whether a run that is stopped ends at once; else when the test ends it. */
   stopsAtOnce = true;
-  private running = new Map<JobTaskId, RunNumber>();
+  /** Whether reports list what began last before the others. */
+  listsNewestFirst = false;
+  /** By run: a worker may run two of one task. */
+  private running = new Map<string, RunRef>();
+  /** The highest run of each task that was stopped; none up to it begins. */
+  private readonly barred = new Map<JobTaskId, RunNumber>();
   private ended: HostReport["ended"] = [];
   private ends = 0;
   private readonly percents = new Map<JobTaskId, number>();
@@ -87,16 +98,17 @@
   async startTask(call: StartTaskCall): Promise<HostCallResult> {
     this.starts.push(call);
     if (this.answers === "hang") return new Promise(() => undefined);
-    if (this.answers === "ok") this.running.set(call.task, call.run);
+    if (this.answers === "ok") this.running.set(runKeyOf(call), call);
     return this.answer();
   }
 
   async stopTask(call: StopTaskCall): Promise<HostCallResult> {
     this.stops.push(call);
     if (this.answers === "hang") return new Promise(() => undefined);
-    if (this.stopsAtOnce && this.running.get(call.task) === call.run) {
-      this.end(call.task, "stopped");
+    if (this.stopsAtOnce && this.running.has(runKeyOf(call))) {
+      this.end(call.task, "stopped", call.run);
     }
+    if (this.stopsAtOnce || this.answers === "ok") this.bar(call);
     return this.answer();
   }
 
@@ -109,15 +121,16 @@
     this.described.push(...tasks.map(({ task }) => task));
   }
 
-  /** The worker has begun the run on its own, as a late order does. */
-  beginLate({ task, run }: StartTaskCall): void {
-    this.running.set(task, run);
+  /** The worker carries the order out late, unless a stop has barred the run. */
+  beginLate({ task, run }: RunRef): void {
+    if (run <= (this.barred.get(task) ?? 0)) return;
+    this.running.set(runKeyOf({ task, run }), { task, run });
   }
 
-  end(task: JobTaskId, outcome: RunOutcome): void {
-    const run = this.running.get(task);
+  /** @param run which run of the task; the one that began first where it is not given */
+  end(task: JobTaskId, outcome: RunOutcome, run = this.runOf(task)): void {
     if (run === undefined) throw new Error(`${task} does not run`);
-    this.running.delete(task);
+    this.running.delete(runKeyOf({ task, run }));
     this.ends += 1;
     this.ended.push({
       number: this.ends,
@@ -146,16 +159,23 @@
   replaceWorker(): void {
     this.instance = brand<WorkerInstance>(`${this.instance}x`);
     this.running.clear();
+    this.barred.clear();
     this.ended = [];
     this.ends = 0;
   }
 
   isRunning(task: JobTaskId): boolean {
-    return this.running.has(task);
+    return this.runOf(task) !== undefined;
   }
 
   get runningTasks(): readonly JobTaskId[] {
-    return [...this.running.keys()];
+    return this.runs.map(({ task }) => task);
+  }
+
+  /** In the order in which they are listed. */
+  get runs(): readonly RunRef[] {
+    const runs = [...this.running.values()];
+    return this.listsNewestFirst ? runs.reverse() : runs;
   }
 
   report(): HostReport {
@@ -172,7 +192,7 @@
         leavesInMs: this.leavesInMs,
       },
       at: this.at,
-      running: [...this.running].map(([task, run]) => ({
+      running: this.runs.map(({ task, run }) => ({
         task,
         run,
         checkpoint: this.saved.get(task) ?? "",
@@ -183,6 +203,15 @@
     };
   }
 
+  private runOf(task: JobTaskId): RunNumber | undefined {
+    const runs = [...this.running.values()];
+    return runs.find((run) => run.task === task)?.run;
+  }
+
+  private bar({ task, run }: RunRef): void {
+    if (run > (this.barred.get(task) ?? 0)) this.barred.set(task, run);
+  }
+
   private answer(): HostCallResult {
     switch (this.answers) {
       case "ok":
