A stop is a fact of its own: it ends with the worker's word, not with a report

Cause: a stop was given again only while the run had no answer, and any report that lists the run counted as one. A stop that was refused, left unanswered, lost with its connection or never sent for want of one was not repeated once a report came first; one that was confirmed and not carried out never was. The lease is the host's, so the run went on for ever. Change: a run that is to end, and a stray alike, carries its stop: why, whether an order is on its way, when the worker confirmed it. It is ordered again at each report and each look while it is neither; also when the run is still listed stopMs after the confirmation, and at once when the side attaches anew. One order at a time: a stop that hangs was given anew with each report, 15 times in 1.5 s in the test. A run that was never shown frees its room once its order has lapsed, also when its stop has no answer.

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -17,6 +17,7 @@
 import type { ImageName } from "@rackspan/state";
 import { natureOf } from "./describeTask.js";
 import type { JobTask } from "./JobTask.js";
+import type { StopOrder, StoppingRun } from "./StopOrder.js";
 
 /**
  * `starting`: ordered, not confirmed. `running`: seen by the worker.
@@ -31,7 +32,7 @@
   phase: RunPhase;
   /** On the leader's clock. */
   readonly startedAt: Monotonic;
-  /** Worker's clock at the last answer that bears on this run; undefined before. */
+  /** Worker's clock when it last showed the run, by a list or its answer to the start; undefined before. */
   answeredAt: WorkerTime | undefined;
   /** Worker's clock after which an unanswered order does nothing. */
   readonly orderLapsesAt: WorkerTime;
@@ -42,10 +43,15 @@
   reading: number;
   /** Since when a filling task has crawled, on the leader's clock; undefined while it does not. */
   crawlingSince: Monotonic | undefined;
-  /** Why a stop was ordered, for logs; undefined before. */
-  stopReason: string | undefined;
+  /** Undefined while the run is wanted. */
+  stop: StopOrder | undefined;
 }
 
+export const refOf = ({ task, run }: ActiveRun): RunRef => ({
+  task: task.id,
+  run,
+});
+
 /**
  * A run that the worker lists and that no waiting task accounts for, such as one
  * of a job that its caller cancelled under a former leader.
@@ -54,6 +60,7 @@
   readonly run: RunRef;
   /** Undefined when no record tells what it is. */
   readonly task: JobTask | undefined;
+  readonly stop: StopOrder;
 }
 
 /** Sums over the runs of one host; `filling` ones take memory only. */
@@ -152,6 +159,24 @@
     }
   }
 
+  /** The stray that the newest report listed as this run. */
+  strayOf(run: RunRef): StrayRun | undefined {
+    return this.strays.get(runKeyOf(run));
+  }
+
+  /** All runs there that are to stop. */
+  get stopping(): readonly StoppingRun[] {
+    const stopping: StoppingRun[] = [];
+    for (const run of this.runs.values()) {
+      const { stop, answeredAt: shownAt } = run;
+      if (stop) stopping.push({ ref: refOf(run), stop, shownAt });
+    }
+    for (const { run: ref, stop } of this.strays.values()) {
+      stopping.push({ ref, stop, shownAt: this.reportedAt });
+    }
+    return stopping;
+  }
+
   /** A stray has ended. */
   removeStray(run: RunRef): void {
     const key = runKeyOf(run);
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./RendezvousOwnership.js";
 export * from "./sampleHosts.js";
 export * from "./StepRun.js";
+export * from "./StopOrder.js";
 export * from "./TailModel.js";
 export * from "./TakeoverGate.js";
 export * from "./types.js";
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -14,20 +14,18 @@
   readonly unknown: readonly RunningTask[];
 }
 
-/** A report that was taken later than the last answer about the run. */
-const isLaterThan = (report: HostReport, run: ActiveRun): boolean =>
-  run.answeredAt !== undefined && report.at > run.answeredAt;
-
-const hasVanished = (report: HostReport, run: ActiveRun): boolean => {
-  switch (run.phase) {
-    case "starting":
-      return false;
-    case "unsure":
-      return report.at > run.orderLapsesAt;
-    case "running":
-    case "stopping":
-      return isLaterThan(report, run);
-  }
+/**
+ * Whether a run that the report does not list is not there and never will be:
+ * the worker has shown it before, or could not begin it any more by then.
+ */
+const hasVanished = (
+  { at }: HostReport,
+  { phase, answeredAt, orderLapsesAt, stop }: ActiveRun,
+): boolean => {
+  if (answeredAt !== undefined) return at > answeredAt;
+  const barredAt = stop?.confirmedAt;
+  if (barredAt !== undefined && at > barredAt) return true;
+  return phase !== "starting" && at > orderLapsesAt;
 };
 
 /** A filling task that gets less than this share of what it asks for crawls; tried on played days. */
--- a/packages/scheduling/src/HostIntake.ts
+++ b/packages/scheduling/src/HostIntake.ts
@@ -27,6 +27,7 @@
     for (const run of entry.ledger.runs.values()) {
       if (run.phase === "starting") run.phase = "unsure";
     }
+    for (const { stop } of entry.ledger.stopping) stop.sentAt = undefined;
     // A side that was restarted knows nothing of what runs on its host.
     const tasks = [...entry.ledger.runs.keys()];
     if (tasks.length > 0) session.describe(tasks.map(describeTask));
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -47,14 +47,11 @@
     const { host, runs: active } = entry.ledger;
     if (!options.mayDecide() || !entry.session) return;
     const { policy } = options;
+    runs.orderDueStops(entry);
     if (policy.movesFromSlowHosts && this.hasFasterHost(entry)) {
       this.moveFromSlowHost(entry, now);
     }
     for (const run of active.values()) {
-      if (run.phase === "stopping" && run.answeredAt === undefined) {
-        void runs.orderStop(entry, run);
-        continue;
-      }
       if (run.phase !== "running") continue;
       if (policy.movesCrawling && shouldLeave(run, host, now)) {
         avoidHost(run.task, host);
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -279,6 +279,7 @@
     }
     this.adopter.adopt(entry, changes.unknown);
     this.ends.take(entry, changes.ended);
+    this.runs.orderDueStops(entry);
   }
 
   private schedule(): void {
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -1,8 +1,9 @@
 /** Takes over runs that a former leader started, and stops those nobody wants. */
 
-import { describeError, type WorkerTime } from "@rackspan/common";
+import type { WorkerTime } from "@rackspan/common";
 import {
   describeTask,
+  newStop,
   type ActiveRun,
   type JobTask,
   type StrayRun,
@@ -17,21 +18,16 @@
 
   /** @param rows runs that the host lists and its ledger does not know */
   adopt(entry: HostEntry, rows: readonly RunningTask[]): void {
-    const { options, hosts, jobs } = this.parts;
+    const { hosts } = this.parts;
     const adopted: JobTask[] = [];
     const strays: StrayRun[] = [];
     for (const row of rows) {
       const task = this.findWaitingTask(row);
-      options.logger.info(task ? "task.adopted" : "task.stray", {
-        task: row.task,
-        run: row.run,
-        host: entry.ledger.host,
-      });
       if (!task) {
-        strays.push({ run: row, task: jobs.findTask(row.task) });
-        this.stopStray(entry, row);
+        strays.push(this.strayOf(entry, row));
         continue;
       }
+      this.log("task.adopted", entry, row);
       task.step.job.noteCheckpoint(task, row.checkpoint);
       task.step.job.notePlaced(task);
       hosts.place(entry, this.runOf(entry, task, row));
@@ -65,22 +61,27 @@
       progressedAt: now,
       reading,
       crawlingSince: undefined,
-      stopReason: undefined,
+      stop: undefined,
     };
   }
 
-  private stopStray(entry: HostEntry, { task, run }: RunningTask): void {
-    const { epoch, logger } = this.parts.options;
-    const { instance } = entry.ledger;
-    entry.session
-      ?.stopTask({ instance, epoch, task, run })
-      .catch((err: unknown) => {
-        // The next report lists it again, and it is stopped again.
-        logger.warn("task.stop-unanswered", {
-          task,
-          run,
-          error: describeError(err),
-        });
-      });
+  /** Its job may have been read, or forgotten, since the report before. */
+  private strayOf(entry: HostEntry, row: RunningTask): StrayRun {
+    const known = entry.ledger.strayOf(row);
+    if (!known) this.log("task.stray", entry, row);
+    return {
+      run: { task: row.task, run: row.run },
+      task: this.parts.jobs.findTask(row.task),
+      stop: known?.stop ?? newStop("unwanted"),
+    };
+  }
+
+  private log(
+    event: "task.adopted" | "task.stray",
+    { ledger }: HostEntry,
+    { task, run }: RunningTask,
+  ): void {
+    const { host } = ledger;
+    this.parts.options.logger.info(event, { task, run, host });
   }
 }
