--- a/packages/scheduling/tests/unasked.test.ts
+++ b/packages/scheduling/tests/unasked.test.ts
@@ -230,6 +230,27 @@
   expect(host.runs).toEqual([]);
 });
 
+test("a new leader keeps the later of two runs of one task, and stops the other", async () => {
+  // Users saw two runs of one task go on beside each other after a change of leader.
+  // Order: two runs of a task on one worker, a new leader takes over.
+  // Cause: rows of a report were told apart by task, so one of two runs was not seen.
+  for (const newestFirst of [false, true]) {
+    const before = await startLasting();
+    const { host } = before;
+    const [order] = host.starts;
+    if (!order) throw new Error("nothing was ordered");
+    host.beginLate(runBefore(order));
+    host.listsNewestFirst = newestFirst;
+    before.harness.leads = false;
+    const after = takeOver(before.harness, host);
+    after.submit("j", [{ lasting: true }]);
+    after.engine.attach(host.host, host);
+    await after.run(1_000);
+    expect(host.runs.map(({ run }) => run)).toEqual([order.run]);
+    expect(host.starts.length).toEqual(1);
+  }
+});
+
 test("a cancel stops all runs of a task that hosts are believed to run", async () => {
   // Users saw a task run on after its job was cancelled, beside a run that was stopped.
   // Order: a task runs on two hosts, since it was taken as waiting twice; cancel.
