A run is known by its task and its number in the books of hosts

Cause: the rows of a report and the runs of a host were kept by task. Of two runs of one task on one worker only the row that came last was compared: the other was neither known nor stopped while the first stood, or the task's own run was taken as vanished and the late one adopted in its place. Change: rows and runs are kept by task and number; of two unknown runs the later is taken over, and the other is a stray, which is stopped.

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -91,7 +91,8 @@
 const NO_READINGS: HostReadings = { tails: new Map(), usedCores: new Map() };
 
 export class HostLedger {
-  readonly runs = new Map<JobTask, ActiveRun>();
+  /** By run: a worker may run two of one task. */
+  readonly runs = new Map<string, ActiveRun>();
   /** The worker's clock when it last reported, and when the report arrived. */
   reportedAt: WorkerTime | undefined;
   heardAt: Monotonic = -Infinity;
@@ -134,13 +135,18 @@
   }
 
   add(run: ActiveRun): void {
-    this.runs.set(run.task, run);
+    this.runs.set(runKeyOf(refOf(run)), run);
     this.account(run.task, 1);
   }
 
+  /** Whether the run takes room there by the leader's books. */
+  has(run: ActiveRun): boolean {
+    return this.runs.get(runKeyOf(refOf(run))) === run;
+  }
+
   remove(run: ActiveRun): void {
-    if (this.runs.get(run.task) !== run) return;
-    this.runs.delete(run.task);
+    if (!this.has(run)) return;
+    this.runs.delete(runKeyOf(refOf(run)));
     this.account(run.task, -1);
   }
 
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -58,12 +58,12 @@
     .filter(({ number }) => number > ledger.notedEnds)
     .sort((a, b) => a.number - b.number);
   const endedRuns = new Set(ended.map(runKeyOf));
-  const rows = new Map(report.running.map((row) => [row.task, row]));
+  const rows = new Map(report.running.map((row) => [runKeyOf(row), row]));
   const vanished: ActiveRun[] = [];
-  for (const run of ledger.runs.values()) {
-    const row = rows.get(run.task.id);
-    if (row?.run === run.run) {
-      rows.delete(run.task.id);
+  for (const [key, run] of ledger.runs) {
+    const row = rows.get(key);
+    if (row) {
+      rows.delete(key);
       noteReading(run, row, now);
       run.answeredAt = report.at;
       if (run.phase === "starting" || run.phase === "unsure") {
@@ -71,7 +71,7 @@
       }
       continue;
     }
-    if (endedRuns.has(runKeyOf({ task: run.task.id, run: run.run }))) continue;
+    if (endedRuns.has(key)) continue;
     if (hasVanished(report, run)) vanished.push(run);
   }
   const last = ended.at(-1);
--- a/packages/scheduling/src/HostIntake.ts
+++ b/packages/scheduling/src/HostIntake.ts
@@ -29,8 +29,9 @@
     }
     for (const { stop } of entry.ledger.stopping) stop.sentAt = undefined;
     // A side that was restarted knows nothing of what runs on its host.
-    const tasks = [...entry.ledger.runs.keys()];
-    if (tasks.length > 0) session.describe(tasks.map(describeTask));
+    const runs = [...entry.ledger.runs.values()];
+    if (runs.length === 0) return;
+    session.describe(runs.map(({ task }) => describeTask(task)));
   }
 
   detach(host: HostId, session: HostSession): void {
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -240,7 +240,8 @@
     }
     this.intake.noteWorker(entry, report);
     this.takeChanges(entry, reconcileReport(ledger, report, now));
-    this.checkpoints.noteTasks(ledger.runs.keys());
+    const tasks = [...ledger.runs.values()].map(({ task }) => task);
+    this.checkpoints.noteTasks(tasks);
     learnInterference(ledger, this.interference, now);
     learnSlowness(entry, this.hosts, now);
     gate.noteHeard(host);
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -21,7 +21,9 @@
     const { hosts } = this.parts;
     const adopted: JobTask[] = [];
     const strays: StrayRun[] = [];
-    for (const row of rows) {
+    // Of two runs of one task the later is the one that was wanted last.
+    const latestFirst = [...rows].sort((a, b) => b.run - a.run);
+    for (const row of latestFirst) {
       const task = this.findWaitingTask(row);
       if (!task) {
         strays.push(this.strayOf(entry, row));
