The end of a job stops every run of it that hosts are believed to run

Cause: a cancel stopped the run of each task that was placed last. Where a task had been placed twice, its other run stayed in the books of its host, which list it as wanted, and ran on. Change: the runs are taken from the books of all hosts. Measured: the red test of a task that was taken as waiting twice passes; how it came to be placed twice is another cause and not mended here.

--- a/packages/scheduling/src/JobCloser.ts
+++ b/packages/scheduling/src/JobCloser.ts
@@ -40,11 +40,13 @@
     keeper.keepJob(job);
   }
 
+  /** Stops all that hosts are believed to run of the job, not only what was placed last. */
   private stopRuns(job: JobRun, reason: string): void {
     const { hosts, runs } = this.parts;
-    for (const { tasks } of job.steps) {
-      for (const { host, run } of hosts.runsOf(tasks)) {
-        runs.stop(host, run, reason);
+    if (!hosts.hasRunsOf(job)) return;
+    for (const host of hosts.all()) {
+      for (const run of host.ledger.runs.values()) {
+        if (run.task.step.job === job) runs.stop(host, run, reason);
       }
     }
   }
