A cancel is denied only when the store was asked since it came

Cause: an entry that could not ask the store in time told a caller that its job does not exist when its view was at most 2.6 s old. Another entry may have accepted the job since; the caller took its cancel as done, and the job ran on. Change: such a cancel is refused, and the caller comes again. What is told of a job's state is as before.

--- a/packages/entry/src/jobs/JobDesk.ts
+++ b/packages/entry/src/jobs/JobDesk.ts
@@ -161,6 +161,25 @@
     return this.knownState(queue, id) ?? this.unknownJob(id);
   }
 
+  /**
+   * How a job stands that is to be cancelled. It is denied only when the store
+   * was asked since the cancel came: a caller who is told that no such job exists
+   * takes it as cancelled, while another entry may have accepted it since.
+   */
+  private async stateToCancel(
+    queue: QueueKey,
+    id: JobId,
+    deadline: Monotonic,
+  ): Promise<StateOutcome> {
+    const { clock, jobsFollower } = this.options;
+    const began = clock.monotonic();
+    const found = await this.state(queue, id, deadline);
+    if (found.kind !== "no-such-job") return found;
+    const viewedAt = clock.monotonic() - jobsFollower.ageMs;
+    if (viewedAt >= began) return found;
+    return refused("the store could not be asked whether the job exists");
+  }
+
   private knownState(queue: QueueKey, id: JobId): StateOutcome | undefined {
     const { view } = this.options;
     const entry = view.get(id);
@@ -204,7 +223,7 @@
   ): Promise<DeskOutcome> {
     const { view, cancelsWriter, clock } = this.options;
     const began = clock.monotonic();
-    const found = await this.state(queue, id, deadline);
+    const found = await this.stateToCancel(queue, id, deadline);
     if (found.kind !== "known") return this.note("cancel", id, found, began);
     if (isFinal(found.state)) {
       return this.note("cancel", id, { kind: "accepted" }, began);
