--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -131,6 +131,7 @@
   end(task: JobTaskId, outcome: RunOutcome, run = this.runOf(task)): void {
     if (run === undefined) throw new Error(`${task} does not run`);
     this.running.delete(runKeyOf({ task, run }));
+    this.bar({ task, run });
     this.ends += 1;
     this.ended.push({
       number: this.ends,
