Tests of cancels that reach the leader by the store alone

Cause: that a cancel taken by another entry, or while nobody led, is carried out was argued and not tested. Change: two tests, which pass; the leader of the tests follows cancels as well.

--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -9,6 +9,7 @@
   type Epoch,
 } from "@rackspan/common";
 import { Leadership } from "@rackspan/entry";
+import type { KeyedRecord } from "@rackspan/ports";
 import {
   ConfigHolder,
   decodeProgress,
@@ -46,22 +47,31 @@
     });
   // One writer a topic: numbers of one producer must not be given twice.
   const jobsWriter = writerOf(TOPICS.jobs);
-  const jobs = new TopicFollower({
-    topic: TOPICS.jobs,
-    store,
-    clock,
-    logger,
-    floorMs: () => 20,
-    onRecords: (records) => view.takeJobs(records),
-  });
-  jobs.start();
+  const cancelsWriter = writerOf(TOPICS.cancels);
+  const follow = (
+    topic: (typeof TOPICS)["jobs" | "cancels"],
+    onRecords: (records: readonly KeyedRecord[]) => void,
+  ) => {
+    const follower = new TopicFollower({
+      topic,
+      store,
+      clock,
+      logger,
+      floorMs: () => 20,
+      onRecords,
+    });
+    follower.start();
+    return follower;
+  };
+  const jobs = follow(TOPICS.jobs, (records) => view.takeJobs(records));
+  const cancels = follow(TOPICS.cancels, (r) => view.takeCancels(r));
   const leadership = new Leadership({
     store,
     view,
     config: new ConfigHolder({ decode: () => ({}) as never }, logger),
-    followers: [jobs],
+    followers: [jobs, cancels],
     jobsWriter,
-    cancelsWriter: writerOf(TOPICS.cancels),
+    cancelsWriter,
     clock,
     logger,
     metrics,
@@ -81,11 +91,40 @@
     const record = store.recordsOf(TOPICS.progress).at(-1);
     return record?.value && decodeProgress(JOB, record.value).state;
   };
-  return { clock, store, view, jobsWriter, leadership, lastState, jobs };
+  const stop = async (): Promise<void> => {
+    leadership.end();
+    const stopped = Promise.all([jobs.stop(), cancels.stop()]);
+    await clock.advance(2_000);
+    await stopped;
+  };
+  /** A job, and that it was cancelled, as other entries have kept them. */
+  const keepJob = async (): Promise<void> => {
+    const value = encodeJob(acceptedJob(clock.now()));
+    const { kept } = jobsWriter.write({ key: JOB, value });
+    await clock.advance(50);
+    await kept;
+  };
+  const keepCancel = async (): Promise<void> => {
+    const value = Buffer.from("{}");
+    const { kept } = cancelsWriter.write({ key: JOB, value });
+    await clock.advance(50);
+    await kept;
+  };
+  return {
+    clock,
+    store,
+    view,
+    jobsWriter,
+    leadership,
+    lastState,
+    stop,
+    keepJob,
+    keepCancel,
+  };
 };
 
 test("a cancel that is read before its job is carried out all the same", async () => {
-  const { clock, view, jobsWriter, leadership, lastState, jobs } = setUp();
+  const { clock, view, jobsWriter, leadership, lastState, stop } = setUp();
   leadership.begin(brand<Epoch>(1));
   await clock.advance(200);
   view.noteCancelled(JOB);
@@ -94,14 +133,11 @@
   await clock.advance(200);
   await kept;
   expect(lastState()).toEqual("cancelled");
-  leadership.end();
-  const stopped = jobs.stop();
-  await clock.advance(2_000);
-  await stopped;
+  await stop();
 });
 
 test("a job that ended long ago is dropped from the store, its progress last", async () => {
-  const { clock, store, view, jobsWriter, leadership, jobs } = setUp();
+  const { clock, store, view, jobsWriter, leadership, stop } = setUp();
   const value = encodeJob(acceptedJob(clock.now()));
   const kept = jobsWriter.write({ key: JOB, value }).kept;
   await clock.advance(50);
@@ -114,8 +150,26 @@
     const last = store.recordsOf(topic).at(-1);
     expect([last?.key, last?.value]).toEqual([JOB, undefined]);
   }
-  leadership.end();
-  const stopped = jobs.stop();
-  await clock.advance(2_000);
-  await stopped;
+  await stop();
+});
+
+test("a cancel that only another entry has acknowledged reaches the leader at once", async () => {
+  const { clock, leadership, lastState, stop, keepJob, keepCancel } = setUp();
+  leadership.begin(brand<Epoch>(1));
+  await clock.advance(200);
+  await keepJob();
+  await keepCancel();
+  await clock.advance(50);
+  expect(lastState()).toEqual("cancelled");
+  await stop();
+});
+
+test("a cancel that was acknowledged while nobody led is carried out by the next leader", async () => {
+  const { clock, leadership, lastState, stop, keepJob, keepCancel } = setUp();
+  await keepJob();
+  await keepCancel();
+  leadership.begin(brand<Epoch>(1));
+  await clock.advance(100);
+  expect(lastState()).toEqual("cancelled");
+  await stop();
 });
