Tests of cancels that come before their jobs; red on this tree

Cause: a caller that got no answer to its job may cancel it before its record is kept; the cancel is answered with "no such job" and the job runs later. Change: tests only.

--- a/packages/entry/tests/jobDesk.test.ts
+++ b/packages/entry/tests/jobDesk.test.ts
@@ -18,6 +18,7 @@
   TopicFollower,
   TOPICS,
   type JobId,
+  type QueueKey,
 } from "@rackspan/state";
 import { MemoryStore, plainJob } from "@rackspan/standins";
 
@@ -140,3 +141,30 @@
   expect(await cancel).toEqual({ kind: "no-such-job" });
   await stop();
 });
+
+test("a cancel that comes before its job is kept for it", async () => {
+  // Users saw a job run whose cancel had been answered with "no such job" before.
+  // Order: a caller gets no answer to its job, cancels it, the job's record is kept late.
+  // Cause: a cancel of a job that the store did not hold yet was answered and forgotten.
+  const { clock, store, desk, job, deadline, stop } = await setUp();
+  const cancel = desk.cancel(job.spec.queue, NEVER, deadline());
+  await clock.advance(200);
+  expect(await cancel).toEqual({ kind: "no-such-job" });
+  const keys = () => store.recordsOf(TOPICS.cancels).map(({ key }) => key);
+  expect(keys()).toEqual([NEVER]);
+  const again = desk.cancel(job.spec.queue, NEVER, deadline());
+  await clock.advance(200);
+  expect(await again).toEqual({ kind: "no-such-job" });
+  expect(keys()).toEqual([NEVER]);
+  await stop();
+});
+
+test("a cancel by another queue than the job's cancels nothing", async () => {
+  const { clock, store, desk, deadline, stop } = await setUp();
+  const other = brand<QueueKey>("calls.example/other/");
+  const cancel = desk.cancel(other, JOB, deadline());
+  await clock.advance(200);
+  expect(await cancel).toEqual({ kind: "no-such-job" });
+  expect(store.recordsOf(TOPICS.cancels)).toEqual([]);
+  await stop();
+});
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -105,7 +105,7 @@
     await kept;
   };
   const keepCancel = async (): Promise<void> => {
-    const value = Buffer.from("{}");
+    const value = Buffer.from(JSON.stringify({ at: clock.now() }));
     const { kept } = cancelsWriter.write({ key: JOB, value });
     await clock.advance(50);
     await kept;
@@ -173,3 +173,19 @@
   expect(lastState()).toEqual("cancelled");
   await stop();
 });
+
+test("a cancel whose job never came is dropped when ended jobs are", async () => {
+  // Users would see the topic of cancels grow with every job that is denied.
+  // Order: a cancel is kept for a job that never comes, the time for ended jobs passes.
+  // Cause: cancels were dropped with their jobs only.
+  const { clock, store, leadership, stop, keepCancel } = setUp();
+  leadership.begin(brand<Epoch>(1));
+  await clock.advance(200);
+  await keepCancel();
+  const last = () => store.recordsOf(TOPICS.cancels).at(-1);
+  await clock.advance(9_000);
+  expect(last()?.value === undefined).toEqual(false);
+  await clock.advance(7_000);
+  expect([last()?.key, last()?.value]).toEqual([JOB, undefined]);
+  await stop();
+});
