A cancel that comes before its job is kept, and waits for it

Cause: a caller that got no answer to its job may cancel it before its record is kept: the entry goes on writing a job that the caller has given up. The cancel was answered with "no such job" and forgotten; the job came later and ran. Change: such a cancel is kept before it is answered so, once a job; the leader drops those whose job has not come when ended jobs are dropped. A job that is another queue's is left alone. Costs one write a denied cancel.

--- a/packages/entry/src/jobs/JobDesk.ts
+++ b/packages/entry/src/jobs/JobDesk.ts
@@ -14,6 +14,7 @@
 } from "@rackspan/common";
 import { FencedError, StoreRefusedError } from "@rackspan/ports";
 import {
+  encodeCancel,
   encodeJob,
   isFinal,
   type AcceptedJob,
@@ -221,21 +222,44 @@
     id: JobId,
     deadline: Monotonic,
   ): Promise<DeskOutcome> {
-    const { view, cancelsWriter, clock } = this.options;
-    const began = clock.monotonic();
+    const began = this.options.clock.monotonic();
     const found = await this.stateToCancel(queue, id, deadline);
-    if (found.kind !== "known") return this.note("cancel", id, found, began);
-    if (isFinal(found.state)) {
-      return this.note("cancel", id, { kind: "accepted" }, began);
-    }
-    const value = Buffer.from(JSON.stringify({ at: clock.now() }));
-    const write = cancelsWriter.write({ key: id, value });
-    const outcome = await this.settle(write, deadline, () =>
-      view.noteCancelled(id),
-    );
+    const outcome = await this.cancelFound(found, id, deadline);
     return this.note("cancel", id, outcome, began);
   }
 
+  /**
+   * A job that does not exist may still come: a caller that got no answer to it
+   * may cancel it before its record is kept. The cancel waits for it in the store.
+   */
+  private async cancelFound(
+    found: StateOutcome,
+    id: JobId,
+    deadline: Monotonic,
+  ): Promise<DeskOutcome> {
+    switch (found.kind) {
+      case "refused":
+        return found;
+      case "known":
+        if (isFinal(found.state)) return { kind: "accepted" };
+        return this.keepCancel(id, deadline);
+      case "no-such-job": {
+        const { view } = this.options;
+        // One of another queue is not the caller's to cancel by this one.
+        if (view.get(id) || view.isCancelled(id)) return found;
+        const outcome = await this.keepCancel(id, deadline);
+        return outcome.kind === "accepted" ? found : outcome;
+      }
+    }
+  }
+
+  private keepCancel(id: JobId, deadline: Monotonic): Promise<DeskOutcome> {
+    const { view, cancelsWriter, clock } = this.options;
+    const at = clock.now();
+    const write = cancelsWriter.write({ key: id, value: encodeCancel(at) });
+    return this.settle(write, deadline, () => view.noteCancelled(id, at));
+  }
+
   pendingCount(queue: QueueKey): number {
     return this.options.view.pendingCount(queue);
   }
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -259,18 +259,27 @@
   private sweep(): void {
     const { engine } = this;
     if (!engine) return;
-    for (const id of engine.expiredJobs(this.options.keepEndedMs)) {
+    const { view, clock, keepEndedMs } = this.options;
+    for (const id of engine.expiredJobs(keepEndedMs)) {
       engine.forgetJob(id);
       this.dropJob(id).catch((err: unknown) => this.noteNotDropped(err));
     }
+    const before = clock.now() - keepEndedMs;
+    for (const id of view.jobsNeverCome(before)) {
+      this.dropCancel(id).catch((err: unknown) => this.noteNotDropped(err));
+    }
+  }
+
+  private async dropCancel(id: JobId): Promise<void> {
+    await this.options.cancelsWriter.write({ key: id, value: undefined }).kept;
   }
 
   /** The job goes before its progress: without that it would be run again. */
   private async dropJob(id: JobId): Promise<void> {
-    const { jobsWriter, cancelsWriter, logger } = this.options;
+    const { jobsWriter, logger } = this.options;
     const tombstone = { key: id, value: undefined };
     await jobsWriter.write(tombstone).kept;
-    await cancelsWriter.write(tombstone).kept;
+    await this.dropCancel(id);
     await this.progressWriter.write(tombstone).kept;
     logger.info("job.forgotten", { job: id });
   }
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -127,7 +127,7 @@
   const { clock, view, jobsWriter, leadership, lastState, stop } = setUp();
   leadership.begin(brand<Epoch>(1));
   await clock.advance(200);
-  view.noteCancelled(JOB);
+  view.noteCancelled(JOB, clock.now());
   const value = encodeJob(acceptedJob(clock.now()));
   const kept = jobsWriter.write({ key: JOB, value }).kept;
   await clock.advance(200);
@@ -144,7 +144,7 @@
   await kept;
   leadership.begin(brand<Epoch>(1));
   await clock.advance(200);
-  view.noteCancelled(JOB);
+  view.noteCancelled(JOB, clock.now());
   await clock.advance(16_000);
   for (const topic of [TOPICS.jobs, TOPICS.cancels, TOPICS.progress]) {
     const last = store.recordsOf(topic).at(-1);
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -4,11 +4,13 @@
   describeError,
   Emitter,
   type HostId,
+  type Instant,
   type Logger,
   type Metrics,
 } from "@rackspan/common";
 import type { KeyedRecord } from "@rackspan/ports";
 import {
+  decodeCancel,
   decodeJob,
   decodeProgress,
   type AcceptedJob,
@@ -40,7 +42,8 @@
   /** Emits what a leader has to act on. */
   readonly changes = new Emitter<JobChange>();
   private readonly jobs = new Map<JobId, AcceptedJob>();
-  private readonly cancels = new Set<JobId>();
+  /** When each was taken. A cancel may come before its job, and then waits for it. */
+  private readonly cancels = new Map<JobId, Instant>();
   private readonly progress = new Map<JobId, ProgressRecord>();
   private readonly hosts = new Set<HostId>();
 
@@ -66,6 +69,20 @@
     return [...this.jobs.keys()].map((id) => this.get(id) as JobEntry);
   }
 
+  /** Whether a cancel is kept for the job, which itself may not have come. */
+  isCancelled(id: JobId): boolean {
+    return this.cancels.has(id);
+  }
+
+  /** Cancels taken before the given time of day whose jobs have not come. */
+  jobsNeverCome(before: Instant): JobId[] {
+    const never: JobId[] = [];
+    for (const [id, at] of this.cancels) {
+      if (at < before && !this.jobs.has(id)) never.push(id);
+    }
+    return never;
+  }
+
   /** Jobs of the queue of which no task has begun. */
   pendingCount(queue: QueueKey): number {
     let count = 0;
@@ -91,9 +108,10 @@
     this.changes.emit({ kind: "accepted", job });
   }
 
-  noteCancelled(id: JobId): void {
+  /** @param at when the cancel was taken, by the time of day; Infinity when unknown */
+  noteCancelled(id: JobId, at: Instant): void {
     if (this.cancels.has(id)) return;
-    this.cancels.add(id);
+    this.cancels.set(id, at);
     this.changes.emit({ kind: "cancelled", id });
   }
 
@@ -108,8 +126,13 @@
   takeCancels(records: readonly KeyedRecord[]): void {
     for (const { key, value } of records) {
       const id = key as unknown as JobId;
-      if (value) this.noteCancelled(id);
-      else this.cancels.delete(id);
+      if (!value) {
+        this.cancels.delete(id);
+        continue;
+      }
+      let at: Instant = Infinity;
+      this.decode(key, () => (at = decodeCancel(key, value)));
+      this.noteCancelled(id, at);
     }
   }
 
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -132,6 +132,16 @@
     }),
   );
 
+/** @param at when the cancel was taken, by the entry's time of day */
+export const encodeCancel = (at: Instant): Buffer =>
+  Buffer.from(JSON.stringify({ at }));
+
+const cancelSchema = z.object({ at: z.number() });
+
+/** @throws BadRecordError */
+export const decodeCancel = (key: string, value: Buffer): Instant =>
+  parseRecord(TOPICS.cancels, key, value, cancelSchema).at;
+
 /** @throws BadRecordError */
 export const parseRecord = <S extends z.ZodType>(
   topic: TopicName,
