Tests that fail: late and repeated answers that act on what came after them

The test "a refusal for good covers the unanswered try before it" was wrong, and is replaced by one as strict: a worker answers "old" to the second try of a start whose first try it carried out and whose run has ended since, so that answer does not say that the run never began. The same answers without an unanswered try before them are covered by a test of their own.

--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -32,6 +32,8 @@
   const store = new MemoryStore(clock);
   const logger = silentLogger;
   const metrics = new Metrics();
+  /** Why the entry was told that it must not lead any more, in order. */
+  const deposed: string[] = [];
   const view = new JobView({ logger, metrics });
   const writerOf = (topic: (typeof TOPICS)[keyof typeof TOPICS]) =>
     new StampedWriter({
@@ -75,13 +77,22 @@
     placer: "colocating",
     policy: DEFAULT_POLICY,
     mayDecide: () => true,
-    onDeposed: () => undefined,
+    onDeposed: (reason) => deposed.push(reason),
   });
   const lastState = () => {
     const record = store.recordsOf(TOPICS.progress).at(-1);
     return record?.value && decodeProgress(JOB, record.value).state;
   };
-  return { clock, store, view, jobsWriter, leadership, lastState, jobs };
+  return {
+    clock,
+    store,
+    view,
+    jobsWriter,
+    leadership,
+    lastState,
+    jobs,
+    deposed,
+  };
 };
 
 test("a cancel that is read before its job is carried out all the same", async () => {
@@ -119,3 +130,43 @@
   await clock.advance(2_000);
   await stopped;
 });
+
+// Several entries join at once, and the store deals leadership anew while its new
+// owner still reads how the jobs stand. That owner begins a second term; the first
+// one then fails, as it must, since its writers are closed. The entry stepped down
+// for it, so that nobody led for a while, each time anew. The cause: the failure of
+// a term was taken for that of the present one.
+test("a term that fails after the next one has begun deposes nobody", async () => {
+  const { clock, store, leadership, jobs, deposed } = setUp();
+  store.fault = "refuses";
+  leadership.begin(brand<Epoch>(1));
+  await clock.advance(20);
+  leadership.begin(brand<Epoch>(2));
+  store.fault = "none";
+  await clock.advance(1_000);
+  expect(deposed).toEqual([]);
+  expect(leadership.leading?.epoch).toEqual(brand<Epoch>(2));
+  leadership.end();
+  await clock.advance(200);
+  expect(deposed).toEqual([]);
+  const stopped = jobs.stop();
+  await clock.advance(2_000);
+  await stopped;
+});
+
+test("a term that fails while it is the present one ends the entry's leadership", async () => {
+  const { clock, store, leadership, jobs, deposed } = setUp();
+  await store.append({
+    topic: TOPICS.progress,
+    records: [],
+    stamp: { producer: "leader", epoch: 5, sequence: 0 },
+    timeoutMs: 100,
+  });
+  leadership.begin(brand<Epoch>(2));
+  await clock.advance(200);
+  expect(deposed.length).toEqual(1);
+  leadership.end();
+  const stopped = jobs.stop();
+  await clock.advance(2_000);
+  await stopped;
+});
--- /dev/null
+++ b/packages/entry/tests/sideServer.test.ts
@@ -0,0 +1,171 @@
+/** Which of a host's connections the leader listens to, over real sockets. */
+
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  silentLogger,
+  sleep,
+  SystemClock,
+  type AvailabilityZone,
+  type Epoch,
+  type HostId,
+  type ListenAddress,
+  type ServiceName,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+import { SideServer, type LeadingEngine } from "@rackspan/entry";
+import {
+  addressOf,
+  hostMethods,
+  leaderMethods,
+  LineConnection,
+  type HostReport,
+} from "@rackspan/protocol";
+import type { HostSession } from "@rackspan/scheduling";
+
+const HOST = brand<HostId>("h1");
+const ZONE = brand<AvailabilityZone>("a");
+const TIMEOUT_MS = 1_000;
+
+const reportOf = (life: string): HostReport => ({
+  worker: {
+    instance: brand<WorkerInstance>(life),
+    service: brand<ServiceName>("kaigi"),
+    labels: [],
+    rack: "",
+    milliCores: 32_000,
+    memoryMiB: 128_000,
+    accelerators: 0,
+    draining: false,
+    leavesInMs: undefined,
+  },
+  at: 1_000 as unknown as WorkerTime,
+  running: [],
+  ended: [],
+});
+
+/** What an engine is told, and through which session it would give orders. */
+class EngineProbe {
+  readonly reported: WorkerInstance[] = [];
+  session: HostSession | undefined;
+
+  attach(_host: HostId, session: HostSession): void {
+    this.session = session;
+  }
+
+  detach(_host: HostId, session: HostSession): void {
+    if (this.session === session) this.session = undefined;
+  }
+
+  report(_host: HostId, _zone: AvailabilityZone, report: HostReport): object {
+    this.reported.push(report.worker.instance);
+    return { acknowledged: 0 };
+  }
+}
+
+const freePort = async (): Promise<number> => {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const port = Number(addressOf(server).split(":")[1]);
+  server.close();
+  await once(server, "close");
+  return port;
+};
+
+/** One connection of the host's side. */
+const openSide = async ({ address, port }: ListenAddress) => {
+  const socket = connect({ host: address, port });
+  await once(socket, "connect");
+  return new LineConnection({
+    socket,
+    serves: hostMethods,
+    calls: leaderMethods,
+    handlers: {
+      startTask: () => ({ kind: "silent" }) as const,
+      stopTask: () => ({ kind: "silent" }) as const,
+      acknowledge: () => ({}),
+      describe: () => ({}),
+    },
+    silenceMs: 4_000,
+    clock: new SystemClock(),
+    logger: silentLogger,
+  });
+};
+
+type SideConnection = Awaited<ReturnType<typeof openSide>>;
+
+const attach = (side: SideConnection) =>
+  side.call("attach", { host: HOST, availabilityZone: ZONE }, TIMEOUT_MS);
+
+const report = (side: SideConnection, life: string) =>
+  side.call("report", reportOf(life), TIMEOUT_MS);
+
+const withServer = async (
+  play: (listen: ListenAddress, probe: EngineProbe) => Promise<void>,
+): Promise<void> => {
+  const listen = { address: "127.0.0.1", port: await freePort() };
+  const probe = new EngineProbe();
+  const leading = {
+    epoch: brand<Epoch>(1),
+    engine: probe,
+  } as unknown as LeadingEngine;
+  const server = new SideServer({
+    listen,
+    leading: () => leading,
+    clock: new SystemClock(),
+    logger: silentLogger,
+  });
+  await server.start();
+  try {
+    await play(listen, probe);
+  } finally {
+    await server.stop();
+  }
+};
+
+// A network that repeats lost packets late delivers a report seconds after its
+// side gave the connection up and attached anew. Tasks ran twice: the report
+// named the worker's former life, the engine took the present life for over,
+// let all its runs wait, and started them elsewhere. The cause: a report was
+// taken from any connection on which the host had ever attached.
+test("a report over a connection that its side has replaced is not taken", async () => {
+  await withServer(async (listen, probe) => {
+    const old = await openSide(listen);
+    await attach(old);
+    await report(old, "first life");
+    const present = await openSide(listen);
+    await attach(present);
+    await report(present, "second life");
+    const late = await report(old, "first life").then(
+      () => "taken",
+      () => "refused",
+    );
+    expect(late).toEqual("refused");
+    expect(probe.reported.map(String)).toEqual(["first life", "second life"]);
+    present.close("the test is over");
+  });
+});
+
+// A request to attach can be late in the same way, and arrive after that of the
+// connection which replaced it, just before the end of its own. Cancelled tasks
+// ran on for as long as the host was up: its reports were answered and its
+// leases renewed, but the engine had no connection to give an order through.
+// The cause: the end of the last connection to attach left the host without any.
+test("a host whose connections attached out of order gets a connection for orders again", async () => {
+  await withServer(async (listen, probe) => {
+    const present = await openSide(listen);
+    await attach(present);
+    const late = await openSide(listen);
+    await attach(late);
+    late.close("given up before it attached");
+    await sleep(new SystemClock(), 50);
+    const isServed = probe.session !== undefined;
+    const mustReattach = !present.isOpen;
+    expect([isServed, mustReattach].includes(true)).toEqual(true);
+    present.close("the test is over");
+  });
+});
--- a/packages/leadership/tests/leaderElection.test.ts
+++ b/packages/leadership/tests/leaderElection.test.ts
@@ -165,3 +165,80 @@
   expect(joins).toEqual(joinsBefore);
   expect(terms).toEqual(["a leads 1", "b leads 3", "a lost: replaced"]);
 });
+
+/** A membership whose answers to joins wait until the test lets them go. */
+const slowToAnswer = (store: MemoryStore) => {
+  let held: (() => void)[] | undefined;
+  const membership: GroupMembership = {
+    join: async (req) => {
+      const answer = await store.join(req);
+      const waiting = held;
+      if (waiting) await new Promise<void>((go) => waiting.push(go));
+      return answer;
+    },
+    leave: (group, member) => store.leave(group, member),
+    owner: () => store.owner(),
+  };
+  return {
+    membership,
+    hold: () => {
+      held = [];
+    },
+    letGo: () => {
+      const waiting = held ?? [];
+      held = undefined;
+      for (const go of waiting) go();
+    },
+  };
+};
+
+// A leader is stopped, or steps down, while the answer to its last renewal is on
+// its way. It led again under the epoch that it had just given up, beside its
+// successor, and began a new term with the same run numbers and record numbers
+// as the one before: orders of both passed the workers' fences, and tasks ran
+// twice. The cause: the answer was applied to the membership of now, although it
+// speaks of the one that had ended.
+for (const way of ["stops", "steps down"] as const) {
+  test(`a renewal that is answered after its leader ${way} confirms nothing`, async () => {
+    const { clock, store, terms, entry } = setUp();
+    const { membership, hold, letGo } = slowToAnswer(store);
+    const a = entry("a", "1", undefined, membership);
+    await clock.advance(700);
+    expect(a.leads).toEqual(true);
+    hold();
+    await clock.advance(600);
+    const over = way === "stops" ? a.stop() : a.stepDown("term failed");
+    await clock.advance(10);
+    letGo();
+    await clock.advance(10);
+    await over;
+    expect(a.leads).toEqual(false);
+    expect(terms.filter((term) => term === "a leads 1")).toEqual(["a leads 1"]);
+    await a.stop();
+  });
+}
+
+// An entry is told to stop while it looks who leads, and finds nobody. It joined
+// all the same, and led for as long as its last requests took to end. The cause:
+// what it had set out to do before the stop was carried on after it.
+test("an entry that is stopped while it looks for a leader does not join", async () => {
+  const { clock, store, terms, entry } = setUp();
+  let answerOwner = (): void => undefined;
+  let looks = 0;
+  const membership: GroupMembership = {
+    join: (req) => store.join(req),
+    leave: (group, member) => store.leave(group, member),
+    owner: async () => {
+      looks += 1;
+      if (looks > 1) await new Promise<void>((go) => (answerOwner = go));
+      return store.owner();
+    },
+  };
+  const a = entry("a", "1", undefined, membership);
+  await clock.advance(700);
+  const stopped = a.stop();
+  answerOwner();
+  await clock.advance(10);
+  await stopped;
+  expect(terms).toEqual([]);
+});
--- /dev/null
+++ b/packages/scheduling/tests/keptEnds.test.ts
@@ -0,0 +1,51 @@
+/** When workers may forget the ends of runs. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { EngineHarness, LEASE_MS, taskId } from "./engineHarness.js";
+
+const JOB = "5c0e7a21d94b36f8";
+
+// A host reports that a task is done while the store takes no records, is cut off
+// until its lease is over, and comes back with the same worker, which lists the
+// end again. The worker was let forget it at once, though nothing was kept: had
+// the leader ended then, its successor would have run the task again. The cause:
+// what an end waits for was kept with the host's entry, and the entry was new.
+test("an end that is listed again is acknowledged only once its progress is kept", async () => {
+  const site = new EngineHarness();
+  const host = await site.addHost("h1");
+  site.submit(JOB, [{}]);
+  await site.run(200);
+  host.end(taskId(`${JOB}.0.0.0`), "done");
+  site.store.fault = "refuses";
+  await site.run(500);
+  expect(host.acknowledged).toEqual(0);
+  await site.run(2 * LEASE_MS, []);
+  await site.run(500);
+  expect(host.acknowledged).toEqual(0);
+  site.store.fault = "none";
+  await site.run(500);
+  expect(host.acknowledged).toEqual(1);
+});
+
+// One end of a gang's member stands for all of them. The worker of another member
+// was let forget its own end before the first was kept, so that a successor of the
+// leader could run the gang again. The cause: an end that changes nothing waited
+// for earlier ends of its host only, not for those of its job.
+test("the end of a gang's member waits for the record that another one's end has caused", async () => {
+  const site = new EngineHarness();
+  const hosts = [await site.addHost("h1"), await site.addHost("h2")];
+  const demand = { milliCores: 20_000, memoryMiB: 100, accelerators: 0 };
+  site.submit(JOB, [{ taskCount: 2, gang: true, demand }]);
+  await site.run(200);
+  expect(hosts.map(({ runningTasks }) => runningTasks.length)).toEqual([1, 1]);
+  for (const host of hosts) {
+    for (const task of host.runningTasks) host.end(task, "done");
+  }
+  site.store.fault = "refuses";
+  await site.run(500);
+  expect(hosts.map(({ acknowledged }) => acknowledged)).toEqual([0, 0]);
+  site.store.fault = "none";
+  await site.run(500);
+  expect(hosts.map(({ acknowledged }) => acknowledged)).toEqual([1, 1]);
+});
--- a/packages/side/tests/taskOrders.test.ts
+++ b/packages/side/tests/taskOrders.test.ts
@@ -92,9 +92,22 @@
   }
 });
 
-test("a refusal for good covers the unanswered try before it", async () => {
+// A worker carries a start out, its answer is lost, and the task is done at once.
+// The side tries again and is told that the run is an old one. The task ran twice:
+// the leader took the run for one that never began, started the task elsewhere,
+// and then acknowledged the end of the first run. The same holds for a fence or a
+// deadline that has passed between the two tries. The cause: an answer to the
+// second try was taken for one to the first, which had been carried out.
+test("no refusal says that an unanswered try before it was not carried out", async () => {
   for (const reason of ["fenced", "old-run", "late"] as const) {
     const result = await startWith([undefined, refused(reason)]);
+    expect(result).toEqual({ kind: "silent" });
+  }
+});
+
+test("a refusal for good is taken as one when no try before it was left unanswered", async () => {
+  for (const reason of ["fenced", "old-run", "late"] as const) {
+    const result = await startWith([refused(reason)]);
     expect(result).toEqual({ kind: "refused", reason });
   }
 });
--- /dev/null
+++ b/packages/state/tests/topicFollower.test.ts
@@ -0,0 +1,90 @@
+/** What a follower hands on after records have passed it by. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { brand, ManualClock, silentLogger } from "@rackspan/common";
+import {
+  RecordsGoneError,
+  type ReadRequest,
+  type RecordPage,
+  type RecordStore,
+  type TopicName,
+} from "@rackspan/ports";
+import { TopicFollower } from "@rackspan/state";
+import { MemoryStore } from "@rackspan/standins";
+
+const TOPIC = brand<TopicName>("jobs");
+
+/** A store whose old records can be let go, so that followers must read it anew. */
+class ForgetfulStore {
+  oldest = 0;
+
+  constructor(private readonly store: MemoryStore) {}
+
+  read = async (req: ReadRequest): Promise<RecordPage> => {
+    if (req.from < this.oldest) {
+      throw new RecordsGoneError(TOPIC, req.from, this.oldest);
+    }
+    return this.store.read(req);
+  };
+
+  newest = (topic: TopicName): Promise<RecordPage> => this.store.newest(topic);
+
+  append = (): never => {
+    throw new Error("not used");
+  };
+}
+
+// An entry is cut off from the store while a job that ended is dropped there, and
+// for so long that the record of the drop is gone when it comes back. It went on
+// listing the job, without the progress that says that it had ended: once it led,
+// it would run the whole job again. The cause: a fresh reading of all keys was
+// taken as news of some keys, and said nothing of those that it no longer holds.
+test("keys that were dropped while a follower was cut off are dropped when it reads anew", async () => {
+  const clock = new ManualClock();
+  const memory = new MemoryStore(clock);
+  const store = new ForgetfulStore(memory);
+  let sequence = 0;
+  const write = async (key: string, value: Buffer | undefined) => {
+    sequence += 1;
+    await memory.append({
+      topic: TOPIC,
+      records: [{ key, value }],
+      stamp: { producer: "entry", epoch: 1, sequence },
+      timeoutMs: 100,
+    });
+  };
+  const known = new Map<string, string>();
+  const follower = new TopicFollower({
+    topic: TOPIC,
+    store: store as unknown as RecordStore,
+    clock,
+    logger: silentLogger,
+    floorMs: () => 20,
+    onRecords: (records) => {
+      for (const { key, value } of records) {
+        if (value) known.set(key, value.toString());
+        else known.delete(key);
+      }
+    },
+  });
+  await write("loaded", Buffer.from("1"));
+  follower.start();
+  await clock.advance(50);
+  await write("polled", Buffer.from("1"));
+  await write("kept", Buffer.from("1"));
+  await clock.advance(50);
+  expect([...known.keys()]).toEqual(["loaded", "polled", "kept"]);
+  memory.fault = "refuses";
+  await clock.advance(2_000);
+  memory.fault = "none";
+  await write("loaded", undefined);
+  await write("polled", undefined);
+  await write("kept", Buffer.from("2"));
+  store.oldest = 5;
+  await clock.advance(1_000);
+  expect([...known]).toEqual([["kept", "2"]]);
+  const stopped = follower.stop();
+  await clock.advance(2_000);
+  await stopped;
+});
