A host has one connection to the leader: the next one to attach ends it

Cause: reports were taken from any connection on which a host had ever attached, while its side may have given that one up. A report of the worker's former life that came late made the engine lose all runs of the present life and start them elsewhere. A late request to attach took the host's orders with it when its connection ended: no stop reached the host any more, though its reports were answered and its leases renewed. Change: attaching ends the host's connection before, and nothing that comes over an ended connection is taken.

--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -52,6 +52,8 @@
 export class SideServer {
   private readonly server: Server;
   private readonly peers = new Set<SidePeer>();
+  /** The connection of each host that attached last. */
+  private readonly byHost = new Map<HostId, SidePeer>();
 
   constructor(private readonly options: SideServerOptions) {
     this.server = createServer((socket) => this.accept(socket));
@@ -78,12 +80,39 @@
   }
 
   private accept(socket: Socket): void {
-    const peer = new SidePeer(socket, this.options);
+    const peer = new SidePeer(socket, {
+      ...this.options,
+      onAttach: (host) => this.replaceFormer(host, peer),
+    });
     this.peers.add(peer);
-    void peer.closed.then(() => this.peers.delete(peer));
+    void peer.closed.then(() => this.drop(peer));
+  }
+
+  /**
+   * Ends the host's connection before: what comes late over one that its side has
+   * given up may speak of a former life of the worker. When requests to attach
+   * came out of order, this ends the one in use, and its side attaches anew.
+   */
+  private replaceFormer(host: HostId, peer: SidePeer): void {
+    const former = this.byHost.get(host);
+    this.byHost.set(host, peer);
+    if (former !== peer) former?.close("the host attached anew");
+  }
+
+  private drop(peer: SidePeer): void {
+    this.peers.delete(peer);
+    const { host } = peer;
+    if (host !== undefined && this.byHost.get(host) === peer) {
+      this.byHost.delete(host);
+    }
   }
 }
 
+interface SidePeerOptions extends SideServerOptions {
+  /** Called when the connection is the host's from now on. */
+  readonly onAttach: (host: HostId) => void;
+}
+
 /** One connected side. */
 class SidePeer implements HostSession {
   readonly closed: Promise<void>;
@@ -92,7 +121,7 @@
 
   constructor(
     socket: Socket,
-    private readonly options: SideServerOptions,
+    private readonly options: SidePeerOptions,
   ) {
     const { clock, logger } = options;
     this.connection = new LineConnection({
@@ -120,6 +149,11 @@
     this.closed = this.connection.closed.then((reason) => this.detach(reason));
   }
 
+  /** The host that has attached over this connection, if one has. */
+  get host(): HostId | undefined {
+    return this.attached?.host;
+  }
+
   close(reason: string): void {
     this.connection.close(reason);
   }
@@ -148,15 +182,20 @@
     if (!leading) throw new NotLeadingError();
     this.attached = { host, zone, leading };
     leading.engine.attach(host, this);
+    this.options.onAttach(host);
     this.options.logger.info("host.attached", { host, epoch: leading.epoch });
     return { epoch: leading.epoch };
   }
 
-  /** @throws NotLeadingError when the entry leads no more, or under another epoch */
+  /**
+   * @throws NotLeadingError when the entry leads no more, or under another epoch,
+   *   or when the connection was ended while the call was on its way here
+   */
   private current(): Attached {
     const { attached } = this;
     const leading = this.options.leading();
-    if (!attached || leading?.engine !== attached.leading.engine) {
+    const isSame = leading?.engine === attached?.leading.engine;
+    if (!attached || !isSame || !this.connection.isOpen) {
       throw new NotLeadingError();
     }
     return attached;
