An answer to a membership that was given up does not make its entry lead

Cause: a leader that was stopped, or stepped down, while its renewal was on its way took the answer for a renewal of now. It led again, for up to the whole lease, under the epoch that it had just given up, beside its successor. The new term gave out the same run numbers and record numbers as the one before, and orders of both passed the fences of workers. An entry that was stopped while it looked for a leader joined all the same. Change: an answer counts only for the membership whose name it was asked for, and nothing is joined after a stop.

--- a/packages/leadership/src/LeaderElection.ts
+++ b/packages/leadership/src/LeaderElection.ts
@@ -165,16 +165,20 @@
 
   private async renew(): Promise<number> {
     const { membership, topic, ttlMs, clock } = this.options;
+    const { name } = this;
+    // Stopped while it looked who leads.
+    if (this.abort.signal.aborted) return ELECTION.watchEveryMs;
     this.joined = true;
     const sentAt = clock.monotonic();
     const answer = await membership.join({
       group: ELECTION.group,
-      member: this.name,
+      member: name,
       topic,
       ttlMs,
       generation: this.generation,
       timeoutMs: ELECTION.callTimeoutMs,
     });
+    if (this.hasGivenUp(name)) return ELECTION.watchEveryMs;
     const changed = answer.generation !== this.generation;
     this.generation = answer.generation;
     if (answer.owns) return this.confirm(sentAt, changed);
@@ -186,6 +190,15 @@
     return ELECTION.watchEveryMs;
   }
 
+  /**
+   * Whether the membership of that name was given up, or is about to be, while a
+   * call was on its way: its answer must not bring the last epoch back, under
+   * which the numbers of runs and of records would be given out a second time.
+   */
+  private hasGivenUp(name: string): boolean {
+    return this.abort.signal.aborted || name !== this.name;
+  }
+
   private confirm(sentAt: Monotonic, changed: boolean): number {
     const { ttlMs, onAcquired, logger } = this.options;
     if (this.epoch === undefined || changed) {
