The failure of a term that was ended deposes nobody

Cause: a term that is ended while it still reads how the jobs stand fails, as it must: its writers are closed. The entry took that failure for one of its present term and stepped down. Each time leadership was dealt anew during a take-over, as when several entries join at once, nobody led for a while more. Change: a failure counts only while its term is the present one. Measured: the new test of leadership.test.ts fails before and passes now; a term that fails while it is the present one still ends the leadership.

--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -81,8 +81,11 @@
 
   begin(epoch: Epoch): void {
     this.end();
-    this.term = new Term(this.options, epoch);
-    this.term.run().catch((err: unknown) => {
+    const term = new Term(this.options, epoch);
+    this.term = term;
+    term.run().catch((err: unknown) => {
+      // A term that was ended fails late, and says nothing of the next one.
+      if (this.term !== term) return;
       const error = describeError(err);
       this.options.logger.warn("leader.term-failed", { epoch, error });
       this.options.onDeposed(error);
