No refusal of a start's second try speaks of the first

Cause: the second try of a start was refused as an old run, as fenced or as late, and the leader was told that the run never began. Its first try, whose answer was lost, may have been carried out: a short task has ended by then, and "old" is just what the worker says of its run. The leader started the task elsewhere and then acknowledged the end of the first run: it ran twice. Change: after an unanswered try every refusal leaves the run unsure, until a report taken after the order's lease shows whether it ran.

--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -62,9 +62,11 @@
         ? { kind: "ok", at: outcome.at }
         : { kind: "refused", reason: outcome.reason };
     });
-    const mayBegin = tries > 1 && isPassing(result);
     if (result.kind === "ok") pacer.paceFirst(call);
-    return this.note("start", call, mayBegin ? { kind: "silent" } : result);
+    // A refusal speaks of the last try only: one before it that got no answer may
+    // have been carried out, and the run have ended since, or may be later.
+    const isUnsure = tries > 1 && result.kind === "refused";
+    return this.note("start", call, isUnsure ? { kind: "silent" } : result);
   }
 
   async stop(call: StopTaskCall): Promise<HostCallResult> {
@@ -140,22 +142,3 @@
     return result;
   }
 }
-
-/**
- * Whether the worker refused for a reason that may be gone a moment later. A try
- * before it that got no answer may still be carried out then, so such an answer
- * does not say that the run never begins; it would be started elsewhere too.
- */
-const isPassing = (result: HostCallResult): boolean => {
-  if (result.kind !== "refused") return false;
-  switch (result.reason) {
-    case "no-room":
-    case "bad-ticket":
-    case "unhealthy":
-      return true;
-    case "fenced":
-    case "old-run":
-    case "late":
-      return false;
-  }
-};
