The run of a side that a request was sent to is asked whether it started

Cause: after a broken connection the entry asked the side's present run whether the request had started. When the side had been restarted meanwhile, and the entry knew, that run truly denied it, and a request that may run once only was sent to a second host though the first may have run it. Change: the question names the run that the attempt was sent to; a later one answers that it does not know.

--- a/packages/entry/src/AttemptLoop.ts
+++ b/packages/entry/src/AttemptLoop.ts
@@ -8,6 +8,7 @@
 import type {
   Clock,
   HostId,
+  Incarnation,
   Logger,
   Metrics,
   Monotonic,
@@ -124,6 +125,12 @@
   readonly status: number;
 }
 
+/** When an attempt was sent, and to which run of the side. */
+interface Sending {
+  readonly startedAt: Monotonic;
+  readonly incarnation: Incarnation;
+}
+
 const STATUS_UNAVAILABLE = 503;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_TIMEOUT = 504;
@@ -231,7 +238,7 @@
         attempt,
         peer,
         failure,
-        startedAt,
+        { startedAt, incarnation: endpoint.incarnation },
         cancellation,
       );
       return { kind: "failed", failure: settled };
@@ -298,13 +305,16 @@
     this.options.ejector.report({ host: endpoint.host, ok, latencyMs, at });
   }
 
-  /** Asks the side whether a request that may run once only has started there. */
+  /**
+   * Asks the side whether a request that may run once only has started there.
+   * Names the run of the side that it was sent to: a later one knows nothing of it.
+   */
   private async settle(
     request: OutgoingRequest,
     attempt: number,
     peer: AttemptPeer,
     failure: Failure,
-    startedAt: Monotonic,
+    { startedAt, incarnation }: Sending,
     cancellation: Cancellation,
   ): Promise<Failure> {
     if (failure.outcome === "not-run" || request.repeatable) return failure;
@@ -312,7 +322,6 @@
     const now = clock.monotonic();
     const timeoutMs = Math.min(FENCE_TIMEOUT_MS, request.deadline - now);
     if (timeoutMs <= 0 || cancellation.reason === "deadline") return failure;
-    const { incarnation } = peer.endpoint as EndpointState;
     const ageMs = now - startedAt;
     const fence = { request: request.id, attempt, incarnation, ageMs };
     const started = await peer
