An end is acknowledged once all that its job has changed by is kept

Cause: what an acknowledgement waits for was kept with the host's entry. A host that was cut off until its lease was over, and came back with the same worker, has a new entry: the ends that it listed again changed nothing, so they waited for nothing, and the worker was let forget them although the store had taken no record of them yet. A leader that took over then would run the tasks again. In the same way the end of a gang's member did not wait for the record that another member's end on another host had caused. Change: an end waits for the last record of its job, whoever had it written; nothing more is written for it.

--- a/packages/jobs/src/ProgressJournal.ts
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -18,6 +18,8 @@
 
 export class ProgressJournal {
   private next: Flush | undefined;
+  /** The last record of each job that is not known to be kept. */
+  private readonly unkept = new Map<JobRun, Promise<void>>();
 
   constructor(private readonly options: ProgressJournalOptions) {}
 
@@ -28,9 +30,28 @@
   record(job: JobRun): Promise<void> {
     this.next ??= this.openFlush();
     this.next.jobs.add(job);
+    this.noteUnkept(job, this.next.kept);
     return this.next.kept;
   }
 
+  /**
+   * Resolves once all that was recorded of the job so far is kept; writes nothing.
+   * Rejects when another leader has taken over before.
+   */
+  settled(job: JobRun): Promise<void> {
+    return this.unkept.get(job) ?? Promise.resolve();
+  }
+
+  private noteUnkept(job: JobRun, kept: Promise<void>): void {
+    if (this.unkept.get(job) === kept) return;
+    this.unkept.set(job, kept);
+    const forget = (): void => {
+      if (this.unkept.get(job) === kept) this.unkept.delete(job);
+    };
+    // What was refused stays: it never will be kept.
+    kept.then(forget, () => undefined);
+  }
+
   private openFlush(): Flush {
     const jobs = new Set<JobRun>();
     const { clock, gatherMs } = this.options;
--- a/packages/scheduling/src/EndTaker.ts
+++ b/packages/scheduling/src/EndTaker.ts
@@ -23,10 +23,16 @@
       const job = this.takeOne(entry, end);
       if (job) changed.add(job);
     }
-    this.parts.keeper.keepEnds(entry, changed);
+    this.parts.keeper.keepEnds(entry, this.jobsOf(ended), changed);
     this.parts.requestPass();
   }
 
+  private jobsOf(ended: readonly EndedRun[]): Set<JobRun> {
+    const { jobs } = this.parts;
+    const tasks = ended.map(({ task }) => jobs.findTask(task));
+    return new Set(tasks.flatMap((task) => (task ? [task.step.job] : [])));
+  }
+
   /** @returns the job when what must be kept of it has changed */
   private takeOne(entry: HostEntry, end: EndedRun): JobRun | undefined {
     const { jobs, hosts, runs, closer } = this.parts;
--- a/packages/scheduling/src/ProgressKeeper.ts
+++ b/packages/scheduling/src/ProgressKeeper.ts
@@ -20,13 +20,25 @@
       .catch((err: unknown) => this.noteLost(err));
   }
 
-  /** Acknowledges the ends noted of the host so far once the jobs are kept. */
-  keepEnds(entry: HostEntry, changed: ReadonlySet<JobRun>): void {
+  /**
+   * Acknowledges the ends noted of the host so far once the jobs are kept.
+   *
+   * @param ended the jobs whose ends were listed
+   * @param changed those of them of which something new must be kept
+   */
+  keepEnds(
+    entry: HostEntry,
+    ended: ReadonlySet<JobRun>,
+    changed: ReadonlySet<JobRun>,
+  ): void {
     const { journal } = this.options;
     const { ledger } = entry;
     const { instance, notedEnds } = ledger;
-    const writes = [...changed].map((job) => journal.record(job));
-    // Ends that change nothing wait for earlier ones all the same.
+    // An end that changes nothing waits for what its job has changed by: the same
+    // end may have been taken before, from an entry of the host that is gone.
+    const writes = [...ended].map((job) =>
+      changed.has(job) ? journal.record(job) : journal.settled(job),
+    );
     entry.keeping = Promise.all([entry.keeping, ...writes]).then(() => {
       if (ledger.instance !== instance) return;
       ledger.acknowledgedEnds = Math.max(ledger.acknowledgedEnds, notedEnds);
