A topic that is read anew drops the keys that it no longer holds

Cause: a follower that was cut off for so long that the records it wants are gone reads the newest record of each key instead. That was handed on as news of those keys, and the ones dropped meanwhile stayed. A job whose own drop was missed while that of its progress was read stands as one that never began: an entry with such a view, once it leads, runs the whole job again. Change: the follower knows which keys it has handed on, and hands on as dropped those that the new reading does not name.

--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -45,6 +45,8 @@
   private answeredAt: Monotonic = -Infinity;
   private reachable = true;
   private task: Promise<void> | undefined;
+  /** Keys that were handed on with a value and not dropped since. */
+  private readonly held = new Set<string>();
   private readonly waiters = new Set<() => void>();
   /** Ends the poll that is under way, so that a fresh one can be made. */
   private pollAbort = new AbortController();
@@ -129,26 +131,45 @@
   }
 
   private async load(): Promise<void> {
-    const { store, topic, clock, onRecords } = this.options;
+    const { store, topic, clock } = this.options;
     const askedAt = clock.monotonic();
     const page = await store.newest(topic);
-    onRecords(page.records);
+    this.handOn([...this.droppedSince(page.records), ...page.records]);
     this.next = page.next;
     this.confirm(askedAt);
   }
 
   private async poll(from: number): Promise<void> {
-    const { store, topic, clock, onRecords } = this.options;
+    const { store, topic, clock } = this.options;
     const askedAt = clock.monotonic();
     const waitMs = this.waiters.size > 0 ? 0 : FOLLOW.pollMs;
     this.pollAbort = new AbortController();
     const { signal } = this.pollAbort;
     const page = await store.read({ topic, from, waitMs, signal });
-    if (page.records.length > 0) onRecords(page.records);
+    if (page.records.length > 0) this.handOn(page.records);
     this.next = page.next;
     this.confirm(askedAt);
   }
 
+  /**
+   * The newest records name no key that was dropped while the follower was cut
+   * off. Without this a job that is gone would be held for ever, and run again.
+   */
+  private droppedSince(newest: readonly KeyedRecord[]): KeyedRecord[] {
+    const named = new Set(newest.map(({ key }) => key));
+    return [...this.held]
+      .filter((key) => !named.has(key))
+      .map((key) => ({ key, value: undefined }));
+  }
+
+  private handOn(records: readonly KeyedRecord[]): void {
+    for (const { key, value } of records) {
+      if (value) this.held.add(key);
+      else this.held.delete(key);
+    }
+    this.options.onRecords(records);
+  }
+
   private confirm(askedAt: Monotonic): void {
     this.confirmedAt = askedAt;
     this.answeredAt = this.options.clock.monotonic();
