A pace whose order got no answer is ordered again until it cannot come late

Cause: the pace last ordered was taken for the one in force, though an order before it that got no answer may be carried out after it. A filling task then worked faster than the side believed, beside a serving task that could not bear it, until something else changed its pace. And when the order of a new task's first pace was lost before the worker listed the task, the first look took that pace for given: the task went on at full pace. Change: for 5 s after an order without an answer, each look orders the run's pace again. The 5 s are not measured.

--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -11,10 +11,12 @@
   type JobTaskId,
   type Logger,
   type Metrics,
+  type Monotonic,
   type WorkerInstance,
 } from "@rackspan/common";
 import {
   runKeyOf,
+  type PaceOrder,
   type RunningTask,
   type RunRef,
   type TaskHost,
@@ -26,6 +28,12 @@
 /** Runs that were ordered and may not be listed yet; older ones are forgotten. */
 const MAX_UNLISTED = 64;
 
+/**
+ * An order without an answer may be carried out this long after it, and then take
+ * the place of a newer one; milliseconds. Not measured: workers speak of seconds.
+ */
+const OPEN_ORDER_MS = 5_000;
+
 export interface PacerOptions {
   readonly host: TaskHost;
   readonly clock: Clock;
@@ -51,6 +59,8 @@
   private readonly given = new Map<string, number>();
   /** The first pace of runs that this process ordered and no look has shown yet, percent. */
   private readonly unlisted = new Map<string, number>();
+  /** Until when an order for each run that got no answer may be carried out. */
+  private readonly openUntil = new Map<string, Monotonic>();
 
   constructor(private readonly options: PacerOptions) {
     this.planner = new PacePlanner(options);
@@ -75,15 +85,8 @@
     // A look was faster: the pace follows from what it showed.
     if (!this.unlisted.has(key)) return;
     this.unlisted.set(key, firstPercent);
-    const { host, logger, metrics } = this.options;
-    metrics.count("pace_orders", { way: "first" });
-    host
-      .pace(instance, { task, run, percent: firstPercent, epoch })
-      .catch((err: unknown) => {
-        this.given.delete(key);
-        metrics.count("pace_orders_failed");
-        logger.debug("pace.failed", { task, run, error: describeError(err) });
-      });
+    this.options.metrics.count("pace_orders", { way: "first" });
+    this.send(instance, { task, run, percent: firstPercent, epoch });
   }
 
   /** Takes what the leader knows of the images on this host. */
@@ -97,6 +100,7 @@
     epoch: Epoch,
     running: readonly RunningTask[],
   ): void {
+    this.closeOrders();
     for (const row of running) this.noteListed(row);
     forgetOtherRuns(this.given, running);
     const plan = this.planner.plan(running, this.options.clock.monotonic());
@@ -122,19 +126,38 @@
   ): void {
     const key = runKeyOf(row);
     const before = this.given.get(key);
-    if (before === percent) return;
+    if (before === percent && !this.openUntil.has(key)) return;
     this.given.set(key, percent);
-    const { host, logger, metrics } = this.options;
     const { task, run } = row;
-    metrics.count("pace_orders", { way: wayOf(before, percent) });
-    host.pace(instance, { task, run, percent, epoch }).catch((err: unknown) => {
-      // Not known now: the next look gives it again.
+    const way = wayOf(before, percent);
+    this.options.metrics.count("pace_orders", { way });
+    this.send(instance, { task, run, percent, epoch });
+  }
+
+  /**
+   * Orders a pace. One that gets no answer leaves it open which pace is in force,
+   * so until it cannot be carried out any more each look orders the pace again.
+   */
+  private send(instance: WorkerInstance, order: PaceOrder): void {
+    const { host, clock, logger, metrics } = this.options;
+    const { task, run } = order;
+    const key = runKeyOf(order);
+    host.pace(instance, order).catch((err: unknown) => {
       this.given.delete(key);
+      this.openUntil.set(key, clock.monotonic() + OPEN_ORDER_MS);
       metrics.count("pace_orders_failed");
       logger.debug("pace.failed", { task, run, error: describeError(err) });
     });
   }
 
+  /** Drops orders that cannot be carried out any more. */
+  private closeOrders(): void {
+    const now = this.options.clock.monotonic();
+    for (const [key, until] of this.openUntil) {
+      if (now >= until) this.openUntil.delete(key);
+    }
+  }
+
   private logSlowed({ serving, paces, slowed }: PacePlan): void {
     const worst = serving.reduce((a, b) => (b.tail > a.tail ? b : a));
     this.options.logger.info("pace.slowed", {
@@ -149,5 +172,6 @@
 /** Where the pace goes from the one given before, for the metrics. */
 const wayOf = (before: number | undefined, percent: number): string => {
   if (before === undefined) return "found";
+  if (before === percent) return "again";
   return percent < before ? "down" : "up";
 };
