The end of an earlier run does not replace a later run's checkpoint

Cause: the end of a failed run, heard of while a later run of the task was under way, gave the task its checkpoint. If the later run's worker crashed before its next report, the task went on from the older point. Change: of such an end only the failure counts. Measured: the test of earlierRuns.test.ts fails before and passes now; the others of scheduling pass. Left open: the same end while the task waits.

--- a/packages/scheduling/src/EndTaker.ts
+++ b/packages/scheduling/src/EndTaker.ts
@@ -8,6 +8,8 @@
 import type { JobCloser } from "./JobCloser.js";
 import type { ProgressKeeper } from "./ProgressKeeper.js";
 
+const NO_CHECKPOINT = "";
+
 export interface EndTakerOptions extends EngineParts {
   readonly closer: JobCloser;
   readonly keeper: ProgressKeeper;
@@ -60,12 +62,13 @@
   /**
    * Takes the end of a run when a later one of the task is under way. Only a
    * failure counts: a new leader hears of runs in any order of hosts, and one
-   * that passed such failures over started a task twice past its attempts.
+   * that passed such failures over started a task twice past its attempts. What
+   * the run had saved does not: the later one may have saved more.
    */
   private takeEarlier(task: JobTask, end: EndedRun): JobRun | undefined {
     if (end.outcome !== "failed") return undefined;
     const { job } = task.step;
-    const changed = job.noteEnd(task, end.run, end.outcome, end.checkpoint);
+    const changed = job.noteEnd(task, end.run, end.outcome, NO_CHECKPOINT);
     this.parts.closer.closeIfEnded(job, task);
     return changed ? job : undefined;
   }
