--- a/packages/entry/tests/sideServer.test.ts
+++ b/packages/entry/tests/sideServer.test.ts
@@ -162,7 +162,7 @@
     const late = await openSide(listen);
     await attach(late);
     late.close("given up before it attached");
-    await sleep(new SystemClock(), 50);
+    await Promise.race([present.closed, sleep(new SystemClock(), TIMEOUT_MS)]);
     const isServed = probe.session !== undefined;
     const mustReattach = !present.isOpen;
     expect([isServed, mustReattach].includes(true)).toEqual(true);
