--- a/packages/scheduling/tests/unasked.test.ts
+++ b/packages/scheduling/tests/unasked.test.ts
@@ -330,7 +330,7 @@
   expect(host.isRunning(TASK)).toEqual(false);
 });
 
-test("a host that is cut off for good is granted no lease, and its runs end with the last one", async () => {
+test("a cancelled job whose host is cut off for good starts nowhere else", async () => {
   const { harness, host, job } = await startLasting();
   harness.engine.detach(host.host, host);
   harness.engine.cancelJob(job);
