--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -174,6 +174,23 @@
   await stop();
 });
 
+test("a cancel is kept for a job whose record this version cannot read", async () => {
+  // Users would see a cancelled job run after a version was taken back and put in again.
+  // Order: a cancelled job's record is not readable, the time for ended jobs passes.
+  // Cause: a job that could not be read was taken as one that never came.
+  const { clock, store, jobsWriter, leadership, stop, keepCancel } = setUp();
+  const value = Buffer.from("of another version");
+  const { kept } = jobsWriter.write({ key: JOB, value });
+  await clock.advance(50);
+  await kept;
+  leadership.begin(brand<Epoch>(1));
+  await clock.advance(200);
+  await keepCancel();
+  await clock.advance(16_000);
+  expect(store.recordsOf(TOPICS.cancels).length).toEqual(1);
+  await stop();
+});
+
 test("a cancel whose job never came is dropped when ended jobs are", async () => {
   // Users would see the topic of cancels grow with every job that is denied.
   // Order: a cancel is kept for a job that never comes, the time for ended jobs passes.
