--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -42,6 +42,8 @@
   /** Emits what a leader has to act on. */
   readonly changes = new Emitter<JobChange>();
   private readonly jobs = new Map<JobId, AcceptedJob>();
+  /** Jobs that the store keeps in a form that this version cannot read. */
+  private readonly unreadable = new Set<JobId>();
   /** When each was taken. A cancel may come before its job, and then waits for it. */
   private readonly cancels = new Map<JobId, Instant>();
   private readonly progress = new Map<JobId, ProgressRecord>();
@@ -78,7 +80,8 @@
   jobsNeverCome(before: Instant): JobId[] {
     const never: JobId[] = [];
     for (const [id, at] of this.cancels) {
-      if (at < before && !this.jobs.has(id)) never.push(id);
+      const hasCome = this.jobs.has(id) || this.unreadable.has(id);
+      if (at < before && !hasCome) never.push(id);
     }
     return never;
   }
@@ -117,9 +120,16 @@
 
   takeJobs(records: readonly KeyedRecord[]): void {
     for (const { key, value } of records) {
-      if (value)
-        this.decode(key, () => this.noteAccepted(decodeJob(key, value)));
-      else this.jobs.delete(key as unknown as JobId);
+      const id = key as unknown as JobId;
+      this.unreadable.delete(id);
+      if (!value) {
+        this.jobs.delete(id);
+        continue;
+      }
+      const isRead = this.decode(key, () =>
+        this.noteAccepted(decodeJob(key, value)),
+      );
+      if (!isRead) this.unreadable.add(id);
     }
   }
 
@@ -155,13 +165,16 @@
     }
   }
 
-  private decode(key: string, take: () => void): void {
+  /** @returns whether the record could be read */
+  private decode(key: string, take: () => void): boolean {
     try {
       take();
+      return true;
     } catch (err) {
       const { logger, metrics } = this.options;
       metrics.count("records_passed_over");
       logger.error("record.unreadable", { key, error: describeError(err) });
+      return false;
     }
   }
 }
