--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -276,6 +276,7 @@
         return;
       case "replaced":
       case "draining":
+        this.pauseHost(host);
         this.giveBack(host, run, `start-${result.kind}`);
         return;
       case "refused":
@@ -289,18 +290,27 @@
 
   /** A host that refuses is left alone, unless only the step's ticket is refused. */
   private pauseAfterRefusal(
-    { ledger }: HostEntry,
+    host: HostEntry,
     { task }: ActiveRun,
     reason: StartRefusal,
   ): void {
     const { clock, permitBook } = this.options;
-    const now = clock.monotonic();
     if (reason !== "bad-ticket") {
-      ledger.pausedUntil = now + ENGINE.refusedPauseMs;
+      this.pauseHost(host);
       return;
     }
-    permitBook.forget(task.step, ledger);
-    task.step.heldUntil = now + ENGINE.badTicketPauseMs;
+    permitBook.forget(task.step, host.ledger);
+    task.step.heldUntil = clock.monotonic() + ENGINE.badTicketPauseMs;
+  }
+
+  /**
+   * Until the next report the leader cannot know better, and the next pass would
+   * order the same there: 3,925 of 17,822 runs given back on 25 played days were
+   * answered "replaced", some tasks five times in 50 ms.
+   */
+  private pauseHost({ ledger }: HostEntry): void {
+    const { clock } = this.options;
+    ledger.pausedUntil = clock.monotonic() + ENGINE.refusedPauseMs;
   }
 }
 
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -205,6 +205,20 @@
   expect(host.starts.length).toEqual(2);
 });
 
+test("a host whose worker was replaced is left alone until it reports the next one", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  host.answers = "replaced";
+  harness.submit("j", [{}]);
+  await harness.clock.advance(300);
+  expect(host.starts.length).toEqual(1);
+  host.replaceWorker();
+  host.answers = "ok";
+  harness.reportOf(host);
+  await harness.run(100);
+  expect(host.isRunning(taskId("j.0.0.0"))).toEqual(true);
+});
+
 test("plain tasks leave a host that falls behind others with the same step", async () => {
   const harness = new EngineHarness();
   const slow = await harness.addHost("h1");
