--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -104,6 +104,7 @@
       placer: "colocating",
       policy: DEFAULT_POLICY,
       leaseMs,
+      longestLeaseMs: leaseMs,
       stopMs,
       mayDecide: () => this.mayDecide(),
       queueOf: () => queue,
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -47,7 +47,10 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly leadershipTtlMs: number;
+  /** The lease that workers are granted. */
   readonly leaseMs: number;
+  /** The longest that a former leader, with other settings, may have granted. */
+  readonly longestLeaseMs: number;
   readonly stopMs: number;
   /** Jobs that ended are kept this long. */
   readonly keepEndedMs: number;
@@ -199,13 +202,14 @@
 
   private buildEngine(takenOverAt: number): JobEngine {
     const { view, config, clock, logger, metrics } = this.options;
-    const { leadershipTtlMs, leaseMs, stopMs, mayDecide } = this.options;
+    const { leadershipTtlMs, leaseMs, longestLeaseMs } = this.options;
+    const { stopMs, mayDecide } = this.options;
     const roster = [...view.roster];
     const gate = new TakeoverGate({
       takenOverAt,
       roster,
       leadershipTtlMs,
-      leaseMs,
+      leaseMs: longestLeaseMs,
     });
     const engine = new JobEngine({
       epoch: this.epoch,
@@ -223,6 +227,7 @@
       placer: this.options.placer,
       policy: this.options.policy,
       leaseMs,
+      longestLeaseMs,
       stopMs,
       mayDecide: () => !this.abort.signal.aborted && mayDecide(),
       queueOf: (queue) => config.queue(queue),
