Revert "A worker that nobody reaches ends cancelled tasks in their time"

Conclusion: the leader's grant stays as long as it may be; what must be short is only the lease of a worker whose side is gone.

--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -104,7 +104,6 @@
       placer: "colocating",
       policy: DEFAULT_POLICY,
       leaseMs,
-      longestLeaseMs: leaseMs,
       stopMs,
       mayDecide: () => this.mayDecide(),
       queueOf: () => queue,
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -47,10 +47,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly leadershipTtlMs: number;
-  /** The lease that workers are granted. */
   readonly leaseMs: number;
-  /** The longest that a former leader, with other settings, may have granted. */
-  readonly longestLeaseMs: number;
   readonly stopMs: number;
   /** Jobs that ended are kept this long. */
   readonly keepEndedMs: number;
@@ -202,14 +199,13 @@
 
   private buildEngine(takenOverAt: number): JobEngine {
     const { view, config, clock, logger, metrics } = this.options;
-    const { leadershipTtlMs, leaseMs, longestLeaseMs } = this.options;
-    const { stopMs, mayDecide } = this.options;
+    const { leadershipTtlMs, leaseMs, stopMs, mayDecide } = this.options;
     const roster = [...view.roster];
     const gate = new TakeoverGate({
       takenOverAt,
       roster,
       leadershipTtlMs,
-      leaseMs: longestLeaseMs,
+      leaseMs,
     });
     const engine = new JobEngine({
       epoch: this.epoch,
@@ -227,7 +223,6 @@
       placer: this.options.placer,
       policy: this.options.policy,
       leaseMs,
-      longestLeaseMs,
       stopMs,
       mayDecide: () => !this.abort.signal.aborted && mayDecide(),
       queueOf: (queue) => config.queue(queue),
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -17,9 +17,6 @@
 
 const millisecondsSchema = z.number().int().min(1).max(3_600_000);
 
-/** A bound that the platform states, milliseconds; it may be none at all. */
-const boundSchema = z.number().int().min(0).max(3_600_000);
-
 const secondsSchema = z.number().positive().max(86_400);
 
 const namesOf = (names: readonly string[]) =>
@@ -75,15 +72,8 @@
     leadershipTtlMs: millisecondsSchema.default(2_500),
     /** The least that the store takes; a lower `leadershipTtlMs` is raised to it. */
     leastLeadershipTtlMs: millisecondsSchema.default(1),
-    /** Longest lease that workers take. */
+    /** Longest lease that workers grant. */
     workerLeaseMs: millisecondsSchema,
-    /** Silence after which the platform takes a host to be out of touch. */
-    outOfTouchMs: boundSchema.optional(),
-    /**
-     * Time within which the tasks of a cancelled job are to be ordered to stop.
-     * With `outOfTouchMs` it bounds the lease of workers that nobody reaches.
-     */
-    cancelMs: boundSchema.optional(),
     /** Time that a worker may take to stop a task. */
     stopMs: millisecondsSchema.default(500),
   }),
--- a/packages/entry/src/jobs/wireJobEntry.ts
+++ b/packages/entry/src/jobs/wireJobEntry.ts
@@ -8,7 +8,7 @@
   type Logger,
   type Metrics,
 } from "@rackspan/common";
-import { grantedLeaseMs, LeaderElection } from "@rackspan/leadership";
+import { LeaderElection } from "@rackspan/leadership";
 import {
   permitServices,
   storeClients,
@@ -37,8 +37,6 @@
 
 /** Each life of an entry writes under a producer's name of its own, and so its first epoch. */
 const FIRST_EPOCH = 1;
-/** After the former term: sides attach to the next leader and report within this, milliseconds. */
-const LEADER_CHANGE_MS = 1_000;
 
 export interface JobEntryBase {
   readonly settings: JobEntrySettings;
@@ -218,14 +216,7 @@
     logger,
     metrics,
     leadershipTtlMs,
-    leaseMs: grantedLeaseMs({
-      longestMs: leases.workerLeaseMs,
-      leastMs: leadershipTtlMs + LEADER_CHANGE_MS,
-      outOfTouchMs: leases.outOfTouchMs,
-      cancelMs: leases.cancelMs,
-      stopMs: leases.stopMs,
-    }),
-    longestLeaseMs: leases.workerLeaseMs,
+    leaseMs: leases.workerLeaseMs,
     stopMs: leases.stopMs,
     keepEndedMs: settings.keepEndedSeconds * MS_PER_SECOND,
     progressGatherMs: batching.progressMs,
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -90,7 +90,6 @@
     metrics,
     leadershipTtlMs: FORMER_TERM_MS,
     leaseMs: 6_000,
-    longestLeaseMs: 6_000,
     stopMs: 200,
     keepEndedMs: 10_000,
     progressGatherMs: 5,
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -76,10 +76,8 @@
   /** Name of the placer of tasks; see taskPlacers. */
   readonly placer: string;
   readonly policy: SchedulingPolicy;
-  /** Lease that workers are granted, milliseconds of their clocks. */
+  /** Longest lease of a worker, milliseconds of its clock. */
   readonly leaseMs: number;
-  /** The longest that a former leader may have granted, likewise. */
-  readonly longestLeaseMs: number;
   /** Time that a worker may take to stop a task, milliseconds. */
   readonly stopMs: number;
   /** Whether this process may still decide. */
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -323,7 +323,6 @@
       placer: "colocating",
       policy: { ...DEFAULT_POLICY, ...options.policy },
       leaseMs: LEASE_MS,
-      longestLeaseMs: LEASE_MS,
       stopMs: 200,
       mayDecide: () => this.leads,
       queueOf: () => this.queue,
