Tests that fail: members of a gang go on from different checkpoints

Cause: each member of a gang is started with the checkpoint last heard of itself. Change: tests only. Measured: both tests of gangCheckpoints.test.ts fail on this tree.

--- /dev/null
+++ b/packages/scheduling/tests/gangCheckpoints.test.ts
@@ -0,0 +1,61 @@
+/** From which checkpoint the members of a gang go on. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { EngineHarness, type FakeHost } from "./engineHarness.js";
+
+const JOB = "5c0e7a21d94b36f8";
+
+/** What the second start at each host brings. */
+const secondCheckpoints = (hosts: readonly FakeHost[]): readonly string[] =>
+  hosts.flatMap(({ starts }) =>
+    starts.slice(1).map(({ checkpoint }) => checkpoint),
+  );
+
+// A gang of two runs on two hosts; both have saved their progress. The worker of
+// one crashes, so the other member ends as broken, having saved once more. All of
+// the gang is started again, and users saw its members go on from two different
+// points, which workers do not accept of a gang. The cause: each member brought
+// the checkpoint that was last heard of itself, and the lost one's was older.
+test("all members of a gang go on from the newest checkpoint of any of them", async () => {
+  const site = new EngineHarness();
+  const hosts = [await site.addHost("h1"), await site.addHost("h2")];
+  site.submit(JOB, [
+    { taskCount: 2, gang: true, checkpointing: true, maxPerHost: 1 },
+  ]);
+  await site.run(200);
+  for (const host of hosts) {
+    for (const task of host.runningTasks) host.save(task, "older");
+  }
+  await site.run(200);
+  const [lost, other] = hosts as [FakeHost, FakeHost];
+  const [left] = other.runningTasks;
+  if (!left) throw new Error("the second member does not run");
+  other.save(left, "newer");
+  site.reportOf(other);
+  lost.replaceWorker();
+  other.end(left, "broken");
+  await site.run(200);
+  expect(secondCheckpoints(hosts)).toEqual(["newer", "newer"]);
+});
+
+// The same when the leader changes: the store keeps a checkpoint of each member.
+test("a new leader starts all members of a gang from one checkpoint", async () => {
+  const site = new EngineHarness();
+  const hosts = [await site.addHost("h1"), await site.addHost("h2")];
+  const job = site.submit(JOB, [
+    { taskCount: 2, gang: true, checkpointing: true, maxPerHost: 1 },
+  ]);
+  site.engine.forgetJob(job.spec.id);
+  site.engine.addJob(job, {
+    state: "running",
+    begun: true,
+    endedAt: 0,
+    done: {},
+    failures: [],
+    checkpoints: [["0.0.1", "only"]],
+  });
+  await site.run(200);
+  const starts = hosts.flatMap((host) => host.starts);
+  expect(starts.map(({ checkpoint }) => checkpoint)).toEqual(["only", "only"]);
+});
