All members of a gang go on from one checkpoint

Cause: each member brought the checkpoint last heard of itself. After one member's worker had crashed, or under a new leader, members went on from different points; workers want the same one of all, and that of any is valid. Change: a gang is started from the checkpoint of any member heard of last. Measured: the two tests of gangCheckpoints.test.ts fail before and pass now; the 82 tests of scheduling and jobs pass.

--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -16,6 +16,11 @@
 import type { JobTask } from "./JobTask.js";
 import { StepRun } from "./StepRun.js";
 
+const setCheckpoint = (task: JobTask, checkpoint: string): void => {
+  task.checkpoint = checkpoint;
+  task.step.newestCheckpoint = checkpoint;
+};
+
 const keyOf = (step: StepRun): string => `${step.occurrence}.${step.number}`;
 
 export class JobRun {
@@ -133,11 +138,17 @@
    */
   noteCheckpoint(task: JobTask, checkpoint: string): boolean {
     if (checkpoint === "" || checkpoint === task.checkpoint) return false;
-    task.checkpoint = checkpoint;
+    setCheckpoint(task, checkpoint);
     this.hasNewCheckpoints = true;
     return true;
   }
 
+  /** A gang goes on as one: its members bring the same checkpoint, that of any. */
+  shareCheckpoint({ tasks, newestCheckpoint }: StepRun): void {
+    if (newestCheckpoint === "") return;
+    for (const task of tasks) this.noteCheckpoint(task, newestCheckpoint);
+  }
+
   /** A gang ends as one: one member's end stands for all. */
   noteGangDone(step: StepRun): void {
     for (const task of step.tasks) {
@@ -199,7 +210,7 @@
     }
     for (const [key, checkpoint] of progress.checkpoints) {
       const task = this.taskAtKey(key);
-      if (task) task.checkpoint = checkpoint;
+      if (task) setCheckpoint(task, checkpoint);
     }
   }
 
--- a/packages/jobs/src/StepRun.ts
+++ b/packages/jobs/src/StepRun.ts
@@ -15,6 +15,8 @@
   heldUntil: Monotonic = -Infinity;
   /** Since when a task of it has waited for a place in vain; undefined when none does. */
   unplacedSince: Monotonic | undefined;
+  /** The checkpoint of any of its tasks that was heard of last; empty for none. */
+  newestCheckpoint = "";
 
   constructor(
     readonly job: JobRun,
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -199,6 +199,7 @@
     if (waiting.length < step.tasks.length - step.doneCount) return;
     const chosen = chooseGangHosts(step, waiting, hosts);
     if (!chosen) return;
+    step.job.shareCheckpoint(step);
     const number = this.options.runs.nextRun();
     for (const [task, host] of chosen) this.startOn(host, task, number);
   }
