A test that fails: a follower that is behind counts as up to date after one answer

Cause: a store's answer to a read ends after a megabyte; where it ends was not compared with where the topic ends. Change: a test only.

--- /dev/null
+++ b/packages/state/tests/followerBehind.test.ts
@@ -0,0 +1,77 @@
+/** When a follower that is behind the store counts as up to date. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { brand, ManualClock, silentLogger } from "@rackspan/common";
+import {
+  type ReadRequest,
+  type RecordPage,
+  type RecordStore,
+  type TopicName,
+} from "@rackspan/ports";
+import { TopicFollower } from "@rackspan/state";
+import { MemoryStore } from "@rackspan/standins";
+
+const TOPIC = brand<TopicName>("progress");
+const RECORDS = 7;
+
+/** A store that answers some records at a time, and tells how many it has. */
+class PagedStore {
+  constructor(
+    private readonly store: MemoryStore,
+    private readonly pageRecords: number,
+  ) {}
+
+  read = async (
+    req: ReadRequest,
+  ): Promise<RecordPage & { readonly end: number }> => {
+    const { records, next: end } = await this.store.read(req);
+    const page = records.slice(0, this.pageRecords);
+    return { records: page, next: req.from + page.length, end };
+  };
+
+  newest = (topic: TopicName): Promise<RecordPage> => this.store.newest(topic);
+
+  append = (): never => {
+    throw new Error("not used");
+  };
+}
+
+// An entry is cut off from the store while many tasks end, and takes over when it
+// is back. Users saw tasks that were done start once more, and jobs that were
+// completed shown as running. The store answers a read with a megabyte at most;
+// the cause: the first such answer was taken for all that the store had, and the
+// entry led by a view that ended in the middle of what it had missed.
+test("a follower is up to date once it has read all that the store holds, not one answer of it", async () => {
+  const clock = new ManualClock();
+  const memory = new MemoryStore(clock);
+  const known: string[] = [];
+  const follower = new TopicFollower({
+    topic: TOPIC,
+    store: new PagedStore(memory, 2) as unknown as RecordStore,
+    clock,
+    logger: silentLogger,
+    floorMs: () => 20,
+    onRecords: (records) => known.push(...records.map(({ key }) => key)),
+  });
+  follower.start();
+  await clock.advance(50);
+  memory.fault = "refuses";
+  await clock.advance(2_000);
+  memory.fault = "none";
+  for (let sequence = 1; sequence <= RECORDS; sequence += 1) {
+    await memory.append({
+      topic: TOPIC,
+      records: [{ key: `task-${sequence}`, value: Buffer.from("done") }],
+      stamp: { producer: "leader", epoch: 1, sequence },
+      timeoutMs: 100,
+    });
+  }
+  let knownThen: number | undefined;
+  void follower.catchUp().then(() => (knownThen = known.length));
+  await clock.advance(1_000);
+  expect(knownThen).toEqual(RECORDS);
+  const stopped = follower.stop();
+  await clock.advance(2_000);
+  await stopped;
+});
