A follower is up to date only once it has read to the topic's end

Cause: a store's answer to a read holds a megabyte at most. A follower that had missed more took the first answer for all there was: an entry that had been cut off, or had stood still, led by a view in the middle of what it had missed, in which tasks that were done still waited. Change: an answer tells where the topic ends; a view is confirmed only by one that reaches it, or that has nothing. Not measured: how often an entry misses a megabyte.

--- a/packages/ports/src/recordStore.ts
+++ b/packages/ports/src/recordStore.ts
@@ -50,6 +50,11 @@
   readonly next: number;
 }
 
+export interface ReadAnswer extends RecordPage {
+  /** Offset behind the last record that the store had; an answer may end before. */
+  readonly end: number;
+}
+
 export interface RecordStore {
   /**
    * @returns the offset behind the last record
@@ -63,7 +68,7 @@
    * @throws RecordsGoneError when records from `from` on are no longer kept
    * @throws StoreRefusedError or StoreAnswerLostError when it cannot be read now
    */
-  read(req: ReadRequest): Promise<RecordPage>;
+  read(req: ReadRequest): Promise<ReadAnswer>;
   /**
    * The newest record of each key. Changes made meanwhile may be missing: read
    * on from `next`, which was taken before the first page.
--- a/packages/standins/src/MemoryStore.ts
+++ b/packages/standins/src/MemoryStore.ts
@@ -13,6 +13,7 @@
   type AppendRequest,
   type JoinAnswer,
   type JoinRequest,
+  type ReadAnswer,
   type ReadRequest,
   type RecordPage,
   type StoreClient,
@@ -47,6 +48,8 @@
   /** Whether members' times wait, as they may while the store is away. */
   timesWait = false;
   appends = 0;
+  /** Most records in one answer to a read. */
+  maxReadRecords = Infinity;
   private readonly topics = new Map<TopicName, Topic>();
   private members: GroupMember[] = [];
   private ownerName: string | undefined;
@@ -70,7 +73,7 @@
     from,
     waitMs,
     signal,
-  }: ReadRequest): Promise<RecordPage> {
+  }: ReadRequest): Promise<ReadAnswer> {
     await this.pass("before");
     const { records, waiting } = this.topic(topic);
     if (records.length <= from && waitMs > 0) {
@@ -86,10 +89,9 @@
     }
     signal?.throwIfAborted();
     await this.pass("after");
-    return {
-      records: records.slice(from),
-      next: Math.max(from, records.length),
-    };
+    const page = records.slice(from, from + this.maxReadRecords);
+    const end = Math.max(from, records.length);
+    return { records: page, next: from + page.length, end };
   }
 
   async newest(topic: TopicName): Promise<RecordPage> {
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -148,7 +148,10 @@
     const page = await store.read({ topic, from, waitMs, signal });
     if (page.records.length > 0) this.handOn(page.records);
     this.next = page.next;
-    this.confirm(askedAt);
+    this.answeredAt = clock.monotonic();
+    // An answer holds a megabyte at most: a follower that was cut off reads on.
+    const isAtEnd = page.records.length === 0 || page.next >= page.end;
+    if (isAtEnd) this.confirm(askedAt);
   }
 
   /**
--- a/packages/state/tests/followerBehind.test.ts
+++ b/packages/state/tests/followerBehind.test.ts
@@ -3,40 +3,13 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { brand, ManualClock, silentLogger } from "@rackspan/common";
-import {
-  type ReadRequest,
-  type RecordPage,
-  type RecordStore,
-  type TopicName,
-} from "@rackspan/ports";
+import type { TopicName } from "@rackspan/ports";
 import { TopicFollower } from "@rackspan/state";
 import { MemoryStore } from "@rackspan/standins";
 
 const TOPIC = brand<TopicName>("progress");
 const RECORDS = 7;
 
-/** A store that answers some records at a time, and tells how many it has. */
-class PagedStore {
-  constructor(
-    private readonly store: MemoryStore,
-    private readonly pageRecords: number,
-  ) {}
-
-  read = async (
-    req: ReadRequest,
-  ): Promise<RecordPage & { readonly end: number }> => {
-    const { records, next: end } = await this.store.read(req);
-    const page = records.slice(0, this.pageRecords);
-    return { records: page, next: req.from + page.length, end };
-  };
-
-  newest = (topic: TopicName): Promise<RecordPage> => this.store.newest(topic);
-
-  append = (): never => {
-    throw new Error("not used");
-  };
-}
-
 // An entry is cut off from the store while many tasks end, and takes over when it
 // is back. Users saw tasks that were done start once more, and jobs that were
 // completed shown as running. The store answers a read with a megabyte at most;
@@ -45,10 +18,11 @@
 test("a follower is up to date once it has read all that the store holds, not one answer of it", async () => {
   const clock = new ManualClock();
   const memory = new MemoryStore(clock);
+  memory.maxReadRecords = 2;
   const known: string[] = [];
   const follower = new TopicFollower({
     topic: TOPIC,
-    store: new PagedStore(memory, 2) as unknown as RecordStore,
+    store: memory,
     clock,
     logger: silentLogger,
     floorMs: () => 20,
