Random schedules with gangs, filling and serving tasks, repeats, leaving workers, power losses

Cause: the model was kinder than the platform: plain and lasting tasks only, and sides that never overlap. Change: a harsher set of events (--harsh): gangs that begin and end as one, tasks that fill or serve, limits by host, repeats, checkpoints that must be the task's or its gang's; a worker that says that it leaves and lives up to 6 ms more, two sides of one host for up to 1.5 s, loss of power of the whole site. All ends must be acknowledged in the end. The plain seeds play as before.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -70,13 +70,32 @@
     return this.options.worker;
   }
 
-  /** Another process of the side, which knows nothing of the one before. */
-  restartSide(): void {
-    this.side.abort.abort();
-    void this.side.watch.stop();
+  /**
+   * Another process of the side, which knows nothing of the one before.
+   * @param overlapMs for which both of them run
+   */
+  restartSide(overlapMs = 0): void {
+    const former = this.side;
+    const stop = (): void => {
+      former.abort.abort();
+      void former.watch.stop();
+    };
+    if (overlapMs === 0) stop();
+    else this.options.clock.after(overlapMs, stop);
     this.side = this.startSide();
   }
 
+  /** The worker says that it leaves, and ends a moment later. */
+  leave(lingerMs: number): void {
+    const { clock, worker } = this.options;
+    const { instance } = worker;
+    if (!worker.isUp) return;
+    this.side.registry.noteGone(instance, "it said that it leaves");
+    clock.after(lingerMs, () => {
+      if (worker.instance === instance && worker.isUp) worker.crash();
+    });
+  }
+
   /** The connection breaks; both ends hear of it. */
   resetLink(): void {
     this.link?.closeAtSide(() => undefined);
--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -15,14 +15,17 @@
   decodeProgress,
   isFinal,
   parseTaskId,
+  taskIdAt,
   TOPICS,
   type AcceptedJob,
   type JobId,
   type QueueKey,
   type QueueSpec,
+  type RepeatSpec,
   type StepSpec,
 } from "@rackspan/state";
 import { MemoryStore, plainJob, type StoreFault } from "@rackspan/standins";
+import { GangBook } from "./GangBook.js";
 import { HostModel } from "./HostModel.js";
 import { LEADERSHIP, LeaderModel, VIEW_LAG_MS } from "./LeaderModel.js";
 import { RunHistory } from "./RunHistory.js";
@@ -54,6 +57,7 @@
   readonly clock = new ManualClock();
   readonly store = new MemoryStore(this.clock);
   readonly history = new RunHistory();
+  private readonly gangs = new GangBook(this.clock);
   readonly hosts: HostModel[];
   readonly random: SeededRandom;
   private readonly jobs = new Map<JobId, AcceptedJob>();
@@ -61,7 +65,11 @@
   private leader: LeaderModel | undefined;
   private epoch = 0;
 
-  constructor(seed: number) {
+  /** @param endsFormerLinks see LeaderModelOptions */
+  constructor(
+    seed: number,
+    private readonly endsFormerLinks = false,
+  ) {
     this.random = new SeededRandom(seed);
     this.hosts = Array.from({ length: WORLD.hosts }, (_, index) =>
       this.buildHost(`h${index + 1}`),
@@ -83,11 +91,12 @@
     return position !== undefined && this.isLasting(position.job);
   }
 
-  submit(steps: readonly Partial<StepSpec>[]): void {
+  submit(steps: readonly Partial<StepSpec>[], repeat?: RepeatSpec): void {
     const { clock, jobs, random } = this;
     const job = plainJob({
       id: `job${jobs.size}`,
       steps,
+      repeat,
       acceptedAt: clock.now(),
       terms: { maxAttempts: WORLD.maxAttempts },
     });
@@ -128,8 +137,30 @@
     this.clock.after(ms, () => (host.worker.lateOrders = false));
   }
 
-  restartSide(): void {
-    this.anyHost().restartSide();
+  /** @param overlapMs for which the side before runs beside the next one */
+  restartSide(overlapMs = 0): void {
+    this.anyHost().restartSide(overlapMs);
+  }
+
+  /** A worker drains, says that it leaves, and ends up to some milliseconds later. */
+  leave(drainMs: number, lingerMs: number, downMs: number): void {
+    const host = this.anyHost();
+    const { instance } = host.worker;
+    if (!host.worker.isUp || host.draining) return;
+    host.draining = true;
+    this.clock.after(drainMs, () => {
+      host.draining = false;
+      if (host.worker.instance !== instance || !host.worker.isUp) return;
+      host.leave(lingerMs);
+      this.clock.after(lingerMs + downMs, () => host.worker.revive());
+    });
+  }
+
+  /** All workers, sides and the leader end at once, and come back. */
+  losePower(downMs: number): void {
+    this.leader?.kill();
+    for (const host of this.hosts) host.restartSide();
+    this.crashWorkers(1, downMs);
   }
 
   resetLink(): void {
@@ -179,8 +210,27 @@
   }
 
   checkEnds(): void {
-    this.history.checkEnds(WORLD.maxAttempts, (task) =>
-      this.isLastingTask(task),
+    for (const { host, worker } of this.hosts) {
+      const { listedEnds } = worker;
+      if (listedEnds === 0) continue;
+      const detail = `${host} lists ${listedEnds} ends`;
+      this.history.add("unacknowledged", this.clock.monotonic(), detail);
+    }
+    this.history.checkEnds(
+      WORLD.maxAttempts,
+      (task) => this.isLastingTask(task),
+      (task) => this.gangOf(task),
+    );
+  }
+
+  /** All tasks of the task's gang; none when it is of no gang. */
+  private gangOf(task: JobTaskId): readonly JobTaskId[] {
+    const position = parseTaskId(task);
+    const job = position && this.jobs.get(position.job);
+    const step = position && job?.spec.steps[position.step];
+    if (!position || !step?.gang) return [];
+    return Array.from({ length: step.taskCount }, (_, index) =>
+      taskIdAt({ ...position, index }),
     );
   }
 
@@ -197,6 +247,7 @@
       clock,
       random,
       history,
+      gangs: this.gangs,
       milliCores,
       traitsOf: (task) => this.traitsOf(task),
     });
@@ -217,12 +268,19 @@
     const job = position && this.jobs.get(position.job);
     const step = position && job?.spec.steps[position.step];
     if (!step) throw new Error(`nobody has submitted ${task}`);
+    const { demand, filling, tailTargetMs, taskCount: size } = step;
+    const runMs = step.lasting
+      ? undefined
+      : step.estimateMs * (0.5 + this.random.next());
+    const fails = this.random.next() < WORLD.failShare;
+    const gang = step.gang && runMs !== undefined;
     return {
-      milliCores: step.demand.milliCores,
-      runMs: step.lasting
-        ? undefined
-        : step.estimateMs * (0.5 + this.random.next()),
-      fails: this.random.next() < WORLD.failShare,
+      milliCores: filling ? 0 : demand.milliCores,
+      runMs,
+      fails,
+      gang: gang ? { size, runMs, fails } : undefined,
+      reading: filling ? demand.milliCores : tailTargetMs / 2,
+      saves: step.checkpointing,
     };
   }
 
@@ -247,6 +305,7 @@
       clock: this.clock,
       store: this.store,
       queue: QUEUE,
+      endsFormerLinks: this.endsFormerLinks,
       jobs: () =>
         [...this.jobs.values()].map((accepted) => ({
           accepted,
--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -43,6 +43,8 @@
   readonly clock: Clock;
   readonly store: StoreClient;
   readonly queue: QueueSpec;
+  /** Whether a host that attaches ends its connection before; seeds of before it do not. */
+  readonly endsFormerLinks: boolean;
   /** Jobs as the entry's view holds them now, and whether they were cancelled. */
   readonly jobs: () => Iterable<{
     readonly accepted: AcceptedJob;
@@ -56,6 +58,8 @@
   confirmedAt: Monotonic;
   engine: JobEngine | undefined;
   private readonly links = new Map<HostId, SideLink>();
+  /** The connection of each host that attached last. */
+  private readonly attached = new Map<HostId, SideLink>();
   private readonly writers: StampedWriter[] = [];
   private isOver = false;
 
@@ -140,9 +144,17 @@
   attach(host: HostId, link: SideLink): Epoch | undefined {
     if (this.isOver || !this.engine) return undefined;
     this.engine.attach(host, link);
+    if (this.options.endsFormerLinks) this.endFormer(host, link);
     return this.options.epoch;
   }
 
+  private endFormer(host: HostId, link: SideLink): void {
+    const former = this.attached.get(host);
+    this.attached.set(host, link);
+    if (former === link) return;
+    former?.closeAtLeader(() => this.detach(host, former));
+  }
+
   detach(host: HostId, link: SideLink): void {
     if (!this.isOver) this.engine?.detach(host, link);
   }
--- a/packages/checker/src/jobs/RunHistory.ts
+++ b/packages/checker/src/jobs/RunHistory.ts
@@ -23,6 +23,7 @@
     | "past-attempts"
     | "over-room"
     | "unasked"
+    | "unacknowledged"
     | "not-finished";
   readonly at: Monotonic;
   readonly detail: string;
@@ -59,10 +60,12 @@
   checkEnds(
     maxAttempts: number,
     isLasting: (task: JobTaskId) => boolean,
+    gangOf: (task: JobTaskId) => readonly JobTaskId[],
   ): void {
     for (const [task, runs] of this.byTask) {
       if (isLasting(task)) continue;
-      for (const run of runs) this.checkBegin(run, runs, maxAttempts);
+      const ofGang = gangOf(task).flatMap((member) => this.runsOf(member));
+      for (const run of runs) this.checkBegin(run, runs, maxAttempts, ofGang);
     }
   }
 
@@ -70,11 +73,15 @@
     run: RunSeen,
     runs: readonly RunSeen[],
     maxAttempts: number,
+    ofGang: readonly RunSeen[],
   ): void {
-    const endedBefore = runs.filter(
-      ({ noted, endedAt }) => noted && (endedAt ?? Infinity) < run.beganAt,
+    const isBefore = ({ noted, endedAt }: RunSeen): boolean =>
+      noted && (endedAt ?? Infinity) < run.beganAt;
+    const endedBefore = runs.filter(isBefore);
+    // The end of one member stands for all.
+    const done = [...endedBefore, ...ofGang.filter(isBefore)].find(
+      ({ outcome }) => outcome === "done",
     );
-    const done = endedBefore.find(({ outcome }) => outcome === "done");
     if (done) {
       this.add(
         "started-after-done",
--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -31,14 +31,21 @@
   type StartOutcome,
   type TaskHost,
 } from "@rackspan/ports";
+import type { GangBook, GangRun } from "./GangBook.js";
 import type { RunHistory, RunSeen } from "./RunHistory.js";
 
 /** What a task asks for and how it fares; told by its id. */
 export interface TaskTraits {
+  /** Of the worker's room; none where it fills. */
   readonly milliCores: number;
   /** Milliseconds until it ends by itself; undefined for one that lasts. */
   readonly runMs: number | undefined;
   readonly fails: boolean;
+  /** Undefined for a task of no gang. */
+  readonly gang: Omit<GangRun, "key"> | undefined;
+  /** As workers list it; see TaskHost. */
+  readonly reading: number;
+  readonly saves: boolean;
 }
 
 export interface WorkerModelOptions {
@@ -46,6 +53,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly history: RunHistory;
+  readonly gangs: GangBook;
   readonly milliCores: number;
   readonly traitsOf: (task: JobTaskId) => TaskTraits;
 }
@@ -67,7 +75,8 @@
 interface Running {
   readonly ref: RunRef;
   readonly seen: RunSeen;
-  readonly milliCores: number;
+  readonly traits: TaskTraits;
+  readonly gangKey: string | undefined;
 }
 
 /** What is gone when the worker crashes. */
@@ -103,6 +112,11 @@
     return this.life.instance;
   }
 
+  /** Ends that it still lists: nobody has let it forget them. */
+  get listedEnds(): number {
+    return this.life.ended.length;
+  }
+
   get isUp(): boolean {
     return this.up;
   }
@@ -112,10 +126,12 @@
     const { clock } = this.options;
     this.up = false;
     this.life.lapse?.cancel();
-    for (const { seen } of this.life.running.values()) {
+    const lost = [...this.life.running.values()];
+    this.life.running.clear();
+    for (const { seen, ref, gangKey } of lost) {
       seen.endedAt = clock.monotonic();
+      if (gangKey !== undefined) this.options.gangs.left(gangKey, ref.task);
     }
-    this.life.running.clear();
     this.wake();
   }
 
@@ -155,11 +171,11 @@
     await this.reach(instance);
     return {
       at: this.at,
-      running: [...life.running.values()].map(({ ref }) => ({
+      running: [...life.running.values()].map(({ ref, traits }) => ({
         ...ref,
-        checkpoint: "",
+        checkpoint: traits.saves ? `${ref.task}@${this.at}` : "",
         progressPercent: 50,
-        reading: 0,
+        reading: traits.reading,
       })),
       ended: life.ended.map(({ end }) => end),
     };
@@ -248,6 +264,7 @@
     }
     if (order.leaseUntil <= this.at) return { kind: "refused", reason: "late" };
     this.extend(order.leaseUntil);
+    this.checkCheckpoint(order);
     this.run(order);
     return { kind: "started", at: this.at };
   }
@@ -264,16 +281,24 @@
       outcome: undefined,
       noted: false,
     };
-    const running = { ref: { task, run }, seen, milliCores: traits.milliCores };
+    const gangKey = traits.gang && `${task.replace(/\.\d+$/, "")}#${run}`;
+    const running = { ref: { task, run }, seen, traits, gangKey };
     this.life.running.set(runKeyOf(running.ref), running);
     history.begin(seen);
     const taken = [...this.life.running.values()].reduce(
-      (sum, other) => sum + other.milliCores,
+      (sum, other) => sum + other.traits.milliCores,
       0,
     );
     if (taken > milliCores) {
       history.add("over-room", seen.beganAt, `${host} runs ${taken}`);
     }
+    if (traits.gang && gangKey !== undefined) {
+      const { life } = this;
+      this.options.gangs.join({ key: gangKey, ...traits.gang }, task, (how) => {
+        if (this.life === life && this.up) this.end(running, how);
+      });
+      return;
+    }
     if (traits.runMs === undefined) return;
     this.endLater(running, traits.runMs, traits.fails ? "failed" : "done");
   }
@@ -285,7 +310,20 @@
     });
   }
 
-  private end({ ref, seen }: Running, outcome: RunOutcome): void {
+  /** A checkpoint is one that a run of the task, or of its gang, has saved. */
+  private checkCheckpoint({ task, run, checkpoint }: RunStart): void {
+    if (checkpoint === "") return;
+    const { clock, history, traitsOf } = this.options;
+    const [savedBy = ""] = checkpoint.split("@");
+    const stepOf = (id: string): string => id.replace(/\.\d+$/, "");
+    const isOwn = traitsOf(task).gang
+      ? stepOf(savedBy) === stepOf(task)
+      : savedBy === (task as string);
+    const detail = `${task}#${run} brings ${checkpoint}`;
+    if (!isOwn) history.add("unasked", clock.monotonic(), detail);
+  }
+
+  private end({ ref, seen, gangKey }: Running, outcome: RunOutcome): void {
     const { life } = this;
     if (!life.running.delete(runKeyOf(ref))) return;
     this.bar(ref);
@@ -294,6 +332,7 @@
     life.endCount += 1;
     const number = life.endCount;
     life.ended.push({ end: { ...ref, number, outcome, checkpoint: "" }, seen });
+    if (gangKey !== undefined) this.options.gangs.left(gangKey, ref.task);
     this.wake();
   }
 
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -1,2 +1,2 @@
-export { runJobSchedule } from "./jobSchedules.js";
+export { runHarshSchedule, runJobSchedule } from "./jobSchedules.js";
 export type { JobViolation } from "./RunHistory.js";
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -2,6 +2,7 @@
 
 import { pickIndex, type SeededRandom } from "@rackspan/common";
 import type { StoreFault } from "@rackspan/standins";
+import type { ImageName } from "@rackspan/state";
 import { JobWorld } from "./JobWorld.js";
 import type { JobViolation } from "./RunHistory.js";
 
@@ -45,6 +46,41 @@
   world.submit(hasNext ? [step, { ...step, after: [0] }] : [step]);
 };
 
+/** Gangs, tasks that fill or serve, limits by host, repeats. */
+const submitSpecialJob: Event = (world, random) => {
+  const kind = pickIndex(random, 5);
+  const demand = {
+    memoryMiB: 100,
+    accelerators: 0,
+    milliCores: 250 * (1 + pickIndex(random, 4)),
+  };
+  const checkpointing = random.next() < 0.5;
+  const taskCount = 2 + pickIndex(random, 3);
+  const estimateMs = between(random, 200, 1_500);
+  const step = { demand, checkpointing, taskCount, estimateMs };
+  const image = `image${pickIndex(random, 3)}` as unknown as ImageName;
+  const next = { estimateMs, demand, after: [0] };
+  switch (kind) {
+    case 0:
+      return world.submit([{ ...step, gang: true }, next]);
+    case 1:
+      return world.submit([{ ...step, filling: true, image }, next]);
+    case 2:
+      return world.submit([
+        { ...step, lasting: true, image, tailTargetMs: 100 },
+      ]);
+    case 3:
+      return world.submit([{ ...step, maxPerHost: 1 }, next]);
+    default: {
+      const firstAt = world.clock.now() + between(random, 0, 2_000);
+      const intervalMs = between(random, 300, 2_000);
+      const gang = random.next() < 0.3;
+      const count = 2 + pickIndex(random, 2);
+      return world.submit([{ ...step, gang }], { count, firstAt, intervalMs });
+    }
+  }
+};
+
 const cancelJob: Event = (world, random) => {
   const { wanted } = world;
   const id = wanted[pickIndex(random, wanted.length)];
@@ -73,11 +109,27 @@
   ],
 ];
 
-const TOTAL = EVENTS.reduce((sum, [weight]) => sum + weight, 0);
+/** Harsher ones, beside those above. */
+const HARSH_EVENTS: typeof EVENTS = [
+  ...EVENTS,
+  [25, submitSpecialJob],
+  [3, (world, random) => world.restartSide(between(random, 50, 1_500))],
+  [
+    4,
+    (world, random) =>
+      world.leave(
+        between(random, 200, 2_500),
+        between(random, 0, 6),
+        between(random, 50, 1_500),
+      ),
+  ],
+  [1, (world, random) => world.losePower(between(random, 200, 2_000))],
+];
 
-const pickEvent = (random: SeededRandom): Event => {
-  let at = random.next() * TOTAL;
-  for (const [weight, event] of EVENTS) {
+const pickEvent = (events: typeof EVENTS, random: SeededRandom): Event => {
+  const total = events.reduce((sum, [weight]) => sum + weight, 0);
+  let at = random.next() * total;
+  for (const [weight, event] of events) {
     at -= weight;
     if (at < 0) return event;
   }
@@ -85,15 +137,25 @@
 };
 
 /** Plays one seed to its rest. @returns what broke, in order */
-export const runJobSchedule = async (
+export const runJobSchedule = (
+  seed: number,
+): Promise<readonly JobViolation[]> => runSchedule(seed, EVENTS);
+
+/** Plays one seed with jobs of all kinds and more faults. @returns what broke, in order */
+export const runHarshSchedule = (
+  seed: number,
+): Promise<readonly JobViolation[]> => runSchedule(seed, HARSH_EVENTS);
+
+const runSchedule = async (
   seed: number,
+  events: typeof EVENTS,
 ): Promise<readonly JobViolation[]> => {
-  const world = new JobWorld(seed);
+  const world = new JobWorld(seed, events === HARSH_EVENTS);
   const { clock, random } = world;
   await clock.advance(2_000);
   const endAt = clock.monotonic() + SCHEDULE.troubledMs;
   while (clock.monotonic() < endAt) {
-    pickEvent(random)(world, random);
+    pickEvent(events, random)(world, random);
     await clock.advance(random.next() * SCHEDULE.maxPauseMs);
   }
   await clock.advance(SCHEDULE.settleMs);
--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { runJobSchedule } from "@rackspan/checker";
+import { runHarshSchedule, runJobSchedule } from "@rackspan/checker";
 
 /**
  * Half of these show the fault when a late answer lets a task wait whose run was
@@ -29,3 +29,12 @@
     await expectNothingBroken(seed);
   });
 }
+
+// Gangs, tasks that fill or serve, limits by host, repeats; workers that leave, two
+// sides of one host for a while, and losses of power of the whole site.
+for (const seed of [1, 2, 3, 4]) {
+  test(`jobs of all kinds under harsher faults: seed ${seed}`, async () => {
+    const violations = await runHarshSchedule(seed);
+    expect(violations).toEqual([]);
+  });
+}
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -1,11 +1,12 @@
 /** `npm run check:jobs -- --runs N --seed S`: random schedules of the job engine. */
 
 import { Command, InvalidArgumentError } from "commander";
-import { runJobSchedule } from "@rackspan/checker";
+import { runHarshSchedule, runJobSchedule } from "@rackspan/checker";
 
 interface Options {
   readonly runs: number;
   readonly seed: number;
+  readonly harsh: boolean;
 }
 
 const wholeNumber = (text: string): number => {
@@ -15,15 +16,17 @@
   return value;
 };
 
-const { runs, seed } = new Command("check:jobs")
+const { runs, seed, harsh } = new Command("check:jobs")
   .option("--runs <n>", "schedules to run", wholeNumber, 50)
   .option("--seed <s>", "seed of the first one", wholeNumber, 1)
+  .option("--harsh", "jobs of all kinds and more faults", false)
   .parse()
   .opts<Options>();
 
+const run = harsh ? runHarshSchedule : runJobSchedule;
 let broken = 0;
 for (let at = seed; at < seed + runs; at += 1) {
-  const violations = await runJobSchedule(at);
+  const violations = await run(at);
   if (violations.length === 0) continue;
   broken += 1;
   process.exitCode = 1;
