--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -1,2 +1,6 @@
-export { runHarshSchedule, runJobSchedule } from "./jobSchedules.js";
+export {
+  runFormerSchedule,
+  runHarshSchedule,
+  runJobSchedule,
+} from "./jobSchedules.js";
 export type { JobViolation } from "./RunHistory.js";
