Tests for two checks that could be taken out unnoticed

Cause: with the pass after a report taken out, or the check that a stopped entry does not ask for a membership, no test of scheduling or leadership failed. Change: a test each. Measured: each fails with its check taken out, and passes on this tree.

--- a/packages/leadership/tests/leaderElection.test.ts
+++ b/packages/leadership/tests/leaderElection.test.ts
@@ -242,3 +242,29 @@
   await stopped;
   expect(terms).toEqual([]);
 });
+
+test("an entry that is stopped before it joins asks for no membership", async () => {
+  const { clock, store, entry } = setUp();
+  let answerOwner = (): void => undefined;
+  let looks = 0;
+  let joins = 0;
+  const membership: GroupMembership = {
+    join: (req) => {
+      joins += 1;
+      return store.join(req);
+    },
+    leave: (group, member) => store.leave(group, member),
+    owner: async () => {
+      looks += 1;
+      if (looks > 1) await new Promise<void>((go) => (answerOwner = go));
+      return store.owner();
+    },
+  };
+  const a = entry("a", "1", undefined, membership);
+  await clock.advance(700);
+  const stopped = a.stop();
+  answerOwner();
+  await clock.advance(10);
+  await stopped;
+  expect(joins).toEqual(0);
+});
--- a/packages/scheduling/tests/reportAfterFreeze.test.ts
+++ b/packages/scheduling/tests/reportAfterFreeze.test.ts
@@ -63,3 +63,14 @@
   const ofLate = starts.filter(({ task }) => task === taskId("late.0.0.0"));
   expect(ofLate.length).toEqual(1);
 });
+
+test("a pass that is overdue is made as soon as a report is taken", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  await harness.run(100);
+  harness.submit("j", [{}]);
+  harness.clock.freeze(FREEZE_MS);
+  expect(host.starts.length).toEqual(0);
+  harness.reportOf(host);
+  expect(host.starts.length).toEqual(1);
+});
