A test that fails: a follower that is turned away asks again at once

Cause: a refused reading of all keys, with somebody waiting for a fresh view, is taken for a poll that was ended on purpose. Change: a test only.

--- a/packages/state/tests/followerBehind.test.ts
+++ b/packages/state/tests/followerBehind.test.ts
@@ -3,7 +3,11 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { brand, ManualClock, silentLogger } from "@rackspan/common";
-import type { TopicName } from "@rackspan/ports";
+import {
+  StoreRefusedError,
+  type RecordStore,
+  type TopicName,
+} from "@rackspan/ports";
 import { TopicFollower } from "@rackspan/state";
 import { MemoryStore } from "@rackspan/standins";
 
@@ -49,3 +53,39 @@
   await clock.advance(2_000);
   await stopped;
 });
+
+/** A store that is asked for all keys, and turns the asker away. */
+const turnsAway = (clock: ManualClock) => {
+  let calls = 0;
+  const newest = async (): Promise<never> => {
+    calls += 1;
+    await new Promise<void>((resolve) => clock.after(1, resolve));
+    throw new StoreRefusedError("too many calls");
+  };
+  const store = { newest } as unknown as RecordStore;
+  return { store, calls: () => calls };
+};
+
+// The store turns an entry away while it reads a topic anew and a caller waits for
+// a fresh view. The entry asked again at once, some hundred times a second, and so
+// took the calls that other entries needed. The cause: the wish for a fresh view
+// ends a poll, and a refused reading of all keys was taken for such an ended poll.
+test("a follower that is turned away pauses, also while somebody waits for its view", async () => {
+  const clock = new ManualClock();
+  const { store, calls } = turnsAway(clock);
+  const follower = new TopicFollower({
+    topic: TOPIC,
+    store,
+    clock,
+    logger: silentLogger,
+    floorMs: () => 20,
+    onRecords: () => undefined,
+  });
+  follower.start();
+  void follower.catchUp();
+  await clock.advance(1_000);
+  expect(calls() <= 8).toEqual(true);
+  const stopped = follower.stop();
+  await clock.advance(1_000);
+  await stopped;
+});
