A follower that is turned away while it reads anew pauses before it asks again

Cause: a caller's wish for a fresh view ends the poll under way; when the topic was being read anew instead, and the store refused that, the refusal was taken for the ended poll. It was not noted, and the follower asked again at once, for as long as somebody waited. Change: a reading of all keys has a signal of its own, as each poll has.

--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -133,6 +133,8 @@
   private async load(): Promise<void> {
     const { store, topic, clock } = this.options;
     const askedAt = clock.monotonic();
+    // What ended a poll before does not excuse a failure of this reading.
+    this.pollAbort = new AbortController();
     const page = await store.newest(topic);
     this.handOn([...this.droppedSince(page.records), ...page.records]);
     this.next = page.next;
