The failures of a worker's former life do not keep its next one out of service

Cause: the failures counted against a host outlived the worker's life that had them when its next life reported over the same connection (they were forgotten only with the host): the new worker got no task for up to 12 s. Change: they are forgotten with the life. Measured: the test fails before (no task there) and passes after.

--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -2,6 +2,7 @@
 
 import type { HostId, Monotonic } from "@rackspan/common";
 import { avoidHost, natureOf, type ActiveRun } from "@rackspan/jobs";
+import type { WorkerDescription } from "@rackspan/protocol";
 import type { EngineParts } from "./engineParts.js";
 import { ENGINE, type HostEntry } from "./engineTypes.js";
 import { runsToMove, SLOWNESS } from "./slowHosts.js";
@@ -28,8 +29,16 @@
     options.roster.remove(host);
   }
 
+  /** Another life of the worker: its runs are gone, and its failures were not this one's. */
+  replaceWorker(entry: HostEntry, worker: WorkerDescription): void {
+    const { ledger } = entry;
+    this.loseRuns(entry, "worker-replaced");
+    ledger.replaceWorker(worker);
+    this.parts.ejector.forget(ledger.host);
+  }
+
   /** The runs ended with their worker: their tasks wait again. */
-  loseRuns(entry: HostEntry, reason: string): void {
+  private loseRuns(entry: HostEntry, reason: string): void {
     const { options, runs } = this.parts;
     const { ledger } = entry;
     if (ledger.runs.size === 0) return;
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -230,8 +230,7 @@
     const entry = this.intake.entryOf(host, zone, report, now);
     const { ledger } = entry;
     if (ledger.instance !== report.worker.instance) {
-      this.watch.loseRuns(entry, "worker-replaced");
-      ledger.replaceWorker(report.worker);
+      this.watch.replaceWorker(entry, report.worker);
     }
     if (ledger.reportedAt !== undefined && report.at <= ledger.reportedAt) {
       // The worker has not answered since: nothing is known anew.
--- a/packages/scheduling/tests/jobEngine.test.ts
+++ b/packages/scheduling/tests/jobEngine.test.ts
@@ -219,6 +219,26 @@
   expect(host.isRunning(taskId("j.0.0.0"))).toEqual(true);
 });
 
+test("failures of a worker's former life do not keep its next one out of service", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  for (const job of ["a", "b", "c"]) {
+    harness.submit(job, [{}]);
+    await harness.run(100);
+    host.end(taskId(`${job}.0.0.0`), "failed");
+    await harness.run(20);
+    harness.engine.cancelJob(brand(job));
+    await harness.run(100);
+  }
+  const other = await harness.addHost("h2");
+  host.replaceWorker();
+  harness.reportOf(host);
+  harness.submit("j", [{ taskCount: 2, maxPerHost: 1 }]);
+  await harness.run(300);
+  expect(host.runningTasks.length).toEqual(1);
+  expect(other.runningTasks.length).toEqual(1);
+});
+
 test("plain tasks leave a host that falls behind others with the same step", async () => {
   const harness = new EngineHarness();
   const slow = await harness.addHost("h1");
