--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -15,8 +15,8 @@
 };
 
 /**
- * Half of these show the fault when a late answer lets a task wait whose run was
- * lost before: 6 of 12, up to 11 tasks a seed, found by leaving out that check.
+ * Before late answers for lost runs were passed over, 6 of these 12 showed tasks
+ * that ran twice, up to 11 a seed.
  */
 const SEEDS = Array.from({ length: 12 }, (_, index) => index + 1);
 
