--- /dev/null
+++ b/packages/checker/src/jobs/WorkerLife.ts
@@ -0,0 +1,142 @@
+/** One life of a modelled worker: its clock, what runs and ended, its lease; gone with a crash. */
+
+import type {
+  Clock,
+  JobTaskId,
+  Monotonic,
+  Random,
+  RunNumber,
+  Timer,
+  WorkerInstance,
+  WorkerTime,
+} from "@rackspan/common";
+import type { EndedRun, RunOutcome, RunRef } from "@rackspan/ports";
+import type { RunSeen } from "./RunHistory.js";
+import type { TaskTraits } from "./WorkerModel.js";
+
+const LIFE = {
+  /** The worker's clock begins anywhere up to this, milliseconds. */
+  maxClockStart: 1e6,
+  /** Its clock may run this share slow. */
+  maxDrift: 0.02,
+  maxLeaseMs: 6_000,
+} as const;
+
+export interface Running {
+  readonly ref: RunRef;
+  readonly seen: RunSeen;
+  readonly traits: TaskTraits;
+  readonly gangKey: string | undefined;
+}
+
+export interface WorkerLifeOptions {
+  readonly instance: WorkerInstance;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Its lease is over; what still runs is to end. */
+  readonly onLapsed: () => void;
+}
+
+export class WorkerLife {
+  readonly running = new Map<string, Running>();
+  /** Highest epoch heard. */
+  epoch = 0;
+  private readonly bootedAt: Monotonic;
+  private readonly clockStart: number;
+  private readonly clockRate: number;
+  private readonly barred = new Map<JobTaskId, RunNumber>();
+  private ended: { readonly end: EndedRun; readonly seen: RunSeen }[] = [];
+  private endCount = 0;
+  /** Ends that the lease outlived before they were taken note of. */
+  private readonly voided = new WeakSet<RunSeen>();
+  private leaseUntil = 0;
+  private lapse: Timer | undefined;
+  private readonly waiting = new Set<() => void>();
+
+  constructor(private readonly options: WorkerLifeOptions) {
+    const { clock, random } = options;
+    this.bootedAt = clock.monotonic();
+    this.clockStart = Math.floor(random.next() * LIFE.maxClockStart);
+    this.clockRate = 1 - random.next() * LIFE.maxDrift;
+  }
+
+  get instance(): WorkerInstance {
+    return this.options.instance;
+  }
+
+  /** The worker's clock. */
+  get at(): WorkerTime {
+    const age = this.options.clock.monotonic() - this.bootedAt;
+    const at = Math.floor(this.clockStart + age * this.clockRate);
+    return at as unknown as WorkerTime;
+  }
+
+  get listedEnds(): readonly EndedRun[] {
+    return this.ended.map(({ end }) => end);
+  }
+
+  /** No run of the task up to this one begins any more. */
+  bar({ task, run }: RunRef): void {
+    const highest = Math.max(run, this.barred.get(task) ?? 0);
+    this.barred.set(task, highest as unknown as RunNumber);
+  }
+
+  isBarred({ task, run }: RunRef): boolean {
+    return run <= (this.barred.get(task) ?? 0);
+  }
+
+  listEnd({ ref, seen }: Running, outcome: RunOutcome): void {
+    this.bar(ref);
+    this.endCount += 1;
+    const number = this.endCount;
+    this.ended.push({ end: { ...ref, number, outcome, checkpoint: "" }, seen });
+  }
+
+  forgetEnds(acknowledged: number): void {
+    for (const { end, seen } of this.ended) {
+      if (end.number <= acknowledged && !this.voided.has(seen))
+        seen.noted = true;
+    }
+    this.ended = this.ended.filter(({ end }) => end.number > acknowledged);
+  }
+
+  extendLease(until: WorkerTime): void {
+    const now: number = this.at;
+    if (this.leaseUntil <= now) this.voidEnds();
+    const longest = now + LIFE.maxLeaseMs;
+    this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, longest));
+    this.lapse?.cancel();
+    const leftMs = (this.leaseUntil - now) / this.clockRate;
+    this.lapse = this.options.clock.after(leftMs, () => {
+      this.voidEnds();
+      this.options.onLapsed();
+    });
+  }
+
+  /** The worker crashes: its lease lapses no more. */
+  end(): void {
+    this.lapse?.cancel();
+  }
+
+  async waitForEnd(waitMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const wake = (): void => {
+        timer.cancel();
+        this.waiting.delete(wake);
+        resolve();
+      };
+      const timer = this.options.clock.after(waitMs, wake);
+      this.waiting.add(wake);
+    });
+  }
+
+  wake(): void {
+    const waiting = [...this.waiting];
+    this.waiting.clear();
+    for (const resolve of waiting) resolve();
+  }
+
+  private voidEnds(): void {
+    for (const { seen } of this.ended) this.voided.add(seen);
+  }
+}
--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -10,10 +10,7 @@
   type Epoch,
   type HostId,
   type JobTaskId,
-  type Monotonic,
   type Random,
-  type RunNumber,
-  type Timer,
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
@@ -22,7 +19,6 @@
   TaskRefusedError,
   WorkerReplacedError,
   WorkerSilentError,
-  type EndedRun,
   type HoldAnswer,
   type HoldOrder,
   type RunOutcome,
@@ -33,6 +29,7 @@
 } from "@rackspan/ports";
 import type { GangBook, GangRun } from "./GangBook.js";
 import type { RunHistory, RunSeen } from "./RunHistory.js";
+import { WorkerLife, type Running } from "./WorkerLife.js";
 
 /** What a task asks for and how it fares; told by its id. */
 export interface TaskTraits {
@@ -63,45 +60,17 @@
   maxLatencyMs: 4,
   /** Time for a stop, at the most; milliseconds. */
   stopMs: 200,
-  maxLeaseMs: 6_000,
-  /** Its clock may run this share slow. */
-  drift: 0.02,
   /** Orders without an answer are carried out this much later, milliseconds. */
   lateMs: { least: 2_000, most: 12_000 },
   /** Share of the orders that come late while the fault is on. */
   lateShare: 0.5,
 } as const;
 
-interface Running {
-  readonly ref: RunRef;
-  readonly seen: RunSeen;
-  readonly traits: TaskTraits;
-  readonly gangKey: string | undefined;
-}
-
-/** What is gone when the worker crashes. */
-interface Life {
-  readonly instance: WorkerInstance;
-  readonly bootedAt: Monotonic;
-  readonly clockOffset: number;
-  readonly clockRate: number;
-  readonly running: Map<string, Running>;
-  readonly barred: Map<JobTaskId, RunNumber>;
-  ended: { readonly end: EndedRun; readonly seen: RunSeen }[];
-  endCount: number;
-  epoch: number;
-  leaseUntil: number;
-  lapse: Timer | undefined;
-  readonly waiting: Set<() => void>;
-}
-
 export class WorkerModel implements TaskHost {
   /** Whether orders may be carried out late, without an answer. */
   lateOrders = false;
-  /** Ends that the lease outlived before they were taken note of. */
-  private readonly voided = new WeakSet<RunSeen>();
   private lives = 0;
-  private life: Life;
+  private life: WorkerLife;
   private up = true;
 
   constructor(private readonly options: WorkerModelOptions) {
@@ -114,7 +83,7 @@
 
   /** Ends that it still lists: nobody has let it forget them. */
   get listedEnds(): number {
-    return this.life.ended.length;
+    return this.life.listedEnds.length;
   }
 
   get isUp(): boolean {
@@ -125,14 +94,14 @@
   crash(): void {
     const { clock } = this.options;
     this.up = false;
-    this.life.lapse?.cancel();
+    this.life.end();
     const lost = [...this.life.running.values()];
     this.life.running.clear();
     for (const { seen, ref, gangKey } of lost) {
       seen.endedAt = clock.monotonic();
       if (gangKey !== undefined) this.options.gangs.left(gangKey, ref.task);
     }
-    this.wake();
+    this.life.wake();
   }
 
   revive(): void {
@@ -154,10 +123,10 @@
   ): Promise<WorkerTime> {
     return this.call(instance, () => {
       this.fence(epoch);
-      this.bar(run);
+      this.life.bar(run);
       const running = this.life.running.get(runKeyOf(run));
       if (running) this.endLater(running, this.delay(WORKER.stopMs), "stopped");
-      return this.at;
+      return this.life.at;
     });
   }
 
@@ -165,19 +134,20 @@
     await this.reach(instance);
     this.fence(order.epoch);
     const { life } = this;
-    this.forget(order.acknowledged);
-    if (order.leaseUntil !== undefined) this.extend(order.leaseUntil);
-    if (order.waitMs > 0) await this.waitForEnd(life, order.waitMs);
+    life.forgetEnds(order.acknowledged);
+    if (order.leaseUntil !== undefined) life.extendLease(order.leaseUntil);
+    if (order.waitMs > 0) await life.waitForEnd(order.waitMs);
     await this.reach(instance);
+    const { at } = life;
     return {
-      at: this.at,
+      at,
       running: [...life.running.values()].map(({ ref, traits }) => ({
         ...ref,
-        checkpoint: traits.saves ? `${ref.task}@${this.at}` : "",
+        checkpoint: traits.saves ? `${ref.task}@${at}` : "",
         progressPercent: 50,
         reading: traits.reading,
       })),
-      ended: life.ended.map(({ end }) => end),
+      ended: life.listedEnds,
     };
   }
 
@@ -185,31 +155,22 @@
     await this.reach(instance);
   }
 
-  /** The worker's clock. */
-  private get at(): WorkerTime {
-    const { clock } = this.options;
-    const { bootedAt, clockOffset, clockRate } = this.life;
-    const age = clock.monotonic() - bootedAt;
-    return Math.floor(clockOffset + age * clockRate) as unknown as WorkerTime;
-  }
-
-  private bear(): Life {
+  private bear(): WorkerLife {
     const { clock, random, host } = this.options;
     this.lives += 1;
-    return {
+    const life = new WorkerLife({
       instance: brand<WorkerInstance>(`${host}-${this.lives}`),
-      bootedAt: clock.monotonic(),
-      clockOffset: Math.floor(random.next() * 1e6),
-      clockRate: 1 - random.next() * WORKER.drift,
-      running: new Map(),
-      barred: new Map(),
-      ended: [],
-      endCount: 0,
-      epoch: 0,
-      leaseUntil: 0,
-      lapse: undefined,
-      waiting: new Set(),
-    };
+      clock,
+      random,
+      onLapsed: () => this.endAll(life, "lapsed"),
+    });
+    return life;
+  }
+
+  private endAll(life: WorkerLife, outcome: RunOutcome): void {
+    if (this.life !== life || !this.up) return;
+    for (const running of [...life.running.values()])
+      this.end(running, outcome);
   }
 
   /** @throws WorkerSilentError, WorkerReplacedError */
@@ -255,18 +216,18 @@
     if (order.epoch < life.epoch) return { kind: "refused", reason: "fenced" };
     life.epoch = order.epoch;
     if (life.running.has(runKeyOf(order))) {
-      this.extend(order.leaseUntil);
-      return { kind: "started", at: this.at };
+      life.extendLease(order.leaseUntil);
+      return { kind: "started", at: life.at };
     }
-    if (order.run <= (life.barred.get(order.task) ?? 0)) {
-      this.extend(order.leaseUntil);
+    if (life.isBarred(order)) {
+      life.extendLease(order.leaseUntil);
       return { kind: "refused", reason: "old-run" };
     }
-    if (order.leaseUntil <= this.at) return { kind: "refused", reason: "late" };
-    this.extend(order.leaseUntil);
+    if (order.leaseUntil <= life.at) return { kind: "refused", reason: "late" };
+    life.extendLease(order.leaseUntil);
     this.checkCheckpoint(order);
     this.run(order);
-    return { kind: "started", at: this.at };
+    return { kind: "started", at: life.at };
   }
 
   private run({ task, run }: RunRef): void {
@@ -323,70 +284,15 @@
     if (!isOwn) history.add("unasked", clock.monotonic(), detail);
   }
 
-  private end({ ref, seen, gangKey }: Running, outcome: RunOutcome): void {
+  private end(running: Running, outcome: RunOutcome): void {
     const { life } = this;
+    const { ref, seen, gangKey } = running;
     if (!life.running.delete(runKeyOf(ref))) return;
-    this.bar(ref);
     seen.endedAt = this.options.clock.monotonic();
     seen.outcome = outcome;
-    life.endCount += 1;
-    const number = life.endCount;
-    life.ended.push({ end: { ...ref, number, outcome, checkpoint: "" }, seen });
+    life.listEnd(running, outcome);
     if (gangKey !== undefined) this.options.gangs.left(gangKey, ref.task);
-    this.wake();
-  }
-
-  private bar({ task, run }: RunRef): void {
-    const highest = Math.max(run, this.life.barred.get(task) ?? 0);
-    this.life.barred.set(task, highest as unknown as RunNumber);
-  }
-
-  private forget(acknowledged: number): void {
-    const { life } = this;
-    for (const { end, seen } of life.ended) {
-      if (end.number <= acknowledged && !this.voided.has(seen))
-        seen.noted = true;
-    }
-    life.ended = life.ended.filter(({ end }) => end.number > acknowledged);
-  }
-
-  private extend(until: WorkerTime): void {
-    const { life } = this;
-    const now: number = this.at;
-    if (life.leaseUntil <= now) this.voidEnds();
-    const longest = now + WORKER.maxLeaseMs;
-    life.leaseUntil = Math.max(life.leaseUntil, Math.min(until, longest));
-    life.lapse?.cancel();
-    const leftMs = (life.leaseUntil - now) / life.clockRate;
-    life.lapse = this.options.clock.after(leftMs, () => {
-      if (this.life !== life || !this.up) return;
-      this.voidEnds();
-      for (const running of [...life.running.values()]) {
-        this.end(running, "lapsed");
-      }
-    });
-  }
-
-  private voidEnds(): void {
-    for (const { seen } of this.life.ended) this.voided.add(seen);
-  }
-
-  private async waitForEnd(life: Life, waitMs: number): Promise<void> {
-    await new Promise<void>((resolve) => {
-      const wake = (): void => {
-        timer.cancel();
-        life.waiting.delete(wake);
-        resolve();
-      };
-      const timer = this.options.clock.after(waitMs, wake);
-      life.waiting.add(wake);
-    });
-  }
-
-  private wake(): void {
-    const waiting = [...this.life.waiting];
-    this.life.waiting.clear();
-    for (const resolve of waiting) resolve();
+    life.wake();
   }
 
   private delay(mostMs: number): number {
--- a/scripts/src/checkHistories.ts
+++ b/scripts/src/checkHistories.ts
@@ -8,6 +8,7 @@
   schedules,
   type Mutant,
 } from "@rackspan/checker";
+import { wholeNumber } from "./wholeNumber.js";
 
 interface Options {
   readonly runs: number;
@@ -15,13 +16,6 @@
   readonly mutant?: Mutant;
 }
 
-const wholeNumber = (text: string): number => {
-  const value = Number(text);
-  if (!Number.isInteger(value))
-    throw new InvalidArgumentError("a whole number is needed");
-  return value;
-};
-
 const mutantName = (text: string): Mutant => {
   const mutant = MUTANTS.find((name) => name === text);
   if (!mutant) throw new InvalidArgumentError(`one of: ${MUTANTS.join(", ")}`);
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -1,7 +1,8 @@
 /** `npm run check:jobs -- --runs N --seed S`: random schedules of the job engine. */
 
-import { Command, InvalidArgumentError } from "commander";
+import { Command } from "commander";
 import { runHarshSchedule, runJobSchedule } from "@rackspan/checker";
+import { wholeNumber } from "./wholeNumber.js";
 
 interface Options {
   readonly runs: number;
@@ -9,13 +10,6 @@
   readonly harsh: boolean;
 }
 
-const wholeNumber = (text: string): number => {
-  const value = Number(text);
-  if (!Number.isInteger(value))
-    throw new InvalidArgumentError("a whole number is needed");
-  return value;
-};
-
 const { runs, seed, harsh } = new Command("check:jobs")
   .option("--runs <n>", "schedules to run", wholeNumber, 50)
   .option("--seed <s>", "seed of the first one", wholeNumber, 1)
