Logs tell late answers, tries of an order, and a leader whose timers are late

Cause: the record of the incident cannot tell its hypotheses apart: whether an answer spoke of a run that the leader had given up, how often an order was tried, whether the leader's process stood still. Change: task.start tells the time until its answer and passedOver; order.start tells tries and time; engine.late and timer_lag tell timers that come late.

--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -284,13 +284,24 @@
   }
 
   private schedule(): void {
-    this.timer = this.options.clock.after(ENGINE.tickMs, () => {
+    const { clock } = this.options;
+    const dueAt = clock.monotonic() + ENGINE.tickMs;
+    this.timer = clock.after(ENGINE.tickMs, () => {
       if (this.stopped) return;
+      this.noteLateness(clock.monotonic() - dueAt);
       this.tick();
       this.schedule();
     });
   }
 
+  /** Tells how late the timers of this process are: it may be short of processor time. */
+  private noteLateness(lateMs: number): void {
+    const { logger, metrics } = this.options;
+    metrics.latency("timer_lag").record(lateMs);
+    if (lateMs < ENGINE.lateTimerMs) return;
+    logger.warn("engine.late", { lateMs: Math.round(lateMs) });
+  }
+
   private tick(): void {
     this.watch.look();
     if (this.jobs.active.size > 0) this.dispatcher.requestPass();
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -46,6 +46,14 @@
   readonly firstPercent: number;
 }
 
+/** What came of an order to start. */
+interface StartAnswer {
+  readonly result: HostCallResult;
+  readonly sentAt: Monotonic;
+  /** Whether the run still waited for it. */
+  readonly isAwaited: boolean;
+}
+
 export class RunControl {
   private started = 0;
 
@@ -207,8 +215,9 @@
     const result = await this.callStart(host, run, terms);
     metrics.latency("task_start").record(clock.monotonic() - sentAt);
     metrics.count("task_starts", { result: result.kind });
-    this.logStart(host, run, result, sentAt);
-    this.noteStartResult(host, run, result);
+    const isAwaited = this.awaitsAnswer(run);
+    this.logStart(host, run, { result, sentAt, isAwaited });
+    if (isAwaited) this.noteStartResult(host, run, result);
   }
 
   /** An order without an answer is taken as one to a silent worker. */
@@ -242,13 +251,18 @@
     }
   }
 
+  /** Whether an answer decides on the run: one that was lost with its host may be answered for after that. */
+  private awaitsAnswer(run: ActiveRun): boolean {
+    return this.options.hosts.isCurrent(run) && run.phase === "starting";
+  }
+
   private logStart(
     { ledger }: HostEntry,
     { task, run }: ActiveRun,
-    result: HostCallResult,
-    sentAt: Monotonic,
+    { result, sentAt, isAwaited }: StartAnswer,
   ): void {
-    this.options.logger.info("task.start", {
+    const { clock, logger } = this.options;
+    logger.info("task.start", {
       task: task.id,
       run,
       host: ledger.host,
@@ -256,6 +270,8 @@
       reason: result.kind === "refused" ? result.reason : undefined,
       checkpoint: task.checkpoint === "" ? undefined : task.checkpoint,
       reportAge: Math.round(sentAt - ledger.heardAt),
+      tookMs: Math.round(clock.monotonic() - sentAt),
+      passedOver: isAwaited ? undefined : true,
     });
   }
 
@@ -264,8 +280,6 @@
     run: ActiveRun,
     result: HostCallResult,
   ): void {
-    // A run that was lost with its host may be answered for after that.
-    if (!this.options.hosts.isCurrent(run) || run.phase !== "starting") return;
     switch (result.kind) {
       case "ok":
         run.phase = "running";
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -31,6 +31,8 @@
   passFloorMs: 8,
   /** A pass that was due this long ago is made at once, and logged. */
   passOverdueMs: 400,
+  /** A timer that is later than this is logged: most orders of that time were late too, milliseconds. */
+  lateTimerMs: 100,
   /** A job with nothing running for this long gets one task started, whatever it disturbs. */
   starvedMs: 1_500,
   /** A lasting task that found no place for this long may take what is kept for plain ones. */
--- /dev/null
+++ b/packages/scheduling/tests/leaderLog.test.ts
@@ -0,0 +1,60 @@
+/** What the leader's log tells apart: late answers, and a process short of time. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { createLogger } from "@rackspan/common";
+import { EngineHarness } from "./engineHarness.js";
+
+const ANSWER_MS = 70;
+/** Longer than a timer may be late without a line. */
+const FREEZE_MS = 700;
+
+const harnessWithLog = (): { harness: EngineHarness; lines: string[] } => {
+  const lines: string[] = [];
+  const logger = createLogger({
+    level: "info",
+    write: (line) => void lines.push(line),
+  });
+  return { harness: new EngineHarness({ logger }), lines };
+};
+
+const linesOf = (lines: readonly string[], event: string): string[] =>
+  lines.filter((line) => line.includes(`event=${event} `));
+
+test("an answer for a run that was lost is logged as passed over", async () => {
+  const { harness, lines } = harnessWithLog();
+  const host = await harness.addHost("h1");
+  host.answers = "held";
+  harness.submit("j", [{}]);
+  await harness.clock.advance(50);
+  harness.engine.noteWorkerGone(host.host, host.instance);
+  await harness.clock.advance(ANSWER_MS);
+  host.answerHeld({ kind: "replaced" });
+  await harness.clock.advance(1);
+  const [line = ""] = linesOf(lines, "task.start");
+  expect(line).toInclude("passedOver=true");
+});
+
+test("an answer that is awaited is logged with the time it took", async () => {
+  const { harness, lines } = harnessWithLog();
+  const host = await harness.addHost("h1");
+  host.answers = "held";
+  harness.submit("j", [{}]);
+  await harness.clock.advance(8);
+  expect(host.starts.length).toEqual(1);
+  await harness.clock.advance(ANSWER_MS);
+  host.answerHeld({ kind: "refused", reason: "no-room" });
+  await harness.clock.advance(1);
+  const [line = ""] = linesOf(lines, "task.start");
+  expect(line).toInclude(`tookMs=${ANSWER_MS}`);
+  expect(line).not.toInclude("passedOver");
+});
+
+test("a process whose timers come late says so", async () => {
+  const { harness, lines } = harnessWithLog();
+  await harness.run(1_000);
+  expect(linesOf(lines, "engine.late")).toEqual([]);
+  harness.clock.freeze(FREEZE_MS);
+  await harness.run(1_000);
+  expect(linesOf(lines, "engine.late").length).toEqual(1);
+});
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -31,6 +31,11 @@
   repeatPauseMs: 50,
 } as const;
 
+/** What an order took at the worker, for logs; empty when it was not called. */
+type CallEffort =
+  | { readonly tries: number; readonly tookMs: number }
+  | Readonly<Record<string, never>>;
+
 export interface TaskOrdersOptions {
   readonly host: TaskHost;
   readonly registry: WorkerRegistry;
@@ -47,13 +52,14 @@
   async start(call: StartTaskCall): Promise<HostCallResult> {
     const refusal = this.refusal(call.epoch, call.instance);
     if (refusal) return this.note("start", call, refusal);
-    const { registry, host, pacer } = this.options;
+    const { registry, host, pacer, clock } = this.options;
     if (registry.worker?.draining) {
       return this.note("start", call, { kind: "draining" });
     }
     pacer.describe(call.task, call.nature);
     pacer.noteStarted(call);
     const { instance, ...order } = call;
+    const beganAt = clock.monotonic();
     let tries = 0;
     const result = await this.repeat(instance, async () => {
       tries += 1;
@@ -66,7 +72,9 @@
     // A refusal speaks of the last try only: one before it that got no answer may
     // have been carried out, and the run have ended since, or may be later.
     const isUnsure = tries > 1 && result.kind === "refused";
-    return this.note("start", call, isUnsure ? { kind: "silent" } : result);
+    const tookMs = Math.round(clock.monotonic() - beganAt);
+    const answer: HostCallResult = isUnsure ? { kind: "silent" } : result;
+    return this.note("start", call, answer, { tries, tookMs });
   }
 
   async stop(call: StopTaskCall): Promise<HostCallResult> {
@@ -129,6 +137,7 @@
     order: "start" | "stop",
     { task, run, epoch }: StopTaskCall,
     result: HostCallResult,
+    effort: CallEffort = {},
   ): HostCallResult {
     const { logger, metrics } = this.options;
     metrics.count("worker_orders", { order, result: result.kind });
@@ -138,6 +147,7 @@
       epoch,
       result: result.kind,
       reason: result.kind === "refused" ? result.reason : undefined,
+      ...effort,
     });
     return result;
   }
