Stops of the leader have a class of their own

Change: StopControl orders stops and repeats them; EngineParts hands it on. The code is moved, not changed.

--- a/packages/scheduling/src/HostIntake.ts
+++ b/packages/scheduling/src/HostIntake.ts
@@ -102,20 +102,20 @@
 
   /** Moves away what would not end before the worker leaves. */
   private emptyHost(entry: HostEntry): void {
-    const { options, runs, estimates } = this.parts;
+    const { options, stops, estimates } = this.parts;
     const { clock, stopMs } = options;
     const { leavesInMs } = entry.ledger.worker;
     for (const run of [...entry.ledger.runs.values()]) {
       if (run.phase !== "running") continue;
       const { step } = run.task;
       if (step.spec.lasting) {
-        runs.stop(entry, run, "draining");
+        stops.stop(entry, run, "draining");
         continue;
       }
       if (leavesInMs === undefined) continue;
       const ranMs = clock.monotonic() - run.startedAt;
       const expectedMs = Math.max(0, estimates.taskMs(step) - ranMs);
-      if (expectedMs + stopMs > leavesInMs) runs.stop(entry, run, "draining");
+      if (expectedMs + stopMs > leavesInMs) stops.stop(entry, run, "draining");
     }
   }
 }
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -54,11 +54,11 @@
   }
 
   private watchRuns(entry: HostEntry, now: Monotonic): void {
-    const { options, runs, ejector } = this.parts;
+    const { options, stops, ejector } = this.parts;
     const { host, runs: active } = entry.ledger;
     if (!options.mayDecide() || !entry.session) return;
     const { policy } = options;
-    runs.orderDueStops(entry);
+    stops.orderDueStops(entry);
     if (policy.movesFromSlowHosts && this.hasFasterHost(entry)) {
       this.moveFromSlowHost(entry, now);
     }
@@ -66,13 +66,13 @@
       if (run.phase !== "running") continue;
       if (policy.movesCrawling && shouldLeave(run, host, now)) {
         avoidHost(run.task, host);
-        runs.stop(entry, run, "crawling");
+        stops.stop(entry, run, "crawling");
         continue;
       }
       if (policy.movesStalled && hasStalled(run, now)) {
         avoidHost(run.task, host);
         ejector.report({ host, ok: false });
-        runs.stop(entry, run, "stalled");
+        stops.stop(entry, run, "stalled");
       }
     }
   }
@@ -87,10 +87,10 @@
   }
 
   private moveFromSlowHost(entry: HostEntry, now: Monotonic): void {
-    const { hosts, runs } = this.parts;
+    const { hosts, stops } = this.parts;
     for (const run of runsToMove(entry, hosts, now)) {
       avoidHost(run.task, entry.ledger.host);
-      runs.stop(entry, run, "slow-host");
+      stops.stop(entry, run, "slow-host");
     }
   }
 }
--- a/packages/scheduling/src/JobCloser.ts
+++ b/packages/scheduling/src/JobCloser.ts
@@ -41,10 +41,10 @@
   }
 
   private stopRuns(job: JobRun, reason: string): void {
-    const { hosts, runs } = this.parts;
+    const { hosts, stops } = this.parts;
     for (const { tasks } of job.steps) {
       for (const { host, run } of hosts.runsOf(tasks)) {
-        runs.stop(host, run, reason);
+        stops.stop(host, run, reason);
       }
     }
   }
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -45,6 +45,7 @@
 import { RunAdopter } from "./RunAdopter.js";
 import { RunControl } from "./RunControl.js";
 import { learnSlowness } from "./slowHosts.js";
+import { StopControl } from "./StopControl.js";
 import { stepOrders } from "./stepOrders.js";
 import { TailForecast } from "./TailForecast.js";
 import { taskPlacers } from "./taskPlacers.js";
@@ -66,6 +67,7 @@
   private readonly learnt: LearntKeeper;
   private readonly permits: PermitBook;
   private readonly runs: RunControl;
+  private readonly stops: StopControl;
   private readonly dispatcher: Dispatcher;
   private readonly intake: HostIntake;
   private readonly watch: HostWatch;
@@ -104,6 +106,7 @@
       onWaiting,
     });
     this.runs = runs;
+    this.stops = new StopControl(options);
     this.dispatcher = new Dispatcher({
       engine: options,
       hosts,
@@ -119,6 +122,7 @@
       jobs,
       hosts,
       runs,
+      stops: this.stops,
       estimates,
       ejector,
       requestPass,
@@ -280,7 +284,7 @@
     }
     this.adopter.adopt(entry, changes.unknown);
     this.ends.take(entry, changes.ended);
-    this.runs.orderDueStops(entry);
+    this.stops.orderDueStops(entry);
   }
 
   private schedule(): void {
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -1,4 +1,4 @@
-/** Orders hosts to start and stop runs, and takes note of what they answer. */
+/** Orders hosts to start runs, and takes note of what they answer. */
 
 import {
   describeError,
@@ -10,17 +10,13 @@
 import { leaseOverBy } from "@rackspan/leadership";
 import {
   avoidHost,
-  isStopDue,
   natureOf,
-  newStop,
-  refOf,
   type ActiveRun,
   type HostLedger,
   type JobRun,
   type JobTask,
-  type StopOrder,
 } from "@rackspan/jobs";
-import type { RunRef, StartRefusal } from "@rackspan/ports";
+import type { StartRefusal } from "@rackspan/ports";
 import type { HostCallResult } from "@rackspan/protocol";
 import { ENGINE, type EngineOptions, type HostEntry } from "./engineTypes.js";
 import type { HostBook } from "./HostBook.js";
@@ -99,53 +95,6 @@
     void this.orderStart(host, run, { ticket, firstPercent });
   }
 
-  /** Orders a stop; its room is taken until the worker lists the end. */
-  stop(host: HostEntry, run: ActiveRun, reason: string): void {
-    if (run.stop) return;
-    run.phase = "stopping";
-    run.stop = newStop(reason);
-    this.options.metrics.count("task_stops", { reason });
-    void this.orderStop(host, refOf(run), run.stop);
-  }
-
-  /** Orders the stops that have not arrived, or that the worker has not carried out. */
-  orderDueStops(host: HostEntry): void {
-    const { clock, stopMs } = this.options;
-    const now = clock.monotonic();
-    const times = { answerMs: ENGINE.orderTimeoutMs, stopMs };
-    for (const run of host.ledger.stopping) {
-      if (isStopDue(run, now, times)) {
-        void this.orderStop(host, run.ref, run.stop);
-      }
-    }
-  }
-
-  /** Without a connection the stop stays due. */
-  private async orderStop(
-    { ledger, session }: HostEntry,
-    ref: RunRef,
-    stop: StopOrder,
-  ): Promise<void> {
-    const { clock, epoch, logger } = this.options;
-    if (!session) return;
-    const { host, instance } = ledger;
-    const { reason } = stop;
-    const sentAt = clock.monotonic();
-    stop.sentAt = sentAt;
-    try {
-      const { task, run } = ref;
-      const result = await session.stopTask({ instance, epoch, task, run });
-      if (result.kind === "ok") stop.confirmedAt = result.at;
-      const { kind } = result;
-      logger.info("task.stop", { ...ref, host, reason, result: kind });
-    } catch (err) {
-      const error = describeError(err);
-      logger.warn("task.stop-unanswered", { ...ref, host, reason, error });
-    }
-    // A later order may be on its way by now, on another connection.
-    if (stop.sentAt === sentAt) stop.sentAt = undefined;
-  }
-
   /**
    * Frees a run that does not run and never will, and lets its task wait again.
    * @param reason what showed that it never will, for logs
--- a/packages/scheduling/src/engineParts.ts
+++ b/packages/scheduling/src/engineParts.ts
@@ -6,12 +6,14 @@
 import type { HostBook } from "./HostBook.js";
 import type { JobBook } from "./JobBook.js";
 import type { RunControl } from "./RunControl.js";
+import type { StopControl } from "./StopControl.js";
 
 export interface EngineParts {
   readonly options: EngineOptions;
   readonly jobs: JobBook;
   readonly hosts: HostBook;
   readonly runs: RunControl;
+  readonly stops: StopControl;
   readonly estimates: EstimateBook;
   readonly ejector: OutlierEjector;
   /** Has the waiting work looked at soon. */
