Full pace is defined once; oldest entries are dropped by BoundedMap

Cause: the pace of a task that nobody slows stood in the leader and in the side, and two classes dropped their oldest entry by hand. Change: FULL_PACE stands beside firstPercent in protocol; Pacer and InterferenceBook keep their entries in a BoundedMap.

--- a/packages/jobs/src/InterferenceBook.ts
+++ b/packages/jobs/src/InterferenceBook.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Instant } from "@rackspan/common";
-import type { ImageName, LearntTail } from "@rackspan/state";
+import { BoundedMap, type ImageName, type LearntTail } from "@rackspan/state";
 import { TailModel, type FillingCores, type TailReading } from "./TailModel.js";
 
 /** Stands for images of which nothing is known; never taught. */
@@ -16,7 +16,7 @@
 
 export class InterferenceBook {
   /** In the order in which they were first learnt. */
-  private readonly models = new Map<ImageName, TailModel>();
+  private readonly models = new BoundedMap<ImageName, TailModel>(MAX_MODELS);
   /** Serving images of which more was learnt since they were last kept. */
   private readonly changed = new Set<ImageName>();
 
@@ -54,9 +54,9 @@
    * @returns whether it was of use: nothing is known of the image yet
    */
   restore(record: LearntTail, ageMs: number): boolean {
-    if (!this.learns || this.models.has(record.serving)) return false;
+    if (!this.learns || this.models.get(record.serving)) return false;
     const model = TailModel.restore(record, ageMs);
-    if (model) this.add(record.serving, model);
+    if (model) this.models.set(record.serving, model);
     return model !== undefined;
   }
 
@@ -64,15 +64,8 @@
     const known = this.models.get(serving);
     if (known) return known;
     const model = new TailModel();
-    this.add(serving, model);
-    return model;
-  }
-
-  private add(serving: ImageName, model: TailModel): void {
     this.models.set(serving, model);
-    if (this.models.size <= MAX_MODELS) return;
-    const [oldest] = this.models.keys();
-    if (oldest !== undefined) this.models.delete(oldest);
+    return model;
   }
 
   /** What one core of the filling image adds to the logarithm of the tail. */
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -145,6 +145,9 @@
 
 export type HostCallResult = z.output<typeof callResultSchema>;
 
+/** Percent; the pace of a task that nobody slows. */
+export const FULL_PACE = 100;
+
 const startSchema = z.object({
   ...runShape,
   instance: idSchema<WorkerInstance>(),
@@ -154,7 +157,7 @@
   checkpoint: z.string(),
   ticket: z.string().optional(),
   /** Pace at which a filling task begins, percent; an older leader names none. */
-  firstPercent: z.number().min(0).max(100).default(100),
+  firstPercent: z.number().min(0).max(FULL_PACE).default(FULL_PACE),
   nature: natureSchema,
 });
 
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -17,7 +17,7 @@
   type JobTask,
 } from "@rackspan/jobs";
 import type { StartRefusal } from "@rackspan/ports";
-import type { HostCallResult } from "@rackspan/protocol";
+import { FULL_PACE, type HostCallResult } from "@rackspan/protocol";
 import { ENGINE, type EngineOptions, type HostEntry } from "./engineTypes.js";
 import type { HostBook } from "./HostBook.js";
 import type { PermitBook } from "./PermitBook.js";
@@ -31,9 +31,6 @@
   readonly onWaiting: (job: JobRun) => void;
 }
 
-/** Percent. */
-const FULL_PACE = 100;
-
 /** What an order to start says beside the task. */
 interface StartTerms {
   /** The step's permit for the host, where its queue asks for one. */
--- a/packages/side/src/jobs/PacePlanner.ts
+++ b/packages/side/src/jobs/PacePlanner.ts
@@ -10,7 +10,11 @@
   type Monotonic,
 } from "@rackspan/common";
 import { runKeyOf, type RunningTask } from "@rackspan/ports";
-import type { Disturbance, TaskNature } from "@rackspan/protocol";
+import {
+  FULL_PACE,
+  type Disturbance,
+  type TaskNature,
+} from "@rackspan/protocol";
 import { forgetOtherRuns } from "./forgetOtherRuns.js";
 import { KnownTasks } from "./KnownTasks.js";
 import { LongTails } from "./LongTails.js";
@@ -43,9 +47,6 @@
   haltAfter: 0.6,
 } as const;
 
-/** Percent; the pace of a task that nobody slows. */
-export const FULL_PACE = 100;
-
 /** Percent; the pace of a task that must not disturb at all for now. */
 const HALTED = 0;
 
--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -21,9 +21,14 @@
   type RunRef,
   type TaskHost,
 } from "@rackspan/ports";
-import type { Disturbance, TaskNature } from "@rackspan/protocol";
+import {
+  FULL_PACE,
+  type Disturbance,
+  type TaskNature,
+} from "@rackspan/protocol";
+import { BoundedMap } from "@rackspan/state";
 import { forgetOtherRuns } from "./forgetOtherRuns.js";
-import { FULL_PACE, PacePlanner, type PacePlan } from "./PacePlanner.js";
+import { PacePlanner, type PacePlan } from "./PacePlanner.js";
 
 /** Runs that were ordered and may not be listed yet; older ones are forgotten. */
 const MAX_UNLISTED = 64;
@@ -58,7 +63,7 @@
   /** The pace last given to each run, percent; absent when it is not known. */
   private readonly given = new Map<string, number>();
   /** The first pace of runs that this process ordered and no look has shown yet, percent. */
-  private readonly unlisted = new Map<string, number>();
+  private readonly unlisted = new BoundedMap<string, number>(MAX_UNLISTED);
   /** Until when an order for each run that got no answer may be carried out. */
   private readonly openUntil = new Map<string, Monotonic>();
 
@@ -73,9 +78,6 @@
   /** This process starts the run; the worker begins it at full pace. */
   noteStarted(run: RunRef): void {
     this.unlisted.set(runKeyOf(run), FULL_PACE);
-    if (this.unlisted.size <= MAX_UNLISTED) return;
-    const [oldest] = this.unlisted.keys();
-    if (oldest !== undefined) this.unlisted.delete(oldest);
   }
 
   /** The worker has begun the run: its first pace is ordered without waiting for a look. */
@@ -83,8 +85,8 @@
     if (firstPercent >= FULL_PACE) return;
     const key = runKeyOf({ task, run });
     // A look was faster: the pace follows from what it showed.
-    if (!this.unlisted.has(key)) return;
-    this.unlisted.set(key, firstPercent);
+    if (this.unlisted.get(key) === undefined) return;
+    this.unlisted.replace(key, firstPercent);
     this.options.metrics.count("pace_orders", { way: "first" });
     this.send(instance, { task, run, percent: firstPercent, epoch });
   }
