Tests of the users' second record: two runs of a task milliseconds apart, a start past the attempts

Cause: an answer for a lost run let its task wait again; an overdue pass and its late timer made two passes with no time between them.

--- /dev/null
+++ b/packages/scheduling/tests/twoRunsMillisecondsApart.test.ts
@@ -0,0 +1,121 @@
+/**
+ * What users saw: tasks that must run once were started twice by one leader within
+ * 4 to 5 ms, with run numbers that are 5 and 7 apart; once two tasks of a job on
+ * one host, and 4 ms later the same two, in the same order, on that host and on
+ * another. Elsewhere a task was started once more than its attempts allow.
+ *
+ * Order of events: a worker stops answering while five starts are on their way to
+ * it. Its side tells the leader that it is gone, so all five tasks wait. The
+ * leader's process is short of time: the pass that is due comes late, and is made
+ * as soon as the next report is taken. It starts the five tasks. Behind that report
+ * lie the answers to the five old orders, "replaced", and after them the late timer
+ * of the pass that was made already: it makes another one at once.
+ *
+ * Cause: each of those answers let its task wait again, although it had its next
+ * run by then. A late timer is why the second starts come sooner than the 8 ms that
+ * lie between two passes. A task that fails wherever it runs then has two runs that
+ * fail side by side, and its next start comes before the second failure is told.
+ *
+ * Evidence: these tests. Where answers for lost runs are passed over, all pass;
+ * where they are not, the starts come as the users' record shows them.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import type { JobTaskId } from "@rackspan/common";
+import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+
+/** Longer than a pass may be overdue. */
+const STANDSTILL_MS = 600;
+const TASK_COUNT = 5;
+/** Of the harness's queue. */
+const MAX_ATTEMPTS = 2;
+const TASK = taskId("j.0.0.0");
+
+interface Site {
+  readonly harness: EngineHarness;
+  /** Has not answered any order yet. */
+  readonly lost: FakeHost;
+  readonly others: readonly FakeHost[];
+}
+
+const orderAtSilentHost = async (taskCount: number): Promise<Site> => {
+  const harness = new EngineHarness();
+  const lost = await harness.addHost("h1");
+  lost.answers = "held";
+  harness.submit("j", [{ taskCount }]);
+  await harness.clock.advance(50);
+  const others = [await harness.addHost("h2"), await harness.addHost("h3")];
+  return { harness, lost, others };
+};
+
+const startedTasks = (hosts: readonly FakeHost[]): readonly JobTaskId[] =>
+  hosts
+    .flatMap(({ starts }) => starts)
+    .sort((a, b) => a.run - b.run)
+    .map(({ task }) => task);
+
+const startCount = (hosts: readonly FakeHost[]): number =>
+  startedTasks(hosts).length;
+
+test("tasks of a lost worker are started once by a leader that is short of time", async () => {
+  const { harness, lost, others } = await orderAtSilentHost(TASK_COUNT);
+  const [next] = others;
+  if (!next) throw new Error("no other host");
+  harness.engine.noteWorkerGone(lost.host, lost.instance);
+  harness.clock.freeze(STANDSTILL_MS);
+  harness.reportOf(next);
+  expect(startCount(others)).toEqual(TASK_COUNT);
+  lost.answerHeld({ kind: "replaced" });
+  // Only what is late already: no time passes.
+  await harness.clock.advance(0);
+  const tasks = startedTasks(others);
+  expect(tasks).toEqual([...new Set(tasks)]);
+  await harness.run(1_000, others);
+  expect(startCount(others)).toEqual(TASK_COUNT);
+});
+
+test("a worker that is lost while a pass is overdue has its tasks started once", async () => {
+  const { harness, lost, others } = await orderAtSilentHost(TASK_COUNT);
+  harness.engine.noteConfig();
+  harness.clock.freeze(STANDSTILL_MS);
+  harness.engine.noteWorkerGone(lost.host, lost.instance);
+  lost.answerHeld({ kind: "replaced" });
+  await harness.run(1_000, others);
+  expect(startCount(others)).toEqual(TASK_COUNT);
+});
+
+/** Fails all runs of the task at once, whichever host tells of it first. */
+const failEverywhere = (hosts: readonly FakeHost[]): number => {
+  let failures = 0;
+  for (const host of hosts) {
+    for (; host.isRunning(TASK); failures += 1) host.end(TASK, "failed");
+  }
+  return failures;
+};
+
+test("a task that always fails is not started past its attempts once its worker was lost", async () => {
+  for (const lastFirst of [false, true]) {
+    const { harness, lost, others } = await orderAtSilentHost(1);
+    harness.engine.noteWorkerGone(lost.host, lost.instance);
+    await harness.run(50, others);
+    lost.answerHeld({ kind: "replaced" });
+    await harness.run(50, others);
+    const telling = [...others].sort((a, b) =>
+      lastFirst ? latestRun(b) - latestRun(a) : latestRun(a) - latestRun(b),
+    );
+    for (let failures = 0; failures < MAX_ATTEMPTS;) {
+      failures += failEverywhere(others);
+      const before = startCount(others);
+      for (const host of telling) {
+        harness.reportOf(host);
+        await harness.clock.advance(20);
+      }
+      if (failures >= MAX_ATTEMPTS) {
+        expect(startCount(others)).toEqual(before);
+      }
+    }
+  }
+});
+
+const latestRun = ({ starts }: FakeHost): number => starts.at(-1)?.run ?? 0;
