Tests that fail: runs whose ends do not fit into the worker's list are started again

Cause: workers list 500 ends at once. A run that ended beyond them is neither listed as running nor as ended, and the leader takes it for one that vanished; a new leader takes the host for one that has told all.

--- /dev/null
+++ b/packages/scheduling/tests/hiddenEnds.test.ts
@@ -0,0 +1,77 @@
+/**
+ * What users would see: tasks that are done are started again on the same worker,
+ * and end once more.
+ *
+ * Order of events: the store takes no records for a while, so no end is
+ * acknowledged, and more runs end on one worker than it lists at once. The leader
+ * hears of neither the run nor its end, and takes the run for one that vanished.
+ *
+ * Cause: a report with a list of ends that is cut off was compared as a whole one.
+ *
+ * Evidence: these tests. No played day has shown it: on the users' sites a worker
+ * would have to end 500 runs while the store keeps nothing.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+
+const JOB = "5c0e7a21d94b36f8";
+/** More than a worker lists at once. */
+const TASK_COUNT = 510;
+const SMALL = { milliCores: 10, memoryMiB: 1, accelerators: 0 };
+
+const endAll = (host: FakeHost): void => {
+  for (const task of host.runningTasks) host.end(task, "done");
+};
+
+test("runs whose ends did not fit into the worker's list are not started again", async () => {
+  const site = new EngineHarness();
+  const host = await site.addHost("h1");
+  site.submit(JOB, [{ taskCount: TASK_COUNT, demand: SMALL }]);
+  await site.run(200);
+  expect(host.starts.length).toEqual(TASK_COUNT);
+  site.store.fault = "refuses";
+  endAll(host);
+  await site.run(500);
+  expect(host.starts.length).toEqual(TASK_COUNT);
+  site.store.fault = "none";
+  await site.run(1_000);
+  expect(host.starts.length).toEqual(TASK_COUNT);
+  expect(host.acknowledged).toEqual(TASK_COUNT);
+});
+
+test("a new leader starts nothing while a host has more ends to list", async () => {
+  const former = new EngineHarness();
+  const host = await former.addHost("h1");
+  const { clock } = former;
+  const job = former.submit(JOB, [{ taskCount: TASK_COUNT, demand: SMALL }]);
+  await former.run(200);
+  former.store.fault = "refuses";
+  endAll(host);
+  former.engine.stop();
+  const next = new EngineHarness({ epoch: 2, roster: [host.host], clock });
+  next.hosts.push(host);
+  next.engine.addJob(job, undefined);
+  next.engine.attach(host.host, host);
+  next.store.fault = "refuses";
+  await next.run(500);
+  expect(host.starts.length).toEqual(TASK_COUNT);
+  next.store.fault = "none";
+  await next.run(1_000);
+  expect(host.starts.length).toEqual(TASK_COUNT);
+  expect(host.acknowledged).toEqual(TASK_COUNT);
+});
+
+test("a run that is in neither list is still found once all ends were listed", async () => {
+  const site = new EngineHarness();
+  const host = await site.addHost("h1");
+  site.submit(JOB, [{ taskCount: TASK_COUNT, demand: SMALL }]);
+  await site.run(200);
+  const lost = taskId(`${JOB}.0.0.7`);
+  host.vanish(lost);
+  endAll(host);
+  await site.run(1_000);
+  expect(host.starts.length).toEqual(TASK_COUNT + 1);
+  expect(host.starts.at(-1)?.task).toEqual(lost);
+});
