A list of ends that is cut off says nothing of the runs that it leaves out

Cause: workers list 500 ends at once. The leader took a run whose end was still to be listed for one that had vanished, and started its task again; a new leader took such a host for one that had told all, and did the same. Change: the adapter tells that more ends may follow, and the report carries it on (false from older sides). Until the list is whole, no run counts as vanished and the gate of a take-over counts the host as silent.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -215,6 +215,7 @@
           at: sighting.answer.at,
           running: [...sighting.answer.running],
           ended: [...watch.unacknowledged],
+          hasMoreEnds: sighting.answer.hasMoreEnds,
         };
         const grant = await this.ask(link, () =>
           leader.report(this.options.host, this.options.zone, report),
--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -148,6 +148,7 @@
         reading: traits.reading,
       })),
       ended: life.listedEnds,
+      hasMoreEnds: false,
     };
   }
 
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -255,6 +255,7 @@
   at: at as unknown as WorkerTime,
   running: [],
   ended: [],
+  hasMoreEnds: false,
 });
 
 /**
--- a/packages/entry/tests/sideServer.test.ts
+++ b/packages/entry/tests/sideServer.test.ts
@@ -46,6 +46,7 @@
   at: 1_000 as unknown as WorkerTime,
   running: [],
   ended: [],
+  hasMoreEnds: false,
 });
 
 /** What an engine is told, and through which session it would give orders. */
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -8,7 +8,7 @@
 export interface ReportChanges {
   /** Ends that were not taken note of before, in the worker's order. */
   readonly ended: readonly EndedRun[];
-  /** Runs that neither run nor are listed as ended: lapsed, or never begun. */
+  /** Runs that neither run nor have ended: lapsed, or never begun. */
   readonly vanished: readonly ActiveRun[];
   /** Tasks that run there and that the leader did not know of. */
   readonly unknown: readonly RunningTask[];
@@ -71,7 +71,8 @@
       }
       continue;
     }
-    if (endedRuns.has(key)) continue;
+    // A run whose end is still to be listed looks the same as one that vanished.
+    if (endedRuns.has(key) || report.hasMoreEnds) continue;
     if (hasVanished(report, run)) vanished.push(run);
   }
   const last = ended.at(-1);
--- a/packages/ports/src/taskHost.ts
+++ b/packages/ports/src/taskHost.ts
@@ -74,7 +74,10 @@
 export interface HoldAnswer {
   readonly at: WorkerTime;
   readonly running: readonly RunningTask[];
+  /** In the worker's order, from the first that it was not let forget. */
   readonly ended: readonly EndedRun[];
+  /** Whether more may have ended: workers list only so many at once. */
+  readonly hasMoreEnds: boolean;
 }
 
 export interface PaceOrder extends RunRef {
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -64,6 +64,8 @@
   running: z.array(runningSchema),
   /** Ends that the leader has not acknowledged to this side yet. */
   ended: z.array(endedSchema),
+  /** Whether the worker may have more ends, which it lists once these are acknowledged. */
+  hasMoreEnds: z.boolean().default(false),
 });
 
 export type HostReport = z.output<typeof reportSchema>;
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -243,7 +243,8 @@
     this.checkpoints.noteTasks(tasks);
     learnInterference(ledger, this.interference, now);
     learnSlowness(entry, this.hosts, now);
-    gate.noteHeard(host);
+    // What is still to be listed may have ended under a former leader.
+    if (!report.hasMoreEnds) gate.noteHeard(host);
     this.dispatcher.requestPass();
     entry.rostered = roster.has(host);
     this.dispatcher.passIfOverdue();
--- a/packages/side/tests/unattendedLease.test.ts
+++ b/packages/side/tests/unattendedLease.test.ts
@@ -50,7 +50,12 @@
     ): Promise<HoldAnswer> => {
       renewals.push({ at: workerTime(), leaseUntil });
       await new Promise<void>((resolve) => clock.after(waitMs, resolve));
-      return { at: workerTime(), running: [], ended: [] };
+      return {
+        at: workerTime(),
+        running: [],
+        ended: [],
+        hasMoreEnds: false,
+      };
     },
   } as unknown as TaskHost;
   const base = { host, clock, logger };
