A gang fails as one: its attempts are the runs in which any member failed

Cause: failures were counted for each member by itself, so that a gang of N could fail N times as often as its queue allows.

--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -156,10 +156,12 @@
     }
   }
 
-  /** Whether a task has failed as often as its queue allows. */
-  hasSpentAttempts(task: JobTask): boolean {
-    if (task.step.spec.lasting) return false;
-    return task.failedRuns.size >= this.terms.maxAttempts;
+  /** Whether a task, or the gang that it is of, has failed as often as its queue allows. */
+  hasSpentAttempts({ step, failedRuns }: JobTask): boolean {
+    const { gang, lasting } = step.spec;
+    if (lasting) return false;
+    const failed = gang ? step.failedRuns : failedRuns;
+    return failed.size >= this.terms.maxAttempts;
   }
 
   get isComplete(): boolean {
--- a/packages/jobs/src/StepRun.ts
+++ b/packages/jobs/src/StepRun.ts
@@ -35,6 +35,11 @@
     return this.doneCount === this.tasks.length;
   }
 
+  /** Runs in which any of its tasks failed: a gang fails as one, whichever began. */
+  get failedRuns(): ReadonlySet<number> {
+    return new Set(this.tasks.flatMap(({ failedRuns }) => [...failedRuns]));
+  }
+
   /** Estimated milliseconds of one task, at least one. */
   get estimateMs(): number {
     return Math.max(1, this.spec.estimateMs);
