Test, red: the first records of a new leader may be taken for repeats

The store in memory now goes by the letter of the page: only an append that comes with a higher epoch may begin at any number, an empty one sets the epoch, and one of the last five appends gets its first answer again.

--- a/packages/standins/src/MemoryStore.ts
+++ b/packages/standins/src/MemoryStore.ts
@@ -23,10 +23,15 @@
 
 interface ProducerMark {
   epoch: number;
+  /** Number of the last append, of whatever epoch; 0 before the first. */
   sequence: number;
-  end: number;
+  /** The end that each of the last appends was answered with, by its number. */
+  readonly answers: Map<number, number>;
 }
 
+/** Appends of a producer that may be repeated. */
+const KEPT_ANSWERS = 5;
+
 interface Topic {
   readonly records: StoredRecord[];
   readonly producers: Map<string, ProducerMark>;
@@ -191,27 +196,50 @@
   }
 }
 
+/**
+ * Only an append with a higher epoch may begin at any number. An empty one sets
+ * the epoch, so that the next must follow the last of the epoch before it.
+ */
 const appendTo = (
   topic: Topic,
   { records, stamp, ...req }: AppendRequest,
 ): number => {
   const { producer, epoch, sequence } = stamp;
-  const mark = topic.producers.get(producer);
-  if (mark && epoch < mark.epoch)
-    throw new FencedError("a higher epoch was seen");
-  const continues = mark !== undefined && mark.epoch === epoch;
-  if (continues && records.length > 0) {
-    if (sequence === mark.sequence) return mark.end;
-    if (mark.sequence > 0 && sequence !== mark.sequence + 1) {
-      throw new SequenceError(req.topic, mark.sequence + 1);
-    }
+  const mark = topic.producers.get(producer) ?? newMark(epoch);
+  topic.producers.set(producer, mark);
+  if (epoch < mark.epoch) throw new FencedError("a higher epoch was seen");
+  const continues = mark.epoch === epoch && mark.sequence > 0;
+  mark.epoch = epoch;
+  if (records.length === 0) return topic.records.length;
+  if (continues) {
+    const answered = mark.answers.get(sequence);
+    if (answered !== undefined) return answered;
+    const wanted = mark.sequence + 1;
+    if (sequence !== wanted) throw new SequenceError(req.topic, wanted);
   }
   for (const record of records) {
     topic.records.push({ ...record, offset: topic.records.length });
   }
   const end = topic.records.length;
-  const isEmpty = records.length === 0;
-  const last = isEmpty ? (continues ? mark.sequence : 0) : sequence;
-  topic.producers.set(producer, { epoch, sequence: last, end });
+  noteAnswer(mark, sequence, end);
   return end;
 };
+
+const newMark = (epoch: number): ProducerMark => ({
+  epoch,
+  sequence: 0,
+  answers: new Map(),
+});
+
+const noteAnswer = (
+  mark: ProducerMark,
+  sequence: number,
+  end: number,
+): void => {
+  mark.sequence = sequence;
+  mark.answers.delete(sequence);
+  mark.answers.set(sequence, end);
+  if (mark.answers.size <= KEPT_ANSWERS) return;
+  const [oldest] = mark.answers.keys();
+  if (oldest !== undefined) mark.answers.delete(oldest);
+};
--- a/packages/state/tests/stampedWriter.test.ts
+++ b/packages/state/tests/stampedWriter.test.ts
@@ -90,3 +90,51 @@
   await second;
   expect(keys()).toEqual(["a", "b"]);
 });
+
+// What users would see: after a change of leader a task is started past its
+// attempts, or again after it was done.
+// Order of events: a leader keeps a few records (five at the most) and is
+// replaced. Its successor sets its epoch by an empty append, and keeps the
+// progress of a job by its first record. The store knows that record's number
+// from the former leader's, and gives the answer to that one again.
+// Cause: each leader counted its appends from 1, and only an append that comes
+// with a higher epoch may do so; the empty one was that.
+// Evidence: the page of the store: "a higher epoch may begin at any number; else
+// it must follow the last, and one of the last five gets its first answer again".
+test("the first records of a new leader are not taken for repeats of the former one's", async () => {
+  for (const former of [1, 3, 5, 7]) {
+    const { clock, writer, writerOf, keys } = setUp({ retriesRefused: true });
+    const wanted: string[] = [];
+    const keep = async (by: StampedWriter, key: string): Promise<void> => {
+      wanted.push(key);
+      const { kept } = by.write(record(key));
+      await clock.advance(100);
+      await kept;
+    };
+    for (let at = 0; at < former; at += 1) await keep(writer, `former-${at}`);
+    const next = writerOf(2);
+    await next.fenceOthers();
+    for (let at = 0; at < 7; at += 1) await keep(next, `next-${at}`);
+    expect(keys()).toEqual(wanted);
+  }
+});
+
+// The same with a first record whose answer is lost: the writer must learn the
+// number that the store wants without giving the record up.
+test("the first record of a new leader is kept although its answer was lost", async () => {
+  const { clock, store, writer, writerOf, keys } = setUp({
+    retriesRefused: true,
+  });
+  const first = writer.write(record("former")).kept;
+  await clock.advance(100);
+  await first;
+  const next = writerOf(2);
+  await next.fenceOthers();
+  store.fault = "silent";
+  const { kept } = next.write(record("next"));
+  await clock.advance(1_000);
+  store.fault = "none";
+  await clock.advance(1_000);
+  await kept;
+  expect(keys()).toEqual(["former", "next"]);
+});
