The appends of a new leader are numbered apart from its predecessor's

Cause: each leader counted its appends from 1 after an empty one that set its epoch. Change: after the fence a writer goes on from epoch * 2^20. A refused number below the batch's own shows that no try of it was kept, so that it is numbered anew.

--- a/packages/state/src/StampedWriter.ts
+++ b/packages/state/src/StampedWriter.ts
@@ -34,6 +34,8 @@
   maxBatchBytes: 1_000_000,
   /** More waiting records than this are refused at once. */
   maxQueued: 5_000,
+  /** Appends of one epoch; the numbers of a later one are all higher. */
+  appendsPerEpoch: 2 ** 20,
 } as const;
 
 export interface StampedWriterOptions {
@@ -100,9 +102,16 @@
     return { kept, abandon: () => this.abandon(queued) };
   }
 
-  /** Appends nothing, but bars writers of lower epochs. @throws FencedError */
+  /**
+   * Appends nothing, but bars writers of lower epochs. The appends that follow are
+   * numbered apart from those of lower epochs, which the store may still answer
+   * again: a record with the number of one of them would be lost in silence.
+   *
+   * @throws FencedError
+   */
   async fenceOthers(signal?: AbortSignal): Promise<void> {
     await this.send([], signal);
+    this.sequence = this.options.epoch * WRITER.appendsPerEpoch;
   }
 
   /** Refuses what has not been sent, and whatever comes later. */
@@ -199,8 +208,11 @@
       try {
         return await this.appendOnce(records, timeoutMs);
       } catch (err) {
+        const wanted = err instanceof SequenceError ? err.wanted : Infinity;
+        // The last number kept is below this batch's: no try of it was kept.
+        if (wanted < this.sequence) mayBeKept = false;
         if (err instanceof SequenceError && !mayBeKept) {
-          this.sequence = err.wanted;
+          this.sequence = wanted;
           continue;
         }
         const lost = err instanceof StoreAnswerLostError;
