A run is given up only by a report that tells all ends

Cause: a worker lists 500 ends at once. A run that ended behind them stands in neither list, was taken for vanished, and its task started again; its end was listed and acknowledged after that (done: TWICE, failed: BUDGET). Change: the list of ends says whether it may be cut, from the adapter to the leader, which gives no run up by such a report.

--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -16,12 +16,14 @@
 
 /**
  * Whether a run that the report does not list is not there and never will be:
- * the worker has shown it before, or could not begin it any more by then.
+ * the worker has shown it before, or could not begin it any more by then. While
+ * the list of ends is cut, its end may be among those that are not told yet.
  */
 const hasVanished = (
-  { at }: HostReport,
+  { at, hasMoreEnds }: HostReport,
   { phase, answeredAt, orderLapsesAt, stop }: ActiveRun,
 ): boolean => {
+  if (hasMoreEnds) return false;
   if (answeredAt !== undefined) return at > answeredAt;
   const barredAt = stop?.confirmedAt;
   if (barredAt !== undefined && at > barredAt) return true;
--- a/packages/ports/src/taskHost.ts
+++ b/packages/ports/src/taskHost.ts
@@ -75,6 +75,8 @@
   readonly at: WorkerTime;
   readonly running: readonly RunningTask[];
   readonly ended: readonly EndedRun[];
+  /** Whether the worker may have more ends to tell than it lists at once; absent for no. */
+  readonly hasMoreEnds?: boolean;
 }
 
 export interface PaceOrder extends RunRef {
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -64,6 +64,8 @@
   running: z.array(runningSchema),
   /** Ends that the leader has not acknowledged to this side yet. */
   ended: z.array(endedSchema),
+  /** Whether the worker may have more ends to tell; absent for no, as from an older side. */
+  hasMoreEnds: z.boolean().optional(),
 });
 
 export type HostReport = z.output<typeof reportSchema>;
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -213,6 +213,7 @@
         reading: this.readings.get(task) ?? 0,
       })),
       ended: this.ended.slice(0, MOST_LISTED_ENDS),
+      hasMoreEnds: this.ended.length >= MOST_LISTED_ENDS,
     };
   }
 
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -250,6 +250,7 @@
       at: answer.at,
       running: [...answer.running],
       ended: [...watch.unacknowledged],
+      hasMoreEnds: answer.hasMoreEnds,
     };
     try {
       const grant = await connection.call("report", params, LINK.callTimeoutMs);
