--- a/packages/side/tests/workerRegistry.test.ts
+++ b/packages/side/tests/workerRegistry.test.ts
@@ -61,3 +61,17 @@
   registry.noteHeartbeat(beatOf("first", 4));
   expect(registry.worker).toEqual(undefined);
 });
+
+test("two lives that were never heard before do not keep the present one out", () => {
+  const registry = createRegistry();
+  registry.noteHeartbeat(beatOf("present", 3));
+  for (const former of ["former-1", "former-2"]) {
+    registry.noteHeartbeat(beatOf(former, 9));
+  }
+  for (const former of ["former-2", "former-1"]) {
+    registry.noteGone(brand<WorkerInstance>(former), "another life answers");
+  }
+  expect(registry.worker?.instance).toEqual(brand<WorkerInstance>("present"));
+  registry.noteHeartbeat(beatOf("present", 4));
+  expect(registry.worker?.instance).toEqual(brand<WorkerInstance>("present"));
+});
