A life of the worker is passed over only on proof that it is over

Cause: a side kept one displaced life aside. The second late heartbeat of a former life, heard by a side that was started anew, shut the present life out: no report, no renewal, and its tasks ended with their lease. Change: all lives heard since the last answered call are kept; an answer, or a call answered by another life, settles which is over.

--- a/packages/side/src/jobs/WorkerRegistry.ts
+++ b/packages/side/src/jobs/WorkerRegistry.ts
@@ -19,6 +19,8 @@
 const REGISTRY = {
   /** Ids of lives that are over; late heartbeats of theirs are passed over. */
   maxGone: 64,
+  /** Lives that may be the present one; those heard before them are forgotten. */
+  maxDisplaced: 8,
 } as const;
 
 export class WorkerRegistry {
@@ -29,11 +31,13 @@
   private heartbeat: WorkerHeartbeat | undefined;
   private heardAt: Monotonic = -Infinity;
   /**
-   * The life before, until the present one has answered a call. A heartbeat may
-   * be delayed until after its sender has crashed and the next life registered,
-   * so which of two lives stands here is known only from an answer.
+   * The lives heard before, the last one at the end, until the present one has
+   * answered a call. Heartbeats may be delayed until after their sender has
+   * crashed and the next life registered, so which of them stands here is known
+   * only from an answer. When one life alone was kept, the second late heartbeat
+   * shut the present life out for good.
    */
-  private displaced: WorkerHeartbeat | undefined;
+  private displaced: WorkerHeartbeat[] = [];
   private readonly gone = new Set<WorkerInstance>();
 
   constructor(
@@ -55,7 +59,7 @@
     const { instance } = beat.worker;
     const current = this.heartbeat;
     if (this.gone.has(instance)) return;
-    if (this.displaced?.worker.instance === instance) return;
+    if (this.isDisplaced(instance)) return;
     const isSame = current?.worker.instance === instance;
     if (current && !isSame) this.displace(current);
     if (isSame && beat.sequence <= current.sequence) return;
@@ -72,11 +76,11 @@
     this.changed.notify();
   }
 
-  /** That life of the worker has answered a call: the one before is over. */
+  /** That life of the worker has answered a call: those before are over. */
   noteAnswered(instance: WorkerInstance): void {
-    if (!this.displaced || this.heartbeat?.worker.instance !== instance) return;
-    this.ban(this.displaced.worker.instance);
-    this.displaced = undefined;
+    if (this.heartbeat?.worker.instance !== instance) return;
+    for (const { worker } of this.displaced) this.ban(worker.instance);
+    this.displaced = [];
   }
 
   /** That life of the worker is over. */
@@ -85,21 +89,24 @@
     this.ban(instance);
     this.lastGone = instance;
     this.logger.info("worker.gone", { instance, reason });
-    if (this.displaced?.worker.instance === instance) {
-      this.displaced = undefined;
-    }
+    this.displaced = this.displaced.filter(
+      ({ worker }) => worker.instance !== instance,
+    );
     if (this.heartbeat?.worker.instance === instance) {
       // Its heartbeat came late: the life before may be the present one.
-      this.heartbeat = this.displaced;
-      this.displaced = undefined;
+      this.heartbeat = this.displaced.pop();
     }
     this.changed.notify();
   }
 
+  private isDisplaced(instance: WorkerInstance): boolean {
+    return this.displaced.some(({ worker }) => worker.instance === instance);
+  }
+
   /** @param current the life that a heartbeat of another one replaces */
   private displace(current: WorkerHeartbeat): void {
-    if (this.displaced) this.ban(this.displaced.worker.instance);
-    this.displaced = current;
+    this.displaced.push(current);
+    if (this.displaced.length > REGISTRY.maxDisplaced) this.displaced.shift();
   }
 
   /** Passes over heartbeats of that life from now on. */
