--- a/packages/protocol/tests/httpClient.test.ts
+++ b/packages/protocol/tests/httpClient.test.ts
@@ -5,7 +5,13 @@
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import { expect } from "earl";
-import { addressOf, closeServer, HttpClient } from "@rackspan/protocol";
+import {
+  addressOf,
+  closeServer,
+  ConnectError,
+  HttpClient,
+  LostAnswerError,
+} from "@rackspan/protocol";
 
 const TIMEOUT_MS = 150;
 const KEPT_OPEN = 4;
@@ -58,3 +64,35 @@
   expect(outcomes).toEqual(["no answer", "fresh"]);
   client.close();
 });
+
+// A worker falls silent while a dozen orders are on their way to it. The orders
+// behind them, and the look that renews the lease, were told that they had failed
+// only when a connection became free, however short their own time was. The
+// cause: a call that is given up before it has a connection says so to nobody.
+test("a call that gets no connection in its time fails then, and is never sent", async (t) => {
+  const paths: (string | undefined)[] = [];
+  const server = createServer((req, res) => {
+    paths.push(req.url);
+    if (req.url !== "/silent") res.end("answered");
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const baseUrl = `http://${addressOf(server)}`;
+  const client = new HttpClient({ baseUrl, maxSockets: 1 });
+  t.after(async () => {
+    client.close();
+    await closeServer(server);
+  });
+  const call = (path: string, timeoutMs: number) =>
+    client.call({ method: "GET", path, timeoutMs });
+  const silent = expect(call("/silent", 6 * TIMEOUT_MS)).toBeRejectedWith(
+    LostAnswerError,
+  );
+  const began = performance.now();
+  await expect(call("/behind", TIMEOUT_MS)).toBeRejectedWith(ConnectError);
+  expect(performance.now() - began < 3 * TIMEOUT_MS).toEqual(true);
+  await silent;
+  const { body } = await call("/next", 1_000);
+  expect(body.toString("utf8")).toEqual("answered");
+  expect(paths).toEqual(["/silent", "/next"]);
+});
