A call that waits for a connection fails when its time is over

Cause: Node tells a request that was given up without a connection only when one becomes free. Behind a silent worker, orders and the look that renews the lease failed late, whatever their own time. Measured: httpClient.test.js: failed before (told after 0.9 s in place of 0.15 s), passes now.

--- a/packages/protocol/src/HttpClient.ts
+++ b/packages/protocol/src/HttpClient.ts
@@ -88,7 +88,10 @@
       const timeoutMs = call.timeoutMs ?? DEFAULT_TIMEOUT_MS;
       const timer = setTimeout(() => {
         if (req.reusedSocket) this.closeIdle();
-        req.destroy(new Error(`no answer within ${timeoutMs} ms`));
+        const err = new Error(`no answer within ${timeoutMs} ms`);
+        // Node tells a call without a connection only when one becomes free.
+        if (!req.socket) reject(new ConnectError(url, err));
+        req.destroy(err);
       }, timeoutMs);
       req.on("socket", (socket) => {
         if (!socket.connecting) connected = true;
