--- a/packages/checker/src/ProcessClock.ts
+++ b/packages/checker/src/ProcessClock.ts
@@ -8,6 +8,7 @@
   private readonly late = new Set<() => void>();
   /** What came from outside while the process stood still, in order. */
   private arrived: (() => void)[] = [];
+  private onNextArrival: (() => void) | undefined;
 
   constructor(private readonly base: Clock) {}
 
@@ -37,8 +38,22 @@
   /** Something comes from outside: it is taken now, or once the process goes on. */
   arrive(take: () => void): void {
     if (this.dead) return;
-    if (this.paused) this.arrived.push(take);
-    else take();
+    if (this.paused) {
+      this.arrived.push(take);
+      return;
+    }
+    take();
+    const { onNextArrival } = this;
+    this.onNextArrival = undefined;
+    onNextArrival?.();
+  }
+
+  /** Stands still once it has taken what comes next: there is work then. */
+  pauseAfterArrival(onPaused: () => void): void {
+    this.onNextArrival = () => {
+      this.pause();
+      onPaused();
+    };
   }
 
   /** Resolves once the process runs; never for a dead one. */
@@ -81,5 +96,6 @@
     this.dead = true;
     this.late.clear();
     this.arrived = [];
+    this.onNextArrival = undefined;
   }
 }
--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -34,7 +34,6 @@
 const WORLD = {
   hosts: 5,
   milliCores: 4_000,
-  maxAttempts: 3,
   electionMs: { every: 100, wait: 300 },
 } as const;
 
@@ -45,7 +44,7 @@
   pathPrefix: "/minutes/",
   service: brand<ServiceName>("kaigi"),
   priority: 0,
-  maxAttempts: WORLD.maxAttempts,
+  maxAttempts: 3,
   stretch: 2,
   targetLatencyMs: 250,
   permitRule: undefined,
@@ -64,6 +63,8 @@
   readonly takesArrivalsFirst: boolean;
   /** Share of the runs that fail by themselves. */
   readonly failShare: number;
+  /** How often a task may fail. */
+  readonly maxAttempts: number;
 }
 
 export class JobWorld {
@@ -107,7 +108,7 @@
       steps,
       repeat,
       acceptedAt: clock.now(),
-      terms: { maxAttempts: WORLD.maxAttempts },
+      terms: { maxAttempts: this.options.maxAttempts },
     });
     jobs.set(job.spec.id, job);
     clock.after(random.next() * VIEW_LAG_MS, () =>
@@ -193,6 +194,15 @@
     );
   }
 
+  /** Its process stands still in the middle of its work: passes are due then. */
+  freezeBusyLeader(ms: number): void {
+    const { leader, clock } = this;
+    if (!leader || leader.isDead) return;
+    leader.clock.pauseAfterArrival(() =>
+      clock.after(ms, () => leader.clock.catchUp()),
+    );
+  }
+
   killLeader(): void {
     this.leader?.kill();
   }
@@ -230,7 +240,7 @@
       this.history.add("unacknowledged", this.clock.monotonic(), detail);
     }
     this.history.checkEnds(
-      WORLD.maxAttempts,
+      this.options.maxAttempts,
       (task) => this.isLastingTask(task),
       (task) => this.gangOf(task),
     );
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -129,12 +129,9 @@
 /** The leader's process often stands still for a moment, as one short of processor time. */
 const STANDSTILL_EVENTS: typeof EVENTS = [
   ...EVENTS,
-  [20, (world, random) => world.freezeLeader(between(random, 200, 900))],
+  [20, (world, random) => world.freezeBusyLeader(between(random, 200, 900))],
 ];
 
-/** Share of the runs that fail by themselves. */
-const FAIL_SHARE = { few: 0.06, many: 0.3 } as const;
-
 const pickEvent = (events: typeof EVENTS, random: SeededRandom): Event => {
   const total = events.reduce((sum, [weight]) => sum + weight, 0);
   let at = random.next() * total;
@@ -154,7 +151,8 @@
   endsFormerLinks: true,
   unattendedLeaseMs: Infinity,
   takesArrivalsFirst: false,
-  failShare: FAIL_SHARE.few,
+  failShare: 0.06,
+  maxAttempts: 3,
 };
 
 const HARSH: Harshness = {
@@ -168,7 +166,8 @@
   ...PLAIN,
   events: STANDSTILL_EVENTS,
   takesArrivalsFirst: true,
-  failShare: FAIL_SHARE.many,
+  failShare: 0.4,
+  maxAttempts: 2,
 };
 
 /** Plays one seed to its rest. @returns what broke, in order */
