A task stands still by its host's reports, not by the host's silence

Cause: the time without progress was counted up to now; a host that is not heard for 3 s had all its plain tasks stopped, and was left out as one that fails its tasks.

--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -55,7 +55,7 @@
 
   private watchRuns(entry: HostEntry, now: Monotonic): void {
     const { options, stops, ejector } = this.parts;
-    const { host, runs: active } = entry.ledger;
+    const { host, heardAt, runs: active } = entry.ledger;
     if (!options.mayDecide() || !entry.session) return;
     const { policy } = options;
     stops.orderDueStops(entry);
@@ -64,12 +64,12 @@
     }
     for (const run of active.values()) {
       if (run.phase !== "running") continue;
-      if (policy.movesCrawling && shouldLeave(run, host, now)) {
+      if (policy.movesCrawling && shouldLeave(run, host, heardAt)) {
         avoidHost(run.task, host);
         stops.stop(entry, run, "crawling");
         continue;
       }
-      if (policy.movesStalled && hasStalled(run, now)) {
+      if (policy.movesStalled && hasStalled(run, heardAt)) {
         avoidHost(run.task, host);
         ejector.report({ host, ok: false });
         stops.stop(entry, run, "stalled");
@@ -95,18 +95,29 @@
   }
 }
 
-/** Whether the task crawls there, saves its progress, and was not moved off before. */
-const shouldLeave = (run: ActiveRun, host: HostId, now: Monotonic): boolean => {
+/**
+ * Whether the task crawls there, saves its progress, and was not moved off before.
+ * Only reports show it: a host that is not heard may still do its work.
+ */
+const shouldLeave = (
+  run: ActiveRun,
+  host: HostId,
+  heardAt: Monotonic,
+): boolean => {
   const { task, crawlingSince } = run;
   if (!task.step.spec.checkpointing || crawlingSince === undefined)
     return false;
   if (task.avoid.includes(host)) return false;
-  return now - crawlingSince > ENGINE.crawlMs;
+  return heardAt - crawlingSince > ENGINE.crawlMs;
 };
 
-const hasStalled = (run: ActiveRun, now: Monotonic): boolean => {
+/**
+ * Whether the task has stood still up to the host's last report. Counted up to
+ * now, six of six tasks that worked were stopped after 3.4 s of silence.
+ */
+const hasStalled = (run: ActiveRun, heardAt: Monotonic): boolean => {
   const { kind } = natureOf(run.task);
   if (run.task.step.spec.lasting) return false;
   const limit = kind === "filling" ? ENGINE.fillingStallMs : ENGINE.stallMs;
-  return now - run.progressedAt > limit;
+  return heardAt - run.progressedAt > limit;
 };
