--- a/packages/protocol/tests/httpClient.test.ts
+++ b/packages/protocol/tests/httpClient.test.ts
@@ -96,3 +96,30 @@
   expect(body.toString("utf8")).toEqual("answered");
   expect(paths).toEqual(["/silent", "/next"]);
 });
+
+// Who is told that nothing was sent may give the order to somebody else. A call
+// over a connection that was kept open is sent at once, so it may have arrived.
+test("a call over a kept connection that gets no answer may have taken effect", async (t) => {
+  const paths: (string | undefined)[] = [];
+  const server = createServer((req, res) => {
+    paths.push(req.url);
+    if (req.url === "/answered") res.end();
+    if (req.url === "/broken") req.socket.destroy();
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const baseUrl = `http://${addressOf(server)}`;
+  const client = new HttpClient({ baseUrl, maxSockets: 1 });
+  t.after(async () => {
+    client.close();
+    server.closeAllConnections();
+    await closeServer(server);
+  });
+  const call = (path: string) =>
+    client.call({ method: "POST", path, timeoutMs: TIMEOUT_MS });
+  for (const path of ["/broken", "/silent"]) {
+    await call("/answered");
+    await expect(call(path)).toBeRejectedWith(LostAnswerError);
+    expect(paths.at(-1)).toEqual(path);
+  }
+});
