Tests: late news of a former life, or of a former connection, changes nothing of the present one

Cause: four checks against it had no test that noticed when they were left out (a worker that is gone, a closed connection, ends kept late, ends acknowledged late).

--- /dev/null
+++ b/packages/scheduling/tests/formerLives.test.ts
@@ -0,0 +1,73 @@
+/**
+ * What users would see where one of these fails: a task runs twice, or runs again
+ * after it was done.
+ *
+ * Order of events: a worker ends, and its next life takes its place. What was said
+ * of the one before, or over its side's connection before, is heard after that.
+ *
+ * Cause: such news acts on the life that is present, where it speaks of the former
+ * one.
+ *
+ * Evidence: each of these tests fails where its check is left out, and no other test
+ * of the package does.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+
+const JOB = "5c0e7a21d94b36f8";
+const TASK = taskId(`${JOB}.0.0.0`);
+
+interface Site {
+  readonly harness: EngineHarness;
+  readonly host: FakeHost;
+}
+
+/** A host whose worker has a task. */
+const createSite = async (): Promise<Site> => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit(JOB, [{}]);
+  await harness.run(100);
+  expect(host.isRunning(TASK)).toEqual(true);
+  return { harness, host };
+};
+
+test("that a former life is gone is passed over once the next one works", async () => {
+  const { harness, host } = await createSite();
+  const former = host.instance;
+  host.replaceWorker();
+  await harness.run(500);
+  expect(host.isRunning(TASK)).toEqual(true);
+  const startCount = host.starts.length;
+  const other = await harness.addHost("h2");
+  harness.engine.noteWorkerGone(host.host, former);
+  await harness.run(500);
+  expect(host.starts.length + other.starts.length).toEqual(startCount);
+});
+
+test("that a former connection is closed does not take the present one away", async () => {
+  const { harness, host } = await createSite();
+  const former: FakeHost = Object.create(host) as FakeHost;
+  harness.engine.attach(host.host, former);
+  harness.engine.attach(host.host, host);
+  harness.engine.detach(host.host, former);
+  harness.submit("0f3b5d7a9c1e2468", [{}]);
+  await harness.run(200);
+  expect(host.runningTasks.length).toEqual(2);
+});
+
+test("ends of a former life that are kept late acknowledge none of the next one's", async () => {
+  const { harness, host } = await createSite();
+  harness.store.fault = "refuses";
+  host.end(TASK, "done");
+  harness.reportOf(host);
+  await harness.clock.advance(100);
+  host.replaceWorker();
+  harness.reportOf(host);
+  harness.store.fault = "none";
+  await harness.clock.advance(1_000);
+  expect(harness.reportOf(host).acknowledged).toEqual(0);
+  expect(host.acknowledged).toEqual(0);
+});
