Tests: leases need a leader that may decide and a host that the store keeps; silence is no crawling

Cause: no test of the package noticed when either check of a grant was left out, nor when crawling was counted up to now. Change: two tests of grants, one of a silent host with a filling task; the harness can hold its roster back. Measured: all pass; each fails with its check left out.

--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -253,9 +253,12 @@
 }
 
 class OpenRoster implements HostRoster {
+  /** Whether the store answers; what it is asked to keep is not kept otherwise. */
+  isKept = true;
   private readonly hosts = new Set<HostId>();
 
   async add(host: HostId): Promise<void> {
+    if (!this.isKept) return new Promise(() => undefined);
     this.hosts.add(host);
   }
 
@@ -286,6 +289,7 @@
   readonly clock: ManualClock;
   readonly store: MemoryStore;
   readonly engine: JobEngine;
+  readonly roster = new OpenRoster();
   readonly hosts: FakeHost[] = [];
   leads = true;
   /** What the engine has kept for the next leader, in order. */
@@ -315,7 +319,7 @@
       logger,
       metrics: new Metrics(),
       journal: new ProgressJournal({ writer, clock: this.clock, gatherMs: 5 }),
-      roster: new OpenRoster(),
+      roster: this.roster,
       gate: new TakeoverGate({
         takenOverAt: this.clock.monotonic(),
         roster,
--- /dev/null
+++ b/packages/scheduling/tests/grants.test.ts
@@ -0,0 +1,32 @@
+/**
+ * What users would see where one of these fails: after a change of leader a task
+ * runs beside its own run, since the next leader did not wait for a host that
+ * still had a lease.
+ *
+ * Evidence: each of these tests fails where its check is left out, and no other test
+ * of the package does.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { EngineHarness } from "./engineHarness.js";
+
+test("a leader that may not decide grants no lease", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  await harness.run(100);
+  expect(harness.reportOf(host).leaseUntil).not.toEqual(undefined);
+  await harness.clock.advance(100);
+  harness.leads = false;
+  expect(harness.reportOf(host).leaseUntil).toEqual(undefined);
+});
+
+test("a host that the store does not keep in the roster gets no lease and no task", async () => {
+  const harness = new EngineHarness();
+  harness.roster.isKept = false;
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{}]);
+  await harness.run(500);
+  expect(harness.reportOf(host).leaseUntil).toEqual(undefined);
+  expect(host.starts.length).toEqual(0);
+});
--- a/packages/scheduling/tests/silentHosts.test.ts
+++ b/packages/scheduling/tests/silentHosts.test.ts
@@ -21,6 +21,8 @@
 const STEP_MS = 200;
 /** Longer than a task may go without progress, shorter than a lease. */
 const SILENCE_MS = 3_400;
+/** Longer than a filling task may crawl. */
+const SHORT_SILENCE_MS = 1_500;
 
 interface Site {
   readonly harness: EngineHarness;
@@ -61,3 +63,20 @@
   await harness.run(500, [host]);
   expect(host.stops.length).toEqual(6);
 });
+
+test("a filling task is not taken to crawl while its host is not heard", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit(JOB, [{ filling: true, checkpointing: true }]);
+  await harness.run(500);
+  const [task] = host.runningTasks;
+  if (!task) throw new Error("no task runs");
+  // One reading far below what it asks for.
+  host.read(task, 1);
+  await harness.run(200);
+  await harness.run(SHORT_SILENCE_MS, []);
+  expect(host.stops.length).toEqual(0);
+  // It crawls still: now this is known of all the time between.
+  await harness.run(500);
+  expect(host.stops.length).toEqual(1);
+});
