--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -3,4 +3,4 @@
   runHarshSchedule,
   runJobSchedule,
 } from "./jobSchedules.js";
-export type { JobViolation } from "./RunHistory.js";
+export { RunHistory, type JobViolation, type RunSeen } from "./RunHistory.js";
--- /dev/null
+++ b/soak/src/FaultPlayer.ts
@@ -0,0 +1,136 @@
+/** Brings drawn faults about at a site, and undoes them. */
+
+import { setTimeout as delay } from "node:timers/promises";
+import { pickIndex, SeededRandom, type Random } from "@rackspan/common";
+import type { Fault } from "./faults.js";
+import { NO_HOLDS } from "./FaultyProxy.js";
+import type { ManagedProcess } from "./ManagedProcess.js";
+import type { SoakSite } from "./SoakSite.js";
+import type { SoakWorker } from "./SoakWorker.js";
+
+/** Longer than the side waits for one answer, shorter than some orders' leases. */
+const HOLDS = { share: 0.15, leastMs: 300, mostMs: 3_000 } as const;
+const SHORT_HOLDS = { share: 0.15, leastMs: 5, mostMs: 900 } as const;
+
+export class FaultPlayer {
+  private readonly open = new Set<Promise<void>>();
+
+  constructor(
+    private readonly site: SoakSite,
+    private readonly note: (line: string) => void,
+  ) {}
+
+  /** Resolves when the last fault is undone. */
+  async play(faults: readonly Fault[]): Promise<void> {
+    const beganAt = performance.now();
+    for (const fault of faults) {
+      await delay(Math.max(0, beganAt + fault.at - performance.now()));
+      this.note(`${fault.kind} forMs=${Math.round(fault.forMs)}`);
+      const played = this.bringAbout(fault);
+      this.open.add(played);
+      void played.finally(() => this.open.delete(played));
+    }
+    await Promise.all(this.open);
+  }
+
+  private async bringAbout({ kind, forMs, draw }: Fault): Promise<void> {
+    const random = new SeededRandom(Math.floor(draw * 2 ** 31));
+    const { site } = this;
+    switch (kind) {
+      case "newLives":
+        return this.newLives(random, forMs);
+      case "lateCalls":
+        return this.hold(random, forMs, "callHolds");
+      case "lateAnswers":
+        return this.hold(random, forMs, "answerHolds");
+      case "frozenLeader":
+        return freeze(await site.leader(), forMs);
+      case "frozenSides":
+        await each(some(site.sides, 0.3, random), (one) => freeze(one, forMs));
+        return;
+      case "brokenConnections":
+        for (const { proxy } of some(site.workers, 0.4, random))
+          proxy.resetAll();
+        return;
+      case "halfOpen":
+        return this.halfOpen(random, forMs);
+      case "killedEntry":
+        return restart(one(site.entries, random), "SIGKILL", forMs);
+      case "stoppedEntry":
+        return restart(one(site.entries, random), "SIGTERM", forMs);
+      case "killedSides": {
+        const signal = random.next() < 0.5 ? "SIGKILL" : "SIGTERM";
+        const struck = some(site.sides, 0.25, random);
+        await each(struck, (side) => restart(side, signal, forMs));
+        return;
+      }
+    }
+  }
+
+  /** Workers fall silent together; their next lives stand at the same addresses. */
+  private async newLives(random: Random, forMs: number): Promise<void> {
+    const how = random.next() < 0.6 ? "silent" : "reset";
+    await each(some(this.site.workers, 0.5, random), async (worker) => {
+      await worker.endLife(how);
+      await delay(forMs * (0.5 + random.next()));
+      await worker.beginLife();
+      // What the former life left open is found broken by then.
+      worker.proxy.resetAll();
+    });
+  }
+
+  private async hold(
+    random: Random,
+    forMs: number,
+    which: "callHolds" | "answerHolds",
+  ): Promise<void> {
+    const holds = random.next() < 0.5 ? HOLDS : SHORT_HOLDS;
+    await each(some(this.site.workers, 0.5, random), async ({ proxy }) => {
+      proxy[which] = holds;
+      await delay(forMs);
+      proxy[which] = NO_HOLDS;
+    });
+  }
+
+  private async halfOpen(random: Random, forMs: number): Promise<void> {
+    const struck: SoakWorker[] = some(this.site.workers, 0.4, random);
+    const isMute = random.next() < 0.5;
+    await each(struck, async ({ proxy }) => {
+      if (isMute) proxy.muteAll();
+      else proxy.halfCloseAll();
+      await delay(forMs);
+    });
+  }
+}
+
+const some = <T>(all: readonly T[], share: number, random: Random): T[] =>
+  all.filter(() => random.next() < share);
+
+const one = <T>(all: readonly T[], random: Random): T | undefined =>
+  all[pickIndex(random, all.length)];
+
+const each = async <T>(
+  all: readonly T[],
+  act: (item: T) => Promise<void>,
+): Promise<void> => {
+  await Promise.all(all.map(act));
+};
+
+const freeze = async (
+  struck: ManagedProcess | undefined,
+  forMs: number,
+): Promise<void> => {
+  struck?.freeze();
+  await delay(forMs);
+  struck?.thaw();
+};
+
+const restart = async (
+  struck: ManagedProcess | undefined,
+  signal: "SIGTERM" | "SIGKILL",
+  forMs: number,
+): Promise<void> => {
+  await struck?.end(signal);
+  await delay(forMs);
+  struck?.start();
+};
--- /dev/null
+++ b/soak/src/JobClient.ts
@@ -0,0 +1,107 @@
+/**
+ * Callers of the site. They keep their connections open until the process is
+ * gone, and repeat a call at any entry when they get no clear answer.
+ */
+
+import { Agent, request, type IncomingMessage } from "node:http";
+import { once } from "node:events";
+import { setTimeout as delay } from "node:timers/promises";
+import { pickIndex, type Random } from "@rackspan/common";
+import { QUEUE } from "./SoakSite.js";
+
+const CLIENT = {
+  /** Time for one answer, milliseconds. */
+  answerMs: 2_000,
+  repeatPauseMs: 100,
+  /** A call is repeated for this long. */
+  repeatForMs: 25_000,
+} as const;
+
+export interface JobClientOptions {
+  readonly random: Random;
+  /** `IP:PORT` of all entries. */
+  readonly entries: readonly string[];
+}
+
+interface Answer {
+  /** 0 when there was none. */
+  readonly status: number;
+  readonly body: string;
+}
+
+const isUnclear = ({ status }: Answer): boolean =>
+  status === 0 || status === 502 || status === 504;
+
+const isAsked = ({ status }: Answer): boolean =>
+  status === 429 || status === 503;
+
+export class JobClient {
+  private readonly agent = new Agent({ keepAlive: true, maxSockets: 4 });
+
+  constructor(private readonly options: JobClientOptions) {}
+
+  /** @returns whether the job was accepted; undefined when that is unclear */
+  async submit(id: string, body: object): Promise<boolean | undefined> {
+    let mayBeAccepted = false;
+    const text = JSON.stringify(body);
+    const giveUpAt = performance.now() + CLIENT.repeatForMs;
+    while (performance.now() < giveUpAt) {
+      const answer = await this.call("POST", id, text);
+      if (answer.status >= 200 && answer.status < 300) return true;
+      if (isUnclear(answer)) mayBeAccepted = true;
+      else if (!mayBeAccepted) return false;
+      await delay(CLIENT.repeatPauseMs);
+    }
+    return undefined;
+  }
+
+  /** @returns whether the cancel was acknowledged */
+  async cancel(id: string): Promise<boolean> {
+    const giveUpAt = performance.now() + CLIENT.repeatForMs;
+    while (performance.now() < giveUpAt) {
+      const answer = await this.call("DELETE", id);
+      if (!isUnclear(answer) && !isAsked(answer)) return true;
+      await delay(CLIENT.repeatPauseMs);
+    }
+    return false;
+  }
+
+  /** @returns its state, or the status of an answer that names none */
+  async stateOf(id: string): Promise<string> {
+    const { status, body } = await this.call("GET", id);
+    if (status !== 200) return String(status);
+    return (JSON.parse(body) as { state: string }).state;
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private async call(
+    method: string,
+    id: string,
+    body?: string,
+  ): Promise<Answer> {
+    const { entries, random } = this.options;
+    const entry = entries[pickIndex(random, entries.length)] ?? "";
+    const req = request(`http://${entry}${QUEUE.prefix}${id}`, {
+      agent: this.agent,
+      method,
+      headers: {
+        host: QUEUE.hostName,
+        "rackspan-timeout-ms": String(CLIENT.answerMs),
+      },
+      signal: AbortSignal.timeout(CLIENT.answerMs),
+    });
+    try {
+      req.end(body);
+      const [res] = (await once(req, "response")) as [IncomingMessage];
+      const chunks: Buffer[] = [];
+      for await (const chunk of res) chunks.push(chunk as Buffer);
+      const text = Buffer.concat(chunks).toString("utf8");
+      return { status: res.statusCode ?? 0, body: text };
+    } catch {
+      return { status: 0, body: "" };
+    }
+  }
+}
--- /dev/null
+++ b/soak/src/JobStream.ts
@@ -0,0 +1,117 @@
+/** A stream of jobs, some of which always fail or are cancelled, until it is told to end. */
+
+import { setTimeout as delay } from "node:timers/promises";
+import { pickIndex, SeededRandom, type Random } from "@rackspan/common";
+import type { JobClient } from "./JobClient.js";
+
+const STREAM = {
+  /** Between two jobs, milliseconds on the mean. */
+  gapMs: 170,
+  /** Shares of all jobs. */
+  failing: 0.25,
+  cancelled: 0.15,
+  lasting: 0.05,
+  /** A job is cancelled up to this long after it was accepted, milliseconds. */
+  cancelWithinMs: 3_000,
+  steps: { least: 2, more: 3 },
+  tasks: { least: 6, more: 3 },
+  runMs: { least: 60, more: 700 },
+} as const;
+
+export type JobKind = "plain" | "failing" | "cancelled" | "lasting";
+
+export interface StreamedJob {
+  readonly id: string;
+  readonly kind: JobKind;
+  isAccepted: boolean;
+  isCancelled: boolean;
+}
+
+export class JobStream {
+  readonly jobs: StreamedJob[] = [];
+  private readonly random: Random;
+  private readonly open = new Set<Promise<void>>();
+  private isOver = false;
+
+  constructor(
+    private readonly seed: number,
+    private readonly clients: readonly JobClient[],
+  ) {
+    this.random = new SeededRandom(seed * 7 + 1);
+  }
+
+  async run(): Promise<void> {
+    while (!this.isOver) {
+      const work = this.play(this.draw());
+      this.open.add(work);
+      void work.finally(() => this.open.delete(work));
+      await delay(STREAM.gapMs * 2 * this.random.next());
+    }
+  }
+
+  /** Takes no more jobs on; what was begun is played to its end. */
+  async end(): Promise<void> {
+    this.isOver = true;
+    await Promise.all(this.open);
+  }
+
+  private draw(): () => Promise<void> {
+    const { random } = this;
+    const kind = drawKind(random.next());
+    const job: StreamedJob = {
+      id: idOf(this.seed, this.jobs.length),
+      kind,
+      isAccepted: false,
+      isCancelled: false,
+    };
+    this.jobs.push(job);
+    const client = this.clients[pickIndex(random, this.clients.length)];
+    const body = drawBody(kind, random);
+    const cancelAfterMs = random.next() * STREAM.cancelWithinMs;
+    return async () => {
+      if (!client) return;
+      job.isAccepted = (await client.submit(job.id, body)) === true;
+      if (kind !== "cancelled" && kind !== "lasting") return;
+      await delay(cancelAfterMs);
+      job.isCancelled = await client.cancel(job.id);
+    };
+  }
+
+  private play(job: () => Promise<void>): Promise<void> {
+    return job();
+  }
+}
+
+const drawKind = (draw: number): JobKind => {
+  if (draw < STREAM.failing) return "failing";
+  if (draw < STREAM.failing + STREAM.cancelled) return "cancelled";
+  if (draw < STREAM.failing + STREAM.cancelled + STREAM.lasting) {
+    return "lasting";
+  }
+  return "plain";
+};
+
+const drawBody = (kind: JobKind, random: Random): object => {
+  const ms = between(STREAM.runMs, random);
+  const count = between(STREAM.steps, random);
+  const isLasting = kind === "lasting";
+  const steps = Array.from({ length: isLasting ? 1 : count }, (_, at) => ({
+    count: isLasting ? 2 : between(STREAM.tasks, random),
+    cpu: isLasting ? 100 : 1_000,
+    mem_mb: 100,
+    estimate_ms: ms,
+    long_running: isLasting,
+    ...(at > 0 && { after_rev: [at - 1] }),
+  }));
+  const failing = kind === "failing" ? ["0.0", "0.1", "0.2", "0.3"] : [];
+  return { spec: JSON.stringify({ ms, failing, lasts: isLasting }), steps };
+};
+
+const between = (
+  { least, more }: { readonly least: number; readonly more: number },
+  random: Random,
+): number => least + pickIndex(random, more);
+
+/** 16 hex digits. */
+const idOf = (seed: number, number: number): string =>
+  seed.toString(16).padStart(8, "0") + number.toString(16).padStart(8, "0");
--- /dev/null
+++ b/soak/src/ManagedProcess.ts
@@ -0,0 +1,67 @@
+/** One program as a process of its own, started again when asked; its output goes to a file. */
+
+import { spawn, type ChildProcess } from "node:child_process";
+import { closeSync, openSync } from "node:fs";
+import { once } from "node:events";
+
+const living = new Set<ChildProcess>();
+
+/** Ends every process that was started here, by its id; also frozen ones. */
+export const killAllProcesses = (): void => {
+  for (const child of living) child.kill("SIGKILL");
+};
+
+export interface ManagedProcessOptions {
+  readonly name: string;
+  /** Arguments of the runtime: the program and what it is told. */
+  readonly args: readonly string[];
+  readonly logFile: string;
+}
+
+export class ManagedProcess {
+  private child: ChildProcess | undefined;
+  private exited: Promise<unknown> = Promise.resolve();
+  /** Ends that nobody asked for. */
+  ownEnds = 0;
+  private isAskedToEnd = false;
+
+  constructor(private readonly options: ManagedProcessOptions) {}
+
+  get isUp(): boolean {
+    return this.child !== undefined;
+  }
+
+  start(): void {
+    if (this.child) return;
+    const { args, logFile } = this.options;
+    const log = openSync(logFile, "a");
+    const child = spawn(process.execPath, args, {
+      stdio: ["ignore", log, log],
+    });
+    closeSync(log);
+    living.add(child);
+    this.child = child;
+    this.isAskedToEnd = false;
+    this.exited = once(child, "exit").then(() => {
+      living.delete(child);
+      this.child = undefined;
+      if (!this.isAskedToEnd) this.ownEnds += 1;
+    });
+  }
+
+  freeze(): void {
+    this.child?.kill("SIGSTOP");
+  }
+
+  thaw(): void {
+    this.child?.kill("SIGCONT");
+  }
+
+  async end(signal: "SIGTERM" | "SIGKILL"): Promise<void> {
+    if (!this.child) return;
+    this.isAskedToEnd = true;
+    this.child.kill("SIGCONT");
+    this.child.kill(signal);
+    await this.exited;
+  }
+}
--- /dev/null
+++ b/soak/src/RunRecorder.ts
@@ -0,0 +1,59 @@
+/** What all workers ran, on one steady clock, as they tell it at the moment. */
+
+import type { HostId, JobTaskId, RunNumber } from "@rackspan/common";
+import { RunHistory, type RunSeen } from "@rackspan/checker";
+import type { RunObserver, WorkerRun } from "@rackspan/platform-standins";
+
+export class RunRecorder {
+  readonly history = new RunHistory();
+  readonly seen: RunSeen[] = [];
+
+  /** Hears one life of the worker on the host. */
+  observe(host: HostId): RunObserver {
+    const known = new Map<WorkerRun, RunSeen>();
+    return {
+      began: (run) => {
+        const seen = this.begin(host, run);
+        known.set(run, seen);
+      },
+      ended: (run, outcome) => {
+        const seen = known.get(run);
+        if (!seen) return;
+        seen.endedAt = performance.now();
+        seen.outcome = outcome as RunSeen["outcome"];
+      },
+      noted: (run) => {
+        const seen = known.get(run);
+        if (seen) seen.noted = true;
+      },
+    };
+  }
+
+  private begin(host: HostId, { task, run }: WorkerRun): RunSeen {
+    const seen: RunSeen = {
+      task: task as unknown as JobTaskId,
+      run: run as unknown as RunNumber,
+      host,
+      beganAt: performance.now(),
+      endedAt: undefined,
+      outcome: undefined,
+      noted: false,
+    };
+    this.seen.push(seen);
+    this.history.begin(seen);
+    return seen;
+  }
+
+  /** One line a run, with times of the wall clock as the programs' logs have them. */
+  lines(): string[] {
+    return this.seen.map(
+      ({ task, run, host, beganAt, endedAt, outcome, noted }) =>
+        `${task} run=${run} host=${host} began=${wallTime(beganAt)} ended=${
+          endedAt === undefined ? "-" : wallTime(endedAt)
+        } outcome=${outcome ?? "-"} noted=${noted}`,
+    );
+  }
+}
+
+const wallTime = (at: number): string =>
+  new Date(performance.timeOrigin + at).toISOString();
--- /dev/null
+++ b/soak/src/SoakSite.ts
@@ -0,0 +1,173 @@
+/** A site of real processes on stand-ins of the platform: store, entries, hosts. */
+
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import {
+  brand,
+  SeededRandom,
+  SystemClock,
+  type HostId,
+} from "@rackspan/common";
+import { StoreServer } from "@rackspan/platform-standins";
+import { MemoryStore } from "@rackspan/standins";
+import { freePort } from "./freePort.js";
+import { ManagedProcess } from "./ManagedProcess.js";
+import type { Programs } from "./Programs.js";
+import type { RunRecorder } from "./RunRecorder.js";
+import { BOUNDS, entrySettings, sideSettings } from "./settings.js";
+import { SoakWorker } from "./SoakWorker.js";
+
+export const QUEUE = {
+  hostName: "calls.example",
+  prefix: "/minutes/",
+  service: "kaigi",
+  maxAttempts: 2,
+} as const;
+
+const CONFIG = {
+  version: 1,
+  routes: [
+    {
+      name: "minutes",
+      host: QUEUE.hostName,
+      path_prefix: QUEUE.prefix,
+      service: QUEUE.service,
+      priority: 1,
+      max_attempts: QUEUE.maxAttempts,
+      stretch: 2,
+      target_latency_ms: 500,
+    },
+  ],
+  services: [{ name: QUEUE.service, rejects_overload: true }],
+  limits: { max_body_bytes: 100_000 },
+};
+
+export interface SoakSiteOptions {
+  readonly seed: number;
+  readonly entries: number;
+  readonly hosts: number;
+  readonly programs: Programs;
+  /** Folder for settings and logs of this run. */
+  readonly folder: string;
+  readonly recorder: RunRecorder;
+}
+
+export class SoakSite {
+  readonly entries: ManagedProcess[] = [];
+  readonly sides: ManagedProcess[] = [];
+  readonly workers: SoakWorker[] = [];
+  callersPort = 0;
+  private sidesPort = 0;
+  private storeAddress = "";
+  private readonly store = new MemoryStore(new SystemClock());
+  private readonly storeServer = new StoreServer(this.store);
+
+  constructor(private readonly options: SoakSiteOptions) {}
+
+  async start(): Promise<void> {
+    const { entries, hosts, folder } = this.options;
+    mkdirSync(folder, { recursive: true });
+    this.storeAddress = await this.storeServer.listen();
+    this.callersPort = await freePort();
+    this.sidesPort = await freePort();
+    await this.publishConfig();
+    for (let at = 0; at < entries; at += 1) this.startEntry(at);
+    for (let at = 0; at < hosts; at += 1) await this.startHost(at);
+  }
+
+  async stop(): Promise<void> {
+    const all = [...this.sides, ...this.entries];
+    await Promise.all(all.map((one) => one.end("SIGKILL")));
+    for (const worker of this.workers) await worker.close();
+    await this.storeServer.close();
+  }
+
+  addressOfEntry(at: number): string {
+    return `127.0.1.${at + 1}`;
+  }
+
+  /** The entry that the store names as the leader. */
+  async leader(): Promise<ManagedProcess | undefined> {
+    const owner = (await this.store.owner()) ?? "";
+    return this.entries.find((_entry, at) =>
+      owner.includes(`${this.addressOfEntry(at)}:`),
+    );
+  }
+
+  private async publishConfig(): Promise<void> {
+    await this.store.append({
+      topic: brand("keyed.op"),
+      records: [{ key: "config", value: Buffer.from(JSON.stringify(CONFIG)) }],
+      stamp: { producer: "operator", epoch: 1, sequence: 1 },
+      timeoutMs: 0,
+    });
+  }
+
+  private startEntry(at: number): void {
+    const name = `entry-${at + 1}`;
+    const file = this.writeSettings(
+      name,
+      entrySettings({
+        name,
+        ip: this.addressOfEntry(at),
+        callersPort: this.callersPort,
+        sidesPort: this.sidesPort,
+        store: this.storeAddress,
+      }),
+    );
+    const { entry } = this.options.programs;
+    this.entries.push(this.startProcess(name, [entry, "entry"], file));
+  }
+
+  private async startHost(at: number): Promise<void> {
+    const { seed, recorder, programs } = this.options;
+    const name = `host-${at + 1}`;
+    const inbox = `127.0.2.${at + 1}:${await freePort()}`;
+    const worker = new SoakWorker({
+      host: brand<HostId>(name),
+      service: QUEUE.service,
+      inbox,
+      longestLeaseMs: BOUNDS.leaseMs,
+      recorder,
+      random: new SeededRandom(seed * 1_000 + at),
+    });
+    const place = {
+      host: name,
+      store: this.storeAddress,
+      worker: await worker.listen(),
+      inbox,
+      entries: this.entries.map(
+        (_entry, index) => `${this.addressOfEntry(index)}:${this.callersPort}`,
+      ),
+      entryPort: this.sidesPort,
+    };
+    let file = this.writeSettings(name, sideSettings(place, true));
+    if (!programs.sideAccepts(file)) {
+      file = this.writeSettings(name, sideSettings(place, false));
+    }
+    this.sides.push(this.startProcess(name, [programs.side, "run"], file));
+    this.workers.push(worker);
+    await worker.beginLife();
+  }
+
+  private writeSettings(name: string, settings: object): string {
+    const file = join(this.options.folder, `${name}.json`);
+    writeFileSync(file, JSON.stringify(settings, undefined, 2));
+    return file;
+  }
+
+  private startProcess(
+    name: string,
+    command: readonly string[],
+    file: string,
+  ): ManagedProcess {
+    const { folder } = this.options;
+    const started = new ManagedProcess({
+      name,
+      args: [...command, "--config", file],
+      logFile: join(folder, `${name}.log`),
+    });
+    started.start();
+    return started;
+  }
+}
--- /dev/null
+++ b/soak/src/freePort.ts
@@ -0,0 +1,15 @@
+/** A port that is free on every loopback address at this moment. */
+
+import { createServer } from "node:net";
+import { once } from "node:events";
+import { addressOf, listenOn } from "@rackspan/protocol";
+
+export const freePort = async (): Promise<number> => {
+  const server = createServer();
+  await listenOn(server, { address: "0.0.0.0", port: 0 });
+  const port = Number(addressOf(server).split(":")[1]);
+  const closed = once(server, "close");
+  server.close();
+  await closed;
+  return port;
+};
--- /dev/null
+++ b/soak/src/main.ts
@@ -0,0 +1,84 @@
+/**
+ * `npm run soak`: plays the bundled programs as real processes under faults. A
+ * seed decides all draws, and which faults come when. Real time decides the rest,
+ * so that two runs of one seed are alike but not the same: a seed that showed a
+ * violation may need several runs to show it again, and its logs are what counts.
+ */
+
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { Command } from "commander";
+import type { JobViolation } from "@rackspan/checker";
+import type { FaultKind } from "./faults.js";
+import { killAllProcesses } from "./ManagedProcess.js";
+import { playSoak, type SoakResult } from "./playSoak.js";
+import { Programs } from "./Programs.js";
+
+interface Options {
+  readonly seed: string;
+  readonly runs: string;
+  readonly seconds: string;
+  readonly programs: string;
+  readonly logs: string;
+  readonly only?: FaultKind[];
+}
+
+const countKinds = (violations: readonly JobViolation[]): string => {
+  const counts = new Map<string, number>();
+  for (const { kind } of violations)
+    counts.set(kind, (counts.get(kind) ?? 0) + 1);
+  if (counts.size === 0) return "none";
+  return [...counts].map(([kind, count]) => `${kind}:${count}`).join(",");
+};
+
+const describe = (seed: number, result: SoakResult, ms: number): string =>
+  [
+    `seed=${seed}`,
+    `runs=${result.runs}`,
+    `violations=${countKinds(result.violations)}`,
+    `accepted=${result.accepted}`,
+    `ended=${result.ended}`,
+    `ownEnds=${result.ownEnds}`,
+    `seconds=${Math.round(ms / 1_000)}`,
+    `faults=${result.kinds.join(",")}`,
+  ].join(" ");
+
+const playOne = async (seed: number, options: Options): Promise<boolean> => {
+  const folder = join(options.logs, `seed-${seed}`);
+  const beganAt = performance.now();
+  const result = await playSoak({
+    seed,
+    seconds: Number(options.seconds),
+    programs: new Programs(options.programs),
+    folder,
+    only: options.only,
+  });
+  const lines = result.violations.map(
+    ({ kind, at, detail }) =>
+      `${new Date(performance.timeOrigin + at).toISOString()} ${kind}: ${detail}`,
+  );
+  writeFileSync(join(folder, "violations.log"), lines.join("\n"));
+  console.log(describe(seed, result, performance.now() - beganAt));
+  return result.violations.length === 0;
+};
+
+const program = new Command("soak")
+  .option("--seed <number>", "of the first run", "1")
+  .option("--runs <number>", "one seed after the other", "1")
+  .option("--seconds <number>", "for which jobs and faults come", "20")
+  .option("--programs <folder>", "of the bundled programs", "target")
+  .option("--logs <folder>", "for settings, logs and runs", "tmp/soak")
+  .option("--only <kinds...>", "series of faults; drawn by the seed otherwise")
+  .action(async (options: Options) => {
+    let clean = true;
+    for (let at = 0; at < Number(options.runs); at += 1) {
+      clean = (await playOne(Number(options.seed) + at, options)) && clean;
+    }
+    process.exitCode = clean ? 0 : 1;
+  });
+
+process.on("exit", killAllProcesses);
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.on(signal, () => process.exit(1));
+}
+await program.parseAsync();
--- /dev/null
+++ b/soak/src/settings.ts
@@ -0,0 +1,59 @@
+/** Settings of the programs, as the deployment's templates would render them. */
+
+/** The site's bounds, milliseconds but where the name says otherwise. */
+export const BOUNDS = {
+  leaseMs: 6_000,
+  stopMs: 200,
+  outOfTouchMs: 3_000,
+  cancelMs: 2_500,
+  graceSeconds: 3,
+} as const;
+
+export interface EntryPlace {
+  readonly name: string;
+  readonly ip: string;
+  readonly callersPort: number;
+  readonly sidesPort: number;
+  readonly store: string;
+}
+
+export const entrySettings = (at: EntryPlace): object => ({
+  entry: at.name,
+  availabilityZone: "z",
+  platform: { client: "hosted", store: at.store },
+  callers: `${at.ip}:${at.callersPort}`,
+  readiness: `${at.ip}:0`,
+  sides: `${at.ip}:${at.sidesPort}`,
+  leases: { workerLeaseMs: BOUNDS.leaseMs, stopMs: BOUNDS.stopMs },
+  graceSeconds: BOUNDS.graceSeconds,
+});
+
+export interface SidePlace {
+  readonly host: string;
+  readonly store: string;
+  readonly worker: string;
+  readonly inbox: string;
+  readonly entries: readonly string[];
+  readonly entryPort: number;
+}
+
+/**
+ * @param knowsLeases whether the program's settings have the bounds of leases;
+ * earlier programs refuse a field that they do not know
+ */
+export const sideSettings = (at: SidePlace, knowsLeases: boolean): object => ({
+  host: at.host,
+  availabilityZone: "z",
+  platform: { client: "hosted", store: at.store },
+  worker: { address: at.worker },
+  inbox: at.inbox,
+  entries: at.entries,
+  entryPort: at.entryPort,
+  ...(knowsLeases && {
+    leases: {
+      outOfTouchMs: BOUNDS.outOfTouchMs,
+      cancelMs: BOUNDS.cancelMs,
+      stopMs: BOUNDS.stopMs,
+    },
+  }),
+});
