Soak: seeds are mixed, sockets that are ending are destroyed, not reset

Cause: small seeds drew the same first numbers, so that no run had new lives of workers; a reset of an ending socket left its handle open, at full processor use. Change: generators by seed and part; see FaultyProxy's reset.

--- a/soak/src/FaultPlayer.ts
+++ b/soak/src/FaultPlayer.ts
@@ -1,10 +1,11 @@
 /** Brings drawn faults about at a site, and undoes them. */
 
 import { setTimeout as delay } from "node:timers/promises";
-import { pickIndex, SeededRandom, type Random } from "@rackspan/common";
+import { pickIndex, type Random } from "@rackspan/common";
 import type { Fault } from "./faults.js";
 import { NO_HOLDS } from "./FaultyProxy.js";
 import type { ManagedProcess } from "./ManagedProcess.js";
+import { mixedRandom } from "./mixedRandom.js";
 import type { SoakSite } from "./SoakSite.js";
 import type { SoakWorker } from "./SoakWorker.js";
 
@@ -34,7 +35,7 @@
   }
 
   private async bringAbout({ kind, forMs, draw }: Fault): Promise<void> {
-    const random = new SeededRandom(Math.floor(draw * 2 ** 31));
+    const random = mixedRandom(draw, kind);
     const { site } = this;
     switch (kind) {
       case "newLives":
--- a/soak/src/FaultyProxy.ts
+++ b/soak/src/FaultyProxy.ts
@@ -62,10 +62,10 @@
   /** Both ends of all open connections hear that they are broken. */
   resetAll(): void {
     for (const { near, far } of this.links) {
-      near.resetAndDestroy();
-      far.resetAndDestroy();
+      reset(near);
+      reset(far);
     }
-    for (const near of this.mute) near.resetAndDestroy();
+    for (const near of this.mute) reset(near);
   }
 
   /** Open connections carry nothing more; neither end hears of it. */
@@ -91,7 +91,7 @@
       return;
     }
     if (this.withoutTarget === "reset") {
-      near.resetAndDestroy();
+      reset(near);
       return;
     }
     this.mute.add(near);
@@ -135,6 +135,12 @@
 
 const ignore = (): void => undefined;
 
+/** A socket that is already ending cannot be reset: its handle would stay for good. */
+const reset = (socket: Socket): void => {
+  if (socket.writableEnded || socket.connecting) socket.destroy();
+  else socket.resetAndDestroy();
+};
+
 const endSoon = (socket: Socket): void => {
   setTimeout(() => socket.destroy(), LINGER_MS).unref();
 };
--- a/soak/src/JobStream.ts
+++ b/soak/src/JobStream.ts
@@ -1,8 +1,9 @@
 /** A stream of jobs, some of which always fail or are cancelled, until it is told to end. */
 
 import { setTimeout as delay } from "node:timers/promises";
-import { pickIndex, SeededRandom, type Random } from "@rackspan/common";
+import { pickIndex, type Random } from "@rackspan/common";
 import type { JobClient } from "./JobClient.js";
+import { mixedRandom } from "./mixedRandom.js";
 
 const STREAM = {
   /** Between two jobs, milliseconds on the mean. */
@@ -37,7 +38,7 @@
     private readonly seed: number,
     private readonly clients: readonly JobClient[],
   ) {
-    this.random = new SeededRandom(seed * 7 + 1);
+    this.random = mixedRandom(seed, "jobs");
   }
 
   async run(): Promise<void> {
--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -2,16 +2,12 @@
 
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import {
-  brand,
-  SeededRandom,
-  SystemClock,
-  type HostId,
-} from "@rackspan/common";
+import { brand, SystemClock, type HostId } from "@rackspan/common";
 import { StoreServer } from "@rackspan/platform-standins";
 import { MemoryStore } from "@rackspan/standins";
 import { freePort } from "./freePort.js";
 import { ManagedProcess } from "./ManagedProcess.js";
+import { mixedRandom } from "./mixedRandom.js";
 import type { Programs } from "./Programs.js";
 import type { RunRecorder } from "./RunRecorder.js";
 import { BOUNDS, entrySettings, sideSettings } from "./settings.js";
@@ -129,7 +125,7 @@
       inbox,
       longestLeaseMs: BOUNDS.leaseMs,
       recorder,
-      random: new SeededRandom(seed * 1_000 + at),
+      random: mixedRandom(seed, name),
     });
     const place = {
       host: name,
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -1,6 +1,6 @@
 /** The faults of a run, drawn before it begins. */
 
-import { SeededRandom } from "@rackspan/common";
+import { mixedRandom } from "./mixedRandom.js";
 
 export type FaultKind =
   | "newLives"
@@ -54,7 +54,7 @@
   seconds: number,
   only?: readonly FaultKind[],
 ): Fault[] => {
-  const random = new SeededRandom(seed);
+  const random = mixedRandom(seed, "faults");
   const faults: Fault[] = [];
   for (const kind of Object.keys(SERIES) as FaultKind[]) {
     const { share, everyMs, leastMs, mostMs } = SERIES[kind];
--- a/soak/src/playSoak.ts
+++ b/soak/src/playSoak.ts
@@ -3,12 +3,13 @@
 import { appendFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
-import { SeededRandom, type JobTaskId } from "@rackspan/common";
+import type { JobTaskId } from "@rackspan/common";
 import type { JobViolation } from "@rackspan/checker";
 import { FaultPlayer } from "./FaultPlayer.js";
 import { drawFaults, type FaultKind } from "./faults.js";
 import { JobClient } from "./JobClient.js";
 import { JobStream, type StreamedJob } from "./JobStream.js";
+import { mixedRandom } from "./mixedRandom.js";
 import type { Programs } from "./Programs.js";
 import { RunRecorder } from "./RunRecorder.js";
 import { QUEUE, SoakSite } from "./SoakSite.js";
@@ -67,7 +68,7 @@
         { length: entries },
         (_, entry) => `${site.addressOfEntry(entry)}:${site.callersPort}`,
       );
-      const random = new SeededRandom(seed * 100 + at);
+      const random = mixedRandom(seed, `client-${at}`);
       clients.push(new JobClient({ random, entries: addresses }));
     }
     const [client] = clients as [JobClient];
