--- a/soak/src/JobStream.ts
+++ b/soak/src/JobStream.ts
@@ -9,16 +9,19 @@
   /** Between two jobs, milliseconds on the mean. */
   gapMs: 170,
   /** Shares of all jobs. */
-  failing: 0.25,
+  failing: 0.35,
   cancelled: 0.15,
   lasting: 0.05,
   /** A job is cancelled up to this long after it was accepted, milliseconds. */
   cancelWithinMs: 3_000,
   steps: { least: 2, more: 3 },
   tasks: { least: 6, more: 3 },
-  runMs: { least: 60, more: 700 },
+  runMs: { least: 60, more: 600 },
 } as const;
 
+/** Of a failing job, by step and index: they use their attempts up side by side. */
+const FAILING_TASKS = ["0.0", "0.2", "0.4"];
+
 export type JobKind = "plain" | "failing" | "cancelled" | "lasting";
 
 export interface StreamedJob {
@@ -104,7 +107,7 @@
     long_running: isLasting,
     ...(at > 0 && { after_rev: [at - 1] }),
   }));
-  const failing = kind === "failing" ? ["0.0", "0.1", "0.2", "0.3"] : [];
+  const failing = kind === "failing" ? FAILING_TASKS : [];
   return { spec: JSON.stringify({ ms, failing, lasts: isLasting }), steps };
 };
 
--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -17,7 +17,7 @@
   hostName: "calls.example",
   prefix: "/minutes/",
   service: "kaigi",
-  maxAttempts: 2,
+  maxAttempts: 3,
 } as const;
 
 const CONFIG = {
