--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -4,4 +4,4 @@
   runJobSchedule,
   runStarvedSchedule,
 } from "./jobSchedules.js";
-export type { JobViolation } from "./RunHistory.js";
+export { RunHistory, type JobViolation, type RunSeen } from "./RunHistory.js";
