--- a/packages/scheduling/tests/twoRunsMillisecondsApart.test.ts
+++ b/packages/scheduling/tests/twoRunsMillisecondsApart.test.ts
@@ -17,7 +17,7 @@
  * fail side by side, and its next start comes before the second failure is told.
  *
  * Evidence: these tests. Where answers for lost runs are passed over, all pass;
- * where they are not, the starts come as the users' record shows them.
+ * where they are not, the starts come as they did then.
  */
 
 import { test } from "node:test";
