--- a/soak/src/ManagedProcess.ts
+++ b/soak/src/ManagedProcess.ts
@@ -12,7 +12,6 @@
 };
 
 export interface ManagedProcessOptions {
-  readonly name: string;
   /** Arguments of the runtime: the program and what it is told. */
   readonly args: readonly string[];
   readonly logFile: string;
--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -53,7 +53,7 @@
   readonly entries: ManagedProcess[] = [];
   readonly sides: ManagedProcess[] = [];
   readonly workers: SoakWorker[] = [];
-  callersPort = 0;
+  private callersPort = 0;
   private sidesPort = 0;
   private storeAddress = "";
   private readonly store = new MemoryStore(new SystemClock());
@@ -79,10 +79,23 @@
     await this.storeServer.close();
   }
 
-  addressOfEntry(at: number): string {
+  private addressOfEntry(at: number): string {
     return `127.0.1.${at + 1}`;
   }
 
+  /** Where callers reach the entries, `IP:PORT` each. */
+  get callerAddresses(): readonly string[] {
+    return this.entries.map(
+      (_entry, at) => `${this.addressOfEntry(at)}:${this.callersPort}`,
+    );
+  }
+
+  /** Processes that ended although nobody asked them to. */
+  get ownEnds(): number {
+    const all = [...this.entries, ...this.sides];
+    return all.reduce((sum, { ownEnds }) => sum + ownEnds, 0);
+  }
+
   /** The entry that the store names as the leader. */
   async leader(): Promise<ManagedProcess | undefined> {
     const owner = (await this.store.owner()) ?? "";
@@ -134,9 +147,7 @@
       store: this.storeAddress,
       worker: await worker.listen(),
       inbox,
-      entries: this.entries.map(
-        (_entry, index) => `${this.addressOfEntry(index)}:${this.callersPort}`,
-      ),
+      entries: this.callerAddresses,
       entryPort: this.sidesPort,
     };
     let file = this.writeSettings(name, sideSettings(place, true));
@@ -161,7 +172,6 @@
   ): ManagedProcess {
     const { folder } = this.options;
     const started = new ManagedProcess({
-      name,
       args: [...command, "--config", file],
       logFile: join(folder, `${name}.log`),
     });
--- /dev/null
+++ b/soak/src/judgeEnds.ts
@@ -0,0 +1,86 @@
+/** What is judged once the faults are over: how jobs end, and what runs on unasked. */
+
+import { setTimeout as delay } from "node:timers/promises";
+import type { JobTaskId } from "@rackspan/common";
+import type { RunHistory } from "@rackspan/checker";
+import type { JobClient } from "./JobClient.js";
+import type { StreamedJob } from "./JobStream.js";
+
+const JUDGE = {
+  pollMs: 250,
+  /** All jobs are to end within this, milliseconds. */
+  endMs: 60_000,
+  /** A task of a cancelled job is gone after this, milliseconds. */
+  goneMs: 8_000,
+} as const;
+
+const FINAL_STATES = ["completed", "failed", "cancelled"];
+
+export interface JudgedRun {
+  readonly jobs: readonly StreamedJob[];
+  readonly client: JobClient;
+  readonly history: RunHistory;
+  readonly maxAttempts: number;
+}
+
+/** @returns how many accepted jobs are shown as ended */
+export const judgeEnds = async (run: JudgedRun): Promise<number> => {
+  const calmAt = performance.now();
+  const ended = await judgeStates(run, calmAt + JUDGE.endMs);
+  await delay(Math.max(0, calmAt + JUDGE.goneMs - performance.now()));
+  judgeUnasked(run);
+  judgeNotedEnds(run);
+  return ended;
+};
+
+const judgeStates = async (
+  { jobs, client, history }: JudgedRun,
+  giveUpAt: number,
+): Promise<number> => {
+  const accepted = jobs.filter(({ isAccepted }) => isAccepted);
+  const open = new Set(accepted);
+  const complain = (job: StreamedJob, what: string): void =>
+    history.add(
+      "not-finished",
+      performance.now(),
+      `${job.id}, a ${job.kind} job, ${what}`,
+    );
+  while (open.size > 0 && performance.now() < giveUpAt) {
+    for (const job of [...open]) {
+      const state = await client.stateOf(job.id);
+      if (!FINAL_STATES.includes(state)) continue;
+      open.delete(job);
+      if (!isAllowed(state, job)) complain(job, `is shown as ${state}`);
+    }
+    await delay(JUDGE.pollMs);
+  }
+  for (const job of open) complain(job, "has not ended");
+  return accepted.length - open.size;
+};
+
+const isAllowed = (
+  state: string,
+  { kind, isCancelled }: StreamedJob,
+): boolean => {
+  if (state === "cancelled") return isCancelled;
+  if (state === "failed") return kind === "failing";
+  return kind !== "failing" && kind !== "lasting";
+};
+
+const judgeUnasked = ({ jobs, history }: JudgedRun): void => {
+  const cancelled = jobs.filter(({ isCancelled }) => isCancelled);
+  const ids = new Set(cancelled.map(({ id }) => id));
+  for (const { task, run, host, beganAt } of history.openRuns()) {
+    if (!ids.has(jobOf(task))) continue;
+    history.add("unasked", beganAt, `${task}#${run} at ${host} runs on`);
+  }
+};
+
+const judgeNotedEnds = ({ jobs, history, maxAttempts }: JudgedRun): void => {
+  const lasting = jobs.filter(({ kind }) => kind === "lasting");
+  const ids = new Set(lasting.map(({ id }) => id));
+  const noGang = (): readonly JobTaskId[] => [];
+  history.checkEnds(maxAttempts, (task) => ids.has(jobOf(task)), noGang);
+};
+
+const jobOf = (task: JobTaskId): string => task.split(".")[0] ?? "";
--- a/soak/src/playSoak.ts
+++ b/soak/src/playSoak.ts
@@ -1,14 +1,15 @@
-/** One run of the soak: a site, a stream of jobs, a series of faults, a calm, a verdict. */
+/** One run of the soak: a site, a stream of jobs, series of faults, a calm, a verdict. */
 
 import { appendFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
-import { pickIndex, type JobTaskId } from "@rackspan/common";
+import { pickIndex } from "@rackspan/common";
 import type { JobViolation } from "@rackspan/checker";
 import { FaultPlayer } from "./FaultPlayer.js";
 import { drawFaults, type FaultKind } from "./faults.js";
 import { JobClient } from "./JobClient.js";
 import { JobStream, type StreamedJob } from "./JobStream.js";
+import { judgeEnds } from "./judgeEnds.js";
 import { mixedRandom } from "./mixedRandom.js";
 import type { Programs } from "./Programs.js";
 import { RunRecorder } from "./RunRecorder.js";
@@ -23,24 +24,31 @@
   clients: 4,
   /** Time for the processes to start, milliseconds. */
   startMs: 30_000,
-  pollMs: 250,
-  /** After the last fault all jobs are to end within this, milliseconds. */
-  endMs: 60_000,
-  /** In calm, a task of a cancelled job is gone after this, milliseconds. */
-  goneMs: 8_000,
+  startPollMs: 250,
 } as const;
 
+/** An id that no job of a stream has. */
+const UNKNOWN_JOB = "0000000000000000";
+
 export interface SoakOptions {
   readonly seed: number;
   /** How long jobs and faults come. */
   readonly seconds: number;
   readonly programs: Programs;
+  /** For settings, logs and a record of all runs; made where it is missing. */
   readonly folder: string;
   /** Series to play; drawn by the seed when undefined. */
   readonly only?: readonly FaultKind[];
 }
 
-export interface SoakResult {
+/** What a seed decides besides jobs and faults. */
+interface Mix {
+  readonly hosts: number;
+  readonly maxAttempts: number;
+  readonly failingShare: number;
+}
+
+export interface SoakResult extends Mix {
   readonly runs: number;
   readonly violations: readonly JobViolation[];
   readonly accepted: number;
@@ -48,69 +56,33 @@
   /** Processes that ended by themselves. */
   readonly ownEnds: number;
   readonly kinds: readonly FaultKind[];
-  readonly hosts: number;
-  readonly maxAttempts: number;
 }
 
 export const playSoak = async (options: SoakOptions): Promise<SoakResult> => {
-  const { seed, seconds, programs, folder, only } = options;
+  const { seed, seconds, folder, only } = options;
+  const mix = drawMix(seed);
   const recorder = new RunRecorder();
-  const random = mixedRandom(seed, "site");
-  const hosts = SOAK.hosts.least + pickIndex(random, SOAK.hosts.more);
-  const maxAttempts = 1 + pickIndex(random, SOAK.mostAttempts);
-  const failingShare = SOAK.mostFailing * random.next();
   const { entries } = SOAK;
-  const site = new SoakSite({
-    seed,
-    entries,
-    hosts,
-    maxAttempts,
-    programs,
-    folder,
-    recorder,
-  });
+  const site = new SoakSite({ ...options, ...mix, entries, recorder });
   const clients: JobClient[] = [];
   try {
     await site.start();
-    for (let at = 0; at < SOAK.clients; at += 1) {
-      const addresses = Array.from(
-        { length: entries },
-        (_, entry) => `${site.addressOfEntry(entry)}:${site.callersPort}`,
-      );
-      const draws = mixedRandom(seed, `client-${at}`);
-      clients.push(new JobClient({ random: draws, entries: addresses }));
-    }
+    clients.push(...buildClients(seed, site));
     const [client] = clients as [JobClient];
     await untilServing(client);
-    const stream = new JobStream({ seed, clients, failingShare });
     const faults = drawFaults(seed, seconds, only);
-    const note = (line: string): void =>
-      appendFileSync(
-        join(folder, "faults.log"),
-        `${new Date().toISOString()} ${line}\n`,
-      );
-    const streaming = stream.run();
-    const faulting = new FaultPlayer(site, note).play(faults);
-    await delay(seconds * 1_000);
-    await Promise.all([stream.end(), streaming, faulting]);
-    const ended = await judgeEnds(stream.jobs, client, recorder);
-    recorder.history.checkEnds(
-      maxAttempts,
-      (task) => isLasting(task, stream.jobs),
-      () => [],
-    );
+    const player = new FaultPlayer(site, noteTo(join(folder, "faults.log")));
+    const jobs = await streamJobs(options, mix, clients, player.play(faults));
+    const { history, seen } = recorder;
+    const ended = await judgeEnds({ jobs, client, history, ...mix });
     return {
-      runs: recorder.seen.length,
-      violations: recorder.history.violations,
-      accepted: stream.jobs.filter(({ isAccepted }) => isAccepted).length,
+      ...mix,
+      runs: seen.length,
+      violations: history.violations,
+      accepted: jobs.filter(({ isAccepted }) => isAccepted).length,
       ended,
-      ownEnds: [...site.entries, ...site.sides].reduce(
-        (sum, { ownEnds }) => sum + ownEnds,
-        0,
-      ),
+      ownEnds: site.ownEnds,
       kinds: [...new Set(faults.map(({ kind }) => kind))],
-      hosts,
-      maxAttempts,
     };
   } finally {
     for (const client of clients) client.close();
@@ -119,64 +91,47 @@
   }
 };
 
+const drawMix = (seed: number): Mix => {
+  const random = mixedRandom(seed, "site");
+  return {
+    hosts: SOAK.hosts.least + pickIndex(random, SOAK.hosts.more),
+    maxAttempts: 1 + pickIndex(random, SOAK.mostAttempts),
+    failingShare: SOAK.mostFailing * random.next(),
+  };
+};
+
+const buildClients = (seed: number, site: SoakSite): JobClient[] =>
+  Array.from({ length: SOAK.clients }, (_, at) => {
+    const random = mixedRandom(seed, `client-${at}`);
+    return new JobClient({ random, entries: site.callerAddresses });
+  });
+
 const untilServing = async (client: JobClient): Promise<void> => {
   const giveUpAt = performance.now() + SOAK.startMs;
   let answers = 0;
   while (answers < SOAK.entries * 2) {
     if (performance.now() > giveUpAt) throw new Error("no entry takes jobs");
-    const state = await client.stateOf("0000000000000000");
+    const state = await client.stateOf(UNKNOWN_JOB);
     if (state === "410") answers += 1;
-    else await delay(SOAK.pollMs);
-  }
-};
-
-/** @returns how many accepted jobs are shown as ended, as they should be */
-const judgeEnds = async (
-  jobs: readonly StreamedJob[],
-  client: JobClient,
-  { history }: RunRecorder,
-): Promise<number> => {
-  const calmAt = performance.now();
-  const open = new Map(
-    jobs.filter(({ isAccepted }) => isAccepted).map((job) => [job.id, job]),
-  );
-  const accepted = open.size;
-  while (open.size > 0 && performance.now() < calmAt + SOAK.endMs) {
-    for (const job of [...open.values()]) {
-      const state = await client.stateOf(job.id);
-      if (!["completed", "failed", "cancelled"].includes(state)) continue;
-      open.delete(job.id);
-      if (isAllowed(state, job)) continue;
-      const detail = `${job.id}, a ${job.kind} job, is shown as ${state}`;
-      history.add("not-finished", performance.now(), detail);
-    }
-    await delay(SOAK.pollMs);
-  }
-  for (const { id, kind } of open.values()) {
-    const detail = `${id}, a ${kind} job, has not ended`;
-    history.add("not-finished", performance.now(), detail);
+    else await delay(SOAK.startPollMs);
   }
-  await delay(Math.max(0, calmAt + SOAK.goneMs - performance.now()));
-  const cancelled = new Set(
-    jobs.filter(({ isCancelled }) => isCancelled).map(({ id }) => id),
-  );
-  for (const { task, run, host, beganAt } of history.openRuns()) {
-    if (!cancelled.has(jobOf(task))) continue;
-    history.add("unasked", beganAt, `${task}#${run} at ${host} runs on`);
-  }
-  return accepted - open.size;
 };
 
-const isAllowed = (
-  state: string,
-  { kind, isCancelled }: StreamedJob,
-): boolean => {
-  if (state === "cancelled") return isCancelled;
-  if (state === "failed") return kind === "failing";
-  return kind !== "failing" && kind !== "lasting";
+/** Hands in jobs beside the faults, until both are over. */
+const streamJobs = async (
+  { seed, seconds }: SoakOptions,
+  { failingShare }: Mix,
+  clients: readonly JobClient[],
+  faulting: Promise<void>,
+): Promise<readonly StreamedJob[]> => {
+  const stream = new JobStream({ seed, clients, failingShare });
+  const streaming = stream.run();
+  await delay(seconds * 1_000);
+  await Promise.all([stream.end(), streaming, faulting]);
+  return stream.jobs;
 };
 
-const jobOf = (task: JobTaskId): string => task.split(".")[0] ?? "";
-
-const isLasting = (task: JobTaskId, jobs: readonly StreamedJob[]): boolean =>
-  jobs.find(({ id }) => id === jobOf(task))?.kind === "lasting";
+const noteTo =
+  (file: string) =>
+  (line: string): void =>
+    appendFileSync(file, `${new Date().toISOString()} ${line}\n`);
