--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -3,4 +3,6 @@
   runHarshSchedule,
   runJobSchedule,
 } from "./jobSchedules.js";
-export type { JobViolation } from "./RunHistory.js";
+export { GangBook } from "./GangBook.js";
+export { RunHistory, type JobViolation } from "./RunHistory.js";
+export { WorkerModel, type TaskTraits } from "./WorkerModel.js";
