--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -4,4 +4,6 @@
   runJobSchedule,
   runStarvedSchedule,
 } from "./jobSchedules.js";
+export { GangBook } from "./GangBook.js";
 export { RunHistory, type JobViolation, type RunSeen } from "./RunHistory.js";
+export { WorkerModel, type TaskTraits } from "./WorkerModel.js";
