--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -3,9 +3,8 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { brand, SystemClock, type HostId } from "@rackspan/common";
-import { StoreServer } from "@rackspan/platform-standins";
+import { freePort, StoreServer } from "@rackspan/platform-standins";
 import { MemoryStore } from "@rackspan/standins";
-import { freePort } from "./freePort.js";
 import { ManagedProcess } from "./ManagedProcess.js";
 import { mixedRandom } from "./mixedRandom.js";
 import type { Programs } from "./Programs.js";
