The roster names lives: a worker that left while nobody led holds up no starts

Cause: a next leader waits for each host of the roster until it reports or the longest lease is over. Change: the record names the life that may hold leases; it is kept before that life gets its first lease, and the end of that life opens the gate and takes the host off. Hosts never heard of leave the roster with their last lease. A record that cannot be read changes nothing; one of an earlier version names any life and is waited for.

--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -16,12 +16,14 @@
 import type { Grant, HostReport } from "@rackspan/protocol";
 import { DEFAULT_POLICY, JobEngine } from "@rackspan/scheduling";
 import {
+  decodeHost,
   decodeProgress,
   StampedWriter,
   TOPICS,
   type AcceptedJob,
   type JobId,
   type QueueSpec,
+  type Roster,
 } from "@rackspan/state";
 import { ProcessClock } from "../ProcessClock.js";
 import type { SideLink } from "./SideLink.js";
@@ -84,11 +86,16 @@
     const progress = await this.read(TOPICS.progress);
     const hosts = await this.read(TOPICS.hosts);
     if (this.isOver || this.isDead) return;
-    const roster = [...hosts.keys()] as unknown as HostId[];
+    const roster: Roster = new Map(
+      [...hosts].map(([key, value]) => [
+        key as unknown as HostId,
+        decodeHost(key, value),
+      ]),
+    );
     const { leaseMs, ttlMs, stopMs } = LEADERSHIP;
     const gate = new TakeoverGate({
       takenOverAt,
-      roster,
+      roster: roster.keys(),
       leadershipTtlMs: ttlMs,
       leaseMs,
     });
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -200,10 +200,10 @@
   private buildEngine(takenOverAt: number): JobEngine {
     const { view, config, clock, logger, metrics } = this.options;
     const { leadershipTtlMs, leaseMs, stopMs, mayDecide } = this.options;
-    const roster = [...view.roster];
+    const { roster } = view;
     const gate = new TakeoverGate({
       takenOverAt,
-      roster,
+      roster: roster.keys(),
       leadershipTtlMs,
       leaseMs,
     });
--- a/packages/entry/src/jobs/StoredRoster.ts
+++ b/packages/entry/src/jobs/StoredRoster.ts
@@ -1,38 +1,41 @@
-/** Keeps in the store which hosts may hold leases, so that a next leader waits for them. */
+/** Keeps in the store which workers may hold leases, so that a next leader waits for them. */
 
-import { describeError, type HostId, type Logger } from "@rackspan/common";
+import {
+  describeError,
+  type HostId,
+  type Logger,
+  type WorkerInstance,
+} from "@rackspan/common";
 import type { HostRoster } from "@rackspan/scheduling";
-import type { StampedWriter } from "@rackspan/state";
-
-const LISTED = Buffer.from("{}");
+import { encodeHost, type Roster, type StampedWriter } from "@rackspan/state";
 
 export class StoredRoster implements HostRoster {
-  private readonly kept: Set<HostId>;
-  /** How often each host was removed by this leader. */
-  private readonly removals = new Map<HostId, number>();
+  private readonly kept: Map<HostId, WorkerInstance | undefined>;
+  /** What this leader wrote last of a host; undefined once it removed it. */
+  private readonly written = new Map<HostId, WorkerInstance | undefined>();
 
   constructor(
     private readonly writer: StampedWriter,
     private readonly logger: Logger,
-    hosts: Iterable<HostId>,
+    roster: Roster,
   ) {
-    this.kept = new Set(hosts);
+    this.kept = new Map(roster);
   }
 
-  has(host: HostId): boolean {
-    return this.kept.has(host);
+  instanceOf(host: HostId): WorkerInstance | undefined {
+    return this.kept.get(host);
   }
 
-  async add(host: HostId): Promise<void> {
-    const removals = this.removals.get(host);
-    await this.writer.write({ key: host, value: LISTED }).kept;
-    // Removed while it was on its way: the store ends without the host.
-    if (this.removals.get(host) === removals) this.kept.add(host);
+  async keep(host: HostId, instance: WorkerInstance): Promise<void> {
+    this.written.set(host, instance);
+    await this.writer.write({ key: host, value: encodeHost(instance) }).kept;
+    // Removed or replaced while it was on its way: the store ends with that.
+    if (this.written.get(host) === instance) this.kept.set(host, instance);
   }
 
   remove(host: HostId): void {
     this.kept.delete(host);
-    this.removals.set(host, (this.removals.get(host) ?? 0) + 1);
+    this.written.set(host, undefined);
     this.writer
       .write({ key: host, value: undefined })
       .kept.catch((err: unknown) => {
--- a/packages/entry/tests/storedRoster.test.ts
+++ b/packages/entry/tests/storedRoster.test.ts
@@ -5,12 +5,15 @@
   ManualClock,
   silentLogger,
   type HostId,
+  type WorkerInstance,
 } from "@rackspan/common";
 import { StoredRoster } from "@rackspan/entry";
 import { MemoryStore } from "@rackspan/standins";
-import { StampedWriter, TOPICS } from "@rackspan/state";
+import { decodeHost, StampedWriter, TOPICS } from "@rackspan/state";
 
 const HOST = brand<HostId>("h1");
+const FIRST = brand<WorkerInstance>("h1-1");
+const SECOND = brand<WorkerInstance>("h1-2");
 
 const setUp = () => {
   const clock = new ManualClock();
@@ -25,27 +28,57 @@
     gatherMs: 0,
     retriesRefused: true,
   });
-  return { clock, store, roster: new StoredRoster(writer, silentLogger, []) };
+  return {
+    clock,
+    store,
+    roster: new StoredRoster(writer, silentLogger, new Map()),
+  };
 };
 
 test("a host is listed once the store keeps it", async () => {
   const { clock, roster } = setUp();
-  const added = roster.add(HOST);
-  expect(roster.has(HOST)).toEqual(false);
+  const added = roster.keep(HOST, FIRST);
+  expect(roster.instanceOf(HOST)).toEqual(undefined);
   await clock.advance(10);
   await added;
-  expect(roster.has(HOST)).toEqual(true);
+  expect(roster.instanceOf(HOST)).toEqual(FIRST);
 });
 
 test("a host that is removed while it is being added is not listed", async () => {
   const { clock, store, roster } = setUp();
   store.fault = "refuses";
-  const added = roster.add(HOST);
+  const added = roster.keep(HOST, FIRST);
   await clock.advance(100);
   roster.remove(HOST);
   store.fault = "none";
   await clock.advance(500);
   await added;
   expect(store.recordsOf(TOPICS.hosts).at(-1)?.value).toEqual(undefined);
-  expect(roster.has(HOST)).toEqual(false);
+  expect(roster.instanceOf(HOST)).toEqual(undefined);
+});
+
+test("the next life of a worker is listed once the store keeps that life", async () => {
+  const { clock, store, roster } = setUp();
+  const first = roster.keep(HOST, FIRST);
+  await clock.advance(10);
+  await first;
+  const second = roster.keep(HOST, SECOND);
+  expect(roster.instanceOf(HOST)).toEqual(FIRST);
+  await clock.advance(10);
+  await second;
+  expect(roster.instanceOf(HOST)).toEqual(SECOND);
+  const kept = store.recordsOf(TOPICS.hosts).at(-1)?.value as Buffer;
+  expect(decodeHost("h1", kept)).toEqual(SECOND);
+});
+
+test("a life that is replaced while it is being kept is not listed", async () => {
+  const { clock, store, roster } = setUp();
+  store.fault = "refuses";
+  const first = roster.keep(HOST, FIRST);
+  const second = roster.keep(HOST, SECOND);
+  await clock.advance(100);
+  store.fault = "none";
+  await clock.advance(500);
+  await Promise.all([first, second]);
+  expect(roster.instanceOf(HOST)).toEqual(SECOND);
 });
--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -34,7 +34,7 @@
     this.leasesOverBy = leaseOverBy(this.authorityOverBy, leaseMs);
   }
 
-  /** The host told what runs there, and obeys only this leader from now on. */
+  /** Nothing that a former leader started is hidden there, now or later. */
   noteHeard(host: HostId): void {
     this.silent.delete(host);
   }
@@ -50,6 +50,16 @@
     this.viewCurrentAt = Math.min(this.viewCurrentAt, now);
   }
 
+  /**
+   * Hosts that were never heard of and hold no lease any more. Each is named once.
+   */
+  takeExpired(now: Monotonic): HostId[] {
+    if (now < this.leasesOverBy) return [];
+    const expired = [...this.silent];
+    this.silent.clear();
+    return expired;
+  }
+
   isOpen(now: Monotonic): boolean {
     return this.silent.size === 0 || now >= this.leasesOverBy;
   }
--- a/packages/scheduling/src/HostIntake.ts
+++ b/packages/scheduling/src/HostIntake.ts
@@ -49,7 +49,7 @@
     now: Monotonic,
   ): HostEntry {
     const { options, hosts } = this.parts;
-    const { roster, logger } = options;
+    const { logger } = options;
     const known = hosts.get(host);
     if (known) return known;
     const ledger = new HostLedger(host, zone, worker);
@@ -57,7 +57,7 @@
       ledger,
       session: this.sessions.get(host),
       keeping: Promise.resolve(),
-      rostered: roster.has(host),
+      rostered: false,
     };
     hosts.set(entry);
     // Until it is heard the host may hold leases of a former leader.
@@ -68,7 +68,7 @@
       zone,
       milliCores: worker.milliCores,
     });
-    if (!entry.rostered) this.addToRoster(entry);
+    this.keepInRoster(entry);
     return entry;
   }
 
@@ -84,22 +84,35 @@
     if (worker.draining) this.emptyHost(entry);
   }
 
-  private addToRoster(entry: HostEntry): void {
+  /**
+   * Until the store names this life it gets no lease: the next leader takes the end
+   * of the life that is named for the end of all that may run there.
+   */
+  keepInRoster(entry: HostEntry): void {
     const { options, requestPass } = this.parts;
-    const { host } = entry.ledger;
-    options.roster.add(host).then(
+    const { roster, logger } = options;
+    const { host, instance } = entry.ledger;
+    this.noteRostered(entry);
+    if (entry.rostered) return;
+    roster.keep(host, instance).then(
       () => {
-        entry.rostered = true;
+        this.noteRostered(entry);
         requestPass();
       },
       (err: unknown) =>
-        options.logger.warn("host.not-rostered", {
+        logger.warn("host.not-rostered", {
           host,
+          instance,
           error: describeError(err),
         }),
     );
   }
 
+  noteRostered(entry: HostEntry): void {
+    const { host, instance } = entry.ledger;
+    entry.rostered = this.parts.options.roster.instanceOf(host) === instance;
+  }
+
   /** Moves away what would not end before the worker leaves. */
   private emptyHost(entry: HostEntry): void {
     const { options, stops, estimates } = this.parts;
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -1,6 +1,6 @@
 /** Watches hosts for silence, and their runs for stalls and slowness. */
 
-import type { HostId, Monotonic } from "@rackspan/common";
+import type { HostId, Monotonic, WorkerInstance } from "@rackspan/common";
 import { avoidHost, natureOf, type ActiveRun } from "@rackspan/jobs";
 import type { WorkerDescription } from "@rackspan/protocol";
 import type { EngineParts } from "./engineParts.js";
@@ -12,6 +12,7 @@
 
   look(): void {
     const now = this.parts.options.clock.monotonic();
+    this.dropExpiredHosts(now);
     for (const entry of [...this.parts.hosts.all()]) {
       if (now >= entry.ledger.leaseOverBy) this.dropHost(entry, "lease-over");
       else this.watchRuns(entry, now);
@@ -20,13 +21,44 @@
 
   /** Nothing runs there any more: it ended, or was silent until its lease was over. */
   dropHost(entry: HostEntry, reason: string): void {
-    const { options, hosts, ejector } = this.parts;
+    const { hosts, ejector } = this.parts;
     const { host, instance } = entry.ledger;
     this.loseRuns(entry, reason);
-    options.logger.warn("host.gone", { host, instance, reason });
     hosts.delete(host);
     ejector.forget(host);
-    options.roster.remove(host);
+    this.forgetHost(host, instance, reason);
+  }
+
+  /**
+   * A worker that ended before it reported to this leader. When the roster names
+   * this life, it was the last that could hold a lease there, so the take-over need
+   * not wait for the host: up to 12.9 s without starts on a played day.
+   */
+  dropUnheard(host: HostId, instance: WorkerInstance): void {
+    const { roster } = this.parts.options;
+    if (roster.instanceOf(host) !== instance) return;
+    this.forgetHost(host, instance, "gone-before-take-over");
+    this.parts.requestPass();
+  }
+
+  /** Hosts of the roster that never reported: the next leader need not wait for them. */
+  private dropExpiredHosts(now: Monotonic): void {
+    const { options, hosts } = this.parts;
+    for (const host of options.gate.takeExpired(now)) {
+      if (hosts.get(host)) continue;
+      this.forgetHost(host, options.roster.instanceOf(host), "never-reported");
+    }
+  }
+
+  private forgetHost(
+    host: HostId,
+    instance: WorkerInstance | undefined,
+    reason: string,
+  ): void {
+    const { gate, logger, roster } = this.parts.options;
+    logger.warn("host.gone", { host, instance, reason });
+    gate.noteHeard(host);
+    roster.remove(host);
   }
 
   /** Another life of the worker: its runs are gone, and its failures were not this one's. */
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -223,18 +223,20 @@
   /** The worker has ended, by its own word or since another life answers for it. */
   noteWorkerGone(host: HostId, instance: WorkerInstance): void {
     const entry = this.hosts.get(host);
-    if (entry?.ledger.instance === instance)
+    if (!entry) this.watch.dropUnheard(host, instance);
+    else if (entry.ledger.instance === instance)
       this.watch.dropHost(entry, "worker-gone");
   }
 
   /** Takes a host's report. */
   report(host: HostId, zone: AvailabilityZone, report: HostReport): Grant {
-    const { clock, gate, roster, logger } = this.options;
+    const { clock, gate, logger } = this.options;
     const now = clock.monotonic();
     const entry = this.intake.entryOf(host, zone, report, now);
     const { ledger } = entry;
     if (ledger.instance !== report.worker.instance) {
       this.watch.replaceWorker(entry, report.worker);
+      this.intake.keepInRoster(entry);
     }
     if (ledger.reportedAt !== undefined && report.at <= ledger.reportedAt) {
       // The worker has not answered since: nothing is known anew.
@@ -250,7 +252,7 @@
     // What is still to be listed may have ended under a former leader.
     if (!report.hasMoreEnds) gate.noteHeard(host);
     this.dispatcher.requestPass();
-    entry.rostered = roster.has(host);
+    this.intake.noteRostered(entry);
     this.dispatcher.passIfOverdue();
     return this.grant(entry, report, now);
   }
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -7,6 +7,7 @@
   Logger,
   Metrics,
   Monotonic,
+  WorkerInstance,
 } from "@rackspan/common";
 import type {
   ActiveRun,
@@ -62,12 +63,16 @@
   fillingStallMs: 7_000,
 } as const;
 
-/** Keeps the list of hosts to which leases may have been granted. */
+/**
+ * Keeps the list of workers to which leases may have been granted. It names their
+ * lives, so that the end of one proves that nothing is left to wait for.
+ */
 export interface HostRoster {
-  /** Resolves once the store keeps the host. */
-  add(host: HostId): Promise<void>;
+  /** Resolves once the store keeps that life of the host's worker, and no other. */
+  keep(host: HostId, instance: WorkerInstance): Promise<void>;
   remove(host: HostId): void;
-  has(host: HostId): boolean;
+  /** The life that the store keeps; undefined when it keeps none, or not which. */
+  instanceOf(host: HostId): WorkerInstance | undefined;
 }
 
 export interface EngineOptions {
@@ -103,7 +108,7 @@
   session: HostSession | undefined;
   /** Settles once all ends that were taken note of so far are kept. */
   keeping: Promise<void>;
-  /** Whether the store keeps the host in the roster. */
+  /** Whether the store keeps this life of the worker in the roster. */
   rostered: boolean;
 }
 
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -91,7 +91,7 @@
   constructor(
     readonly host: HostId,
     private readonly clock: ManualClock,
-    public instance = brand<WorkerInstance>(`${host}-1`),
+    public instance = firstLifeOf(host),
     private readonly milliCores = 32_000,
   ) {}
 
@@ -252,22 +252,30 @@
   }
 }
 
+const firstLifeOf = (host: HostId): WorkerInstance =>
+  brand<WorkerInstance>(`${host}-1`);
+
 class OpenRoster implements HostRoster {
   /** Whether the store answers; what it is asked to keep is not kept otherwise. */
   isKept = true;
-  private readonly hosts = new Set<HostId>();
+  private readonly hosts: Map<HostId, WorkerInstance>;
+
+  /** @param former hosts in whose first life a former leader may have left leases */
+  constructor(former: readonly HostId[]) {
+    this.hosts = new Map(former.map((host) => [host, firstLifeOf(host)]));
+  }
 
-  async add(host: HostId): Promise<void> {
+  async keep(host: HostId, instance: WorkerInstance): Promise<void> {
     if (!this.isKept) return new Promise(() => undefined);
-    this.hosts.add(host);
+    this.hosts.set(host, instance);
   }
 
   remove(host: HostId): void {
     this.hosts.delete(host);
   }
 
-  has(host: HostId): boolean {
-    return this.hosts.has(host);
+  instanceOf(host: HostId): WorkerInstance | undefined {
+    return this.hosts.get(host);
   }
 }
 
@@ -276,7 +284,7 @@
   /** The queue's rule of permits. */
   readonly permitRule?: PermitRule;
   readonly epoch?: number;
-  /** Hosts that a former leader may have left leases at. */
+  /** Hosts in whose first life a former leader may have left leases. */
   readonly roster?: readonly HostId[];
   readonly clock?: ManualClock;
   /** Silent when left out. */
@@ -289,7 +297,7 @@
   readonly clock: ManualClock;
   readonly store: MemoryStore;
   readonly engine: JobEngine;
-  readonly roster = new OpenRoster();
+  readonly roster: OpenRoster;
   readonly hosts: FakeHost[] = [];
   leads = true;
   /** What the engine has kept for the next leader, in order. */
@@ -313,6 +321,7 @@
       gatherMs: 0,
       retriesRefused: true,
     });
+    this.roster = new OpenRoster(roster);
     this.engine = new JobEngine({
       epoch: epoch as unknown as Epoch,
       clock: this.clock,
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -7,8 +7,10 @@
   type Instant,
   type Logger,
   type Metrics,
+  type WorkerInstance,
 } from "@rackspan/common";
 import type { KeyedRecord } from "@rackspan/ports";
+import { decodeHost } from "./hostRecords.js";
 import {
   decodeCancel,
   decodeJob,
@@ -33,6 +35,9 @@
   | { readonly kind: "accepted"; readonly job: AcceptedJob }
   | { readonly kind: "cancelled"; readonly id: JobId };
 
+/** The hosts to which leases may have been granted, and to which life of the worker. */
+export type Roster = ReadonlyMap<HostId, WorkerInstance | undefined>;
+
 export interface JobViewOptions {
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -47,7 +52,7 @@
   /** When each was taken. A cancel may come before its job, and then waits for it. */
   private readonly cancels = new Map<JobId, Instant>();
   private readonly progress = new Map<JobId, ProgressRecord>();
-  private readonly hosts = new Set<HostId>();
+  private readonly hosts = new Map<HostId, WorkerInstance | undefined>();
 
   constructor(private readonly options: JobViewOptions) {}
 
@@ -98,8 +103,7 @@
     return count;
   }
 
-  /** Hosts to which leases may have been granted. */
-  get roster(): ReadonlySet<HostId> {
+  get roster(): Roster {
     return this.hosts;
   }
 
@@ -160,8 +164,11 @@
   takeHosts(records: readonly KeyedRecord[]): void {
     for (const { key, value } of records) {
       const host = key as unknown as HostId;
-      if (value) this.hosts.add(host);
-      else this.hosts.delete(host);
+      if (!value) {
+        this.hosts.delete(host);
+        continue;
+      }
+      this.decode(key, () => this.hosts.set(host, decodeHost(key, value)));
     }
   }
 
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./declarations.js";
 export * from "./errors.js";
 export * from "./Fold.js";
+export * from "./hostRecords.js";
 export * from "./jobModel.js";
 export * from "./jobRecords.js";
 export * from "./JobView.js";
