Records and heartbeats of other writers name nothing, and the others hold

Cause: one record without a byte made a page unreadable, so that every entry read the same offset for ever; a cancel that nothing could read cancelled its job; any record of the roster's topic named a host to wait for; lists of done tasks and sizes of jobs were taken without bounds; a heartbeat of an unknown service, or with negative or broken figures, displaced the life that stands, whose orders were then answered 'replaced' without being sent. Change: pages hand on what can be read, at its offset, and tell how much was left out; unreadable values change nothing; one set of limits for jobs of callers and of the store; a heartbeat must carry all that workers say of themselves and the service that the settings name; an order to a life that may be the present one goes to the worker, whose answer decides.

--- a/packages/ports/src/recordStore.ts
+++ b/packages/ports/src/recordStore.ts
@@ -48,6 +48,8 @@
   readonly records: readonly StoredRecord[];
   /** Offset from which to read on. */
   readonly next: number;
+  /** Records left out, since they name no key that can be read; none when absent. */
+  readonly unreadable?: number;
 }
 
 export interface ReadAnswer extends RecordPage {
--- a/packages/side/src/jobs/JobSideProcess.ts
+++ b/packages/side/src/jobs/JobSideProcess.ts
@@ -65,7 +65,8 @@
       callTimeoutMs: SIDE.workerCallTimeoutMs,
     });
     const base = { clock, logger, metrics };
-    const registry = new WorkerRegistry(clock, logger);
+    const { service } = settings.worker;
+    const registry = new WorkerRegistry(clock, logger, service);
     const pacer = new Pacer({ host, ...base, ...settings.pacing });
     const watch = new WorkerWatch({
       registry,
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -98,9 +98,8 @@
     if (epoch < (watch.currentEpoch ?? 0)) {
       return { kind: "refused", reason: "fenced" };
     }
-    const { worker } = registry;
-    if (worker && worker.instance !== instance) return { kind: "replaced" };
-    return undefined;
+    // While it is open which life stands here, the worker's own answer decides.
+    return registry.mayStand(instance) ? undefined : { kind: "replaced" };
   }
 
   private async repeat(
--- a/packages/side/src/jobs/WorkerRegistry.ts
+++ b/packages/side/src/jobs/WorkerRegistry.ts
@@ -2,9 +2,11 @@
 
 import {
   ChangeSignal,
+  RackspanError,
   type Clock,
   type Logger,
   type Monotonic,
+  type ServiceName,
   type WorkerInstance,
 } from "@rackspan/common";
 import type { WorkerDescription } from "@rackspan/protocol";
@@ -23,6 +25,21 @@
   maxDisplaced: 8,
 } as const;
 
+/** The heartbeat of a worker that is not the one on this host. */
+export class OtherServiceError extends RackspanError {
+  readonly kind = "other-service";
+  constructor(
+    instance: WorkerInstance,
+    service: ServiceName,
+    expected: ServiceName,
+  ) {
+    super({
+      what: `worker ${instance} reports service ${service}, and this host runs ${expected}`,
+      remedy: "see who else reports to this host; the worker here goes on",
+    });
+  }
+}
+
 export class WorkerRegistry {
   /** Notified when the worker or its state changes. */
   readonly changed = new ChangeSignal();
@@ -40,9 +57,11 @@
   private displaced: WorkerHeartbeat[] = [];
   private readonly gone = new Set<WorkerInstance>();
 
+  /** @param service that of the worker on this host; any when left out */
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
+    private readonly service?: ServiceName,
   ) {}
 
   /** The life that was heard last and is not known to be over. */
@@ -55,8 +74,12 @@
     return { ...worker, leavesInMs };
   }
 
+  /** @throws OtherServiceError when it does not come from the worker on this host */
   noteHeartbeat(beat: WorkerHeartbeat): void {
-    const { instance } = beat.worker;
+    const { instance, service } = beat.worker;
+    if (this.service !== undefined && service !== this.service) {
+      throw new OtherServiceError(instance, service, this.service);
+    }
     const current = this.heartbeat;
     if (this.gone.has(instance)) return;
     if (this.isDisplaced(instance)) return;
@@ -76,6 +99,13 @@
     this.changed.notify();
   }
 
+  /** Whether that life may be the present one: only an answer settles it. */
+  mayStand(instance: WorkerInstance): boolean {
+    const { heartbeat } = this;
+    if (!heartbeat || heartbeat.worker.instance === instance) return true;
+    return this.isDisplaced(instance);
+  }
+
   /** That life of the worker has answered a call: those before are over. */
   noteAnswered(instance: WorkerInstance): void {
     if (this.heartbeat?.worker.instance !== instance) return;
--- a/packages/side/src/jobs/settings.ts
+++ b/packages/side/src/jobs/settings.ts
@@ -7,6 +7,7 @@
   listenAddressSchema,
   type AvailabilityZone,
   type HostId,
+  type ServiceName,
 } from "@rackspan/common";
 
 const portSchema = z.number().int().min(0).max(65_535);
@@ -23,7 +24,11 @@
     store: endpointSchema,
   }),
   /** Where the worker on this host takes calls. */
-  worker: z.strictObject({ address: endpointSchema }),
+  worker: z.strictObject({
+    address: endpointSchema,
+    /** Heartbeats of any other service are passed over; all count when left out. */
+    service: idSchema<ServiceName>().optional(),
+  }),
   /** Where it reports itself. */
   inbox: listenAddressSchema,
   /** Some entries, any of which may be gone; asked while the store is away. */
--- a/packages/side/tests/taskOrders.test.ts
+++ b/packages/side/tests/taskOrders.test.ts
@@ -10,6 +10,7 @@
   type Epoch,
   type JobTaskId,
   type RunNumber,
+  type ServiceName,
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
@@ -20,7 +21,13 @@
   type TaskHost,
 } from "@rackspan/ports";
 import type { HostCallResult, StartTaskCall } from "@rackspan/protocol";
-import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
+import {
+  Pacer,
+  TaskOrders,
+  WorkerRegistry,
+  WorkerWatch,
+  type WorkerHeartbeat,
+} from "@rackspan/side";
 
 const CALL: StartTaskCall = {
   instance: brand<WorkerInstance>("w"),
@@ -34,9 +41,13 @@
   nature: { kind: "plain", tailTargetMs: 0, image: "", milliCores: 100 },
 };
 
-/** Orders a start at a worker that gives these answers in turn; undefined for none. */
+/**
+ * Orders a start at a worker that gives these answers in turn; undefined for none.
+ * @param heard lives whose heartbeats came before, in order
+ */
 const startWith = async (
   answers: readonly (StartOutcome | undefined)[],
+  heard: readonly string[] = [],
 ): Promise<HostCallResult> => {
   const clock = new ManualClock();
   const left = [...answers];
@@ -58,6 +69,7 @@
     tailAim: 0.9,
   });
   const registry = new WorkerRegistry(clock, logger);
+  for (const life of heard) registry.noteHeartbeat(beatOf(life));
   const watch = new WorkerWatch({
     registry,
     host,
@@ -80,6 +92,21 @@
   return result;
 };
 
+const beatOf = (life: string): WorkerHeartbeat => ({
+  worker: {
+    instance: brand<WorkerInstance>(life),
+    service: brand<ServiceName>("kaigi"),
+    labels: [],
+    rack: "r1",
+    milliCores: 16_000,
+    memoryMiB: 64_000,
+    accelerators: 0,
+    draining: false,
+    leavesInMs: undefined,
+  },
+  sequence: 1,
+});
+
 const refused = (reason: StartRefusal): StartOutcome => ({
   kind: "refused",
   reason,
@@ -118,3 +145,17 @@
     expect(result).toEqual({ kind: "refused", reason });
   }
 });
+
+// Another writer's heartbeat named a life that never was, and until the worker had
+// been asked, each order to the one that works was answered with "replaced".
+test("an order to a life that another one's heartbeat displaced is carried out", async () => {
+  const at = 5 as unknown as WorkerTime;
+  const answer = await startWith([{ kind: "started", at }], ["w", "other"]);
+  expect(answer).toEqual({ kind: "ok", at });
+});
+
+test("an order to a life that was never heard, beside one that was, is not", async () => {
+  const at = 5 as unknown as WorkerTime;
+  const answer = await startWith([{ kind: "started", at }], ["other"]);
+  expect(answer).toEqual({ kind: "replaced" });
+});
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -115,7 +115,7 @@
     this.changes.emit({ kind: "accepted", job });
   }
 
-  /** @param at when the cancel was taken, by the time of day; Infinity when unknown */
+  /** @param at when the cancel was taken, by the time of day */
   noteCancelled(id: JobId, at: Instant): void {
     if (this.cancels.has(id)) return;
     this.cancels.set(id, at);
@@ -144,9 +144,8 @@
         this.cancels.delete(id);
         continue;
       }
-      let at: Instant = Infinity;
-      this.decode(key, () => (at = decodeCancel(key, value)));
-      this.noteCancelled(id, at);
+      // One of another writer cancels nothing: no caller has asked for it.
+      this.decode(key, () => this.noteCancelled(id, decodeCancel(key, value)));
     }
   }
 
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -13,6 +13,7 @@
 import {
   RecordsGoneError,
   type KeyedRecord,
+  type RecordPage,
   type RecordStore,
   type TopicName,
 } from "@rackspan/ports";
@@ -136,6 +137,7 @@
     // What ended a poll before does not excuse a failure of this reading.
     this.pollAbort = new AbortController();
     const page = await store.newest(topic);
+    this.noteUnreadable(page);
     this.handOn([...this.droppedSince(page.records), ...page.records]);
     this.next = page.next;
     this.confirm(askedAt);
@@ -148,11 +150,12 @@
     this.pollAbort = new AbortController();
     const { signal } = this.pollAbort;
     const page = await store.read({ topic, from, waitMs, signal });
+    this.noteUnreadable(page);
     if (page.records.length > 0) this.handOn(page.records);
     this.next = page.next;
     this.answeredAt = clock.monotonic();
     // An answer holds a megabyte at most: a follower that was cut off reads on.
-    const isAtEnd = page.records.length === 0 || page.next >= page.end;
+    const isAtEnd = page.next === from || page.next >= page.end;
     if (isAtEnd) this.confirm(askedAt);
   }
 
@@ -183,6 +186,13 @@
     for (const wake of waiters) wake();
   }
 
+  /** Records of another writer: what the others say holds. */
+  private noteUnreadable({ unreadable = 0, next }: RecordPage): void {
+    if (unreadable === 0) return;
+    const { topic, logger } = this.options;
+    logger.warn("topic.unreadable", { topic, records: unreadable, next });
+  }
+
   private noteReachable(): void {
     if (this.reachable) return;
     this.reachable = true;
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./errors.js";
 export * from "./Fold.js";
 export * from "./hostRecords.js";
+export * from "./jobLimits.js";
 export * from "./jobModel.js";
 export * from "./jobRecords.js";
 export * from "./JobView.js";
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -7,6 +7,7 @@
   type ServiceName,
 } from "@rackspan/common";
 import type { TopicName } from "@rackspan/ports";
+import { countTasks, JOB_LIMITS, waitsForEarlier } from "./jobLimits.js";
 import {
   JOB_STATES,
   type ImageName,
@@ -46,7 +47,7 @@
 }
 
 const stepSchema = z.object({
-  taskCount: z.number().int().positive(),
+  taskCount: z.number().int().positive().max(JOB_LIMITS.tasksOfStep),
   demand: z.object({
     milliCores: z.number().nonnegative(),
     memoryMiB: z.number().nonnegative(),
@@ -74,10 +75,18 @@
 const jobRecordSchema = z.object({
   queue: z.string().transform((key) => key as unknown as QueueKey),
   payload: z.string(),
-  steps: z.array(stepSchema).min(1),
+  steps: z
+    .array(stepSchema)
+    .min(1)
+    .max(JOB_LIMITS.steps)
+    .refine(waitsForEarlier, "a step waits for one that is not earlier")
+    .refine(
+      (steps) => countTasks(steps) <= JOB_LIMITS.tasksOfJob,
+      "too many tasks",
+    ),
   repeat: z
     .object({
-      count: z.number().int().positive(),
+      count: z.number().int().positive().max(JOB_LIMITS.repeats),
       firstAt: z.number(),
       intervalMs: z.number().nonnegative(),
     })
@@ -169,6 +178,16 @@
   };
 };
 
+const INDEX_LIST = /^(\d+(-\d+)?(,\d+(-\d+)?)*)?$/;
+
+/** Whether a text is a list of indices such as one step can have; see encodeIndices. */
+const isIndexList = (text: string): boolean => {
+  if (!INDEX_LIST.test(text)) return false;
+  const sizes = parseRanges(text).map(([first, last]) => last - first + 1);
+  const count = sizes.reduce((sum, size) => sum + size, 0);
+  return count <= JOB_LIMITS.tasksOfStep && sizes.every((size) => size > 0);
+};
+
 const progressSchema = z.object({
   state: z.enum(JOB_STATES),
   /** Whether a task of the job was ever started. */
@@ -176,7 +195,7 @@
   /** Leader's time of day when the state became final; 0 before. */
   endedAt: z.number(),
   /** `occurrence.step` to the indices of its done tasks, as ranges `a-b`. */
-  done: z.record(z.string(), z.string()),
+  done: z.record(z.string(), z.string().refine(isIndexList)),
   /** `occurrence.step.index` and the numbers of its runs that failed. */
   failures: z.array(z.tuple([z.string(), z.array(z.number())])),
   /** `occurrence.step.index` and the checkpoint from which a run goes on. */
@@ -209,10 +228,15 @@
 };
 
 export const decodeIndices = (text: string): number[] =>
+  parseRanges(text).flatMap(([first, last]) =>
+    Array.from({ length: last - first + 1 }, (_, n) => first + n),
+  );
+
+/** First and last index of each range. */
+const parseRanges = (text: string): [number, number][] =>
   text === ""
     ? []
-    : text.split(",").flatMap((range) => {
+    : text.split(",").map((range) => {
         const [first, last] = range.split("-").map(Number) as [number, number?];
-        const count = (last ?? first) - first + 1;
-        return Array.from({ length: count }, (_, n) => first + n);
+        return [first, last ?? first];
       });
--- a/packages/state/src/learntRecords.ts
+++ b/packages/state/src/learntRecords.ts
@@ -13,6 +13,13 @@
   .transform((name) => name as unknown as ImageName);
 const queueSchema = z.string().transform((key) => key as unknown as QueueKey);
 
+/**
+ * A natural logarithm of a ratio of times, and its spread. Nothing that is measured
+ * comes near the limit; beyond it forecasts would come out as no numbers.
+ */
+const logarithm = z.number().min(-50).max(50);
+const spread = z.number().min(-10_000).max(10_000);
+
 const tailSchema = z.object({
   kind: z.literal("tail"),
   /** Time of day at which it was written, milliseconds. */
@@ -22,16 +29,16 @@
   /** Filling images, in the order of their weights in `mean`. */
   filling: z.array(imageSchema),
   /** The base, then a weight for each filling image; logarithms. */
-  mean: z.array(z.number()),
+  mean: z.array(logarithm),
   /** Lower triangle, row by row. */
-  covariance: z.array(z.array(z.number())),
+  covariance: z.array(z.array(spread)),
 });
 
 const estimatesSchema = z.object({
   kind: z.literal("estimates"),
   writtenAt: z.number(),
   /** Mean natural logarithm of (time taken / estimate), by queue. */
-  corrections: z.array(z.tuple([queueSchema, z.number()])),
+  corrections: z.array(z.tuple([queueSchema, logarithm])),
 });
 
 const learntSchema = z.discriminatedUnion("kind", [
--- /dev/null
+++ b/packages/state/tests/otherWriters.test.ts
@@ -0,0 +1,143 @@
+/**
+ * Records of other writers in the product's own topics: a cancel that nobody sent,
+ * a host that nobody runs, progress of a job that says what cannot be.
+ *
+ * What users saw where this fails: a record that nothing could read cancelled a job,
+ * and each new leader waited for a host that does not exist before it started
+ * anything.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import {
+  brand,
+  Metrics,
+  silentLogger,
+  type HostId,
+  type WorkerInstance,
+} from "@rackspan/common";
+import {
+  decodeIndices,
+  decodeLearnt,
+  decodeProgress,
+  encodeCancel,
+  encodeHost,
+  encodeIndices,
+  encodeJob,
+  encodeProgress,
+  JobView,
+  type JobId,
+  type ProgressRecord,
+} from "@rackspan/state";
+import { plainJob } from "@rackspan/standins";
+
+const SEED = 20_000;
+const RECORDS = 10_000;
+const JOB = brand<JobId>("5c0e7a21d94b36f8");
+const HOST = brand<HostId>("h1");
+const LIFE = brand<WorkerInstance>("i-1");
+
+const PROGRESS: ProgressRecord = {
+  state: "running",
+  begun: true,
+  endedAt: 0,
+  done: { "0.0": "0-2,5" },
+  failures: [],
+  checkpoints: [],
+};
+
+const createView = (): JobView =>
+  new JobView({ logger: silentLogger, metrics: new Metrics() });
+
+const viewOfOneJob = (): JobView => {
+  const view = createView();
+  const job = plainJob({ id: JOB, acceptedAt: 0, steps: [{ taskCount: 9 }] });
+  view.takeJobs([{ key: JOB, value: encodeJob(job) }]);
+  view.takeProgress([{ key: JOB, value: encodeProgress(PROGRESS) }]);
+  view.takeHosts([{ key: HOST, value: encodeHost(LIFE) }]);
+  return view;
+};
+
+/** Values that none of the topics may hold. */
+const foreign = fc.oneof(
+  fc.uint8Array({ minLength: 1 }).map((bytes) => Buffer.from(bytes)),
+  fc
+    .oneof(
+      fc.constantFrom<unknown>(null, 7, "text", [], [{}], true),
+      fc.record({ at: fc.string(), instance: fc.nat(), done: fc.string() }),
+      fc.record({ at: fc.constant(null), instance: fc.constant(null) }),
+    )
+    .map((value) => Buffer.from(JSON.stringify(value))),
+);
+
+test("what cannot be read changes nothing that is known", () => {
+  const view = viewOfOneJob();
+  const before = JSON.stringify([view.get(JOB), ...view.roster]);
+  const keys = fc.constantFrom<string>(JOB, HOST, "other");
+  fc.assert(
+    fc.property(keys, foreign, (key, value) => {
+      const records = [{ key, value }];
+      view.takeJobs(records);
+      view.takeCancels(records);
+      view.takeProgress(records);
+      view.takeHosts(records);
+      expect(view.all().length).toEqual(1);
+      expect(JSON.stringify([view.get(JOB), ...view.roster])).toEqual(before);
+    }),
+    { seed: SEED, numRuns: RECORDS },
+  );
+});
+
+test("a cancel that can be read still cancels, beside one that cannot", () => {
+  const view = viewOfOneJob();
+  view.takeCancels([{ key: JOB, value: Buffer.from("{}") }]);
+  expect(view.stateOf(JOB)).toEqual("running");
+  view.takeCancels([{ key: JOB, value: encodeCancel(5) }]);
+  expect(view.stateOf(JOB)).toEqual("cancelled");
+});
+
+test("a host that an earlier version listed is waited for, whatever its life", () => {
+  const view = createView();
+  view.takeHosts([{ key: HOST, value: Buffer.from("{}") }]);
+  expect([...view.roster]).toEqual([[HOST, undefined]]);
+});
+
+test("progress with lists of tasks that no step can have is not read", () => {
+  const lists = ["0-999999999", "5-2", "0-4999,5000", "a", "1,,2", "-1", "1.5"];
+  for (const list of lists) {
+    const record = { ...PROGRESS, done: { "0.0": list } };
+    expect(() => decodeProgress(JOB, encodeProgress(record))).toThrow();
+  }
+});
+
+test("lists of tasks come back as they were", () => {
+  fc.assert(
+    fc.property(fc.uniqueArray(fc.nat({ max: 4_999 })), (indices) => {
+      const list = encodeIndices(indices);
+      const record = { ...PROGRESS, done: { "0.0": list } };
+      const read = decodeProgress(JOB, encodeProgress(record));
+      expect(decodeIndices(read.done["0.0"] ?? "")).toEqual(
+        [...indices].sort((a, b) => a - b),
+      );
+    }),
+    { seed: SEED },
+  );
+});
+
+test("a job of a size that no caller may hand in is not read", () => {
+  const view = createView();
+  const sizes = [{ taskCount: 6_000 }, { taskCount: 1, after: [0] }];
+  for (const [at, step] of sizes.entries()) {
+    const id = `job-${at}`;
+    const job = plainJob({ id, acceptedAt: 0, steps: [step] });
+    view.takeJobs([{ key: id, value: encodeJob(job) }]);
+  }
+  expect(view.all()).toEqual([]);
+});
+
+test("what was learnt beyond any measurement is not read", () => {
+  const record = { kind: "estimates", writtenAt: 0, corrections: [["q", 800]] };
+  const value = Buffer.from(JSON.stringify(record));
+  expect(() => decodeLearnt("estimates", value)).toThrow();
+});
