Entries with too little processor time for a leader stand back; waits gather at the end of the window

Change: the settings tell what the process may use of a processor; under half of one it waits 500 ms more before it asks to lead. Waits are drawn so that they get more frequent towards the end of the window.

--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -77,6 +77,15 @@
     /** Time that a worker may take to stop a task. */
     stopMs: millisecondsSchema.default(500),
   }),
+  /** What this process may use of a processor; a whole one when left out. */
+  processor: z
+    .strictObject({
+      /** Share of the time. */
+      share: z.number().positive().max(1_024).default(1),
+      /** How fast it is, against the processors that leaders are measured on. */
+      speed: z.number().positive().max(1_024).default(1),
+    })
+    .prefault({}),
   /** A planned stop is over within this. */
   graceSeconds: secondsSchema.default(6),
   /** The state of a job that ended can be asked for this long. */
@@ -116,3 +125,7 @@
 });
 
 export type JobEntrySettings = z.infer<typeof jobEntrySettingsSchema>;
+
+/** What the process may use, in processors of the usual speed. */
+export const processorsOf = ({ processor }: JobEntrySettings): number =>
+  processor.share * processor.speed;
--- a/packages/entry/src/jobs/wireJobEntry.ts
+++ b/packages/entry/src/jobs/wireJobEntry.ts
@@ -8,7 +8,7 @@
   type Logger,
   type Metrics,
 } from "@rackspan/common";
-import { LeaderElection } from "@rackspan/leadership";
+import { LEADER_PROCESSORS, LeaderElection } from "@rackspan/leadership";
 import {
   permitServices,
   storeClients,
@@ -28,7 +28,7 @@
 import { callerFronts, type CallerFront } from "./callerFronts.js";
 import { JobDesk } from "./JobDesk.js";
 import { Leadership } from "./Leadership.js";
-import type { JobEntrySettings } from "./settings.js";
+import { processorsOf, type JobEntrySettings } from "./settings.js";
 import { StoreReach } from "./StoreReach.js";
 import { SideServer } from "./SideServer.js";
 
@@ -244,6 +244,7 @@
     ttlMs: leadershipTtlMs,
     clock,
     random: new SeededRandom(Date.now() ^ process.pid),
+    standsBack: processorsOf(settings) < LEADER_PROCESSORS,
     logger,
     onAcquired: (epoch) => leadership.begin(epoch),
     onLost: (reason) => {
--- a/packages/leadership/src/LeaderElection.ts
+++ b/packages/leadership/src/LeaderElection.ts
@@ -19,6 +19,7 @@
   type Random,
 } from "@rackspan/common";
 import type { GroupMembership, TopicName } from "@rackspan/ports";
+import { joinDelayMs } from "./joinDelay.js";
 import { formatMember, parseMember, type Member } from "./memberName.js";
 
 export const ELECTION = {
@@ -35,11 +36,6 @@
   marginMs: 150,
   /** Joins in a row that bring no ownership before the entry leaves the group. */
   maxFruitlessJoins: 4,
-  /**
-   * An entry that finds no owner looks again after a random time up to this
-   * before it joins: when several join at once, partitions are dealt about.
-   */
-  maxJoinDelayMs: 250,
 } as const;
 
 export interface LeaderElectionOptions {
@@ -49,6 +45,8 @@
   readonly ttlMs: number;
   readonly clock: Clock;
   readonly random: Random;
+  /** Whether entries with more processor time should lead first. */
+  readonly standsBack: boolean;
   readonly logger: Logger;
   /** Called once the entry leads under an epoch that it did not lead under before. */
   readonly onAcquired: (epoch: Epoch) => void;
@@ -157,10 +155,12 @@
     return this.renew();
   }
 
+  /** Looks once more after its wait: another entry may lead by then. */
   private joinSoon(): Promise<number> | number {
     if (this.sawNoOwner) return this.renew();
     this.sawNoOwner = true;
-    return this.options.random.next() * ELECTION.maxJoinDelayMs;
+    const { random, standsBack } = this.options;
+    return joinDelayMs(random.next(), standsBack);
   }
 
   private async renew(): Promise<number> {
--- /dev/null
+++ b/packages/leadership/tests/joinDelay.test.ts
@@ -0,0 +1,52 @@
+/**
+ * What users saw at thirty-five entries: after each loss of a leader two entries asked
+ * at once, the second took leadership from the first 0.5 s after it had begun, and
+ * all 160 hosts attached twice before anything was started.
+ *
+ * Cause: even waits within a fixed window leave a gap between the first two that
+ * shrinks with the number of entries.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { SeededRandom } from "@rackspan/common";
+import { JOIN_DELAY, joinDelayMs } from "@rackspan/leadership";
+
+/** From asking who leads until the store would name the one who has asked. */
+const CALL_MS = 8;
+const ELECTIONS = 4_000;
+
+/** Share of elections in which a second entry asks before it can see the first. */
+const collisions = (
+  entries: number,
+  delayOf: (drawn: number) => number,
+): number => {
+  const random = new SeededRandom(35);
+  let collided = 0;
+  for (let election = 0; election < ELECTIONS; election += 1) {
+    const [first = 0, second = 0] = Array.from({ length: entries }, () =>
+      delayOf(random.next()),
+    ).sort((a, b) => a - b);
+    if (second - first < CALL_MS) collided += 1;
+  }
+  return collided / ELECTIONS;
+};
+
+const even = (drawn: number): number => drawn * JOIN_DELAY.windowMs;
+const gathered = (drawn: number): number => joinDelayMs(drawn, false);
+
+test("thirty-five entries ask at once less than half as often as with even waits", () => {
+  const before = collisions(35, even);
+  const after = collisions(35, gathered);
+  expect(after < before / 2).toEqual(true);
+});
+
+test("three entries ask at once in less than a fifth of elections", () => {
+  expect(collisions(3, gathered) < 0.2).toEqual(true);
+});
+
+test("waits stay within the window, and those who stand back wait longer than all others", () => {
+  expect(joinDelayMs(0, false)).toEqual(0);
+  expect(joinDelayMs(1, false)).toBeCloseTo(JOIN_DELAY.windowMs, 0.001);
+  expect(joinDelayMs(0, true) > joinDelayMs(1, false)).toEqual(true);
+});
--- a/packages/leadership/tests/leaderElection.test.ts
+++ b/packages/leadership/tests/leaderElection.test.ts
@@ -27,6 +27,7 @@
     incarnation = "1",
     next = () => 0.2,
     membership: GroupMembership = store,
+    standsBack = false,
   ) => {
     const election = new LeaderElection({
       membership,
@@ -39,6 +40,7 @@
       ttlMs: TTL_MS,
       clock,
       random: { next },
+      standsBack,
       logger: silentLogger,
       onAcquired: (epoch: Epoch) => terms.push(`${name} leads ${epoch}`),
       onLost: (reason) => terms.push(`${name} lost: ${reason}`),
@@ -264,3 +266,16 @@
   const { joins } = await stopDuringLook({ clock, store, entry });
   expect(joins).toEqual(0);
 });
+
+test("an entry that stands back leads only where no other one does", async () => {
+  const { clock, store, entry } = setUp();
+  const weak = entry("weak", "1", () => 0, store, true);
+  // The strong one looks a whole period later than the weak one, and draws the longest wait.
+  await clock.advance(240);
+  const strong = entry("strong", "1", () => 0.999);
+  await clock.advance(1_000);
+  expect([weak.leads, strong.leads]).toEqual([false, true]);
+  await strong.stop();
+  await clock.advance(1_500);
+  expect(weak.leads).toEqual(true);
+});
