Tests of the side share one heartbeat; two log lines of runs share their fields

Cause: beatOf stood twice, and what is told of a run and its task's present one stood twice in RunControl. Change: one copy each; a test that a heartbeat of another service is refused.

--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -107,40 +107,31 @@
   }
 
   /** Tells which run the task has at that moment: it should be the one given back. */
-  private logGivenBack(
-    { ledger }: HostEntry,
-    { task, run, phase }: ActiveRun,
-    reason: string,
-  ): void {
-    const { hosts, logger, metrics } = this.options;
-    const current = hosts.placementOf(task);
+  private logGivenBack(host: HostEntry, run: ActiveRun, reason: string): void {
+    const { logger, metrics } = this.options;
     metrics.count("runs_given_back", { reason });
-    logger.info("task.given-back", {
-      task: task.id,
-      run,
-      host: ledger.host,
-      reason,
-      phase,
-      currentRun: current?.run.run,
-      currentHost: current?.host.ledger.host,
-    });
+    const { phase } = run;
+    const fields = { ...this.whereabouts(host, run), reason, phase };
+    logger.info("task.given-back", fields);
   }
 
   /** Only a fault of the caller's: waiting tasks have no run. */
-  private logAlreadyPlaced(
-    { ledger }: HostEntry,
-    { task, run }: ActiveRun,
-  ): void {
-    const { hosts, logger, metrics } = this.options;
-    const current = hosts.placementOf(task);
+  private logAlreadyPlaced(host: HostEntry, run: ActiveRun): void {
+    const { logger, metrics } = this.options;
     metrics.count("starts_beside_a_run");
-    logger.error("task.already-placed", {
+    logger.error("task.already-placed", this.whereabouts(host, run));
+  }
+
+  /** A run, and the one that its task has at that moment. */
+  private whereabouts({ ledger }: HostEntry, { task, run }: ActiveRun) {
+    const current = this.options.hosts.placementOf(task);
+    return {
       task: task.id,
       run,
       host: ledger.host,
       currentRun: current?.run.run,
       currentHost: current?.host.ledger.host,
-    });
+    };
   }
 
   private firstPercent(host: HostLedger, { step }: JobTask): number {
--- /dev/null
+++ b/packages/side/tests/beatOf.ts
@@ -0,0 +1,19 @@
+/** A heartbeat as a side's registry takes it; tests name only the life and its number. */
+
+import { brand, type ServiceName, type WorkerInstance } from "@rackspan/common";
+import type { WorkerHeartbeat } from "@rackspan/side";
+
+export const beatOf = (life: string, sequence = 1): WorkerHeartbeat => ({
+  worker: {
+    instance: brand<WorkerInstance>(life),
+    service: brand<ServiceName>("kaigi"),
+    labels: [],
+    rack: "r1",
+    milliCores: 16_000,
+    memoryMiB: 64_000,
+    accelerators: 0,
+    draining: false,
+    leavesInMs: undefined,
+  },
+  sequence,
+});
--- a/packages/side/tests/taskOrders.test.ts
+++ b/packages/side/tests/taskOrders.test.ts
@@ -10,7 +10,6 @@
   type Epoch,
   type JobTaskId,
   type RunNumber,
-  type ServiceName,
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
@@ -21,13 +20,8 @@
   type TaskHost,
 } from "@rackspan/ports";
 import type { HostCallResult, StartTaskCall } from "@rackspan/protocol";
-import {
-  Pacer,
-  TaskOrders,
-  WorkerRegistry,
-  WorkerWatch,
-  type WorkerHeartbeat,
-} from "@rackspan/side";
+import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
+import { beatOf } from "./beatOf.js";
 
 const CALL: StartTaskCall = {
   instance: brand<WorkerInstance>("w"),
@@ -92,21 +86,6 @@
   return result;
 };
 
-const beatOf = (life: string): WorkerHeartbeat => ({
-  worker: {
-    instance: brand<WorkerInstance>(life),
-    service: brand<ServiceName>("kaigi"),
-    labels: [],
-    rack: "r1",
-    milliCores: 16_000,
-    memoryMiB: 64_000,
-    accelerators: 0,
-    draining: false,
-    leavesInMs: undefined,
-  },
-  sequence: 1,
-});
-
 const refused = (reason: StartRefusal): StartOutcome => ({
   kind: "refused",
   reason,
--- a/packages/side/tests/workerRegistry.test.ts
+++ b/packages/side/tests/workerRegistry.test.ts
@@ -9,22 +9,8 @@
   type ServiceName,
   type WorkerInstance,
 } from "@rackspan/common";
-import { WorkerRegistry } from "@rackspan/side";
-
-const beatOf = (name: string, sequence: number) => ({
-  worker: {
-    instance: brand<WorkerInstance>(name),
-    service: brand<ServiceName>("kaigi"),
-    labels: [],
-    rack: "r1",
-    milliCores: 16_000,
-    memoryMiB: 64_000,
-    accelerators: 0,
-    draining: false,
-    leavesInMs: undefined,
-  },
-  sequence,
-});
+import { OtherServiceError, WorkerRegistry } from "@rackspan/side";
+import { beatOf } from "./beatOf.js";
 
 const createRegistry = () =>
   new WorkerRegistry(new ManualClock(), silentLogger);
@@ -75,3 +61,12 @@
   registry.noteHeartbeat(beatOf("present", 4));
   expect(registry.worker?.instance).toEqual(brand<WorkerInstance>("present"));
 });
+
+test("a heartbeat of another service than the host's is refused, and the worker here goes on", () => {
+  const service = brand<ServiceName>("minutes");
+  const registry = new WorkerRegistry(new ManualClock(), silentLogger, service);
+  expect(() => registry.noteHeartbeat(beatOf("other"))).toThrow(
+    OtherServiceError,
+  );
+  expect(registry.worker).toEqual(undefined);
+});
