--- a/packages/scheduling/src/HostIntake.ts
+++ b/packages/scheduling/src/HostIntake.ts
@@ -108,6 +108,7 @@
     );
   }
 
+  /** Whether the store keeps the life that the host shows now. */
   noteRostered(entry: HostEntry): void {
     const { host, instance } = entry.ledger;
     entry.rostered = this.parts.options.roster.instanceOf(host) === instance;
