Sides tell each leader which runs were lost with former lives of their workers

Change: the side remembers which runs it ordered or saw in each life, and tells those of crashed lives until a leader has answered; an announced one answers for its life.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -219,18 +219,23 @@
           running: [...sighting.answer.running],
           ended: [...watch.unacknowledged],
           hasMoreEnds: sighting.answer.hasMoreEnds,
+          lostRuns: [...registry.runs.untold],
         };
         const grant = await this.ask(link, () =>
           leader.report(this.options.host, this.options.zone, report),
         );
         unanswered = grant ? 0 : unanswered + 1;
+        if (grant) registry.runs.noteTold(report.lostRuns);
         if (grant) takeGrant(watch, worker, grant);
         if (unanswered >= HOST.maxUnanswered) return;
       }
       const gone = registry.lastGone;
       if (gone !== undefined && gone !== toldGone) {
         toldGone = gone;
-        link.tellLeader(() => leader.noteWorkerGone(this.options.host, gone));
+        const lostRuns = [...registry.runs.untold];
+        link.tellLeader(() =>
+          leader.noteWorkerGone(this.options.host, gone, lostRuns),
+        );
       }
       await watch.news.wait(clock, HOST.newsWaitMs);
     }
--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -13,7 +13,7 @@
 import { StoredRoster } from "@rackspan/entry";
 import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
 import type { StoreClient } from "@rackspan/ports";
-import type { Grant, HostReport } from "@rackspan/protocol";
+import type { Grant, HostReport, LostRun } from "@rackspan/protocol";
 import { DEFAULT_POLICY, JobEngine } from "@rackspan/scheduling";
 import {
   decodeHost,
@@ -174,8 +174,12 @@
     return this.isOver ? undefined : this.engine?.report(host, zone, report);
   }
 
-  noteWorkerGone(host: HostId, instance: WorkerInstance): void {
-    if (!this.isOver) this.engine?.noteWorkerGone(host, instance);
+  noteWorkerGone(
+    host: HostId,
+    instance: WorkerInstance,
+    lostRuns: readonly LostRun[],
+  ): void {
+    if (!this.isOver) this.engine?.noteWorkerGone(host, instance, lostRuns);
   }
 
   /** Its term is over: it decides nothing more, and its connections end. */
--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -135,9 +135,9 @@
           const { host, zone, leading } = this.current();
           return leading.engine.report(host, zone, report);
         },
-        workerGone: ({ instance }) => {
+        workerGone: ({ instance, lostRuns }) => {
           const { host, leading } = this.current();
-          leading.engine.noteWorkerGone(host, instance);
+          leading.engine.noteWorkerGone(host, instance, lostRuns);
           return {};
         },
         ping: () => ({}),
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -256,6 +256,7 @@
   running: [],
   ended: [],
   hasMoreEnds: false,
+  lostRuns: [],
 });
 
 /**
--- a/packages/entry/tests/sideServer.test.ts
+++ b/packages/entry/tests/sideServer.test.ts
@@ -47,6 +47,7 @@
   running: [],
   ended: [],
   hasMoreEnds: false,
+  lostRuns: [],
 });
 
 /** What an engine is told, and through which session it would give orders. */
--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -60,6 +60,10 @@
     this.runs.set(run, evidence);
   }
 
+  evidenceOf(run: number): CrashEvidence | undefined {
+    return this.runs.get(run);
+  }
+
   clear(): void {
     this.runs.clear();
   }
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -45,8 +45,18 @@
 const evidenceOf = (run: ActiveRun, loss: WorkerLoss): CrashEvidence => {
   // It was announced, so its end must count, whatever the silence came from.
   if (loss === "silent") return isApart(run) ? "unknown" : "lost";
-  if (run.shownFirstAt === undefined) return "unseen";
-  return isSettled(run) ? "settled" : "young";
+  return evidenceAfter(
+    run.shownFirstAt === undefined ? undefined : workedMs(run),
+  );
+};
+
+/**
+ * @param ms for how long the worker had shown the run when it crashed; undefined
+ *   when it never had
+ */
+export const evidenceAfter = (ms: number | undefined): CrashEvidence => {
+  if (ms === undefined) return "unseen";
+  return ms >= CRASH_LIMITS.settledMs ? "settled" : "young";
 };
 
 export const isSettled = (run: ActiveRun): boolean =>
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -57,6 +57,15 @@
 /** What a worker said of itself, as its side last heard it. */
 export type WorkerDescription = z.output<typeof workerSchema>;
 
+const lostRunSchema = z.object({
+  ...runShape,
+  /** For how long the worker had shown it, milliseconds; absent when it never had. */
+  workedMs: z.number().optional(),
+});
+
+/** A run that may have begun in a life of the worker that has crashed since. */
+export type LostRun = z.output<typeof lostRunSchema>;
+
 const reportSchema = z.object({
   worker: workerSchema,
   /** The worker's clock when it gave the lists. */
@@ -66,6 +75,8 @@
   ended: z.array(endedSchema),
   /** Whether the worker may have more ends, which it lists once these are acknowledged. */
   hasMoreEnds: z.boolean().default(false),
+  /** Runs of former lives that no leader has answered for; none from an older side. */
+  lostRuns: z.array(lostRunSchema).default([]),
 });
 
 export type HostReport = z.output<typeof reportSchema>;
@@ -105,7 +116,10 @@
   report: { params: reportSchema, result: grantSchema },
   /** That life of the worker has ended, and so has all that ran there. */
   workerGone: {
-    params: z.object({ instance: idSchema<WorkerInstance>() }),
+    params: z.object({
+      instance: idSchema<WorkerInstance>(),
+      lostRuns: z.array(lostRunSchema).default([]),
+    }),
     result: z.object({}),
   },
   /** Keeps the connection open while the worker shows nothing. */
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -4,14 +4,19 @@
  * from it, and neither a worker's new life nor its host's entry resets it.
  */
 
+import type { HostId, RunNumber } from "@rackspan/common";
 import {
   blameCrash,
+  evidenceAfter,
+  refOf,
   type ActiveRun,
   type JobRun,
   type JobTask,
   type WorkerLoss,
 } from "@rackspan/jobs";
-import { isFinal, type CrashEvidence } from "@rackspan/state";
+import { runKeyOf } from "@rackspan/ports";
+import type { LostRun } from "@rackspan/protocol";
+import { BoundedMap, type CrashEvidence } from "@rackspan/state";
 import type { HostEntry } from "./engineTypes.js";
 import type { EngineParts } from "./engineParts.js";
 import type { JobCloser } from "./JobCloser.js";
@@ -22,7 +27,13 @@
   readonly keeper: ProgressKeeper;
 }
 
+/** Runs that are remembered as judged: a side repeats what it tells until it is answered. */
+const MAX_JUDGED = 10_000;
+
 export class CrashKeeper {
+  /** Lost runs that this leader has judged, those it let go free among them. */
+  private readonly judged = new BoundedMap<string, true>(MAX_JUDGED);
+
   constructor(private readonly parts: CrashKeeperOptions) {}
 
   /**
@@ -43,9 +54,34 @@
       blamed: blamed.size,
     });
     for (const run of [...ledger.runs.values()]) {
+      this.judged.set(runKeyOf(refOf(run)), true);
       runs.giveBack(entry, run, reason);
     }
-    for (const [run, evidence] of blamed) this.note(entry, run, evidence);
+    for (const [run, evidence] of blamed) this.note(ledger.host, run, evidence);
+  }
+
+  /**
+   * Takes what a side tells of runs that were lost before it spoke to this leader:
+   * a former one may have ended without having heard of them.
+   */
+  noteTold(host: HostId, lostRuns: readonly LostRun[]): void {
+    const open = lostRuns.flatMap((lost) => this.openLoss(lost));
+    const sole = open.filter(({ task, lost }) => wasApart(task, lost));
+    for (const { task, lost } of sole.length > 0 ? sole : open) {
+      const evidence = sole.length > 0 ? "sole" : evidenceAfter(lost.workedMs);
+      this.note(host, { task, run: lost.run }, evidence);
+    }
+    for (const lost of lostRuns) this.judged.set(runKeyOf(lost), true);
+  }
+
+  /** The task of a lost run that no leader has judged, as far as is known. */
+  private openLoss(lost: LostRun): { task: JobTask; lost: LostRun }[] {
+    const task = this.parts.jobs.findTask(lost.task);
+    if (!task) return [];
+    const evidence = task.crashes.evidenceOf(lost.run);
+    const isJudged = evidence !== undefined || this.judged.get(runKeyOf(lost));
+    // That its host had been silent was all that was known of the run.
+    return isJudged && evidence !== "lost" ? [] : [{ task, lost }];
   }
 
   /** Counts a run that a former leader announced and that nobody has seen since. */
@@ -57,37 +93,37 @@
   }
 
   private note(
-    entry: HostEntry,
-    run: ActiveRun,
+    host: HostId,
+    { task, run }: Pick<ActiveRun, "task" | "run">,
     evidence: CrashEvidence,
   ): void {
-    const { task } = run;
     const { job } = task.step;
-    if (isFinal(job.state) || task.phase === "done") return;
-    task.crashes.note(run.run, evidence);
-    this.logCount(task, evidence, run, entry);
+    if (job.isEnded || task.phase === "done") return;
+    if (task.announced === run) task.announced = undefined;
+    task.crashes.note(run, evidence);
+    this.logCount(task, evidence, run, host);
     this.keep(job, task);
   }
 
   private keep(job: JobRun, task: JobTask): void {
     const { closer, keeper } = this.parts;
     closer.closeIfEnded(job, task);
-    if (!isFinal(job.state)) keeper.keepJob(job);
+    if (!job.isEnded) keeper.keepJob(job);
   }
 
   private logCount(
     task: JobTask,
     evidence: CrashEvidence,
-    run?: ActiveRun,
-    entry?: HostEntry,
+    run?: RunNumber,
+    host?: HostId,
   ): void {
     const { logger, metrics } = this.parts.options;
     metrics.count("task_crashes", { evidence });
     const { points, crashes, isSuspect } = task.crashes;
     logger.warn("task.crash-counted", {
       task: task.id,
-      run: run?.run,
-      host: entry?.ledger.host,
+      run,
+      host,
       evidence,
       crashes,
       points,
@@ -95,3 +131,9 @@
     });
   }
 }
+
+/** Whether the lost run was the announced one of its task, and had just begun. */
+const wasApart = (
+  { announced, crashes }: JobTask,
+  { run, workedMs = 0 }: LostRun,
+): boolean => announced === run && workedMs < crashes.apartMs;
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -17,7 +17,7 @@
   type ReportChanges,
 } from "@rackspan/jobs";
 import { leaseOverBy } from "@rackspan/leadership";
-import type { Grant, HostReport } from "@rackspan/protocol";
+import type { Grant, HostReport, LostRun } from "@rackspan/protocol";
 import { OutlierEjector } from "@rackspan/routing";
 import {
   isFinal,
@@ -233,11 +233,16 @@
   }
 
   /** The worker has ended, by its own word or since another life answers for it. */
-  noteWorkerGone(host: HostId, instance: WorkerInstance): void {
+  noteWorkerGone(
+    host: HostId,
+    instance: WorkerInstance,
+    lostRuns: readonly LostRun[] = [],
+  ): void {
     const entry = this.hosts.get(host);
-    if (!entry) this.watch.dropUnheard(host, instance);
-    else if (entry.ledger.instance === instance)
+    if (entry?.ledger.instance === instance)
       this.watch.dropHost(entry, "crashed", "worker-gone");
+    this.crashes.noteTold(host, lostRuns);
+    if (!entry) this.watch.dropUnheard(host, instance);
   }
 
   /** Takes a host's report. */
@@ -255,6 +260,7 @@
       logger.warn("report.stale", { host, at: report.at });
       return { acknowledged: ledger.acknowledgedEnds };
     }
+    this.crashes.noteTold(host, report.lostRuns);
     this.intake.noteWorker(entry, report);
     this.takeChanges(entry, reconcileReport(ledger, report, now));
     const tasks = [...ledger.runs.values()].map(({ task }) => task);
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -75,6 +75,8 @@
   acknowledged = 0;
   /** Whether a run that is stopped ends at once; else when the test ends it. */
   stopsAtOnce = true;
+  /** What its side tells of runs that crashed with it, until a leader answers. */
+  lostRuns: HostReport["lostRuns"] = [];
   /** How many lives of the worker have ended. */
   crashes = 0;
   private readonly held: ((result: HostCallResult) => void)[] = [];
@@ -173,6 +175,9 @@
   /** The worker crashed; another life stands at its address. */
   replaceWorker(): void {
     this.crashes += 1;
+    for (const { task, run } of this.running.values()) {
+      this.lostRuns.push({ task, run, workedMs: 0 });
+    }
     this.instance = brand<WorkerInstance>(`${this.instance}x`);
     this.running.clear();
     this.barred.clear();
@@ -217,6 +222,7 @@
       })),
       ended: this.ended.slice(0, MAX_LISTED_ENDS),
       hasMoreEnds: this.ended.length > MAX_LISTED_ENDS,
+      lostRuns: this.lostRuns,
     };
   }
 
@@ -368,7 +374,9 @@
   }
 
   reportOf(host: FakeHost): Grant {
-    return this.engine.report(host.host, ZONE, host.report());
+    const grant = this.engine.report(host.host, ZONE, host.report());
+    host.lostRuns = [];
+    return grant;
   }
 
   /** Lets time pass while the given hosts report as usual. */
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -199,7 +199,8 @@
     const { lastGone } = this.options.registry;
     if (lastGone === undefined || lastGone === this.toldGone) return;
     this.toldGone = lastGone;
-    connection.notify("workerGone", { instance: lastGone });
+    const lostRuns = [...this.options.registry.runs.untold];
+    connection.notify("workerGone", { instance: lastGone, lostRuns });
   }
 
   /** Whether the store names another leader than this one, which grants nothing. */
@@ -245,15 +246,18 @@
     const { worker } = registry;
     if (worker?.instance !== instance) return true;
     this.reportedAt = clock.monotonic();
+    const lostRuns = [...registry.runs.untold];
     const params = {
       worker,
       at: answer.at,
       running: [...answer.running],
       ended: [...watch.unacknowledged],
       hasMoreEnds: answer.hasMoreEnds,
+      lostRuns,
     };
     try {
       const grant = await connection.call("report", params, LINK.callTimeoutMs);
+      registry.runs.noteTold(lostRuns);
       this.take(instance, grant);
       return true;
     } catch (err) {
--- /dev/null
+++ b/packages/side/src/jobs/RunsOfLives.ts
@@ -0,0 +1,121 @@
+/**
+ * Which runs may be under way at the worker, and which were lost with its former
+ * lives. The worker forgets them when it crashes, and a leader that ends with it
+ * tells nobody; this process outlives both, so that the next leader can count them.
+ */
+
+import {
+  type Clock,
+  type Monotonic,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+import { runKeyOf, type HoldAnswer, type RunRef } from "@rackspan/ports";
+import type { LostRun } from "@rackspan/protocol";
+import { BoundedMap } from "@rackspan/state";
+
+const MEMORY = {
+  /** Lives that may be the present one; see WorkerRegistry. */
+  maxLives: 9,
+  /** Runs that were lost and that no leader has heard of; the oldest are forgotten. */
+  maxLost: 512,
+  /** An order that the worker has not shown by then has lapsed, milliseconds. */
+  unshownMs: 4_000,
+} as const;
+
+interface BegunRun {
+  readonly ref: RunRef;
+  /** On the side's clock. */
+  readonly orderedAt: Monotonic;
+  shownFirstAt: WorkerTime | undefined;
+  shownLastAt: WorkerTime | undefined;
+}
+
+export class RunsOfLives {
+  private readonly lives = new BoundedMap<
+    WorkerInstance,
+    Map<string, BegunRun>
+  >(MEMORY.maxLives);
+  /** By run. */
+  private readonly lost = new BoundedMap<string, LostRun>(MEMORY.maxLost);
+
+  constructor(private readonly clock: Clock) {}
+
+  /** The worker is about to be told to start it. */
+  noteOrdered(instance: WorkerInstance, ref: RunRef): void {
+    const runs = this.runsOf(instance);
+    if (!runs.has(runKeyOf(ref))) runs.set(runKeyOf(ref), this.begun(ref));
+  }
+
+  /** The run has not begun, and never will. */
+  noteRefused(instance: WorkerInstance, ref: RunRef): void {
+    this.runsOf(instance).delete(runKeyOf(ref));
+  }
+
+  /** @param askedAt when the worker was asked for these lists, on the side's clock */
+  noteListed(
+    instance: WorkerInstance,
+    { at, running, ended }: HoldAnswer,
+    askedAt: Monotonic,
+  ): void {
+    const runs = this.runsOf(instance);
+    const listed = new Set(running.map(runKeyOf));
+    for (const row of running) {
+      const { task, run } = row;
+      const known = runs.get(runKeyOf(row)) ?? this.begun({ task, run });
+      known.shownFirstAt ??= at;
+      known.shownLastAt = at;
+      runs.set(runKeyOf(row), known);
+    }
+    for (const row of ended) runs.delete(runKeyOf(row));
+    for (const [key, { shownFirstAt, orderedAt }] of runs) {
+      if (listed.has(key)) continue;
+      const hasLapsed = askedAt - orderedAt > MEMORY.unshownMs;
+      if (shownFirstAt !== undefined || hasLapsed) runs.delete(key);
+    }
+  }
+
+  /** @param wasPlanned whether the worker had said that it would leave */
+  endLife(instance: WorkerInstance, wasPlanned: boolean): void {
+    const runs = this.lives.get(instance);
+    if (!runs) return;
+    this.lives.delete(instance);
+    if (wasPlanned) return;
+    for (const [key, run] of runs) this.lost.set(key, toLost(run));
+  }
+
+  /** Lost runs that no leader has answered for yet. */
+  get untold(): readonly LostRun[] {
+    return [...this.lost].map(([, run]) => run);
+  }
+
+  /** A leader has taken note of them. */
+  noteTold(told: readonly LostRun[]): void {
+    for (const run of told) this.lost.delete(runKeyOf(run));
+  }
+
+  private begun(ref: RunRef): BegunRun {
+    return {
+      ref: { task: ref.task, run: ref.run },
+      orderedAt: this.clock.monotonic(),
+      shownFirstAt: undefined,
+      shownLastAt: undefined,
+    };
+  }
+
+  private runsOf(instance: WorkerInstance): Map<string, BegunRun> {
+    const known = this.lives.get(instance);
+    if (known) return known;
+    const runs = new Map<string, BegunRun>();
+    this.lives.set(instance, runs);
+    return runs;
+  }
+}
+
+const toLost = ({ ref, shownFirstAt, shownLastAt }: BegunRun): LostRun => ({
+  ...ref,
+  workedMs:
+    shownFirstAt === undefined || shownLastAt === undefined
+      ? undefined
+      : shownLastAt - shownFirstAt,
+});
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -63,6 +63,7 @@
     pacer.noteStarted(call);
     const { instance, ...order } = call;
     const beganAt = clock.monotonic();
+    registry.runs.noteOrdered(instance, order);
     let tries = 0;
     let mayHaveArrived = false;
     const result = await this.repeat(instance, async () => {
@@ -83,6 +84,7 @@
     // the answer of another life: the run may have crashed the one before it.
     const isNo = result.kind === "refused" || result.kind === "replaced";
     const isUnsure = mayHaveArrived && isNo;
+    if (isNo && !isUnsure) registry.runs.noteRefused(instance, order);
     const tookMs = Math.round(clock.monotonic() - beganAt);
     const answer: HostCallResult = isUnsure ? { kind: "silent" } : result;
     return this.note("start", call, answer, { tries, tookMs });
--- a/packages/side/src/jobs/WorkerRegistry.ts
+++ b/packages/side/src/jobs/WorkerRegistry.ts
@@ -10,6 +10,7 @@
   type WorkerInstance,
 } from "@rackspan/common";
 import type { WorkerDescription } from "@rackspan/protocol";
+import { RunsOfLives } from "./RunsOfLives.js";
 
 /** A heartbeat of the worker on this host. */
 export interface WorkerHeartbeat {
@@ -43,6 +44,8 @@
 export class WorkerRegistry {
   /** Notified when the worker or its state changes. */
   readonly changed = new ChangeSignal();
+  /** What runs at the lives that may be the present one, and what was lost with others. */
+  readonly runs: RunsOfLives;
   /** The life that ended last. */
   lastGone: WorkerInstance | undefined;
   private heartbeat: WorkerHeartbeat | undefined;
@@ -62,7 +65,9 @@
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly service?: ServiceName,
-  ) {}
+  ) {
+    this.runs = new RunsOfLives(clock);
+  }
 
   /** The life that was heard last and is not known to be over. */
   get worker(): WorkerDescription | undefined {
@@ -109,14 +114,14 @@
   /** That life of the worker has answered a call: those before are over. */
   noteAnswered(instance: WorkerInstance): void {
     if (this.heartbeat?.worker.instance !== instance) return;
-    for (const { worker } of this.displaced) this.ban(worker.instance);
+    for (const { worker } of this.displaced) this.ban(worker);
     this.displaced = [];
   }
 
   /** That life of the worker is over. */
   noteGone(instance: WorkerInstance, reason: string): void {
     if (this.gone.has(instance)) return;
-    this.ban(instance);
+    this.ban(this.heard(instance) ?? { instance, draining: false });
     this.lastGone = instance;
     this.logger.info("worker.gone", { instance, reason });
     this.displaced = this.displaced.filter(
@@ -139,8 +144,18 @@
     if (this.displaced.length > REGISTRY.maxDisplaced) this.displaced.shift();
   }
 
-  /** Passes over heartbeats of that life from now on. */
-  private ban(instance: WorkerInstance): void {
+  /** What that life has said of itself last. */
+  private heard(instance: WorkerInstance): WorkerDescription | undefined {
+    const lives = [this.heartbeat, ...this.displaced];
+    return lives.find((life) => life?.worker.instance === instance)?.worker;
+  }
+
+  /** That life is over: its heartbeats are passed over from now on. */
+  private ban({
+    instance,
+    draining,
+  }: Pick<WorkerDescription, "instance" | "draining">): void {
+    this.runs.endLife(instance, draining);
     this.gone.add(instance);
     if (this.gone.size <= REGISTRY.maxGone) return;
     const [oldest] = this.gone;
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -151,6 +151,7 @@
         waitMs: isFirst ? 0 : PACING.everyMs,
       });
       registry.noteAnswered(instance);
+      registry.runs.noteListed(instance, answer, askedAt);
       this.take({ instance, epoch, answer, askedAt }, isFirst);
       return true;
     } catch (err) {
