The model and the soak learn tasks that crash workers, suspended leaders, changing rooms

Cause: no schedule, soak or check had a task that crashes its worker. Sides note a run as shown by the answer to its start.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -33,7 +33,6 @@
   readonly host: HostId;
   readonly zone: AvailabilityZone;
   readonly service: ServiceName;
-  readonly milliCores: number;
   readonly clock: Clock;
   readonly random: Random;
   readonly worker: WorkerModel;
@@ -140,13 +139,13 @@
   }
 
   private describe(): WorkerDescription {
-    const { service, milliCores, worker } = this.options;
+    const { service, worker } = this.options;
     return {
       instance: worker.instance,
       service,
       labels: [],
       rack: "r1",
-      milliCores,
+      milliCores: worker.milliCores,
       memoryMiB: 100_000,
       accelerators: 0,
       draining: this.draining,
--- a/packages/checker/src/jobs/RunHistory.ts
+++ b/packages/checker/src/jobs/RunHistory.ts
@@ -25,6 +25,7 @@
     | "over-room"
     | "unasked"
     | "unacknowledged"
+    | "given-up"
     | "not-finished";
   readonly at: Monotonic;
   readonly detail: string;
@@ -73,6 +74,14 @@
     }
   }
 
+  /** Under how many runs of one task of the job workers ended, at the most. */
+  mostCrashes(job: string): number {
+    const crashes = [...this.byTask]
+      .filter(([task]) => task.startsWith(`${job}.`))
+      .map(([, runs]) => runs.filter(wasCrashed).length);
+    return Math.max(0, ...crashes);
+  }
+
   /** For a task that crashes each worker that starts it: all its runs ended so. */
   checkCrashes(task: JobTaskId): void {
     const runs = [...this.runsOf(task)].sort((a, b) => a.beganAt - b.beganAt);
@@ -110,6 +119,9 @@
   }
 }
 
+const wasCrashed = ({ endedAt, outcome }: RunSeen): boolean =>
+  endedAt !== undefined && outcome === undefined;
+
 const show = ({
   task,
   run,
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -1,5 +1,6 @@
 export {
   runFormerSchedule,
+  runCrashingSchedule,
   runHarshSchedule,
   runJobSchedule,
   runStarvedSchedule,
--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -4,6 +4,7 @@
   runFormerSchedule,
   runHarshSchedule,
   runJobSchedule,
+  runCrashingSchedule,
   runStarvedSchedule,
   type JobViolation,
 } from "@rackspan/checker";
@@ -68,3 +69,12 @@
     await expectNothingBroken(runStarvedSchedule, seed);
   });
 }
+
+// Leaders whose machines are suspended past their terms, tasks that crash their
+// workers, workers whose room changes. Without the count, or with one that is kept
+// in memory alone, such a task is started for as long as the schedule lasts.
+test("tasks that crash their workers are given up across suspended leaders, and no others", async () => {
+  for (const seed of SEEDS) {
+    await expectNothingBroken(runCrashingSchedule, seed);
+  }
+});
--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -11,30 +11,33 @@
  * How much a lost run speaks against its task:
  * - `sole`: it had begun apart from other new runs, and its worker crashed;
  * - `young`: it had just begun when its worker crashed, as others may have;
+ * - `unanswered`: the same as `sole`, but its worker had not shown the run before;
  * - `unknown`: it was announced, and nobody knows whether it began;
  * - `unseen`: its worker crashed before it showed the run, which may not have begun;
  * - `settled`: it had worked for a while when its worker crashed;
  * - `lost`: its host fell silent until the lease was over.
  */
 const POINTS: Readonly<Record<CrashEvidence, number>> = {
-  sole: 2,
-  young: 2,
-  unknown: 2,
-  unseen: 1,
-  settled: 1,
-  lost: 1,
+  sole: 4,
+  young: 4,
+  unanswered: 4,
+  unseen: 2,
+  settled: 2,
+  lost: 2,
+  // Each change of leader between an announcement and its order leaves one.
+  unknown: 1,
 };
 
 export const CRASH_LIMITS = {
   /** A task with this much against it is announced to the store before it starts, and starts apart. */
-  suspectPoints: 2,
+  suspectPoints: 4,
   /** Crashes, one of them the task's alone, after which it is given up. */
   provenCrashes: 2,
   /**
-   * Without such proof it is given up at this: four crashes just after its start, or up
-   * to eight losses that a cut or a failing host may have brought about as well.
+   * Without such proof it is given up at this: three crashes just after its start, or
+   * six losses that a cut or a failing host may have brought about as well.
    */
-  unprovenPoints: 8,
+  unprovenPoints: 12,
   /** Proof is doubted when another worker was lost within this of it, milliseconds. */
   togetherMs: 1_500,
   /** A run that has worked for this long is not thought of first when its worker crashes, milliseconds. */
@@ -42,7 +45,9 @@
   /** A run of a task that is suspected for the first time begins apart for this long, milliseconds. */
   apartMs: 500,
   /** The same once it is suspected again, for tasks that crash their workers later. */
-  longApartMs: 5_000,
+  longApartMs: 2_500,
+  /** One that has waited this long takes a host that would be left to others, milliseconds. */
+  apartPatienceMs: 2_000,
   /** A lasting task that has worked for this long starts with a clean log, milliseconds. */
   clearedMs: 60_000,
 } as const;
@@ -52,6 +57,7 @@
   sole: true,
   young: true,
   settled: true,
+  unanswered: false,
   unknown: false,
   unseen: false,
   lost: false,
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -25,7 +25,7 @@
   if (ledger.worker.draining) return new Map();
   const runs = [...ledger.runs.values()];
   const sole = loss === "crashed" ? findSole(runs) : undefined;
-  if (sole) return new Map([[sole, wasShown(sole) ? "sole" : "unknown"]]);
+  if (sole) return new Map([[sole, wasShown(sole) ? "sole" : "unanswered"]]);
   return new Map(runs.map((run) => [run, evidenceOf(run, loss)]));
 };
 
@@ -43,8 +43,7 @@
 };
 
 const evidenceOf = (run: ActiveRun, loss: WorkerLoss): CrashEvidence => {
-  // It was announced, so its end must count, whatever the silence came from.
-  if (loss === "silent") return isApart(run) ? "unknown" : "lost";
+  if (loss === "silent") return "lost";
   return evidenceAfter(wasShown(run) ? workedMs(run) : undefined);
 };
 
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -28,7 +28,7 @@
   readonly keeper: ProgressKeeper;
 }
 
-const PROOFS: readonly CrashEvidence[] = ["sole", "unknown"];
+const PROOFS: readonly CrashEvidence[] = ["sole", "unanswered"];
 
 /** Runs that are remembered as judged: a side repeats what it tells until it is answered. */
 const MAX_JUDGED = 10_000;
@@ -94,9 +94,12 @@
    */
   noteTold(host: HostId, lostRuns: readonly LostRun[]): void {
     const open = lostRuns.flatMap((lost) => this.openLoss(lost));
-    const sole = open.filter(({ task, lost }) => wasApart(task, lost));
-    for (const { task, lost } of sole.length > 0 ? sole : open) {
-      const evidence = sole.length > 0 ? "sole" : evidenceAfter(lost.workedMs);
+    const young = open.filter(({ lost }) => !hadSettled(lost));
+    const [only] = young;
+    // Beside another run that had just begun, the one that began apart may be free of it.
+    const isSole = only && young.length === 1 && wasApart(only.task, only.lost);
+    for (const { task, lost } of isSole ? [only] : open) {
+      const evidence = isSole ? proofOf(lost) : evidenceAfter(lost.workedMs);
       this.note(host, { task, run: lost.run }, evidence);
     }
     for (const lost of lostRuns) this.judged.set(runKeyOf(lost), true);
@@ -187,6 +190,12 @@
   }
 }
 
+const hadSettled = ({ workedMs = 0 }: LostRun): boolean =>
+  workedMs >= CRASH_LIMITS.settledMs;
+
+const proofOf = ({ workedMs }: LostRun): CrashEvidence =>
+  workedMs === undefined ? "unanswered" : "sole";
+
 /** Whether the lost run was the announced one of its task, and had just begun. */
 const wasApart = (
   { announced, crashes }: JobTask,
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -1,7 +1,13 @@
 /** Starts waiting tasks on hosts with room, in the order of work. */
 
 import type { Monotonic, RunNumber } from "@rackspan/common";
-import type { HostLedger, JobRun, JobTask, StepRun } from "@rackspan/jobs";
+import {
+  CRASH_LIMITS,
+  type HostLedger,
+  type JobRun,
+  type JobTask,
+  type StepRun,
+} from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
 import type { PermitRule, JobTerms, QueueSpec } from "@rackspan/state";
 import { chooseGangHosts } from "./chooseGangHosts.js";
@@ -174,13 +180,16 @@
    */
   private placeApart(task: JobTask, hosts: readonly HostLedger[]): void {
     const { announcer, hosts: book, placer, engine } = this.options;
-    if (engine.clock.monotonic() < task.heldUntil) return;
-    const open = this.openTo(task.step, hosts);
-    if (!mayHoldApart(open, book.all())) return;
+    const now = engine.clock.monotonic();
+    if (now < task.heldUntil) return;
     const run = announcer.runFor([task]);
     if (run === undefined || task.step.job.isEnded) return;
+    task.waitsApartSince ??= now;
+    const isPatient = now - task.waitsApartSince < CRASH_LIMITS.apartPatienceMs;
+    const open = this.openTo(task.step, hosts);
+    if (isPatient && !mayHoldApart(open, book.all())) return;
     const host = pickApart(task, open, placer);
-    if (host) this.startOn(host, task, run);
+    if (host) this.startOn(host, task, run, true);
   }
 
   private hasWaitedLong({ unplacedSince }: StepRun): boolean {
@@ -234,12 +243,20 @@
     for (const [task, host] of chosen) this.startOn(host, task, number);
   }
 
-  private startOn(host: HostLedger, task: JobTask, number: RunNumber): void {
+  /** @param isApart whether a suspected task begins apart from others */
+  private startOn(
+    host: HostLedger,
+    task: JobTask,
+    number: RunNumber,
+    isApart = false,
+  ): void {
     const { hosts, runs, permits, announcer } = this.options;
     const entry = hosts.get(host.host);
     const ticket = permits.ticketFor(task.step, host);
     announcer.noteOrdered(task);
-    if (entry) runs.start(entry, task, number, ticket);
+    task.waitsApartSince = undefined;
+    const apartMs = isApart ? task.crashes.apartMs : 0;
+    if (entry) runs.start(entry, task, number, { ticket, apartMs });
   }
 }
 
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -32,6 +32,14 @@
   readonly onWaiting: (job: JobRun) => void;
 }
 
+/** How a run is to begin. */
+export interface RunTerms {
+  /** The step's permit for the host, where its queue asks for one. */
+  readonly ticket: string | undefined;
+  /** For how long no other run begins beside it, milliseconds. */
+  readonly apartMs: number;
+}
+
 /** What an order to start says beside the task. */
 interface StartTerms {
   /** The step's permit for the host, where its queue asks for one. */
@@ -59,12 +67,11 @@
     return (epoch * ENGINE.runsPerEpoch + this.started) as unknown as RunNumber;
   }
 
-  /** @param ticket the step's permit for the host, where its queue asks for one */
   start(
     host: HostEntry,
     task: JobTask,
     number: RunNumber,
-    ticket?: string,
+    { ticket, apartMs }: RunTerms,
   ): void {
     const { clock, hosts, leaseMs } = this.options;
     const now = clock.monotonic();
@@ -75,7 +82,7 @@
       run: number,
       phase: "starting",
       startedAt: now,
-      apartMs: task.step.spec.gang ? 0 : task.crashes.apartMs,
+      apartMs,
       shownFirstAt: undefined,
       answeredAt: undefined,
       orderLapsesAt: (workerClock(ledger, now) + orderMs) as WorkerTime,
--- a/packages/side/src/jobs/RunsOfLives.ts
+++ b/packages/side/src/jobs/RunsOfLives.ts
@@ -47,6 +47,14 @@
     if (!runs.has(runKeyOf(ref))) runs.set(runKeyOf(ref), this.begun(ref));
   }
 
+  /** The worker has said that the run is there. */
+  noteStarted(instance: WorkerInstance, ref: RunRef, at: WorkerTime): void {
+    const run = this.runsOf(instance).get(runKeyOf(ref));
+    if (!run) return;
+    run.shownFirstAt ??= at;
+    run.shownLastAt = at;
+  }
+
   /** The run has not begun, and never will. */
   noteRefused(instance: WorkerInstance, ref: RunRef): void {
     this.runsOf(instance).delete(runKeyOf(ref));
@@ -68,10 +76,12 @@
       runs.set(runKeyOf(row), known);
     }
     for (const row of ended) runs.delete(runKeyOf(row));
-    for (const [key, { shownFirstAt, orderedAt }] of runs) {
+    for (const [key, { shownLastAt, orderedAt }] of runs) {
       if (listed.has(key)) continue;
       const hasLapsed = askedAt - orderedAt > MEMORY.unshownMs;
-      if (shownFirstAt !== undefined || hasLapsed) runs.delete(key);
+      // Lists that were on their way when it started do not tell of it.
+      const hasEnded = shownLastAt !== undefined && at > shownLastAt;
+      if (hasEnded || hasLapsed) runs.delete(key);
     }
   }
 
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -78,7 +78,10 @@
         return { kind: "refused", reason: "unhealthy" };
       }
     });
-    if (result.kind === "ok") pacer.paceFirst(call);
+    if (result.kind === "ok") {
+      registry.runs.noteStarted(instance, order, result.at);
+      pacer.paceFirst(call);
+    }
     // A refusal speaks of the last try only: one before it that got no answer may
     // have been carried out, and the run have ended since, or may be later. So does
     // the answer of another life: the run may have crashed the one before it.
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -192,6 +192,7 @@
 export const CRASH_EVIDENCE = [
   "sole",
   "young",
+  "unanswered",
   "unknown",
   "unseen",
   "settled",
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -4,6 +4,7 @@
 import {
   runHarshSchedule,
   runJobSchedule,
+  runCrashingSchedule,
   runStarvedSchedule,
 } from "@rackspan/checker";
 import { wholeNumber } from "./wholeNumber.js";
@@ -13,17 +14,24 @@
   readonly seed: number;
   readonly harsh: boolean;
   readonly starved: boolean;
+  readonly crashing: boolean;
 }
 
-const { runs, seed, harsh, starved } = new Command("check:jobs")
+const { runs, seed, harsh, starved, crashing } = new Command("check:jobs")
   .option("--runs <n>", "schedules to run", wholeNumber, 50)
   .option("--seed <s>", "seed of the first one", wholeNumber, 1)
   .option("--harsh", "jobs of all kinds and more faults", false)
   .option("--starved", "a leader short of time, and runs that fail", false)
+  .option(
+    "--crashing",
+    "tasks that crash their workers, suspended leaders",
+    false,
+  )
   .parse()
   .opts<Options>();
 
 const pickSchedule = (): typeof runJobSchedule => {
+  if (crashing) return runCrashingSchedule;
   if (starved) return runStarvedSchedule;
   return harsh ? runHarshSchedule : runJobSchedule;
 };
--- a/soak/tests/soak.test.ts
+++ b/soak/tests/soak.test.ts
@@ -57,3 +57,23 @@
   expect(ended).toEqual(accepted);
   expect(ownEnds).toEqual(0);
 });
+
+// A task that crashes each worker that starts it was started again for as long as
+// the site ran, also by the next leader. Workers crash here by their tasks alone, so
+// no other job may be given up.
+test("tasks that crash their workers are given up, and no others, while leaders are killed", async () => {
+  const { violations, accepted, ended, ownEnds } = await playSoak({
+    seed: 23,
+    seconds: SECONDS,
+    programs: new Programs(join(folder, "target")),
+    folder: join(folder, "crash-logs"),
+    only: ["killedEntry", "frozenLeader", "killedSides"],
+    crashingJobs: true,
+  });
+  expect(violations.map(({ kind, detail }) => `${kind}: ${detail}`)).toEqual(
+    [],
+  );
+  expect(accepted > 0).toEqual(true);
+  expect(ended).toEqual(accepted);
+  expect(ownEnds).toEqual(0);
+});
