A suspected lasting task has room kept for it; planned leavers raise no doubt

Cause: read on review: a suspected task that found no host was not noted as unplaced, so no host was emptied for a lasting one; a worker that left as planned counted as one that was lost without proof; filling suspects were placed whatever they disturbed. Change: placeApart tells whether it found a place; see the cause for the rest.

--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -37,7 +37,10 @@
   /** Lost runs that this leader has judged, those it let go free among them. */
   private readonly judged = new BoundedMap<string, true>(MAX_JUDGED);
 
-  /** When the worker of a host was last lost without proof against a task. */
+  /**
+   * When the worker of a host was last lost without proof against a task: whatever
+   * has struck it may have struck others.
+   */
   private readonly unexplained = new BoundedMap<HostId, Monotonic>(MAX_JUDGED);
 
   constructor(private readonly parts: CrashKeeperOptions) {}
@@ -51,7 +54,10 @@
     const { options, runs } = this.parts;
     const { ledger } = entry;
     const blamed = blameCrash(ledger, loss);
-    this.noteUnexplained(ledger.host, blamed, loss);
+    const wasPlanned = ledger.worker.draining;
+    if (loss === "crashed" && !wasPlanned && !isProven(blamed)) {
+      this.unexplained.set(ledger.host, options.clock.monotonic());
+    }
     if (ledger.runs.size === 0) return;
     options.logger.warn("host.runs-lost", {
       host: ledger.host,
@@ -67,19 +73,6 @@
     for (const [run, evidence] of blamed) this.note(ledger.host, run, evidence);
   }
 
-  /** Without proof against a task, whatever has struck this worker may strike others. */
-  private noteUnexplained(
-    host: HostId,
-    blamed: ReadonlyMap<ActiveRun, CrashEvidence>,
-    loss: WorkerLoss,
-  ): void {
-    const isExplained = [...blamed.values()].some((one) =>
-      PROOFS.includes(one),
-    );
-    if (loss === "silent" || isExplained) return;
-    this.unexplained.set(host, this.parts.options.clock.monotonic());
-  }
-
   /** Whether workers of other hosts were lost at about that time, without a suspected task. */
   private othersWereLost(host: HostId, at: Monotonic): boolean {
     return [...this.unexplained].some(
@@ -190,6 +183,9 @@
   }
 }
 
+const isProven = (blamed: ReadonlyMap<ActiveRun, CrashEvidence>): boolean =>
+  [...blamed.values()].some((evidence) => PROOFS.includes(evidence));
+
 const hadSettled = ({ workedMs = 0 }: LostRun): boolean =>
   workedMs >= CRASH_LIMITS.settledMs;
 
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -154,9 +154,10 @@
       return;
     }
     const { placer, runs, announcer } = this.options;
+    let isUnplaced = false;
     for (const task of [...step.waiting]) {
       if (announcer.isNeeded(task)) {
-        this.placeApart(task, hosts);
+        if (!this.placeApart(task, hosts)) isUnplaced = true;
         if (job.isEnded) return;
         continue;
       }
@@ -171,25 +172,30 @@
       }
       this.startOn(host, task, runs.nextRun());
     }
-    step.unplacedSince = undefined;
+    if (isUnplaced) this.noteUnplaced(step, hosts);
+    else step.unplacedSince = undefined;
   }
 
   /**
    * Starts a task under which a worker has crashed: announced, and where it takes
    * the fewest others along if it crashes this one too.
+   * @returns false when no host has a place for it
    */
-  private placeApart(task: JobTask, hosts: readonly HostLedger[]): void {
+  private placeApart(task: JobTask, hosts: readonly HostLedger[]): boolean {
     const { announcer, hosts: book, placer, engine } = this.options;
     const now = engine.clock.monotonic();
-    if (now < task.heldUntil) return;
+    if (now < task.heldUntil) return true;
     const run = announcer.runFor([task]);
-    if (run === undefined || task.step.job.isEnded) return;
+    if (run === undefined || task.step.job.isEnded) return true;
     task.waitsApartSince ??= now;
     const isPatient = now - task.waitsApartSince < CRASH_LIMITS.apartPatienceMs;
     const open = this.openTo(task.step, hosts);
-    if (isPatient && !mayHoldApart(open, book.all())) return;
-    const host = pickApart(task, open, placer);
-    if (host) this.startOn(host, task, run, true);
+    if (isPatient && !mayHoldApart(open, book.all())) return true;
+    const mustPlace = !isPatient || task.step.spec.lasting;
+    const host = pickApart({ task, open, placer, mustPlace });
+    if (!host) return false;
+    this.startOn(host, task, run, true);
+    return true;
   }
 
   private hasWaitedLong({ unplacedSince }: StepRun): boolean {
--- a/packages/scheduling/src/RunAnnouncer.ts
+++ b/packages/scheduling/src/RunAnnouncer.ts
@@ -64,6 +64,7 @@
     const { journal, nextRun, settleFormer } = this.options;
     for (const task of tasks) if (!this.open.has(task)) settleFormer(task);
     if (tasks.some(({ step }) => step.job.isEnded)) return;
+    this.forgetEnded();
     const announcement = { run: nextRun(), isKept: false };
     const jobs = new Set(tasks.map(({ step }) => step.job));
     for (const task of tasks) {
@@ -76,6 +77,13 @@
     );
   }
 
+  /** Their jobs were cancelled, or given up, before they were ordered. */
+  private forgetEnded(): void {
+    for (const task of this.open.keys()) {
+      if (task.step.job.isEnded) this.open.delete(task);
+    }
+  }
+
   private noteKept(announcement: Announcement): void {
     announcement.isKept = true;
     this.options.onKept();
--- a/packages/scheduling/src/pickApart.ts
+++ b/packages/scheduling/src/pickApart.ts
@@ -23,20 +23,30 @@
   return held.length === 0 || held.length < open.length;
 };
 
+export interface PickApartOptions {
+  readonly task: JobTask;
+  /** Hosts that take new tasks; those without room are among them. */
+  readonly open: readonly HostLedger[];
+  readonly placer: TaskPlacer;
+  /** See TaskPlacer. */
+  readonly mustPlace: boolean;
+}
+
 /**
  * The allowed host where the fewest runs have just begun, then where the fewest
  * are: its crash can be told from theirs, and takes the fewest along.
  */
-export const pickApart = (
-  task: JobTask,
-  open: readonly HostLedger[],
-  placer: TaskPlacer,
-): HostLedger | undefined => {
+export const pickApart = ({
+  task,
+  open,
+  placer,
+  mustPlace,
+}: PickApartOptions): HostLedger | undefined => {
   const ranked = open
     .map((host) => ({ host, young: youngRuns(host), runs: host.runs.size }))
     .sort((a, b) => a.young - b.young || a.runs - b.runs);
   for (const { host } of ranked) {
-    if (placer.pick(task, [host], true)) return host;
+    if (placer.pick(task, [host], mustPlace)) return host;
   }
   return undefined;
 };
--- a/packages/scheduling/tests/crashingTasks.test.ts
+++ b/packages/scheduling/tests/crashingTasks.test.ts
@@ -291,3 +291,26 @@
   await runWithCrashes(site, { crashes: isCrasher }, 5_000);
   expect(stateOf(site, JOB)).toEqual("failed");
 });
+
+test("a suspected lasting task gets room although the hosts are full of plain ones", async () => {
+  const site = await siteOf(2);
+  site.submit(JOB, [{ lasting: true, demand: WHOLE_HOST }]);
+  let crashed = 0;
+  const crashes = (task: JobTaskId): boolean =>
+    isCrasher(task) && crashed++ === 0;
+  await runWithCrashes(site, { crashes }, 300);
+  site.submit(OTHER, [{ taskCount: 300 }]);
+  for (let round = 0; round < 60 && !isRunning(site, TASK); round += 1) {
+    for (const host of site.hosts) {
+      const [oldest] = host.runningTasks;
+      if (oldest && oldest !== TASK) host.end(oldest, "done");
+      const [next] = host.runningTasks;
+      if (next && next !== TASK) host.end(next, "done");
+    }
+    await site.run(200);
+  }
+  expect(isRunning(site, TASK)).toEqual(true);
+});
+
+const isRunning = ({ hosts }: EngineHarness, task: JobTaskId): boolean =>
+  hosts.some((host) => host.isRunning(task));
