--- /dev/null
+++ b/packages/jobs/tests/crashLog.test.ts
@@ -0,0 +1,40 @@
+/** When what is known of a task's lost runs is enough to give it up. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { CrashLog } from "@rackspan/jobs";
+import type { CrashEvidence } from "@rackspan/state";
+
+const logOf = (...evidence: readonly CrashEvidence[]): CrashLog =>
+  new CrashLog(evidence.map((one, run) => [run, one]));
+
+test("one crash just after the start makes a task suspected, and two losses do", () => {
+  expect(logOf("young").isSuspect).toEqual(true);
+  expect(logOf("lost").isSuspect).toEqual(false);
+  expect(logOf("lost", "settled").isSuspect).toEqual(true);
+});
+
+test("two crashes, one of them the task's alone, are enough", () => {
+  expect(logOf("young", "sole").isSpent).toEqual(true);
+  expect(logOf("young", "young").isSpent).toEqual(false);
+  expect(logOf("sole").isSpent).toEqual(false);
+});
+
+test("what may not have been a crash under the task is no second crash", () => {
+  for (const other of ["unseen", "unknown", "lost", "unanswered"] as const) {
+    expect(logOf(other, "sole").isSpent).toEqual(false);
+  }
+});
+
+test("without proof three crashes are enough, or six losses", () => {
+  expect(logOf("young", "young", "young").isSpent).toEqual(true);
+  const losses = Array.from({ length: 6 }, () => "lost" as const);
+  expect(logOf(...losses.slice(1)).isSpent).toEqual(false);
+  expect(logOf(...losses).isSpent).toEqual(true);
+});
+
+test("a run counts once, by what was noted of it last", () => {
+  const log = logOf("sole", "young");
+  log.note(0, "young");
+  expect([log.points, log.isSpent]).toEqual([8, false]);
+});
--- a/packages/scheduling/tests/silentHosts.test.ts
+++ b/packages/scheduling/tests/silentHosts.test.ts
@@ -80,3 +80,14 @@
   await harness.run(500);
   expect(host.stops.length).toEqual(1);
 });
+
+// Were the silence of hosts counted with the time for which the leader's machine was
+// suspended, their leases would be taken for over while their tasks run on.
+test("a leader whose machine was suspended takes no lease for over", async () => {
+  const { harness, host, work } = await createSite();
+  harness.clock.suspend(20_000);
+  await work(400, []);
+  await work(1_000, [host]);
+  expect(host.starts.length).toEqual(6);
+  expect(host.runningTasks.length).toEqual(6);
+});
--- /dev/null
+++ b/packages/side/tests/runsOfLives.test.ts
@@ -0,0 +1,105 @@
+/** What a side remembers of the runs of each life of its worker. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  silentLogger,
+  type JobTaskId,
+  type RunNumber,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+import type { HoldAnswer, RunRef } from "@rackspan/ports";
+import { WorkerRegistry } from "@rackspan/side";
+import { beatOf } from "./beatOf.js";
+
+const FIRST = brand<WorkerInstance>("w1");
+const RUN: RunRef = {
+  task: brand<JobTaskId>("j.0.0.0"),
+  run: brand<RunNumber>(7),
+};
+const timeOf = (ms: number): WorkerTime => ms as unknown as WorkerTime;
+
+const listOf = (at: number, running: readonly RunRef[]): HoldAnswer => ({
+  at: timeOf(at),
+  running: running.map((ref) => ({
+    ...ref,
+    checkpoint: "",
+    progressPercent: 1,
+    reading: 0,
+  })),
+  ended: [],
+  hasMoreEnds: false,
+});
+
+const setUp = () => {
+  const clock = new ManualClock();
+  const registry = new WorkerRegistry(clock, silentLogger);
+  registry.noteHeartbeat(beatOf("w1"));
+  registry.runs.noteOrdered(FIRST, RUN);
+  const crash = (): void => {
+    registry.noteHeartbeat(beatOf("w2"));
+    registry.noteAnswered(brand<WorkerInstance>("w2"));
+  };
+  return { clock, registry, crash };
+};
+
+test("a run that was ordered in a life that crashed is told", () => {
+  const { registry, crash } = setUp();
+  expect(registry.runs.untold).toEqual([]);
+  crash();
+  expect(registry.runs.untold).toEqual([{ ...RUN, workedMs: undefined }]);
+});
+
+test("it is told how long the worker had shown the run", () => {
+  const { registry, crash } = setUp();
+  registry.runs.noteStarted(FIRST, RUN, timeOf(1_000));
+  registry.runs.noteListed(FIRST, listOf(1_400, [RUN]), 0);
+  crash();
+  expect(registry.runs.untold).toEqual([{ ...RUN, workedMs: 400 }]);
+});
+
+test("lists that were on their way when the run started do not end it", () => {
+  const { registry, crash } = setUp();
+  registry.runs.noteStarted(FIRST, RUN, timeOf(1_000));
+  registry.runs.noteListed(FIRST, listOf(990, []), 0);
+  crash();
+  expect(registry.runs.untold.length).toEqual(1);
+});
+
+test("a run that has ended, or was refused, or lapsed is not told", async () => {
+  const ended = setUp();
+  ended.registry.runs.noteStarted(FIRST, RUN, timeOf(1_000));
+  ended.registry.runs.noteListed(FIRST, listOf(1_500, []), 0);
+  ended.crash();
+  expect(ended.registry.runs.untold).toEqual([]);
+  const refused = setUp();
+  refused.registry.runs.noteRefused(FIRST, RUN);
+  refused.crash();
+  expect(refused.registry.runs.untold).toEqual([]);
+  const lapsed = setUp();
+  await lapsed.clock.advance(10_000);
+  lapsed.registry.runs.noteListed(FIRST, listOf(10_000, []), 10_000);
+  lapsed.crash();
+  expect(lapsed.registry.runs.untold).toEqual([]);
+});
+
+test("runs of a worker that leaves as it had said are not told", () => {
+  const { registry } = setUp();
+  const leaving = beatOf("w1", 2);
+  registry.noteHeartbeat({
+    ...leaving,
+    worker: { ...leaving.worker, draining: true },
+  });
+  registry.noteGone(FIRST, "it said that it leaves");
+  expect(registry.runs.untold).toEqual([]);
+});
+
+test("what a leader has answered is told no more", () => {
+  const { registry, crash } = setUp();
+  crash();
+  registry.runs.noteTold(registry.runs.untold);
+  expect(registry.runs.untold).toEqual([]);
+});
--- a/packages/side/tests/taskOrders.test.ts
+++ b/packages/side/tests/taskOrders.test.ts
@@ -14,6 +14,7 @@
   type WorkerTime,
 } from "@rackspan/common";
 import {
+  WorkerReplacedError,
   WorkerSilentError,
   type StartOutcome,
   type StartRefusal,
@@ -40,7 +41,7 @@
  * @param heard lives whose heartbeats came before, in order
  */
 const startWith = async (
-  answers: readonly (StartOutcome | undefined)[],
+  answers: readonly (StartOutcome | Error | undefined)[],
   heard: readonly string[] = [],
 ): Promise<HostCallResult> => {
   const clock = new ManualClock();
@@ -49,6 +50,7 @@
     start: async () => {
       const answer = left.shift();
       if (!answer) throw new WorkerSilentError("no answer");
+      if (answer instanceof Error) throw answer;
       return answer;
     },
   } as unknown as TaskHost;
@@ -138,3 +140,26 @@
   const answer = await startWith([{ kind: "started", at }], ["other"]);
   expect(answer).toEqual({ kind: "replaced" });
 });
+
+// A task crashed its worker before the start was answered. The second try reached
+// the next life, whose answer said that the run had never begun, so nobody counted
+// the crash.
+test("the answer of another life says nothing of an unanswered try before it", async () => {
+  const replaced = new WorkerReplacedError(CALL.instance);
+  expect(await startWith([undefined, replaced])).toEqual({ kind: "silent" });
+  expect(await startWith([replaced])).toEqual({ kind: "replaced" });
+});
+
+test("a start that found no connection is refused at once", async () => {
+  const unsent = new WorkerSilentError("no connection", undefined, false);
+  expect(await startWith([unsent])).toEqual({
+    kind: "refused",
+    reason: "unhealthy",
+  });
+});
+
+test("a start that found no connection after an unanswered try is unsure", async () => {
+  const unsent = new WorkerSilentError("no connection", undefined, false);
+  const tries = [undefined, ...Array.from({ length: 40 }, () => unsent)];
+  expect(await startWith(tries)).toEqual({ kind: "silent" });
+});
--- a/packages/side/tests/unattendedLease.test.ts
+++ b/packages/side/tests/unattendedLease.test.ts
@@ -121,3 +121,19 @@
   expect(lastLease(renewals)).toEqual(granted);
   await stop();
 });
+
+// The worker's clock goes on while the side's stands still: what the side takes for
+// the worker's time falls behind, so the lease ends sooner, and never later.
+test("a side whose machine was suspended renews the lease no further ahead", async () => {
+  const { clock, watch, renewals, workerTime, stop } = await watchWorker();
+  const granted = workerTime() + 10_000;
+  watch.grant(INSTANCE, granted as unknown as WorkerTime);
+  await clock.advance(1_000);
+  clock.suspend(3_000);
+  const from = renewals.length;
+  await clock.advance(2_000);
+  for (const { at, leaseUntil } of renewals.slice(from)) {
+    expect((leaseUntil ?? 0) <= at + UNATTENDED_MS).toEqual(true);
+  }
+  await stop();
+});
