--- a/packages/scheduling/tests/crashingTasks.test.ts
+++ b/packages/scheduling/tests/crashingTasks.test.ts
@@ -314,3 +314,19 @@
 
 const isRunning = ({ hosts }: EngineHarness, task: JobTaskId): boolean =>
   hosts.some((host) => host.isRunning(task));
+
+// A soak gave a job up whose task had been done twice: each time its worker died
+// before anybody had heard of the end. The leader takes a run that it believes to be
+// at work for one that was lost with its worker; the side does not name it as lost.
+test("runs that had ended before their workers crashed do not speak against their task", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{}]);
+  for (let crash = 0; crash < 2; crash += 1) {
+    while (!isRunning(site, TASK)) await site.run(50);
+    const host = site.hosts.find((one) => one.isRunning(TASK));
+    host?.end(TASK, "done");
+    host?.replaceWorker();
+  }
+  await site.run(2_500);
+  expect(stateOf(site, JOB)).not.toEqual("failed");
+});
