--- a/packages/common/src/SuspensionMeter.ts
+++ b/packages/common/src/SuspensionMeter.ts
@@ -2,7 +2,8 @@
  * Adds to a steady clock the time for which the machine was suspended. The steady
  * clock stands still then, and the time of day goes on, so a leap of the one ahead
  * of the other is taken for a suspension. It may also be the time of day that was
- * set: this reading may run ahead, and never falls behind by a suspension.
+ * set: then this reading runs ahead. It falls behind only by a suspension during
+ * which the time of day was set back.
  */
 
 import type { Monotonic } from "./clock.js";
