Nothing begins in an availability zone that the operator evacuates

Change: the adapter decodes the operator's records into typed ones, OperatorView folds them into the configuration and EvacuatedZones; passes take no host of such a zone, hosts there are no reason to move a task. A leader reads the operator's topic to its end before its first start. What runs in the zone goes on. The decoder of the configuration is the operator's decoder now: its key is known to the adapter alone.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -69,6 +69,10 @@
     return this.options.host;
   }
 
+  get zone(): AvailabilityZone {
+    return this.options.zone;
+  }
+
   get worker(): WorkerModel {
     return this.options.worker;
   }
--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -32,6 +32,13 @@
 import { RunHistory } from "./RunHistory.js";
 import { WorkerModel, type TaskTraits } from "./WorkerModel.js";
 
+const ZONES = ["obihiro-a", "otofuke-b"].map((name) =>
+  brand<AvailabilityZone>(name),
+);
+
+const zoneAt = (index: number): AvailabilityZone =>
+  ZONES[index % ZONES.length] as AvailabilityZone;
+
 const WORLD = {
   hosts: 5,
   milliCores: 4_000,
@@ -79,13 +86,18 @@
   private readonly cancelled = new Set<JobId>();
   /** Jobs whose first task crashes each worker that starts it. */
   private readonly crashing = new Set<JobId>();
+  /** Zones that leaders see as evacuated. */
+  private readonly evacuated = new Set<AvailabilityZone>();
+  private evacuations = 0;
+  /** By zone: only the last evacuation that was asked for takes it back. */
+  private readonly lastEvacuation = new Map<AvailabilityZone, number>();
   private leader: LeaderModel | undefined;
   private epoch = 0;
 
   constructor(private readonly options: JobWorldOptions) {
     this.random = new SeededRandom(options.seed);
     this.hosts = Array.from({ length: WORLD.hosts }, (_, index) =>
-      this.buildHost(`h${index + 1}`),
+      this.buildHost(`h${index + 1}`, zoneAt(index)),
     );
     this.elect();
   }
@@ -182,6 +194,30 @@
     this.crashWorkers(1, downMs);
   }
 
+  /** Nothing more is to begin in a zone, or in any; it is taken back after that time. */
+  evacuate(share: number, ms: number): void {
+    for (const zone of ZONES) {
+      if (this.random.next() < share) this.evacuateZone(zone, ms);
+    }
+  }
+
+  private evacuateZone(zone: AvailabilityZone, ms: number): void {
+    const { clock, history, evacuated } = this;
+    const hosts = this.hosts.filter((host) => host.zone === zone);
+    this.evacuations += 1;
+    const number = this.evacuations;
+    this.lastEvacuation.set(zone, number);
+    for (const { host } of hosts)
+      history.noteEvacuated(host, clock.monotonic());
+    clock.after(this.random.next() * VIEW_LAG_MS, () => evacuated.add(zone));
+    clock.after(VIEW_LAG_MS + ms, () => {
+      if (this.lastEvacuation.get(zone) !== number) return;
+      for (const { host } of hosts) history.noteTakenBack(host);
+      evacuated.delete(zone);
+      this.tellLeader((leader) => leader.noteOperator());
+    });
+  }
+
   resetLink(): void {
     this.anyHost().resetLink();
   }
@@ -299,7 +335,7 @@
     return this.hosts[pickIndex(this.random, this.hosts.length)] as HostModel;
   }
 
-  private buildHost(name: string): HostModel {
+  private buildHost(name: string, zone: AvailabilityZone): HostModel {
     const { clock, random, history } = this;
     const host = brand<HostId>(name);
     const { milliCores } = WORLD;
@@ -314,7 +350,7 @@
     });
     return new HostModel({
       host,
-      zone: brand<AvailabilityZone>("obihiro-a"),
+      zone,
       service: QUEUE.service,
       clock,
       random,
@@ -371,6 +407,7 @@
       store: this.store,
       queue: QUEUE,
       endsFormerLinks: this.options.endsFormerLinks,
+      isEvacuated: (zone) => this.evacuated.has(zone),
       jobs: () =>
         [...this.jobs.values()].map((accepted) => ({
           accepted,
--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -47,6 +47,8 @@
   readonly queue: QueueSpec;
   /** Whether a host that attaches ends its connection before, as leaders do. */
   readonly endsFormerLinks: boolean;
+  /** What the entry's view says of the zone now. */
+  readonly isEvacuated: (zone: AvailabilityZone) => boolean;
   /** Jobs as the entry's view holds them now, and whether they were cancelled. */
   readonly jobs: () => Iterable<{
     readonly accepted: AcceptedJob;
@@ -118,6 +120,7 @@
       stopMs,
       mayDecide: () => this.mayDecide(),
       queueOf: () => queue,
+      isEvacuated: this.options.isEvacuated,
       keepLearnt: () => undefined,
       permits: undefined,
     });
@@ -144,6 +147,11 @@
     if (!this.isOver) this.engine?.cancelJob(id);
   }
 
+  /** The operator has written something. */
+  noteOperator(): void {
+    if (!this.isOver) this.engine?.noteOperator();
+  }
+
   addLink(host: HostId, link: SideLink): void {
     this.links.set(host, link);
   }
--- a/packages/checker/src/jobs/RunHistory.ts
+++ b/packages/checker/src/jobs/RunHistory.ts
@@ -23,6 +23,7 @@
     | "past-attempts"
     | "past-crashes"
     | "over-room"
+    | "evacuated"
     | "unasked"
     | "unacknowledged"
     | "given-up"
@@ -34,11 +35,28 @@
 /** Three starts that crash their workers, and two more. */
 const MOST_CRASHED_STARTS = 5;
 
+/** Nothing begins in a zone this long after its evacuation was asked for, milliseconds. */
+const EVACUATE_MS = 5_000;
+
 export class RunHistory {
   readonly violations: JobViolation[] = [];
   private readonly byTask = new Map<JobTaskId, RunSeen[]>();
+  /** Hosts of evacuated zones, and since when. */
+  private readonly evacuated = new Map<HostId, Monotonic>();
+
+  noteEvacuated(host: HostId, at: Monotonic): void {
+    if (!this.evacuated.has(host)) this.evacuated.set(host, at);
+  }
+
+  noteTakenBack(host: HostId): void {
+    this.evacuated.delete(host);
+  }
 
   begin(seen: RunSeen): void {
+    const since = this.evacuated.get(seen.host) ?? Infinity;
+    if (seen.beganAt - since > EVACUATE_MS) {
+      this.add("evacuated", seen.beganAt, show(seen));
+    }
     const others = this.runsOf(seen.task);
     const beside = others.find(({ endedAt }) => endedAt === undefined);
     if (beside)
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -1,6 +1,7 @@
 export {
   runFormerSchedule,
   runCrashingSchedule,
+  runEvacuatingSchedule,
   runHarshSchedule,
   runJobSchedule,
   runStarvedSchedule,
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -157,6 +157,16 @@
   [8, (world, random) => world.changeRoom(between(random, 0.25, 1))],
 ];
 
+/** Zones that are evacuated, also all at once, beside everything harsh. */
+const EVACUATING_EVENTS: typeof EVENTS = [
+  ...HARSH_EVENTS,
+  [
+    14,
+    (world, random) =>
+      world.evacuate(between(random, 0.2, 1), between(random, 100, 12_000)),
+  ],
+];
+
 const pickEvent = (events: typeof EVENTS, random: SeededRandom): Event => {
   const total = events.reduce((sum, [weight]) => sum + weight, 0);
   let at = random.next() * total;
@@ -202,6 +212,13 @@
   failShare: 0,
 };
 
+const EVACUATING: Harshness = { ...HARSH, events: EVACUATING_EVENTS };
+
+/** Plays one seed with zones that are evacuated. @returns what broke, in order */
+export const runEvacuatingSchedule = (
+  seed: number,
+): Promise<readonly JobViolation[]> => runSchedule(seed, EVACUATING);
+
 /**
  * Plays one seed with tasks that crash their workers and machines that are
  * suspended. @returns what broke, in order
--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -5,6 +5,7 @@
   runHarshSchedule,
   runJobSchedule,
   runCrashingSchedule,
+  runEvacuatingSchedule,
   runStarvedSchedule,
   type JobViolation,
 } from "@rackspan/checker";
@@ -78,3 +79,12 @@
     await expectNothingBroken(runCrashingSchedule, seed);
   }
 });
+
+// Zones that are evacuated, one after the other, the same twice and all at once, beside
+// changes of leader, sides and workers that restart, cuts, and orders that come late. An
+// engine that passes evacuations over shows starts in evacuated zones with each seed.
+test("nothing begins in an evacuated zone past its time, whoever leads, and all jobs end", async () => {
+  for (const seed of SEEDS.slice(0, 6)) {
+    await expectNothingBroken(runEvacuatingSchedule, seed);
+  }
+});
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -22,6 +22,7 @@
   StampedWriter,
   TOPICS,
   type ConfigHolder,
+  type EvacuatedZones,
   type JobId,
   type JobView,
   type LearntRecord,
@@ -39,6 +40,8 @@
   readonly store: RecordStore;
   readonly view: JobView;
   readonly config: ConfigHolder;
+  readonly zones: EvacuatedZones;
+  /** Of all that decisions rest on: jobs, what became of them, hosts, the operator's records. */
   readonly followers: readonly TopicFollower[];
   /** The entry's own writers of jobs and cancels; used to drop old ones. */
   readonly jobsWriter: StampedWriter;
@@ -198,7 +201,7 @@
   }
 
   private buildEngine(takenOverAt: number): JobEngine {
-    const { view, config, clock, logger, metrics } = this.options;
+    const { view, config, zones, clock, logger, metrics } = this.options;
     const { leadershipTtlMs, leaseMs, stopMs, mayDecide } = this.options;
     const { roster } = view;
     const gate = new TakeoverGate({
@@ -226,6 +229,7 @@
       stopMs,
       mayDecide: () => !this.abort.signal.aborted && mayDecide(),
       queueOf: (queue) => config.queue(queue),
+      isEvacuated: (zone) => zones.has(zone),
       keepLearnt: (record) => this.keepLearnt(record),
       permits: this.options.permits,
     });
@@ -245,7 +249,8 @@
         // The two topics are read apart: the cancel may have come first.
         if (view.get(id)?.cancelled) engine.cancelJob(id);
       }),
-      config.changes.on(() => engine.noteConfig()),
+      config.changes.on(() => engine.noteOperator()),
+      zones.changes.on(() => engine.noteOperator()),
     );
     engine.start();
     this.tellNewJobsLater(gate);
--- a/packages/entry/src/jobs/wireJobEntry.ts
+++ b/packages/entry/src/jobs/wireJobEntry.ts
@@ -19,8 +19,10 @@
 } from "@rackspan/ports";
 import {
   ConfigHolder,
-  configDecoders,
+  EvacuatedZones,
   JobView,
+  operatorDecoders,
+  OperatorView,
   StampedWriter,
   TopicFollower,
   TOPICS,
@@ -66,10 +68,10 @@
   readonly store: StoreClient;
   readonly view: JobView;
   readonly config: ConfigHolder;
+  readonly zones: EvacuatedZones;
   readonly jobsFollower: TopicFollower;
-  /** Followers of all topics that a leader must have read. */
-  readonly stateFollowers: readonly TopicFollower[];
-  readonly configFollower: TopicFollower;
+  /** Followers of all topics; a leader must have read them. */
+  readonly followers: readonly TopicFollower[];
   readonly jobsWriter: StampedWriter;
   readonly cancelsWriter: StampedWriter;
 }
@@ -86,7 +88,7 @@
     config,
     jobsFollower,
     reach: new StoreReach({
-      followers: [...storeParts.stateFollowers, storeParts.configFollower],
+      followers: storeParts.followers,
       writers: [jobsWriter, cancelsWriter],
       clock,
       watches: settings.readyFollowsStore,
@@ -109,7 +111,7 @@
   return {
     store,
     config,
-    followers: [...storeParts.stateFollowers, storeParts.configFollower],
+    followers: storeParts.followers,
     desk,
     ...leading,
     front,
@@ -126,7 +128,10 @@
   const { client, store: address } = base.settings.platform;
   const store = storeClients.create(client, { address });
   const view = new JobView({ logger, metrics });
-  const config = new ConfigHolder(configDecoders.create(client, {}), logger);
+  const config = new ConfigHolder(logger);
+  const zones = new EvacuatedZones(base);
+  const decoder = operatorDecoders.create(client, {});
+  const operator = new OperatorView({ decoder, config, zones, logger });
   const follow = (
     topic: TopicName,
     onRecords: (records: readonly KeyedRecord[]) => void,
@@ -136,14 +141,15 @@
     store,
     view,
     config,
+    zones,
     jobsFollower,
-    stateFollowers: [
+    followers: [
       jobsFollower,
       follow(TOPICS.cancels, (r) => view.takeCancels(r)),
       follow(TOPICS.progress, (r) => view.takeProgress(r)),
       follow(TOPICS.hosts, (r) => view.takeHosts(r)),
+      follow(TOPICS.config, (r) => operator.take(r)),
     ],
-    configFollower: follow(TOPICS.config, (r) => config.take(r)),
     jobsWriter: buildWriter(base, store, TOPICS.jobs),
     cancelsWriter: buildWriter(base, store, TOPICS.cancels),
   };
@@ -198,7 +204,7 @@
   storeParts: StoreParts,
 ): Pick<JobEntryParts, "election" | "sideServer"> => {
   const { settings, clock, logger, metrics, incarnation } = base;
-  const { store, view, config, stateFollowers } = storeParts;
+  const { store, view, config, zones, followers } = storeParts;
   const { jobsWriter, cancelsWriter } = storeParts;
   const { leases, scheduling, batching, sides } = settings;
   const leadershipTtlMs = Math.max(
@@ -209,7 +215,8 @@
     store,
     view,
     config,
-    followers: stateFollowers,
+    zones,
+    followers,
     jobsWriter,
     cancelsWriter,
     clock,
--- a/packages/entry/tests/createDesk.ts
+++ b/packages/entry/tests/createDesk.ts
@@ -57,7 +57,7 @@
   const writers = [jobsWriter];
   const desk = new JobDesk({
     view,
-    config: new ConfigHolder({ decode: () => ({}) as never }, logger),
+    config: new ConfigHolder(logger),
     jobsFollower,
     reach: new StoreReach({ followers, writers, clock, watches: true }),
     jobsWriter,
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -24,6 +24,7 @@
   ConfigHolder,
   decodeProgress,
   encodeJob,
+  EvacuatedZones,
   JobView,
   StampedWriter,
   TopicFollower,
@@ -47,6 +48,7 @@
   /** Why the entry was told that it must not lead any more, in order. */
   const deposed: string[] = [];
   const view = new JobView({ logger, metrics });
+  const zones = new EvacuatedZones({ clock, logger, metrics });
   const writerOf = (topic: (typeof TOPICS)[keyof typeof TOPICS]) =>
     new StampedWriter({
       topic,
@@ -81,7 +83,8 @@
   const leadership = new Leadership({
     store,
     view,
-    config: new ConfigHolder({ decode: () => ({}) as never }, logger),
+    config: new ConfigHolder(logger),
+    zones,
     followers: [jobs, cancels],
     jobsWriter,
     cancelsWriter,
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -86,6 +86,7 @@
       entries: hosts.all(),
       ejector,
       now: engine.clock.monotonic(),
+      isEvacuated: engine.isEvacuated,
     });
     for (const candidate of candidates) {
       const { service } = this.termsOf(candidate.job);
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -119,6 +119,7 @@
       (other) =>
         other.session !== undefined &&
         !other.ledger.worker.draining &&
+        !this.parts.options.isEvacuated(other.ledger.availabilityZone) &&
         other.ledger.slowness + SLOWNESS.clearlyFaster < ledger.slowness,
     );
   }
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -218,8 +218,8 @@
     this.jobs.delete(id);
   }
 
-  /** The configuration changed: queues may have another service. */
-  noteConfig(): void {
+  /** Queues may have another service, or a zone may be closed or open to starts. */
+  noteOperator(): void {
     this.dispatcher.requestPass();
   }
 
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -1,6 +1,7 @@
 /** What the parts of the job engine share. */
 
 import type {
+  AvailabilityZone,
   Clock,
   Epoch,
   HostId,
@@ -96,6 +97,11 @@
   readonly mayDecide: () => boolean;
   /** What the configuration says of the queue now; undefined when it is dropped. */
   readonly queueOf: (queue: QueueKey) => QueueSpec | undefined;
+  /**
+   * Whether the operator wants nothing more started in the zone. What runs there goes
+   * on: to move it would throw work away that nobody has asked to end.
+   */
+  readonly isEvacuated: (zone: AvailabilityZone) => boolean;
   /** Keeps what was learnt for the next leader. */
   readonly keepLearnt: (record: LearntRecord) => void;
   /** Undefined where the platform has no such service. */
--- a/packages/scheduling/src/usableHosts.ts
+++ b/packages/scheduling/src/usableHosts.ts
@@ -1,6 +1,10 @@
 /** Tells on which hosts a pass may start tasks. */
 
-import { groupBy, type Monotonic } from "@rackspan/common";
+import {
+  groupBy,
+  type AvailabilityZone,
+  type Monotonic,
+} from "@rackspan/common";
 import type { HostLedger } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
 import { ENGINE, type HostEntry } from "./engineTypes.js";
@@ -9,6 +13,8 @@
   readonly entries: Iterable<HostEntry>;
   readonly ejector: OutlierEjector;
   readonly now: Monotonic;
+  /** See EngineOptions. */
+  readonly isEvacuated: (zone: AvailabilityZone) => boolean;
 }
 
 /** By service; hosts that failed of late only where no other is left at all. */
@@ -16,9 +22,11 @@
   entries,
   ejector,
   now,
+  isEvacuated,
 }: UsableHostsOptions): ReadonlyMap<string, readonly HostLedger[]> => {
   const usable = [...entries]
     .filter((entry) => isUsable(entry, now))
+    .filter(({ ledger }) => !isEvacuated(ledger.availabilityZone))
     .map(({ ledger }) => ledger);
   const healthy = usable.filter(({ host }) => !ejector.isEjected(host));
   return groupBy(
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -58,7 +58,7 @@
 /** Workers list no more ends at once; the others follow once these are acknowledged. */
 const MAX_LISTED_ENDS = 500;
 const SERVICE = brand<ServiceName>("kaigi");
-const ZONE = brand<AvailabilityZone>("obihiro-a");
+export const ZONE = brand<AvailabilityZone>("obihiro-a");
 
 /** The side of one host and its worker, as the leader sees them. */
 export class FakeHost implements HostSession {
@@ -97,6 +97,7 @@
     private readonly clock: ManualClock,
     public instance = firstLifeOf(host),
     public milliCores = 32_000,
+    readonly zone = ZONE,
   ) {}
 
   get at(): WorkerTime {
@@ -314,6 +315,8 @@
   leads = true;
   /** What the engine has kept for the next leader, in order. */
   readonly learnt: LearntRecord[] = [];
+  /** Zones that the operator wants nothing more started in. */
+  readonly evacuated = new Set<AvailabilityZone>();
 
   private readonly queue: QueueSpec;
 
@@ -357,6 +360,7 @@
       stopMs: 200,
       mayDecide: () => this.leads,
       queueOf: () => this.queue,
+      isEvacuated: (zone) => this.evacuated.has(zone),
       keepLearnt: (record) => this.learnt.push(record),
       permits: options.permits,
     });
@@ -364,8 +368,9 @@
   }
 
   /** Attaches a host and lets it report once. */
-  async addHost(name: string): Promise<FakeHost> {
-    const host = new FakeHost(brand<HostId>(name), this.clock);
+  async addHost(name: string, zone = ZONE): Promise<FakeHost> {
+    const id = brand<HostId>(name);
+    const host = new FakeHost(id, this.clock, undefined, undefined, zone);
     this.hosts.push(host);
     this.engine.attach(host.host, host);
     this.reportOf(host);
@@ -376,7 +381,7 @@
   }
 
   reportOf(host: FakeHost): Grant {
-    const grant = this.engine.report(host.host, ZONE, host.report());
+    const grant = this.engine.report(host.host, host.zone, host.report());
     host.lostRuns = [];
     return grant;
   }
--- /dev/null
+++ b/packages/scheduling/tests/evacuatedZones.test.ts
@@ -0,0 +1,143 @@
+/**
+ * What users saw: an availability zone was to be emptied, and tasks went on being
+ * started there until its hosts were taken away under them.
+ *
+ * Order of events: the operator asks that nothing more go to the zone's workers; the
+ * store keeps it; for as long as it stands, jobs come.
+ *
+ * Cause: nobody read the operator's record, so the zone's hosts stayed as usable as
+ * all others.
+ *
+ * Evidence: on a played day with one evacuation of 10 s, 375 tasks began in the zone
+ * later than 5 s after the record was acknowledged, the first 5.1 s after it.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { brand, type AvailabilityZone } from "@rackspan/common";
+import type { StepSpec } from "@rackspan/state";
+import {
+  EngineHarness,
+  LEASE_MS,
+  TTL_MS,
+  ZONE,
+  type FakeHost,
+} from "./engineHarness.js";
+
+const OTHER_ZONE = brand<AvailabilityZone>("otofuke-b");
+const JOB = "5c0e7a21d94b36f8";
+const WHOLE_HOST = { milliCores: 30_000, memoryMiB: 100, accelerators: 0 };
+
+/** Two hosts in each of two zones. */
+const siteOfTwoZones = async () => {
+  const site = new EngineHarness();
+  const first = await site.addHost("a1");
+  const second = await site.addHost("a2");
+  const third = await site.addHost("b1", OTHER_ZONE);
+  const fourth = await site.addHost("b2", OTHER_ZONE);
+  return { site, here: [first, second], there: [third, fourth] };
+};
+
+/** How many tasks have begun there, each counted once: one that stands still is moved. */
+const startsOn = (hosts: readonly FakeHost[]): number =>
+  new Set(hosts.flatMap(({ starts }) => starts.map(({ task }) => task))).size;
+
+/** Work of each kind; all of it has room in one zone but for the gang of four. */
+const KINDS: Readonly<Record<string, Partial<StepSpec>>> = {
+  plain: { taskCount: 6 },
+  filling: { taskCount: 6, filling: true },
+  lasting: { taskCount: 2, lasting: true, demand: WHOLE_HOST },
+  gang: { taskCount: 2, gang: true, demand: WHOLE_HOST },
+};
+
+for (const [kind, step] of Object.entries(KINDS)) {
+  test(`no ${kind} task begins in an evacuated zone, and all begin in the other`, async () => {
+    const { site, here, there } = await siteOfTwoZones();
+    site.evacuated.add(ZONE);
+    site.submit(JOB, [step]);
+    await site.run(6_000);
+    expect(startsOn(here)).toEqual(0);
+    expect(startsOn(there)).toEqual(step.taskCount ?? 0);
+  });
+}
+
+test("work that has room nowhere else waits, and begins once the zone is taken back", async () => {
+  const { site, here, there } = await siteOfTwoZones();
+  site.evacuated.add(ZONE);
+  site.submit(JOB, [{ taskCount: 4, gang: true, demand: WHOLE_HOST }]);
+  await site.run(8_000);
+  expect(startsOn([...here, ...there])).toEqual(0);
+  site.evacuated.delete(ZONE);
+  site.engine.noteOperator();
+  await site.run(200);
+  expect(startsOn(here)).toEqual(2);
+});
+
+test("a job that nothing runs of for long is not forced into an evacuated zone", async () => {
+  const { site, here, there } = await siteOfTwoZones();
+  site.evacuated.add(ZONE);
+  site.evacuated.add(OTHER_ZONE);
+  site.submit(JOB, [{ taskCount: 2, filling: true }]);
+  site.submit("77aa7a21d94b36f8", [{ lasting: true, demand: WHOLE_HOST }]);
+  await site.run(10_000);
+  expect(startsOn([...here, ...there])).toEqual(0);
+});
+
+test("what runs in an evacuated zone goes on there and counts", async () => {
+  const { site, here } = await siteOfTwoZones();
+  site.submit(JOB, [{ taskCount: 4, lasting: true, demand: WHOLE_HOST }]);
+  await site.run(500);
+  expect(startsOn(here)).toEqual(2);
+  site.evacuated.add(ZONE);
+  await site.run(4_000);
+  expect(here.flatMap(({ stops }) => stops)).toEqual([]);
+  expect(here.flatMap(({ runs }) => runs).length).toEqual(2);
+});
+
+test("a lost task of an evacuated zone begins elsewhere", async () => {
+  const { site, here, there } = await siteOfTwoZones();
+  site.submit(JOB, [{ taskCount: 4, demand: WHOLE_HOST }]);
+  await site.run(500);
+  site.evacuated.add(ZONE);
+  for (const host of here) host.replaceWorker();
+  for (const host of there)
+    for (const task of host.runningTasks) host.end(task, "done");
+  await site.run(4_000);
+  expect(startsOn(here)).toEqual(2);
+  expect(startsOn(there)).toEqual(4);
+});
+
+test("the next leader starts nothing there either, whenever the zone's hosts attach", async () => {
+  const { site, here, there } = await siteOfTwoZones();
+  site.evacuated.add(ZONE);
+  const job = site.submit(JOB, [{ taskCount: 4, demand: WHOLE_HOST }]);
+  await site.run(500);
+  site.engine.stop();
+  site.leads = false;
+  const { clock, hosts, store } = site;
+  const roster = hosts.map(({ host }) => host);
+  const next = new EngineHarness({ clock, store, roster, epoch: 2 });
+  next.evacuated.add(ZONE);
+  next.hosts.push(...hosts);
+  next.engine.addJob(job, undefined);
+  for (const host of there) next.engine.attach(host.host, host);
+  await next.run(200, there);
+  for (const host of here) next.engine.attach(host.host, host);
+  await next.run(2_000);
+  for (const host of there)
+    for (const task of host.runningTasks) host.end(task, "done");
+  await next.run(TTL_MS + LEASE_MS);
+  expect(startsOn(here)).toEqual(0);
+  expect(startsOn(there)).toEqual(4);
+});
+
+test("an order that is on its way when the evacuation is asked for lapses before its time is over", async () => {
+  const { site, here } = await siteOfTwoZones();
+  site.submit(JOB, [{ taskCount: 4, demand: WHOLE_HOST }]);
+  await site.run(500);
+  const [order] = here[0]?.starts ?? [];
+  const { at } = here[0] ?? {};
+  // Worker clocks run up to 2 % slow.
+  const lapsesInMs = 1.02 * ((order?.leaseUntil ?? 0) - (at ?? 0));
+  expect(lapsesInMs).toBeLessThan(5_000 - TTL_MS);
+});
--- a/packages/scheduling/tests/reportAfterFreeze.test.ts
+++ b/packages/scheduling/tests/reportAfterFreeze.test.ts
@@ -28,7 +28,7 @@
   host.end(taskId("j.0.0.0"), "failed");
   await harness.run(200);
   expect(host.isRunning(taskId("j.0.0.0"))).toEqual(true);
-  harness.engine.noteConfig();
+  harness.engine.noteOperator();
   harness.clock.freeze(FREEZE_MS);
   host.end(taskId("j.0.0.0"), "failed");
   harness.reportOf(host);
@@ -55,7 +55,7 @@
   expect(late.isRunning(taskId("late.0.0.0"))).toEqual(false);
   late.vanish(taskId("lost.0.0.0"));
   late.beginLate(order);
-  harness.engine.noteConfig();
+  harness.engine.noteOperator();
   harness.clock.freeze(FREEZE_MS);
   harness.reportOf(late);
   await harness.run(300);
--- a/packages/scheduling/tests/twoRunsMillisecondsApart.test.ts
+++ b/packages/scheduling/tests/twoRunsMillisecondsApart.test.ts
@@ -80,7 +80,7 @@
 
 test("a worker that is lost while a pass is overdue has its tasks started once", async () => {
   const { harness, lost, others } = await orderAtSilentHost(TASK_COUNT);
-  harness.engine.noteConfig();
+  harness.engine.noteOperator();
   harness.clock.freeze(STANDSTILL_MS);
   harness.engine.noteWorkerGone(lost.host, lost.instance);
   lost.answerHeld({ kind: "replaced" });
--- a/packages/state/src/ConfigHolder.ts
+++ b/packages/state/src/ConfigHolder.ts
@@ -1,12 +1,6 @@
 /** The newest configuration of queues; never goes back within one life. */
 
-import {
-  describeError,
-  Emitter,
-  Registry,
-  type Logger,
-} from "@rackspan/common";
-import type { KeyedRecord } from "@rackspan/ports";
+import { Emitter, type Logger } from "@rackspan/common";
 import {
   queueKeyOf,
   type QueueKey,
@@ -14,19 +8,6 @@
   type SiteConfig,
 } from "./jobModel.js";
 
-/** Reads what the operator has written, in the platform's own form. */
-export interface ConfigDecoder {
-  /** @throws Error of any kind when the bytes are no configuration */
-  decode(value: Buffer): SiteConfig;
-}
-
-export const configDecoders = new Registry<
-  Readonly<Record<string, never>>,
-  ConfigDecoder
->("decoder of configurations");
-
-export const CONFIG_KEY = "config";
-
 export class ConfigHolder {
   readonly changes = new Emitter<SiteConfig>();
   private config: SiteConfig | undefined;
@@ -34,10 +15,7 @@
   /** Prefixes by host name, the longest first. */
   private prefixes = new Map<string, readonly string[]>();
 
-  constructor(
-    private readonly decoder: ConfigDecoder,
-    private readonly logger: Logger,
-  ) {}
+  constructor(private readonly logger: Logger) {}
 
   get current(): SiteConfig | undefined {
     return this.config;
@@ -56,18 +34,8 @@
     return this.queues.get(queueKeyOf(hostName, prefix));
   }
 
-  take(records: readonly KeyedRecord[]): void {
-    for (const { key, value } of records) {
-      if (key !== CONFIG_KEY || !value) continue;
-      try {
-        this.adopt(this.decoder.decode(value));
-      } catch (err) {
-        this.logger.error("config.unreadable", { error: describeError(err) });
-      }
-    }
-  }
-
-  private adopt(config: SiteConfig): void {
+  /** Passes over a configuration that is no newer than the one in force. */
+  adopt(config: SiteConfig): void {
     const before = this.config?.version;
     if (before !== undefined && config.version <= before) {
       this.logger.info("config.passed-over", {
--- /dev/null
+++ b/packages/state/tests/operatorView.test.ts
@@ -0,0 +1,117 @@
+/** What is taken from the operator's topic. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  Metrics,
+  silentLogger,
+  type AvailabilityZone,
+  type Logger,
+} from "@rackspan/common";
+import {
+  RecordsGoneError,
+  type KeyedRecord,
+  type RecordStore,
+} from "@rackspan/ports";
+import {
+  ConfigHolder,
+  EvacuatedZones,
+  OperatorView,
+  TopicFollower,
+  TOPICS,
+  type OperatorRecord,
+} from "@rackspan/state";
+import { MemoryStore } from "@rackspan/standins";
+
+const A = brand<AvailabilityZone>("obihiro-a");
+const B = brand<AvailabilityZone>("otofuke-b");
+
+/** In a form of its own: keys are zones, `?` cannot be read. */
+const decode = ({ key, value }: KeyedRecord): OperatorRecord | undefined => {
+  if (key === "?") throw new Error("nonsense");
+  const zone = brand<AvailabilityZone>(key);
+  return { kind: "evacuation", zone, isAsked: value !== undefined };
+};
+
+const setUp = () => {
+  const clock = new ManualClock();
+  const lines: string[] = [];
+  const note = (event: string): void => void lines.push(event);
+  const logger = { ...silentLogger, info: note, error: note } as Logger;
+  const metrics = new Metrics();
+  const zones = new EvacuatedZones({ clock, logger, metrics });
+  const changes: AvailabilityZone[] = [];
+  zones.changes.on((zone) => changes.push(zone));
+  const config = new ConfigHolder(logger);
+  const view = new OperatorView({ decoder: { decode }, config, zones, logger });
+  return { clock, lines, zones, changes, view };
+};
+
+const asked = (key: string): KeyedRecord => ({ key, value: Buffer.from("{}") });
+const takenBack = (key: string): KeyedRecord => ({ key, value: undefined });
+
+test("a zone is evacuated until its record is taken away, each told once", () => {
+  const { view, zones, changes, lines } = setUp();
+  view.take([asked(A), asked(A), asked(B)]);
+  expect([zones.has(A), zones.has(B)]).toEqual([true, true]);
+  view.take([takenBack(A), takenBack(A)]);
+  expect([zones.has(A), zones.has(B)]).toEqual([false, true]);
+  expect(changes).toEqual([A, B, A]);
+  expect(lines).toEqual([
+    "zone.evacuated",
+    "zone.evacuated",
+    "zone.taken-back",
+  ]);
+});
+
+test("a record that cannot be read leaves those beside it standing", () => {
+  const { view, zones, lines } = setUp();
+  view.take([asked("?"), asked(A)]);
+  expect(zones.has(A)).toEqual(true);
+  expect(lines).toEqual(["operator.unreadable", "zone.evacuated"]);
+});
+
+test("a zone that is taken back while a follower has lost the history is open again", async () => {
+  const { clock, view, zones } = setUp();
+  const store = new MemoryStore(clock);
+  let isForgetful = false;
+  const forgetful: RecordStore = {
+    append: (req) => store.append(req),
+    newest: (topic) => store.newest(topic),
+    read: async (req) => {
+      const answer = await store.read(req);
+      if (!isForgetful) return answer;
+      isForgetful = false;
+      throw new RecordsGoneError(req.topic, req.from, answer.end);
+    },
+  };
+  const follower = new TopicFollower({
+    topic: TOPICS.config,
+    store: forgetful,
+    clock,
+    logger: silentLogger,
+    floorMs: () => 20,
+    onRecords: (records) => view.take(records),
+  });
+  let sequence = 0;
+  const write = (records: readonly KeyedRecord[]): Promise<number> =>
+    store.append({
+      topic: TOPICS.config,
+      records,
+      stamp: { producer: "operator", epoch: 1, sequence: (sequence += 1) },
+      timeoutMs: 0,
+    });
+  await write([asked(A), asked(B)]);
+  follower.start();
+  await clock.advance(100);
+  expect([zones.has(A), zones.has(B)]).toEqual([true, true]);
+  isForgetful = true;
+  await write([takenBack(A)]);
+  await clock.advance(3_000);
+  expect([zones.has(A), zones.has(B)]).toEqual([false, true]);
+  const stopped = follower.stop();
+  await clock.advance(2_000);
+  await stopped;
+});
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -5,6 +5,7 @@
   runHarshSchedule,
   runJobSchedule,
   runCrashingSchedule,
+  runEvacuatingSchedule,
   runStarvedSchedule,
 } from "@rackspan/checker";
 import { wholeNumber } from "./wholeNumber.js";
@@ -15,9 +16,12 @@
   readonly harsh: boolean;
   readonly starved: boolean;
   readonly crashing: boolean;
+  readonly evacuating: boolean;
 }
 
-const { runs, seed, harsh, starved, crashing } = new Command("check:jobs")
+const { runs, seed, harsh, starved, crashing, evacuating } = new Command(
+  "check:jobs",
+)
   .option("--runs <n>", "schedules to run", wholeNumber, 50)
   .option("--seed <s>", "seed of the first one", wholeNumber, 1)
   .option("--harsh", "jobs of all kinds and more faults", false)
@@ -27,11 +31,13 @@
     "tasks that crash their workers, suspended leaders",
     false,
   )
+  .option("--evacuating", "harsh, and zones that are evacuated", false)
   .parse()
   .opts<Options>();
 
 const pickSchedule = (): typeof runJobSchedule => {
   if (crashing) return runCrashingSchedule;
+  if (evacuating) return runEvacuatingSchedule;
   if (starved) return runStarvedSchedule;
   return harsh ? runHarshSchedule : runJobSchedule;
 };
--- a/soak/src/FaultPlayer.ts
+++ b/soak/src/FaultPlayer.ts
@@ -6,7 +6,7 @@
 import { NO_HOLDS } from "./FaultyProxy.js";
 import type { ManagedProcess } from "./ManagedProcess.js";
 import { mixedRandom } from "./mixedRandom.js";
-import type { SoakSite } from "./SoakSite.js";
+import { ZONES, type SoakSite } from "./SoakSite.js";
 import type { SoakWorker } from "./SoakWorker.js";
 
 /** Longer than the side waits for one answer, shorter than some orders' leases. */
@@ -65,9 +65,23 @@
         await each(struck, (side) => restart(side, signal, forMs));
         return;
       }
+      case "evacuatedZone":
+        return this.evacuate(random, forMs);
     }
   }
 
+  /** All of a zone's hosts, now and then those of every zone. */
+  private async evacuate(random: Random, forMs: number): Promise<void> {
+    const isAll = random.next() < 0.2;
+    const only = one(ZONES, random);
+    const zones = ZONES.filter((zone) => isAll || zone === only);
+    await each(zones, async (zone) => {
+      await this.site.evacuate(zone);
+      await delay(forMs);
+      await this.site.takeBack(zone);
+    });
+  }
+
   /** Workers fall silent together; their next lives stand at the same addresses. */
   private async newLives(random: Random, forMs: number): Promise<void> {
     const how = random.next() < 0.6 ? "silent" : "reset";
--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -18,6 +18,15 @@
   service: "kaigi",
 } as const;
 
+/** Hosts stand in them by turns. */
+export const ZONES = ["zone-a", "zone-b"] as const;
+
+export type Zone = (typeof ZONES)[number];
+
+const zoneOf = (host: number): Zone => ZONES[host % ZONES.length] as Zone;
+
+const hostAt = (at: number): HostId => brand<HostId>(`host-${at + 1}`);
+
 const configOf = (maxAttempts: number): object => ({
   version: 1,
   routes: [
@@ -55,6 +64,10 @@
   private callersPort = 0;
   private sidesPort = 0;
   private storeAddress = "";
+  /** How many records the operator has written. */
+  private written = 0;
+  /** Evacuations that stand, by zone. */
+  private readonly evacuations = new Map<Zone, number>();
   private readonly store = new MemoryStore(new SystemClock());
   private readonly storeServer = new StoreServer(this.store);
 
@@ -103,12 +116,47 @@
     );
   }
 
-  private async publishConfig(): Promise<void> {
-    const config = configOf(this.options.maxAttempts);
+  /** Asks that nothing more begin on the zone's hosts; again while it is asked already. */
+  async evacuate(zone: Zone): Promise<void> {
+    this.evacuations.set(zone, (this.evacuations.get(zone) ?? 0) + 1);
+    await this.writeAsOperator(`evacuate/${zone}`, {});
+    for (const host of this.hostsOf(zone)) {
+      this.options.recorder.history.noteEvacuated(host, performance.now());
+    }
+  }
+
+  /** Ends one call of `evacuate`; the zone is open again when none is left. */
+  async takeBack(zone: Zone): Promise<void> {
+    const left = (this.evacuations.get(zone) ?? 0) - 1;
+    this.evacuations.set(zone, left);
+    if (left > 0) return;
+    for (const host of this.hostsOf(zone)) {
+      this.options.recorder.history.noteTakenBack(host);
+    }
+    await this.writeAsOperator(`evacuate/${zone}`, undefined);
+  }
+
+  private hostsOf(zone: Zone): HostId[] {
+    return this.workers.flatMap((_worker, at) =>
+      zoneOf(at) === zone ? [hostAt(at)] : [],
+    );
+  }
+
+  private publishConfig(): Promise<void> {
+    return this.writeAsOperator("config", configOf(this.options.maxAttempts));
+  }
+
+  /** @param value drops the key when undefined */
+  private async writeAsOperator(
+    key: string,
+    value: object | undefined,
+  ): Promise<void> {
+    this.written += 1;
+    const bytes = value && Buffer.from(JSON.stringify(value));
     await this.store.append({
       topic: brand("keyed.op"),
-      records: [{ key: "config", value: Buffer.from(JSON.stringify(config)) }],
-      stamp: { producer: "operator", epoch: 1, sequence: 1 },
+      records: [{ key, value: bytes }],
+      stamp: { producer: "operator", epoch: 1, sequence: this.written },
       timeoutMs: 0,
     });
   }
@@ -131,10 +179,10 @@
 
   private async startHost(at: number): Promise<void> {
     const { seed, recorder, programs } = this.options;
-    const name = `host-${at + 1}`;
+    const name = hostAt(at);
     const inbox = `127.0.2.${at + 1}:${await freePort()}`;
     const worker = new SoakWorker({
-      host: brand<HostId>(name),
+      host: name,
       service: QUEUE.service,
       inbox,
       longestLeaseMs: BOUNDS.leaseMs,
@@ -143,6 +191,7 @@
     });
     const place = {
       host: name,
+      zone: zoneOf(at),
       store: this.storeAddress,
       worker: await worker.listen(),
       inbox,
--- a/soak/src/settings.ts
+++ b/soak/src/settings.ts
@@ -30,6 +30,7 @@
 
 export interface SidePlace {
   readonly host: string;
+  readonly zone: string;
   readonly store: string;
   readonly worker: string;
   readonly inbox: string;
@@ -43,7 +44,7 @@
  */
 export const sideSettings = (at: SidePlace, knowsLeases: boolean): object => ({
   host: at.host,
-  availabilityZone: "z",
+  availabilityZone: at.zone,
   platform: { client: "hosted", store: at.store },
   worker: { address: at.worker },
   inbox: at.inbox,
