--- a/packages/ports/src/recordStore.ts
+++ b/packages/ports/src/recordStore.ts
@@ -50,6 +50,11 @@
   readonly next: number;
   /** Records left out, since they name no key that can be read; none when absent. */
   readonly unreadable?: number;
+  /**
+   * Keys that stand in the store with a value that cannot be read, so that they are
+   * not taken for dropped ones; none when absent.
+   */
+  readonly unreadableKeys?: readonly string[];
 }
 
 export interface ReadAnswer extends RecordPage {
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -138,7 +138,7 @@
     this.pollAbort = new AbortController();
     const page = await store.newest(topic);
     this.noteUnreadable(page);
-    this.handOn([...this.droppedSince(page.records), ...page.records]);
+    this.handOn([...this.droppedSince(page), ...page.records]);
     this.next = page.next;
     this.confirm(askedAt);
   }
@@ -163,8 +163,12 @@
    * The newest records name no key that was dropped while the follower was cut
    * off. Without this a job that is gone would be held for ever, and run again.
    */
-  private droppedSince(newest: readonly KeyedRecord[]): KeyedRecord[] {
-    const named = new Set(newest.map(({ key }) => key));
+  private droppedSince(newest: RecordPage): KeyedRecord[] {
+    const { records, unreadableKeys = [] } = newest;
+    const named = new Set([
+      ...records.map(({ key }) => key),
+      ...unreadableKeys,
+    ]);
     return [...this.held]
       .filter((key) => !named.has(key))
       .map((key) => ({ key, value: undefined }));
--- a/packages/state/tests/topicFollower.test.ts
+++ b/packages/state/tests/topicFollower.test.ts
@@ -35,12 +35,8 @@
   };
 }
 
-// An entry is cut off from the store while a job that ended is dropped there, and
-// for so long that the record of the drop is gone when it comes back. It went on
-// listing the job, without the progress that says that it had ended: once it led,
-// it would run the whole job again. The cause: a fresh reading of all keys was
-// taken as news of some keys, and said nothing of those that it no longer holds.
-test("keys that were dropped while a follower was cut off are dropped when it reads anew", async () => {
+/** A follower of a topic of two writers, and what it has handed on. */
+const setUp = () => {
   const clock = new ManualClock();
   const memory = new MemoryStore(clock);
   const store = new ForgetfulStore(memory);
@@ -68,6 +64,21 @@
       }
     },
   });
+  const stop = async (): Promise<void> => {
+    const stopped = follower.stop();
+    await clock.advance(2_000);
+    await stopped;
+  };
+  return { clock, memory, store, write, known, follower, stop };
+};
+
+// An entry is cut off from the store while a job that ended is dropped there, and
+// for so long that the record of the drop is gone when it comes back. It went on
+// listing the job, without the progress that says that it had ended: once it led,
+// it would run the whole job again. The cause: a fresh reading of all keys was
+// taken as news of some keys, and said nothing of those that it no longer holds.
+test("keys that were dropped while a follower was cut off are dropped when it reads anew", async () => {
+  const { clock, memory, store, write, known, follower, stop } = setUp();
   await write("loaded", Buffer.from("1"));
   follower.start();
   await clock.advance(50);
@@ -84,7 +95,25 @@
   store.oldest = 5;
   await clock.advance(1_000);
   expect([...known]).toEqual([["kept", "2"]]);
-  const stopped = follower.stop();
+  await stop();
+});
+
+// Another version's record stands in place of one that could be read. Were its key taken
+// for a dropped one, the job would be forgotten and its caller told that it never was.
+test("a key whose record cannot be read any more stays as it was known", async () => {
+  const { clock, store, write, known, follower, stop } = setUp();
+  await write("rewritten", Buffer.from("1"));
+  await write("dropped", Buffer.from("1"));
+  follower.start();
+  await clock.advance(50);
+  store.newest = async () => ({
+    records: [],
+    next: 5,
+    unreadable: 1,
+    unreadableKeys: ["rewritten"],
+  });
+  store.oldest = 5;
   await clock.advance(2_000);
-  await stopped;
+  expect([...known.keys()]).toEqual(["rewritten"]);
+  await stop();
 });
