An order by worth, and a play of more bulk work than a site can do

The order by slack counts running tasks as work left, so a job with half of its tasks placed is no nearer to its end than one with none, and large jobs come last always. `hopeOf` is shared by both.

--- a/packages/scheduling/src/EstimateBook.ts
+++ b/packages/scheduling/src/EstimateBook.ts
@@ -63,11 +63,27 @@
 
   /** Core-milliseconds that the job still needs; lasting steps count nothing. */
   remainingWork(job: JobRun): number {
+    return this.sumWork(
+      job,
+      ({ tasks, doneCount }) => tasks.length - doneCount,
+    );
+  }
+
+  /** The same of tasks that run nowhere. */
+  unplacedWork(job: JobRun): number {
+    return this.sumWork(job, ({ waiting }) => waiting.size);
+  }
+
+  /** The same of all tasks, also of those that are done. */
+  totalWork(job: JobRun): number {
+    return this.sumWork(job, ({ tasks }) => tasks.length);
+  }
+
+  private sumWork(job: JobRun, count: (step: StepRun) => number): number {
     let total = 0;
     for (const step of job.steps) {
       if (step.spec.lasting) continue;
-      const tasks = step.tasks.length - step.doneCount;
-      total += tasks * this.taskMs(step) * step.spec.demand.milliCores;
+      total += count(step) * this.taskMs(step) * step.spec.demand.milliCores;
     }
     return total / MILLI_CORES_PER_CORE;
   }
--- a/packages/scheduling/src/bySlackOrder.ts
+++ b/packages/scheduling/src/bySlackOrder.ts
@@ -8,6 +8,7 @@
 import type { Instant } from "@rackspan/common";
 import type { JobRun } from "@rackspan/jobs";
 import type { EstimateBook } from "./EstimateBook.js";
+import { hopeOf } from "./jobHope.js";
 import {
   sortByKeys,
   stepOrders,
@@ -16,15 +17,6 @@
   type StepOrderOptions,
 } from "./stepOrders.js";
 
-/** A job that ends later than this many times its objective earns nothing. */
-const WORTHLESS_AFTER = 3;
-
-const enum Hope {
-  InTime = 0,
-  Late = 1,
-  Lost = 2,
-}
-
 export class BySlackOrder implements StepOrder {
   private readonly estimates: EstimateBook;
 
@@ -40,22 +32,11 @@
     return sortByKeys(candidates, (candidate) => [
       candidate.job.terms.priority,
       candidate.step.spec.lasting ? 0 : 1,
-      this.hopeOf(candidate, now),
+      hopeOf(candidate, this.estimates, now),
       work.get(candidate.job) ?? 0,
       candidate.step.number,
     ]);
   }
-
-  private hopeOf({ job, step }: Candidate, now: Instant): Hope {
-    if (step.spec.lasting) return Hope.InTime;
-    const { stretch, targetLatencyMs } = job.terms;
-    const chainMs = this.estimates.chainMs(job, step.occurrence);
-    const objectiveMs = stretch * chainMs + targetLatencyMs;
-    const leftMs = this.estimates.remainingChainMs(job, step.occurrence);
-    const endsAfterMs = now + leftMs - job.dueAt(step.occurrence);
-    if (endsAfterMs <= objectiveMs) return Hope.InTime;
-    return endsAfterMs <= WORTHLESS_AFTER * objectiveMs ? Hope.Late : Hope.Lost;
-  }
 }
 
 stepOrders.register({
--- /dev/null
+++ b/packages/scheduling/tests/byWorthOrder.test.ts
@@ -0,0 +1,90 @@
+/** Which jobs go first where not all of them can be done in time. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { JobRun } from "@rackspan/jobs";
+import type { JobTerms, StepSpec } from "@rackspan/state";
+import { plainJob } from "@rackspan/standins";
+import { EstimateBook, stepOrders, type Candidate } from "@rackspan/scheduling";
+
+const NOW = 1_000_000;
+const demand = { milliCores: 1_000, memoryMiB: 100, accelerators: 0 };
+
+interface JobOptions extends Partial<StepSpec> {
+  /** How long ago it came, milliseconds. */
+  readonly ageMs?: number;
+  /** How many of its tasks have a place. */
+  readonly placed?: number;
+  readonly terms?: Partial<JobTerms>;
+}
+
+const candidateOf = (
+  id: string,
+  { ageMs = 0, placed = 0, terms, ...step }: JobOptions,
+): Candidate => {
+  const spec = { demand, estimateMs: 1_000, ...step };
+  const acceptedAt = NOW - ageMs;
+  const job = new JobRun(plainJob({ id, acceptedAt, steps: [spec], terms }));
+  const [first] = job.steps;
+  if (!first) throw new Error("no step");
+  for (const task of first.tasks.slice(0, placed)) job.notePlaced(task);
+  return { job, step: first, isStarved: false };
+};
+
+const orderOf = (candidates: readonly Candidate[]): string[] => {
+  const estimates = new EstimateBook(true);
+  const order = stepOrders.create("byWorth", { estimates });
+  return order.sort(candidates, NOW).map(({ job }) => String(job.id));
+};
+
+test("a step that has begun is finished before a like one begins", () => {
+  const begun = candidateOf("begun", { taskCount: 20, placed: 8 });
+  const fresh = candidateOf("fresh", { taskCount: 20 });
+  expect(orderOf([fresh, begun])).toEqual(["begun", "fresh"]);
+});
+
+test("a large step that has nearly all its places goes before a small one that has none", () => {
+  const large = candidateOf("large", { taskCount: 40, placed: 36 });
+  const small = candidateOf("small", { taskCount: 5 });
+  expect(orderOf([small, large])).toEqual(["large", "small"]);
+});
+
+test("among jobs that have not begun the small one is worth more for its work", () => {
+  const large = candidateOf("large", { taskCount: 40 });
+  const small = candidateOf("small", { taskCount: 5 });
+  expect(orderOf([large, small])).toEqual(["small", "large"]);
+});
+
+test("a late job goes behind like ones that can be in time, one of no use behind all", () => {
+  const late = candidateOf("late", { taskCount: 10, ageMs: 2_000 });
+  const useless = candidateOf("useless", { taskCount: 1, ageMs: 60_000 });
+  const inTime = candidateOf("in-time", { taskCount: 10 });
+  expect(orderOf([useless, late, inTime])).toEqual([
+    "in-time",
+    "late",
+    "useless",
+  ]);
+});
+
+test("a late job with little left goes before a fresh one that costs far more for its worth", () => {
+  const late = candidateOf("late", { taskCount: 20, placed: 19, ageMs: 2_000 });
+  const fresh = candidateOf("fresh", { taskCount: 20 });
+  expect(orderOf([fresh, late])).toEqual(["late", "fresh"]);
+});
+
+test("urgent queues and lasting steps go first all the same", () => {
+  const bulk = candidateOf("bulk", { taskCount: 1, terms: { priority: 2 } });
+  const urgent = candidateOf("urgent", { taskCount: 50 });
+  const lasting = candidateOf("lasting", { taskCount: 50, lasting: true });
+  expect(orderOf([bulk, urgent, lasting])).toEqual([
+    "lasting",
+    "urgent",
+    "bulk",
+  ]);
+});
+
+test("jobs of which nothing is known are sorted too", () => {
+  const unknown = candidateOf("unknown", { estimateMs: 0 });
+  const known = candidateOf("known", {});
+  expect(orderOf([known, unknown]).sort()).toEqual(["known", "unknown"]);
+});
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -45,6 +45,7 @@
   StampedWriter,
   TOPICS,
   type AcceptedJob,
+  type JobTerms,
   type LearntRecord,
   type PermitRule,
   type QueueKey,
@@ -301,6 +302,10 @@
   readonly clock?: ManualClock;
   /** Silent when left out. */
   readonly logger?: Logger;
+  /** Name of the order of work. */
+  readonly order?: string;
+  /** What differs from the usual terms of jobs. */
+  readonly terms?: Partial<JobTerms>;
   /** What differs from the usual policy. */
   readonly policy?: Partial<SchedulingPolicy>;
 }
@@ -319,11 +324,13 @@
   readonly evacuated = new Set<AvailabilityZone>();
 
   private readonly queue: QueueSpec;
+  private readonly terms: Partial<JobTerms> | undefined;
 
   constructor(options: HarnessOptions = {}) {
     const { epoch = 1, roster = [], clock, permitRule } = options;
     const { logger = silentLogger } = options;
     this.queue = { ...QUEUE, permitRule };
+    this.terms = options.terms;
     this.clock = clock ?? new ManualClock();
     this.epoch = epoch;
     this.store = options.store ?? new MemoryStore(this.clock);
@@ -353,7 +360,7 @@
         leadershipTtlMs: TTL_MS,
         leaseMs: LEASE_MS,
       }),
-      order: "bySlack",
+      order: options.order ?? "bySlack",
       placer: "colocating",
       policy: { ...DEFAULT_POLICY, ...options.policy },
       leaseMs: LEASE_MS,
@@ -403,7 +410,8 @@
   }
 
   submit(id: string, steps: readonly Partial<StepSpec>[]): AcceptedJob {
-    const job = plainJob({ id, steps, acceptedAt: this.clock.now() });
+    const acceptedAt = this.clock.now();
+    const job = plainJob({ id, steps, acceptedAt, terms: this.terms });
     this.engine.addJob(job, undefined);
     return job;
   }
--- /dev/null
+++ b/packages/scheduling/tests/playOverload.ts
@@ -0,0 +1,247 @@
+/**
+ * Plays more bulk work than a site can do on the engine, and tells what its callers
+ * get: jobs of two steps of many wide tasks, of very unequal size, with estimates that
+ * are wrong.
+ */
+
+import {
+  SeededRandom,
+  type Instant,
+  type JobTaskId,
+  type Random,
+} from "@rackspan/common";
+import type { RunRef } from "@rackspan/ports";
+import {
+  decodeProgress,
+  parseTaskId,
+  TOPICS,
+  type JobId,
+  type StepSpec,
+} from "@rackspan/state";
+import { EngineHarness, type FakeHost } from "./engineHarness.js";
+
+const LOAD = {
+  hosts: 24,
+  /** Cores of a host. */
+  cores: 64,
+  /** For which jobs come, milliseconds. */
+  forMs: 34_000,
+  /** After that, until the account is made. */
+  restMs: 30_000,
+  stepMs: 100,
+  /** Means of what is drawn, and the spread of its logarithm. */
+  tasks: { mean: 20, spread: 0.6, most: 80 },
+  taskCores: { mean: 7, spread: 0.3, most: 14 },
+  taskMs: { mean: 2_400, spread: 0.5, most: 6_000 },
+  estimateSpread: 0.5,
+  steps: 2,
+  /** Of a job's objective; see JobTerms. */
+  stretch: 2,
+  targetLatencyMs: 1_000,
+} as const;
+
+/** What an end is worth that is late, to one that is in time. */
+const LATE_WORTH = 0.15;
+/** A job that ends later than this many times its objective is of no use. */
+const USELESS_AFTER = 3;
+
+export interface OverloadResult {
+  /** Worth of what was done in time or late, of the worth of all jobs. */
+  readonly earned: number;
+  readonly inTime: number;
+  readonly late: number;
+  readonly undone: number;
+  /** Share in time, or late, of the largest tenth of the jobs. */
+  readonly largestServed: number;
+  /** The same of all jobs. */
+  readonly served: number;
+  /** Milliseconds from a job's first start to its last, the median of those that ended. */
+  readonly medianSpanMs: number;
+}
+
+interface DrawnJob {
+  readonly id: string;
+  readonly at: number;
+  readonly steps: readonly Partial<StepSpec>[];
+  readonly taskMs: readonly number[];
+  /** Core-milliseconds. */
+  readonly work: number;
+}
+
+interface Drawn {
+  readonly mean: number;
+  readonly spread: number;
+  readonly most: number;
+}
+
+const gaussian = (random: Random): number =>
+  Math.sqrt(-2 * Math.log(1 - random.next())) *
+  Math.cos(2 * Math.PI * random.next());
+
+const draw = (random: Random, { mean, spread, most }: Drawn): number =>
+  Math.min(most, mean * Math.exp(spread * gaussian(random) - spread ** 2 / 2));
+
+const drawJob = (random: Random, number: number, at: number): DrawnJob => {
+  const taskCount = Math.max(1, Math.round(draw(random, LOAD.tasks)));
+  const milliCores = Math.round(1_000 * draw(random, LOAD.taskCores));
+  const demand = { milliCores, memoryMiB: 100, accelerators: 0 };
+  const steps: Partial<StepSpec>[] = [];
+  const taskMs: number[] = [];
+  let work = 0;
+  for (let step = 0; step < LOAD.steps; step += 1) {
+    const ms = draw(random, LOAD.taskMs);
+    const estimateMs = ms * Math.exp(LOAD.estimateSpread * gaussian(random));
+    const after = step === 0 ? [] : [step - 1];
+    steps.push({ taskCount, demand, estimateMs, after });
+    taskMs.push(ms);
+    work += (taskCount * ms * milliCores) / 1_000;
+  }
+  const id = number.toString(16).padStart(16, "0");
+  return { id, at, steps, taskMs, work };
+};
+
+/** @param load work that comes, as a share of what the hosts can do */
+const drawJobs = (random: Random, load: number): DrawnJob[] => {
+  const jobs: DrawnJob[] = [];
+  const perMs = LOAD.hosts * LOAD.cores * load;
+  for (let work = 0; work < perMs * LOAD.forMs;) {
+    const job = drawJob(random, jobs.length, work / perMs);
+    jobs.push(job);
+    work += job.work;
+  }
+  return jobs;
+};
+
+/** When each run began on the site, so that it can end after its time. */
+class TaskTimes {
+  readonly firstAt = new Map<string, number>();
+  readonly lastAt = new Map<string, number>();
+  private readonly began = new Map<string, number>();
+
+  constructor(private readonly jobs: ReadonlyMap<string, DrawnJob>) {}
+
+  endDue(host: FakeHost, now: number): void {
+    for (const { task, run } of host.runs) {
+      const share =
+        (now - this.beganAt(host, { task, run }, now)) / this.msOf(task);
+      if (share >= 1) host.end(task, "done", run);
+      else host.progress(task, Math.floor(100 * share));
+    }
+  }
+
+  private beganAt(host: FakeHost, { task, run }: RunRef, now: number): number {
+    const key = `${host.host}#${task}#${run}`;
+    const known = this.began.get(key);
+    if (known !== undefined) return known;
+    this.began.set(key, now);
+    const job = String(parseTaskId(task)?.job);
+    if (!this.firstAt.has(job)) this.firstAt.set(job, now);
+    this.lastAt.set(job, now);
+    return now;
+  }
+
+  private msOf(task: JobTaskId): number {
+    const position = parseTaskId(task);
+    const job = position && this.jobs.get(String(position.job));
+    return job?.taskMs[position?.step ?? 0] ?? 1;
+  }
+}
+
+export interface OverloadOptions {
+  /** Name of the order of work. */
+  readonly order: string;
+  readonly seed: number;
+  /** Work that comes, as a share of what the hosts can do. */
+  readonly load: number;
+}
+
+export const playOverload = async ({
+  order,
+  seed,
+  load,
+}: OverloadOptions): Promise<OverloadResult> => {
+  const site = new EngineHarness({ order, terms: LOAD });
+  for (let at = 1; at <= LOAD.hosts; at += 1) {
+    const host = await site.addHost(`h${at}`);
+    host.milliCores = LOAD.cores * 1_000;
+    site.reportOf(host);
+  }
+  const drawn = drawJobs(new SeededRandom(seed), load);
+  const jobs = new Map(drawn.map((job) => [job.id, job]));
+  const times = new TaskTimes(jobs);
+  const { clock } = site;
+  const beganAt = clock.monotonic();
+  const waiting = [...drawn];
+  const acceptedAt = new Map<DrawnJob, Instant>();
+  while (clock.monotonic() - beganAt < LOAD.forMs + LOAD.restMs) {
+    const now = clock.monotonic();
+    while (waiting[0] && waiting[0].at <= now - beganAt) {
+      const job = waiting.shift();
+      if (!job) break;
+      site.submit(job.id, job.steps);
+      acceptedAt.set(job, clock.now());
+    }
+    for (const host of site.hosts) times.endDue(host, now);
+    await site.run(LOAD.stepMs);
+  }
+  const outcomes = new Map(
+    [...acceptedAt].map(([job, at]) => [job, outcomeOf(site, job, at)]),
+  );
+  return accountOf(drawn, outcomes, times);
+};
+
+type Outcome = "in-time" | "late" | "undone";
+
+const accountOf = (
+  jobs: readonly DrawnJob[],
+  outcomes: ReadonlyMap<DrawnJob, Outcome>,
+  times: TaskTimes,
+): OverloadResult => {
+  const meanWork = sum(jobs.map(({ work }) => work)) / jobs.length;
+  const worthOf = ({ work }: DrawnJob): number =>
+    Math.min(4, 0.3 + (0.7 * work) / meanWork);
+  const earnedBy = (job: DrawnJob): number => {
+    const outcome = outcomes.get(job);
+    if (outcome === "undone") return 0;
+    return worthOf(job) * (outcome === "late" ? LATE_WORTH : 1);
+  };
+  const count = (outcome: Outcome): number =>
+    [...outcomes.values()].filter((one) => one === outcome).length;
+  const largest = [...jobs]
+    .sort((a, b) => b.work - a.work)
+    .slice(0, Math.ceil(jobs.length / 10));
+  const isServed = (job: DrawnJob): boolean => outcomes.get(job) !== "undone";
+  const spans = jobs
+    .filter(isServed)
+    .map(({ id }) => (times.lastAt.get(id) ?? 0) - (times.firstAt.get(id) ?? 0))
+    .sort((a, b) => a - b);
+  return {
+    earned: sum(jobs.map(earnedBy)) / sum(jobs.map(worthOf)),
+    inTime: count("in-time") / jobs.length,
+    late: count("late") / jobs.length,
+    undone: count("undone") / jobs.length,
+    largestServed: largest.filter(isServed).length / largest.length,
+    served: jobs.filter(isServed).length / jobs.length,
+    medianSpanMs: spans[Math.floor(spans.length / 2)] ?? 0,
+  };
+};
+
+const outcomeOf = (
+  site: EngineHarness,
+  job: DrawnJob,
+  acceptedAt: Instant,
+): Outcome => {
+  const record = site.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === job.id);
+  const id = job.id as unknown as JobId;
+  const progress = record?.value && decodeProgress(id, record.value);
+  if (progress?.state !== "completed") return "undone";
+  const tookMs = progress.endedAt - acceptedAt;
+  const objectiveMs = LOAD.stretch * sum(job.taskMs) + LOAD.targetLatencyMs;
+  if (tookMs <= objectiveMs) return "in-time";
+  return tookMs <= USELESS_AFTER * objectiveMs ? "late" : "undone";
+};
+
+const sum = (values: readonly number[]): number =>
+  values.reduce((total, value) => total + value, 0);
