--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -179,6 +179,8 @@
 
 interface Harshness extends Omit<JobWorldOptions, "seed"> {
   readonly events: typeof EVENTS;
+  /** Whether workers crash, or runs fail, by themselves, so that any job may be given up. */
+  readonly mayGiveUp: boolean;
 }
 
 const PLAIN: Harshness = {
@@ -188,6 +190,7 @@
   takesArrivalsFirst: false,
   failShare: 0.06,
   maxAttempts: 3,
+  mayGiveUp: true,
 };
 
 const HARSH: Harshness = {
@@ -210,6 +213,7 @@
   events: CRASHING_EVENTS,
   takesArrivalsFirst: true,
   failShare: 0,
+  mayGiveUp: false,
 };
 
 const EVACUATING: Harshness = { ...HARSH, events: EVACUATING_EVENTS };
@@ -257,7 +261,7 @@
 
 const runSchedule = async (
   seed: number,
-  { events, ...options }: Harshness,
+  { events, mayGiveUp, ...options }: Harshness,
 ): Promise<readonly JobViolation[]> => {
   const world = new JobWorld({ seed, ...options });
   const { clock, random } = world;
@@ -278,8 +282,7 @@
   for (const id of world.wanted) {
     if (!world.hasEnded(id))
       world.history.add("not-finished", clock.monotonic(), id);
-    const mayFail = options.failShare > 0 || events !== CRASHING_EVENTS;
-    if (mayFail || world.isCrashing(id) || !world.hasFailed(id)) continue;
+    if (mayGiveUp || world.isCrashing(id) || !world.hasFailed(id)) continue;
     world.history.add("given-up", clock.monotonic(), id);
   }
   world.checkEnds();
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -34,8 +34,8 @@
   state: JobStateName = "queued";
   begun = false;
   endedAt: Instant = 0;
-  /** Whether a task has a checkpoint that no record holds yet. */
-  hasNewCheckpoints = false;
+  /** Whether a task has a checkpoint, or a crash log that was cleared, that no record holds yet. */
+  hasUnkeptProgress = false;
   private readonly occurrences = new Map<number, readonly StepRun[]>();
   private doneOccurrences = 0;
   /** Number of the first occurrence that is not done. */
@@ -146,7 +146,7 @@
   noteCheckpoint(task: JobTask, checkpoint: string): boolean {
     if (checkpoint === "" || checkpoint === task.checkpoint) return false;
     setCheckpoint(task, checkpoint);
-    this.hasNewCheckpoints = true;
+    this.hasUnkeptProgress = true;
     return true;
   }
 
@@ -204,7 +204,7 @@
 
   /** What the store is to keep; asked for when it is about to be written. */
   toRecord(): ProgressRecord {
-    this.hasNewCheckpoints = false;
+    this.hasUnkeptProgress = false;
     const done: Record<string, string> = {};
     const failures: ProgressRecord["failures"] = [];
     const checkpoints: ProgressRecord["checkpoints"] = [];
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -51,9 +51,7 @@
   if (!sole) return undefined;
   const others = runs.filter((run) => run !== sole);
   const isAlone = others.every(
-    (run) =>
-      isSettled(run) ||
-      sole.startedAt - run.startedAt >= CRASH_LIMITS.settledMs,
+    (run) => isSettled(run) || hasSettledAfter(sole.startedAt - run.startedAt),
   );
   return isAlone ? sole : undefined;
 };
@@ -73,8 +71,12 @@
  */
 export const evidenceAfter = (ms: number | undefined): CrashEvidence => {
   if (ms === undefined) return "unseen";
-  return ms >= CRASH_LIMITS.settledMs ? "settled" : "young";
+  return hasSettledAfter(ms) ? "settled" : "young";
 };
 
+/** Whether a run that worked for so long is not thought of first when its worker crashes. */
+export const hasSettledAfter = (ms: number): boolean =>
+  ms >= CRASH_LIMITS.settledMs;
+
 export const isSettled = (run: ActiveRun): boolean =>
-  workedMs(run) >= CRASH_LIMITS.settledMs;
+  hasSettledAfter(workedMs(run));
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -66,7 +66,7 @@
   if (!step.spec.lasting || crashes.isEmpty) return;
   if (workedMs(run) < CRASH_LIMITS.clearedMs) return;
   crashes.clear();
-  step.job.hasNewCheckpoints = true;
+  step.job.hasUnkeptProgress = true;
 };
 
 /** Brings the ledger's runs up to date; what needs a decision is returned. */
--- a/packages/scheduling/src/CheckpointKeeper.ts
+++ b/packages/scheduling/src/CheckpointKeeper.ts
@@ -10,7 +10,6 @@
   type Timer,
 } from "@rackspan/common";
 import type { JobRun, JobTask, ProgressJournal } from "@rackspan/jobs";
-import { isFinal } from "@rackspan/state";
 
 export interface CheckpointKeeperOptions {
   readonly journal: ProgressJournal;
@@ -36,7 +35,7 @@
     const { clock, everyMs } = this.options;
     if (everyMs === 0) return;
     for (const { step } of tasks) {
-      if (step.job.hasNewCheckpoints) this.changed.add(step.job);
+      if (step.job.hasUnkeptProgress) this.changed.add(step.job);
     }
     if (this.changed.size === 0 || this.timer) return;
     this.timer = clock.after(everyMs, () => {
@@ -48,7 +47,7 @@
   private keep(): void {
     const { journal, logger } = this.options;
     const jobs = [...this.changed].filter(
-      ({ state, hasNewCheckpoints }) => hasNewCheckpoints && !isFinal(state),
+      ({ isEnded, hasUnkeptProgress }) => hasUnkeptProgress && !isEnded,
     );
     this.changed.clear();
     if (jobs.length === 0) return;
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -9,6 +9,7 @@
   blameCrash,
   CRASH_LIMITS,
   evidenceAfter,
+  hasSettledAfter,
   refOf,
   type ActiveRun,
   type JobRun,
@@ -41,7 +42,7 @@
    * When the worker of a host was last lost without proof against a task: whatever
    * has struck it may have struck others.
    */
-  private readonly unexplained = new BoundedMap<HostId, Monotonic>(MAX_JUDGED);
+  private readonly unexplained = new Map<HostId, Monotonic>();
 
   constructor(private readonly parts: CrashKeeperOptions) {}
 
@@ -62,7 +63,7 @@
     const blamed = blameCrash(ledger, loss, lostRuns);
     const wasPlanned = ledger.worker.draining;
     if (loss === "crashed" && !wasPlanned && !isProven(blamed)) {
-      this.unexplained.set(ledger.host, options.clock.monotonic());
+      this.noteUnexplained(ledger.host);
     }
     if (ledger.runs.size === 0) return;
     options.logger.warn("host.runs-lost", {
@@ -87,13 +88,26 @@
     );
   }
 
+  /** Notes a loss without proof against a task; forgets those that no proof asks for any more. */
+  private noteUnexplained(host: HostId): void {
+    const now = this.parts.options.clock.monotonic();
+    // Proof asks after its own wait for losses that came up to as long before it.
+    const oldest = now - 2 * CRASH_LIMITS.togetherMs;
+    for (const [other, lostAt] of [...this.unexplained]) {
+      if (lostAt < oldest) this.unexplained.delete(other);
+    }
+    this.unexplained.set(host, now);
+  }
+
   /**
    * Takes what a side tells of runs that were lost before it spoke to this leader:
    * a former one may have ended without having heard of them.
    */
   noteTold(host: HostId, lostRuns: readonly LostRun[]): void {
     const open = lostRuns.flatMap((lost) => this.openLoss(lost));
-    const young = open.filter(({ lost }) => !hadSettled(lost));
+    const young = open.filter(
+      ({ lost }) => !hasSettledAfter(lost.workedMs ?? 0),
+    );
     const [only] = young;
     // Beside another run that had just begun, the one that began apart may be free of it.
     const isSole = only && young.length === 1 && isProof(only.task, only.lost);
@@ -192,9 +206,6 @@
 const isProven = (blamed: ReadonlyMap<ActiveRun, CrashEvidence>): boolean =>
   [...blamed.values()].some((evidence) => PROOFS.includes(evidence));
 
-const hadSettled = ({ workedMs = 0 }: LostRun): boolean =>
-  workedMs >= CRASH_LIMITS.settledMs;
-
 const proofOf = ({ workedMs }: LostRun): CrashEvidence =>
   workedMs === undefined ? "unanswered" : "sole";
 
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -158,7 +158,7 @@
     let isUnplaced = false;
     for (const task of [...step.waiting]) {
       if (announcer.isNeeded(task)) {
-        if (!this.placeApart(task, hosts)) isUnplaced = true;
+        if (this.placeApart(task, hosts) === "no-host") isUnplaced = true;
         if (job.isEnded) return;
         continue;
       }
@@ -180,23 +180,26 @@
   /**
    * Starts a task under which a worker has crashed: announced, and where it takes
    * the fewest others along if it crashes this one too.
-   * @returns false when no host has a place for it
+   * @returns `not-now` while it waits for proof, for its announcement or for its turn
    */
-  private placeApart(task: JobTask, hosts: readonly HostLedger[]): boolean {
+  private placeApart(
+    task: JobTask,
+    hosts: readonly HostLedger[],
+  ): "placed" | "not-now" | "no-host" {
     const { announcer, hosts: book, placer, engine } = this.options;
     const now = engine.clock.monotonic();
-    if (now < task.heldUntil) return true;
+    if (now < task.heldUntil) return "not-now";
     const run = announcer.runFor([task]);
-    if (run === undefined || task.step.job.isEnded) return true;
+    if (run === undefined || task.step.job.isEnded) return "not-now";
     task.waitsApartSince ??= now;
     const isPatient = now - task.waitsApartSince < CRASH_LIMITS.apartPatienceMs;
     const open = this.openTo(task.step, hosts);
-    if (isPatient && !mayHoldApart(open, book.all())) return true;
+    if (isPatient && !mayHoldApart(open, book.all())) return "not-now";
     const mustPlace = !isPatient || task.step.spec.lasting;
     const host = pickApart({ task, open, placer, mustPlace });
-    if (!host) return false;
+    if (!host) return "no-host";
     this.startOn(host, task, run, true);
-    return true;
+    return "placed";
   }
 
   private hasWaitedLong({ unplacedSince }: StepRun): boolean {
--- a/packages/scheduling/src/EndTaker.ts
+++ b/packages/scheduling/src/EndTaker.ts
@@ -2,7 +2,6 @@
 
 import { avoidHost, type JobRun, type JobTask } from "@rackspan/jobs";
 import type { EndedRun } from "@rackspan/ports";
-import { isFinal } from "@rackspan/state";
 import type { EngineParts } from "./engineParts.js";
 import type { HostEntry, PlacedRun } from "./engineTypes.js";
 import type { JobCloser } from "./JobCloser.js";
@@ -47,7 +46,7 @@
     if (!task) return undefined;
     const { job } = task.step;
     if (active) hosts.release(entry, active.run);
-    if (isFinal(job.state)) return undefined;
+    if (job.isEnded) return undefined;
     if (!active && placed) return this.takeEarlier(task, end);
     const changed = job.noteEnd(task, end.run, end.outcome, end.checkpoint);
     this.learn(entry, task, end, active);
@@ -56,7 +55,7 @@
     }
     runs.noteWaiting(task);
     closer.closeIfEnded(job, task);
-    return changed || isFinal(job.state) ? job : undefined;
+    return changed || job.isEnded ? job : undefined;
   }
 
   /**
--- a/packages/scheduling/src/JobBook.ts
+++ b/packages/scheduling/src/JobBook.ts
@@ -2,7 +2,7 @@
 
 import type { JobTaskId } from "@rackspan/common";
 import type { JobRun, JobTask } from "@rackspan/jobs";
-import { isFinal, parseTaskId, type JobId } from "@rackspan/state";
+import { parseTaskId, type JobId } from "@rackspan/state";
 import type { LiveJob } from "./engineTypes.js";
 
 export class JobBook {
@@ -16,7 +16,7 @@
 
   add(live: LiveJob): void {
     this.entries.set(live.job.id, live);
-    if (!isFinal(live.job.state)) this.active.add(live);
+    if (!live.job.isEnded) this.active.add(live);
   }
 
   delete(id: JobId): void {
@@ -29,7 +29,7 @@
   /** @returns whether the job may have tasks to start now */
   activate(job: JobRun): boolean {
     const live = this.entries.get(job.id);
-    if (!live || isFinal(job.state)) return false;
+    if (!live || job.isEnded) return false;
     this.active.add(live);
     return true;
   }
@@ -46,7 +46,7 @@
   endedBefore(time: number): JobId[] {
     const ended: JobId[] = [];
     for (const { job } of this.entries.values()) {
-      if (isFinal(job.state) && job.endedAt < time) ended.push(job.id);
+      if (job.isEnded && job.endedAt < time) ended.push(job.id);
     }
     return ended;
   }
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -20,7 +20,6 @@
 import type { Grant, HostReport, LostRun } from "@rackspan/protocol";
 import { OutlierEjector } from "@rackspan/routing";
 import {
-  isFinal,
   type AcceptedJob,
   type JobId,
   type LearntRecord,
@@ -188,7 +187,7 @@
     const job = new JobRun(accepted, progress);
     const now = clock.monotonic();
     this.jobs.add({ job, firstSeenAt: now, busyAt: now });
-    if (isFinal(job.state)) return;
+    if (job.isEnded) return;
     logger.info("job.seen", {
       job: job.id,
       queue: accepted.spec.queue,
@@ -201,7 +200,7 @@
 
   cancelJob(id: JobId): void {
     const live = this.jobs.get(id);
-    if (!live || isFinal(live.job.state)) return;
+    if (!live || live.job.isEnded) return;
     this.closer.close(live, "cancelled", "cancelled-by-caller");
   }
 
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -9,7 +9,6 @@
   type StrayRun,
 } from "@rackspan/jobs";
 import type { RunningTask } from "@rackspan/ports";
-import { isFinal } from "@rackspan/state";
 import type { EngineParts } from "./engineParts.js";
 import type { HostEntry } from "./engineTypes.js";
 
@@ -42,7 +41,7 @@
   private findWaitingTask(row: RunningTask): JobTask | undefined {
     const task = this.parts.jobs.findTask(row.task);
     if (task?.phase !== "waiting") return undefined;
-    return isFinal(task.step.job.state) ? undefined : task;
+    return task.step.job.isEnded ? undefined : task;
   }
 
   private runOf(
