--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -80,6 +80,12 @@
   }
 });
 
+// A task shared two workers with one that crashes them, and was announced by four
+// leaders that ended before they could order it: each of these counted.
+test("changes of leader do not give up a task that only shared its workers", async () => {
+  await expectNothingBroken(runCrashingSchedule, 71);
+});
+
 // Zones that are evacuated, one after the other, the same twice and all at once, beside
 // changes of leader, sides and workers that restart, cuts, and orders that come late. An
 // engine that passes evacuations over shows starts in evacuated zones with each seed.
--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -29,6 +29,13 @@
   unknown: 1,
 };
 
+/**
+ * All announcements without an order together: four changes of leader gave up a job
+ * that had only shared two workers with one that crashes them (seed 71 of the
+ * schedules).
+ */
+const MOST_UNKNOWN_POINTS = 2;
+
 export const CRASH_LIMITS = {
   /** A task with this much against it is announced to the store before it starts, and starts apart. */
   suspectPoints: 4,
@@ -97,7 +104,12 @@
   }
 
   get points(): number {
-    return this.evidence.reduce((sum, one) => sum + POINTS[one], 0);
+    const unknown = this.evidence.filter((one) => one === "unknown").length;
+    const others = this.evidence.filter((one) => one !== "unknown");
+    return others.reduce(
+      (sum, one) => sum + POINTS[one],
+      Math.min(MOST_UNKNOWN_POINTS, unknown * POINTS.unknown),
+    );
   }
 
   /** How many workers are known to have crashed under the task. */
