Dispatcher: when passes are made and which hosts are kept free are parts of their own

Change: PassTimer and HeldBackHosts; the hosts are filtered once a step, and again after a suspect has begun apart. No other behaviour changes.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -1,6 +1,6 @@
 /** Starts waiting tasks on hosts with room, in the order of work. */
 
-import type { Monotonic, RunNumber } from "@rackspan/common";
+import type { RunNumber } from "@rackspan/common";
 import {
   CRASH_LIMITS,
   type HostLedger,
@@ -12,8 +12,10 @@
 import type { PermitRule, JobTerms, QueueSpec } from "@rackspan/state";
 import { chooseGangHosts } from "./chooseGangHosts.js";
 import { ENGINE, type EngineOptions, type LiveJob } from "./engineTypes.js";
+import { HeldBackHosts } from "./HeldBackHosts.js";
 import type { HostBook } from "./HostBook.js";
 import type { PermitBook } from "./PermitBook.js";
+import { PassTimer } from "./PassTimer.js";
 import { mayHoldApart, pickApart } from "./pickApart.js";
 import type { RunAnnouncer } from "./RunAnnouncer.js";
 import type { RunControl } from "./RunControl.js";
@@ -39,40 +41,23 @@
 }
 
 export class Dispatcher {
-  /** When the pass that is due was asked for; undefined when none is. */
-  private dueSince: Monotonic | undefined;
-  /** Hosts that plain tasks keep off in this pass. */
-  private readonly heldBack = new Set<HostLedger>();
+  private readonly timer: PassTimer;
+  private readonly heldBack: HeldBackHosts;
 
-  constructor(private readonly options: DispatcherOptions) {}
+  constructor(private readonly options: DispatcherOptions) {
+    const { clock, logger } = options.engine;
+    this.timer = new PassTimer({ clock, logger, pass: () => this.pass() });
+    this.heldBack = new HeldBackHosts(clock);
+  }
 
-  /** Makes a pass soon; many requests make one pass. Never makes it at once. */
+  /** See PassTimer. */
   requestPass(): void {
-    if (this.dueSince !== undefined) return;
-    const { clock } = this.options.engine;
-    this.dueSince = clock.monotonic();
-    clock.after(ENGINE.passFloorMs, () => this.passIfDue());
+    this.timer.request();
   }
 
-  /**
-   * Makes a pass that was due long ago, without waiting for its timer: timers of
-   * a process that is short of time run late. Only for callers between two
-   * changes of the books. A pass in the middle of a report started a task past
-   * its attempts, and another beside a run that the report listed.
-   */
+  /** See PassTimer. */
   passIfOverdue(): void {
-    if (this.dueSince === undefined) return;
-    const { clock, logger } = this.options.engine;
-    const overdueMs = clock.monotonic() - this.dueSince;
-    if (overdueMs < ENGINE.passOverdueMs) return;
-    logger.warn("dispatch.overdue", { overdueMs: Math.round(overdueMs) });
-    this.passIfDue();
-  }
-
-  private passIfDue(): void {
-    if (this.dueSince === undefined) return;
-    this.dueSince = undefined;
-    this.pass();
+    this.timer.passIfOverdue();
   }
 
   private pass(): void {
@@ -155,25 +140,29 @@
       return;
     }
     const { placer, runs, announcer } = this.options;
+    let open = this.heldBack.openTo(step, hosts);
     let isUnplaced = false;
     for (const task of [...step.waiting]) {
       if (announcer.isNeeded(task)) {
-        if (this.placeApart(task, hosts) === "no-host") isUnplaced = true;
+        const outcome = this.placeApart(task, open);
+        if (outcome === "no-host") isUnplaced = true;
+        // No other begins where it did.
+        if (outcome === "placed") open = this.heldBack.openTo(step, hosts);
         if (job.isEnded) return;
         continue;
       }
       const mustPlace = step.spec.lasting
-        ? this.hasWaitedLong(step)
+        ? this.heldBack.hasWaitedLong(step)
         : isStarved && !this.options.hosts.hasRunsOf(job);
-      const host = placer.pick(task, this.openTo(step, hosts), mustPlace);
+      const host = placer.pick(task, open, mustPlace);
       // Tasks of a step ask for the same, but each avoids hosts of its own.
       if (!host) {
-        this.noteUnplaced(step, hosts);
+        this.heldBack.noteUnplaced(step, hosts);
         return;
       }
       this.startOn(host, task, runs.nextRun());
     }
-    if (isUnplaced) this.noteUnplaced(step, hosts);
+    if (isUnplaced) this.heldBack.noteUnplaced(step, hosts);
     else step.unplacedSince = undefined;
   }
 
@@ -184,7 +173,7 @@
    */
   private placeApart(
     task: JobTask,
-    hosts: readonly HostLedger[],
+    open: readonly HostLedger[],
   ): "placed" | "not-now" | "no-host" {
     const { announcer, hosts: book, placer, engine } = this.options;
     const now = engine.clock.monotonic();
@@ -193,7 +182,6 @@
     if (run === undefined || task.step.job.isEnded) return "not-now";
     task.waitsApartSince ??= now;
     const isPatient = now - task.waitsApartSince < CRASH_LIMITS.apartPatienceMs;
-    const open = this.openTo(task.step, hosts);
     if (isPatient && !mayHoldApart(open, book.all())) return "not-now";
     const mustPlace = !isPatient || task.step.spec.lasting;
     const host = pickApart({ task, open, placer, mustPlace });
@@ -202,49 +190,11 @@
     return "placed";
   }
 
-  private hasWaitedLong({ unplacedSince }: StepRun): boolean {
-    if (unplacedSince === undefined) return false;
-    const waitedMs = this.options.engine.clock.monotonic() - unplacedSince;
-    return waitedMs > ENGINE.lastingPatienceMs;
-  }
-
-  /**
-   * All tasks keep off hosts where a suspected one has just begun, plain ones also
-   * off those that are being emptied for a lasting one.
-   */
-  private openTo(
-    { spec }: StepRun,
-    hosts: readonly HostLedger[],
-  ): readonly HostLedger[] {
-    const open = hosts.filter((host) => !host.holdsApart);
-    if (spec.lasting || spec.filling || this.heldBack.size === 0) return open;
-    return open.filter((host) => !this.heldBack.has(host));
-  }
-
-  /**
-   * Lasting tasks are large: room for one comes only when the plain tasks of a
-   * host end and no others take their place.
-   */
-  private noteUnplaced(step: StepRun, hosts: readonly HostLedger[]): void {
-    step.unplacedSince ??= this.options.engine.clock.monotonic();
-    const { lasting, demand } = step.spec;
-    if (!lasting || !this.hasWaitedLong(step)) return;
-    const withoutPlain = hosts.filter(
-      ({ worker, room }) =>
-        worker.milliCores - room.servingMilliCores >= demand.milliCores &&
-        worker.memoryMiB - room.memoryMiB >= demand.memoryMiB,
-    );
-    const [emptiest] = withoutPlain.sort(
-      (a, b) => a.room.plainMilliCores - b.room.plainMilliCores,
-    );
-    if (emptiest) this.heldBack.add(emptiest);
-  }
-
   /** Starts all tasks of the step under one run number, or none. */
   private placeGang(step: StepRun, hosts: readonly HostLedger[]): void {
     const waiting = [...step.waiting];
     if (waiting.length < step.tasks.length - step.doneCount) return;
-    const open = this.openTo(step, hosts);
+    const open = this.heldBack.openTo(step, hosts);
     const chosen = chooseGangHosts(step, waiting, open);
     if (!chosen) return;
     const number = this.options.announcer.runFor(waiting);
--- /dev/null
+++ b/packages/scheduling/src/HeldBackHosts.ts
@@ -0,0 +1,55 @@
+/** Which hosts tasks keep off in one pass, although they have room: for suspects, and for lasting tasks. */
+
+import type { Clock } from "@rackspan/common";
+import type { HostLedger, StepRun } from "@rackspan/jobs";
+import { ENGINE } from "./engineTypes.js";
+
+export class HeldBackHosts {
+  /** Emptied for a lasting task: plain ones keep off them. */
+  private readonly emptying = new Set<HostLedger>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** A pass begins. */
+  clear(): void {
+    this.emptying.clear();
+  }
+
+  /**
+   * All tasks keep off hosts where a suspected one has just begun, plain ones also
+   * off those that are being emptied for a lasting one.
+   */
+  openTo(
+    { spec }: StepRun,
+    hosts: readonly HostLedger[],
+  ): readonly HostLedger[] {
+    const open = hosts.filter((host) => !host.holdsApart);
+    if (spec.lasting || spec.filling || this.emptying.size === 0) return open;
+    return open.filter((host) => !this.emptying.has(host));
+  }
+
+  hasWaitedLong({ unplacedSince }: StepRun): boolean {
+    if (unplacedSince === undefined) return false;
+    const waitedMs = this.clock.monotonic() - unplacedSince;
+    return waitedMs > ENGINE.lastingPatienceMs;
+  }
+
+  /**
+   * Lasting tasks are large: room for one comes only when the plain tasks of a
+   * host end and no others take their place.
+   */
+  noteUnplaced(step: StepRun, hosts: readonly HostLedger[]): void {
+    step.unplacedSince ??= this.clock.monotonic();
+    const { lasting, demand } = step.spec;
+    if (!lasting || !this.hasWaitedLong(step)) return;
+    const withoutPlain = hosts.filter(
+      ({ worker, room }) =>
+        worker.milliCores - room.servingMilliCores >= demand.milliCores &&
+        worker.memoryMiB - room.memoryMiB >= demand.memoryMiB,
+    );
+    const [emptiest] = withoutPlain.sort(
+      (a, b) => a.room.plainMilliCores - b.room.plainMilliCores,
+    );
+    if (emptiest) this.emptying.add(emptiest);
+  }
+}
