--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -31,6 +31,11 @@
   idleMs: 100,
   /** Pause while ends are listed that the leader has not acknowledged. */
   unacknowledgedMs: 40,
+  /**
+   * A worker that has had a look for this long has told of every end that it knew of:
+   * longer than a call takes on one machine.
+   */
+  heldMs: 15,
 } as const;
 
 /** What one look at the worker has shown. */
@@ -160,7 +165,7 @@
       if (err instanceof WorkerReplacedError) {
         registry.noteGone(instance, "another life answers");
       }
-      if (this.hasBrokenOff(err, askedAt + waitMs)) {
+      if (this.hasBrokenOff(err, { askedAt, waitMs })) {
         registry.runs.noteLookBroken(instance);
       }
       this.noteFailure(err);
@@ -168,11 +173,20 @@
     }
   }
 
-  /** Whether the call broke off while the worker was still to wait for an end. */
-  private hasBrokenOff(err: unknown, answerDueAt: Monotonic): boolean {
+  /**
+   * Whether the look broke off while the worker had it and waited for an end. A look
+   * after one that failed may never have reached the worker: something else at its
+   * address takes the connection and drops it.
+   */
+  private hasBrokenOff(
+    err: unknown,
+    { askedAt, waitMs }: { askedAt: Monotonic; waitMs: number },
+  ): boolean {
+    if (!this.answering) return false;
     if (!(err instanceof WorkerSilentError) || !err.mayHaveArrived)
       return false;
-    return this.options.clock.monotonic() <= answerDueAt;
+    const heldMs = this.options.clock.monotonic() - askedAt;
+    return heldMs >= WATCH.heldMs && heldMs <= waitMs;
   }
 
   /** What the leader has granted, but no further ahead than the worker may go alone. */
--- a/packages/side/tests/brokenLook.test.ts
+++ b/packages/side/tests/brokenLook.test.ts
@@ -36,16 +36,32 @@
 
 const INSTANCE = brand<WorkerInstance>("w1");
 const RUN = { task: "j.0.0.0", run: 3 } as unknown as RunRef;
+/** Looks begin this long after each multiple of 250 ms on the test's clock, at the most. */
+const BETWEEN_LOOKS_MS = 1;
+/** A side pauses for this after a look that failed. */
+const IDLE_MS = 100;
 /** No look waits longer for an end. */
 const LONGEST_WAIT_MS = 700;
 
+interface Death {
+  /** How long after the worker's last answer it dies, milliseconds. */
+  readonly afterMs: number;
+  /** How long after that the look at it breaks off, milliseconds. */
+  readonly silentMs?: number;
+  /** Whether a look before that one broke off too, with the worker going on. */
+  readonly isSecond?: boolean;
+}
+
 /**
  * A worker shows the run and then dies.
  *
- * @param silentMs how long after that the call to it breaks off
  * @returns what its side says of the run
  */
-const loseWorker = async (silentMs: number): Promise<boolean | undefined> => {
+const loseWorker = async ({
+  afterMs,
+  silentMs = 0,
+  isSecond = false,
+}: Death): Promise<boolean | undefined> => {
   const clock = new ManualClock();
   const logger = silentLogger;
   let isDead = false;
@@ -85,7 +101,12 @@
   });
   watch.raiseEpoch(1 as unknown as Epoch);
   watch.start();
-  await clock.advance(600);
+  await clock.advance(500 + BETWEEN_LOOKS_MS);
+  if (isSecond) {
+    breakOff(new WorkerSilentError("the call broke off"));
+    await clock.advance(IDLE_MS);
+  }
+  await clock.advance(afterMs);
   isDead = true;
   await clock.advance(silentMs);
   breakOff(new WorkerSilentError("the call broke off"));
@@ -100,9 +121,20 @@
 };
 
 test("a run was at work when the look at its worker breaks off before its answer was due", async () => {
-  expect(await loseWorker(0)).toEqual(true);
+  expect(await loseWorker({ afterMs: 100 })).toEqual(true);
 });
 
 test("a run may have ended when the answer was due before the look broke off", async () => {
-  expect(await loseWorker(LONGEST_WAIT_MS)).toEqual(false);
+  const death = { afterMs: 100, silentMs: LONGEST_WAIT_MS };
+  expect(await loseWorker(death)).toEqual(false);
+});
+
+test("a run may have ended when the look broke off before the worker can have had it", async () => {
+  expect(await loseWorker({ afterMs: 5 })).toEqual(false);
+});
+
+// A soak gave a job up in the same way: the worker died while its answers were held
+// back, and the next look was dropped at once by what stood at its address.
+test("a run may have ended when the look before had failed too", async () => {
+  expect(await loseWorker({ afterMs: 100, isSecond: true })).toEqual(false);
 });
