A run that was shown and may have ended unheard of has evidence of its own

Change: `unheard` (3 points) beside `unseen` (2, as before). Tests: both logs; the expectation of three losses and two unseen runs is as it was first.

--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -13,8 +13,9 @@
  * - `young`: it had just begun when its worker crashed, as others may have;
  * - `unanswered`: the same as `sole`, but its worker had not shown the run before;
  * - `unknown`: it was announced, and nobody knows whether it began;
- * - `unseen`: its worker crashed, and nobody knows whether the run was at work then:
- *   it may not have begun, or may have ended unheard of;
+ * - `unseen`: its worker crashed before it showed the run, which may not have begun;
+ * - `unheard`: its worker had shown the run and crashed, and nobody knows whether it was
+ *   at work then: it may have ended unheard of;
  * - `settled`: it had worked for a while when its worker crashed;
  * - `lost`: its host fell silent until the lease was over.
  */
@@ -22,9 +23,10 @@
   sole: 4,
   young: 4,
   unanswered: 4,
+  unseen: 2,
   // Four are enough: sides of busy workers seldom know, and with 2 a task that crashed
   // each worker was started six times (3 of 18 soaks; five are allowed).
-  unseen: 3,
+  unheard: 3,
   settled: 2,
   lost: 2,
   // Each change of leader between an announcement and its order leaves one.
@@ -72,6 +74,7 @@
   settled: "under-run",
   unanswered: "of-worker",
   unseen: "of-worker",
+  unheard: "of-worker",
   unknown: "none",
   lost: "none",
 };
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -40,9 +40,7 @@
     atWork.has(runKeyOf(refOf(run)));
   const sole = findSole(runs);
   if (sole && wasAtWork(sole)) return new Map([[sole, proofOf(sole)]]);
-  return new Map(
-    runs.map((run) => [run, wasAtWork(run) ? evidenceOf(run) : "unseen"]),
-  );
+  return new Map(runs.map((run) => [run, evidenceOf(run, wasAtWork(run))]));
 };
 
 /** The run that began apart, unless another one had begun just before it. */
@@ -59,8 +57,8 @@
 const proofOf = (sole: ActiveRun): CrashEvidence =>
   wasShown(sole) ? "sole" : "unanswered";
 
-const evidenceOf = (run: ActiveRun): CrashEvidence =>
-  evidenceAfter(wasShown(run) ? workedMs(run) : undefined);
+const evidenceOf = (run: ActiveRun, wasAtWork: boolean): CrashEvidence =>
+  evidenceAfter(wasShown(run) ? workedMs(run) : undefined, wasAtWork);
 
 const wasShown = ({ shownFirstAt }: ActiveRun): boolean =>
   shownFirstAt !== undefined;
@@ -68,9 +66,14 @@
 /**
  * @param ms for how long the worker had shown the run when it crashed; undefined
  *   when it never had
+ * @param wasAtWork whether its side knows that it was at work then
  */
-export const evidenceAfter = (ms: number | undefined): CrashEvidence => {
+export const evidenceAfter = (
+  ms: number | undefined,
+  wasAtWork: boolean,
+): CrashEvidence => {
   if (ms === undefined) return "unseen";
+  if (!wasAtWork) return "unheard";
   return hasSettledAfter(ms) ? "settled" : "young";
 };
 
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -112,7 +112,9 @@
     // Beside another run that had just begun, the one that began apart may be free of it.
     const isSole = only && young.length === 1 && isProof(only.task, only.lost);
     for (const { task, lost } of isSole ? [only] : open) {
-      const evidence = isSole ? proofOf(lost) : evidenceOf(lost);
+      const evidence = isSole
+        ? proofOf(lost)
+        : evidenceAfter(lost.workedMs, lost.wasAtWork);
       this.note(host, { task, run: lost.run }, evidence);
     }
     for (const lost of lostRuns) this.judged.set(runKeyOf(lost), true);
@@ -209,9 +211,6 @@
 const proofOf = ({ workedMs }: LostRun): CrashEvidence =>
   workedMs === undefined ? "unanswered" : "sole";
 
-const evidenceOf = ({ workedMs, wasAtWork }: LostRun): CrashEvidence =>
-  wasAtWork ? evidenceAfter(workedMs) : "unseen";
-
 /** Whether the lost run was the announced one of its task, had just begun, and was at work. */
 const isProof = (
   { announced, crashes }: JobTask,
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -196,6 +196,7 @@
   "unknown",
   "unseen",
   "settled",
+  "unheard",
   "lost",
 ] as const;
 export type CrashEvidence = (typeof CRASH_EVIDENCE)[number];
