A task that has waited for 3 s says what it waits for

Cause: between a task's end and its next start no log line named it, so a wait of 15 s after a change of leader could not be told from one for room. Change: each second the step that waits is looked at; task.waits names the cause, how many hosts each rule closes, and after a take-over the hosts not heard; six lines a second at the most, each task again after 5 s. Gauge rackspan_longest_wait_ms by kind.

--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -60,6 +60,11 @@
     return expired;
   }
 
+  /** Hosts that may yet hide a run of a former leader. */
+  unheard(now: Monotonic): readonly HostId[] {
+    return now < this.leasesOverBy ? [...this.silent] : [];
+  }
+
   isOpen(now: Monotonic): boolean {
     return this.silent.size === 0 || now >= this.leasesOverBy;
   }
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -49,6 +49,7 @@
 import { StopControl } from "./StopControl.js";
 import { stepOrders } from "./stepOrders.js";
 import { TailForecast } from "./TailForecast.js";
+import { WaitWatch } from "./WaitWatch.js";
 import { taskPlacers } from "./taskPlacers.js";
 
 const EJECTION = {
@@ -72,6 +73,7 @@
   private readonly dispatcher: Dispatcher;
   private readonly intake: HostIntake;
   private readonly watch: HostWatch;
+  private readonly waits: WaitWatch;
   private readonly adopter: RunAdopter;
   private readonly closer: JobCloser;
   private readonly ends: EndTaker;
@@ -159,6 +161,7 @@
     this.ends = new EndTaker(closing);
     this.crashes = new CrashKeeper(closing);
     this.watch = new HostWatch({ ...parts, crashes: this.crashes });
+    this.waits = new WaitWatch(parts);
   }
 
   start(): void {
@@ -328,6 +331,7 @@
 
   private tick(): void {
     this.watch.look();
+    this.waits.look();
     if (this.jobs.active.size > 0) this.dispatcher.requestPass();
   }
 }
--- /dev/null
+++ b/packages/scheduling/src/WaitWatch.ts
@@ -0,0 +1,127 @@
+/**
+ * Tells which tasks have waited for long, and what for. Without it nothing in the log
+ * names a task between its end and its next start, however long that takes.
+ */
+
+import type { HostId, Monotonic } from "@rackspan/common";
+import type { JobTask, StepRun } from "@rackspan/jobs";
+import type { EngineParts } from "./engineParts.js";
+import type { LiveJob } from "./engineTypes.js";
+import { explainWait } from "./explainWait.js";
+
+const WAIT = {
+  /** How often waiting tasks are looked at, milliseconds. */
+  lookEveryMs: 1_000,
+  /** A wait is told once it is this long, milliseconds: half of what a lasting task may wait. */
+  tellAfterMs: 3_000,
+  /** And again after this, milliseconds. */
+  tellEveryMs: 5_000,
+  /** Waits told at one look, the longest ones. */
+  mostTold: 6,
+  /** Hosts named as not heard since the take-over. */
+  mostNamed: 4,
+} as const;
+
+const KINDS = ["lasting", "gang", "filling", "plain"] as const;
+
+type WaitKind = (typeof KINDS)[number];
+
+const kindOf = ({ spec }: StepRun): WaitKind => {
+  if (spec.lasting) return "lasting";
+  if (spec.gang) return "gang";
+  return spec.filling ? "filling" : "plain";
+};
+
+/** The task of a step that is to be placed next. */
+interface NextTask {
+  readonly live: LiveJob;
+  readonly task: JobTask;
+  readonly since: Monotonic;
+  toldAt: Monotonic;
+}
+
+export class WaitWatch {
+  private readonly next = new Map<StepRun, NextTask>();
+  private lookedAt: Monotonic = -Infinity;
+
+  constructor(private readonly parts: EngineParts) {}
+
+  /** Called at each tick of the engine. */
+  look(): void {
+    const { clock } = this.parts.options;
+    const now = clock.monotonic();
+    if (now - this.lookedAt < WAIT.lookEveryMs) return;
+    this.lookedAt = now;
+    this.note(now);
+    this.setGauges(now);
+    const due = [...this.next.values()]
+      .filter(({ since }) => now - since >= WAIT.tellAfterMs)
+      .filter(({ toldAt }) => now - toldAt >= WAIT.tellEveryMs)
+      .sort((a, b) => a.since - b.since)
+      .slice(0, WAIT.mostTold);
+    for (const wait of due) this.tell(wait, now);
+  }
+
+  private note(now: Monotonic): void {
+    const { jobs, options } = this.parts;
+    const seen = new Set<StepRun>();
+    for (const live of jobs.active) {
+      for (const step of live.job.runnableSteps(options.clock.now())) {
+        const [task] = step.waiting;
+        if (!task) continue;
+        seen.add(step);
+        if (this.next.get(step)?.task === task) continue;
+        this.next.set(step, { live, task, since: now, toldAt: -Infinity });
+      }
+    }
+    for (const step of this.next.keys()) {
+      if (!seen.has(step)) this.next.delete(step);
+    }
+  }
+
+  private setGauges(now: Monotonic): void {
+    const { metrics } = this.parts.options;
+    const longest = new Map<WaitKind, number>();
+    for (const [step, { since }] of this.next) {
+      const kind = kindOf(step);
+      longest.set(kind, Math.max(longest.get(kind) ?? 0, now - since));
+    }
+    for (const kind of KINDS) {
+      metrics.gauge("longest_wait_ms", longest.get(kind) ?? 0, { kind });
+    }
+  }
+
+  private tell(wait: NextTask, now: Monotonic): void {
+    const { options, hosts, ejector } = this.parts;
+    const { live, task, since } = wait;
+    const { step } = task;
+    const { gate } = options;
+    const queue = options.queueOf(live.job.accepted.spec.queue);
+    const { cause, hosts: counts } = explainWait({
+      step,
+      service: queue?.service ?? live.job.terms.service,
+      mayStart: gate.mayStart(live.firstSeenAt, now),
+      entries: hosts.all(),
+      isEjected: ({ host }) => ejector.isEjected(host),
+      isEvacuated: ({ availabilityZone }) =>
+        options.isEvacuated(availabilityZone),
+      now,
+    });
+    wait.toldAt = now;
+    options.logger.info("task.waits", {
+      task: task.id,
+      kind: kindOf(step),
+      waitedMs: Math.round(now - since),
+      waiting: step.waiting.size,
+      cause,
+      ...counts,
+      unheard:
+        cause === "take-over" ? unheardHosts(gate.unheard(now)) : undefined,
+    });
+  }
+}
+
+const unheardHosts = (hosts: readonly HostId[]): string => {
+  const named = hosts.slice(0, WAIT.mostNamed).join(",");
+  return `${hosts.length}: ${named}`;
+};
--- /dev/null
+++ b/packages/scheduling/src/explainWait.ts
@@ -0,0 +1,86 @@
+/** Tells what a waiting task waits for: which rule keeps it from which hosts. */
+
+import type { Monotonic } from "@rackspan/common";
+import { crashesOf, type HostLedger, type StepRun } from "@rackspan/jobs";
+import type { HostEntry } from "./engineTypes.js";
+import { fitsInto, isAllowedOn, roomLeft } from "./taskPlacers.js";
+import { closedReason, type ClosedReason } from "./usableHosts.js";
+
+/**
+ * Why a step is not placed at all:
+ * - `take-over`: a former leader's run of it may be hidden on a host not heard yet;
+ * - `ticket-refused`: a worker refused its ticket a moment ago;
+ * - `crash-doubt`: it is being judged whether its task crashed a worker;
+ * - `suspected`: its task crashed workers, so it waits for the store, or for a host alone;
+ * - `gang-incomplete`: members of its gang still run;
+ * - `hosts`: each host is closed to it, by the rules that are counted.
+ */
+export type WaitCause =
+  | "take-over"
+  | "ticket-refused"
+  | "crash-doubt"
+  | "suspected"
+  | "gang-incomplete"
+  | "hosts";
+
+/** Why an open host does not take it: `placer` when it fits and the placer passes it over. */
+type RefusalRule = "label-or-limit" | "room" | "placer";
+
+/** How many hosts of the service each rule closes to the step. */
+export type HostCounts = Readonly<
+  Partial<Record<ClosedReason | RefusalRule | "other-service", number>>
+>;
+
+export interface Wait {
+  readonly cause: WaitCause;
+  readonly hosts: HostCounts;
+}
+
+export interface WaitingStep {
+  readonly step: StepRun;
+  readonly service: string;
+  /** Whether the take-over lets its job start. */
+  readonly mayStart: boolean;
+  readonly entries: Iterable<HostEntry>;
+  readonly isEjected: (host: HostLedger) => boolean;
+  readonly isEvacuated: (host: HostLedger) => boolean;
+  readonly now: Monotonic;
+}
+
+export const explainWait = (waiting: WaitingStep): Wait => {
+  const counts = new Map<keyof HostCounts, number>();
+  for (const entry of waiting.entries) {
+    const rule = ruleFor(entry, waiting);
+    counts.set(rule, (counts.get(rule) ?? 0) + 1);
+  }
+  return { cause: causeOf(waiting), hosts: Object.fromEntries(counts) };
+};
+
+const causeOf = ({ step, mayStart, now }: WaitingStep): WaitCause => {
+  const [task] = step.waiting;
+  if (!mayStart) return "take-over";
+  if (now < step.heldUntil) return "ticket-refused";
+  if (task && now < task.heldUntil) return "crash-doubt";
+  if (task && (task.announced !== undefined || crashesOf(task).isSuspect)) {
+    return "suspected";
+  }
+  const open = step.tasks.length - step.doneCount;
+  if (step.spec.gang && step.waiting.size < open) return "gang-incomplete";
+  return "hosts";
+};
+
+const ruleFor = (
+  entry: HostEntry,
+  { step, service, isEjected, isEvacuated, now }: WaitingStep,
+): keyof HostCounts => {
+  const { ledger } = entry;
+  if ((ledger.worker.service as string) !== service) return "other-service";
+  const closed = closedReason(entry, now);
+  if (closed) return closed;
+  if (isEvacuated(ledger)) return "evacuated";
+  if (isEjected(ledger)) return "ejected";
+  const [task] = step.waiting;
+  if (!task) return "placer";
+  if (!isAllowedOn(task, ledger)) return "label-or-limit";
+  return fitsInto(task, roomLeft(ledger)) ? "placer" : "room";
+};
--- a/packages/scheduling/src/usableHosts.ts
+++ b/packages/scheduling/src/usableHosts.ts
@@ -25,7 +25,7 @@
   isEvacuated,
 }: UsableHostsOptions): ReadonlyMap<string, readonly HostLedger[]> => {
   const usable = [...entries]
-    .filter((entry) => isUsable(entry, now))
+    .filter((entry) => closedReason(entry, now) === undefined)
     .filter(({ ledger }) => !isEvacuated(ledger.availabilityZone))
     .map(({ ledger }) => ledger);
   const healthy = usable.filter(({ host }) => !ejector.isEjected(host));
@@ -35,12 +35,30 @@
   );
 };
 
-const isUsable = (
+/** Why a host takes no new tasks, whatever they ask for. */
+export type ClosedReason =
+  | "detached"
+  | "not-rostered"
+  | "draining"
+  | "unknown-run"
+  | "holds-suspect"
+  | "not-reported"
+  | "refused-a-start"
+  | "quiet"
+  | "evacuated"
+  | "ejected";
+
+/** @returns undefined for a host that takes tasks, by its own state */
+export const closedReason = (
   { ledger, session, rostered }: HostEntry,
   now: Monotonic,
-): boolean => {
-  if (!session || !rostered || ledger.worker.draining) return false;
-  if (ledger.mayBeFull || ledger.holdsApart) return false;
-  if (ledger.reportedAt === undefined) return false;
-  return now >= ledger.pausedUntil && now - ledger.heardAt < ENGINE.quietMs;
+): ClosedReason | undefined => {
+  if (!session) return "detached";
+  if (!rostered) return "not-rostered";
+  if (ledger.worker.draining) return "draining";
+  if (ledger.mayBeFull) return "unknown-run";
+  if (ledger.holdsApart) return "holds-suspect";
+  if (ledger.reportedAt === undefined) return "not-reported";
+  if (now < ledger.pausedUntil) return "refused-a-start";
+  return now - ledger.heardAt < ENGINE.quietMs ? undefined : "quiet";
 };
