A worker's lives under one id are told apart by id and time of birth

Callers saw tasks started again after they were done or had failed as often as they may, and a step that waited for one that was done. Cause: the side took an id for a life. It told the next life under the same id the number of ends that it had acknowledged of the one before, and that life forgot its first ends unread; its heartbeats were passed over until their sequence had caught up, its reports for as long as its clock showed less. The header names the id alone, so each new connection to a worker is confirmed by a look without lease or acknowledgement before anything else is sent over it: a connection does not outlive the process at its end. Starts without an answer are barred at the next life before the leader hears of it. A goodbye that leaves its life open ends only one that drains and cannot be reached. Heartbeats without born are a life of their own, but not beside one that says it.

--- /dev/null
+++ b/packages/protocol/src/ConfirmedHttpClient.ts
@@ -0,0 +1,146 @@
+/**
+ * HTTP calls to one of the processes that stand at an address one after the other. A
+ * connection never outlives the process at its other end, so each new one is confirmed
+ * before anything else is sent over it: a call reaches the process that is meant, or
+ * none, also when another one took its place a moment ago.
+ */
+
+import type { Socket } from "node:net";
+import { ConnectError, LostAnswerError } from "./errors.js";
+import { HttpClient, type HttpAnswer, type HttpCall } from "./HttpClient.js";
+
+const DEFAULT_TIMEOUT_MS = 5_000;
+
+/** Sends a call over the connection that is to be confirmed. */
+export type AskPeer = (call: HttpCall) => Promise<HttpAnswer>;
+
+export interface ConfirmedCall extends HttpCall {
+  /** Names the process that is meant. */
+  readonly peer: string;
+  /**
+   * Asks over a new connection which process answers.
+   * @throws when it is not the one that is meant; the call is not sent then
+   */
+  readonly confirm: (ask: AskPeer) => Promise<void>;
+}
+
+export interface ConfirmedHttpClientOptions {
+  /** `http://IP:PORT`, without a trailing slash. */
+  readonly baseUrl: string;
+  /** Connections kept open to the other process. */
+  readonly maxSockets: number;
+}
+
+export class ConfirmedHttpClient {
+  /** Those used last at the end: they are the most likely to be confirmed. */
+  private readonly idle: PeerConnection[];
+  private readonly waiting = new Set<(free: PeerConnection) => void>();
+
+  constructor(private readonly options: ConfirmedHttpClientOptions) {
+    const { baseUrl, maxSockets } = options;
+    this.idle = Array.from(
+      { length: maxSockets },
+      () => new PeerConnection(baseUrl),
+    );
+  }
+
+  /**
+   * Returns answers of any status.
+   * @throws ConnectError when nothing of the call was sent
+   * @throws LostAnswerError when the call may have taken effect
+   */
+  async call(call: ConfirmedCall): Promise<HttpAnswer> {
+    const connection = await this.acquire(call);
+    try {
+      return await connection.call(call);
+    } catch (err) {
+      // Connections kept beside a silent one may have fallen silent too.
+      if (err instanceof LostAnswerError) this.closeIdle();
+      throw err;
+    } finally {
+      this.release(connection);
+    }
+  }
+
+  private closeIdle(): void {
+    for (const connection of this.idle) connection.close();
+  }
+
+  private acquire({
+    peer,
+    timeoutMs = DEFAULT_TIMEOUT_MS,
+  }: ConfirmedCall): Promise<PeerConnection> {
+    const at = this.idle.findLastIndex((each) => each.isConfirmed(peer));
+    const [free] = this.idle.splice(at, 1);
+    if (free) return Promise.resolve(free);
+    return new Promise((resolve, reject) => {
+      const take = (connection: PeerConnection): void => {
+        clearTimeout(timer);
+        resolve(connection);
+      };
+      const timer = setTimeout(() => {
+        this.waiting.delete(take);
+        const cause = new Error(`no connection free in ${timeoutMs} ms`);
+        reject(new ConnectError(this.options.baseUrl, cause));
+      }, timeoutMs);
+      this.waiting.add(take);
+    });
+  }
+
+  private release(connection: PeerConnection): void {
+    const [next] = this.waiting;
+    if (!next) {
+      this.idle.push(connection);
+      return;
+    }
+    this.waiting.delete(next);
+    next(connection);
+  }
+}
+
+/** One connection at a time, and which process is known to be at its other end. */
+class PeerConnection {
+  private readonly http: HttpClient;
+  private socket: Socket | undefined;
+  private peer: string | undefined;
+
+  constructor(private readonly baseUrl: string) {
+    this.http = new HttpClient({ baseUrl, maxSockets: 1 });
+  }
+
+  isConfirmed(peer: string): boolean {
+    return this.peer === peer && this.socket?.destroyed === false;
+  }
+
+  close(): void {
+    this.http.closeIdle();
+  }
+
+  async call(call: ConfirmedCall): Promise<HttpAnswer> {
+    if (!this.isConfirmed(call.peer)) await this.confirm(call);
+    return this.http.call({
+      ...call,
+      admits: (socket) => socket === this.socket,
+    });
+  }
+
+  private async confirm({ peer, confirm }: ConfirmedCall): Promise<void> {
+    this.peer = undefined;
+    await confirm((call) => this.ask(call));
+    this.peer = peer;
+  }
+
+  /** What is asked here takes no effect that the call itself depends on. */
+  private async ask(call: HttpCall): Promise<HttpAnswer> {
+    const admits = (socket: Socket): boolean => {
+      this.socket = socket;
+      return true;
+    };
+    try {
+      return await this.http.call({ ...call, admits });
+    } catch (err) {
+      if (!(err instanceof LostAnswerError)) throw err;
+      throw new ConnectError(this.baseUrl, err);
+    }
+  }
+}
--- a/packages/protocol/src/HttpClient.ts
+++ b/packages/protocol/src/HttpClient.ts
@@ -1,6 +1,7 @@
 /** HTTP calls over Node's http, with bounded answers and honest failure kinds. */
 
 import { Agent, request, type IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import { ConnectError, LostAnswerError } from "./errors.js";
 import { readBody } from "./readBody.js";
 
@@ -16,6 +17,8 @@
   /** Milliseconds until the call is given up and its connection is closed. */
   readonly timeoutMs?: number;
   readonly signal?: AbortSignal;
+  /** Whether the call may be sent over that connection; any when left out. */
+  readonly admits?: (socket: Socket) => boolean;
 }
 
 export interface HttpAnswer {
@@ -70,7 +73,7 @@
    * A connection that was kept open has fallen silent, so those kept beside it
    * may have too: without this, each of them costs a call its whole time-out.
    */
-  private closeIdle(): void {
+  closeIdle(): void {
     for (const sockets of Object.values(this.agent.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy();
     }
@@ -94,6 +97,11 @@
         req.destroy(err);
       }, timeoutMs);
       req.on("socket", (socket) => {
+        if (call.admits?.(socket) === false) {
+          // Before a byte is written.
+          req.destroy(new Error("the connection before was closed"));
+          return;
+        }
         if (!socket.connecting) connected = true;
         else socket.once("connect", () => (connected = true));
       });
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./Attempt.js";
+export * from "./ConfirmedHttpClient.js";
 export * from "./errors.js";
 export * from "./headers.js";
 export * from "./hostMethods.js";
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -73,6 +73,7 @@
       } catch (err) {
         if (!(err instanceof WorkerSilentError)) throw err;
         mayHaveArrived ||= err.mayHaveArrived;
+        if (err.mayHaveArrived) registry.unanswered.note(instance, order);
         if (mayHaveArrived) throw err;
         // No connection: the run has not begun, and goes elsewhere at once.
         return { kind: "refused", reason: "unhealthy" };
--- /dev/null
+++ b/packages/side/src/jobs/UnansweredStarts.ts
@@ -0,0 +1,53 @@
+/**
+ * Orders to start that got no answer. A worker may carry one out seconds later, and so
+ * may its next life where both stand under one id: the run would begin there although
+ * the leader has taken it for lost with the life before.
+ */
+
+import type { Clock, Monotonic, WorkerInstance } from "@rackspan/common";
+import { runKeyOf, type RunRef } from "@rackspan/ports";
+import { BoundedMap } from "@rackspan/state";
+
+const UNANSWERED = {
+  /** An order is not carried out later than this, milliseconds: workers speak of seconds. */
+  keptMs: 15_000,
+  /** The oldest are forgotten. */
+  maxKept: 1_024,
+} as const;
+
+interface UnansweredStart {
+  readonly ref: RunRef;
+  readonly instance: WorkerInstance;
+  readonly triedAt: Monotonic;
+}
+
+export class UnansweredStarts {
+  /** By run. */
+  private readonly starts = new BoundedMap<string, UnansweredStart>(
+    UNANSWERED.maxKept,
+  );
+
+  constructor(private readonly clock: Clock) {}
+
+  /** That life has been told to start it, and has not answered. */
+  note(instance: WorkerInstance, { task, run }: RunRef): void {
+    const triedAt = this.clock.monotonic();
+    this.starts.set(runKeyOf({ task, run }), {
+      ref: { task, run },
+      instance,
+      triedAt,
+    });
+  }
+
+  /** Runs that were ordered of other lives, and that must not begin at this one. */
+  ofOthers(instance: WorkerInstance): readonly RunRef[] {
+    const oldest = this.clock.monotonic() - UNANSWERED.keptMs;
+    for (const [key, { triedAt }] of this.starts) {
+      if (triedAt < oldest) this.starts.delete(key);
+    }
+    return [...this.starts]
+      .map(([, start]) => start)
+      .filter((start) => start.instance !== instance)
+      .map(({ ref }) => ref);
+  }
+}
--- a/packages/side/src/jobs/WorkerRegistry.ts
+++ b/packages/side/src/jobs/WorkerRegistry.ts
@@ -11,12 +11,18 @@
 } from "@rackspan/common";
 import type { WorkerDescription } from "@rackspan/protocol";
 import { RunsOfLives } from "./RunsOfLives.js";
+import { UnansweredStarts } from "./UnansweredStarts.js";
 
 /** A heartbeat of the worker on this host. */
 export interface WorkerHeartbeat {
   readonly worker: WorkerDescription;
   /** Rises with each heartbeat of one life. */
   readonly sequence: number;
+  /**
+   * Whether it may be another life's that was heard; given only where the worker does
+   * not say which of the lives under its id it is.
+   */
+  readonly mayMean?: ((life: WorkerInstance) => boolean) | undefined;
 }
 
 const REGISTRY = {
@@ -26,6 +32,14 @@
   maxDisplaced: 8,
 } as const;
 
+/** What a worker says at its planned end. */
+export interface WorkerGoodbye {
+  /** The life that it names. */
+  readonly life: WorkerInstance;
+  /** Whether it may mean that life, where it does not name one that was heard. */
+  readonly mayMean: (life: WorkerInstance) => boolean;
+}
+
 /** The heartbeat of a worker that is not the one on this host. */
 export class OtherServiceError extends RackspanError {
   readonly kind = "other-service";
@@ -41,11 +55,24 @@
   }
 }
 
+/** A heartbeat that leaves open which life it is from, where a life that says so stands. */
+export class OpenLifeError extends RackspanError {
+  readonly kind = "open-life";
+  constructor(instance: WorkerInstance) {
+    super({
+      what: `the heartbeat under ${instance} does not say which life it is from`,
+      remedy: "see who else reports to this host; the worker here goes on",
+    });
+  }
+}
+
 export class WorkerRegistry {
   /** Notified when the worker or its state changes. */
   readonly changed = new ChangeSignal();
   /** What runs at the lives that may be the present one, and what was lost with others. */
   readonly runs: RunsOfLives;
+  /** Starts that a life may yet carry out, or its next one in its place. */
+  readonly unanswered: UnansweredStarts;
   /** The life that ended last. */
   lastGone: WorkerInstance | undefined;
   private heartbeat: WorkerHeartbeat | undefined;
@@ -59,6 +86,8 @@
    */
   private displaced: WorkerHeartbeat[] = [];
   private readonly gone = new Set<WorkerInstance>();
+  /** Lives that drain, and that may have said that they leave. */
+  private readonly leaving = new Set<WorkerInstance>();
 
   /** @param service that of the worker on this host; any when left out */
   constructor(
@@ -67,6 +96,7 @@
     private readonly service?: ServiceName,
   ) {
     this.runs = new RunsOfLives(clock);
+    this.unanswered = new UnansweredStarts(clock);
   }
 
   /** The life that was heard last and is not known to be over. */
@@ -79,12 +109,18 @@
     return { ...worker, leavesInMs };
   }
 
-  /** @throws OtherServiceError when it does not come from the worker on this host */
+  /**
+   * @throws OtherServiceError when it does not come from the worker on this host
+   * @throws OpenLifeError when it may come from another life than it names
+   */
   noteHeartbeat(beat: WorkerHeartbeat): void {
     const { instance, service } = beat.worker;
     if (this.service !== undefined && service !== this.service) {
       throw new OtherServiceError(instance, service, this.service);
     }
+    const isOther = ({ worker }: WorkerHeartbeat): boolean =>
+      worker.instance !== instance && beat.mayMean?.(worker.instance) === true;
+    if (this.lives.some(isOther)) throw new OpenLifeError(instance);
     const current = this.heartbeat;
     if (this.gone.has(instance)) return;
     if (this.isDisplaced(instance)) return;
@@ -118,6 +154,30 @@
     this.displaced = [];
   }
 
+  /**
+   * The worker has said that it leaves. Which life under its id said so may be open, and
+   * what was held up may come from one before: only one that drains can have said it,
+   * and it is over once it can be reached no more.
+   */
+  noteLeft({ life, mayMean }: WorkerGoodbye): void {
+    if (this.heard(life)) {
+      this.noteGone(life, "it said that it leaves");
+      return;
+    }
+    const meant = this.lives.filter(
+      ({ worker }) => worker.draining && mayMean(worker.instance),
+    );
+    for (const { worker } of meant) this.leaving.add(worker.instance);
+    if (meant.length > 0) return;
+    this.logger.info("worker.goodbye-passed-over", { instance: life });
+  }
+
+  /** No connection to that life of the worker can be made. */
+  noteUnreachable(instance: WorkerInstance): void {
+    if (!this.leaving.has(instance)) return;
+    this.noteGone(instance, "it said that it leaves, and cannot be reached");
+  }
+
   /** That life of the worker is over. */
   noteGone(instance: WorkerInstance, reason: string): void {
     if (this.gone.has(instance)) return;
@@ -146,8 +206,14 @@
 
   /** What that life has said of itself last. */
   private heard(instance: WorkerInstance): WorkerDescription | undefined {
-    const lives = [this.heartbeat, ...this.displaced];
-    return lives.find((life) => life?.worker.instance === instance)?.worker;
+    return this.lives.find(({ worker }) => worker.instance === instance)
+      ?.worker;
+  }
+
+  /** Lives that may be the present one. */
+  private get lives(): readonly WorkerHeartbeat[] {
+    const { heartbeat, displaced } = this;
+    return heartbeat ? [heartbeat, ...displaced] : displaced;
   }
 
   /** That life is over: its heartbeats are passed over from now on. */
@@ -156,6 +222,7 @@
     draining,
   }: Pick<WorkerDescription, "instance" | "draining">): void {
     this.runs.endLife(instance, draining);
+    this.leaving.delete(instance);
     this.gone.add(instance);
     if (this.gone.size <= REGISTRY.maxGone) return;
     const [oldest] = this.gone;
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -147,6 +147,9 @@
     if (this.lastSighting && this.lastSighting.instance !== instance) {
       this.forget();
     }
+    if (!this.lastSighting && !(await this.barFormerStarts(instance, epoch))) {
+      return false;
+    }
     const isFirst = this.sighting === undefined;
     const askedAt = this.options.clock.monotonic();
     const waitMs = isFirst ? 0 : PACING.everyMs;
@@ -162,17 +165,36 @@
       this.take({ instance, epoch, answer, askedAt }, isFirst);
       return true;
     } catch (err) {
-      if (err instanceof WorkerReplacedError) {
-        registry.noteGone(instance, "another life answers");
-      }
       if (this.hasBrokenOff(err, { askedAt, waitMs })) {
         registry.runs.noteLookBroken(instance);
       }
-      this.noteFailure(err);
+      this.noteFailure(instance, err);
       return false;
     }
   }
 
+  /**
+   * Before the leader hears of this life: what a former one was told to start, and has
+   * not answered, never begins here.
+   * @returns whether the worker has barred them all
+   */
+  private async barFormerStarts(
+    instance: WorkerInstance,
+    epoch: Epoch,
+  ): Promise<boolean> {
+    const { host, registry, logger } = this.options;
+    const refs = registry.unanswered.ofOthers(instance);
+    if (refs.length === 0) return true;
+    try {
+      for (const ref of refs) await host.stop(instance, ref, epoch);
+    } catch (err) {
+      this.noteFailure(instance, err);
+      return false;
+    }
+    logger.info("worker.former-starts-barred", { instance, runs: refs.length });
+    return true;
+  }
+
   /**
    * Whether the look broke off while the worker had it and waited for an end. A look
    * after one that failed may never have reached the worker: something else at its
@@ -218,8 +240,14 @@
     if (isFirst || hasNewEnds) this.news.notify();
   }
 
-  private noteFailure(err: unknown): void {
-    const { logger } = this.options;
+  private noteFailure(instance: WorkerInstance, err: unknown): void {
+    const { logger, registry } = this.options;
+    if (err instanceof WorkerReplacedError) {
+      registry.noteGone(instance, "another life answers");
+    }
+    if (err instanceof WorkerSilentError && !err.mayHaveArrived) {
+      registry.noteUnreachable(instance);
+    }
     if (err instanceof TaskRefusedError && err.fenced) {
       logger.info("worker.fenced-us", { epoch: this.epoch });
     }
