A side tells a leader of its worker's end before it stops, and hears that it was noted

Callers saw lasting tasks, and all others that were known before, wait 13 to 17 s after a change of leader. Cause: the word that a worker is over got no answer; a side whose leader was frozen ended with the word unheard, and the next leader waited for the host's longest lease. Change: the word is a call, answered once the store's roster names the host no more and the leader may decide; a side without a worker gives a silent leader up after one unanswered word, and its planned stop waits for the answer, for 0.6 of its grace at the most. Why it holds: the roster either names the host no more, or its side tells the next leader; a deposed leader's answer does not count, since its write is fenced.

--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -187,7 +187,8 @@
     instance: WorkerInstance,
     lostRuns: readonly LostRun[],
   ): void {
-    if (!this.isOver) this.engine?.noteWorkerGone(host, instance, lostRuns);
+    if (this.isOver) return;
+    void this.engine?.noteWorkerGone(host, instance, lostRuns);
   }
 
   /** Its term is over: it decides nothing more, and its connections end. */
--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -135,9 +135,11 @@
           const { host, zone, leading } = this.current();
           return leading.engine.report(host, zone, report);
         },
-        workerGone: ({ instance, lostRuns }) => {
+        workerGone: async ({ instance, lostRuns }) => {
           const { host, leading } = this.current();
-          leading.engine.noteWorkerGone(host, instance, lostRuns);
+          const { engine } = leading;
+          const isNoted = await engine.noteWorkerGone(host, instance, lostRuns);
+          if (!isNoted) throw new NotLeadingError();
           return {};
         },
         ping: () => ({}),
--- a/packages/entry/src/jobs/StoredRoster.ts
+++ b/packages/entry/src/jobs/StoredRoster.ts
@@ -33,15 +33,17 @@
     if (this.written.get(host) === instance) this.kept.set(host, instance);
   }
 
-  remove(host: HostId): void {
+  async remove(host: HostId): Promise<boolean> {
     this.kept.delete(host);
     this.written.set(host, undefined);
-    this.writer
-      .write({ key: host, value: undefined })
-      .kept.catch((err: unknown) => {
-        // A host that stays listed only delays a next leader's first starts.
-        const error = describeError(err);
-        this.logger.warn("roster.not-removed", { host, error });
-      });
+    try {
+      await this.writer.write({ key: host, value: undefined }).kept;
+      return true;
+    } catch (err) {
+      // A host that stays listed only delays a next leader's first starts.
+      const error = describeError(err);
+      this.logger.warn("roster.not-removed", { host, error });
+      return false;
+    }
   }
 }
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -119,7 +119,10 @@
     result: z.object({ epoch: numberOf<Epoch>() }),
   },
   report: { params: reportSchema, result: grantSchema },
-  /** That life of the worker has ended, and so has all that ran there. */
+  /**
+   * That life of the worker has ended, and so has all that ran there. Answered once no
+   * next leader will wait for it.
+   */
   workerGone: {
     params: z.object({
       instance: idSchema<WorkerInstance>(),
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -234,17 +234,25 @@
     this.intake.detach(host, session);
   }
 
-  /** The worker has ended, by its own word or since another life answers for it. */
-  noteWorkerGone(
+  /**
+   * The worker has ended, by its own word or since another life answers for it.
+   * @returns whether this leader has taken note of it, and a next one will not wait for it
+   */
+  async noteWorkerGone(
     host: HostId,
     instance: WorkerInstance,
     lostRuns: readonly LostRun[] = [],
-  ): void {
+  ): Promise<boolean> {
     const entry = this.hosts.get(host);
-    if (entry?.ledger.instance === instance)
-      this.watch.dropHost(entry, "crashed", "worker-gone", lostRuns);
+    const isThere = entry?.ledger.instance === instance;
+    const removed = isThere
+      ? this.watch.dropHost(entry, "crashed", "worker-gone", lostRuns)
+      : undefined;
     this.crashes.noteTold(host, lostRuns);
-    if (!entry) this.watch.dropUnheard(host, instance);
+    const isKept = entry
+      ? await (removed ?? true)
+      : await this.watch.dropUnheard(host, instance);
+    return isKept && this.options.mayDecide();
   }
 
   /** Takes a host's report. */
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -281,8 +281,9 @@
     this.hosts.set(host, instance);
   }
 
-  remove(host: HostId): void {
+  async remove(host: HostId): Promise<boolean> {
     this.hosts.delete(host);
+    return this.isKept;
   }
 
   instanceOf(host: HostId): WorkerInstance | undefined {
--- a/packages/side/src/jobs/JobSideProcess.ts
+++ b/packages/side/src/jobs/JobSideProcess.ts
@@ -34,8 +34,12 @@
    * attached after 1.3 to 1.8 s in 14 planned restarts of a played day.
    */
   restartMs: 3_000,
+  /** Share of the time for a planned stop in which a leader must hear that the worker left. */
+  goodbyeShare: 0.6,
 } as const;
 
+const MS_PER_SECOND = 1_000;
+
 export interface JobSideProcessOptions {
   readonly settings: JobSideSettings;
   readonly clock?: Clock;
@@ -93,6 +97,7 @@
       pacer,
       clock,
       logger,
+      goodbyeMs: SIDE.goodbyeShare * settings.graceSeconds * MS_PER_SECOND,
     });
     this.inbox = workerInboxes.create(client, {
       ...settings.inbox,
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -20,6 +20,7 @@
   hostMethods,
   leaderMethods,
   LineConnection,
+  LostAnswerError,
   type Grant,
 } from "@rackspan/protocol";
 import type { LeaderFinder } from "./LeaderFinder.js";
@@ -49,6 +50,8 @@
   ungrantedMs: 700,
   /** Unanswered reports in a row after which another leader is looked for. */
   maxUnanswered: 2,
+  /** Between two looks whether a leader has taken note of the worker's end. */
+  goodbyeLookMs: 50,
 } as const;
 
 type LeaderConnection = LineConnection<
@@ -66,6 +69,8 @@
   readonly pacer: Pacer;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** For how long a planned stop waits until a leader knows that the worker left, milliseconds. */
+  readonly goodbyeMs: number;
 }
 
 export class LeaderLink {
@@ -74,7 +79,9 @@
   private reportedAt: Monotonic = -Infinity;
   /** When the leader last granted a lease, or was last looked for since. */
   private grantedAt: Monotonic = -Infinity;
+  /** The life of whose end the leader of this connection has taken note. */
   private toldGone: WorkerInstance | undefined;
+  private isTelling = false;
   private task: Promise<void> | undefined;
 
   constructor(private readonly options: LeaderLinkOptions) {}
@@ -84,12 +91,29 @@
   }
 
   async stop(): Promise<void> {
+    await this.awaitGoodbye();
     this.abort.abort();
     this.connection?.close("stopping");
     this.options.watch.news.notify();
     await this.task;
   }
 
+  /**
+   * A host is often taken away once its worker has left. Were nobody told, the next
+   * leader would start nothing that it knew before until this host's lease is over.
+   */
+  private async awaitGoodbye(): Promise<void> {
+    const { registry, clock, logger, goodbyeMs } = this.options;
+    const { worker, lastGone } = registry;
+    if (worker !== undefined || lastGone === undefined) return;
+    const giveUpAt = clock.monotonic() + goodbyeMs;
+    while (this.toldGone !== lastGone && clock.monotonic() < giveUpAt) {
+      await sleep(clock, LINK.goodbyeLookMs);
+    }
+    const wasTold = this.toldGone === lastGone;
+    logger.info("worker.goodbye", { instance: lastGone, wasTold });
+  }
+
   private async run(): Promise<void> {
     const { finder, clock } = this.options;
     while (!this.abort.signal.aborted) {
@@ -196,11 +220,28 @@
   }
 
   private tellGone(connection: LeaderConnection): void {
-    const { lastGone } = this.options.registry;
-    if (lastGone === undefined || lastGone === this.toldGone) return;
-    this.toldGone = lastGone;
-    const lostRuns = [...this.options.registry.runs.untold];
-    connection.notify("workerGone", { instance: lastGone, lostRuns });
+    const { registry, logger } = this.options;
+    const { lastGone: instance } = registry;
+    if (instance === undefined || instance === this.toldGone) return;
+    if (this.isTelling) return;
+    this.isTelling = true;
+    const lostRuns = [...registry.runs.untold];
+    connection
+      .call("workerGone", { instance, lostRuns }, LINK.callTimeoutMs)
+      .then(() => {
+        if (this.connection === connection) this.toldGone = instance;
+      })
+      .catch((err: unknown) => {
+        logger.warn("worker.goodbye-unanswered", {
+          instance,
+          error: describeError(err),
+        });
+        // Without a worker there are no reports that would show a silent leader.
+        const isSilent = err instanceof LostAnswerError;
+        if (isSilent && !registry.worker)
+          connection.close("goodbye unanswered");
+      })
+      .finally(() => (this.isTelling = false));
   }
 
   /** Whether the store names another leader than this one, which grants nothing. */
--- a/packages/side/src/jobs/settings.ts
+++ b/packages/side/src/jobs/settings.ts
@@ -57,6 +57,8 @@
       tailAim: z.number().min(0.1).max(2).default(0.9),
     })
     .prefault({}),
+  /** Time for a planned stop. */
+  graceSeconds: z.number().min(0).max(3_600).default(6),
   metrics: listenAddressSchema.optional(),
   logLevel: z
     .enum(["error", "warn", "info", "debug", "silent"])
