--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -24,8 +24,7 @@
   young: 4,
   unanswered: 4,
   unseen: 2,
-  // Four are enough: sides of busy workers seldom know, and with 2 a task that crashed
-  // each worker was started six times (3 of 18 soaks; five are allowed).
+  // Four are enough to give a task up: sides of busy workers seldom know more.
   unheard: 3,
   settled: 2,
   lost: 2,
@@ -34,9 +33,8 @@
 };
 
 /**
- * All announcements without an order together: four changes of leader gave up a job
- * that had only shared two workers with one that crashes them (seed 71 of the
- * schedules).
+ * All announcements without an order together: changes of leader alone must not give a
+ * task up that only shared its workers with one that crashes them.
  */
 const MOST_UNKNOWN_POINTS = 2;
 
--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -181,9 +181,7 @@
 
   /**
    * Takes the strays of the newest report in place of those before. A stop takes
-   * its time, and workers that do not guard their room would start more beside
-   * them: 14 starts past a host's room, seen on a played day, came 0.3 s after
-   * the stops of four strays.
+   * its time, and workers that do not guard their room would start more beside them.
    */
   replaceStrays(strays: readonly StrayRun[]): void {
     for (const stray of this.strays.values()) this.accountStray(stray, -1);
--- a/packages/jobs/src/TailModel.ts
+++ b/packages/jobs/src/TailModel.ts
@@ -12,11 +12,7 @@
 import { MS_PER_SECOND, type Monotonic } from "@rackspan/common";
 import type { ImageName } from "@rackspan/state";
 
-/**
- * Bases, variances and weights are from readings of played days, chosen by the
- * error of the next reading (docs/measurements/platform.md, "Interference" and
- * "Which change gained what"); bounds without a source keep numbers in range.
- */
+/** Where these come from: docs/CAPACITY.md, "How values were found". */
 export const TAIL_MODEL = {
   /** Logarithm of a tail's share of its target when nothing disturbs (0.42). */
   initialBase: -0.87,
@@ -36,9 +32,7 @@
    * Variance a second by which the base moves. The users of an image come and go
    * on all hosts together, so its tails rise and fall as one (correlation 0.8
    * between tasks of a host, a swing of 0.45 within 14 s). A base that stands
-   * still takes this for disturbance: the next reading is missed by 0.44 instead
-   * of 0.36, and weights after 30 s are off by 0.050 instead of 0.032 a core (one
-   * day's 3,500 readings, played through this filter).
+   * still takes this for disturbance.
    */
   baseDriftVariance: 0.02,
   /** Errors count as at most this many standard deviations: readings jump. */
--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -41,9 +41,8 @@
 
   /**
    * This leader has seen every job that the store kept when no former leader
-   * decided any more. To be seen late is not to be new: a take-over that lasted
-   * longer than the former term took all jobs for new ones, and started eight
-   * tasks beside their runs (seed 145 of the random schedules).
+   * decided any more. To be seen late is not to be new: a take-over that lasts
+   * longer than the former term would take all jobs for new ones.
    */
   noteViewCurrent(now: Monotonic): void {
     if (now < this.authorityOverBy) return;
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -19,8 +19,7 @@
  * A run that began apart answers for the crash, and those beside it go free: they
  * only shared the worker. Else each run there may have done it, most of all those
  * of which the side knows that they were at work. Without that knowledge a run that
- * had ended unheard of counted as a crash under its task: 2 of 50 soaks in which half
- * of the workers died each 2.5 s gave up a job that was done.
+ * had ended unheard of would count as a crash under its task.
  *
  * @param lostRuns what the side tells of the runs that were lost with the worker
  * @returns nothing for a worker that was leaving: its end was planned
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -23,8 +23,7 @@
 /**
  * Whether a run that the report does not list is not there and never will be:
  * the worker has shown it before, or could not begin it any more by then. While
- * the list of ends is cut off, its end may be among those that are not told yet:
- * 520 starts of 510 tasks, in a test where more ended than a worker lists.
+ * the list of ends is cut off, its end may be among those that are not told yet.
  */
 const hasVanished = (
   { at, hasMoreEnds }: HostReport,
@@ -37,7 +36,7 @@
   return phase !== "starting" && at > orderLapsesAt;
 };
 
-/** A filling task that gets less than this share of what it asks for crawls; tried on played days. */
+/** A filling task that gets less than this share of what it asks for crawls. */
 const CRAWL_SHARE = 0.35;
 
 const crawls = ({ task, reading }: ActiveRun): boolean => {
--- a/packages/leadership/src/leaseBounds.ts
+++ b/packages/leadership/src/leaseBounds.ts
@@ -27,9 +27,8 @@
 /**
  * How far ahead a side renews its worker's lease, whatever the leader has granted.
  * A worker whose side was removed for good runs what it has until its lease is
- * over, also what was cancelled since: 20 such tasks on a played day, for up to
- * 10.2 s. To grant less instead loses tasks whenever nobody leads for as long:
- * ten runs, 0.16 of the worth of one day, where the store was away for 4.2 s.
+ * over, also what was cancelled since. To grant less instead would lose tasks whenever
+ * nobody leads for as long.
  *
  * @returns Infinity where nothing bounds it
  */
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -157,9 +157,8 @@
 
   /**
    * Workers that are lost together were seldom lost by one task, and they are not
-   * heard of at the same time. So proof waits for them, and the task with it. Judged
-   * at once, tasks that crashed nothing were given up in 4 of 20 soaks in which
-   * half of the workers were lost at once.
+   * heard of at the same time. So proof waits for them, and the task with it:
+   * judged at once, tasks that crashed nothing would be given up.
    */
   private doubtLater(host: HostId, task: JobTask, run: RunNumber): void {
     const { clock } = this.parts.options;
--- a/packages/scheduling/src/HostBook.ts
+++ b/packages/scheduling/src/HostBook.ts
@@ -54,7 +54,7 @@
    *
    * @returns false, and does nothing, when the run was released before. Its task
    * may have its next run by then: a late answer that made such a task wait
-   * started 15 tasks beside their own runs in four seconds of a played day.
+   * would start it beside its own run.
    */
   release(host: HostEntry, run: ActiveRun): boolean {
     if (!this.isCurrent(run)) return false;
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -141,8 +141,7 @@
 
 /**
  * Up to when it is known what the host's runs do: a host that has fallen silent may
- * still do its work. Counted up to now, six of six tasks that worked were stopped
- * after 3.4 s of silence.
+ * still do its work, and counted up to now it would be stopped as one that stands still.
  */
 const lastShownAt = ({ ledger }: HostEntry, now: Monotonic): Monotonic =>
   now - ledger.heardAt < ENGINE.missedReportMs ? now : ledger.heardAt;
--- a/packages/scheduling/src/PermitBook.ts
+++ b/packages/scheduling/src/PermitBook.ts
@@ -22,10 +22,7 @@
 import type { PermitRule } from "@rackspan/state";
 import { StepPermits } from "./StepPermits.js";
 
-/**
- * Not measured: no deployment at hand asks for permits. Two requests keep a
- * service busy that works on one; the others bound what waits for it.
- */
+/** Two requests keep a service busy that works on one; the others bound what waits for it. */
 export const PERMITS = {
   /** Requests on their way at once: the service works on one at a time, in turn. */
   concurrency: 2,
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -269,8 +269,7 @@
 
   /**
    * Until the next report the leader cannot know better, and the next pass would
-   * order the same there: 3,925 of 17,822 runs given back on 25 played days were
-   * answered "replaced", some tasks five times in 50 ms.
+   * order the same there, some tasks several times before that report.
    */
   private pauseHost({ ledger }: HostEntry): void {
     const { clock } = this.options;
--- a/packages/scheduling/src/TailForecast.ts
+++ b/packages/scheduling/src/TailForecast.ts
@@ -73,9 +73,8 @@
 
   /**
    * Several tasks of an image often start on one host at once. Taken as harmless
-   * until it was seen to disturb, such an image took tails from 0.5 to 6 times
-   * their target within a look: 136 of 174 times that a tail passed its target
-   * on a quiet day, filling tasks had started within 1.3 s before.
+   * until it was seen to disturb, such an image would take tails far past
+   * their target within a look.
    */
   private cautiousWeight(serving: ImageName, filling: ImageName): number {
     const { weightCaution } = this.policy;
--- a/packages/scheduling/src/byWorthOrder.ts
+++ b/packages/scheduling/src/byWorthOrder.ts
@@ -4,9 +4,7 @@
  * it has begun, and a large job does not wait behind all small ones until it is late
  * and its work of no use to anybody.
  *
- * Answers bulk work past what a site can do. In a play of 24 hosts with 1.0, 1.4 and
- * 1.8 times the work that they can do, callers got 0.938, 0.727 and 0.607 of what all
- * jobs are worth, by slack 0.916, 0.717 and 0.581 (means of eight seeds each).
+ * Answers bulk work past what a site can do.
  */
 
 import type { Instant } from "@rackspan/common";
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -33,7 +33,7 @@
   /**
    * Share of its processors beyond them up to which a host without serving tasks
    * is filled: filling tasks there disturb nobody and seldom use all they ask
-   * for. A share of 1 gained nothing on played days.
+   * for.
    */
   freeHostExcess: 0.6,
   /** Points a unit of expected tail logarithm, of which 0.1 means a tenth longer. */
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -55,7 +55,7 @@
   /**
    * A filling task that crawls for this long is stopped, and goes on elsewhere
    * from its checkpoint: one such task holds its whole step back. Longer than two
-   * changes of pace; tried on played days.
+   * changes of pace.
    */
   crawlMs: 1_200,
   /** A host that refused a start gets none for this long. */
--- a/packages/scheduling/src/pickApart.ts
+++ b/packages/scheduling/src/pickApart.ts
@@ -7,8 +7,8 @@
 /**
  * Whether one host more may be kept for a suspected task alone: after the loss of
  * a rack many tasks are suspected, and the others need hosts to start on. A task that
- * has waited for long leaves them one: with all hosts held, a job that nobody
- * suspected waited for 43 s (a schedule with one crashing job in five on five hosts).
+ * has waited for long leaves them one: with all hosts held, jobs that nobody
+ * suspects would wait for as long as suspects come.
  *
  * @param open hosts of the service that take new tasks
  */
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -4,9 +4,7 @@
   /**
    * A filling task is placed beside serving tasks only where their tails are
    * foretold to stay below this share of their target. The load of an image
-   * swings by about as much as 0.64 leaves: fourteen played days earned 0.622 of
-   * what was owed with it, 0.571 with 0.85 (standard error of the difference
-   * 0.028); both kinds of work gained.
+   * swings by about as much as 0.64 leaves.
    */
   readonly fillingTailLimit: number;
   /**
@@ -34,8 +32,8 @@
   readonly ejectsFailingHosts: boolean;
   /**
    * How often checkpoints of running tasks are kept in the store, milliseconds;
-   * 0 keeps them only when a task of the job ends. After a power cut 26 of 397
-   * starts went on from one, 14 of 401 without (two played days).
+   * 0 keeps them only when a task of the job ends. After a power cut
+   * tasks go on from them.
    */
   readonly checkpointEveryMs: number;
   /**
--- a/packages/side/src/jobs/JobSideProcess.ts
+++ b/packages/side/src/jobs/JobSideProcess.ts
@@ -29,10 +29,7 @@
 const SIDE = {
   /** A call to the worker, which is on this host, is repeated after this. */
   workerCallTimeoutMs: 400,
-  /**
-   * A process that takes this one's place renews the lease within this: it has
-   * attached after 1.3 to 1.8 s in 14 planned restarts of a played day.
-   */
+  /** A process that takes this one's place has attached and renews the lease within this. */
   restartMs: 3_000,
   /** Share of the time for a planned stop in which a leader must hear that the worker left. */
   goodbyeShare: 0.6,
--- a/packages/side/src/jobs/PacePlanner.ts
+++ b/packages/side/src/jobs/PacePlanner.ts
@@ -26,8 +26,8 @@
 } from "./paceFactors.js";
 
 /**
- * Paces are chosen by trials on played days; shares of the allowed time leave
- * two readings between slowing everything, halting it, and the end of that time.
+ * Shares of the allowed time leave two readings between slowing everything, halting
+ * it, and the end of that time.
  */
 export const PACING = {
   /** Their least pace, percent: some progress tells them from hung tasks. */
--- a/packages/side/src/jobs/Pacer.ts
+++ b/packages/side/src/jobs/Pacer.ts
@@ -35,7 +35,7 @@
 
 /**
  * An order without an answer may be carried out this long after it, and then take
- * the place of a newer one; milliseconds. Not measured: workers speak of seconds.
+ * the place of a newer one; milliseconds: workers speak of seconds.
  */
 const OPEN_ORDER_MS = 5_000;
 
--- a/packages/side/src/jobs/paceFactors.ts
+++ b/packages/side/src/jobs/paceFactors.ts
@@ -12,7 +12,7 @@
 import { MILLI_CORES_PER_CORE, type JobTaskId } from "@rackspan/common";
 import type { RunningTask } from "@rackspan/ports";
 
-/** Chosen by trials on played days (docs/measurements/platform.md, "Which change gained what"). */
+/** Where these come from: docs/CAPACITY.md, "How values were found". */
 export const PACE_LAW = {
   /** Differences to the aim below this change nothing; logarithm. */
   deadband: 0.07,
