A worker's end is noted once the store keeps it, and a slow store cuts no side off

A goodbye of a worker that a new side had not heard of yet was passed over. Change: the roster tells when its last removal is kept; the leader answers within 0.7 s that it is not, and the side says it again; a goodbye beside no other life is taken as before. Tests of connections that are confirmed and of goodbyes.

--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -4,6 +4,7 @@
 import {
   describeError,
   RackspanError,
+  sleep,
   type AvailabilityZone,
   type Clock,
   type HostId,
@@ -28,6 +29,8 @@
   /** Sides report at least twice a second; longer silence ends the connection. */
   silenceMs: 4_000,
   maxConnections: 2_000,
+  /** Time for the store to keep that a worker is over; its side says it again then. */
+  noteMs: 700,
 } as const;
 
 export class NotLeadingError extends RackspanError {
@@ -40,6 +43,17 @@
   }
 }
 
+/** The end of a worker that a next leader may still wait for. */
+export class NotNotedError extends RackspanError {
+  readonly kind = "not-noted";
+  constructor(instance: WorkerInstance) {
+    super({
+      what: `the store does not keep yet that worker ${instance} is over`,
+      remedy: "say it again after a pause, to the entry that leads then",
+    });
+  }
+}
+
 type SideConnection = LineConnection<typeof leaderMethods, typeof hostMethods>;
 
 export interface SideServerOptions {
@@ -138,9 +152,10 @@
         workerGone: async ({ instance, lostRuns }) => {
           const { host, leading } = this.current();
           const { engine } = leading;
-          const isNoted = await engine.noteWorkerGone(host, instance, lostRuns);
-          if (!isNoted) throw new NotLeadingError();
-          return {};
+          const noted = engine.noteWorkerGone(host, instance, lostRuns);
+          const tooLate = sleep(clock, SERVER.noteMs).then(() => false);
+          if (await Promise.race([noted, tooLate])) return {};
+          throw new NotNotedError(instance);
         },
         ping: () => ({}),
       },
--- a/packages/entry/src/jobs/StoredRoster.ts
+++ b/packages/entry/src/jobs/StoredRoster.ts
@@ -13,6 +13,8 @@
   private readonly kept: Map<HostId, WorkerInstance | undefined>;
   /** What this leader wrote last of a host; undefined once it removed it. */
   private readonly written = new Map<HostId, WorkerInstance | undefined>();
+  /** By host: whether the store keeps its last removal. */
+  private readonly removals = new Map<HostId, Promise<boolean>>();
 
   constructor(
     private readonly writer: StampedWriter,
@@ -28,14 +30,23 @@
 
   async keep(host: HostId, instance: WorkerInstance): Promise<void> {
     this.written.set(host, instance);
+    this.removals.delete(host);
     await this.writer.write({ key: host, value: encodeHost(instance) }).kept;
     // Removed or replaced while it was on its way: the store ends with that.
     if (this.written.get(host) === instance) this.kept.set(host, instance);
   }
 
-  async remove(host: HostId): Promise<boolean> {
+  remove(host: HostId): void {
     this.kept.delete(host);
     this.written.set(host, undefined);
+    this.removals.set(host, this.writeRemoval(host));
+  }
+
+  async removed(host: HostId): Promise<boolean> {
+    return (await this.removals.get(host)) ?? true;
+  }
+
+  private async writeRemoval(host: HostId): Promise<boolean> {
     try {
       await this.writer.write({ key: host, value: undefined }).kept;
       return true;
--- /dev/null
+++ b/packages/protocol/tests/confirmedHttpClient.test.ts
@@ -0,0 +1,126 @@
+/** Calls reach the process that is meant, whichever stands at its address by then. */
+
+import { createServer, type Server } from "node:http";
+import { test, type TestContext } from "node:test";
+import { expect } from "earl";
+import {
+  addressOf,
+  closeServer,
+  ConfirmedHttpClient,
+  ConnectError,
+  listenOn,
+  LostAnswerError,
+  type ConfirmedCall,
+} from "@rackspan/protocol";
+
+class OtherPeerError extends Error {}
+
+/** A process that says its name when it is asked for it, and notes all other calls. */
+class NamedProcess {
+  asked = 0;
+  calls = 0;
+  answers = true;
+  private readonly server: Server;
+
+  constructor(name: string) {
+    this.server = createServer((req, res) => {
+      if (req.url === "/name") this.asked += 1;
+      else this.calls += 1;
+      if (this.answers) res.end(name);
+    });
+  }
+
+  async listen(port = 0): Promise<number> {
+    await listenOn(this.server, { address: "127.0.0.1", port });
+    return Number(addressOf(this.server).split(":")[1]);
+  }
+
+  cutAll(): void {
+    this.server.closeAllConnections();
+  }
+
+  close(): Promise<void> {
+    return closeServer(this.server);
+  }
+}
+
+const callFor = (peer: string): ConfirmedCall => ({
+  method: "POST",
+  path: "/act",
+  body: "{}",
+  timeoutMs: 300,
+  peer,
+  confirm: async (ask) => {
+    const { body } = await ask({
+      method: "GET",
+      path: "/name",
+      timeoutMs: 300,
+    });
+    if (body.toString("utf8") !== peer) throw new OtherPeerError();
+  },
+});
+
+const startBoth = async (t: TestContext, maxSockets = 2) => {
+  const first = new NamedProcess("first");
+  const second = new NamedProcess("second");
+  const port = await first.listen();
+  const baseUrl = `http://127.0.0.1:${port}`;
+  const client = new ConfirmedHttpClient({ baseUrl, maxSockets });
+  t.after(() => Promise.allSettled([first.close(), second.close()]));
+  const replace = async (): Promise<void> => {
+    await first.close();
+    await second.listen(port);
+  };
+  return { client, first, second, replace };
+};
+
+test("a connection is confirmed once, and then used for call after call", async (t) => {
+  const { client, first } = await startBoth(t);
+  for (let at = 0; at < 5; at += 1) await client.call(callFor("first"));
+  expect([first.asked, first.calls]).toEqual([1, 5]);
+});
+
+test("a call does not reach the process that has taken the place of the one meant", async (t) => {
+  const { client, second, replace } = await startBoth(t);
+  await client.call(callFor("first"));
+  await replace();
+  // The first try may go over the connection that was closed a moment ago.
+  await expect(client.call(callFor("first"))).toBeRejected();
+  await expect(client.call(callFor("first"))).toBeRejectedWith(OtherPeerError);
+  expect([second.asked > 0, second.calls]).toEqual([true, 0]);
+  await client.call(callFor("second"));
+  expect(second.calls).toEqual(1);
+});
+
+test("a connection that was closed in between is confirmed anew", async (t) => {
+  const { client, first } = await startBoth(t);
+  await client.call(callFor("first"));
+  first.cutAll();
+  await client
+    .call(callFor("first"))
+    .catch(() => client.call(callFor("first")));
+  expect(first.asked).toEqual(2);
+});
+
+test("a call whose connection cannot be confirmed in time was not sent", async (t) => {
+  const { client, first } = await startBoth(t);
+  first.answers = false;
+  await expect(client.call(callFor("first"))).toBeRejectedWith(ConnectError);
+  expect(first.calls).toEqual(0);
+});
+
+test("a call without an answer may have taken effect, and one that found no free connection has not", async (t) => {
+  const { client, first } = await startBoth(t, 1);
+  await client.call(callFor("first"));
+  first.answers = false;
+  const outcomes = await Promise.allSettled([
+    client.call(callFor("first")),
+    client.call({ ...callFor("first"), timeoutMs: 100 }),
+  ]);
+  const reasons = outcomes.map(
+    (outcome) => outcome.status === "rejected" && (outcome.reason as unknown),
+  );
+  expect(reasons[0]).toBeA(LostAnswerError);
+  expect(reasons[1]).toBeA(ConnectError);
+  expect(first.calls).toEqual(2);
+});
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -25,41 +25,36 @@
     this.dropExpiredHosts(now);
     for (const entry of [...this.parts.hosts.all()]) {
       if (now >= entry.ledger.leaseOverBy) {
-        void this.dropHost(entry, "silent", "lease-over");
+        this.dropHost(entry, "silent", "lease-over");
       } else this.watchRuns(entry, now);
     }
   }
 
-  /**
-   * Nothing runs there any more: it ended, or was silent until its lease was over.
-   * @returns whether the next leader will not wait for it
-   */
+  /** Nothing runs there any more: it ended, or was silent until its lease was over. */
   dropHost(
     entry: HostEntry,
     loss: WorkerLoss,
     reason: string,
     lostRuns: readonly LostRun[] = [],
-  ): Promise<boolean> {
+  ): void {
     const { hosts, ejector, crashes } = this.parts;
     const { host, instance } = entry.ledger;
     crashes.loseRuns(entry, loss, reason, lostRuns);
     hosts.delete(host);
     ejector.forget(host);
-    return this.forgetHost(host, instance, reason);
+    this.forgetHost(host, instance, reason);
   }
 
   /**
    * A worker that ended before it reported to this leader. When the roster names
    * this life, it was the last that could hold a lease there, so the take-over need
    * not wait for the host.
-   * @returns whether the next leader will not either
    */
-  async dropUnheard(host: HostId, instance: WorkerInstance): Promise<boolean> {
+  dropUnheard(host: HostId, instance: WorkerInstance): void {
     const { roster } = this.parts.options;
-    if (roster.instanceOf(host) !== instance) return true;
-    const removed = this.forgetHost(host, instance, "gone-before-take-over");
+    if (roster.instanceOf(host) !== instance) return;
+    this.forgetHost(host, instance, "gone-before-take-over");
     this.parts.requestPass();
-    return removed;
   }
 
   /** Hosts of the roster that never reported: the next leader need not wait for them. */
@@ -68,7 +63,7 @@
     for (const host of options.gate.takeExpired(now)) {
       if (hosts.get(host)) continue;
       const instance = options.roster.instanceOf(host);
-      void this.forgetHost(host, instance, "never-reported");
+      this.forgetHost(host, instance, "never-reported");
     }
   }
 
@@ -76,11 +71,11 @@
     host: HostId,
     instance: WorkerInstance | undefined,
     reason: string,
-  ): Promise<boolean> {
+  ): void {
     const { gate, logger, roster } = this.parts.options;
     logger.warn("host.gone", { host, instance, reason });
     gate.noteHeard(host);
-    return roster.remove(host);
+    roster.remove(host);
   }
 
   /** Another life of the worker: its runs are gone, and its failures were not this one's. */
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -243,16 +243,13 @@
     instance: WorkerInstance,
     lostRuns: readonly LostRun[] = [],
   ): Promise<boolean> {
+    const { roster, mayDecide } = this.options;
     const entry = this.hosts.get(host);
-    const isThere = entry?.ledger.instance === instance;
-    const removed = isThere
-      ? this.watch.dropHost(entry, "crashed", "worker-gone", lostRuns)
-      : undefined;
+    if (entry?.ledger.instance === instance)
+      this.watch.dropHost(entry, "crashed", "worker-gone", lostRuns);
     this.crashes.noteTold(host, lostRuns);
-    const isKept = entry
-      ? await (removed ?? true)
-      : await this.watch.dropUnheard(host, instance);
-    return isKept && this.options.mayDecide();
+    if (!entry) this.watch.dropUnheard(host, instance);
+    return (await roster.removed(host)) && mayDecide();
   }
 
   /** Takes a host's report. */
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -71,8 +71,12 @@
 export interface HostRoster {
   /** Resolves once the store keeps that life of the host's worker, and no other. */
   keep(host: HostId, instance: WorkerInstance): Promise<void>;
-  /** @returns whether the store names no life of the host any more; false once another leads */
-  remove(host: HostId): Promise<boolean>;
+  remove(host: HostId): void;
+  /**
+   * Settles once the store keeps the host's last removal, at once where there was none.
+   * @returns false when another leads by then
+   */
+  removed(host: HostId): Promise<boolean>;
   /** The life that the store keeps; undefined when it keeps none, or not which. */
   instanceOf(host: HostId): WorkerInstance | undefined;
 }
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -52,6 +52,8 @@
   maxUnanswered: 2,
   /** Between two looks whether a leader has taken note of the worker's end. */
   goodbyeLookMs: 50,
+  /** Until a leader that has not taken note of it is told again. */
+  goodbyeAgainMs: 400,
 } as const;
 
 type LeaderConnection = LineConnection<
@@ -220,28 +222,33 @@
   }
 
   private tellGone(connection: LeaderConnection): void {
-    const { registry, logger } = this.options;
-    const { lastGone: instance } = registry;
+    const { lastGone: instance } = this.options.registry;
     if (instance === undefined || instance === this.toldGone) return;
     if (this.isTelling) return;
     this.isTelling = true;
+    void this.sayGoodbye(connection, instance).finally(
+      () => (this.isTelling = false),
+    );
+  }
+
+  private async sayGoodbye(
+    connection: LeaderConnection,
+    instance: WorkerInstance,
+  ): Promise<void> {
+    const { registry, clock, logger } = this.options;
     const lostRuns = [...registry.runs.untold];
-    connection
-      .call("workerGone", { instance, lostRuns }, LINK.callTimeoutMs)
-      .then(() => {
-        if (this.connection === connection) this.toldGone = instance;
-      })
-      .catch((err: unknown) => {
-        logger.warn("worker.goodbye-unanswered", {
-          instance,
-          error: describeError(err),
-        });
-        // Without a worker there are no reports that would show a silent leader.
-        const isSilent = err instanceof LostAnswerError;
-        if (isSilent && !registry.worker)
-          connection.close("goodbye unanswered");
-      })
-      .finally(() => (this.isTelling = false));
+    const params = { instance, lostRuns };
+    try {
+      await connection.call("workerGone", params, LINK.callTimeoutMs);
+      if (this.connection === connection) this.toldGone = instance;
+    } catch (err) {
+      const error = describeError(err);
+      logger.warn("worker.goodbye-unanswered", { instance, error });
+      // Without a worker there are no reports that would show a silent leader.
+      const isSilent = err instanceof LostAnswerError;
+      if (isSilent && !registry.worker) connection.close("goodbye unanswered");
+      await sleep(clock, LINK.goodbyeAgainMs);
+    }
   }
 
   /** Whether the store names another leader than this one, which grants nothing. */
--- a/packages/side/src/jobs/WorkerRegistry.ts
+++ b/packages/side/src/jobs/WorkerRegistry.ts
@@ -160,15 +160,14 @@
    * and it is over once it can be reached no more.
    */
   noteLeft({ life, mayMean }: WorkerGoodbye): void {
-    if (this.heard(life)) {
+    const meant = this.lives.filter(({ worker }) => mayMean(worker.instance));
+    if (meant.length === 0 || this.heard(life)) {
       this.noteGone(life, "it said that it leaves");
       return;
     }
-    const meant = this.lives.filter(
-      ({ worker }) => worker.draining && mayMean(worker.instance),
-    );
-    for (const { worker } of meant) this.leaving.add(worker.instance);
-    if (meant.length > 0) return;
+    const draining = meant.filter(({ worker }) => worker.draining);
+    for (const { worker } of draining) this.leaving.add(worker.instance);
+    if (draining.length > 0) return;
     this.logger.info("worker.goodbye-passed-over", { instance: life });
   }
 
