A known red schedule: a suspect of little worth waits for a host of its own

Cause: told by task.waits: each host that is free of others goes to the first suspect in the order of work, so one of little worth waits for as long as others come.

--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -89,6 +89,12 @@
   }
 });
 
+// A task that had only shared its worker with one that crashes it was suspected, and
+// waited for more than 21 s: each host that came free went to a suspect of more worth.
+test("a job is done in its time beside many suspects although one of its tasks is suspected", async () => {
+  await expectNothingBroken(runCrashingSchedule, 51);
+});
+
 // A task shared two workers with one that crashes them, and was announced by four
 // leaders that ended before they could order it: each of these counted.
 test("changes of leader do not give up a task that only shared its workers", async () => {
