--- a/packages/scheduling/tests/rosteredLives.test.ts
+++ b/packages/scheduling/tests/rosteredLives.test.ts
@@ -8,7 +8,7 @@
   type JobTaskId,
   type WorkerInstance,
 } from "@rackspan/common";
-import { EngineHarness, LEASE_MS, TTL_MS } from "./engineHarness.js";
+import { EngineHarness, FakeHost, LEASE_MS, TTL_MS } from "./engineHarness.js";
 
 const GONE = brand<HostId>("gone");
 const PAST_LEASES_MS = (TTL_MS + LEASE_MS) * 1.1;
@@ -60,3 +60,18 @@
   expect(harness.reportOf(host).leaseUntil).toEqual(undefined);
   expect(host.runs.map(({ task }): JobTaskId => task)).toEqual([]);
 });
+
+// A release that named lives by their id alone wrote the roster. Its record equals no life
+// that is named by its time of birth too.
+test("a record that names the id alone proves no end, and is written anew with the first report", async () => {
+  const { next } = await takeOver();
+  const full = brand<WorkerInstance>("gone-1/1774000000000");
+  await next.engine.noteWorkerGone(GONE, full);
+  expect(next.roster.instanceOf(GONE)).toEqual(brand<WorkerInstance>("gone-1"));
+  const host = new FakeHost(GONE, next.clock, full);
+  next.engine.attach(GONE, host);
+  next.reportOf(host);
+  await next.clock.advance(1);
+  expect(next.roster.instanceOf(GONE)).toEqual(full);
+  expect(next.reportOf(host).leaseUntil).not.toEqual(undefined);
+});
