What keeps a host closed by its own state no longer lists what others decide of it

Cause: the type of a host's closed state named evacuated and ejected, which the function that returns it never does; the explanation of a wait decides both. Change: the two names stand with the other rules of the explanation; types only. Measured: the built programs are the same byte for byte; 146 tests of the package pass.

--- a/packages/scheduling/src/explainWait.ts
+++ b/packages/scheduling/src/explainWait.ts
@@ -24,7 +24,8 @@
   | "hosts";
 
 /** Why an open host does not take it: `placer` when it fits and the placer passes it over. */
-type RefusalRule = "label-or-limit" | "room" | "placer";
+type RefusalRule =
+  "evacuated" | "ejected" | "label-or-limit" | "room" | "placer";
 
 /** How many hosts of the service each rule closes to the step. */
 export type HostCounts = Readonly<
--- a/packages/scheduling/src/usableHosts.ts
+++ b/packages/scheduling/src/usableHosts.ts
@@ -35,7 +35,7 @@
   );
 };
 
-/** Why a host takes no new tasks, whatever they ask for. */
+/** Why a host takes no new tasks, by its own state. */
 export type ClosedReason =
   | "detached"
   | "not-rostered"
@@ -44,9 +44,7 @@
   | "holds-suspect"
   | "not-reported"
   | "refused-a-start"
-  | "quiet"
-  | "evacuated"
-  | "ejected";
+  | "quiet";
 
 /** @returns undefined for a host that takes tasks, by its own state */
 export const closedReason = (
