--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -176,6 +176,7 @@
     this.permits.stop();
     this.checkpoints.stop();
     this.learnt.stop();
+    this.waits.stop();
     this.timer?.cancel();
   }
 
--- a/packages/scheduling/src/WaitWatch.ts
+++ b/packages/scheduling/src/WaitWatch.ts
@@ -62,6 +62,12 @@
     for (const wait of due) this.tell(wait, now);
   }
 
+  /** This process leads no more: others tell how long tasks wait. */
+  stop(): void {
+    this.next.clear();
+    this.setGauges(this.parts.options.clock.monotonic());
+  }
+
   private note(now: Monotonic): void {
     const { jobs, options } = this.parts;
     const seen = new Set<StepRun>();
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -318,6 +318,7 @@
   readonly clock: ManualClock;
   readonly epoch: number;
   readonly store: MemoryStore;
+  readonly metrics = new Metrics();
   readonly engine: JobEngine;
   readonly roster: OpenRoster;
   readonly hosts: FakeHost[] = [];
@@ -355,7 +356,7 @@
       epoch: epoch as unknown as Epoch,
       clock: this.clock,
       logger,
-      metrics: new Metrics(),
+      metrics: this.metrics,
       journal: new ProgressJournal({ writer, clock: this.clock, gatherMs: 5 }),
       roster: this.roster,
       gate: new TakeoverGate({
--- a/packages/scheduling/tests/leaderLog.test.ts
+++ b/packages/scheduling/tests/leaderLog.test.ts
@@ -8,6 +8,8 @@
 const ANSWER_MS = 70;
 /** Longer than a timer may be late without a line. */
 const FREEZE_MS = 700;
+/** A wait of a second and more. */
+const LONG_WAIT = /rackspan_longest_wait_ms\{kind="plain"\} \d{4}/;
 
 const harnessWithLog = (): { harness: EngineHarness; lines: string[] } => {
   const lines: string[] = [];
@@ -58,3 +60,12 @@
   await harness.run(1_000);
   expect(linesOf(lines, "engine.late").length).toEqual(1);
 });
+
+test("an engine that leads no more shows no waits", async () => {
+  const harness = new EngineHarness();
+  harness.submit("j", [{}]);
+  await harness.run(3_000);
+  expect(await harness.metrics.render()).toMatchRegex(LONG_WAIT);
+  harness.engine.stop();
+  expect(await harness.metrics.render()).not.toMatchRegex(LONG_WAIT);
+});
