Whether a service has hosts left besides its ejected ones is asked for each service

Cause: ejected hosts were let in only where no host of any service was left. Where all hosts of one service had failed tasks of late, its tasks waited for the ejections to end (3 to 12 s) because another service had hosts. Change: usableHosts splits the hosts of each service by themselves. Measured: the test "a service whose hosts are all ejected is served although another has hosts left" failed before (its task had not started after 300 ms), passes now; 148 tests of scheduling pass.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -25,7 +25,7 @@
   unreservedMilliCores,
   type TaskPlacer,
 } from "./taskPlacers.js";
-import { usableHosts } from "./usableHosts.js";
+import { NO_HOSTS, usableHosts, type ServiceHosts } from "./usableHosts.js";
 
 export interface DispatcherOptions {
   readonly engine: EngineOptions;
@@ -75,7 +75,7 @@
     });
     for (const candidate of candidates) {
       const { service } = this.termsOf(candidate.job);
-      this.placeStep(candidate, hostsByService.get(service) ?? []);
+      this.placeStep(candidate, hostsByService.get(service) ?? NO_HOSTS);
     }
     engine.metrics
       .latency("dispatch_pass")
@@ -106,7 +106,7 @@
     return this.options.engine.queueOf(job.accepted.spec.queue) ?? job.terms;
   }
 
-  private placeStep(candidate: Candidate, hosts: readonly HostLedger[]): void {
+  private placeStep(candidate: Candidate, hosts: ServiceHosts): void {
     const { job, step } = candidate;
     if (job.isEnded) return;
     if (this.options.engine.clock.monotonic() < step.heldUntil) return;
@@ -118,22 +118,25 @@
   /** Places what it can on hosts with a permit, and asks for more when some is left. */
   private placePermitted(
     candidate: Candidate,
-    hosts: readonly HostLedger[],
+    { inService, ejected }: ServiceHosts,
     rule: PermitRule,
   ): void {
     const { permits } = this.options;
     const { step } = candidate;
-    const permitted = hosts.filter(
-      (host) => permits.ticketFor(step, host) !== undefined,
-    );
-    if (permitted.length > 0) this.placeTasks(candidate, permitted);
+    const isPermitted = (host: HostLedger): boolean =>
+      permits.ticketFor(step, host) !== undefined;
+    const permitted = {
+      inService: inService.filter(isPermitted),
+      ejected: ejected.filter(isPermitted),
+    };
+    if (permitted.inService.length > 0) this.placeTasks(candidate, permitted);
     if (step.waiting.size === 0) return;
-    permits.want({ step, rule, hosts: ableHosts(step, hosts) });
+    permits.want({ step, rule, hosts: ableHosts(step, inService) });
   }
 
   private placeTasks(
     { job, step, isStarved }: Candidate,
-    hosts: readonly HostLedger[],
+    { inService: hosts }: ServiceHosts,
   ): void {
     if (step.spec.gang) {
       this.placeGang(step, hosts);
--- a/packages/scheduling/src/usableHosts.ts
+++ b/packages/scheduling/src/usableHosts.ts
@@ -17,24 +17,43 @@
   readonly isEvacuated: (zone: AvailabilityZone) => boolean;
 }
 
-/** By service; hosts that failed of late only where no other is left at all. */
+/** Hosts of one service that may take tasks now. */
+export interface ServiceHosts {
+  /** For all tasks; the ejected ones where the service has no other. */
+  readonly inService: readonly HostLedger[];
+  /** Those that failed tasks of late. */
+  readonly ejected: readonly HostLedger[];
+}
+
+export const NO_HOSTS: ServiceHosts = { inService: [], ejected: [] };
+
+/** By service. */
 export const usableHosts = ({
   entries,
   ejector,
   now,
   isEvacuated,
-}: UsableHostsOptions): ReadonlyMap<string, readonly HostLedger[]> => {
+}: UsableHostsOptions): ReadonlyMap<string, ServiceHosts> => {
   const usable = [...entries]
     .filter((entry) => closedReason(entry, now) === undefined)
     .filter(({ ledger }) => !isEvacuated(ledger.availabilityZone))
     .map(({ ledger }) => ledger);
-  const healthy = usable.filter(({ host }) => !ejector.isEjected(host));
-  return groupBy(
-    healthy.length > 0 ? healthy : usable,
-    ({ worker }) => worker.service as string,
+  const byService = groupBy(usable, ({ worker }) => worker.service as string);
+  return new Map(
+    [...byService].map(([service, hosts]) => [service, split(hosts, ejector)]),
   );
 };
 
+const split = (
+  hosts: readonly HostLedger[],
+  ejector: OutlierEjector,
+): ServiceHosts => {
+  const ejected = hosts.filter(({ host }) => ejector.isEjected(host));
+  if (ejected.length === hosts.length) return { inService: hosts, ejected: [] };
+  const inService = hosts.filter(({ host }) => !ejector.isEjected(host));
+  return { inService, ejected };
+};
+
 /** Why a host takes no new tasks, by its own state. */
 export type ClosedReason =
   | "detached"
--- /dev/null
+++ b/packages/scheduling/tests/ejectedHosts.test.ts
@@ -0,0 +1,30 @@
+/** Hosts that failed tasks of late get none for a while, but where nothing else is left. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { brand, type ServiceName } from "@rackspan/common";
+import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+
+const FAILURES_TO_EJECT = 3;
+
+const eject = async (harness: EngineHarness, host: FakeHost): Promise<void> => {
+  harness.submit("f", [{ taskCount: FAILURES_TO_EJECT }]);
+  await harness.run(200);
+  for (const task of [...host.runningTasks]) host.end(task, "failed");
+  host.milliCores = 0;
+  await harness.run(100);
+  host.milliCores = 32_000;
+  await harness.run(100);
+};
+
+test("a service whose hosts are all ejected is served although another has hosts left", async () => {
+  const harness = new EngineHarness();
+  const ejected = await harness.addHost("h1");
+  await eject(harness, ejected);
+  const other = await harness.addHost("h2");
+  other.service = brand<ServiceName>("other");
+  await harness.run(100);
+  harness.submit("j", [{}]);
+  await harness.run(300);
+  expect(ejected.isRunning(taskId("j.0.0.0"))).toEqual(true);
+});
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -73,6 +73,7 @@
   refusal: StartRefusal = "no-room";
   draining = false;
   leavesInMs: number | undefined;
+  service = SERVICE;
   acknowledged = 0;
   /** Whether a run that is stopped ends at once; else when the test ends it. */
   stopsAtOnce = true;
@@ -205,7 +206,7 @@
     return {
       worker: {
         instance: this.instance,
-        service: SERVICE,
+        service: this.service,
         labels: ["a", "r1"],
         rack: "r1",
         milliCores: this.milliCores,
