A lasting task does not wait beside an ejected host that alone has room for it

Cause: task.waits of such tasks names ejected hosts and hosts without room; an ejection lasts up to 12 s, and an ejected host is used only where its service has no other at all, however full these are. Measured: the test failed before (no start within 2.5 s), passes now; 149 tests of scheduling pass.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -136,7 +136,7 @@
 
   private placeTasks(
     { job, step, isStarved }: Candidate,
-    { inService: hosts }: ServiceHosts,
+    { inService: hosts, ejected }: ServiceHosts,
   ): void {
     if (step.spec.gang) {
       this.placeGang(step, hosts);
@@ -157,7 +157,8 @@
       const mustPlace = step.spec.lasting
         ? this.heldBack.hasWaitedLong(step)
         : isStarved && !this.options.hosts.hasRunsOf(job);
-      const host = placer.pick(task, open, mustPlace);
+      const host =
+        placer.pick(task, open, mustPlace) ?? this.pickEjected(task, ejected);
       // Tasks of a step ask for the same, but each avoids hosts of its own.
       if (!host) {
         this.heldBack.noteUnplaced(step, hosts);
@@ -169,6 +170,20 @@
     else step.unplacedSince = undefined;
   }
 
+  /**
+   * A lasting task that has waited for long tries a host that failed others of late:
+   * ejections may last for longer than such a task is to stand still.
+   */
+  private pickEjected(
+    task: JobTask,
+    ejected: readonly HostLedger[],
+  ): HostLedger | undefined {
+    const { step } = task;
+    if (!step.spec.lasting || !this.heldBack.hasWaitedLong(step)) return;
+    const open = this.heldBack.openTo(step, ejected);
+    return this.options.placer.pick(task, open, true);
+  }
+
   /**
    * Starts a task under which a worker has crashed: announced, and where it takes
    * the fewest others along if it crashes this one too.
--- a/packages/scheduling/tests/ejectedHosts.test.ts
+++ b/packages/scheduling/tests/ejectedHosts.test.ts
@@ -6,6 +6,12 @@
 import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
 
 const FAILURES_TO_EJECT = 3;
+/** Longer than a lasting task waits for hosts in service, shorter than an ejection. */
+const PATIENCE_MS = 2_500;
+
+const cores = (milliCores: number) => ({
+  demand: { milliCores, memoryMiB: 10, accelerators: 0 },
+});
 
 const eject = async (harness: EngineHarness, host: FakeHost): Promise<void> => {
   harness.submit("f", [{ taskCount: FAILURES_TO_EJECT }]);
@@ -17,6 +23,18 @@
   await harness.run(100);
 };
 
+test("a lasting task does not wait beside an ejected host that alone has room for it", async () => {
+  const harness = new EngineHarness();
+  const ejected = await harness.addHost("h1");
+  await eject(harness, ejected);
+  const full = await harness.addHost("h2");
+  full.milliCores = 1_000;
+  await harness.run(100);
+  harness.submit("l", [{ lasting: true, ...cores(10_000) }]);
+  await harness.run(PATIENCE_MS);
+  expect(ejected.isRunning(taskId("l.0.0.0"))).toEqual(true);
+});
+
 test("a service whose hosts are all ejected is served although another has hosts left", async () => {
   const harness = new EngineHarness();
   const ejected = await harness.addHost("h1");
