A side tells each leader when its silent worker's lease is over

Cause: only the side, which alone renews the worker's lease, knows when it is over, and told nobody.

Change: SentLease keeps the latest time to which any lease sent to the worker can last, across leaders; a side that has started anew counts the longest lease from its start. A side without an answer of its worker tells the leader (workerSilent), and the gate of the take-over waits for that host no longer. From then on it renews nothing until the leader has taken a report: a silent worker gets no lease, and what a former leader granted is dropped. The answer tells whether that leader still grants; if not, the side asks the store which one leads, as it does for reports. Leaders that do not know the method and sides that do not send it work as before.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -14,7 +14,7 @@
 } from "@rackspan/common";
 import type { Grant, HostReport, WorkerDescription } from "@rackspan/protocol";
 import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
-import type { LeaderModel } from "./LeaderModel.js";
+import { LEADERSHIP, type LeaderModel } from "./LeaderModel.js";
 import { SideLink } from "./SideLink.js";
 import type { WorkerModel } from "./WorkerModel.js";
 
@@ -120,6 +120,7 @@
       registry,
       pacer,
       unattendedLeaseMs: this.options.unattendedLeaseMs,
+      longestLeaseMs: LEADERSHIP.leaseMs,
     });
     const orders = new TaskOrders({ ...base, registry, watch, pacer });
     const side = { registry, watch, orders, abort: new AbortController() };
--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -157,6 +157,11 @@
           if (await Promise.race([noted, tooLate])) return {};
           throw new NotNotedError(instance);
         },
+        workerSilent: ({ overInMs }) => {
+          const { host, leading } = this.current();
+          const grants = leading.engine.noteWorkerSilent(host, overInMs);
+          return { grants };
+        },
         ping: () => ({}),
       },
       silenceMs: SERVER.silenceMs,
--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -2,7 +2,8 @@
  * Holds starts back after a change of leader until no run of the former leader
  * can be hidden. Starts are not written down, so what runs is known only once
  * each host of the roster has reported to this leader, after which it obeys no
- * former one, or once every lease that a former leader could grant is over.
+ * former one, or once every lease there is over: as its side tells, which alone
+ * renews them, or at the latest as former leaders could grant them.
  */
 
 import type { HostId, Monotonic } from "@rackspan/common";
@@ -19,19 +20,18 @@
 }
 
 export class TakeoverGate {
-  private readonly silent: Set<HostId>;
+  /** By host that was not heard: from then on nothing of a former leader runs there. */
+  private readonly silent: Map<HostId, Monotonic>;
   /** From then on no former leader decides anything. */
   readonly authorityOverBy: Monotonic;
-  /** From then on nothing that a former leader started runs on a silent host. */
-  private readonly leasesOverBy: Monotonic;
   /** Jobs that were first seen after this are new for certain. */
   private viewCurrentAt: Monotonic = Infinity;
 
   constructor(options: TakeoverGateOptions) {
     const { takenOverAt, roster, leadershipTtlMs, leaseMs } = options;
-    this.silent = new Set(roster);
     this.authorityOverBy = takenOverAt + leadershipTtlMs;
-    this.leasesOverBy = leaseOverBy(this.authorityOverBy, leaseMs);
+    const leasesOverBy = leaseOverBy(this.authorityOverBy, leaseMs);
+    this.silent = new Map([...roster].map((host) => [host, leasesOverBy]));
   }
 
   /** Nothing that a former leader started is hidden there, now or later. */
@@ -39,6 +39,17 @@
     this.silent.delete(host);
   }
 
+  /**
+   * The side of a host that was not heard tells when the leases there are over.
+   * @returns by how much sooner that is than was known, milliseconds; 0 when it is not
+   */
+  noteSilent(host: HostId, overBy: Monotonic): number {
+    const known = this.silent.get(host);
+    if (known === undefined || overBy >= known) return 0;
+    this.silent.set(host, overBy);
+    return known - overBy;
+  }
+
   /**
    * This leader has seen every job that the store kept when no former leader
    * decided any more. To be seen late is not to be new: a take-over that lasts
@@ -53,19 +64,21 @@
    * Hosts that were never heard of and hold no lease any more. Each is named once.
    */
   takeExpired(now: Monotonic): HostId[] {
-    if (now < this.leasesOverBy) return [];
-    const expired = [...this.silent];
-    this.silent.clear();
-    return expired;
+    const expired = [...this.silent].filter(([, overBy]) => now >= overBy);
+    for (const [host] of expired) this.silent.delete(host);
+    return expired.map(([host]) => host);
   }
 
   /** Hosts that may yet hide a run of a former leader. */
   unheard(now: Monotonic): readonly HostId[] {
-    return now < this.leasesOverBy ? [...this.silent] : [];
+    return [...this.silent].flatMap(([host, overBy]) =>
+      now < overBy ? [host] : [],
+    );
   }
 
   isOpen(now: Monotonic): boolean {
-    return this.silent.size === 0 || now >= this.leasesOverBy;
+    for (const overBy of this.silent.values()) if (now < overBy) return false;
+    return true;
   }
 
   /**
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -130,6 +130,21 @@
     }),
     result: z.object({}),
   },
+  /**
+   * The worker does not answer its side, which renews no lease until it has reported
+   * an answer of it to this leader. Repeated for as long as that lasts.
+   */
+  workerSilent: {
+    params: z.object({
+      /**
+       * Milliseconds until every lease that the worker was sent is over for certain;
+       * absent when the side cannot tell.
+       */
+      overInMs: z.number().min(0).optional(),
+    }),
+    /** Whether this leader may still grant leases. */
+    result: z.object({ grants: z.boolean() }),
+  },
   /** Keeps the connection open while the worker shows nothing. */
   ping: { params: z.object({}), result: z.object({}) },
 };
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -7,6 +7,7 @@
   type ActiveRun,
   type WorkerLoss,
 } from "@rackspan/jobs";
+import { LEASE } from "@rackspan/leadership";
 import type { HostReport, LostRun } from "@rackspan/protocol";
 import type { CrashKeeper } from "./CrashKeeper.js";
 import type { EngineParts } from "./engineParts.js";
@@ -57,6 +58,26 @@
     this.parts.requestPass();
   }
 
+  /**
+   * The take-over waits for the host no longer than its side says. A host that has
+   * reported to this leader is left out: its ledger counts what this one has granted.
+   */
+  noteSilent(host: HostId, overInMs: number): void {
+    const { options, hosts, requestPass } = this.parts;
+    if (hosts.get(host)) return;
+    const { gate, clock, logger } = options;
+    const overBy = clock.monotonic() + overInMs;
+    const soonerByMs = gate.noteSilent(host, overBy);
+    // Each repeat arrives a little earlier or later than the one before.
+    if (soonerByMs < LEASE.marginMs) return;
+    logger.info("host.silent", {
+      host,
+      overInMs,
+      soonerByMs: Math.round(soonerByMs),
+    });
+    requestPass();
+  }
+
   /** Hosts of the roster that never reported: the next leader need not wait for them. */
   private dropExpiredHosts(now: Monotonic): void {
     const { options, hosts } = this.parts;
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -252,6 +252,19 @@
     return (await roster.removed(host)) && mayDecide();
   }
 
+  /**
+   * The host's worker does not answer its side, which renews no lease until it has
+   * reported an answer.
+   *
+   * @param overInMs until every lease of the worker is over, as its side knows them;
+   *   undefined when it does not
+   * @returns whether this leader may still decide
+   */
+  noteWorkerSilent(host: HostId, overInMs: number | undefined): boolean {
+    if (overInMs !== undefined) this.watch.noteSilent(host, overInMs);
+    return this.options.mayDecide();
+  }
+
   /** Takes a host's report. */
   report(host: HostId, zone: AvailabilityZone, report: HostReport): Grant {
     const { clock, gate, logger } = this.options;
--- a/packages/side/src/jobs/JobSideProcess.ts
+++ b/packages/side/src/jobs/JobSideProcess.ts
@@ -81,6 +81,7 @@
         cancelMs: settings.leases.cancelMs,
         stopMs: settings.leases.stopMs,
       }),
+      longestLeaseMs: settings.leases.longestMs ?? Infinity,
     });
     const orders = new TaskOrders({ host, registry, watch, pacer, ...base });
     this.watch = watch;
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -48,6 +48,8 @@
   silenceMs: 4_000,
   /** A leader that grants no lease for this long may have been replaced. */
   ungrantedMs: 700,
+  /** A worker that has not been seen for this long since the side attached is silent. */
+  unseenMs: 500,
   /** Unanswered reports in a row after which another leader is looked for. */
   maxUnanswered: 2,
   /** Between two looks whether a leader has taken note of the worker's end. */
@@ -61,6 +63,15 @@
   typeof leaderMethods
 >;
 
+/** What a leader was told of a silent worker, and what came of it. */
+interface SilenceTold {
+  /** Absent when the side cannot tell when the worker's lease is over. */
+  readonly overInMs: number | undefined;
+  readonly grants?: boolean;
+  /** Why there is no answer. */
+  readonly error?: string;
+}
+
 export interface LeaderLinkOptions {
   readonly host: HostId;
   readonly availabilityZone: AvailabilityZone;
@@ -84,6 +95,10 @@
   /** The life of whose end the leader of this connection has taken note. */
   private toldGone: WorkerInstance | undefined;
   private isTelling = false;
+  /** When this leader was last told that the worker is silent. */
+  private silenceToldAt: Monotonic = -Infinity;
+  /** What of that was logged last over this connection. */
+  private loggedSilence: string | undefined;
   private task: Promise<void> | undefined;
 
   constructor(private readonly options: LeaderLinkOptions) {}
@@ -193,16 +208,21 @@
     const attachedAt = clock.monotonic();
     this.grantedAt = attachedAt;
     this.toldGone = undefined;
+    this.silenceToldAt = -Infinity;
+    this.loggedSilence = undefined;
     let lastSent: Sighting | undefined;
     let unanswered = 0;
     while (connection.isOpen && !this.abort.signal.aborted) {
       const sighting = this.sightingSince(attachedAt);
       const isDue = this.isDue(sighting, lastSent);
-      if (sighting && isDue) {
-        lastSent = sighting;
-        unanswered = (await this.report(connection, sighting))
-          ? 0
-          : unanswered + 1;
+      const isSilenceDue = this.isSilenceDue(sighting, attachedAt);
+      if (sighting && isDue) lastSent = sighting;
+      if (isDue || isSilenceDue) {
+        const isAnswered =
+          sighting && isDue
+            ? await this.report(connection, sighting)
+            : await this.tellSilent(connection);
+        unanswered = isAnswered ? 0 : unanswered + 1;
         if (unanswered >= LINK.maxUnanswered) return "reports unanswered";
         if (await this.isReplaced(address)) return "another entry leads";
         await sleep(clock, LINK.reportFloorMs);
@@ -221,6 +241,56 @@
     return connection.isOpen ? "stopping" : await connection.closed;
   }
 
+  private isSilenceDue(
+    sighting: Sighting | undefined,
+    attachedAt: Monotonic,
+  ): boolean {
+    const { watch, clock } = this.options;
+    const now = clock.monotonic();
+    const mayComeYet = sighting || now - attachedAt < LINK.unseenMs;
+    if (watch.isAnswered && mayComeYet) return false;
+    return now - this.silenceToldAt >= LINK.reportEveryMs;
+  }
+
+  /**
+   * Tells until when the silent worker may run anything, so that a leader which has not
+   * heard of it need not count the longest lease from the beginning of its own term.
+   *
+   * @returns whether the leader answered
+   */
+  private async tellSilent(connection: LeaderConnection): Promise<boolean> {
+    const { watch, clock } = this.options;
+    this.tellGone(connection);
+    const overInMs = watch.boundLease();
+    this.silenceToldAt = clock.monotonic();
+    try {
+      const { grants } = await connection.call(
+        "workerSilent",
+        { overInMs },
+        LINK.callTimeoutMs,
+      );
+      if (grants) this.grantedAt = clock.monotonic();
+      this.logSilence({ overInMs, grants });
+      return true;
+    } catch (err) {
+      this.logSilence({ overInMs, error: describeError(err) });
+      // A leader of an earlier version refuses a method that it does not know.
+      return !(err instanceof LostAnswerError);
+    }
+  }
+
+  /** Once a connection, and when what came of it changes. */
+  private logSilence({ overInMs, grants, error }: SilenceTold): void {
+    const { watch, registry, logger } = this.options;
+    const outcome = error ?? `grants ${grants}`;
+    if (outcome === this.loggedSilence) return;
+    this.loggedSilence = outcome;
+    const instance = registry.worker?.instance ?? registry.lastGone;
+    const epoch = watch.currentEpoch;
+    const fields = { epoch, instance, overInMs, grants, error };
+    logger.info("worker.silence-told", fields);
+  }
+
   private tellGone(connection: LeaderConnection): void {
     const { lastGone: instance } = this.options.registry;
     if (instance === undefined || instance === this.toldGone) return;
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -55,7 +55,7 @@
   async start(call: StartTaskCall): Promise<HostCallResult> {
     const refusal = this.refusal(call.epoch, call.instance);
     if (refusal) return this.note("start", call, refusal);
-    const { registry, host, pacer, clock } = this.options;
+    const { registry, host, pacer, clock, watch } = this.options;
     if (registry.worker?.draining) {
       return this.note("start", call, { kind: "draining" });
     }
@@ -64,6 +64,7 @@
     const { instance, ...order } = call;
     const beganAt = clock.monotonic();
     registry.runs.noteOrdered(instance, order);
+    watch.noteOrdered(instance, order.leaseUntil);
     let tries = 0;
     let mayHaveArrived = false;
     const result = await this.repeat(instance, async () => {
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -24,6 +24,7 @@
 } from "@rackspan/ports";
 import type { Pacer } from "./Pacer.js";
 import { PACING } from "./PacePlanner.js";
+import { SentLease } from "./SentLease.js";
 import type { WorkerRegistry } from "./WorkerRegistry.js";
 
 const WATCH = {
@@ -56,6 +57,8 @@
   readonly logger: Logger;
   /** The worker's lease is never renewed further ahead than this, milliseconds. */
   readonly unattendedLeaseMs: number;
+  /** Longest lease that the worker takes, milliseconds; Infinity when nobody says. */
+  readonly longestLeaseMs: number;
 }
 
 export class WorkerWatch {
@@ -68,15 +71,22 @@
   /** When the last sighting arrived, on the side's clock. */
   private seenAt: Monotonic = -Infinity;
   private leaseUntil: WorkerTime | undefined;
+  /** Under which the lease was granted. */
+  private grantEpoch: Epoch | undefined;
   private acknowledged = 0;
   private highestEnd = 0;
   private pacedAt: Monotonic = -Infinity;
   private answering = true;
   private task: Promise<void> | undefined;
+  private readonly sent: SentLease;
 
-  constructor(private readonly options: WorkerWatchOptions) {}
+  constructor(private readonly options: WorkerWatchOptions) {
+    const { clock, longestLeaseMs: longestMs } = options;
+    this.sent = new SentLease({ clock, longestMs });
+  }
 
   start(): void {
+    this.sent.begin();
     this.task ??= this.run();
   }
 
@@ -98,6 +108,16 @@
     return this.epoch;
   }
 
+  /** An order that carries this lease is about to be sent to that life. */
+  noteOrdered(instance: WorkerInstance, leaseUntil: WorkerTime): void {
+    this.sent.noteSent(instance, leaseUntil);
+  }
+
+  /** Whether the last look at the worker was answered. */
+  get isAnswered(): boolean {
+    return this.answering;
+  }
+
   /** Obeys this epoch from now on, and no lower one. */
   raiseEpoch(epoch: Epoch): void {
     if (this.epoch !== undefined && epoch <= this.epoch) return;
@@ -109,6 +129,19 @@
   grant(instance: WorkerInstance, leaseUntil: WorkerTime): void {
     if (this.lastSighting?.instance !== instance) return;
     this.leaseUntil = leaseUntil;
+    this.grantEpoch = this.epoch;
+  }
+
+  /**
+   * Tells when the lease of a silent worker is over, for the present leader to count on.
+   * What a leader before it has granted is not renewed any more: the worker may answer
+   * again, and the present leader knows of that only once it has taken a report.
+   *
+   * @returns milliseconds; undefined when it cannot be told
+   */
+  boundLease(): number | undefined {
+    if (this.grantEpoch !== this.epoch) this.leaseUntil = undefined;
+    return this.sent.overInMs;
   }
 
   /** The store keeps all ends up to this number. */
@@ -153,11 +186,13 @@
     const isFirst = this.sighting === undefined;
     const askedAt = this.options.clock.monotonic();
     const waitMs = isFirst ? 0 : PACING.everyMs;
+    const leaseUntil = this.renewedLease();
+    if (leaseUntil !== undefined) this.sent.noteSent(instance, leaseUntil);
     try {
       const answer = await host.hold(instance, {
         epoch,
         acknowledged: this.acknowledged,
-        leaseUntil: this.renewedLease(),
+        leaseUntil,
         waitMs,
       });
       registry.noteAnswered(instance);
@@ -211,10 +246,14 @@
     return heldMs >= WATCH.heldMs && heldMs <= waitMs;
   }
 
-  /** What the leader has granted, but no further ahead than the worker may go alone. */
+  /**
+   * What the leader has granted, but no further ahead than the worker may go alone. A
+   * silent worker gets none: its lease would last longer, and so would the wait for it.
+   */
   private renewedLease(): WorkerTime | undefined {
     const { clock, unattendedLeaseMs } = this.options;
     if (this.leaseUntil === undefined || !this.lastSighting) return undefined;
+    if (!this.answering) return undefined;
     // The worker's clock is at least this: its answer took time to arrive.
     const at = this.lastSighting.answer.at + clock.monotonic() - this.seenAt;
     const until = Math.min(this.leaseUntil, Math.floor(at + unattendedLeaseMs));
@@ -230,6 +269,7 @@
     this.lastSighting = seen;
     const now = clock.monotonic();
     this.seenAt = now;
+    this.sent.noteReading(seen.instance, seen.answer.at);
     const last = seen.answer.ended.at(-1)?.number ?? 0;
     const hasNewEnds = last > this.highestEnd;
     this.highestEnd = Math.max(this.highestEnd, last);
@@ -250,6 +290,8 @@
     }
     if (err instanceof TaskRefusedError && err.fenced) {
       logger.info("worker.fenced-us", { epoch: this.epoch });
+      // Another process calls this worker, and may renew its lease.
+      this.sent.noteLongest();
     }
     if (!this.answering) return;
     this.answering = false;
--- a/packages/side/tests/brokenLook.test.ts
+++ b/packages/side/tests/brokenLook.test.ts
@@ -98,6 +98,7 @@
     registry,
     pacer,
     unattendedLeaseMs: 3_000,
+    longestLeaseMs: 10_000,
   });
   watch.raiseEpoch(1 as unknown as Epoch);
   watch.start();
--- a/packages/side/tests/taskOrders.test.ts
+++ b/packages/side/tests/taskOrders.test.ts
@@ -73,6 +73,7 @@
     clock,
     logger,
     unattendedLeaseMs: Infinity,
+    longestLeaseMs: 10_000,
   });
   const orders = new TaskOrders({
     host,
--- a/packages/side/tests/unattendedLease.test.ts
+++ b/packages/side/tests/unattendedLease.test.ts
@@ -84,6 +84,7 @@
     registry,
     pacer,
     unattendedLeaseMs: UNATTENDED_MS,
+    longestLeaseMs: 10_000,
   });
   watch.raiseEpoch(1 as unknown as Epoch);
   watch.start();
