Tests of what leaders are told of silent workers, and of what leases these are sent

The engine: a task starts once the told bound is over and not before, each silent host by itself, no longer than before, never by a word that a report has overtaken or while ends are hidden.

--- /dev/null
+++ b/packages/scheduling/tests/silentBeforeTakeOver.test.ts
@@ -0,0 +1,120 @@
+/** How long a take-over waits for a host whose side tells when its leases are over. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { EngineHarness, LEASE_MS, TTL_MS } from "./engineHarness.js";
+
+/** Until the leases of the silent host are over, as its side tells. */
+const OVER_IN_MS = 1_500;
+/** Longer than a pass over the waiting work takes to begin. */
+const SOON_MS = 200;
+/** Every lease that former leaders could grant is over. */
+const ALL_OVER_MS = (TTL_MS + LEASE_MS) * 1.05;
+
+/** A leader that takes over while a task waits, with hosts of which one reports. */
+const takeOver = async (silentHosts = 1) => {
+  const former = new EngineHarness();
+  const { clock, store } = former;
+  const heard = await former.addHost("heard");
+  const silent = [];
+  for (let nth = 0; nth < silentHosts; nth += 1) {
+    silent.push(await former.addHost(`silent${nth}`));
+  }
+  const job = former.submit("j", [{ lasting: true }]);
+  former.leads = false;
+  former.engine.stop();
+  const roster = former.hosts.map(({ host }) => host);
+  const next = new EngineHarness({ epoch: 2, roster, clock, store });
+  next.engine.addJob(job, undefined);
+  for (const host of former.hosts) next.engine.attach(host.host, host);
+  await next.run(SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+  return { next, heard, silent };
+};
+
+test("a task starts once the lease that its silent host was sent last is over, and not before", async () => {
+  const { next, heard, silent } = await takeOver();
+  const [host] = silent;
+  if (!host) throw new Error("no silent host");
+  next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
+  await next.run(OVER_IN_MS - SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+  await next.run(2 * SOON_MS, [heard]);
+  expect(heard.starts.length).toEqual(1);
+});
+
+test("a host whose lease is over by its side's word leaves the roster", async () => {
+  const { next, heard, silent } = await takeOver();
+  const [host] = silent;
+  if (!host) throw new Error("no silent host");
+  next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
+  expect(next.roster.instanceOf(host.host)).not.toEqual(undefined);
+  await next.run(OVER_IN_MS + 2 * SOON_MS, [heard]);
+  expect(next.roster.instanceOf(host.host)).toEqual(undefined);
+});
+
+test("a take-over waits for each silent host by itself", async () => {
+  const { next, heard, silent } = await takeOver(2);
+  const [first, second] = silent;
+  if (!first || !second) throw new Error("no silent hosts");
+  next.engine.noteWorkerSilent(first.host, 0);
+  await next.run(OVER_IN_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+  next.engine.noteWorkerSilent(second.host, 0);
+  await next.run(SOON_MS, [heard]);
+  expect(heard.starts.length).toEqual(1);
+});
+
+test("a side that cannot tell when its leases are over leaves the wait as it is", async () => {
+  const { next, heard, silent } = await takeOver();
+  const [host] = silent;
+  if (!host) throw new Error("no silent host");
+  next.engine.noteWorkerSilent(host.host, undefined);
+  await next.run(TTL_MS + LEASE_MS - 2 * SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+  await next.run(ALL_OVER_MS - TTL_MS - LEASE_MS + 2 * SOON_MS, [heard]);
+  expect(heard.starts.length).toEqual(1);
+});
+
+test("a longer lease than former leaders could grant does not lengthen the wait", async () => {
+  const { next, heard, silent } = await takeOver();
+  const [host] = silent;
+  if (!host) throw new Error("no silent host");
+  next.engine.noteWorkerSilent(host.host, 3 * ALL_OVER_MS);
+  await next.run(ALL_OVER_MS, [heard]);
+  expect(heard.starts.length).toEqual(1);
+});
+
+test("the word that a worker is silent comes too late once it has reported: its run is not started again", async () => {
+  const { next, heard, silent } = await takeOver();
+  const [host] = silent;
+  if (!host) throw new Error("no silent host");
+  await next.run(SOON_MS, [heard, host]);
+  const before = host.starts.length + heard.starts.length;
+  expect(before).toEqual(1);
+  next.engine.noteWorkerSilent(host.host, 0);
+  next.engine.noteWorkerSilent(heard.host, 0);
+  await next.run(LEASE_MS, [heard, host]);
+  expect(host.starts.length + heard.starts.length).toEqual(before);
+  expect(next.roster.instanceOf(host.host)).not.toEqual(undefined);
+});
+
+test("a host that has reported some of its ends is not taken for one whose leases are over", async () => {
+  const { next, heard, silent } = await takeOver();
+  const [host] = silent;
+  if (!host) throw new Error("no silent host");
+  const report = { ...host.report(), hasMoreEnds: true };
+  next.engine.report(host.host, host.zone, report);
+  next.engine.noteWorkerSilent(host.host, 0);
+  await next.run(OVER_IN_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+});
+
+test("a leader whose term is over says that it grants nothing", async () => {
+  const { next, silent } = await takeOver();
+  const [host] = silent;
+  if (!host) throw new Error("no silent host");
+  expect(next.engine.noteWorkerSilent(host.host, OVER_IN_MS)).toEqual(true);
+  next.leads = false;
+  expect(next.engine.noteWorkerSilent(host.host, OVER_IN_MS)).toEqual(false);
+});
--- a/packages/side/src/jobs/index.ts
+++ b/packages/side/src/jobs/index.ts
@@ -6,5 +6,6 @@
 export { LeaderLink } from "./LeaderLink.js";
 export { PACING } from "./PacePlanner.js";
 export { Pacer } from "./Pacer.js";
+export { SentLease } from "./SentLease.js";
 export { TaskOrders } from "./TaskOrders.js";
 export { WorkerWatch } from "./WorkerWatch.js";
--- /dev/null
+++ b/packages/side/tests/sentLease.test.ts
@@ -0,0 +1,98 @@
+/** Until when a worker may run anything, by the leases that its side sent. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+import { LEASE } from "@rackspan/leadership";
+import { SentLease } from "@rackspan/side";
+
+const LONGEST_MS = 10_000;
+const LIFE = brand<WorkerInstance>("w1");
+const NEXT_LIFE = brand<WorkerInstance>("w2");
+/** What the worker's clock shows when the side's shows 0. */
+const AHEAD_MS = 50_000;
+
+/** The longest time that a lease of this length may last on the side's clock. */
+const lasts = (leaseMs: number): number =>
+  leaseMs * (1 + LEASE.workerClockDrift) + LEASE.marginMs;
+
+const at = (ms: number): WorkerTime => (AHEAD_MS + ms) as unknown as WorkerTime;
+
+const create = (longestMs = LONGEST_MS) => {
+  const clock = new ManualClock();
+  const sent = new SentLease({ clock, longestMs });
+  sent.begin();
+  return { clock, sent };
+};
+
+/** One whose process has run for longer than any lease of the one before. */
+const createLater = async () => {
+  const { clock, sent } = create();
+  await clock.advance(2 * LONGEST_MS);
+  expect(sent.overInMs).toEqual(0);
+  sent.noteReading(LIFE, at(0));
+  return { clock, sent };
+};
+
+test("a side that has started anew counts the longest lease of the process before", async () => {
+  const { clock, sent } = create();
+  expect(sent.overInMs).toEqual(lasts(LONGEST_MS));
+  sent.noteReading(LIFE, at(0));
+  sent.noteSent(LIFE, at(1_000));
+  await clock.advance(3_000);
+  expect(sent.overInMs).toEqual(lasts(LONGEST_MS) - 3_000);
+});
+
+test("a lease that was sent counts with the drift of the worker's clock, answered or not", async () => {
+  const { clock, sent } = await createLater();
+  sent.noteSent(LIFE, at(6_000));
+  expect(sent.overInMs).toEqual(lasts(6_000));
+  await clock.advance(2_000);
+  expect(sent.overInMs).toEqual(lasts(6_000) - 2_000);
+});
+
+test("a shorter lease that is sent later does not shorten one before", async () => {
+  const { sent } = await createLater();
+  sent.noteSent(LIFE, at(6_000));
+  sent.noteSent(LIFE, at(2_500));
+  expect(sent.overInMs).toEqual(lasts(6_000));
+});
+
+test("a lease counts from the newest reading, however late it is sent", async () => {
+  const { clock, sent } = await createLater();
+  await clock.advance(4_000);
+  sent.noteSent(LIFE, at(6_000));
+  expect(sent.overInMs).toEqual(lasts(6_000) - 4_000);
+});
+
+test("a lease to a life whose clock is not known counts as the longest from now", async () => {
+  const { sent } = await createLater();
+  sent.noteSent(NEXT_LIFE, at(100));
+  expect(sent.overInMs).toEqual(lasts(LONGEST_MS));
+});
+
+test("a lease of a former life still counts once the next one has answered", async () => {
+  const { sent } = await createLater();
+  sent.noteSent(LIFE, at(6_000));
+  sent.noteReading(NEXT_LIFE, 5 as unknown as WorkerTime);
+  sent.noteSent(NEXT_LIFE, 1_005 as unknown as WorkerTime);
+  expect(sent.overInMs).toEqual(lasts(6_000));
+});
+
+test("a suspended machine makes no lease end sooner", async () => {
+  const { clock, sent } = await createLater();
+  sent.noteSent(LIFE, at(6_000));
+  clock.suspend(5_000);
+  expect(sent.overInMs).toEqual(lasts(6_000));
+});
+
+test("a side that does not know the longest lease cannot tell when all are over", async () => {
+  const { clock, sent } = create(Infinity);
+  await clock.advance(60_000);
+  expect(sent.overInMs).toEqual(undefined);
+});
