A host that falls silent under its leader is waited for no longer than its side's leases last

Cause: the side told a new leader until when its silent worker may run anything, and the leader under which the worker fell silent went on counting its own last grant and the longest lease: 10.4 s where hold_max_ms is 10,000, although the side renews no further ahead than 6.3 s. A lasting task may wait 6 s in a calm time. Change: the ledger counts grants and orders apart, and the side's word bounds the grants. After it, the side renews the lease only by a grant that comes later; before, it went on by what the same leader had granted, so the bound would not have held.

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -116,7 +116,9 @@
   reportedAt: WorkerTime | undefined;
   heardAt: Monotonic = -Infinity;
   /** When every lease granted so far is over for certain. */
-  leaseOverBy: Monotonic = -Infinity;
+  private grantsOverBy: Monotonic = -Infinity;
+  /** When every order to start given so far has lapsed for certain, and its lease is over. */
+  private ordersOverBy: Monotonic = -Infinity;
   /** No tasks are started there before; set when the worker refuses one. */
   pausedUntil: Monotonic = -Infinity;
   /**
@@ -224,9 +226,31 @@
     return this.unknownStrays > 0;
   }
 
-  /** A lease was granted, or an order given, that is over by then for certain. */
-  noteLease(overBy: Monotonic): void {
-    this.leaseOverBy = Math.max(this.leaseOverBy, overBy);
+  /** When nothing runs there any more for certain, unless the host is heard before. */
+  get leaseOverBy(): Monotonic {
+    return Math.max(this.grantsOverBy, this.ordersOverBy);
+  }
+
+  /** A lease was granted that is over by then for certain. */
+  noteGrant(overBy: Monotonic): void {
+    this.grantsOverBy = Math.max(this.grantsOverBy, overBy);
+  }
+
+  /** An order was given whose lease is over by then for certain. */
+  noteOrder(overBy: Monotonic): void {
+    this.ordersOverBy = Math.max(this.ordersOverBy, overBy);
+  }
+
+  /**
+   * The side renews nothing before it hears of the next grant, and all that it has sent
+   * is over by then. Orders that are on their way to it keep their time.
+   *
+   * @returns by how much sooner nothing runs there any more, milliseconds
+   */
+  boundGrants(overBy: Monotonic): number {
+    const before = this.leaseOverBy;
+    this.grantsOverBy = Math.min(this.grantsOverBy, overBy);
+    return before - this.leaseOverBy;
   }
 
   countOfStep(step: object): number {
--- a/packages/scheduling/src/HostIntake.ts
+++ b/packages/scheduling/src/HostIntake.ts
@@ -61,7 +61,7 @@
     };
     hosts.set(entry);
     // Until it is heard the host may hold leases of a former leader.
-    ledger.noteLease(leaseOverBy(now, options.leaseMs));
+    ledger.noteGrant(leaseOverBy(now, options.leaseMs));
     logger.info("host.joined", {
       host,
       instance: worker.instance,
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -59,15 +59,19 @@
   }
 
   /**
-   * The take-over waits for the host no longer than its side says. A host that has
-   * reported to this leader is left out: its ledger counts what this one has granted.
+   * A silent host is waited for no longer than its side says: by the take-over, or by the
+   * ledger of a host that has reported. One that has ends left to list is left out.
    */
   noteSilent(host: HostId, overInMs: number): void {
     const { options, hosts, requestPass } = this.parts;
-    if (hosts.get(host)) return;
     const { gate, clock, logger } = options;
-    const overBy = clock.monotonic() + overInMs;
-    const soonerByMs = gate.noteSilent(host, overBy);
+    const now = clock.monotonic();
+    const overBy = now + overInMs;
+    const ledger = hosts.get(host)?.ledger;
+    if (ledger && gate.unheard(now).includes(host)) return;
+    const soonerByMs = ledger
+      ? ledger.boundGrants(overBy)
+      : gate.noteSilent(host, overBy);
     // Each repeat arrives a little earlier or later than the one before.
     if (soonerByMs < LEASE.marginMs) return;
     logger.info("host.silent", {
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -305,7 +305,7 @@
     const { mayDecide, leaseMs } = this.options;
     const acknowledged = ledger.acknowledgedEnds;
     if (!mayDecide() || !rostered) return { acknowledged };
-    ledger.noteLease(leaseOverBy(now, leaseMs));
+    ledger.noteGrant(leaseOverBy(now, leaseMs));
     return {
       leaseUntil: (report.at + leaseMs) as WorkerTime,
       acknowledged,
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -98,7 +98,7 @@
       this.logAlreadyPlaced(host, run);
       return;
     }
-    ledger.noteLease(leaseOverBy(now, orderMs));
+    ledger.noteOrder(leaseOverBy(now, orderMs));
     void this.orderStart(host, run, { ticket, firstPercent });
   }
 
--- a/packages/scheduling/tests/silentBeforeTakeOver.test.ts
+++ b/packages/scheduling/tests/silentBeforeTakeOver.test.ts
@@ -2,6 +2,7 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
+import { ENGINE } from "@rackspan/scheduling";
 import { EngineHarness, LEASE_MS, TTL_MS } from "./engineHarness.js";
 
 /** Until the leases of the silent host are over, as its side tells. */
@@ -118,3 +119,41 @@
   next.leads = false;
   expect(next.engine.noteWorkerSilent(host.host, OVER_IN_MS)).toEqual(false);
 });
+
+test("a task starts once the lease of a host is over that fell silent under its leader, and not before", async () => {
+  const harness = new EngineHarness();
+  const silent = await harness.addHost("silent");
+  harness.submit("j", [{ lasting: true }]);
+  await harness.run(LEASE_MS);
+  const heard = await harness.addHost("heard");
+  harness.engine.noteWorkerSilent(silent.host, OVER_IN_MS);
+  await harness.run(OVER_IN_MS - SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+  await harness.run(3 * SOON_MS, [heard]);
+  expect(heard.starts.length).toEqual(1);
+});
+
+test("an order on its way to a host is waited for although its side tells of no lease", async () => {
+  const harness = new EngineHarness();
+  const silent = await harness.addHost("silent");
+  silent.answers = "hang";
+  harness.submit("j", [{ lasting: true }]);
+  await harness.run(SOON_MS);
+  expect(silent.starts.length).toEqual(1);
+  const heard = await harness.addHost("heard");
+  harness.engine.noteWorkerSilent(silent.host, 0);
+  await harness.run(ENGINE.startLeaseMs - 2 * SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+  await harness.run(4 * SOON_MS, [heard]);
+  expect(heard.starts.length).toEqual(1);
+});
+
+test("a host that reports after its side told of its silence keeps its runs", async () => {
+  const harness = new EngineHarness();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ lasting: true }]);
+  await harness.run(LEASE_MS);
+  harness.engine.noteWorkerSilent(host.host, SOON_MS);
+  await harness.run(LEASE_MS);
+  expect(host.starts.length).toEqual(1);
+});
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -71,8 +71,6 @@
   /** When the last sighting arrived, on the side's clock. */
   private seenAt: Monotonic = -Infinity;
   private leaseUntil: WorkerTime | undefined;
-  /** Under which the lease was granted. */
-  private grantEpoch: Epoch | undefined;
   private acknowledged = 0;
   private highestEnd = 0;
   private pacedAt: Monotonic = -Infinity;
@@ -129,18 +127,17 @@
   grant(instance: WorkerInstance, leaseUntil: WorkerTime): void {
     if (this.lastSighting?.instance !== instance) return;
     this.leaseUntil = leaseUntil;
-    this.grantEpoch = this.epoch;
   }
 
   /**
    * Tells when the lease of a silent worker is over, for the present leader to count on.
-   * What a leader before it has granted is not renewed any more: the worker may answer
-   * again, and the present leader knows of that only once it has taken a report.
+   * What was granted before is not renewed any more: the worker may answer again, and
+   * the leader knows of that only once it has taken a report.
    *
    * @returns milliseconds; undefined when it cannot be told
    */
   boundLease(): number | undefined {
-    if (this.grantEpoch !== this.epoch) this.leaseUntil = undefined;
+    this.leaseUntil = undefined;
     return this.sent.overInMs;
   }
 
