--- a/packages/side/tests/silentWorker.test.ts
+++ b/packages/side/tests/silentWorker.test.ts
@@ -8,6 +8,8 @@
   Metrics,
   silentLogger,
   type Epoch,
+  type JobTaskId,
+  type RunNumber,
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
@@ -19,7 +21,7 @@
   type HoldOrder,
   type TaskHost,
 } from "@rackspan/ports";
-import { Pacer, WorkerRegistry, WorkerWatch } from "@rackspan/side";
+import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
 import { beatOf } from "./beatOf.js";
 
 const INSTANCE = brand<WorkerInstance>("w1");
@@ -30,6 +32,17 @@
 /** Longer than a look and the pause after it take. */
 const SEVERAL_LOOKS_MS = 2_000;
 
+const ORDER = {
+  instance: INSTANCE,
+  epoch: 1 as unknown as Epoch,
+  task: brand<JobTaskId>("j.0.0.0"),
+  run: 7 as unknown as RunNumber,
+  spec: "",
+  checkpoint: "",
+  firstPercent: 100,
+  nature: { kind: "plain", tailTargetMs: 0, image: "", milliCores: 100 },
+} as const;
+
 interface Look {
   readonly sentAt: number;
   readonly leaseUntil: number | undefined;
@@ -56,6 +69,9 @@
       if (!isAnswered) throw new WorkerSilentError("no answer");
       return { at: workerTime(), running: [], ended: [], hasMoreEnds: false };
     },
+    start: async (): Promise<never> => {
+      throw new WorkerSilentError("no answer");
+    },
   } as unknown as TaskHost;
   const base = { host, clock, logger };
   const metrics = new Metrics();
@@ -70,6 +86,7 @@
     unattendedLeaseMs: UNATTENDED_MS,
     longestLeaseMs: LONGEST_MS,
   });
+  const orders = new TaskOrders({ ...base, registry, watch, pacer, metrics });
   const lead = (epoch: number): void =>
     watch.raiseEpoch(epoch as unknown as Epoch);
   const grant = (): void =>
@@ -88,7 +105,7 @@
     await clock.advance(SEVERAL_LOOKS_MS);
     await stopped;
   };
-  return { clock, watch, looks, worker, lead, grant, stop };
+  return { clock, watch, orders, looks, worker, lead, grant, stop };
 };
 
 const leasesOf = (looks: readonly Look[]): number[] =>
@@ -154,12 +171,14 @@
 });
 
 test("an order that got no answer counts with the lease that it carries", async () => {
-  const { clock, watch, lead, stop } = await watchWorker();
+  const { clock, watch, orders, lead, stop } = await watchWorker();
   const until = clock.monotonic() + LONGEST_MS;
-  watch.noteOrdered(INSTANCE, until as unknown as WorkerTime);
+  const leaseUntil = until as unknown as WorkerTime;
+  const ordered = orders.start({ ...ORDER, leaseUntil });
   lead(2);
   expect((watch.boundLease() ?? 0) >= LONGEST_MS).toEqual(true);
   await stop();
+  await ordered;
 });
 
 test("a worker that obeys a higher epoch may have any lease of another process", async () => {
