--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -86,8 +86,9 @@
   }
 
   start(): void {
+    if (this.task) return;
     this.sent.begin();
-    this.task ??= this.run();
+    this.task = this.run();
   }
 
   async stop(): Promise<void> {
