Schedules of leaders lost in a row, with a bound for the tasks of silent workers

No schedule played it: leaders were lost seldom, silent workers came back within 1.4 s, and nothing judged how long a task waits.

TakeoverWaits judges the wait. A task of a silent worker is to have its next run 0.7 s after these hold without a break: one leader leads, the side of each host is attached to it, and of each silent worker all leases are over (the last that was sent to it; the longest one from its start on where a side was started anew; the leader's own grants), drift and margin included. A side reports or tells within 125 ms, the engine looks each 250 ms.

--- a/packages/checker/src/ProcessClock.ts
+++ b/packages/checker/src/ProcessClock.ts
@@ -57,6 +57,11 @@
     return this.dead;
   }
 
+  /** Whether its process takes nothing, or runs no timer. */
+  get standsStill(): boolean {
+    return this.paused || this.isBusy;
+  }
+
   pause(): void {
     this.paused = true;
   }
--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -8,10 +8,12 @@
   type AvailabilityZone,
   type Clock,
   type HostId,
+  type JobTaskId,
   type Monotonic,
   type Random,
   type ServiceName,
 } from "@rackspan/common";
+import { leaseOverBy } from "@rackspan/leadership";
 import type { Grant, HostReport, WorkerDescription } from "@rackspan/protocol";
 import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
 import type { LeaderModel } from "./LeaderModel.js";
@@ -38,10 +40,14 @@
   readonly worker: WorkerModel;
   /** How far ahead the side renews the worker's lease, milliseconds. */
   readonly unattendedLeaseMs: number;
+  /** The longest lease, milliseconds. */
+  readonly leaseMs: number;
   /** See JobWorldOptions. */
   readonly takesArrivalsFirst: boolean;
   /** The leader that the store names; undefined when it names none. */
   readonly findLeader: () => LeaderModel | undefined;
+  /** A leader orders a start here. */
+  readonly onOrder: (task: JobTaskId) => void;
 }
 
 /** One process of the side. */
@@ -52,6 +58,12 @@
   readonly abort: AbortController;
 }
 
+/** A connection over which the side has attached, and to whom. */
+interface Attachment {
+  readonly link: SideLink;
+  readonly leader: LeaderModel;
+}
+
 export class HostModel {
   /** Whether side and leader cannot reach each other. */
   isCut = false;
@@ -59,6 +71,9 @@
   private sequence = 0;
   private side: SideParts;
   private link: SideLink | undefined;
+  private attachment: Attachment | undefined;
+  /** What a side before has sent was sent by then. */
+  private formerSidesUntil: Monotonic = -Infinity;
 
   constructor(private readonly options: HostModelOptions) {
     this.side = this.startSide();
@@ -77,6 +92,26 @@
     return this.options.worker;
   }
 
+  /** Whether the side has attached to that leader, and both ends are open. */
+  isAttachedTo(leader: LeaderModel): boolean {
+    const { attachment } = this;
+    if (attachment?.leader !== leader || this.isCut) return false;
+    return attachment.link.isOpenAtSide && attachment.link.isOpenAtLeader;
+  }
+
+  /**
+   * From then on nothing that a side has sent lets a silent worker run anything; a side
+   * that was started meanwhile knows only when it was.
+   */
+  get leasesOverBy(): Monotonic {
+    const { worker, leaseMs } = this.options;
+    const { silentSince, sentLeasesOverBy } = worker;
+    const knows = this.formerSidesUntil < (silentSince ?? Infinity);
+    if (knows) return sentLeasesOverBy;
+    const formerOverBy = leaseOverBy(this.formerSidesUntil, leaseMs);
+    return Math.max(sentLeasesOverBy, formerOverBy);
+  }
+
   /**
    * Another process of the side, which knows nothing of the one before.
    * @param overlapMs for which both of them run
@@ -89,9 +124,22 @@
     };
     if (overlapMs === 0) stop();
     else this.options.clock.after(overlapMs, stop);
+    const { clock } = this.options;
+    this.formerSidesUntil = clock.monotonic() + overlapMs;
     this.side = this.startSide();
   }
 
+  /** The side ends, and another process of it starts after that time. */
+  loseSide(ms: number): void {
+    const { clock } = this.options;
+    const lost = this.side;
+    lost.abort.abort();
+    void lost.watch.stop();
+    clock.after(ms, () => {
+      if (this.side === lost) this.restartSide();
+    });
+  }
+
   /** The worker says that it leaves, and ends a moment later. */
   leave(lingerMs: number): void {
     const { clock, worker } = this.options;
@@ -122,7 +170,8 @@
       unattendedLeaseMs: this.options.unattendedLeaseMs,
     });
     const orders = new TaskOrders({ ...base, registry, watch, pacer });
-    const side = { registry, watch, orders, abort: new AbortController() };
+    const abort = new AbortController();
+    const side = { registry, watch, orders, abort };
     watch.start();
     void this.serve(side);
     return side;
@@ -131,7 +180,7 @@
   private beat(): void {
     const { clock, worker, random } = this.options;
     clock.after(HOST.heartbeatMs * (0.5 + random.next()), () => {
-      if (worker.isUp) {
+      if (worker.isHeard) {
         this.sequence += 1;
         this.side.registry.noteHeartbeat({
           worker: this.describe(),
@@ -175,6 +224,7 @@
       random,
       takesArrivalsFirst,
       isCut: () => this.isCut,
+      onOrder: this.options.onOrder,
       side: {
         start: (call) => orders.start(call),
         stop: (call) => orders.stop(call),
@@ -189,6 +239,7 @@
       return;
     }
     watch.raiseEpoch(epoch);
+    this.attachment = { link, leader };
     await this.reportWhileOpen(link, leader, side);
     this.close(link, leader);
     if (abort.signal.aborted) return;
--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -30,10 +30,12 @@
 import { HostModel } from "./HostModel.js";
 import { LEADERSHIP, LeaderModel, VIEW_LAG_MS } from "./LeaderModel.js";
 import { RunHistory } from "./RunHistory.js";
+import { TakeoverWaits } from "./TakeoverWaits.js";
 import {
   WorkerModel,
   type LivesOfWorker,
   type TaskTraits,
+  type WorkerCut,
 } from "./WorkerModel.js";
 
 const ZONES = ["obihiro-a", "otofuke-b"].map((name) =>
@@ -47,6 +49,10 @@
   hosts: 5,
   milliCores: 4_000,
   electionMs: { every: 100, wait: 300 },
+  /** How often it is looked at what waits, milliseconds. */
+  lookEveryMs: 25,
+  /** Workers that may be silent at once, so that the others have room for all. */
+  mostSilent: 2,
 } as const;
 
 const QUEUE: QueueSpec = {
@@ -79,6 +85,8 @@
   readonly maxAttempts: number;
   /** See WorkerModelOptions. */
   readonly lives?: LivesOfWorker | undefined;
+  /** Whether it is judged how long tasks of silent workers wait. */
+  readonly judgesWaits?: boolean;
 }
 
 export class JobWorld {
@@ -99,13 +107,22 @@
   private readonly lastEvacuation = new Map<AvailabilityZone, number>();
   private leader: LeaderModel | undefined;
   private epoch = 0;
+  private readonly waits: TakeoverWaits;
 
   constructor(private readonly options: JobWorldOptions) {
     this.random = new SeededRandom(options.seed);
     this.hosts = Array.from({ length: WORLD.hosts }, (_, index) =>
       this.buildHost(`h${index + 1}`, zoneAt(index)),
     );
+    this.waits = new TakeoverWaits({
+      clock: this.clock,
+      history: this.history,
+      hosts: () => this.hosts,
+      leader: () => this.leader,
+      isWanted: (task) => this.isWanted(task),
+    });
     this.elect();
+    if (options.judgesWaits) this.judgeWaits();
   }
 
   /** Jobs that nobody has cancelled. */
@@ -162,6 +179,43 @@
     }
   }
 
+  /**
+   * A worker falls silent, and is back under another life after that time; never when
+   * it is infinite. Does nothing while enough others are silent.
+   */
+  loseWorker(downMs: number): void {
+    this.silenceWorker(
+      ({ worker }) => worker.crash(),
+      ({ worker }) => worker.revive(),
+      downMs,
+    );
+  }
+
+  /** A worker falls silent and goes on by itself; its side hears it again after that time. */
+  cutWorker(cut: WorkerCut, ms: number): void {
+    this.silenceWorker(
+      ({ worker }) => worker.cutOff(cut),
+      ({ worker }) => worker.rejoin(),
+      ms,
+    );
+  }
+
+  private silenceWorker(
+    begin: (host: HostModel) => void,
+    end: (host: HostModel) => void,
+    ms: number,
+  ): void {
+    const host = this.anyHost();
+    const silent = this.hosts.filter(({ worker }) => !worker.isHeard);
+    if (silent.length >= WORLD.mostSilent || silent.includes(host)) return;
+    const runs = this.history
+      .openRuns()
+      .filter((run) => run.host === host.host);
+    begin(host);
+    this.waits.noteSilent(host, runs);
+    if (ms < Infinity) this.clock.after(ms, () => end(host));
+  }
+
   /** A worker crashes and is back at once; after that time once more. */
   crashTwice(ms: number): void {
     const { worker } = this.anyHost();
@@ -191,6 +245,10 @@
     this.anyHost().restartSide(overlapMs);
   }
 
+  loseSide(ms: number): void {
+    this.anyHost().loseSide(ms);
+  }
+
   /** A worker drains, says that it leaves, and ends up to some milliseconds later. */
   leave(drainMs: number, lingerMs: number, downMs: number): void {
     const host = this.anyHost();
@@ -282,6 +340,11 @@
     this.leader?.kill();
   }
 
+  /** For good: the store gives the leadership to another one once its term is over. */
+  cutLeaderFromStore(): void {
+    if (this.leader) this.leader.isCutFromStore = true;
+  }
+
   failStore(fault: StoreFault, ms: number): void {
     this.store.fault = fault;
     this.clock.after(ms, () => (this.store.fault = "none"));
@@ -309,6 +372,17 @@
     return this.crashing.has(id);
   }
 
+  private isWanted(task: JobTaskId): boolean {
+    const job = parseTaskId(task)?.job;
+    if (job === undefined || this.cancelled.has(job)) return false;
+    return !this.hasEnded(job);
+  }
+
+  private judgeWaits(): void {
+    this.waits.look();
+    this.clock.after(WORLD.lookEveryMs, () => this.judgeWaits());
+  }
+
   /** Runs of jobs that somebody has cancelled. */
   unwantedRuns(): readonly JobTaskId[] {
     return this.history
@@ -375,6 +449,8 @@
       random,
       worker,
       unattendedLeaseMs: this.options.unattendedLeaseMs,
+      leaseMs: LEADERSHIP.leaseMs,
+      onOrder: (task) => this.waits.noteOrdered(task),
       takesArrivalsFirst: this.options.takesArrivalsFirst,
       findLeader: () => (this.leader?.isDead ? undefined : this.leader),
     });
--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -12,6 +12,7 @@
 } from "@rackspan/common";
 import { StoredRoster } from "@rackspan/entry";
 import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
+import { leaseOverBy } from "@rackspan/leadership";
 import type { StoreClient } from "@rackspan/ports";
 import type { Grant, HostReport, LostRun } from "@rackspan/protocol";
 import { DEFAULT_POLICY, JobEngine } from "@rackspan/scheduling";
@@ -58,12 +59,16 @@
 
 export class LeaderModel {
   readonly clock: ProcessClock;
+  /** Whether it reaches sides and not the store. */
+  isCutFromStore = false;
   /** When the store last confirmed its term, by the store's own time. */
   confirmedAt: Monotonic;
   engine: JobEngine | undefined;
   private readonly links = new Map<HostId, SideLink>();
   /** The connection of each host that attached last. */
   private readonly attached = new Map<HostId, SideLink>();
+  /** By host: when all that this leader has granted its worker is over. */
+  private readonly grantsOverBy = new Map<HostId, Monotonic>();
   private readonly writers: StampedWriter[] = [];
   private isOver = false;
 
@@ -77,6 +82,17 @@
     return this.clock.isDead;
   }
 
+  /** Whether it takes reports and gives orders. */
+  get leads(): boolean {
+    const isAwake = !this.clock.isDead && !this.clock.standsStill;
+    return isAwake && this.engine !== undefined && this.mayDecide();
+  }
+
+  /** From then on the host's worker runs nothing that this leader has let it run. */
+  grantsOverAt(host: HostId): Monotonic {
+    return this.grantsOverBy.get(host) ?? -Infinity;
+  }
+
   /** Reads what the store keeps, and begins. */
   async begin(): Promise<void> {
     const { epoch, queue } = this.options;
@@ -179,7 +195,10 @@
     zone: AvailabilityZone,
     report: HostReport,
   ): Grant | undefined {
-    return this.isOver ? undefined : this.engine?.report(host, zone, report);
+    if (this.isOver || !this.engine) return undefined;
+    const now = this.clock.monotonic();
+    this.grantsOverBy.set(host, leaseOverBy(now, LEADERSHIP.leaseMs));
+    return this.engine.report(host, zone, report);
   }
 
   noteWorkerGone(
@@ -225,7 +244,7 @@
         this.end();
         return;
       }
-      this.confirmedAt = this.clock.leaseTime();
+      if (!this.isCutFromStore) this.confirmedAt = this.clock.leaseTime();
       this.renew();
     });
   }
--- a/packages/checker/src/jobs/RunHistory.ts
+++ b/packages/checker/src/jobs/RunHistory.ts
@@ -27,6 +27,7 @@
     | "unasked"
     | "unacknowledged"
     | "given-up"
+    | "waits"
     | "not-finished";
   readonly at: Monotonic;
   readonly detail: string;
@@ -137,6 +138,10 @@
   }
 }
 
+/** Whether it ended with its worker, or with its worker's lease. */
+export const wasLost = (run: RunSeen): boolean =>
+  wasCrashed(run) || run.outcome === "lapsed";
+
 const wasCrashed = ({ endedAt, outcome }: RunSeen): boolean =>
   endedAt !== undefined && outcome === undefined;
 
--- a/packages/checker/src/jobs/SideLink.ts
+++ b/packages/checker/src/jobs/SideLink.ts
@@ -3,7 +3,12 @@
  * order, wait while the link is cut, and are lost when an end has closed.
  */
 
-import type { Clock, Random, WorkerInstance } from "@rackspan/common";
+import type {
+  Clock,
+  JobTaskId,
+  Random,
+  WorkerInstance,
+} from "@rackspan/common";
 import type {
   HostCallResult,
   StartTaskCall,
@@ -31,6 +36,8 @@
   readonly random: Random;
   readonly isCut: () => boolean;
   readonly side: SideHandlers;
+  /** The leader orders a start. */
+  readonly onOrder: (task: JobTaskId) => void;
   /** See JobWorldOptions. */
   readonly takesArrivalsFirst: boolean;
 }
@@ -83,6 +90,7 @@
   }
 
   startTask(call: StartTaskCall): Promise<HostCallResult> {
+    this.options.onOrder(call.task);
     return this.callSide(() => this.options.side.start(call));
   }
 
--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -28,6 +28,7 @@
   type StartOutcome,
   type TaskHost,
 } from "@rackspan/ports";
+import { leaseOverBy } from "@rackspan/leadership";
 import type { GangBook, GangRun } from "./GangBook.js";
 import type { RunHistory, RunSeen } from "./RunHistory.js";
 import { WorkerLife, type Running } from "./WorkerLife.js";
@@ -85,11 +86,29 @@
   backMs: 1_500,
   /** Starts may fill a room that has shrunk this long after, milliseconds. */
   shrunkMs: 3_500,
+  /** What is sent to a worker behind a cut may reach it up to this much later, milliseconds. */
+  heldUpMs: 3_000,
+  /** Share of the calls that are held up at a cut; the others are lost. */
+  heldUpShare: 0.5,
 } as const;
 
+/** How a worker is cut from its side while its life goes on. */
+export type WorkerCut =
+  /** Calls arrive, and their answers do not. */
+  | "answers"
+  /** Calls do not arrive, or only some seconds later. */
+  | "calls";
+
 export class WorkerModel implements TaskHost {
   /** Whether orders may be carried out late, without an answer. */
   lateOrders = false;
+  /** When it was last heard, and undefined while it is. */
+  silentSince: Monotonic | undefined;
+  /** When it was heard again. */
+  heardSince: Monotonic = -Infinity;
+  /** From then on nothing that was sent to the present life lets it run anything. */
+  sentLeasesOverBy: Monotonic = -Infinity;
+  private cut: WorkerCut | undefined;
   private lives = 0;
   private life: WorkerLife;
   private up = true;
@@ -114,7 +133,7 @@
 
   /** Ends that it still lists: nobody has let it forget them. */
   get listedEnds(): number {
-    return this.life.listedEnds.length;
+    return this.up ? this.life.listedEnds.length : 0;
   }
 
   get milliCores(): number {
@@ -140,10 +159,37 @@
     return this.up;
   }
 
+  /** Whether its side hears its heartbeats and answers. */
+  get isHeard(): boolean {
+    return this.up && this.cut === undefined;
+  }
+
+  /** It goes on by itself, and its side hears nothing of it. */
+  cutOff(cut: WorkerCut): void {
+    this.cut = cut;
+    this.noteHeard();
+  }
+
+  rejoin(): void {
+    this.cut = undefined;
+    this.noteHeard();
+  }
+
+  private noteHeard(): void {
+    const now = this.options.clock.monotonic();
+    if (!this.isHeard) {
+      this.silentSince ??= now;
+      return;
+    }
+    if (this.silentSince !== undefined) this.heardSince = now;
+    this.silentSince = undefined;
+  }
+
   /** All that runs there ends; nothing is listed. */
   crash(): void {
     const { clock } = this.options;
     this.up = false;
+    this.noteHeard();
     this.life.end();
     const lost = [...this.life.running.values()];
     this.life.running.clear();
@@ -156,14 +202,17 @@
 
   revive(): void {
     this.life = this.bear();
+    this.sentLeasesOverBy = -Infinity;
     this.up = true;
     this.refuses = false;
+    this.noteHeard();
   }
 
   async start(
     instance: WorkerInstance,
     order: RunStart,
   ): Promise<StartOutcome> {
+    this.noteSent(instance, order.leaseUntil);
     return this.call(instance, () => this.begin(order));
   }
 
@@ -182,11 +231,10 @@
   }
 
   async hold(instance: WorkerInstance, order: HoldOrder): Promise<HoldAnswer> {
-    await this.reach(instance);
-    this.fence(order.epoch);
+    this.noteSent(instance, order.leaseUntil);
+    await this.reach(instance, () => this.takeHold(order));
     const { life } = this;
-    life.forgetEnds(order.acknowledged);
-    if (order.leaseUntil !== undefined) life.extendLease(order.leaseUntil);
+    this.takeHold(order);
     if (order.waitMs > 0) await life.waitForEnd(order.waitMs);
     if (!this.up && this.refuses) {
       throw new WorkerSilentError("the call broke off");
@@ -206,6 +254,25 @@
     };
   }
 
+  private takeHold({ epoch, acknowledged, leaseUntil }: HoldOrder): void {
+    const { life } = this;
+    this.fence(epoch);
+    life.forgetEnds(acknowledged);
+    if (leaseUntil !== undefined) life.extendLease(leaseUntil);
+  }
+
+  private noteSent(
+    instance: WorkerInstance,
+    leaseUntil: WorkerTime | undefined,
+  ): void {
+    if (instance !== this.instance || leaseUntil === undefined) return;
+    const now = this.options.clock.monotonic();
+    this.sentLeasesOverBy = Math.max(
+      this.sentLeasesOverBy,
+      leaseOverBy(now, leaseUntil - this.life.at),
+    );
+  }
+
   async pace(instance: WorkerInstance): Promise<void> {
     await this.reach(instance);
   }
@@ -229,9 +296,20 @@
       this.end(running, outcome);
   }
 
-  /** @throws WorkerSilentError, WorkerReplacedError */
-  private async reach(instance: WorkerInstance): Promise<void> {
+  /**
+   * @param act carries the call out, where it arrives although no answer comes
+   * @throws WorkerSilentError, WorkerReplacedError
+   */
+  private async reach(
+    instance: WorkerInstance,
+    act?: () => void,
+  ): Promise<void> {
     const { clock } = this.options;
+    if (this.up && this.cut !== undefined) {
+      if (act && this.life.instance === instance) this.passCut(this.cut, act);
+      await sleep(clock, WORKER.callTimeoutMs);
+      throw new WorkerSilentError("it is cut off");
+    }
     if (this.up) await sleep(clock, this.delay(WORKER.maxLatencyMs));
     if (!this.up) {
       if (!this.refuses) await sleep(clock, WORKER.callTimeoutMs);
@@ -242,9 +320,20 @@
       throw new WorkerReplacedError(instance);
   }
 
+  private passCut(cut: WorkerCut, act: () => void): void {
+    const { clock, random } = this.options;
+    const { life } = this;
+    const isLost = cut === "calls" && random.next() >= WORKER.heldUpShare;
+    if (isLost) return;
+    const mostMs = cut === "calls" ? WORKER.heldUpMs : WORKER.maxLatencyMs;
+    clock.after(this.delay(mostMs), () => {
+      if (this.life === life && this.up) tryTo(act);
+    });
+  }
+
   private async call<T>(instance: WorkerInstance, act: () => T): Promise<T> {
     const { clock, random } = this.options;
-    await this.reach(instance);
+    await this.reach(instance, act);
     const { life } = this;
     if (!this.lateOrders || random.next() >= WORKER.lateShare) return act();
     const { least, most } = WORKER.lateMs;
@@ -252,12 +341,7 @@
       const isNext = this.life !== life && this.life.epoch > 0;
       const outlives = isNext && this.options.lives?.ordersOutlive === true;
       const mayAct = this.life === life || outlives;
-      if (!mayAct || !this.up) return;
-      try {
-        act();
-      } catch {
-        // A fenced order that comes late does nothing; nobody hears of it.
-      }
+      if (mayAct && this.up) tryTo(act);
     });
     await sleep(clock, WORKER.callTimeoutMs);
     throw new WorkerSilentError("the order got no answer");
@@ -374,5 +458,14 @@
   }
 }
 
+/** A fenced order that comes late does nothing, and nobody hears of it. */
+const tryTo = (act: () => void): void => {
+  try {
+    act();
+  } catch (err) {
+    if (!(err instanceof TaskRefusedError)) throw err;
+  }
+};
+
 /** A task's id without its index. */
 const stepOf = (task: string): string => task.replace(/\.\d+$/, "");
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -6,6 +6,7 @@
   runHarshSchedule,
   runJobSchedule,
   runStarvedSchedule,
+  runSuccessionSchedule,
 } from "./jobSchedules.js";
 export { GangBook } from "./GangBook.js";
 export { RunHistory, type JobViolation, type RunSeen } from "./RunHistory.js";
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -194,6 +194,45 @@
   [8, (world, random) => world.carryOutLate(between(random, 500, 3_000))],
 ];
 
+const submitSmallJob: Event = (world, random) => {
+  const demand = { memoryMiB: 100, accelerators: 0, milliCores: 125 };
+  const taskCount = 1 + pickIndex(random, 3);
+  const estimateMs = between(random, 300, 1_900);
+  const lasting = random.next() < 0.2;
+  world.submit([{ taskCount, demand, estimateMs, lasting }]);
+};
+
+/** One worker is lost for good now and then; others are silent for a while. */
+const silenceWorker: Event = (world, random) => {
+  const draw = random.next();
+  const ms = between(random, 500, 14_000);
+  if (draw < 0.15) world.loseWorker(Infinity);
+  else if (draw < 0.4) world.loseWorker(ms);
+  else world.cutWorker(draw < 0.7 ? "answers" : "calls", ms);
+};
+
+const loseLeader: Event = (world, random) => {
+  const ms = between(random, 2_600, 6_000);
+  const losses = [
+    () => world.killLeader(),
+    () => world.freezeLeader(ms),
+    () => world.cutLeaderFromStore(),
+  ];
+  losses[pickIndex(random, losses.length)]?.();
+};
+
+/** Beside leaders that are lost one after the other. */
+const SUCCESSION_EVENTS: typeof EVENTS = [
+  [40, submitSmallJob],
+  [6, cancelJob],
+  [8, silenceWorker],
+  [6, (world, random) => world.carryOutLate(between(random, 500, 3_000))],
+  [3, (world, random) => world.cutLink(between(random, 100, 3_000))],
+  [3, (world) => world.resetLink()],
+  [3, (world) => world.restartSide()],
+  [3, (world, random) => world.loseSide(between(random, 300, 6_000))],
+];
+
 const pickEvent = (events: typeof EVENTS, random: SeededRandom): Event => {
   const total = events.reduce((sum, [weight]) => sum + weight, 0);
   let at = random.next() * total;
@@ -206,6 +245,8 @@
 
 interface Harshness extends Omit<JobWorldOptions, "seed"> {
   readonly events: typeof EVENTS;
+  /** Whether each leader is lost some seconds after the one before. */
+  readonly losesLeaders?: boolean;
   /** Whether workers crash, or runs fail, by themselves, so that any job may be given up. */
   readonly mayGiveUp: boolean;
 }
@@ -251,6 +292,29 @@
   lives: { ordersOutlive: true, bearOneName: false },
 };
 
+const SUCCESSION: Harshness = {
+  ...HARSH,
+  events: SUCCESSION_EVENTS,
+  failShare: 0,
+  takesArrivalsFirst: true,
+  judgesWaits: true,
+  losesLeaders: true,
+};
+
+/**
+ * Plays one seed with leaders that are lost in a row beside silent workers.
+ * @param bearOneId whether the lives of a worker stand under one id
+ * @returns what broke, in order
+ */
+export const runSuccessionSchedule = (
+  seed: number,
+  bearOneId = seed % 4 === 0,
+): Promise<readonly JobViolation[]> =>
+  runSchedule(seed, {
+    ...SUCCESSION,
+    lives: bearOneId ? { ordersOutlive: true, bearOneName: false } : undefined,
+  });
+
 /**
  * Plays one seed with workers that start again at once under their ids.
  * @param takesIdForLife whether the adapter does not tell their lives apart
@@ -306,14 +370,25 @@
 ): Promise<readonly JobViolation[]> =>
   runSchedule(seed, { ...PLAIN, endsFormerLinks: false });
 
+/** Each one 2 to 8 s after the one before, from now on. */
+const loseLeaders = (world: JobWorld, endAt: number): void => {
+  const { clock, random } = world;
+  clock.after(between(random, 2_000, 8_000), () => {
+    if (clock.monotonic() >= endAt) return;
+    loseLeader(world, random);
+    loseLeaders(world, endAt);
+  });
+};
+
 const runSchedule = async (
   seed: number,
-  { events, mayGiveUp, ...options }: Harshness,
+  { events, mayGiveUp, losesLeaders = false, ...options }: Harshness,
 ): Promise<readonly JobViolation[]> => {
   const world = new JobWorld({ seed, ...options });
   const { clock, random } = world;
   await clock.advance(2_000);
   const endAt = clock.monotonic() + SCHEDULE.troubledMs;
+  if (losesLeaders) loseLeaders(world, endAt);
   while (clock.monotonic() < endAt) {
     pickEvent(events, random)(world, random);
     await clock.advance(random.next() * SCHEDULE.maxPauseMs);
--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -8,6 +8,7 @@
   runEvacuatingSchedule,
   runRebornSchedule,
   runStarvedSchedule,
+  runSuccessionSchedule,
   type JobViolation,
 } from "@rackspan/checker";
 
@@ -124,3 +125,10 @@
     await expectNothingBroken(runEvacuatingSchedule, seed);
   }
 });
+
+// Leaders lost in a row, workers silent for good or behind a cut, sides started anew.
+test("a task of a silent worker starts elsewhere once its last lease is over, whoever leads", async () => {
+  for (const seed of SEEDS) {
+    await expectNothingBroken(runSuccessionSchedule, seed);
+  }
+});
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -8,6 +8,7 @@
   runEvacuatingSchedule,
   runRebornSchedule,
   runStarvedSchedule,
+  runSuccessionSchedule,
 } from "@rackspan/checker";
 import { wholeNumber } from "./wholeNumber.js";
 
@@ -19,6 +20,7 @@
   readonly crashing: boolean;
   readonly evacuating: boolean;
   readonly reborn: boolean;
+  readonly succession: boolean;
 }
 
 const options = new Command("check:jobs")
@@ -33,11 +35,14 @@
   )
   .option("--evacuating", "harsh, and zones that are evacuated", false)
   .option("--reborn", "harsh, and workers that start again at once", false)
+  .option("--succession", "leaders lost in a row, workers silent", false)
   .parse()
   .opts<Options>();
 const { runs, seed, harsh, starved, crashing, evacuating, reborn } = options;
+const { succession } = options;
 
 const pickSchedule = (): typeof runJobSchedule => {
+  if (succession) return (at) => runSuccessionSchedule(at);
   if (reborn) return runRebornSchedule;
   if (crashing) return runCrashingSchedule;
   if (evacuating) return runEvacuatingSchedule;
