Soak: leaders lost in a row beside silent workers

Workers of the soak are servers in its own process, so a cut stands for a process that was stopped; its timers run on.

--- a/soak/src/FaultPlayer.ts
+++ b/soak/src/FaultPlayer.ts
@@ -13,6 +13,9 @@
 const HOLDS = { share: 0.15, leastMs: 300, mostMs: 3_000 } as const;
 const SHORT_HOLDS = { share: 0.15, leastMs: 5, mostMs: 900 } as const;
 
+/** Of the workers: those that may be lost for good, so that the others do all work. */
+const FOR_GOOD_SHARE = 1 / 3;
+
 export class FaultPlayer {
   private readonly open = new Set<Promise<void>>();
 
@@ -69,6 +72,10 @@
         return this.evacuate(random, forMs);
       case "livesAtOnce":
         return this.livesAtOnce(random, forMs);
+      case "lostLeader":
+        return this.loseLeader(random, forMs);
+      case "silentWorkers":
+        return this.silence(random, forMs);
     }
   }
 
@@ -109,6 +116,34 @@
     });
   }
 
+  /** The leader is killed or stands still until another one leads. */
+  private async loseLeader(random: Random, forMs: number): Promise<void> {
+    const isKilled = random.next() < 0.5;
+    const leader = await this.site.leader();
+    if (isKilled) await restart(leader, "SIGKILL", forMs);
+    else await freeze(leader, forMs);
+  }
+
+  /** Workers are cut off or lost for a while, some of the first ones for good. */
+  private async silence(random: Random, forMs: number): Promise<void> {
+    const { workers } = this.site;
+    const mayStayAway = workers.slice(0, workers.length * FOR_GOOD_SHARE);
+    await each(some(workers, 0.2, random), async (worker) => {
+      const draw = random.next();
+      if (draw < 0.5) {
+        worker.cutOff();
+        await delay(forMs);
+        worker.rejoin();
+        return;
+      }
+      await worker.endLife("silent");
+      if (draw > 0.8 && mayStayAway.includes(worker)) return;
+      await delay(forMs);
+      await worker.beginLife();
+      worker.proxy.resetAll();
+    });
+  }
+
   private async hold(
     random: Random,
     forMs: number,
--- a/soak/src/SoakWorker.ts
+++ b/soak/src/SoakWorker.ts
@@ -37,6 +37,8 @@
   /** The last life that has registered. */
   private former: WorkerServer | undefined;
   private lives = 0;
+  /** Where the life that is cut off stands. */
+  private hiddenTarget: string | undefined;
   private isClosed = false;
 
   constructor(private readonly options: SoakWorkerOptions) {
@@ -101,6 +103,27 @@
     await life.close();
   }
 
+  /** The present life goes on by itself; neither calls nor heartbeats pass. */
+  cutOff(): void {
+    const { life, proxy } = this;
+    if (!life || life.isCutOff) return;
+    life.isCutOff = true;
+    this.hiddenTarget = proxy.target;
+    proxy.target = undefined;
+    proxy.withoutTarget = "silent";
+    proxy.muteAll();
+  }
+
+  /** Ends the cut of the present life, if there is one. */
+  rejoin(): void {
+    const { life, proxy, hiddenTarget } = this;
+    if (!life?.isCutOff) return;
+    life.isCutOff = false;
+    proxy.target = hiddenTarget;
+    // Calls that are open still wait in vain.
+    proxy.resetAll();
+  }
+
   async close(): Promise<void> {
     this.isClosed = true;
     await this.endLife("reset");
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -14,7 +14,9 @@
   | "stoppedEntry"
   | "killedSides"
   | "evacuatedZone"
-  | "livesAtOnce";
+  | "livesAtOnce"
+  | "lostLeader"
+  | "silentWorkers";
 
 export interface Fault {
   readonly kind: FaultKind;
@@ -52,6 +54,9 @@
   // that starts past the time that the operator allows would show.
   evacuatedZone: { share: 0.4, everyMs: 5_000, leastMs: 100, mostMs: 9_000 },
   livesAtOnce: { share: 0.5, everyMs: 2_500, leastMs: 1, mostMs: 900 },
+  // Longer than the leadership's lease, so that another entry leads.
+  lostLeader: { share: 0.4, everyMs: 5_000, leastMs: 2_600, mostMs: 5_000 },
+  silentWorkers: { share: 0.4, everyMs: 4_000, leastMs: 500, mostMs: 12_000 },
 };
 
 /** @param only the series to play; drawn when undefined */
