--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -16,7 +16,7 @@
 import { leaseOverBy } from "@rackspan/leadership";
 import type { Grant, HostReport, WorkerDescription } from "@rackspan/protocol";
 import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
-import type { LeaderModel } from "./LeaderModel.js";
+import { LEADERSHIP, type LeaderModel } from "./LeaderModel.js";
 import { SideLink } from "./SideLink.js";
 import type { WorkerModel } from "./WorkerModel.js";
 
@@ -168,6 +168,7 @@
       registry,
       pacer,
       unattendedLeaseMs: this.options.unattendedLeaseMs,
+      longestLeaseMs: LEADERSHIP.leaseMs,
     });
     const orders = new TaskOrders({ ...base, registry, watch, pacer });
     const abort = new AbortController();
