Modelled sides tell leaders of silent workers, as sides do

HostModel calls the leader of its connection with the bound of a silent worker's lease, at the times at which LeaderLink does.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -16,7 +16,7 @@
 import { leaseOverBy } from "@rackspan/leadership";
 import type { Grant, HostReport, WorkerDescription } from "@rackspan/protocol";
 import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
-import { LEADERSHIP, type LeaderModel } from "./LeaderModel.js";
+import type { LeaderModel } from "./LeaderModel.js";
 import { SideLink } from "./SideLink.js";
 import type { WorkerModel } from "./WorkerModel.js";
 
@@ -24,6 +24,10 @@
   heartbeatMs: 300,
   reportEveryMs: 500,
   newsWaitMs: 125,
+  /** A worker that has not been seen for this long since the side attached is silent. */
+  unseenMs: 500,
+  /** A leader that grants nothing for this long may have been replaced. */
+  ungrantedMs: 700,
   callTimeoutMs: 1_200,
   maxUnanswered: 2,
   findEveryMs: 200,
@@ -44,6 +48,8 @@
   readonly leaseMs: number;
   /** See JobWorldOptions. */
   readonly takesArrivalsFirst: boolean;
+  /** See JobWorldOptions. */
+  readonly staysWithGranter: boolean;
   /** The leader that the store names; undefined when it names none. */
   readonly findLeader: () => LeaderModel | undefined;
   /** A leader orders a start here. */
@@ -168,7 +174,7 @@
       registry,
       pacer,
       unattendedLeaseMs: this.options.unattendedLeaseMs,
-      longestLeaseMs: LEADERSHIP.leaseMs,
+      longestLeaseMs: this.options.leaseMs,
     });
     const orders = new TaskOrders({ ...base, registry, watch, pacer });
     const abort = new AbortController();
@@ -254,11 +260,15 @@
     const { clock, findLeader } = this.options;
     const attachedAt = clock.monotonic();
     let reportedAt: Monotonic = -Infinity;
+    let silenceToldAt: Monotonic = -Infinity;
+    let grantedAt = attachedAt;
     let lastEnd = 0;
     let unanswered = 0;
     let toldGone: string | undefined;
     while (link.isOpenAtSide && !abort.signal.aborted) {
-      if (findLeader() && findLeader() !== leader) return;
+      const isUngranted = clock.monotonic() - grantedAt >= HOST.ungrantedMs;
+      const asksStore = !this.options.staysWithGranter || isUngranted;
+      if (asksStore && findLeader() && findLeader() !== leader) return;
       const { sighting } = watch;
       const { worker } = registry;
       const isFresh = sighting && sighting.askedAt >= attachedAt;
@@ -280,9 +290,23 @@
           leader.report(this.options.host, this.options.zone, report),
         );
         unanswered = grant ? 0 : unanswered + 1;
+        if (grant?.leaseUntil !== undefined) grantedAt = clock.monotonic();
         if (grant) registry.runs.noteTold(report.lostRuns);
         if (grant) takeGrant(watch, worker, grant);
         if (unanswered >= HOST.maxUnanswered) return;
+      } else if (
+        (!watch.isAnswered ||
+          (!isFresh && clock.monotonic() - attachedAt >= HOST.unseenMs)) &&
+        clock.monotonic() - silenceToldAt >= HOST.reportEveryMs
+      ) {
+        silenceToldAt = clock.monotonic();
+        const overInMs = watch.boundLease();
+        const grants = await this.ask(link, () =>
+          leader.noteWorkerSilent(this.options.host, overInMs),
+        );
+        unanswered = grants === undefined ? unanswered + 1 : 0;
+        if (grants) grantedAt = clock.monotonic();
+        if (unanswered >= HOST.maxUnanswered) return;
       }
       const gone = registry.lastGone;
       if (gone !== undefined && gone !== toldGone) {
--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -87,6 +87,8 @@
   readonly lives?: LivesOfWorker | undefined;
   /** Whether it is judged how long tasks of silent workers wait. */
   readonly judgesWaits?: boolean;
+  /** Whether sides ask the store who leads only once nothing was granted for a while. */
+  readonly staysWithGranter?: boolean;
 }
 
 export class JobWorld {
@@ -452,6 +454,7 @@
       leaseMs: LEADERSHIP.leaseMs,
       onOrder: (task) => this.waits.noteOrdered(task),
       takesArrivalsFirst: this.options.takesArrivalsFirst,
+      staysWithGranter: this.options.staysWithGranter ?? false,
       findLeader: () => (this.leader?.isDead ? undefined : this.leader),
     });
   }
--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -201,6 +201,15 @@
     return this.engine.report(host, zone, report);
   }
 
+  /** @returns whether it may still grant leases; undefined when it does not answer */
+  noteWorkerSilent(
+    host: HostId,
+    overInMs: number | undefined,
+  ): boolean | undefined {
+    if (this.isOver) return undefined;
+    return this.engine?.noteWorkerSilent(host, overInMs);
+  }
+
   noteWorkerGone(
     host: HostId,
     instance: WorkerInstance,
