--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -8,13 +8,15 @@
   type AvailabilityZone,
   type Clock,
   type HostId,
+  type JobTaskId,
   type Monotonic,
   type Random,
   type ServiceName,
 } from "@rackspan/common";
+import { leaseOverBy } from "@rackspan/leadership";
 import type { Grant, HostReport, WorkerDescription } from "@rackspan/protocol";
 import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
-import { LEADERSHIP, type LeaderModel } from "./LeaderModel.js";
+import type { LeaderModel } from "./LeaderModel.js";
 import { SideLink } from "./SideLink.js";
 import type { WorkerModel } from "./WorkerModel.js";
 
@@ -22,6 +24,10 @@
   heartbeatMs: 300,
   reportEveryMs: 500,
   newsWaitMs: 125,
+  /** A worker that has not been seen for this long since the side attached is silent. */
+  unseenMs: 500,
+  /** A leader that grants nothing for this long may have been replaced. */
+  ungrantedMs: 700,
   callTimeoutMs: 1_200,
   maxUnanswered: 2,
   findEveryMs: 200,
@@ -38,10 +44,16 @@
   readonly worker: WorkerModel;
   /** How far ahead the side renews the worker's lease, milliseconds. */
   readonly unattendedLeaseMs: number;
+  /** The longest lease, milliseconds. */
+  readonly leaseMs: number;
   /** See JobWorldOptions. */
   readonly takesArrivalsFirst: boolean;
+  /** See JobWorldOptions. */
+  readonly staysWithGranter: boolean;
   /** The leader that the store names; undefined when it names none. */
   readonly findLeader: () => LeaderModel | undefined;
+  /** A leader orders a start here. */
+  readonly onOrder: (task: JobTaskId) => void;
 }
 
 /** One process of the side. */
@@ -52,6 +64,12 @@
   readonly abort: AbortController;
 }
 
+/** A connection over which the side has attached, and to whom. */
+interface Attachment {
+  readonly link: SideLink;
+  readonly leader: LeaderModel;
+}
+
 export class HostModel {
   /** Whether side and leader cannot reach each other. */
   isCut = false;
@@ -59,6 +77,9 @@
   private sequence = 0;
   private side: SideParts;
   private link: SideLink | undefined;
+  private attachment: Attachment | undefined;
+  /** What a side before has sent was sent by then. */
+  private formerSidesUntil: Monotonic = -Infinity;
 
   constructor(private readonly options: HostModelOptions) {
     this.side = this.startSide();
@@ -77,6 +98,26 @@
     return this.options.worker;
   }
 
+  /** Whether the side has attached to that leader, and both ends are open. */
+  isAttachedTo(leader: LeaderModel): boolean {
+    const { attachment } = this;
+    if (attachment?.leader !== leader || this.isCut) return false;
+    return attachment.link.isOpenAtSide && attachment.link.isOpenAtLeader;
+  }
+
+  /**
+   * From then on nothing that a side has sent lets a silent worker run anything; a side
+   * that was started meanwhile knows only when it was.
+   */
+  get leasesOverBy(): Monotonic {
+    const { worker, leaseMs } = this.options;
+    const { silentSince, sentLeasesOverBy } = worker;
+    const knows = this.formerSidesUntil < (silentSince ?? Infinity);
+    if (knows) return sentLeasesOverBy;
+    const formerOverBy = leaseOverBy(this.formerSidesUntil, leaseMs);
+    return Math.max(sentLeasesOverBy, formerOverBy);
+  }
+
   /**
    * Another process of the side, which knows nothing of the one before.
    * @param overlapMs for which both of them run
@@ -89,9 +130,22 @@
     };
     if (overlapMs === 0) stop();
     else this.options.clock.after(overlapMs, stop);
+    const { clock } = this.options;
+    this.formerSidesUntil = clock.monotonic() + overlapMs;
     this.side = this.startSide();
   }
 
+  /** The side ends, and another process of it starts after that time. */
+  loseSide(ms: number): void {
+    const { clock } = this.options;
+    const lost = this.side;
+    lost.abort.abort();
+    void lost.watch.stop();
+    clock.after(ms, () => {
+      if (this.side === lost) this.restartSide();
+    });
+  }
+
   /** The worker says that it leaves, and ends a moment later. */
   leave(lingerMs: number): void {
     const { clock, worker } = this.options;
@@ -120,10 +174,11 @@
       registry,
       pacer,
       unattendedLeaseMs: this.options.unattendedLeaseMs,
-      longestLeaseMs: LEADERSHIP.leaseMs,
+      longestLeaseMs: this.options.leaseMs,
     });
     const orders = new TaskOrders({ ...base, registry, watch, pacer });
-    const side = { registry, watch, orders, abort: new AbortController() };
+    const abort = new AbortController();
+    const side = { registry, watch, orders, abort };
     watch.start();
     void this.serve(side);
     return side;
@@ -132,7 +187,7 @@
   private beat(): void {
     const { clock, worker, random } = this.options;
     clock.after(HOST.heartbeatMs * (0.5 + random.next()), () => {
-      if (worker.isUp) {
+      if (worker.isHeard) {
         this.sequence += 1;
         this.side.registry.noteHeartbeat({
           worker: this.describe(),
@@ -176,6 +231,7 @@
       random,
       takesArrivalsFirst,
       isCut: () => this.isCut,
+      onOrder: this.options.onOrder,
       side: {
         start: (call) => orders.start(call),
         stop: (call) => orders.stop(call),
@@ -190,6 +246,7 @@
       return;
     }
     watch.raiseEpoch(epoch);
+    this.attachment = { link, leader };
     await this.reportWhileOpen(link, leader, side);
     this.close(link, leader);
     if (abort.signal.aborted) return;
@@ -203,11 +260,15 @@
     const { clock, findLeader } = this.options;
     const attachedAt = clock.monotonic();
     let reportedAt: Monotonic = -Infinity;
+    let silenceToldAt: Monotonic = -Infinity;
+    let grantedAt = attachedAt;
     let lastEnd = 0;
     let unanswered = 0;
     let toldGone: string | undefined;
     while (link.isOpenAtSide && !abort.signal.aborted) {
-      if (findLeader() && findLeader() !== leader) return;
+      const isUngranted = clock.monotonic() - grantedAt >= HOST.ungrantedMs;
+      const asksStore = !this.options.staysWithGranter || isUngranted;
+      if (asksStore && findLeader() && findLeader() !== leader) return;
       const { sighting } = watch;
       const { worker } = registry;
       const isFresh = sighting && sighting.askedAt >= attachedAt;
@@ -229,9 +290,23 @@
           leader.report(this.options.host, this.options.zone, report),
         );
         unanswered = grant ? 0 : unanswered + 1;
+        if (grant?.leaseUntil !== undefined) grantedAt = clock.monotonic();
         if (grant) registry.runs.noteTold(report.lostRuns);
         if (grant) takeGrant(watch, worker, grant);
         if (unanswered >= HOST.maxUnanswered) return;
+      } else if (
+        (!watch.isAnswered ||
+          (!isFresh && clock.monotonic() - attachedAt >= HOST.unseenMs)) &&
+        clock.monotonic() - silenceToldAt >= HOST.reportEveryMs
+      ) {
+        silenceToldAt = clock.monotonic();
+        const overInMs = watch.boundLease();
+        const grants = await this.ask(link, () =>
+          leader.noteWorkerSilent(this.options.host, overInMs),
+        );
+        unanswered = grants === undefined ? unanswered + 1 : 0;
+        if (grants) grantedAt = clock.monotonic();
+        if (unanswered >= HOST.maxUnanswered) return;
       }
       const gone = registry.lastGone;
       if (gone !== undefined && gone !== toldGone) {
