Schedules of innocent tasks on workers that end by chance

How often a job is given up without cause was no figure: schedules with workers that crash by themselves let any job be given up, and those with crashing tasks have no worker that ends by chance. `npm run check:chance` counts jobs, those given up, and those under whose tasks fewer than two workers had ended. Looks at a worker short of processor time may wait on their way, and so may their answers; a worker's process that is gone breaks its look off. The random draws of the other series stay as they were.

--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -162,6 +162,19 @@
     }
   }
 
+  /** A worker ends whatever runs there; connections to it are refused until it is back. */
+  breakWorkerDown(backMs: number): void {
+    const { worker } = this.anyHost();
+    if (worker.isUp) worker.breakDown(backMs);
+  }
+
+  /** A worker is short of processor time: its looks and their answers wait. */
+  slowWorker(mostMs: number, forMs: number): void {
+    const { worker } = this.anyHost();
+    worker.slowMs = mostMs;
+    this.clock.after(forMs, () => (worker.slowMs = 0));
+  }
+
   /** A worker crashes and is back at once; after that time once more. */
   crashTwice(ms: number): void {
     const { worker } = this.anyHost();
@@ -305,6 +318,11 @@
     return this.stateOf(id) === "failed";
   }
 
+  /** Under how many runs of one of its tasks workers ended, at the most. */
+  mostCrashes(id: JobId): number {
+    return this.history.mostCrashes(id);
+  }
+
   isCrashing(id: JobId): boolean {
     return this.crashing.has(id);
   }
--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -90,6 +90,8 @@
 export class WorkerModel implements TaskHost {
   /** Whether orders may be carried out late, without an answer. */
   lateOrders = false;
+  /** How long a look may wait for a worker short of processor time; milliseconds. */
+  slowMs = 0;
   private lives = 0;
   private life: WorkerLife;
   private up = true;
@@ -154,6 +156,15 @@
     this.life.wake();
   }
 
+  /** Its process is gone, and connections to it are refused; the next life comes by itself. */
+  breakDown(backMs: number): void {
+    this.crash();
+    this.refuses = true;
+    this.options.clock.after(backMs, () => {
+      if (!this.up) this.revive();
+    });
+  }
+
   revive(): void {
     this.life = this.bear();
     this.up = true;
@@ -184,6 +195,7 @@
   async hold(instance: WorkerInstance, order: HoldOrder): Promise<HoldAnswer> {
     await this.reach(instance);
     this.fence(order.epoch);
+    await this.holdUp();
     const { life } = this;
     life.forgetEnds(order.acknowledged);
     if (order.leaseUntil !== undefined) life.extendLease(order.leaseUntil);
@@ -191,6 +203,7 @@
     if (!this.up && this.refuses) {
       throw new WorkerSilentError("the call broke off");
     }
+    await this.holdUp();
     await this.reach(instance);
     const { at } = life;
     return {
@@ -242,6 +255,18 @@
       throw new WorkerReplacedError(instance);
   }
 
+  /**
+   * The worker has not come to the look yet, or not to its answer.
+   * @throws WorkerSilentError when the worker ends before
+   */
+  private async holdUp(): Promise<void> {
+    if (this.slowMs === 0) return;
+    const { life } = this;
+    await sleep(this.options.clock, this.delay(this.slowMs));
+    const isOver = this.life !== life || !this.up;
+    if (isOver) throw new WorkerSilentError("the call broke off");
+  }
+
   private async call<T>(instance: WorkerInstance, act: () => T): Promise<T> {
     const { clock, random } = this.options;
     await this.reach(instance);
@@ -331,11 +356,7 @@
     const { life } = this;
     clock.after(WORKER.crashAfterMs, () => {
       if (this.life !== life || !this.up) return;
-      this.crash();
-      this.refuses = true;
-      clock.after(this.delay(WORKER.backMs), () => {
-        if (!this.up) this.revive();
-      });
+      this.breakDown(this.delay(WORKER.backMs));
     });
   }
 
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -1,3 +1,8 @@
+export {
+  addChance,
+  runChanceSchedule,
+  type ChanceOutcome,
+} from "./chanceSchedules.js";
 export {
   runFormerSchedule,
   runCrashingSchedule,
--- /dev/null
+++ b/scripts/src/checkChance.ts
@@ -0,0 +1,39 @@
+/**
+ * `npm run check:chance -- --runs N --seed S`: how often jobs of innocent tasks are
+ * given up where workers end by chance.
+ */
+
+import { Command } from "commander";
+import {
+  addChance,
+  runChanceSchedule,
+  type ChanceOutcome,
+} from "@rackspan/checker";
+import { wholeNumber } from "./wholeNumber.js";
+
+const { runs, seed } = new Command("check:chance")
+  .option("--runs <n>", "schedules to run", wholeNumber, 20)
+  .option("--seed <s>", "seed of the first one", wholeNumber, 1)
+  .parse()
+  .opts<{ readonly runs: number; readonly seed: number }>();
+
+let sum: ChanceOutcome = {
+  jobs: 0,
+  givenUp: 0,
+  withoutCause: 0,
+  violations: [],
+};
+for (let at = seed; at < seed + runs; at += 1) {
+  const outcome = await runChanceSchedule(at);
+  sum = addChance(sum, outcome);
+  for (const { kind, at: ms, detail } of outcome.violations) {
+    process.exitCode = 1;
+    process.stdout.write(
+      `seed ${at}, ${Math.round(ms)} ms: ${kind} ${detail}\n`,
+    );
+  }
+}
+process.stdout.write(
+  `${runs} schedules from seed ${seed}: ${sum.jobs} jobs, ${sum.givenUp} given up, ` +
+    `${sum.withoutCause} of them without cause\n`,
+);
