Suspects that have waited for long take turns by how long, not by worth

Cause: each pass gives the hosts that come free to suspects in the order of work, which goes by worth. For as long as suspects of more worth came, one of little worth never had its turn; its patience only lets it take a host that would be left to others, once that is open when its turn comes.

Now, before a suspect gets a host, those of its service and priority that have waited for their patience (2 s) get theirs, the longest wait first. Work that nobody suspects keeps its place in the order, and the one host that is left to it.

The new test failed before: the task had not begun after 20.1 s, 6 are allowed.

--- a/packages/jobs/src/JobTask.ts
+++ b/packages/jobs/src/JobTask.ts
@@ -22,8 +22,6 @@
   announced: RunNumber | undefined;
   /** It is not started before: until then it may yet be given up. */
   heldUntil: Monotonic = -Infinity;
-  /** Since when it has waited for a host where it may begin apart; undefined when it does not. */
-  waitsApartSince: Monotonic | undefined;
   /** From which the next run goes on; empty for none. */
   checkpoint = "";
   /** Hosts where it failed or stood still, the last ones. */
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -1,15 +1,10 @@
 /** Starts waiting tasks on hosts with room, in the order of work. */
 
 import type { RunNumber } from "@rackspan/common";
-import {
-  CRASH_LIMITS,
-  type HostLedger,
-  type JobRun,
-  type JobTask,
-  type StepRun,
-} from "@rackspan/jobs";
+import type { HostLedger, JobRun, JobTask, StepRun } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
 import type { PermitRule, JobTerms, QueueSpec } from "@rackspan/state";
+import { ApartTurns } from "./ApartTurns.js";
 import { chooseGangHosts } from "./chooseGangHosts.js";
 import { ENGINE, type EngineOptions, type LiveJob } from "./engineTypes.js";
 import { HeldBackHosts } from "./HeldBackHosts.js";
@@ -43,6 +38,9 @@
 export class Dispatcher {
   private readonly timer: PassTimer;
   private readonly heldBack: HeldBackHosts;
+  private readonly turns = new ApartTurns();
+  /** Of the present pass. */
+  private hostsByService: ReturnType<typeof usableHosts> = new Map();
 
   constructor(private readonly options: DispatcherOptions) {
     const { clock, logger } = options.engine;
@@ -65,17 +63,17 @@
     if (!engine.mayDecide()) return;
     const began = engine.clock.monotonic();
     this.heldBack.clear();
+    this.turns.beginPass(began);
     const now = engine.clock.now();
     const candidates = order.sort(this.candidates(now), now);
-    const hostsByService = usableHosts({
+    this.hostsByService = usableHosts({
       entries: hosts.all(),
       ejector,
       now: engine.clock.monotonic(),
       isEvacuated: engine.isEvacuated,
     });
     for (const candidate of candidates) {
-      const { service } = this.termsOf(candidate.job);
-      this.placeStep(candidate, hostsByService.get(service) ?? []);
+      this.placeStep(candidate, this.hostsOf(candidate.job));
     }
     engine.metrics
       .latency("dispatch_pass")
@@ -106,6 +104,10 @@
     return this.options.engine.queueOf(job.accepted.spec.queue) ?? job.terms;
   }
 
+  private hostsOf(job: JobRun): readonly HostLedger[] {
+    return this.hostsByService.get(this.termsOf(job).service) ?? [];
+  }
+
   private placeStep(candidate: Candidate, hosts: readonly HostLedger[]): void {
     const { job, step } = candidate;
     if (job.isEnded) return;
@@ -123,14 +125,20 @@
   ): void {
     const { permits } = this.options;
     const { step } = candidate;
-    const permitted = hosts.filter(
-      (host) => permits.ticketFor(step, host) !== undefined,
-    );
+    const permitted = this.permittedOf(step, hosts);
     if (permitted.length > 0) this.placeTasks(candidate, permitted);
     if (step.waiting.size === 0) return;
     permits.want({ step, rule, hosts: ableHosts(step, hosts) });
   }
 
+  private permittedOf(
+    step: StepRun,
+    hosts: readonly HostLedger[],
+  ): readonly HostLedger[] {
+    const { permits } = this.options;
+    return hosts.filter((host) => permits.ticketFor(step, host) !== undefined);
+  }
+
   private placeTasks(
     { job, step, isStarved }: Candidate,
     hosts: readonly HostLedger[],
@@ -144,6 +152,10 @@
     let isUnplaced = false;
     for (const task of [...step.waiting]) {
       if (announcer.isNeeded(task)) {
+        this.placeOverdue(job);
+        open = this.heldBack.openTo(step, hosts);
+        if (job.isEnded) return;
+        if (!step.waiting.has(task)) continue;
         const outcome = this.placeApart(task, open);
         if (outcome === "no-host") isUnplaced = true;
         // No other begins where it did.
@@ -180,9 +192,8 @@
     if (now < task.heldUntil) return "not-now";
     const run = announcer.runFor([task]);
     if (run === undefined || task.step.job.isEnded) return "not-now";
-    task.waitsApartSince ??= now;
-    const waitedMs = now - task.waitsApartSince;
-    const hasWaitedLong = waitedMs >= CRASH_LIMITS.apartPatienceMs;
+    this.turns.noteWaiting(task, now);
+    const hasWaitedLong = this.turns.hasWaitedLong(task, now);
     if (!mayHoldApart(open, book.all(), hasWaitedLong)) return "not-now";
     const mustPlace = hasWaitedLong || task.step.spec.lasting;
     const host = pickApart({ task, open, placer, mustPlace });
@@ -191,6 +202,25 @@
     return "placed";
   }
 
+  /** Before a suspect of this job gets its turn, those of its priority that have waited long do. */
+  private placeOverdue(job: JobRun): void {
+    const { priority } = job.terms;
+    const { service } = this.termsOf(job);
+    const isBeside = (other: JobRun): boolean =>
+      other.terms.priority === priority &&
+      this.termsOf(other).service === service;
+    const hosts = this.hostsOf(job);
+    for (const task of this.turns.takeOverdue(({ step }) =>
+      isBeside(step.job),
+    )) {
+      const { step } = task;
+      if (this.options.engine.clock.monotonic() < step.heldUntil) continue;
+      const { permitRule } = this.termsOf(step.job);
+      const allowed = permitRule ? this.permittedOf(step, hosts) : hosts;
+      this.placeApart(task, this.heldBack.openTo(step, allowed));
+    }
+  }
+
   /** Starts all tasks of the step under one run number, or none. */
   private placeGang(step: StepRun, hosts: readonly HostLedger[]): void {
     const waiting = [...step.waiting];
@@ -215,7 +245,7 @@
     const entry = hosts.get(host.host);
     const ticket = permits.ticketFor(task.step, host);
     announcer.noteOrdered(task);
-    task.waitsApartSince = undefined;
+    this.turns.noteStarted(task);
     const apartMs = isApart ? task.crashes.apartMs : 0;
     if (entry) runs.start(entry, task, number, { ticket, apartMs });
   }
