A run that may have ended unheard of is no proof that its task crashes workers

Callers saw a job shown as failed whose task had been done: the task was lost once with a worker that ended by chance, started again apart, and was done; the look that would have told of the end was held up on its way until this worker ended by chance too.

Cause: a look that breaks off before its answer is due was taken for proof that all runs there were at work, however close to their end they had come.

The side now tells how long before its broken look a run was ordered, the most that it can have worked (\`orderedMs\`; of a run that a former process of the side ordered: any time). The leader takes a run for one at work only below a quarter of the time that it is expected to take; tasks that last end by themselves never. Past that a run that began apart still answers alone, and its neighbours go free, but it is no proof (\`unanswered\`): the task is started once more and given up at the third. The same holds for one that went on from a checkpoint. Other runs that may have ended count less than the same run at work: \`unheard\` for \`young\`, \`unseen\` for \`settled\`.

--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -11,9 +11,11 @@
  * How much a lost run speaks against its task:
  * - `sole`: it had begun apart from other new runs, and its worker crashed;
  * - `young`: it had just begun when its worker crashed, as others may have;
- * - `unanswered`: the same as `sole`, but its worker had not shown the run before;
+ * - `unanswered`: the same as `sole`, but its worker had not shown the run before, or
+ *   the run may have ended unheard of;
  * - `unknown`: it was announced, and nobody knows whether it began;
- * - `unseen`: its worker crashed before it showed the run, which may not have begun;
+ * - `unseen`: its worker crashed before it showed the run, which may not have begun, or
+ *   after it had worked for a while, so that it may have ended;
  * - `unheard`: its worker had shown the run and crashed, and nobody knows whether it was
  *   at work then: it may have ended unheard of;
  * - `settled`: it had worked for a while when its worker crashed;
@@ -53,6 +55,8 @@
   togetherMs: 1_500,
   /** A run that has worked for this long is not thought of first when its worker crashes, milliseconds. */
   settledMs: 500,
+  /** A run is known to be at work up to this share of the time that it is expected to take. */
+  shareAtWork: 0.25,
   /** A run of a task that is suspected for the first time begins apart for this long, milliseconds. */
   apartMs: 500,
   /** The same once it is suspected again, for tasks that crash their workers later. */
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -11,35 +11,70 @@
   type ActiveRun,
   type HostLedger,
 } from "./HostLedger.js";
+import type { JobTask } from "./JobTask.js";
+import type { StepRun } from "./StepRun.js";
 
 /** How a worker's life was lost: it crashed, or its host was silent until its lease was over. */
 export type WorkerLoss = "crashed" | "silent";
 
+/** What the side knows of a lost run: whether it was at work when its worker ended. */
+export type LastSight = "at-work" | "may-have-ended" | "unheard";
+
+/**
+ * A look that breaks off shows a run at work only while it is far from its end: the
+ * look, or the answer that tells of the end, may have been held up on its way.
+ *
+ * @param expectedMs how long a run of the task is expected to take; undefined for one
+ *   that lasts
+ */
+export const sightOf = (
+  { wasAtWork, orderedMs = 0 }: Pick<LostRun, "wasAtWork" | "orderedMs">,
+  expectedMs: number | undefined,
+): LastSight => {
+  if (!wasAtWork) return "unheard";
+  if (expectedMs === undefined) return "at-work";
+  const isFarFromEnd = orderedMs < CRASH_LIMITS.shareAtWork * expectedMs;
+  return isFarFromEnd ? "at-work" : "may-have-ended";
+};
+
+export interface WorkerCrash {
+  readonly ledger: HostLedger;
+  readonly loss: WorkerLoss;
+  /** What the side tells of the runs that were lost with the worker. */
+  readonly lostRuns: readonly LostRun[];
+  /** How long a run of the step is expected to take; undefined for one that lasts. */
+  readonly expectedMs: (step: StepRun) => number | undefined;
+}
+
 /**
  * A run that began apart answers for the crash, and those beside it go free: they
  * only shared the worker. Else each run there may have done it, most of all those
  * of which the side knows that they were at work. Without that knowledge a run that
  * had ended unheard of would count as a crash under its task.
  *
- * @param lostRuns what the side tells of the runs that were lost with the worker
  * @returns nothing for a worker that was leaving: its end was planned
  */
-export const blameCrash = (
-  ledger: HostLedger,
-  loss: WorkerLoss,
-  lostRuns: readonly LostRun[],
-): ReadonlyMap<ActiveRun, CrashEvidence> => {
+export const blameCrash = ({
+  ledger,
+  loss,
+  lostRuns,
+  expectedMs,
+}: WorkerCrash): ReadonlyMap<ActiveRun, CrashEvidence> => {
   if (ledger.worker.draining) return new Map();
   const runs = [...ledger.runs.values()];
   if (loss === "silent") return new Map(runs.map((run) => [run, "lost"]));
-  const atWork = new Set(
-    lostRuns.filter(({ wasAtWork }) => wasAtWork).map(runKeyOf),
-  );
-  const wasAtWork = (run: ActiveRun): boolean =>
-    atWork.has(runKeyOf(refOf(run)));
+  const told = new Map(lostRuns.map((lost) => [runKeyOf(lost), lost]));
+  const sightOfRun = (run: ActiveRun): LastSight => {
+    const lost = told.get(runKeyOf(refOf(run)));
+    return lost ? sightOf(lost, expectedMs(run.task.step)) : "unheard";
+  };
   const sole = findSole(runs);
-  if (sole && wasAtWork(sole)) return new Map([[sole, proofOf(sole)]]);
-  return new Map(runs.map((run) => [run, evidenceOf(run, wasAtWork(run))]));
+  const soleSight = sole && sightOfRun(sole);
+  if (sole && soleSight && soleSight !== "unheard") {
+    const evidence = evidenceApart(sole.task, wasShown(sole), soleSight);
+    return new Map([[sole, evidence]]);
+  }
+  return new Map(runs.map((run) => [run, evidenceOf(run, sightOfRun(run))]));
 };
 
 /** The run that began apart, unless another one had begun just before it. */
@@ -53,11 +88,23 @@
   return isAlone ? sole : undefined;
 };
 
-const proofOf = (sole: ActiveRun): CrashEvidence =>
-  wasShown(sole) ? "sole" : "unanswered";
+/**
+ * What a run that began apart says of its task: proof, where the worker had shown it
+ * and it was at work for certain. One that went on from a checkpoint may have had
+ * little left to do.
+ */
+export const evidenceApart = (
+  { checkpoint, step }: JobTask,
+  wasShownThere: boolean,
+  sight: LastSight,
+): CrashEvidence => {
+  const mayBeShort = checkpoint !== "" && !step.spec.lasting;
+  const isProof = wasShownThere && sight === "at-work" && !mayBeShort;
+  return isProof ? "sole" : "unanswered";
+};
 
-const evidenceOf = (run: ActiveRun, wasAtWork: boolean): CrashEvidence =>
-  evidenceAfter(wasShown(run) ? workedMs(run) : undefined, wasAtWork);
+const evidenceOf = (run: ActiveRun, sight: LastSight): CrashEvidence =>
+  evidenceAfter(wasShown(run) ? workedMs(run) : undefined, sight);
 
 const wasShown = ({ shownFirstAt }: ActiveRun): boolean =>
   shownFirstAt !== undefined;
@@ -65,15 +112,16 @@
 /**
  * @param ms for how long the worker had shown the run when it crashed; undefined
  *   when it never had
- * @param wasAtWork whether its side knows that it was at work then
  */
 export const evidenceAfter = (
   ms: number | undefined,
-  wasAtWork: boolean,
+  sight: LastSight,
 ): CrashEvidence => {
   if (ms === undefined) return "unseen";
-  if (!wasAtWork) return "unheard";
-  return hasSettledAfter(ms) ? "settled" : "young";
+  if (sight === "unheard") return "unheard";
+  if (sight === "at-work") return hasSettledAfter(ms) ? "settled" : "young";
+  // Less than the same run would say at work.
+  return hasSettledAfter(ms) ? "unseen" : "unheard";
 };
 
 /** Whether a run that worked for so long is not thought of first when its worker crashes. */
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -62,10 +62,16 @@
   /** For how long the worker had shown it, milliseconds; absent when it never had. */
   workedMs: z.number().optional(),
   /**
-   * Whether it was at work when the life ended; else it may have ended before, and
-   * nobody has heard of that end. An older side takes each for one at work.
+   * Whether the look broke off in which the worker would have told of its end; else it
+   * may have ended before, and nobody has heard of that. An older side takes each for
+   * one at work.
    */
   wasAtWork: z.boolean().default(true),
+  /**
+   * How long before the look at its worker broke off it was ordered, milliseconds: it had
+   * worked for no longer by then. Absent when no look broke off, and from an older side.
+   */
+  orderedMs: z.number().optional(),
 });
 
 /** A run that may have begun in a life of the worker that has crashed since. */
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -9,11 +9,14 @@
   blameCrash,
   CRASH_LIMITS,
   evidenceAfter,
+  evidenceApart,
   hasSettledAfter,
   refOf,
+  sightOf,
   type ActiveRun,
   type JobRun,
   type JobTask,
+  type StepRun,
   type WorkerLoss,
 } from "@rackspan/jobs";
 import { runKeyOf } from "@rackspan/ports";
@@ -60,7 +63,12 @@
   ): void {
     const { options, runs } = this.parts;
     const { ledger } = entry;
-    const blamed = blameCrash(ledger, loss, lostRuns);
+    const blamed = blameCrash({
+      ledger,
+      loss,
+      lostRuns,
+      expectedMs: (step) => this.expectedMs(step),
+    });
     const wasPlanned = ledger.worker.draining;
     if (loss === "crashed" && !wasPlanned && !isProven(blamed)) {
       this.noteUnexplained(ledger.host);
@@ -110,16 +118,23 @@
     );
     const [only] = young;
     // Beside another run that had just begun, the one that began apart may be free of it.
-    const isSole = only && young.length === 1 && isProof(only.task, only.lost);
+    const isSole =
+      only && young.length === 1 && beganApart(only.task, only.lost);
     for (const { task, lost } of isSole ? [only] : open) {
+      const sight = sightOf(lost, this.expectedMs(task.step));
       const evidence = isSole
-        ? proofOf(lost)
-        : evidenceAfter(lost.workedMs, lost.wasAtWork);
+        ? evidenceApart(task, lost.workedMs !== undefined, sight)
+        : evidenceAfter(lost.workedMs, sight);
       this.note(host, { task, run: lost.run }, evidence);
     }
     for (const lost of lostRuns) this.judged.set(runKeyOf(lost), true);
   }
 
+  /** How long a run of the step is expected to take; undefined for one that lasts. */
+  private expectedMs(step: StepRun): number | undefined {
+    return step.spec.lasting ? undefined : this.parts.estimates.taskMs(step);
+  }
+
   /** The task of a lost run that no leader has judged, as far as is known. */
   private openLoss(lost: LostRun): { task: JobTask; lost: LostRun }[] {
     const task = this.parts.jobs.findTask(lost.task);
@@ -207,11 +222,8 @@
 const isProven = (blamed: ReadonlyMap<ActiveRun, CrashEvidence>): boolean =>
   [...blamed.values()].some((evidence) => PROOFS.includes(evidence));
 
-const proofOf = ({ workedMs }: LostRun): CrashEvidence =>
-  workedMs === undefined ? "unanswered" : "sole";
-
-/** Whether the lost run was the announced one of its task, had just begun, and was at work. */
-const isProof = (
+/** Whether the lost run was the announced one of its task, had just begun, and broke a look off. */
+const beganApart = (
   { announced, crashes }: JobTask,
   { run, workedMs = 0, wasAtWork }: LostRun,
 ): boolean => wasAtWork && announced === run && workedMs < crashes.apartMs;
--- /dev/null
+++ b/packages/scheduling/tests/doubtfulCrashes.test.ts
@@ -0,0 +1,163 @@
+/**
+ * What users saw: a job was shown as failed although its task had been done, and no
+ * worker had crashed because of it.
+ *
+ * Order of events: the task is lost with a worker that ends by chance, and is
+ * suspected. It starts again on another host, apart. The look at that worker is held up
+ * on its way while the task ends; then this worker ends by chance too, and the look
+ * breaks off before its answer was due.
+ *
+ * Cause: a look that broke off was taken for proof that every run there was at work,
+ * however close to its end it had come.
+ *
+ * Evidence: in the log of a soak the second run of a task of 500 ms was ordered 635 ms
+ * before its worker was gone, and counted as `sole`; the worker had listed its end.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import type { LostRun } from "@rackspan/protocol";
+import { decodeProgress, TOPICS } from "@rackspan/state";
+import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+
+const JOB = "5c0e7a21d94b36f8";
+const TASK = taskId(`${JOB}.0.0.0`);
+const OTHER = "77aa7a21d94b36f8";
+const ESTIMATE_MS = 500;
+/** Crashes that may give a task up without proof. */
+const MOST_CRASHES = 4;
+
+type Told = Pick<LostRun, "workedMs" | "wasAtWork" | "orderedMs">;
+
+/** It was looked at all the time, and was far from its end. */
+const AT_WORK: Told = { workedMs: 90, wasAtWork: true, orderedMs: 100 };
+/** Last shown early, and due when the look at its worker broke off. */
+const DUE: Told = { workedMs: 90, wasAtWork: true, orderedMs: 635 };
+
+const siteOf = async (count: number): Promise<EngineHarness> => {
+  const site = new EngineHarness();
+  for (let number = 1; number <= count; number += 1) {
+    await site.addHost(`h${number}`);
+  }
+  return site;
+};
+
+const evidenceOf = (site: EngineHarness, id = JOB): string[] => {
+  const record = site.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === id);
+  const crashes = record?.value ? decodeProgress(id, record.value).crashes : [];
+  return crashes.flatMap(([, runs]) => runs.map(([, evidence]) => evidence));
+};
+
+/** After the time for which proof waits for other workers that are lost. */
+const judgedStateOf = async (
+  site: EngineHarness,
+): Promise<string | undefined> => {
+  await site.run(1_700);
+  return stateOf(site);
+};
+
+const stateOf = (site: EngineHarness): string | undefined => {
+  const record = site.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === JOB);
+  return record?.value && decodeProgress(JOB, record.value).state;
+};
+
+const hostOfTask = async (site: EngineHarness): Promise<FakeHost> => {
+  for (let tries = 0; tries < 200; tries += 1) {
+    const host = site.hosts.find((one) => one.isRunning(TASK));
+    if (host) return host;
+    await site.run(50);
+  }
+  throw new Error("the task was not started");
+};
+
+/** The worker of the task ends; its side tells that of the task. */
+const loseWorker = async (site: EngineHarness, told: Told): Promise<void> => {
+  const host = await hostOfTask(site);
+  await site.run(100);
+  host.replaceWorker();
+  host.lostRuns = host.lostRuns.map((lost) =>
+    lost.task === TASK ? { ...lost, ...told } : lost,
+  );
+  await site.run(100);
+};
+
+test("a run that was due when the look at its worker broke off is no proof against its task", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
+  await loseWorker(site, AT_WORK);
+  await loseWorker(site, DUE);
+  expect(evidenceOf(site)).toEqual(["young", "unanswered"]);
+  const host = await hostOfTask(site);
+  host.end(TASK, "done");
+  await site.run(500);
+  expect(stateOf(site)).toEqual("completed");
+});
+
+test("a task whose runs had ended unheard of under two workers that ended by chance is started again", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
+  await loseWorker(site, DUE);
+  await loseWorker(site, DUE);
+  const host = await hostOfTask(site);
+  host.end(TASK, "done");
+  await site.run(500);
+  expect(stateOf(site)).toEqual("completed");
+});
+
+test("a task that crashes its workers when it is due is given up without proof", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
+  let crashes = 0;
+  while (stateOf(site) !== "failed" && crashes <= MOST_CRASHES) {
+    await loseWorker(site, DUE);
+    crashes += 1;
+  }
+  expect(crashes).toEqual(MOST_CRASHES);
+});
+
+test("after one crash at work two more that cannot be told give the task up", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
+  await loseWorker(site, AT_WORK);
+  await loseWorker(site, DUE);
+  await hostOfTask(site);
+  expect(stateOf(site)).not.toEqual("failed");
+  await loseWorker(site, DUE);
+  expect(await judgedStateOf(site)).toEqual("failed");
+});
+
+test("runs beside one that began apart go free although that one may have ended", async () => {
+  const site = await siteOf(3);
+  site.submit(OTHER, [{ lasting: true, taskCount: 3, maxPerHost: 1 }]);
+  await site.run(1_000);
+  site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
+  await loseWorker(site, AT_WORK);
+  expect(evidenceOf(site, OTHER)).toEqual(["settled"]);
+  await loseWorker(site, DUE);
+  expect(evidenceOf(site)).toEqual(["young", "unanswered"]);
+  expect(evidenceOf(site, OTHER)).toEqual(["settled"]);
+});
+
+test("a lasting task is at work however long ago it was ordered", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{ lasting: true }]);
+  await loseWorker(site, { ...DUE, orderedMs: 600_000 });
+  await loseWorker(site, { ...DUE, orderedMs: 600_000 });
+  expect(evidenceOf(site)).toEqual(["young", "sole"]);
+  expect(await judgedStateOf(site)).toEqual("failed");
+});
+
+test("a run that went on from a checkpoint may have had little left to do", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{ checkpointing: true }]);
+  const host = await hostOfTask(site);
+  host.save(TASK, "nearly done");
+  await site.run(2_000);
+  for (let crash = 0; crash < 3; crash += 1) await loseWorker(site, AT_WORK);
+  expect(evidenceOf(site)).toEqual(["settled", "young", "unanswered"]);
+  expect(await judgedStateOf(site)).not.toEqual("failed");
+});
--- a/packages/side/src/jobs/RunsOfLives.ts
+++ b/packages/side/src/jobs/RunsOfLives.ts
@@ -23,10 +23,15 @@
   unshownMs: 4_000,
 } as const;
 
+/** Told of a run that this process did not order: it may have begun at any time. */
+const UNKNOWN_MS = Number.MAX_SAFE_INTEGER;
+
 interface BegunRun {
   readonly ref: RunRef;
-  /** On the side's clock. */
+  /** When it was ordered or first listed, on the side's clock. */
   readonly orderedAt: Monotonic;
+  /** Whether this process ordered it. */
+  readonly isOwn: boolean;
   shownFirstAt: WorkerTime | undefined;
   shownLastAt: WorkerTime | undefined;
 }
@@ -34,8 +39,11 @@
 interface WorkerLife {
   /** By run. */
   readonly runs: Map<string, BegunRun>;
-  /** Whether the call in which the worker would have told of an end broke off. */
-  isLookBroken: boolean;
+  /**
+   * When the call broke off in which the worker would have told of an end, on the
+   * side's clock; undefined while calls are answered.
+   */
+  lookBrokenAt: Monotonic | undefined;
 }
 
 export class RunsOfLives {
@@ -50,7 +58,8 @@
   /** The worker is about to be told to start it. */
   noteOrdered(instance: WorkerInstance, ref: RunRef): void {
     const runs = this.runsOf(instance);
-    if (!runs.has(runKeyOf(ref))) runs.set(runKeyOf(ref), this.begun(ref));
+    const key = runKeyOf(ref);
+    if (!runs.has(key)) runs.set(key, this.begun(ref, true));
   }
 
   /** The worker has said that the run is there. */
@@ -73,12 +82,12 @@
     askedAt: Monotonic,
   ): void {
     const life = this.lifeOf(instance);
-    life.isLookBroken = false;
+    life.lookBrokenAt = undefined;
     const { runs } = life;
     const listed = new Set(running.map(runKeyOf));
     for (const row of running) {
       const { task, run } = row;
-      const known = runs.get(runKeyOf(row)) ?? this.begun({ task, run });
+      const known = runs.get(runKeyOf(row)) ?? this.begun({ task, run }, false);
       known.shownFirstAt ??= at;
       known.shownLastAt = at;
       runs.set(runKeyOf(row), known);
@@ -95,10 +104,11 @@
 
   /**
    * The worker was being looked at, and would have answered at once had a run ended;
-   * the connection broke off instead. If its life has ended, its runs were at work.
+   * the connection broke off instead. If its life has ended, its runs were at work, but
+   * for those that had ended while the look or its answer was held up on its way.
    */
   noteLookBroken(instance: WorkerInstance): void {
-    this.lifeOf(instance).isLookBroken = true;
+    this.lifeOf(instance).lookBrokenAt = this.clock.monotonic();
   }
 
   /** @param wasPlanned whether the worker had said that it would leave */
@@ -108,7 +118,7 @@
     this.lives.delete(instance);
     if (wasPlanned) return;
     for (const [key, run] of life.runs) {
-      this.lost.set(key, toLost(run, life.isLookBroken));
+      this.lost.set(key, toLost(run, life.lookBrokenAt));
     }
   }
 
@@ -122,10 +132,11 @@
     for (const run of told) this.lost.delete(runKeyOf(run));
   }
 
-  private begun(ref: RunRef): BegunRun {
+  private begun(ref: RunRef, isOwn: boolean): BegunRun {
     return {
       ref: { task: ref.task, run: ref.run },
       orderedAt: this.clock.monotonic(),
+      isOwn,
       shownFirstAt: undefined,
       shownLastAt: undefined,
     };
@@ -138,20 +149,22 @@
   private lifeOf(instance: WorkerInstance): WorkerLife {
     const known = this.lives.get(instance);
     if (known) return known;
-    const life: WorkerLife = { runs: new Map(), isLookBroken: false };
+    const life: WorkerLife = { runs: new Map(), lookBrokenAt: undefined };
     this.lives.set(instance, life);
     return life;
   }
 }
 
 const toLost = (
-  { ref, shownFirstAt, shownLastAt }: BegunRun,
-  wasAtWork: boolean,
-): LostRun => ({
-  ...ref,
-  workedMs:
+  run: BegunRun,
+  lookBrokenAt: Monotonic | undefined,
+): LostRun => {
+  const { ref, shownFirstAt, shownLastAt } = run;
+  const workedMs =
     shownFirstAt === undefined || shownLastAt === undefined
       ? undefined
-      : shownLastAt - shownFirstAt,
-  wasAtWork,
-});
+      : shownLastAt - shownFirstAt;
+  if (lookBrokenAt === undefined) return { ...ref, workedMs, wasAtWork: false };
+  const orderedMs = run.isOwn ? lookBrokenAt - run.orderedAt : UNKNOWN_MS;
+  return { ...ref, workedMs, wasAtWork: true, orderedMs };
+};
--- a/packages/side/tests/runsOfLives.test.ts
+++ b/packages/side/tests/runsOfLives.test.ts
@@ -123,4 +123,31 @@
   expect(goesOn.registry.runs.untold.map(wasAtWork)).toEqual([false]);
 });
 
+// A look or its answer may be held up on its way for as long as the run takes to end.
+test("it is told how long a run can have worked when the look broke off", async () => {
+  const { clock, registry, crash } = setUp();
+  await clock.advance(30);
+  registry.runs.noteStarted(FIRST, RUN, timeOf(1_000));
+  registry.runs.noteListed(FIRST, listOf(1_090, [RUN]), 0);
+  await clock.advance(605);
+  registry.runs.noteLookBroken(FIRST);
+  // The next life is heard of later.
+  await clock.advance(2_000);
+  crash();
+  expect(registry.runs.untold).toEqual([
+    { ...RUN, workedMs: 90, wasAtWork: true, orderedMs: 635 },
+  ]);
+});
+
+test("a run that a former process of the side ordered may have worked for any time", async () => {
+  const { clock, registry, crash } = setUp();
+  const former: RunRef = { ...RUN, run: brand<RunNumber>(8) };
+  registry.runs.noteListed(FIRST, listOf(1_000, [former]), 0);
+  await clock.advance(20);
+  registry.runs.noteLookBroken(FIRST);
+  crash();
+  const told = registry.runs.untold.find(({ run }) => run === former.run);
+  expect(told?.orderedMs).toEqual(Number.MAX_SAFE_INTEGER);
+});
+
 const wasAtWork = (run: LostRun): boolean => run.wasAtWork;
