--- a/packages/scheduling/tests/doubtfulCrashes.test.ts
+++ b/packages/scheduling/tests/doubtfulCrashes.test.ts
@@ -97,6 +97,15 @@
   expect(stateOf(site)).toEqual("completed");
 });
 
+// Tasks end after a third of the time that is expected of them as well.
+test("a run that was lost after a third of its expected time is no proof against its task", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
+  await loseWorker(site, AT_WORK);
+  await loseWorker(site, { ...DUE, orderedMs: ESTIMATE_MS / 3 });
+  expect(evidenceOf(site)).toEqual(["young", "unanswered"]);
+});
+
 test("a task whose runs had ended unheard of under two workers that ended by chance is started again", async () => {
   const site = await siteOf(3);
   site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
