--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -109,6 +109,8 @@
   /** From then on nothing that was sent to the present life lets it run anything. */
   sentLeasesOverBy: Monotonic = -Infinity;
   private cut: WorkerCut | undefined;
+  /** How long a look may wait for a worker short of processor time; milliseconds. */
+  slowMs = 0;
   private lives = 0;
   private life: WorkerLife;
   private up = true;
@@ -200,6 +202,15 @@
     this.life.wake();
   }
 
+  /** Its process is gone, and connections to it are refused; the next life comes by itself. */
+  breakDown(backMs: number): void {
+    this.crash();
+    this.refuses = true;
+    this.options.clock.after(backMs, () => {
+      if (!this.up) this.revive();
+    });
+  }
+
   revive(): void {
     this.life = this.bear();
     this.sentLeasesOverBy = -Infinity;
@@ -233,12 +244,14 @@
   async hold(instance: WorkerInstance, order: HoldOrder): Promise<HoldAnswer> {
     this.noteSent(instance, order.leaseUntil);
     await this.reach(instance, () => this.takeHold(order));
+    await this.holdUp();
     const { life } = this;
     this.takeHold(order);
     if (order.waitMs > 0) await life.waitForEnd(order.waitMs);
     if (!this.up && this.refuses) {
       throw new WorkerSilentError("the call broke off");
     }
+    await this.holdUp();
     await this.reach(instance);
     const { at } = life;
     return {
@@ -331,6 +344,18 @@
     });
   }
 
+  /**
+   * The worker has not come to the look yet, or not to its answer.
+   * @throws WorkerSilentError when the worker ends before
+   */
+  private async holdUp(): Promise<void> {
+    if (this.slowMs === 0) return;
+    const { life } = this;
+    await sleep(this.options.clock, this.delay(this.slowMs));
+    const isOver = this.life !== life || !this.up;
+    if (isOver) throw new WorkerSilentError("the call broke off");
+  }
+
   private async call<T>(instance: WorkerInstance, act: () => T): Promise<T> {
     const { clock, random } = this.options;
     await this.reach(instance, act);
@@ -415,11 +440,7 @@
     const { life } = this;
     clock.after(WORKER.crashAfterMs, () => {
       if (this.life !== life || !this.up) return;
-      this.crash();
-      this.refuses = true;
-      clock.after(this.delay(WORKER.backMs), () => {
-        if (!this.up) this.revive();
-      });
+      this.breakDown(this.delay(WORKER.backMs));
     });
   }
 
