Schedules of dropped leaders and of workers whose return is hidden

Leaders came 2 s after their predecessors, when the lease that sides renew had grown to the granted one.

In both, sides stay with a leader for as long as it grants, and renew leases no further ahead than 2.5 s of 6 s.

Stricter: a lease that a look brings once its worker is known to be silent no longer counts as the last one sent.

--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -86,6 +86,8 @@
   backMs: 1_500,
   /** Starts may fill a room that has shrunk this long after, milliseconds. */
   shrunkMs: 3_500,
+  /** A side has noticed by then that its worker is silent: a look that waits, and a call. */
+  noticedMs: 700,
   /** What is sent to a worker behind a cut may reach it up to this much later, milliseconds. */
   heldUpMs: 3_000,
   /** Share of the calls that are held up at a cut; the others are lost. */
@@ -106,7 +108,10 @@
   silentSince: Monotonic | undefined;
   /** When it was heard again. */
   heardSince: Monotonic = -Infinity;
-  /** From then on nothing that was sent to the present life lets it run anything. */
+  /**
+   * From then on nothing that was sent to the present life lets it run anything; leases
+   * that looks bring once it is known to be silent are left out, as none is to be sent.
+   */
   sentLeasesOverBy: Monotonic = -Infinity;
   private cut: WorkerCut | undefined;
   private lives = 0;
@@ -231,7 +236,7 @@
   }
 
   async hold(instance: WorkerInstance, order: HoldOrder): Promise<HoldAnswer> {
-    this.noteSent(instance, order.leaseUntil);
+    if (!this.isKnownSilent) this.noteSent(instance, order.leaseUntil);
     await this.reach(instance, () => this.takeHold(order));
     const { life } = this;
     this.takeHold(order);
@@ -261,6 +266,11 @@
     if (leaseUntil !== undefined) life.extendLease(leaseUntil);
   }
 
+  private get isKnownSilent(): boolean {
+    const now = this.options.clock.monotonic();
+    return now - (this.silentSince ?? now) > WORKER.noticedMs;
+  }
+
   private noteSent(
     instance: WorkerInstance,
     leaseUntil: WorkerTime | undefined,
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -1,8 +1,10 @@
 export {
+  runDroppedLeaderSchedule,
   runFormerSchedule,
   runCrashingSchedule,
   runEvacuatingSchedule,
   runRebornSchedule,
+  runReturnSchedule,
   runHarshSchedule,
   runJobSchedule,
   runStarvedSchedule,
--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -6,7 +6,9 @@
   runJobSchedule,
   runCrashingSchedule,
   runEvacuatingSchedule,
+  runDroppedLeaderSchedule,
   runRebornSchedule,
+  runReturnSchedule,
   runStarvedSchedule,
   runSuccessionSchedule,
   type JobViolation,
@@ -132,3 +134,14 @@
     await expectNothingBroken(runSuccessionSchedule, seed);
   }
 });
+
+test("a worker that answers again unheard by its leader runs no task beside another", async () => {
+  for (const seed of SEEDS) await expectNothingBroken(runReturnSchedule, seed);
+});
+
+// The store makes another entry lead while the one before still gives orders.
+test("leaders that are dropped untold start nothing that may run at a silent worker", async () => {
+  for (const seed of SEEDS.slice(0, 6)) {
+    await expectNothingBroken(runDroppedLeaderSchedule, seed);
+  }
+});
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -8,6 +8,8 @@
   runEvacuatingSchedule,
   runRebornSchedule,
   runStarvedSchedule,
+  runDroppedLeaderSchedule,
+  runReturnSchedule,
   runSuccessionSchedule,
 } from "@rackspan/checker";
 import { wholeNumber } from "./wholeNumber.js";
@@ -21,6 +23,8 @@
   readonly evacuating: boolean;
   readonly reborn: boolean;
   readonly succession: boolean;
+  readonly dropped: boolean;
+  readonly returning: boolean;
 }
 
 const options = new Command("check:jobs")
@@ -36,12 +40,16 @@
   .option("--evacuating", "harsh, and zones that are evacuated", false)
   .option("--reborn", "harsh, and workers that start again at once", false)
   .option("--succession", "leaders lost in a row, workers silent", false)
+  .option("--dropped", "the same, and leaders the store drops untold", false)
+  .option("--returning", "workers silent as their leaders are lost", false)
   .parse()
   .opts<Options>();
 const { runs, seed, harsh, starved, crashing, evacuating, reborn } = options;
-const { succession } = options;
+const { succession, dropped, returning } = options;
 
 const pickSchedule = (): typeof runJobSchedule => {
+  if (returning) return runReturnSchedule;
+  if (dropped) return runDroppedLeaderSchedule;
   if (succession) return (at) => runSuccessionSchedule(at);
   if (reborn) return runRebornSchedule;
   if (crashing) return runCrashingSchedule;
