--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -205,11 +205,16 @@
   }
 
   /** It comes back while its side and the leader cannot reach each other. */
-  hideReturn(cut: WorkerCut, ms: number, cutLinkMs: number): void {
+  hideReturn(
+    cut: WorkerCut,
+    ms: number,
+    cutLinkMs: number,
+  ): HostModel | undefined {
     const host = this.cutWorker(cut, ms);
-    if (!host) return;
+    if (!host) return undefined;
     this.clock.after(ms - WORLD.hiddenBeforeMs, () => (host.isCut = true));
     this.clock.after(ms + cutLinkMs, () => (host.isCut = false));
+    return host;
   }
 
   private silenceWorker(
