--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -4,10 +4,12 @@
   type ChanceOutcome,
 } from "./chanceSchedules.js";
 export {
+  runDroppedLeaderSchedule,
   runFormerSchedule,
   runCrashingSchedule,
   runEvacuatingSchedule,
   runRebornSchedule,
+  runReturnSchedule,
   runHarshSchedule,
   runJobSchedule,
   runStarvedSchedule,
