--- a/packages/scheduling/src/ApartTurns.ts
+++ b/packages/scheduling/src/ApartTurns.ts
@@ -40,7 +40,7 @@
   /** The overdue tasks among these, in the order of their turns; each is given once a pass. */
   takeOverdue(isAmong: (task: JobTask) => boolean): readonly JobTask[] {
     const taken = this.overdue.filter(isAmong);
-    this.overdue = this.overdue.filter((task) => !taken.includes(task));
+    this.overdue = this.overdue.filter((task) => !isAmong(task));
     return taken.filter(isWaiting);
   }
 }
