Test: a late answer starts no second chain of runs after one that fails

The chain that users saw: the book shows one of two runs; the end of the other is passed over, that run counts as vanished at the next report, and its task starts again beside the one that the book shows, also after runs that were done.

Passes on the code as it is; fails with the book of hosts as it was before.

--- a/packages/scheduling/tests/givenBackTwice.test.ts
+++ b/packages/scheduling/tests/givenBackTwice.test.ts
@@ -98,3 +98,47 @@
     expect(/ currentRun=(\d+)/.exec(line)?.[1]).toEqual(run);
   }
 });
+
+/** How long each run lasts. */
+const RUN_MS = 800;
+
+/** Ends runs that have lasted their time: the first failing ones as failed, the others as done. */
+const endDue = (
+  hosts: readonly FakeHost[],
+  begunAt: Map<number, number>,
+  now: number,
+  failing: Set<number>,
+): void => {
+  for (const host of hosts) {
+    for (const { task, run } of host.runs) {
+      const began = begunAt.get(run) ?? now;
+      begunAt.set(run, began);
+      if (now - began < RUN_MS) continue;
+      host.end(task, failing.delete(run) ? "failed" : "done", run);
+    }
+  }
+};
+
+test("a task whose lost run is answered late has no second chain of runs after one that fails", async () => {
+  const harness = new EngineHarness();
+  const lost = await harness.addHost("h1");
+  lost.answers = "held";
+  harness.submit("j", [{}]);
+  await harness.clock.advance(50);
+  const others = [await harness.addHost("h2"), await harness.addHost("h3")];
+  harness.engine.noteWorkerGone(lost.host, lost.instance);
+  await harness.clock.advance(10);
+  lost.answerHeld({ kind: "replaced" });
+  await harness.clock.advance(10);
+  const begunAt = new Map<number, number>();
+  const failing = new Set([latestRunOf(others)]);
+  for (let step = 0; step < 80; step += 1) {
+    endDue(others, begunAt, harness.clock.monotonic(), failing);
+    await harness.run(50, others);
+  }
+  // The one that fails, and the one that is done.
+  expect(startsOf(others, TASK)).toEqual(2);
+});
+
+const latestRunOf = (hosts: readonly FakeHost[]): number =>
+  Math.max(...hosts.flatMap(({ starts }) => starts.map(({ run }) => run)));
