Suspected lasting tasks, and those of queues with permits, reach ejected hosts after their patience as well

Cause: a lasting task that found no place for 2 s tried ejected hosts only on the way of plain tasks: suspects begin apart on hosts in service, and permits were asked for those alone. Change: one list of last resort serves all three ways. Measured: "a suspected lasting task does not wait beside an ejected host that alone has room for it" failed before (no start within 2.3 s), passes now. The way of permits has no test of its own.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -129,9 +129,13 @@
       inService: this.permittedOf(step, inService),
       ejected: this.permittedOf(step, ejected),
     };
-    if (permitted.inService.length > 0) this.placeTasks(candidate, permitted);
+    const isAnyPermitted = Object.values(permitted).some(
+      ({ length }) => length,
+    );
+    if (isAnyPermitted) this.placeTasks(candidate, permitted);
     if (step.waiting.size === 0) return;
-    permits.want({ step, rule, hosts: ableHosts(step, inService) });
+    const wanted = [...inService, ...this.lastResortOf(step, ejected)];
+    permits.want({ step, rule, hosts: ableHosts(step, wanted) });
   }
 
   private permittedOf(
@@ -159,7 +163,11 @@
         open = this.heldBack.openTo(step, hosts);
         if (job.isEnded) return;
         if (!step.waiting.has(task)) continue;
-        const outcome = this.placeApart(task, open);
+        let outcome = this.placeApart(task, open);
+        if (outcome === "no-host") {
+          const rest = this.lastResortOf(step, ejected);
+          if (rest.length > 0) outcome = this.placeApart(task, rest);
+        }
         if (outcome === "no-host") isUnplaced = true;
         // No other begins where it did.
         if (outcome === "placed") open = this.heldBack.openTo(step, hosts);
@@ -170,7 +178,8 @@
         ? this.heldBack.hasWaitedLong(step)
         : isStarved && !this.options.hosts.hasRunsOf(job);
       const host =
-        placer.pick(task, open, mustPlace) ?? this.pickEjected(task, ejected);
+        placer.pick(task, open, mustPlace) ??
+        placer.pick(task, this.lastResortOf(step, ejected), mustPlace);
       // Tasks of a step ask for the same, but each avoids hosts of its own.
       if (!host) {
         this.heldBack.noteUnplaced(step, hosts);
@@ -183,17 +192,15 @@
   }
 
   /**
-   * A lasting task that has waited for long tries a host that failed others of late:
+   * Lasting tasks that have waited for long try hosts that failed others of late:
    * ejections may last for longer than such a task is to stand still.
    */
-  private pickEjected(
-    task: JobTask,
+  private lastResortOf(
+    step: StepRun,
     ejected: readonly HostLedger[],
-  ): HostLedger | undefined {
-    const { step } = task;
-    if (!step.spec.lasting || !this.heldBack.hasWaitedLong(step)) return;
-    const open = this.heldBack.openTo(step, ejected);
-    return this.options.placer.pick(task, open, true);
+  ): readonly HostLedger[] {
+    if (!step.spec.lasting || !this.heldBack.hasWaitedLong(step)) return [];
+    return this.heldBack.openTo(step, ejected);
   }
 
   /**
--- a/packages/scheduling/tests/ejectedHosts.test.ts
+++ b/packages/scheduling/tests/ejectedHosts.test.ts
@@ -35,6 +35,20 @@
   expect(ejected.isRunning(taskId("l.0.0.0"))).toEqual(true);
 });
 
+test("a suspected lasting task does not wait beside an ejected host that alone has room for it", async () => {
+  const harness = new EngineHarness();
+  const ejected = await harness.addHost("h1");
+  await eject(harness, ejected);
+  const full = await harness.addHost("h2");
+  harness.submit("l", [{ lasting: true, ...cores(10_000) }]);
+  await harness.run(100);
+  expect(full.isRunning(taskId("l.0.0.0"))).toEqual(true);
+  full.replaceWorker();
+  full.milliCores = 1_000;
+  await harness.run(PATIENCE_MS - 200);
+  expect(ejected.isRunning(taskId("l.0.0.0"))).toEqual(true);
+});
+
 test("a service whose hosts are all ejected is served although another has hosts left", async () => {
   const harness = new EngineHarness();
   const ejected = await harness.addHost("h1");
