What a side told of its silent worker holds only while that side's connection stands and its worker stays silent

Cause: a take-over kept to the told bound after the worker had answered with more ends than it lists at once, so a task whose end was not listed yet started again; and after the side's process had ended, whose successor knows nothing of the word and may take an older leader's grant. Change: the gate and the ledger forget the word when the host attaches or detaches, and the gate does when a report leaves ends to list; a new grant ends it in the ledger.

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -117,6 +117,8 @@
   heardAt: Monotonic = -Infinity;
   /** When every lease granted so far is over for certain. */
   private grantsOverBy: Monotonic = -Infinity;
+  /** When all that its side has sent is over, by the side's word; Infinity without one. */
+  private sentOverBy: Monotonic = Infinity;
   /** When every order to start given so far has lapsed for certain, and its lease is over. */
   private ordersOverBy: Monotonic = -Infinity;
   /** No tasks are started there before; set when the worker refuses one. */
@@ -228,12 +230,14 @@
 
   /** When nothing runs there any more for certain, unless the host is heard before. */
   get leaseOverBy(): Monotonic {
-    return Math.max(this.grantsOverBy, this.ordersOverBy);
+    const leasesOverBy = Math.min(this.grantsOverBy, this.sentOverBy);
+    return Math.max(leasesOverBy, this.ordersOverBy);
   }
 
   /** A lease was granted that is over by then for certain. */
   noteGrant(overBy: Monotonic): void {
     this.grantsOverBy = Math.max(this.grantsOverBy, overBy);
+    this.forgetSilent();
   }
 
   /** An order was given whose lease is over by then for certain. */
@@ -247,12 +251,17 @@
    *
    * @returns by how much sooner nothing runs there any more, milliseconds
    */
-  boundGrants(overBy: Monotonic): number {
+  noteSilent(overBy: Monotonic): number {
     const before = this.leaseOverBy;
-    this.grantsOverBy = Math.min(this.grantsOverBy, overBy);
+    this.sentOverBy = Math.min(this.sentOverBy, overBy);
     return before - this.leaseOverBy;
   }
 
+  /** Another process of the side, which knows nothing of that word, may serve the host. */
+  forgetSilent(): void {
+    this.sentOverBy = Infinity;
+  }
+
   countOfStep(step: object): number {
     return this.perStep.get(step) ?? 0;
   }
--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -22,6 +22,8 @@
 export class TakeoverGate {
   /** By host that was not heard: from then on nothing of a former leader runs there. */
   private readonly silent: Map<HostId, Monotonic>;
+  /** The same for a host whose side tells nothing. */
+  private readonly leasesOverBy: Monotonic;
   /** From then on no former leader decides anything. */
   readonly authorityOverBy: Monotonic;
   /** Jobs that were first seen after this are new for certain. */
@@ -30,8 +32,8 @@
   constructor(options: TakeoverGateOptions) {
     const { takenOverAt, roster, leadershipTtlMs, leaseMs } = options;
     this.authorityOverBy = takenOverAt + leadershipTtlMs;
-    const leasesOverBy = leaseOverBy(this.authorityOverBy, leaseMs);
-    this.silent = new Map([...roster].map((host) => [host, leasesOverBy]));
+    this.leasesOverBy = leaseOverBy(this.authorityOverBy, leaseMs);
+    this.silent = new Map([...roster].map((host) => [host, this.leasesOverBy]));
   }
 
   /** Nothing that a former leader started is hidden there, now or later. */
@@ -50,6 +52,14 @@
     return known - overBy;
   }
 
+  /**
+   * What the side has told holds no more: its worker answers again and has ends left to
+   * list, or another process of the side, which knows nothing of it, may serve the host.
+   */
+  forgetSilent(host: HostId): void {
+    if (this.silent.has(host)) this.silent.set(host, this.leasesOverBy);
+  }
+
   /**
    * This leader has seen every job that the store kept when no former leader
    * decided any more. To be seen late is not to be new: a take-over that lasts
--- a/packages/scheduling/src/HostIntake.ts
+++ b/packages/scheduling/src/HostIntake.ts
@@ -20,6 +20,7 @@
 
   attach(host: HostId, session: HostSession): void {
     this.sessions.set(host, session);
+    this.forgetSilent(host);
     const entry = this.parts.hosts.get(host);
     if (!entry) return;
     entry.session = session;
@@ -37,10 +38,17 @@
   detach(host: HostId, session: HostSession): void {
     if (this.sessions.get(host) !== session) return;
     this.sessions.delete(host);
+    this.forgetSilent(host);
     const entry = this.parts.hosts.get(host);
     if (entry) entry.session = undefined;
   }
 
+  /** A side keeps to what it told of its silent worker for as long as the connection stands. */
+  private forgetSilent(host: HostId): void {
+    this.parts.options.gate.forgetSilent(host);
+    this.parts.hosts.get(host)?.ledger.forgetSilent();
+  }
+
   /** The host's entry; a host that is not known yet is taken in. */
   entryOf(
     host: HostId,
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -70,7 +70,7 @@
     const ledger = hosts.get(host)?.ledger;
     if (ledger && gate.unheard(now).includes(host)) return;
     const soonerByMs = ledger
-      ? ledger.boundGrants(overBy)
+      ? ledger.noteSilent(overBy)
       : gate.noteSilent(host, overBy);
     // Each repeat arrives a little earlier or later than the one before.
     if (soonerByMs < LEASE.marginMs) return;
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -289,7 +289,8 @@
     learnInterference(ledger, this.interference, now);
     learnSlowness(entry, this.hosts, now);
     // What is still to be listed may have ended under a former leader.
-    if (!report.hasMoreEnds) gate.noteHeard(host);
+    if (report.hasMoreEnds) gate.forgetSilent(host);
+    else gate.noteHeard(host);
     this.dispatcher.requestPass();
     this.intake.noteRostered(entry);
     this.dispatcher.passIfOverdue();
--- a/packages/scheduling/tests/silentBeforeTakeOver.test.ts
+++ b/packages/scheduling/tests/silentBeforeTakeOver.test.ts
@@ -157,3 +157,38 @@
   await harness.run(LEASE_MS);
   expect(host.starts.length).toEqual(1);
 });
+
+test("a worker that answers after the word of its silence, with ends left to list, is waited for", async () => {
+  const { next, heard, silent } = await takeOver();
+  const [host] = silent;
+  if (!host) throw new Error("no silent host");
+  next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
+  next.engine.report(host.host, host.zone, {
+    ...host.report(),
+    hasMoreEnds: true,
+  });
+  await next.run(OVER_IN_MS + 2 * SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+});
+
+test("the word of a side that has detached holds no more: another process of it knows nothing of it", async () => {
+  const { next, heard, silent } = await takeOver();
+  const [host] = silent;
+  if (!host) throw new Error("no silent host");
+  next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
+  next.engine.detach(host.host, host);
+  await next.run(OVER_IN_MS + 2 * SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+});
+
+test("the word of a side that has detached shortens no grant of its leader", async () => {
+  const harness = new EngineHarness();
+  const silent = await harness.addHost("silent");
+  harness.submit("j", [{ lasting: true }]);
+  await harness.run(LEASE_MS);
+  const heard = await harness.addHost("heard");
+  harness.engine.noteWorkerSilent(silent.host, OVER_IN_MS);
+  harness.engine.detach(silent.host, silent);
+  await harness.run(OVER_IN_MS + 2 * SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+});
