--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -104,6 +104,16 @@
   await expectNothingBroken(runCrashingSchedule, 71);
 });
 
+test("jobs are done in their time beside tasks that crash their workers until shortly before", async () => {
+  for (const seed of [50, 61]) {
+    await expectNothingBroken(runCrashingSchedule, seed);
+  }
+});
+
+test("a task that shared three workers with ones that crash them is not given up", async () => {
+  await expectNothingBroken(runCrashingSchedule, 58);
+});
+
 // Workers that start again at once under their ids, twice in a second, after a pause;
 // orders that a next life carries out.
 test("lives of a worker under one id are told apart, whatever comes late", async () => {
--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -46,9 +46,8 @@
   /** Crashes, one of them the task's alone, after which it is given up. */
   provenCrashes: 2,
   /**
-   * Without such proof it is given up at this, such as three crashes just after its
-   * start, of one of which it may have ended before. Losses of hosts, which cuts bring about as well, count for it once two
-   * workers are known to have crashed.
+   * Without such proof it is given up at this. Losses of hosts, which cuts bring about
+   * as well, count for it once two workers are known to have crashed.
    */
   unprovenPoints: 11,
   /** Proof is doubted when another worker was lost within this of it, milliseconds. */
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -120,7 +120,7 @@
   if (ms === undefined) return "unseen";
   if (sight === "unheard") return "unheard";
   if (sight === "at-work") return hasSettledAfter(ms) ? "settled" : "young";
-  // Less than the same run would say at work.
+  // It may have ended, so it speaks less against its task.
   return hasSettledAfter(ms) ? "unseen" : "unheard";
 };
 
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -60,7 +60,8 @@
 
   /**
    * A silent host is waited for no longer than its side says: by the take-over, or by the
-   * ledger of a host that has reported. One that has ends left to list is left out.
+   * ledger of a host that has reported. One with ends left to list is waited for in full:
+   * a task whose end is among them would start again.
    */
   noteSilent(host: HostId, overInMs: number): void {
     const { options, hosts, requestPass } = this.parts;
--- a/packages/side/src/jobs/SentLease.ts
+++ b/packages/side/src/jobs/SentLease.ts
@@ -28,6 +28,7 @@
 }
 
 export class SentLease {
+  /** Unknown until this process begins. */
   private overBy: Monotonic = Infinity;
   private reading: ClockReading | undefined;
 
