--- a/packages/scheduling/tests/doubtfulCrashes.test.ts
+++ b/packages/scheduling/tests/doubtfulCrashes.test.ts
@@ -1,18 +1,4 @@
-/**
- * What users saw: a job was shown as failed although its task had been done, and no
- * worker had crashed because of it.
- *
- * Order of events: the task is lost with a worker that ends by chance, and is
- * suspected. It starts again on another host, apart. The look at that worker is held up
- * on its way while the task ends; then this worker ends by chance too, and the look
- * breaks off before its answer was due.
- *
- * Cause: a look that broke off was taken for proof that every run there was at work,
- * however close to its end it had come.
- *
- * Evidence: in the log of a soak the second run of a task of 500 ms was ordered 635 ms
- * before its worker was gone, and counted as `sole`; the worker had listed its end.
- */
+/** Runs that may have ended unheard of before their worker did prove nothing against their task. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/silentBeforeTakeOver.test.ts
+++ b/packages/scheduling/tests/silentBeforeTakeOver.test.ts
@@ -33,10 +33,15 @@
   return { next, heard, silent };
 };
 
-test("a task starts once the lease that its silent host was sent last is over, and not before", async () => {
+const takeOverBesideOne = async () => {
   const { next, heard, silent } = await takeOver();
   const [host] = silent;
   if (!host) throw new Error("no silent host");
+  return { next, heard, host };
+};
+
+test("a task starts once the lease that its silent host was sent last is over, and not before", async () => {
+  const { next, heard, host } = await takeOverBesideOne();
   next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
   await next.run(OVER_IN_MS - SOON_MS, [heard]);
   expect(heard.starts).toEqual([]);
@@ -45,9 +50,7 @@
 });
 
 test("a host whose lease is over by its side's word leaves the roster", async () => {
-  const { next, heard, silent } = await takeOver();
-  const [host] = silent;
-  if (!host) throw new Error("no silent host");
+  const { next, heard, host } = await takeOverBesideOne();
   next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
   expect(next.roster.instanceOf(host.host)).not.toEqual(undefined);
   await next.run(OVER_IN_MS + 2 * SOON_MS, [heard]);
@@ -67,9 +70,7 @@
 });
 
 test("a side that cannot tell when its leases are over leaves the wait as it is", async () => {
-  const { next, heard, silent } = await takeOver();
-  const [host] = silent;
-  if (!host) throw new Error("no silent host");
+  const { next, heard, host } = await takeOverBesideOne();
   next.engine.noteWorkerSilent(host.host, undefined);
   await next.run(TTL_MS + LEASE_MS - 2 * SOON_MS, [heard]);
   expect(heard.starts).toEqual([]);
@@ -78,18 +79,14 @@
 });
 
 test("a longer lease than former leaders could grant does not lengthen the wait", async () => {
-  const { next, heard, silent } = await takeOver();
-  const [host] = silent;
-  if (!host) throw new Error("no silent host");
+  const { next, heard, host } = await takeOverBesideOne();
   next.engine.noteWorkerSilent(host.host, 3 * ALL_OVER_MS);
   await next.run(ALL_OVER_MS, [heard]);
   expect(heard.starts.length).toEqual(1);
 });
 
 test("the word that a worker is silent comes too late once it has reported: its run is not started again", async () => {
-  const { next, heard, silent } = await takeOver();
-  const [host] = silent;
-  if (!host) throw new Error("no silent host");
+  const { next, heard, host } = await takeOverBesideOne();
   await next.run(SOON_MS, [heard, host]);
   const before = host.starts.length + heard.starts.length;
   expect(before).toEqual(1);
@@ -101,9 +98,7 @@
 });
 
 test("a host that has reported some of its ends is not taken for one whose leases are over", async () => {
-  const { next, heard, silent } = await takeOver();
-  const [host] = silent;
-  if (!host) throw new Error("no silent host");
+  const { next, heard, host } = await takeOverBesideOne();
   const report = { ...host.report(), hasMoreEnds: true };
   next.engine.report(host.host, host.zone, report);
   next.engine.noteWorkerSilent(host.host, 0);
@@ -112,9 +107,7 @@
 });
 
 test("a leader whose term is over says that it grants nothing", async () => {
-  const { next, silent } = await takeOver();
-  const [host] = silent;
-  if (!host) throw new Error("no silent host");
+  const { next, host } = await takeOverBesideOne();
   expect(next.engine.noteWorkerSilent(host.host, OVER_IN_MS)).toEqual(true);
   next.leads = false;
   expect(next.engine.noteWorkerSilent(host.host, OVER_IN_MS)).toEqual(false);
@@ -159,9 +152,7 @@
 });
 
 test("a worker that answers after the word of its silence, with ends left to list, is waited for", async () => {
-  const { next, heard, silent } = await takeOver();
-  const [host] = silent;
-  if (!host) throw new Error("no silent host");
+  const { next, heard, host } = await takeOverBesideOne();
   next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
   next.engine.report(host.host, host.zone, {
     ...host.report(),
@@ -172,9 +163,7 @@
 });
 
 test("the word of a side that has detached holds no more: another process of it knows nothing of it", async () => {
-  const { next, heard, silent } = await takeOver();
-  const [host] = silent;
-  if (!host) throw new Error("no silent host");
+  const { next, heard, host } = await takeOverBesideOne();
   next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
   next.engine.detach(host.host, host);
   await next.run(OVER_IN_MS + 2 * SOON_MS, [heard]);
