A run ordered from a worker that had stopped answering is no crash under its task

Callers saw a plain job shown as failed although fewer than two workers had crashed under any of its tasks.

Cause: between a worker's end and the first word of its next life its host still takes orders. Such an order gets no answer, and the side told of it as of any run lost with the worker; with a look that had broken off before the order it even told that the run had been at work. Change: the side notes since when looks get no answer, and tells of a run that the worker never showed and that was ordered after that; the leader counts it as one of which nobody knows whether it began (1 point, 2 together at the most).

--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -17,8 +17,11 @@
 /** How a worker's life was lost: it crashed, or its host was silent until its lease was over. */
 export type WorkerLoss = "crashed" | "silent";
 
-/** What the side knows of a lost run: whether it was at work when its worker ended. */
-export type LastSight = "at-work" | "may-have-ended" | "unheard";
+/**
+ * What the side knows of a lost run: whether it was at work when its worker ended.
+ * `unreached`: its worker had stopped answering before the run was ordered.
+ */
+export type LastSight = "at-work" | "may-have-ended" | "unheard" | "unreached";
 
 /**
  * A look that breaks off shows a run at work only while it is far from its end: the
@@ -31,6 +34,7 @@
   { wasAtWork, orderedMs = 0 }: Pick<LostRun, "wasAtWork" | "orderedMs">,
   expectedMs: number | undefined,
 ): LastSight => {
+  if (orderedMs < 0) return "unreached";
   if (!wasAtWork) return "unheard";
   if (expectedMs === undefined) return "at-work";
   const isFarFromEnd = orderedMs < CRASH_LIMITS.shareAtWork * expectedMs;
@@ -68,7 +72,7 @@
     const lost = told.get(runKeyOf(refOf(run)));
     return lost ? sightOf(lost, expectedMs(run.task.step)) : "unheard";
   };
-  const sole = findSole(runs);
+  const sole = findSole(runs.filter((run) => sightOfRun(run) !== "unreached"));
   const soleSight = sole && sightOfRun(sole);
   if (sole && soleSight && soleSight !== "unheard") {
     const evidence = evidenceApart(sole.task, wasShown(sole), soleSight);
@@ -117,6 +121,7 @@
   ms: number | undefined,
   sight: LastSight,
 ): CrashEvidence => {
+  if (sight === "unreached") return "unknown";
   if (ms === undefined) return "unseen";
   if (sight === "unheard") return "unheard";
   if (sight === "at-work") return hasSettledAfter(ms) ? "settled" : "young";
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -69,7 +69,8 @@
   wasAtWork: z.boolean().default(true),
   /**
    * How long before the look at its worker broke off it was ordered, milliseconds: it had
-   * worked for no longer by then. Absent when no look broke off, and from an older side.
+   * worked for no longer by then. Negative when its worker had stopped answering before
+   * the order. Absent when no look broke off, and from an older side.
    */
   orderedMs: z.number().optional(),
 });
--- a/packages/side/src/jobs/RunsOfLives.ts
+++ b/packages/side/src/jobs/RunsOfLives.ts
@@ -44,6 +44,8 @@
    * side's clock; undefined while calls are answered.
    */
   lookBrokenAt: Monotonic | undefined;
+  /** Since when looks get no answer, on the side's clock; undefined while they do. */
+  silentSince: Monotonic | undefined;
 }
 
 export class RunsOfLives {
@@ -83,6 +85,7 @@
   ): void {
     const life = this.lifeOf(instance);
     life.lookBrokenAt = undefined;
+    life.silentSince = undefined;
     const { runs } = life;
     const listed = new Set(running.map(runKeyOf));
     for (const row of running) {
@@ -111,6 +114,11 @@
     this.lifeOf(instance).lookBrokenAt = this.clock.monotonic();
   }
 
+  /** The worker has not answered a look. */
+  noteSilent(instance: WorkerInstance): void {
+    this.lifeOf(instance).silentSince ??= this.clock.monotonic();
+  }
+
   /** @param wasPlanned whether the worker had said that it would leave */
   endLife(instance: WorkerInstance, wasPlanned: boolean): void {
     const life = this.lives.get(instance);
@@ -118,7 +126,7 @@
     this.lives.delete(instance);
     if (wasPlanned) return;
     for (const [key, run] of life.runs) {
-      this.lost.set(key, toLost(run, life.lookBrokenAt));
+      this.lost.set(key, toLost(run, life));
     }
   }
 
@@ -149,7 +157,11 @@
   private lifeOf(instance: WorkerInstance): WorkerLife {
     const known = this.lives.get(instance);
     if (known) return known;
-    const life: WorkerLife = { runs: new Map(), lookBrokenAt: undefined };
+    const life: WorkerLife = {
+      runs: new Map(),
+      lookBrokenAt: undefined,
+      silentSince: undefined,
+    };
     this.lives.set(instance, life);
     return life;
   }
@@ -157,14 +169,17 @@
 
 const toLost = (
   run: BegunRun,
-  lookBrokenAt: Monotonic | undefined,
+  { lookBrokenAt, silentSince = Infinity }: WorkerLife,
 ): LostRun => {
-  const { ref, shownFirstAt, shownLastAt } = run;
+  const { ref, orderedAt, shownFirstAt, shownLastAt } = run;
+  if (shownFirstAt === undefined && orderedAt > silentSince) {
+    return { ...ref, wasAtWork: false, orderedMs: silentSince - orderedAt };
+  }
   const workedMs =
     shownFirstAt === undefined || shownLastAt === undefined
       ? undefined
       : shownLastAt - shownFirstAt;
   if (lookBrokenAt === undefined) return { ...ref, workedMs, wasAtWork: false };
-  const orderedMs = run.isOwn ? lookBrokenAt - run.orderedAt : UNKNOWN_MS;
+  const orderedMs = run.isOwn ? lookBrokenAt - orderedAt : UNKNOWN_MS;
   return { ...ref, workedMs, wasAtWork: true, orderedMs };
 };
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -201,6 +201,7 @@
       if (this.hasBrokenOff(err, { askedAt, waitMs })) {
         registry.runs.noteLookBroken(instance);
       }
+      if (err instanceof WorkerSilentError) registry.runs.noteSilent(instance);
       this.noteFailure(instance, err);
       return false;
     }
