A run whose order is answered as not begun after its worker crashed speaks against no task

Callers saw a plain job shown as failed although fewer than two workers had crashed under any of its tasks.

Cause: a worker's next life is heard of while orders to the former one are under way. The leader judges these runs as lost with the worker at once, and passed over the answers that arrive 10 to 50 ms later: "replaced" or "refused" says that the run never began. The side forgot such a run only while its life stood, so that it told the next leader of it as well. The side forgets a refused run although its life has ended. Measured: neverBegunRuns.test.ts and runsOfLives.test.ts fail on the code before ("unseen" for none; a job failed for one that runs). That a task waits for the open order fails without the wait.

--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -93,6 +93,11 @@
     this.runs.set(run, evidence);
   }
 
+  /** @returns whether anything was known of the run */
+  forget(run: number): boolean {
+    return this.runs.delete(run);
+  }
+
   evidenceOf(run: number): CrashEvidence | undefined {
     return this.runs.get(run);
   }
--- a/packages/jobs/tests/crashLog.test.ts
+++ b/packages/jobs/tests/crashLog.test.ts
@@ -40,6 +40,11 @@
   expect(logOf("unheard", "unheard", "young").isSpent).toEqual(false);
 });
 
+test("a run that never began says nothing", () => {
+  const log = logOf("young", "unseen");
+  expect([log.forget(1), log.points, log.forget(1)]).toEqual([true, 4, false]);
+});
+
 test("hosts that only fell silent are never enough, whatever their number", () => {
   const losses = Array.from({ length: 40 }, () => "lost" as const);
   expect(logOf(...losses).isSpent).toEqual(false);
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -22,7 +22,7 @@
 import { runKeyOf } from "@rackspan/ports";
 import type { LostRun } from "@rackspan/protocol";
 import { BoundedMap, type CrashEvidence } from "@rackspan/state";
-import type { HostEntry } from "./engineTypes.js";
+import { ENGINE, type HostEntry } from "./engineTypes.js";
 import type { EngineParts } from "./engineParts.js";
 import type { JobCloser } from "./JobCloser.js";
 import type { ProgressKeeper } from "./ProgressKeeper.js";
@@ -88,6 +88,16 @@
     for (const [run, evidence] of blamed) this.note(ledger.host, run, evidence);
   }
 
+  /** The answer to its order shows that a lost run never began: it speaks against nothing. */
+  noteNotBegun({ task, run }: ActiveRun): void {
+    const { job } = task.step;
+    if (job.isEnded || !task.crashes.forget(run)) return;
+    this.logCount(task, "not-begun", run);
+    task.heldUntil = this.parts.options.clock.monotonic();
+    this.keep(job, task);
+    this.parts.requestPass();
+  }
+
   /** Whether workers of other hosts were lost at about that time, without a suspected task. */
   private othersWereLost(host: HostId, at: Monotonic): boolean {
     return [...this.unexplained].some(
@@ -125,7 +135,7 @@
       const evidence = isSole
         ? evidenceApart(task, lost.workedMs !== undefined, sight)
         : evidenceAfter(lost.workedMs, sight);
-      this.note(host, { task, run: lost.run }, evidence);
+      this.note(host, { task, run: lost.run, phase: "running" }, evidence);
     }
     for (const lost of lostRuns) this.judged.set(runKeyOf(lost), true);
   }
@@ -158,7 +168,7 @@
 
   private note(
     host: HostId,
-    { task, run }: Pick<ActiveRun, "task" | "run">,
+    { task, run, phase }: Pick<ActiveRun, "task" | "run" | "phase">,
     evidence: CrashEvidence,
   ): void {
     const { job } = task.step;
@@ -167,7 +177,9 @@
     task.crashes.note(run, evidence);
     this.logCount(task, evidence, run, host);
     if (evidence === "sole") this.doubtLater(host, task, run);
-    else this.keep(job, task);
+    else if (phase === "starting" && job.hasSpentCrashes(task)) {
+      this.judgeLater(task, ENGINE.orderTimeoutMs);
+    } else this.keep(job, task);
   }
 
   /**
@@ -176,19 +188,29 @@
    * judged at once, tasks that crashed nothing would be given up.
    */
   private doubtLater(host: HostId, task: JobTask, run: RunNumber): void {
-    const { clock } = this.parts.options;
+    const at = this.parts.options.clock.monotonic();
+    this.judgeLater(task, CRASH_LIMITS.togetherMs, () => {
+      if (!this.othersWereLost(host, at)) return;
+      task.crashes.note(run, "young");
+      this.logCount(task, "young", run, host);
+    });
+  }
+
+  /** Holds the task until all that speaks for it has had time to arrive. */
+  private judgeLater(
+    task: JobTask,
+    ms: number,
+    doubt: () => void = () => undefined,
+  ): void {
+    const { keeper, options, requestPass } = this.parts;
     const { job } = task.step;
-    const at = clock.monotonic();
-    task.heldUntil = at + CRASH_LIMITS.togetherMs;
-    this.parts.keeper.keepJob(job);
-    clock.after(CRASH_LIMITS.togetherMs, () => {
+    task.heldUntil = options.clock.monotonic() + ms;
+    keeper.keepJob(job);
+    options.clock.after(ms, () => {
       if (job.isEnded) return;
-      if (this.othersWereLost(host, at)) {
-        task.crashes.note(run, "young");
-        this.logCount(task, "young", run, host);
-      }
+      doubt();
       this.keep(job, task);
-      this.parts.requestPass();
+      requestPass();
     });
   }
 
@@ -200,7 +222,7 @@
 
   private logCount(
     task: JobTask,
-    evidence: CrashEvidence,
+    evidence: CrashEvidence | "not-begun",
     run?: RunNumber,
     host?: HostId,
   ): void {
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -108,6 +108,7 @@
       forecast,
       permitBook: permits,
       onWaiting,
+      onNotBegun: (run) => this.crashes.noteNotBegun(run),
     });
     this.runs = runs;
     this.stops = new StopControl(options);
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -30,6 +30,8 @@
   readonly permitBook: PermitBook;
   /** Called when a task of the job waits again. */
   readonly onWaiting: (job: JobRun) => void;
+  /** Called when the answer to an order shows that a run lost before it never began. */
+  readonly onNotBegun: (run: ActiveRun) => void;
 }
 
 /** How a run is to begin. */
@@ -56,6 +58,12 @@
   readonly isAwaited: boolean;
 }
 
+const NOT_BEGUN: readonly HostCallResult["kind"][] = [
+  "refused",
+  "replaced",
+  "draining",
+];
+
 export class RunControl {
   private started = 0;
 
@@ -168,6 +176,7 @@
     const isAwaited = this.awaitsAnswer(run);
     this.logStart(host, run, { result, sentAt, isAwaited });
     if (isAwaited) this.noteStartResult(host, run, result);
+    else if (NOT_BEGUN.includes(result.kind)) this.options.onNotBegun(run);
   }
 
   /** An order without an answer is taken as one to a silent worker. */
--- /dev/null
+++ b/packages/scheduling/tests/neverBegunRuns.test.ts
@@ -0,0 +1,126 @@
+/** Runs that never began before their workers crashed speak against no task. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import type { HostCallResult, LostRun } from "@rackspan/protocol";
+import { decodeProgress, TOPICS } from "@rackspan/state";
+import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+
+const JOB = "5c0e7a21d94b36f8";
+const TASK = taskId(`${JOB}.0.0.0`);
+
+const siteOf = async (count: number): Promise<EngineHarness> => {
+  const site = new EngineHarness();
+  for (let number = 1; number <= count; number += 1) {
+    await site.addHost(`h${number}`);
+  }
+  return site;
+};
+
+const progressOf = (site: EngineHarness) => {
+  const record = site.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === JOB);
+  return record?.value ? decodeProgress(JOB, record.value) : undefined;
+};
+
+const evidenceOf = (site: EngineHarness): string[] =>
+  (progressOf(site)?.crashes ?? []).flatMap(([, runs]) =>
+    runs.map(([, evidence]) => evidence),
+  );
+
+const orderedAt = (site: EngineHarness): FakeHost | undefined =>
+  site.hosts.find(
+    ({ answers, starts }) =>
+      answers === "held" && starts.some(({ task }) => task === TASK),
+  );
+
+const hostOfTask = async (site: EngineHarness): Promise<FakeHost> => {
+  for (let tries = 0; tries < 200; tries += 1) {
+    const host = site.hosts.find((one) => one.isRunning(TASK));
+    if (host) return host;
+    await site.run(50);
+  }
+  throw new Error("the task was not started");
+};
+
+/** The worker crashes beside the running task; later orders are answered in that way. */
+const loseRunning = async (
+  site: EngineHarness,
+  told: Partial<LostRun>,
+  answers: FakeHost["answers"] = "ok",
+): Promise<void> => {
+  const host = await hostOfTask(site);
+  await site.run(100);
+  for (const one of site.hosts) one.answers = answers;
+  host.replaceWorker();
+  host.lostRuns = host.lostRuns.map((lost) => ({
+    ...lost,
+    workedMs: 90,
+    ...told,
+  }));
+  await site.run(100);
+};
+
+/** The worker crashes while the order has no answer, which arrives after that. */
+const crashUnderOrder = async (
+  site: EngineHarness,
+  answer: HostCallResult | undefined,
+  told: Partial<LostRun> = {},
+): Promise<void> => {
+  const host = orderedAt(site);
+  const order = host?.starts.findLast(({ task }) => task === TASK);
+  if (!host || !order) throw new Error("the task was not ordered");
+  const lost = { task: TASK, run: order.run, wasAtWork: false, ...told };
+  // Its next run goes elsewhere.
+  host.answers = "ok";
+  for (const other of site.hosts) if (other !== host) other.answers = "held";
+  host.replaceWorker();
+  host.lostRuns = [lost];
+  await site.run(300);
+  if (answer) host.answerHeld(answer);
+  await site.run(300);
+};
+
+test("an order that another life answers is no crash under its task", async () => {
+  const site = await siteOf(3);
+  for (const host of site.hosts) host.answers = "held";
+  site.submit(JOB, [{ estimateMs: 500 }]);
+  await site.run(100);
+  await crashUnderOrder(site, { kind: "replaced" });
+  expect(evidenceOf(site)).toEqual([]);
+});
+
+test("an order without an answer to a worker that crashed may have begun", async () => {
+  const site = await siteOf(3);
+  for (const host of site.hosts) host.answers = "held";
+  site.submit(JOB, [{ estimateMs: 500 }]);
+  await site.run(100);
+  await crashUnderOrder(site, { kind: "silent" });
+  expect(evidenceOf(site)).toEqual(["unseen"]);
+});
+
+test("a task is not given up before the order to its last run is answered", async () => {
+  const site = await siteOf(4);
+  site.submit(JOB, [{ estimateMs: 500 }]);
+  await loseRunning(site, { orderedMs: 100 });
+  await loseRunning(site, { orderedMs: 635 }, "held");
+  expect(evidenceOf(site)).toEqual(["young", "unanswered"]);
+  await site.run(200);
+  await crashUnderOrder(site, undefined, { wasAtWork: true, orderedMs: 10 });
+  expect(evidenceOf(site)).toEqual(["young", "unanswered", "unanswered"]);
+  expect(progressOf(site)?.state).toEqual("running");
+  for (const host of site.hosts) host.answerHeld({ kind: "replaced" });
+  for (const host of site.hosts) host.answers = "ok";
+  await site.run(3_000);
+  expect(site.hosts.some((one) => one.isRunning(TASK))).toEqual(true);
+});
+
+test("a run ordered from a worker that no longer answered is no crash under its task", async () => {
+  const site = await siteOf(3);
+  for (const host of site.hosts) host.answers = "held";
+  site.submit(JOB, [{ estimateMs: 500 }]);
+  await site.run(100);
+  await crashUnderOrder(site, { kind: "silent" }, { orderedMs: -40 });
+  expect(evidenceOf(site)).toEqual(["unknown"]);
+});
--- a/packages/side/src/jobs/RunsOfLives.ts
+++ b/packages/side/src/jobs/RunsOfLives.ts
@@ -72,9 +72,11 @@
     run.shownLastAt = at;
   }
 
-  /** The run has not begun, and never will. */
+  /** The run has not begun, and never will; its life may have ended meanwhile. */
   noteRefused(instance: WorkerInstance, ref: RunRef): void {
-    this.runsOf(instance).delete(runKeyOf(ref));
+    const key = runKeyOf(ref);
+    this.lives.get(instance)?.runs.delete(key);
+    this.lost.delete(key);
   }
 
   /** @param askedAt when the worker was asked for these lists, on the side's clock */
--- a/packages/side/tests/runsOfLives.test.ts
+++ b/packages/side/tests/runsOfLives.test.ts
@@ -91,6 +91,45 @@
   expect(lapsed.registry.runs.untold).toEqual([]);
 });
 
+test("a run that is refused after its life has ended is not told", () => {
+  const { registry, crash } = setUp();
+  crash();
+  registry.runs.noteRefused(FIRST, RUN);
+  expect(registry.runs.untold).toEqual([]);
+});
+
+test("it is told that a run was ordered after its worker had stopped answering", async () => {
+  const { clock, registry, crash } = setUp();
+  registry.runs.noteSilent(FIRST);
+  await clock.advance(40);
+  registry.runs.noteSilent(FIRST);
+  const late: RunRef = { ...RUN, run: brand<RunNumber>(8) };
+  registry.runs.noteOrdered(FIRST, late);
+  const shown: RunRef = { ...RUN, run: brand<RunNumber>(9) };
+  registry.runs.noteOrdered(FIRST, shown);
+  registry.runs.noteStarted(FIRST, shown, timeOf(1_000));
+  crash();
+  expect(registry.runs.untold).toEqual([
+    { ...RUN, workedMs: undefined, wasAtWork: false },
+    { ...late, wasAtWork: false, orderedMs: -40 },
+    { ...shown, workedMs: 0, wasAtWork: false },
+  ]);
+});
+
+test("a worker that answers again may carry out what is ordered then", async () => {
+  const { clock, registry, crash } = setUp();
+  registry.runs.noteSilent(FIRST);
+  await clock.advance(40);
+  registry.runs.noteListed(FIRST, listOf(1_000, []), 0);
+  const next: RunRef = { ...RUN, run: brand<RunNumber>(8) };
+  registry.runs.noteOrdered(FIRST, next);
+  crash();
+  expect(registry.runs.untold.map(({ orderedMs }) => orderedMs)).toEqual([
+    undefined,
+    undefined,
+  ]);
+});
+
 test("runs of a worker that leaves as it had said are not told", () => {
   const { registry } = setUp();
   const leaving = beatOf("w1", 2);
