A crash shared with other new runs counts less than one apart that other losses cast doubt on

Cause: a run that had begun apart, and whose proof is dropped because other workers were lost at about that time, was counted like any run that shares its worker. Change: such a crash is `doubted` and counts 5; the limit is 12 again. It is stored as `young` beside a list of runs, so that leaders of earlier versions read the record.

--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -10,10 +10,12 @@
 /**
  * How much a lost run speaks against its task:
  * - `sole`: it had begun apart from other new runs, and its worker crashed;
+ * - `doubted`: the same as `sole`, but other workers were lost at about that time;
  * - `young`: it had just begun when its worker crashed, as others may have;
  * - `unanswered`: the same as `sole`, but its worker had not shown the run before, or
  *   the run may have ended unheard of;
- * - `unknown`: it was announced, and nobody knows whether it began;
+ * - `unknown`: it was announced, or ordered from a worker that did not answer any more,
+ *   and nobody knows whether it began;
  * - `unseen`: its worker crashed before it showed the run, which may not have begun, or
  *   after it had worked for a while, so that it may have ended;
  * - `unheard`: its worker had shown the run and crashed, and nobody knows whether it was
@@ -23,6 +25,8 @@
  */
 const POINTS: Readonly<Record<CrashEvidence, number>> = {
   sole: 4,
+  // More than runs that share a worker: those of innocent tasks are lost three times.
+  doubted: 5,
   young: 4,
   unanswered: 4,
   unseen: 2,
@@ -49,7 +53,7 @@
    * Without such proof it is given up at this. Losses of hosts, which cuts bring about
    * as well, count for it once two workers are known to have crashed.
    */
-  unprovenPoints: 11,
+  unprovenPoints: 12,
   /** Proof is doubted when another worker was lost within this of it, milliseconds. */
   togetherMs: 1_500,
   /** A run that has worked for this long is not thought of first when its worker crashes, milliseconds. */
@@ -71,6 +75,7 @@
   Record<CrashEvidence, "under-run" | "of-worker" | "none">
 > = {
   sole: "under-run",
+  doubted: "under-run",
   young: "under-run",
   settled: "under-run",
   unanswered: "of-worker",
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -191,8 +191,8 @@
     const at = this.parts.options.clock.monotonic();
     this.judgeLater(task, CRASH_LIMITS.togetherMs, () => {
       if (!this.othersWereLost(host, at)) return;
-      task.crashes.note(run, "young");
-      this.logCount(task, "young", run, host);
+      task.crashes.note(run, "doubted");
+      this.logCount(task, "doubted", run, host);
     });
   }
 
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -188,8 +188,8 @@
   return count <= JOB_LIMITS.tasksOfStep && sizes.every((size) => size > 0);
 };
 
-/** What a run that was lost with its worker says of its task; see CrashLog in jobs. */
-export const CRASH_EVIDENCE = [
+/** Evidence that leaders of earlier versions know: they read no record that has another. */
+const KEPT_EVIDENCE = [
   "sole",
   "young",
   "unanswered",
@@ -199,9 +199,11 @@
   "unheard",
   "lost",
 ] as const;
-export type CrashEvidence = (typeof CRASH_EVIDENCE)[number];
 
-const progressSchema = z.object({
+/** What a run that was lost with its worker says of its task; see CrashLog in jobs. */
+export type CrashEvidence = (typeof KEPT_EVIDENCE)[number] | "doubted";
+
+const storedProgressSchema = z.object({
   state: z.enum(JOB_STATES),
   /** Whether a task of the job was ever started. */
   begun: z.boolean(),
@@ -218,19 +220,57 @@
     .array(
       z.tuple([
         z.string(),
-        z.array(z.tuple([z.number(), z.enum(CRASH_EVIDENCE)])),
+        z.array(z.tuple([z.number(), z.enum(KEPT_EVIDENCE)])),
       ]),
     )
     .default([]),
+  /** Those of these runs that are kept as `young` and are `doubted`. */
+  doubted: z.array(z.number()).default([]),
   /** `occurrence.step.index` and its run that may be under way; only of suspected tasks. */
   announced: z.array(z.tuple([z.string(), z.number()])).default([]),
 });
 
+type StoredProgress = z.output<typeof storedProgressSchema>;
+
 /** How far a job has come, as the leader last wrote it down. */
-export type ProgressRecord = z.output<typeof progressSchema>;
+export interface ProgressRecord extends Omit<
+  StoredProgress,
+  "crashes" | "doubted"
+> {
+  /** `occurrence.step.index` and its runs that were lost with their workers. */
+  readonly crashes: [string, [number, CrashEvidence][]][];
+}
+
+const progressSchema = storedProgressSchema.transform(
+  ({ doubted, crashes, ...rest }): ProgressRecord => ({
+    ...rest,
+    crashes: mapEvidence(crashes, (run, evidence) =>
+      doubted.includes(run) ? "doubted" : evidence,
+    ),
+  }),
+);
+
+const mapEvidence = <From, To>(
+  crashes: readonly (readonly [string, readonly (readonly [number, From])[]])[],
+  map: (run: number, evidence: From) => To,
+): [string, [number, To][]][] =>
+  crashes.map(([key, runs]) => [
+    key,
+    runs.map(([run, evidence]) => [run, map(run, evidence)]),
+  ]);
+
+const toStored = (record: ProgressRecord): StoredProgress => {
+  const doubted: number[] = [];
+  const crashes = mapEvidence(record.crashes, (run, evidence) => {
+    if (evidence !== "doubted") return evidence;
+    doubted.push(run);
+    return "young";
+  });
+  return { ...record, crashes, doubted };
+};
 
 export const encodeProgress = (record: ProgressRecord): Buffer =>
-  Buffer.from(JSON.stringify(record));
+  Buffer.from(JSON.stringify(toStored(record)));
 
 /** @throws BadRecordError */
 export const decodeProgress = (key: string, value: Buffer): ProgressRecord =>
--- /dev/null
+++ b/packages/state/tests/progressRecords.test.ts
@@ -0,0 +1,43 @@
+/** Progress records that leaders of other versions read too. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  decodeProgress,
+  encodeProgress,
+  type ProgressRecord,
+} from "@rackspan/state";
+
+const RECORD: ProgressRecord = {
+  state: "running",
+  begun: true,
+  endedAt: 0,
+  done: {},
+  failures: [],
+  checkpoints: [],
+  crashes: [
+    [
+      "0.0.0",
+      [
+        [7, "young"],
+        [8, "doubted"],
+      ],
+    ],
+  ],
+  announced: [],
+};
+
+test("evidence that earlier leaders cannot read is kept as one that they know", () => {
+  const kept = encodeProgress(RECORD);
+  const { crashes } = JSON.parse(kept.toString()) as ProgressRecord;
+  expect(crashes).toEqual([
+    [
+      "0.0.0",
+      [
+        [7, "young"],
+        [8, "young"],
+      ],
+    ],
+  ]);
+  expect(decodeProgress("job", kept)).toEqual(RECORD);
+});
