--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -47,6 +47,9 @@
    */
   private readonly unexplained = new Map<HostId, Monotonic>();
 
+  /** Tasks held until the order to a run that would give them up is answered. */
+  private readonly awaitingAnswer = new Set<JobTask>();
+
   constructor(private readonly parts: CrashKeeperOptions) {}
 
   /**
@@ -92,8 +95,11 @@
   noteNotBegun({ task, run }: ActiveRun): void {
     const { job } = task.step;
     if (job.isEnded || !task.crashes.forget(run)) return;
-    this.logCount(task, "not-begun", run);
-    task.heldUntil = this.parts.options.clock.monotonic();
+    const { clock, logger, metrics } = this.parts.options;
+    metrics.count("task_crashes_taken_back");
+    const { points } = task.crashes;
+    logger.info("task.crash-taken-back", { task: task.id, run, points });
+    if (this.awaitingAnswer.delete(task)) task.heldUntil = clock.monotonic();
     this.keep(job, task);
     this.parts.requestPass();
   }
@@ -178,6 +184,7 @@
     this.logCount(task, evidence, run, host);
     if (evidence === "sole") this.doubtLater(host, task, run);
     else if (phase === "starting" && job.hasSpentCrashes(task)) {
+      this.awaitingAnswer.add(task);
       this.judgeLater(task, ENGINE.orderTimeoutMs);
     } else this.keep(job, task);
   }
@@ -208,6 +215,7 @@
     keeper.keepJob(job);
     options.clock.after(ms, () => {
       if (job.isEnded) return;
+      this.awaitingAnswer.delete(task);
       doubt();
       this.keep(job, task);
       requestPass();
@@ -222,7 +230,7 @@
 
   private logCount(
     task: JobTask,
-    evidence: CrashEvidence | "not-begun",
+    evidence: CrashEvidence,
     run?: RunNumber,
     host?: HostId,
   ): void {
