Side: a start that still waits for its answer is barred at the next life

Cause: a start counted as unanswered only once its time for an answer was over, 0.4 s after it was sent. A worker that crashed meanwhile and was back under its id within that time was reported, and given leases, while nothing barred the order; the next life could carry it out up to seconds later.

Change: a start is noted before it is sent, and forgotten once no try of it is without an answer. Test "a start whose answer is still awaited is barred at the worker's next life": failed before ([] bars, [7] expected).

--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -69,17 +69,18 @@
     let mayHaveArrived = false;
     const result = await this.repeat(instance, async () => {
       tries += 1;
+      registry.unanswered.noteTried(instance, order);
       try {
         return toResult(await host.start(instance, order));
       } catch (err) {
         if (!(err instanceof WorkerSilentError)) throw err;
         mayHaveArrived ||= err.mayHaveArrived;
-        if (err.mayHaveArrived) registry.unanswered.note(instance, order);
         if (mayHaveArrived) throw err;
         // No connection: the run has not begun, and goes elsewhere at once.
         return { kind: "refused", reason: "unhealthy" };
       }
     });
+    if (!mayHaveArrived) registry.unanswered.noteAnswered(order);
     if (result.kind === "ok") {
       registry.runs.noteStarted(instance, order, result.at);
       pacer.paceFirst(call);
--- a/packages/side/src/jobs/UnansweredStarts.ts
+++ b/packages/side/src/jobs/UnansweredStarts.ts
@@ -1,7 +1,7 @@
 /**
- * Orders to start that got no answer. A worker may carry one out seconds later, and so
- * may its next life where both stand under one id: the run would begin there although
- * the leader has taken it for lost with the life before.
+ * Orders to start that have no answer, or none yet. A worker may carry one out seconds
+ * later, and so may its next life where both stand under one id: the run would begin
+ * there although the leader has taken it for lost with the life before.
  */
 
 import type { Clock, Monotonic, WorkerInstance } from "@rackspan/common";
@@ -29,8 +29,8 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** That life has been told to start it, and has not answered. */
-  note(instance: WorkerInstance, { task, run }: RunRef): void {
+  /** That life is about to be told to start it. */
+  noteTried(instance: WorkerInstance, { task, run }: RunRef): void {
     const triedAt = this.clock.monotonic();
     this.starts.set(runKeyOf({ task, run }), {
       ref: { task, run },
@@ -39,6 +39,11 @@
     });
   }
 
+  /** Every order to start it was answered. */
+  noteAnswered(ref: RunRef): void {
+    this.starts.delete(runKeyOf(ref));
+  }
+
   /** Runs that were ordered of other lives, and that must not begin at this one. */
   ofOthers(instance: WorkerInstance): readonly RunRef[] {
     const oldest = this.clock.monotonic() - UNANSWERED.keptMs;
--- /dev/null
+++ b/packages/side/tests/formerStarts.test.ts
@@ -0,0 +1,151 @@
+/** How starts without an answer are barred at the worker's next life. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  Metrics,
+  silentLogger,
+  sleep,
+  type Epoch,
+  type JobTaskId,
+  type RunNumber,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+import {
+  WorkerReplacedError,
+  WorkerSilentError,
+  type HoldAnswer,
+  type HoldOrder,
+  type RunRef,
+  type TaskHost,
+} from "@rackspan/ports";
+import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
+import { beatOf } from "./beatOf.js";
+
+const CALL_TIMEOUT_MS = 400;
+/** Longer than a look at the former life and the pause after it take. */
+const SOON_MS = 390;
+
+const orderOf = (instance: string, run: number) =>
+  ({
+    instance: brand<WorkerInstance>(instance),
+    epoch: 1 as unknown as Epoch,
+    task: brand<JobTaskId>("j.0.0.0"),
+    run: run as unknown as RunNumber,
+    spec: "",
+    leaseUntil: 2_500 as unknown as WorkerTime,
+    checkpoint: "",
+    firstPercent: 100,
+    nature: { kind: "plain", tailTargetMs: 0, image: "", milliCores: 100 },
+  }) as const;
+
+/** A worker that leaves starts without an answer, and what it was told to bar. */
+const watchWorker = async () => {
+  const clock = new ManualClock();
+  const logger = silentLogger;
+  const worker = {
+    life: "w1",
+    answersStarts: false,
+    /** Runs whose bars get no answer. */
+    silentBars: new Set<number>(),
+    bars: [] as number[],
+  };
+  const reach = (instance: WorkerInstance): void => {
+    if (instance !== brand<WorkerInstance>(worker.life)) {
+      throw new WorkerReplacedError(instance);
+    }
+  };
+  const at = (): WorkerTime => clock.monotonic() as unknown as WorkerTime;
+  const fallSilent = async (): Promise<never> => {
+    await sleep(clock, CALL_TIMEOUT_MS);
+    throw new WorkerSilentError("no answer");
+  };
+  const host = {
+    hold: async (
+      instance: WorkerInstance,
+      { waitMs }: HoldOrder,
+    ): Promise<HoldAnswer> => {
+      reach(instance);
+      await sleep(clock, waitMs);
+      reach(instance);
+      return { at: at(), running: [], ended: [], hasMoreEnds: false };
+    },
+    start: async (instance: WorkerInstance) => {
+      reach(instance);
+      if (!worker.answersStarts) return fallSilent();
+      return { kind: "started", at: at() };
+    },
+    stop: async (instance: WorkerInstance, { run }: RunRef) => {
+      reach(instance);
+      worker.bars.push(run);
+      return worker.silentBars.has(run) ? fallSilent() : at();
+    },
+  } as unknown as TaskHost;
+  const base = { host, clock, logger };
+  const metrics = new Metrics();
+  const pacing = { tailGraceMs: 4_000, tailAim: 0.9 };
+  const pacer = new Pacer({ ...base, metrics, ...pacing });
+  const registry = new WorkerRegistry(clock, logger);
+  const watch = new WorkerWatch({
+    ...base,
+    registry,
+    pacer,
+    unattendedLeaseMs: Infinity,
+    longestLeaseMs: 10_000,
+  });
+  const orders = new TaskOrders({ ...base, registry, watch, pacer, metrics });
+  registry.noteHeartbeat(beatOf(worker.life));
+  watch.raiseEpoch(1 as unknown as Epoch);
+  watch.start();
+  await clock.advance(SOON_MS);
+  const order = (run: number): void =>
+    void orders.start(orderOf(worker.life, run));
+  const replace = (life: string): void => {
+    worker.life = life;
+    registry.noteHeartbeat(beatOf(life));
+  };
+  const stop = async (): Promise<void> => {
+    const stopped = watch.stop();
+    await clock.advance(2_000);
+    await stopped;
+  };
+  return { clock, watch, worker, order, replace, stop };
+};
+
+test("a start whose answer is still awaited is barred at the worker's next life", async () => {
+  const { clock, watch, worker, order, replace, stop } = await watchWorker();
+  order(7);
+  await clock.advance(1);
+  replace("w2");
+  await clock.advance(SOON_MS);
+  expect(worker.bars).toEqual([7]);
+  expect(watch.sighting?.instance).toEqual(brand<WorkerInstance>("w2"));
+  await stop();
+});
+
+test("a start that was answered at once is barred nowhere", async () => {
+  const { clock, watch, worker, order, replace, stop } = await watchWorker();
+  worker.answersStarts = true;
+  order(7);
+  await clock.advance(1);
+  replace("w2");
+  await clock.advance(SOON_MS);
+  expect(worker.bars).toEqual([]);
+  expect(watch.sighting?.instance).toEqual(brand<WorkerInstance>("w2"));
+  await stop();
+});
+
+test("what one life has barred is barred at the next one too", async () => {
+  const { clock, worker, order, replace, stop } = await watchWorker();
+  order(7);
+  await clock.advance(CALL_TIMEOUT_MS);
+  replace("w2");
+  await clock.advance(SOON_MS);
+  replace("w3");
+  await clock.advance(SOON_MS);
+  expect(worker.bars).toEqual([7, 7]);
+  await stop();
+});
