Side: a bar without an answer holds up none of the others

Cause: the next life barred the starts of former lives one after the other, and began again with the first whenever one got no answer.

Change: up to eight bars are on their way at once, and only those without an answer are sent again. Tests "a bar without an answer holds up none of the others" and "a life is not reported before each bar is answered, and none is sent twice": failed before ([7] sent, [7, 8, 9] expected; 7 sent twice).

--- a/packages/side/src/jobs/UnansweredStarts.ts
+++ b/packages/side/src/jobs/UnansweredStarts.ts
@@ -19,6 +19,8 @@
   readonly ref: RunRef;
   readonly instance: WorkerInstance;
   readonly triedAt: Monotonic;
+  /** The other life that has last confirmed that the run never begins there. */
+  barredAt: WorkerInstance | undefined;
 }
 
 export class UnansweredStarts {
@@ -36,6 +38,7 @@
       ref: { task, run },
       instance,
       triedAt,
+      barredAt: undefined,
     });
   }
 
@@ -44,8 +47,14 @@
     this.starts.delete(runKeyOf(ref));
   }
 
-  /** Runs that were ordered of other lives, and that must not begin at this one. */
-  ofOthers(instance: WorkerInstance): readonly RunRef[] {
+  /** The run never begins at that life. */
+  noteBarred(instance: WorkerInstance, ref: RunRef): void {
+    const start = this.starts.get(runKeyOf(ref));
+    if (start) start.barredAt = instance;
+  }
+
+  /** Runs that were ordered of other lives, and that may yet begin at this one. */
+  openAt(instance: WorkerInstance): readonly RunRef[] {
     const oldest = this.clock.monotonic() - UNANSWERED.keptMs;
     for (const [key, { triedAt }] of this.starts) {
       if (triedAt < oldest) this.starts.delete(key);
@@ -53,6 +62,7 @@
     return [...this.starts]
       .map(([, start]) => start)
       .filter((start) => start.instance !== instance)
+      .filter(({ barredAt }) => barredAt !== instance)
       .map(({ ref }) => ref);
   }
 }
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -20,6 +20,7 @@
   WorkerSilentError,
   type EndedRun,
   type HoldAnswer,
+  type RunRef,
   type TaskHost,
 } from "@rackspan/ports";
 import type { Pacer } from "./Pacer.js";
@@ -37,6 +38,8 @@
    * longer than a call takes on one machine.
    */
   heldMs: 15,
+  /** Starts of former lives that are barred at once; fewer than connections to the worker. */
+  barsAtOnce: 8,
 } as const;
 
 /** What one look at the worker has shown. */
@@ -208,26 +211,44 @@
 
   /**
    * Before the leader hears of this life: what a former one was told to start, and has
-   * not answered, never begins here.
+   * not answered, never begins here. Each may be carried out until it is barred, so
+   * one bar without an answer holds up none of the others.
    * @returns whether the worker has barred them all
    */
   private async barFormerStarts(
     instance: WorkerInstance,
     epoch: Epoch,
   ): Promise<boolean> {
-    const { host, registry, logger } = this.options;
-    const refs = registry.unanswered.ofOthers(instance);
-    if (refs.length === 0) return true;
-    try {
-      for (const ref of refs) await host.stop(instance, ref, epoch);
-    } catch (err) {
-      this.noteFailure(instance, err);
-      return false;
-    }
-    logger.info("worker.former-starts-barred", { instance, runs: refs.length });
+    const { registry, logger } = this.options;
+    const open = registry.unanswered.openAt(instance);
+    if (open.length === 0) return true;
+    const left = [...open];
+    const failures: unknown[] = [];
+    const barInTurn = async (): Promise<void> => {
+      for (let ref = left.shift(); ref; ref = left.shift()) {
+        await this.barStart(instance, ref, epoch);
+      }
+    };
+    const lanes = Array.from({ length: WATCH.barsAtOnce }, () =>
+      barInTurn().catch((err: unknown) => failures.push(err)),
+    );
+    await Promise.all(lanes);
+    for (const err of failures) this.noteFailure(instance, err);
+    if (failures.length > 0) return false;
+    logger.info("worker.former-starts-barred", { instance, runs: open.length });
     return true;
   }
 
+  private async barStart(
+    instance: WorkerInstance,
+    ref: RunRef,
+    epoch: Epoch,
+  ): Promise<void> {
+    const { host, registry } = this.options;
+    await host.stop(instance, ref, epoch);
+    registry.unanswered.noteBarred(instance, ref);
+  }
+
   /**
    * Whether the look broke off while the worker had it and waited for an end. A look
    * after one that failed may never have reached the worker: something else at its
--- a/packages/side/tests/formerStarts.test.ts
+++ b/packages/side/tests/formerStarts.test.ts
@@ -138,6 +138,32 @@
   await stop();
 });
 
+test("a bar without an answer holds up none of the others", async () => {
+  const { clock, worker, order, replace, stop } = await watchWorker();
+  for (const run of [7, 8, 9]) order(run);
+  await clock.advance(CALL_TIMEOUT_MS);
+  worker.silentBars.add(7);
+  replace("w2");
+  await clock.advance(SOON_MS);
+  expect([...worker.bars].sort()).toEqual([7, 8, 9]);
+  await stop();
+});
+
+test("a life is not reported before each bar is answered, and none is sent twice", async () => {
+  const { clock, watch, worker, order, replace, stop } = await watchWorker();
+  for (const run of [7, 8, 9]) order(run);
+  await clock.advance(CALL_TIMEOUT_MS);
+  worker.silentBars.add(8);
+  replace("w2");
+  await clock.advance(CALL_TIMEOUT_MS + SOON_MS);
+  expect(watch.sighting).toEqual(undefined);
+  worker.silentBars.clear();
+  await clock.advance(CALL_TIMEOUT_MS + SOON_MS);
+  expect(watch.sighting?.instance).toEqual(brand<WorkerInstance>("w2"));
+  expect(worker.bars.filter((run) => run !== 8).sort()).toEqual([7, 9]);
+  await stop();
+});
+
 test("what one life has barred is barred at the next one too", async () => {
   const { clock, worker, order, replace, stop } = await watchWorker();
   order(7);
