Side: a bar is sent again before its first try is given up

Change: up to three tries of a bar, 50 ms apart, the first answer counts; four bars at once, as each try needs a connection of its own.

--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -7,6 +7,7 @@
   ChangeSignal,
   describeError,
   pause,
+  sleep,
   type Clock,
   type Epoch,
   type Logger,
@@ -38,8 +39,12 @@
    * longer than a call takes on one machine.
    */
   heldMs: 15,
-  /** Starts of former lives that are barred at once; fewer than connections to the worker. */
-  barsAtOnce: 8,
+  /** Starts of former lives that are barred at once. */
+  barsAtOnce: 4,
+  /** Tries of one bar; all that are on their way need a connection each. */
+  barTries: 3,
+  /** Until a bar without an answer is sent once more. */
+  barAgainMs: 50,
 } as const;
 
 /** What one look at the worker has shown. */
@@ -239,13 +244,27 @@
     return true;
   }
 
+  /**
+   * Does not wait until a try is given up before the next one: the run may begin
+   * meanwhile.
+   */
   private async barStart(
     instance: WorkerInstance,
     ref: RunRef,
     epoch: Epoch,
   ): Promise<void> {
-    const { host, registry } = this.options;
-    await host.stop(instance, ref, epoch);
+    const { host, registry, clock } = this.options;
+    let isBarred = false;
+    const tryAfter = async (afterMs: number): Promise<void> => {
+      if (afterMs > 0) await sleep(clock, afterMs);
+      if (isBarred) return;
+      await host.stop(instance, ref, epoch);
+      isBarred = true;
+    };
+    const tries = Array.from({ length: WATCH.barTries }, (_, index) =>
+      tryAfter(index * WATCH.barAgainMs),
+    );
+    await Promise.any(tries).catch(() => tries[0]);
     registry.unanswered.noteBarred(instance, ref);
   }
 
