Checker: a life that takes the place of one that is up ends its runs

Cause: a model fault, not one of the programs.

Change: such a life crashes first. Nothing is judged less: the change of lives stays, and what runs at the next one is held against all others as before. Test "a life that takes the place of one that is up leaves no run behind": failed before.

--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -216,7 +216,9 @@
     });
   }
 
+  /** Another life stands here from now on; one that is up ends before. */
   revive(): void {
+    if (this.up) this.crash();
     this.life = this.bear();
     this.sentLeasesOverBy = -Infinity;
     this.up = true;
