Side: the bound of a silent worker counts starts sent to the life before

Cause: a start that the life before left unanswered may reach the next one. It brings a lease by the clock of another life, so up to the longest one, and does so also where the run is barred; the bound that a side tells of a silent worker counted only what was sent to the present life, and was 0 in the test.

Change: while such a start may come (15 s from its last try), the bound of the next life, and of one that was not heard yet, is the longest lease from now. A worker that no other life has replaced is told as before: see "Left" in the design. Test "a silent worker's bound counts the lease that a start to the life before may bring": failed before.

--- a/packages/side/src/jobs/UnansweredStarts.ts
+++ b/packages/side/src/jobs/UnansweredStarts.ts
@@ -55,14 +55,28 @@
 
   /** Runs that were ordered of other lives, and that may yet begin at this one. */
   openAt(instance: WorkerInstance): readonly RunRef[] {
+    return this.ofOthers(instance)
+      .filter(({ barredAt }) => barredAt !== instance)
+      .map(({ ref }) => ref);
+  }
+
+  /**
+   * Whether that life may still be reached by a start that was sent to another one.
+   * @param instance undefined for a life that was not heard yet
+   */
+  mayReach(instance: WorkerInstance | undefined): boolean {
+    return this.ofOthers(instance).length > 0;
+  }
+
+  private ofOthers(
+    instance: WorkerInstance | undefined,
+  ): readonly UnansweredStart[] {
     const oldest = this.clock.monotonic() - UNANSWERED.keptMs;
     for (const [key, { triedAt }] of this.starts) {
       if (triedAt < oldest) this.starts.delete(key);
     }
     return [...this.starts]
       .map(([, start]) => start)
-      .filter((start) => start.instance !== instance)
-      .filter(({ barredAt }) => barredAt !== instance)
-      .map(({ ref }) => ref);
+      .filter((start) => start.instance !== instance);
   }
 }
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -146,7 +146,10 @@
    * @returns milliseconds; undefined when it cannot be told
    */
   boundLease(): number | undefined {
+    const { unanswered, worker } = this.options.registry;
     this.leaseUntil = undefined;
+    // Such a start brings a lease by the clock of another life, also where it is barred.
+    if (unanswered.mayReach(worker?.instance)) this.sent.noteLongest();
     return this.sent.overInMs;
   }
 
--- a/packages/side/tests/formerStarts.test.ts
+++ b/packages/side/tests/formerStarts.test.ts
@@ -26,6 +26,9 @@
 import { beatOf } from "./beatOf.js";
 
 const CALL_TIMEOUT_MS = 400;
+const LONGEST_LEASE_MS = 10_000;
+/** Longer than a start may come late. */
+const LATEST_MS = 16_000;
 /** Longer than a look at the former life and the pause after it take. */
 const SOON_MS = 390;
 
@@ -94,7 +97,7 @@
     registry,
     pacer,
     unattendedLeaseMs: Infinity,
-    longestLeaseMs: 10_000,
+    longestLeaseMs: LONGEST_LEASE_MS,
   });
   const orders = new TaskOrders({ ...base, registry, watch, pacer, metrics });
   registry.noteHeartbeat(beatOf(worker.life));
@@ -189,3 +192,20 @@
   expect(worker.bars).toEqual([7, 7]);
   await stop();
 });
+
+// The clock of the next life may show less, and a worker takes the lease of a start
+// also where it bars the run.
+test("a silent worker's bound counts the lease that a start to the life before may bring", async () => {
+  const { clock, watch, worker, order, replace, stop } = await watchWorker();
+  await clock.advance(2 * LONGEST_LEASE_MS);
+  order(7);
+  await clock.advance(CALL_TIMEOUT_MS);
+  replace("w2");
+  await clock.advance(SOON_MS);
+  expect(watch.sighting?.instance).toEqual(brand<WorkerInstance>("w2"));
+  worker.life = "none";
+  expect((watch.boundLease() ?? 0) >= LONGEST_LEASE_MS).toEqual(true);
+  await clock.advance(LATEST_MS + 2 * LONGEST_LEASE_MS);
+  expect(watch.boundLease()).toEqual(0);
+  await stop();
+});
