--- a/packages/side/src/jobs/UnansweredStarts.ts
+++ b/packages/side/src/jobs/UnansweredStarts.ts
@@ -1,7 +1,7 @@
 /**
- * Orders to start that got no answer. A worker may carry one out seconds later, and so
- * may its next life where both stand under one id: the run would begin there although
- * the leader has taken it for lost with the life before.
+ * Orders to start that have no answer, or none yet. A worker may carry one out seconds
+ * later, and so may its next life where both stand under one id: the run would begin
+ * there although the leader has taken it for lost with the life before.
  */
 
 import type { Clock, Monotonic, WorkerInstance } from "@rackspan/common";
@@ -19,6 +19,8 @@
   readonly ref: RunRef;
   readonly instance: WorkerInstance;
   readonly triedAt: Monotonic;
+  /** The other life that has last confirmed that the run never begins there. */
+  barredAt: WorkerInstance | undefined;
 }
 
 export class UnansweredStarts {
@@ -29,25 +31,52 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** That life has been told to start it, and has not answered. */
-  note(instance: WorkerInstance, { task, run }: RunRef): void {
+  /** That life is about to be told to start it. */
+  noteTried(instance: WorkerInstance, { task, run }: RunRef): void {
     const triedAt = this.clock.monotonic();
     this.starts.set(runKeyOf({ task, run }), {
       ref: { task, run },
       instance,
       triedAt,
+      barredAt: undefined,
     });
   }
 
-  /** Runs that were ordered of other lives, and that must not begin at this one. */
-  ofOthers(instance: WorkerInstance): readonly RunRef[] {
+  /** Every order to start it was answered. */
+  noteAnswered(ref: RunRef): void {
+    this.starts.delete(runKeyOf(ref));
+  }
+
+  /** The run never begins at that life. */
+  noteBarred(instance: WorkerInstance, ref: RunRef): void {
+    const start = this.starts.get(runKeyOf(ref));
+    if (start) start.barredAt = instance;
+  }
+
+  /** Runs that were ordered of other lives, and that may yet begin at this one. */
+  openAt(instance: WorkerInstance): readonly RunRef[] {
+    return this.ofOthers(instance)
+      .filter(({ barredAt }) => barredAt !== instance)
+      .map(({ ref }) => ref);
+  }
+
+  /**
+   * Whether that life may still be reached by a start that was sent to another one.
+   * @param instance undefined for a life that was not heard yet
+   */
+  mayReach(instance: WorkerInstance | undefined): boolean {
+    return this.ofOthers(instance).length > 0;
+  }
+
+  private ofOthers(
+    instance: WorkerInstance | undefined,
+  ): readonly UnansweredStart[] {
     const oldest = this.clock.monotonic() - UNANSWERED.keptMs;
     for (const [key, { triedAt }] of this.starts) {
       if (triedAt < oldest) this.starts.delete(key);
     }
     return [...this.starts]
       .map(([, start]) => start)
-      .filter((start) => start.instance !== instance)
-      .map(({ ref }) => ref);
+      .filter((start) => start.instance !== instance);
   }
 }
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -7,6 +7,7 @@
   ChangeSignal,
   describeError,
   pause,
+  sleep,
   type Clock,
   type Epoch,
   type Logger,
@@ -20,6 +21,7 @@
   WorkerSilentError,
   type EndedRun,
   type HoldAnswer,
+  type RunRef,
   type TaskHost,
 } from "@rackspan/ports";
 import type { Pacer } from "./Pacer.js";
@@ -37,6 +39,12 @@
    * longer than a call takes on one machine.
    */
   heldMs: 15,
+  /** Starts of former lives that are barred at once. */
+  barsAtOnce: 4,
+  /** Tries of one bar; all that are on their way need a connection each. */
+  barTries: 3,
+  /** Until a bar without an answer is sent once more. */
+  barAgainMs: 50,
 } as const;
 
 /** What one look at the worker has shown. */
@@ -138,7 +146,10 @@
    * @returns milliseconds; undefined when it cannot be told
    */
   boundLease(): number | undefined {
+    const { unanswered, worker } = this.options.registry;
     this.leaseUntil = undefined;
+    // Such a start brings a lease by the clock of another life, also where it is barred.
+    if (unanswered.mayReach(worker?.instance)) this.sent.noteLongest();
     return this.sent.overInMs;
   }
 
@@ -209,26 +220,58 @@
 
   /**
    * Before the leader hears of this life: what a former one was told to start, and has
-   * not answered, never begins here.
+   * not answered, never begins here. Each may be carried out until it is barred, so
+   * one bar without an answer holds up none of the others.
    * @returns whether the worker has barred them all
    */
   private async barFormerStarts(
     instance: WorkerInstance,
     epoch: Epoch,
   ): Promise<boolean> {
-    const { host, registry, logger } = this.options;
-    const refs = registry.unanswered.ofOthers(instance);
-    if (refs.length === 0) return true;
-    try {
-      for (const ref of refs) await host.stop(instance, ref, epoch);
-    } catch (err) {
-      this.noteFailure(instance, err);
-      return false;
-    }
-    logger.info("worker.former-starts-barred", { instance, runs: refs.length });
+    const { registry, logger } = this.options;
+    const open = registry.unanswered.openAt(instance);
+    if (open.length === 0) return true;
+    const left = [...open];
+    const failures: unknown[] = [];
+    const barInTurn = async (): Promise<void> => {
+      for (let ref = left.shift(); ref; ref = left.shift()) {
+        await this.barStart(instance, ref, epoch);
+      }
+    };
+    const lanes = Array.from({ length: WATCH.barsAtOnce }, () =>
+      barInTurn().catch((err: unknown) => failures.push(err)),
+    );
+    await Promise.all(lanes);
+    for (const err of failures) this.noteFailure(instance, err);
+    if (failures.length > 0) return false;
+    logger.info("worker.former-starts-barred", { instance, runs: open.length });
     return true;
   }
 
+  /**
+   * Does not wait until a try is given up before the next one: the run may begin
+   * meanwhile.
+   */
+  private async barStart(
+    instance: WorkerInstance,
+    ref: RunRef,
+    epoch: Epoch,
+  ): Promise<void> {
+    const { host, registry, clock } = this.options;
+    let isBarred = false;
+    const tryAfter = async (afterMs: number): Promise<void> => {
+      if (afterMs > 0) await sleep(clock, afterMs);
+      if (isBarred) return;
+      await host.stop(instance, ref, epoch);
+      isBarred = true;
+    };
+    const tries = Array.from({ length: WATCH.barTries }, (_, index) =>
+      tryAfter(index * WATCH.barAgainMs),
+    );
+    await Promise.any(tries).catch(() => tries[0]);
+    registry.unanswered.noteBarred(instance, ref);
+  }
+
   /**
    * Whether the look broke off while the worker had it and waited for an end. A look
    * after one that failed may never have reached the worker: something else at its
