Side: what a leader is told of a silent worker is a class of its own

Change: SilenceReporter, one a connection, holds when to tell, what was told and what was logged; tellDue decides once between a report and that word. No change of behaviour.

--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -23,8 +23,10 @@
   LostAnswerError,
   type Grant,
 } from "@rackspan/protocol";
+import type { LeaderConnection } from "./LeaderConnection.js";
 import type { LeaderFinder } from "./LeaderFinder.js";
 import type { Pacer } from "./Pacer.js";
+import { SilenceReporter } from "./SilenceReporter.js";
 import type { TaskOrders } from "./TaskOrders.js";
 import type { WorkerRegistry } from "./WorkerRegistry.js";
 import type { Sighting, WorkerWatch } from "./WorkerWatch.js";
@@ -48,8 +50,6 @@
   silenceMs: 4_000,
   /** A leader that grants no lease for this long may have been replaced. */
   ungrantedMs: 700,
-  /** A worker that has not been seen for this long since the side attached is silent. */
-  unseenMs: 500,
   /** Unanswered reports in a row after which another leader is looked for. */
   maxUnanswered: 2,
   /** Between two looks whether a leader has taken note of the worker's end. */
@@ -58,20 +58,6 @@
   goodbyeAgainMs: 400,
 } as const;
 
-type LeaderConnection = LineConnection<
-  typeof hostMethods,
-  typeof leaderMethods
->;
-
-/** What a leader was told of a silent worker, and what came of it. */
-interface SilenceTold {
-  /** Absent when the side cannot tell when the worker's lease is over. */
-  readonly overInMs: number | undefined;
-  readonly grants?: boolean;
-  /** Why there is no answer. */
-  readonly error?: string;
-}
-
 export interface LeaderLinkOptions {
   readonly host: HostId;
   readonly availabilityZone: AvailabilityZone;
@@ -95,10 +81,8 @@
   /** The life of whose end the leader of this connection has taken note. */
   private toldGone: WorkerInstance | undefined;
   private isTelling = false;
-  /** When this leader was last told that the worker is silent. */
-  private silenceToldAt: Monotonic = -Infinity;
-  /** What of that was logged last over this connection. */
-  private loggedSilence: string | undefined;
+  /** The newest sighting that was reported over this connection. */
+  private lastSent: Sighting | undefined;
   private task: Promise<void> | undefined;
 
   constructor(private readonly options: LeaderLinkOptions) {}
@@ -204,25 +188,26 @@
     connection: LeaderConnection,
     address: string,
   ): Promise<string> {
-    const { clock, watch } = this.options;
+    const { clock, watch, registry, logger } = this.options;
     const attachedAt = clock.monotonic();
     this.grantedAt = attachedAt;
     this.toldGone = undefined;
-    this.silenceToldAt = -Infinity;
-    this.loggedSilence = undefined;
-    let lastSent: Sighting | undefined;
+    this.lastSent = undefined;
+    const silence = new SilenceReporter({
+      connection,
+      attachedAt,
+      registry,
+      watch,
+      clock,
+      logger,
+      callTimeoutMs: LINK.callTimeoutMs,
+    });
     let unanswered = 0;
     while (connection.isOpen && !this.abort.signal.aborted) {
       const sighting = this.sightingSince(attachedAt);
-      const isDue = this.isDue(sighting, lastSent);
-      const isSilenceDue = this.isSilenceDue(sighting, attachedAt);
-      if (sighting && isDue) lastSent = sighting;
-      if (isDue || isSilenceDue) {
-        const isAnswered =
-          sighting && isDue
-            ? await this.report(connection, sighting)
-            : await this.tellSilent(connection);
-        unanswered = isAnswered ? 0 : unanswered + 1;
+      const answer = this.tellDue(connection, silence, sighting);
+      if (answer) {
+        unanswered = (await answer) ? 0 : unanswered + 1;
         if (unanswered >= LINK.maxUnanswered) return "reports unanswered";
         if (await this.isReplaced(address)) return "another entry leads";
         await sleep(clock, LINK.reportFloorMs);
@@ -241,54 +226,29 @@
     return connection.isOpen ? "stopping" : await connection.closed;
   }
 
-  private isSilenceDue(
-    sighting: Sighting | undefined,
-    attachedAt: Monotonic,
-  ): boolean {
-    const { watch, clock } = this.options;
-    const now = clock.monotonic();
-    const mayComeYet = sighting || now - attachedAt < LINK.unseenMs;
-    if (watch.isAnswered && mayComeYet) return false;
-    return now - this.silenceToldAt >= LINK.reportEveryMs;
-  }
-
   /**
-   * Tells until when the silent worker may run anything, so that a leader which has not
-   * heard of it need not count the longest lease from the beginning of its own term.
-   *
-   * @returns whether the leader answered
+   * Reports what the worker showed, or that it is silent.
+   * @returns whether the leader answered; undefined when nothing is due
    */
-  private async tellSilent(connection: LeaderConnection): Promise<boolean> {
-    const { watch, clock } = this.options;
-    this.tellGone(connection);
-    const overInMs = watch.boundLease();
-    this.silenceToldAt = clock.monotonic();
-    try {
-      const { grants } = await connection.call(
-        "workerSilent",
-        { overInMs },
-        LINK.callTimeoutMs,
-      );
-      if (grants) this.grantedAt = clock.monotonic();
-      this.logSilence({ overInMs, grants });
-      return true;
-    } catch (err) {
-      this.logSilence({ overInMs, error: describeError(err) });
-      // A leader of an earlier version refuses a method that it does not know.
-      return !(err instanceof LostAnswerError);
+  private tellDue(
+    connection: LeaderConnection,
+    silence: SilenceReporter,
+    sighting: Sighting | undefined,
+  ): Promise<boolean> | undefined {
+    if (sighting && this.isDue(sighting)) {
+      this.lastSent = sighting;
+      return this.report(connection, sighting);
     }
+    if (!silence.isDue(sighting)) return undefined;
+    this.tellGone(connection);
+    return this.tellSilent(silence);
   }
 
-  /** Once a connection, and when what came of it changes. */
-  private logSilence({ overInMs, grants, error }: SilenceTold): void {
-    const { watch, registry, logger } = this.options;
-    const outcome = error ?? `grants ${grants}`;
-    if (outcome === this.loggedSilence) return;
-    this.loggedSilence = outcome;
-    const instance = registry.worker?.instance ?? registry.lastGone;
-    const epoch = watch.currentEpoch;
-    const fields = { epoch, instance, overInMs, grants, error };
-    logger.info("worker.silence-told", fields);
+  /** @returns whether the leader answered */
+  private async tellSilent(silence: SilenceReporter): Promise<boolean> {
+    const { isAnswered, grants } = await silence.tell();
+    if (grants) this.grantedAt = this.options.clock.monotonic();
+    return isAnswered;
   }
 
   private tellGone(connection: LeaderConnection): void {
@@ -336,11 +296,9 @@
     return sighting && sighting.askedAt >= attachedAt ? sighting : undefined;
   }
 
-  private isDue(
-    sighting: Sighting | undefined,
-    lastSent: Sighting | undefined,
-  ): boolean {
-    if (!sighting || sighting === lastSent) return false;
+  private isDue(sighting: Sighting): boolean {
+    const { lastSent } = this;
+    if (sighting === lastSent) return false;
     if (!lastSent) return true;
     const { clock, watch, registry } = this.options;
     const lastEnd = lastSent.answer.ended.at(-1)?.number ?? 0;
