Checker: the longest lease that a worker takes has one name

Cause: it was leaseMs in the host model, which is what leaders grant elsewhere, and maxLeaseMs in the modelled life. Change: longestLeaseMs in both.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -44,8 +44,8 @@
   readonly worker: WorkerModel;
   /** How far ahead the side renews the worker's lease, milliseconds. */
   readonly unattendedLeaseMs: number;
-  /** The longest lease, milliseconds. */
-  readonly leaseMs: number;
+  /** Longest lease that the worker takes, milliseconds. */
+  readonly longestLeaseMs: number;
   /** See JobWorldOptions. */
   readonly takesArrivalsFirst: boolean;
   /** See JobWorldOptions. */
@@ -111,8 +111,8 @@
    * was started anew knows of what was sent before only when that was.
    */
   get leasesOverBy(): Monotonic {
-    const { worker, leaseMs } = this.options;
-    const formerOverBy = leaseOverBy(this.formerSidesUntil, leaseMs);
+    const { worker, longestLeaseMs } = this.options;
+    const formerOverBy = leaseOverBy(this.formerSidesUntil, longestLeaseMs);
     return Math.max(worker.sentLeasesOverBy, formerOverBy);
   }
 
@@ -172,7 +172,7 @@
       registry,
       pacer,
       unattendedLeaseMs: this.options.unattendedLeaseMs,
-      longestLeaseMs: this.options.leaseMs,
+      longestLeaseMs: this.options.longestLeaseMs,
     });
     const orders = new TaskOrders({ ...base, registry, watch, pacer });
     const abort = new AbortController();
--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -488,7 +488,7 @@
       random,
       worker,
       unattendedLeaseMs: this.options.unattendedLeaseMs,
-      leaseMs: LEADERSHIP.leaseMs,
+      longestLeaseMs: LEADERSHIP.leaseMs,
       onOrder: (task) => this.waits.noteOrdered(task),
       takesArrivalsFirst: this.options.takesArrivalsFirst,
       staysWithGranter: this.options.staysWithGranter ?? false,
--- a/packages/checker/src/jobs/WorkerLife.ts
+++ b/packages/checker/src/jobs/WorkerLife.ts
@@ -19,7 +19,7 @@
   maxClockStart: 1e6,
   /** Its clock may run this share slow. */
   maxDrift: 0.02,
-  maxLeaseMs: 6_000,
+  longestLeaseMs: 6_000,
 } as const;
 
 export interface Running {
@@ -103,7 +103,7 @@
   extendLease(until: WorkerTime): void {
     const now: number = this.at;
     if (this.leaseUntil <= now) this.voidEnds();
-    const longest = now + LIFE.maxLeaseMs;
+    const longest = now + LIFE.longestLeaseMs;
     this.leaseUntil = Math.max(this.leaseUntil, Math.min(until, longest));
     this.lapse?.cancel();
     const leftMs = (this.leaseUntil - now) / this.clockRate;
