HostWatch: the least change of a silent host's bound is a constant of its own

Cause: the threshold of a log line was the margin that leases are counted with; a change of the margin would have changed what is logged.

--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -7,13 +7,20 @@
   type ActiveRun,
   type WorkerLoss,
 } from "@rackspan/jobs";
-import { LEASE } from "@rackspan/leadership";
 import type { HostReport, LostRun } from "@rackspan/protocol";
 import type { CrashKeeper } from "./CrashKeeper.js";
 import type { EngineParts } from "./engineParts.js";
 import { ENGINE, type HostEntry } from "./engineTypes.js";
 import { runsToMove, SLOWNESS } from "./slowHosts.js";
 
+const SILENCE = {
+  /**
+   * Least change of a silent host's bound that is news, milliseconds: each repeat
+   * arrives a little earlier or later than the one before.
+   */
+  leastChangeMs: 150,
+} as const;
+
 export interface HostWatchOptions extends EngineParts {
   readonly crashes: CrashKeeper;
 }
@@ -73,8 +80,7 @@
     const soonerByMs = ledger
       ? ledger.noteSilent(overBy)
       : gate.noteSilent(host, overBy);
-    // Each repeat arrives a little earlier or later than the one before.
-    if (soonerByMs < LEASE.marginMs) return;
+    if (soonerByMs < SILENCE.leastChangeMs) return;
     logger.info("host.silent", {
       host,
       overInMs,
