Scheduling: hosts are closed to new tasks by one list of rules

Cause: usableHosts and explainWait each walked rules of their own; a rule added to one would have been told wrongly by the other. Change: HOST_RULES, evacuated zones among them; closedReason names the first that closes a host, and a host is usable when none does.

--- a/packages/scheduling/src/WaitWatch.ts
+++ b/packages/scheduling/src/WaitWatch.ts
@@ -109,8 +109,7 @@
       mayStart: gate.mayStart(live.firstSeenAt, now),
       entries: hosts.all(),
       isEjected: ({ host }) => ejector.isEjected(host),
-      isEvacuated: ({ availabilityZone }) =>
-        options.isEvacuated(availabilityZone),
+      isEvacuated: options.isEvacuated,
       now,
     });
     wait.toldAt = now;
--- a/packages/scheduling/src/explainWait.ts
+++ b/packages/scheduling/src/explainWait.ts
@@ -1,10 +1,13 @@
 /** Tells what a waiting task waits for: which rule keeps it from which hosts. */
 
-import type { Monotonic } from "@rackspan/common";
 import { crashesOf, type HostLedger, type StepRun } from "@rackspan/jobs";
 import type { HostEntry } from "./engineTypes.js";
 import { fitsInto, isAllowedOn, roomLeft } from "./taskPlacers.js";
-import { closedReason, type ClosedReason } from "./usableHosts.js";
+import {
+  closedReason,
+  type ClosedReason,
+  type RuleContext,
+} from "./usableHosts.js";
 
 /**
  * Why a step is not placed at all:
@@ -24,8 +27,7 @@
   | "hosts";
 
 /** Why an open host does not take it: `placer` when it fits and the placer passes it over. */
-type RefusalRule =
-  "evacuated" | "ejected" | "label-or-limit" | "room" | "placer";
+type RefusalRule = "ejected" | "label-or-limit" | "room" | "placer";
 
 /** How many hosts of the service each rule closes to the step. */
 export type HostCounts = Readonly<
@@ -37,15 +39,13 @@
   readonly hosts: HostCounts;
 }
 
-export interface WaitingStep {
+export interface WaitingStep extends RuleContext {
   readonly step: StepRun;
   readonly service: string;
   /** Whether the take-over lets its job start. */
   readonly mayStart: boolean;
   readonly entries: Iterable<HostEntry>;
   readonly isEjected: (host: HostLedger) => boolean;
-  readonly isEvacuated: (host: HostLedger) => boolean;
-  readonly now: Monotonic;
 }
 
 export const explainWait = (waiting: WaitingStep): Wait => {
@@ -70,15 +70,12 @@
   return "hosts";
 };
 
-const ruleFor = (
-  entry: HostEntry,
-  { step, service, isEjected, isEvacuated, now }: WaitingStep,
-): keyof HostCounts => {
+const ruleFor = (entry: HostEntry, waiting: WaitingStep): keyof HostCounts => {
+  const { step, service, isEjected } = waiting;
   const { ledger } = entry;
   if ((ledger.worker.service as string) !== service) return "other-service";
-  const closed = closedReason(entry, now);
+  const closed = closedReason(entry, waiting);
   if (closed) return closed;
-  if (isEvacuated(ledger)) return "evacuated";
   if (isEjected(ledger)) return "ejected";
   const [task] = step.waiting;
   if (!task) return "placer";
--- a/packages/scheduling/src/usableHosts.ts
+++ b/packages/scheduling/src/usableHosts.ts
@@ -9,14 +9,59 @@
 import type { OutlierEjector } from "@rackspan/routing";
 import { ENGINE, type HostEntry } from "./engineTypes.js";
 
-export interface UsableHostsOptions {
-  readonly entries: Iterable<HostEntry>;
-  readonly ejector: OutlierEjector;
+/** What the rules go by besides the host itself. */
+export interface RuleContext {
   readonly now: Monotonic;
   /** See EngineOptions. */
   readonly isEvacuated: (zone: AvailabilityZone) => boolean;
 }
 
+interface HostRule {
+  readonly reason: string;
+  readonly closes: (entry: HostEntry, context: RuleContext) => boolean;
+}
+
+/** Any of them closes a host to all new tasks; the first that does is the reason told. */
+const HOST_RULES = [
+  { reason: "detached", closes: ({ session }) => !session },
+  { reason: "not-rostered", closes: ({ rostered }) => !rostered },
+  { reason: "draining", closes: ({ ledger }) => ledger.worker.draining },
+  { reason: "unknown-run", closes: ({ ledger }) => ledger.mayBeFull },
+  { reason: "holds-suspect", closes: ({ ledger }) => ledger.holdsApart },
+  {
+    reason: "not-reported",
+    closes: ({ ledger }) => ledger.reportedAt === undefined,
+  },
+  {
+    reason: "refused-a-start",
+    closes: ({ ledger }, { now }) => now < ledger.pausedUntil,
+  },
+  {
+    reason: "quiet",
+    closes: ({ ledger }, { now }) => now - ledger.heardAt >= ENGINE.quietMs,
+  },
+  {
+    reason: "evacuated",
+    closes: ({ ledger }, { isEvacuated }) =>
+      isEvacuated(ledger.availabilityZone),
+  },
+] as const satisfies readonly HostRule[];
+
+/** Why a host takes no new tasks. */
+export type ClosedReason = (typeof HOST_RULES)[number]["reason"];
+
+/** @returns undefined for a host that takes tasks */
+export const closedReason = (
+  entry: HostEntry,
+  context: RuleContext,
+): ClosedReason | undefined =>
+  HOST_RULES.find(({ closes }) => closes(entry, context))?.reason;
+
+export interface UsableHostsOptions extends RuleContext {
+  readonly entries: Iterable<HostEntry>;
+  readonly ejector: OutlierEjector;
+}
+
 /** Hosts of one service that may take tasks now. */
 export interface ServiceHosts {
   /** For all tasks; the ejected ones where the service has no other. */
@@ -31,12 +76,10 @@
 export const usableHosts = ({
   entries,
   ejector,
-  now,
-  isEvacuated,
+  ...context
 }: UsableHostsOptions): ReadonlyMap<string, ServiceHosts> => {
   const usable = [...entries]
-    .filter((entry) => closedReason(entry, now) === undefined)
-    .filter(({ ledger }) => !isEvacuated(ledger.availabilityZone))
+    .filter((entry) => closedReason(entry, context) === undefined)
     .map(({ ledger }) => ledger);
   const byService = groupBy(usable, ({ worker }) => worker.service as string);
   return new Map(
@@ -53,29 +96,3 @@
   const inService = hosts.filter(({ host }) => !ejector.isEjected(host));
   return { inService, ejected };
 };
-
-/** Why a host takes no new tasks, by its own state. */
-export type ClosedReason =
-  | "detached"
-  | "not-rostered"
-  | "draining"
-  | "unknown-run"
-  | "holds-suspect"
-  | "not-reported"
-  | "refused-a-start"
-  | "quiet";
-
-/** @returns undefined for a host that takes tasks, by its own state */
-export const closedReason = (
-  { ledger, session, rostered }: HostEntry,
-  now: Monotonic,
-): ClosedReason | undefined => {
-  if (!session) return "detached";
-  if (!rostered) return "not-rostered";
-  if (ledger.worker.draining) return "draining";
-  if (ledger.mayBeFull) return "unknown-run";
-  if (ledger.holdsApart) return "holds-suspect";
-  if (ledger.reportedAt === undefined) return "not-reported";
-  if (now < ledger.pausedUntil) return "refused-a-start";
-  return now - ledger.heardAt < ENGINE.quietMs ? undefined : "quiet";
-};
