task.waits names a host as ejected only where that keeps the step off it

Cause: each ejected host was counted as ejected, also where the service has no other, which takes tasks then, and for lasting tasks that try ejected hosts after 2 s; what kept the step off it, such as the room, was not told. Change: explainWait takes the ejected hosts from usableHosts, and whether the step tries them from the rule that the dispatcher goes by.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -20,7 +20,12 @@
   unreservedMilliCores,
   type TaskPlacer,
 } from "./taskPlacers.js";
-import { NO_HOSTS, usableHosts, type ServiceHosts } from "./usableHosts.js";
+import {
+  NO_HOSTS,
+  triesEjected,
+  usableHosts,
+  type ServiceHosts,
+} from "./usableHosts.js";
 
 export interface DispatcherOptions {
   readonly engine: EngineOptions;
@@ -191,15 +196,12 @@
     else step.unplacedSince = undefined;
   }
 
-  /**
-   * Lasting tasks that have waited for long try hosts that failed others of late:
-   * ejections may last for longer than such a task is to stand still.
-   */
+  /** Hosts that the step tries although they are ejected. */
   private lastResortOf(
     step: StepRun,
     ejected: readonly HostLedger[],
   ): readonly HostLedger[] {
-    if (!step.spec.lasting || !this.heldBack.hasWaitedLong(step)) return [];
+    if (!triesEjected(step, this.options.engine.clock.monotonic())) return [];
     return this.heldBack.openTo(step, ejected);
   }
 
--- a/packages/scheduling/src/HeldBackHosts.ts
+++ b/packages/scheduling/src/HeldBackHosts.ts
@@ -1,6 +1,6 @@
 /** Which hosts tasks keep off in one pass, although they have room: for suspects, and for lasting tasks. */
 
-import type { Clock } from "@rackspan/common";
+import type { Clock, Monotonic } from "@rackspan/common";
 import type { HostLedger, StepRun } from "@rackspan/jobs";
 import { ENGINE } from "./engineTypes.js";
 
@@ -28,10 +28,8 @@
     return open.filter((host) => !this.emptying.has(host));
   }
 
-  hasWaitedLong({ unplacedSince }: StepRun): boolean {
-    if (unplacedSince === undefined) return false;
-    const waitedMs = this.clock.monotonic() - unplacedSince;
-    return waitedMs > ENGINE.lastingPatienceMs;
+  hasWaitedLong(step: StepRun): boolean {
+    return hasWaitedLong(step, this.clock.monotonic());
   }
 
   /**
@@ -53,3 +51,10 @@
     if (emptiest) this.emptying.add(emptiest);
   }
 }
+
+/** Whether a step has found no place for so long that it may take what is kept for others. */
+export const hasWaitedLong = (
+  { unplacedSince }: StepRun,
+  now: Monotonic,
+): boolean =>
+  unplacedSince !== undefined && now - unplacedSince > ENGINE.lastingPatienceMs;
--- a/packages/scheduling/src/WaitWatch.ts
+++ b/packages/scheduling/src/WaitWatch.ts
@@ -107,8 +107,8 @@
       step,
       service: queue?.service ?? live.job.terms.service,
       mayStart: gate.mayStart(live.firstSeenAt, now),
-      entries: hosts.all(),
-      isEjected: ({ host }) => ejector.isEjected(host),
+      entries: [...hosts.all()],
+      ejector,
       isEvacuated: options.isEvacuated,
       now,
     });
--- a/packages/scheduling/src/explainWait.ts
+++ b/packages/scheduling/src/explainWait.ts
@@ -5,8 +5,11 @@
 import { fitsInto, isAllowedOn, roomLeft } from "./taskPlacers.js";
 import {
   closedReason,
+  NO_HOSTS,
+  triesEjected,
+  usableHosts,
   type ClosedReason,
-  type RuleContext,
+  type UsableHostsOptions,
 } from "./usableHosts.js";
 
 /**
@@ -39,19 +42,22 @@
   readonly hosts: HostCounts;
 }
 
-export interface WaitingStep extends RuleContext {
+export interface WaitingStep extends UsableHostsOptions {
   readonly step: StepRun;
   readonly service: string;
   /** Whether the take-over lets its job start. */
   readonly mayStart: boolean;
-  readonly entries: Iterable<HostEntry>;
-  readonly isEjected: (host: HostLedger) => boolean;
+  /** Walked twice. */
+  readonly entries: readonly HostEntry[];
 }
 
 export const explainWait = (waiting: WaitingStep): Wait => {
+  const { step, service, now } = waiting;
+  const { ejected } = usableHosts(waiting).get(service) ?? NO_HOSTS;
+  const passedOver = new Set(triesEjected(step, now) ? [] : ejected);
   const counts = new Map<keyof HostCounts, number>();
   for (const entry of waiting.entries) {
-    const rule = ruleFor(entry, waiting);
+    const rule = ruleFor(entry, waiting, passedOver);
     counts.set(rule, (counts.get(rule) ?? 0) + 1);
   }
   return { cause: causeOf(waiting), hosts: Object.fromEntries(counts) };
@@ -70,13 +76,18 @@
   return "hosts";
 };
 
-const ruleFor = (entry: HostEntry, waiting: WaitingStep): keyof HostCounts => {
-  const { step, service, isEjected } = waiting;
+/** @param passedOver usable hosts of the service that the step does not try */
+const ruleFor = (
+  entry: HostEntry,
+  waiting: WaitingStep,
+  passedOver: ReadonlySet<HostLedger>,
+): keyof HostCounts => {
+  const { step, service } = waiting;
   const { ledger } = entry;
   if ((ledger.worker.service as string) !== service) return "other-service";
   const closed = closedReason(entry, waiting);
   if (closed) return closed;
-  if (isEjected(ledger)) return "ejected";
+  if (passedOver.has(ledger)) return "ejected";
   const [task] = step.waiting;
   if (!task) return "placer";
   if (!isAllowedOn(task, ledger)) return "label-or-limit";
