Dispatcher: hosts are opened anew for a suspect only after an overdue one was placed

Cause: placeTasks filtered all hosts again for each suspected task, although only a run that begins apart closes one. Change: placeOverdue tells whether it placed any.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -164,8 +164,7 @@
     let isUnplaced = false;
     for (const task of [...step.waiting]) {
       if (announcer.isNeeded(task)) {
-        this.placeOverdue(job);
-        open = this.heldBack.openTo(step, hosts);
+        if (this.placeOverdue(job)) open = this.heldBack.openTo(step, hosts);
         if (job.isEnded) return;
         if (!step.waiting.has(task)) continue;
         let outcome = this.placeApart(task, open);
@@ -229,14 +228,18 @@
     return "placed";
   }
 
-  /** Before a suspect of this job gets its turn, those of its priority that have waited long do. */
-  private placeOverdue(job: JobRun): void {
+  /**
+   * Before a suspect of this job gets its turn, those of its priority that have waited long do.
+   * @returns whether any was placed
+   */
+  private placeOverdue(job: JobRun): boolean {
     const { priority } = job.terms;
     const { service } = this.termsOf(job);
     const isBeside = (other: JobRun): boolean =>
       other.terms.priority === priority &&
       this.termsOf(other).service === service;
     const { inService: hosts } = this.hostsOf(job);
+    let isAnyPlaced = false;
     for (const task of this.turns.takeOverdue(({ step }) =>
       isBeside(step.job),
     )) {
@@ -244,8 +247,10 @@
       if (this.options.engine.clock.monotonic() < step.heldUntil) continue;
       const { permitRule } = this.termsOf(step.job);
       const allowed = permitRule ? this.permittedOf(step, hosts) : hosts;
-      this.placeApart(task, this.heldBack.openTo(step, allowed));
+      const open = this.heldBack.openTo(step, allowed);
+      if (this.placeApart(task, open) === "placed") isAnyPlaced = true;
     }
+    return isAnyPlaced;
   }
 
   /** Starts all tasks of the step under one run number, or none. */
