Checker: what a modelled worker does with its runs, and its room, are classes of their own

Change: TaskRunner begins and ends runs, WorkerRoom is the room that shrinks, TaskTraits what is known of a task; the worker keeps its lives and how calls reach it. Draws come in the order they came in.

--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -31,10 +31,10 @@
 import { LEADERSHIP, LeaderModel, VIEW_LAG_MS } from "./LeaderModel.js";
 import { RunHistory } from "./RunHistory.js";
 import { TakeoverWaits } from "./TakeoverWaits.js";
+import type { TaskTraits } from "./TaskTraits.js";
 import {
   WorkerModel,
   type LivesOfWorker,
-  type TaskTraits,
   type WorkerCut,
 } from "./WorkerModel.js";
 
--- a/packages/checker/src/jobs/WorkerLife.ts
+++ b/packages/checker/src/jobs/WorkerLife.ts
@@ -12,7 +12,7 @@
 } from "@rackspan/common";
 import type { EndedRun, RunOutcome, RunRef } from "@rackspan/ports";
 import type { RunSeen } from "./RunHistory.js";
-import type { TaskTraits } from "./WorkerModel.js";
+import type { TaskTraits } from "./TaskTraits.js";
 
 const LIFE = {
   /** The worker's clock begins anywhere up to this, milliseconds. */
--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -22,32 +22,18 @@
   WorkerSilentError,
   type HoldAnswer,
   type HoldOrder,
-  type RunOutcome,
   type RunRef,
   type RunStart,
   type StartOutcome,
   type TaskHost,
 } from "@rackspan/ports";
 import { leaseOverBy } from "@rackspan/leadership";
-import type { GangBook, GangRun } from "./GangBook.js";
-import type { RunHistory, RunSeen } from "./RunHistory.js";
-import { WorkerLife, type Running } from "./WorkerLife.js";
-
-/** What a task asks for and how it fares; told by its id. */
-export interface TaskTraits {
-  /** Of the worker's room; none where it fills. */
-  readonly milliCores: number;
-  /** Milliseconds until it ends by itself; undefined for one that lasts. */
-  readonly runMs: number | undefined;
-  readonly fails: boolean;
-  /** Whether it crashes each worker that starts it. */
-  readonly crashes: boolean;
-  /** Undefined for a task of no gang. */
-  readonly gang: Omit<GangRun, "key"> | undefined;
-  /** As workers list it; see TaskHost. */
-  readonly reading: number;
-  readonly saves: boolean;
-}
+import type { GangBook } from "./GangBook.js";
+import type { RunHistory } from "./RunHistory.js";
+import { TaskRunner } from "./TaskRunner.js";
+import type { TaskTraits } from "./TaskTraits.js";
+import { WorkerLife } from "./WorkerLife.js";
+import { WorkerRoom } from "./WorkerRoom.js";
 
 export interface WorkerModelOptions {
   readonly host: HostId;
@@ -84,8 +70,6 @@
   crashAfterMs: 10,
   /** A worker that a task has crashed is back after this, at the most; milliseconds. */
   backMs: 1_500,
-  /** Starts may fill a room that has shrunk this long after, milliseconds. */
-  shrunkMs: 3_500,
   /** A side has noticed by then that its worker is silent: a look that waits, and a call. */
   noticedMs: 700,
   /** What is sent to a worker behind a cut may reach it up to this much later, milliseconds. */
@@ -121,16 +105,18 @@
   private up = true;
   /** Whether connections are refused while it is down, as by a process that is gone. */
   private refuses = false;
-  /** Of its room, thousandths of a core. */
-  private roomNow: number;
-  private roomBefore: {
-    readonly milliCores: number;
-    readonly until: Monotonic;
-  };
+  private readonly room: WorkerRoom;
+  private readonly runner: TaskRunner;
 
   constructor(private readonly options: WorkerModelOptions) {
-    this.roomNow = options.milliCores;
-    this.roomBefore = { milliCores: 0, until: -Infinity };
+    const { clock, milliCores } = options;
+    this.room = new WorkerRoom(clock, milliCores);
+    this.runner = new TaskRunner({
+      ...options,
+      room: this.room,
+      isPresent: (life) => this.life === life && this.up,
+      onCrashing: (life) => this.crashSoon(life),
+    });
     this.life = this.bear();
   }
 
@@ -144,22 +130,12 @@
   }
 
   get milliCores(): number {
-    return this.roomNow;
+    return this.room.milliCores;
   }
 
   /** Its room shrinks or grows while it runs; its heartbeats tell it. */
   changeRoom(milliCores: number): void {
-    const { clock } = this.options;
-    const until = clock.monotonic() + WORKER.shrunkMs;
-    this.roomBefore = { milliCores: this.roomAllowed, until };
-    this.roomNow = milliCores;
-  }
-
-  /** What starts may fill: the news of a room that has shrunk takes its time. */
-  private get roomAllowed(): number {
-    const { milliCores, until } = this.roomBefore;
-    const isRecent = this.options.clock.monotonic() < until;
-    return Math.max(this.roomNow, isRecent ? milliCores : 0);
+    this.room.change(milliCores);
   }
 
   get isUp(): boolean {
@@ -194,16 +170,10 @@
 
   /** All that runs there ends; nothing is listed. */
   crash(): void {
-    const { clock } = this.options;
     this.up = false;
     this.noteHeard();
     this.life.end();
-    const lost = [...this.life.running.values()];
-    this.life.running.clear();
-    for (const { seen, ref, gangKey } of lost) {
-      seen.endedAt = clock.monotonic();
-      if (gangKey !== undefined) this.options.gangs.left(gangKey, ref.task);
-    }
+    this.runner.loseAll(this.life);
     this.life.wake();
   }
 
@@ -229,7 +199,7 @@
     order: RunStart,
   ): Promise<StartOutcome> {
     this.noteSent(instance, order.leaseUntil);
-    return this.call(instance, () => this.begin(order));
+    return this.call(instance, () => this.runner.begin(this.life, order));
   }
 
   async stop(
@@ -239,10 +209,14 @@
   ): Promise<WorkerTime> {
     return this.call(instance, () => {
       this.fence(epoch);
-      this.life.bar(run);
-      const running = this.life.running.get(runKeyOf(run));
-      if (running) this.endLater(running, this.delay(WORKER.stopMs), "stopped");
-      return this.life.at;
+      const { life } = this;
+      life.bar(run);
+      const running = life.running.get(runKeyOf(run));
+      if (running) {
+        const ms = this.delay(WORKER.stopMs);
+        this.runner.endLater(life, running, ms, "stopped");
+      }
+      return life.at;
     });
   }
 
@@ -308,17 +282,11 @@
       instance: brand<WorkerInstance>(`${host}-${name}`),
       clock,
       random,
-      onLapsed: () => this.endAll(life, "lapsed"),
+      onLapsed: () => this.runner.endAll(life, "lapsed"),
     });
     return life;
   }
 
-  private endAll(life: WorkerLife, outcome: RunOutcome): void {
-    if (this.life !== life || !this.up) return;
-    for (const running of [...life.running.values()])
-      this.end(running, outcome);
-  }
-
   /**
    * @param act carries the call out, where it arrives although no answer comes
    * @throws WorkerSilentError, WorkerReplacedError
@@ -390,100 +358,15 @@
     this.life.epoch = epoch;
   }
 
-  private begin(order: RunStart): StartOutcome {
-    const { life } = this;
-    if (order.epoch < life.epoch) return { kind: "refused", reason: "fenced" };
-    life.epoch = order.epoch;
-    if (life.running.has(runKeyOf(order))) {
-      life.extendLease(order.leaseUntil);
-      return { kind: "started", at: life.at };
-    }
-    if (life.isBarred(order)) {
-      life.extendLease(order.leaseUntil);
-      return { kind: "refused", reason: "old-run" };
-    }
-    if (order.leaseUntil <= life.at) return { kind: "refused", reason: "late" };
-    life.extendLease(order.leaseUntil);
-    this.checkCheckpoint(order);
-    this.run(order);
-    return { kind: "started", at: life.at };
-  }
-
-  private run({ task, run }: RunRef): void {
-    const { clock, history, host, traitsOf } = this.options;
-    const traits = traitsOf(task);
-    const seen: RunSeen = {
-      task,
-      run,
-      host,
-      beganAt: clock.monotonic(),
-      endedAt: undefined,
-      outcome: undefined,
-      noted: false,
-    };
-    const gangKey = traits.gang && `${stepOf(task)}#${run}`;
-    const running = { ref: { task, run }, seen, traits, gangKey };
-    this.life.running.set(runKeyOf(running.ref), running);
-    history.begin(seen);
-    const taken = [...this.life.running.values()].reduce(
-      (sum, other) => sum + other.traits.milliCores,
-      0,
-    );
-    if (taken > this.roomAllowed) {
-      history.add("over-room", seen.beganAt, `${host} runs ${taken}`);
-    }
-    if (traits.crashes) this.crashSoon();
-    if (traits.gang && gangKey !== undefined) {
-      const { life } = this;
-      this.options.gangs.join({ key: gangKey, ...traits.gang }, task, (how) => {
-        if (this.life === life && this.up) this.end(running, how);
-      });
-      return;
-    }
-    if (traits.runMs === undefined) return;
-    this.endLater(running, traits.runMs, traits.fails ? "failed" : "done");
-  }
-
   /** The task that has just begun takes its worker down; the next life comes by itself. */
-  private crashSoon(): void {
+  private crashSoon(life: WorkerLife): void {
     const { clock } = this.options;
-    const { life } = this;
     clock.after(WORKER.crashAfterMs, () => {
       if (this.life !== life || !this.up) return;
       this.breakDown(this.delay(WORKER.backMs));
     });
   }
 
-  private endLater(running: Running, ms: number, outcome: RunOutcome): void {
-    const { life } = this;
-    this.options.clock.after(ms, () => {
-      if (this.life === life && this.up) this.end(running, outcome);
-    });
-  }
-
-  /** A checkpoint is one that a run of the task, or of its gang, has saved. */
-  private checkCheckpoint({ task, run, checkpoint }: RunStart): void {
-    if (checkpoint === "") return;
-    const { clock, history, traitsOf } = this.options;
-    const [savedBy = ""] = checkpoint.split("@");
-    const isOwn = traitsOf(task).gang
-      ? stepOf(savedBy) === stepOf(task)
-      : savedBy === (task as string);
-    const detail = `${task}#${run} brings ${checkpoint}`;
-    if (!isOwn) history.add("unasked", clock.monotonic(), detail);
-  }
-
-  private end(running: Running, outcome: RunOutcome): void {
-    const { life } = this;
-    const { ref, seen, gangKey } = running;
-    if (!life.running.delete(runKeyOf(ref))) return;
-    seen.endedAt = this.options.clock.monotonic();
-    seen.outcome = outcome;
-    life.listEnd(running, outcome);
-    if (gangKey !== undefined) this.options.gangs.left(gangKey, ref.task);
-    life.wake();
-  }
-
   private delay(mostMs: number): number {
     return this.options.random.next() * mostMs;
   }
@@ -497,6 +380,3 @@
     if (!(err instanceof TaskRefusedError)) throw err;
   }
 };
-
-/** A task's id without its index. */
-const stepOf = (task: string): string => task.replace(/\.\d+$/, "");
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -17,4 +17,5 @@
 } from "./jobSchedules.js";
 export { GangBook } from "./GangBook.js";
 export { RunHistory, type JobViolation, type RunSeen } from "./RunHistory.js";
-export { WorkerModel, type TaskTraits } from "./WorkerModel.js";
+export type { TaskTraits } from "./TaskTraits.js";
+export { WorkerModel } from "./WorkerModel.js";
