Checker: the jobs and the leaders of a modelled site are classes of their own

Change: SubmittedJobs and LeaderSuccession; events and schedules ask them directly. The setting electionMs.wait, which nothing read, is gone. Draws come in the order they came in.

--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -6,32 +6,25 @@
   pickIndex,
   SeededRandom,
   type AvailabilityZone,
-  type Epoch,
   type HostId,
   type JobTaskId,
   type ServiceName,
 } from "@rackspan/common";
-import {
-  decodeProgress,
-  isFinal,
-  parseTaskId,
-  taskIdAt,
-  TOPICS,
-  type AcceptedJob,
-  type JobId,
-  type JobStateName,
-  type QueueKey,
-  type QueueSpec,
-  type RepeatSpec,
-  type StepSpec,
+import { MemoryStore, type StoreFault } from "@rackspan/standins";
+import type {
+  JobId,
+  QueueKey,
+  QueueSpec,
+  RepeatSpec,
+  StepSpec,
 } from "@rackspan/state";
-import { MemoryStore, plainJob, type StoreFault } from "@rackspan/standins";
 import { GangBook } from "./GangBook.js";
 import { HostModel } from "./HostModel.js";
-import { LEADERSHIP, LeaderModel, VIEW_LAG_MS } from "./LeaderModel.js";
+import { LEADERSHIP, VIEW_LAG_MS } from "./LeaderModel.js";
+import { LeaderSuccession } from "./LeaderSuccession.js";
 import { RunHistory } from "./RunHistory.js";
+import { SubmittedJobs } from "./SubmittedJobs.js";
 import { TakeoverWaits } from "./TakeoverWaits.js";
-import type { TaskTraits } from "./TaskTraits.js";
 import {
   WorkerModel,
   type LivesOfWorker,
@@ -48,7 +41,6 @@
 const WORLD = {
   hosts: 5,
   milliCores: 4_000,
-  electionMs: { every: 100, wait: 300 },
   /** How often it is looked at what waits, milliseconds. */
   lookEveryMs: 25,
   /** Workers that may be silent at once, so that the others have room for all. */
@@ -100,21 +92,27 @@
   private readonly gangs = new GangBook(this.clock);
   readonly hosts: HostModel[];
   readonly random: SeededRandom;
-  private readonly jobs = new Map<JobId, AcceptedJob>();
-  private readonly cancelled = new Set<JobId>();
-  /** Jobs whose first task crashes each worker that starts it. */
-  private readonly crashing = new Set<JobId>();
+  readonly jobs: SubmittedJobs;
+  readonly leaders: LeaderSuccession;
   /** Zones that leaders see as evacuated. */
   private readonly evacuated = new Set<AvailabilityZone>();
   private evacuations = 0;
   /** By zone: only the last evacuation that was asked for takes it back. */
   private readonly lastEvacuation = new Map<AvailabilityZone, number>();
-  private leader: LeaderModel | undefined;
-  private epoch = 0;
   private readonly waits: TakeoverWaits;
 
   constructor(private readonly options: JobWorldOptions) {
     this.random = new SeededRandom(options.seed);
+    const { clock, store, random } = this;
+    this.jobs = new SubmittedJobs({ ...options, clock, store, random });
+    this.leaders = new LeaderSuccession({
+      ...options,
+      clock,
+      store,
+      queue: QUEUE,
+      isEvacuated: (zone) => this.evacuated.has(zone),
+      jobs: () => this.jobs.all(),
+    });
     this.hosts = Array.from({ length: WORLD.hosts }, (_, index) =>
       this.buildHost(`h${index + 1}`, zoneAt(index)),
     );
@@ -122,53 +120,31 @@
       clock: this.clock,
       history: this.history,
       hosts: () => this.hosts,
-      leader: () => this.leader,
-      isWanted: (task) => this.isWanted(task),
+      leader: () => this.leaders.latest,
+      isWanted: (task) => this.jobs.isWanted(task),
     });
-    this.elect();
+    this.leaders.begin();
     if (options.judgesWaits) this.judgeWaits();
   }
 
-  /** Jobs that nobody has cancelled. */
-  get wanted(): JobId[] {
-    return [...this.jobs.keys()].filter((id) => !this.cancelled.has(id));
-  }
-
-  isLasting(id: JobId): boolean {
-    return this.jobs.get(id)?.spec.steps[0]?.lasting === true;
-  }
-
-  isLastingTask(task: JobTaskId): boolean {
-    const position = parseTaskId(task);
-    return position !== undefined && this.isLasting(position.job);
-  }
-
   submit(steps: readonly Partial<StepSpec>[], repeat?: RepeatSpec): void {
-    const { clock, jobs, random } = this;
-    const job = plainJob({
-      id: `job${jobs.size}`,
-      steps,
-      repeat,
-      acceptedAt: clock.now(),
-      terms: { maxAttempts: this.options.maxAttempts },
-    });
-    jobs.set(job.spec.id, job);
-    clock.after(random.next() * VIEW_LAG_MS, () =>
-      this.tellLeader((leader) => leader.addJob(job)),
+    const job = this.jobs.add(steps, repeat);
+    this.clock.after(this.random.next() * VIEW_LAG_MS, () =>
+      this.leaders.tell((leader) => leader.addJob(job)),
     );
   }
 
   /** A job whose first task crashes each worker that starts it. */
   submitCrashing(steps: readonly Partial<StepSpec>[]): void {
-    this.crashing.add(brand<JobId>(`job${this.jobs.size}`));
+    this.jobs.crashNext();
     this.submit(steps);
   }
 
   cancel(id: JobId): void {
-    this.cancelled.add(id);
+    this.jobs.cancel(id);
     const delayMs = this.random.next() * VIEW_LAG_MS;
     this.clock.after(VIEW_LAG_MS + delayMs, () =>
-      this.tellLeader((leader) => leader.cancelJob(id)),
+      this.leaders.tell((leader) => leader.cancelJob(id)),
     );
   }
 
@@ -292,7 +268,7 @@
 
   /** All workers, sides and the leader end at once, and come back. */
   losePower(downMs: number): void {
-    this.leader?.kill();
+    this.leaders.kill();
     for (const host of this.hosts) host.restartSide();
     this.crashWorkers(1, downMs);
   }
@@ -317,7 +293,7 @@
       if (this.lastEvacuation.get(zone) !== number) return;
       for (const { host } of hosts) history.noteTakenBack(host);
       evacuated.delete(zone);
-      this.tellLeader((leader) => leader.noteOperator());
+      this.leaders.tell((leader) => leader.noteOperator());
     });
   }
 
@@ -331,29 +307,6 @@
     this.clock.after(ms, () => (host.draining = false));
   }
 
-  freezeLeader(ms: number): void {
-    const { leader } = this;
-    if (!leader || leader.isDead) return;
-    leader.clock.pause();
-    this.clock.after(ms, () =>
-      this.options.takesArrivalsFirst
-        ? leader.clock.catchUp()
-        : leader.clock.resume(),
-    );
-  }
-
-  /** What comes is taken, but the leader's timers wait: it is short of processor time. */
-  starveLeader(ms: number): void {
-    const { leader, clock } = this;
-    if (!leader || leader.isDead) return;
-    leader.clock.starve();
-    clock.after(ms, () => leader.clock.catchUp());
-  }
-
-  suspendLeader(ms: number): void {
-    this.leader?.clock.suspend(ms);
-  }
-
   /** @param share of the room that workers have at first */
   changeRoom(share: number): void {
     this.anyHost().worker.changeRoom(share * WORLD.milliCores);
@@ -363,60 +316,16 @@
     for (const { worker } of this.hosts) worker.changeRoom(WORLD.milliCores);
   }
 
-  killLeader(): void {
-    this.leader?.kill();
-  }
-
-  /** For good: the store gives the leadership to another one once its term is over. */
-  cutLeaderFromStore(): void {
-    if (this.leader) this.leader.isCutFromStore = true;
-  }
-
-  /** The store makes another entry lead at once, and the one before does not hear of it. */
-  dropLeader(): void {
-    if (!this.leader?.leads) return;
-    this.leader.isCutFromStore = true;
-    this.beginTerm();
-  }
-
   failStore(fault: StoreFault, ms: number): void {
     this.store.fault = fault;
     this.clock.after(ms, () => (this.store.fault = "none"));
   }
 
-  /** Whether the store keeps that the job has ended. */
-  hasEnded(id: JobId): boolean {
-    const state = this.stateOf(id);
-    return state !== undefined && isFinal(state);
-  }
-
-  private stateOf(id: JobId): JobStateName | undefined {
-    const record = this.store
-      .recordsOf(TOPICS.progress)
-      .findLast(({ key }) => key === (id as unknown as string));
-    return record?.value && decodeProgress(id, record.value).state;
-  }
-
-  /** Whether the store keeps that the job was given up, which only crashes or failures may bring about. */
-  hasFailed(id: JobId): boolean {
-    return this.stateOf(id) === "failed";
-  }
-
   /** Under how many runs of one of its tasks workers ended, at the most. */
   mostCrashes(id: JobId): number {
     return this.history.mostCrashes(id);
   }
 
-  isCrashing(id: JobId): boolean {
-    return this.crashing.has(id);
-  }
-
-  private isWanted(task: JobTaskId): boolean {
-    const job = parseTaskId(task)?.job;
-    if (job === undefined || this.cancelled.has(job)) return false;
-    return !this.hasEnded(job);
-  }
-
   private judgeWaits(): void {
     this.waits.look();
     this.clock.after(WORLD.lookEveryMs, () => this.judgeWaits());
@@ -427,10 +336,7 @@
     return this.history
       .openRuns()
       .map(({ task }) => task)
-      .filter((task) => {
-        const position = parseTaskId(task);
-        return position !== undefined && this.cancelled.has(position.job);
-      });
+      .filter((task) => this.jobs.isCancelled(task));
   }
 
   checkEnds(): void {
@@ -440,25 +346,13 @@
       const detail = `${host} lists ${listedEnds} ends`;
       this.history.add("unacknowledged", this.clock.monotonic(), detail);
     }
-    for (const id of this.crashing) {
-      const position = { job: id, occurrence: 0, step: 0, index: 0 };
-      this.history.checkCrashes(taskIdAt(position));
+    for (const task of this.jobs.crashingTasks()) {
+      this.history.checkCrashes(task);
     }
     this.history.checkEnds(
       this.options.maxAttempts,
-      (task) => this.isLastingTask(task),
-      (task) => this.gangOf(task),
-    );
-  }
-
-  /** All tasks of the task's gang; none when it is of no gang. */
-  private gangOf(task: JobTaskId): readonly JobTaskId[] {
-    const position = parseTaskId(task);
-    const job = position && this.jobs.get(position.job);
-    const step = position && job?.spec.steps[position.step];
-    if (!position || !step?.gang) return [];
-    return Array.from({ length: step.taskCount }, (_, index) =>
-      taskIdAt({ ...position, index }),
+      (task) => this.jobs.isLastingTask(task),
+      (task) => this.jobs.gangOf(task),
     );
   }
 
@@ -477,7 +371,7 @@
       history,
       gangs: this.gangs,
       milliCores,
-      traitsOf: (task) => this.traitsOf(task),
+      traitsOf: (task) => this.jobs.traitsOf(task),
       lives: this.options.lives,
     });
     return new HostModel({
@@ -492,64 +386,7 @@
       onOrder: (task) => this.waits.noteOrdered(task),
       takesArrivalsFirst: this.options.takesArrivalsFirst,
       staysWithGranter: this.options.staysWithGranter ?? false,
-      findLeader: () => (this.leader?.isDead ? undefined : this.leader),
-    });
-  }
-
-  private traitsOf(task: JobTaskId): TaskTraits {
-    const position = parseTaskId(task);
-    const job = position && this.jobs.get(position.job);
-    const step = position && job?.spec.steps[position.step];
-    if (!position || !step) throw new Error(`nobody has submitted ${task}`);
-    const { demand, filling, tailTargetMs, taskCount: size } = step;
-    const runMs = step.lasting
-      ? undefined
-      : step.estimateMs * (0.5 + this.random.next());
-    const fails = this.random.next() < this.options.failShare;
-    const isFirst = position.step === 0 && position.index === 0;
-    const crashes = isFirst && this.crashing.has(position.job);
-    const gang = step.gang && runMs !== undefined;
-    return {
-      milliCores: filling ? 0 : demand.milliCores,
-      runMs,
-      fails,
-      crashes,
-      gang: gang ? { size, runMs, fails } : undefined,
-      reading: filling ? demand.milliCores : tailTargetMs / 2,
-      saves: step.checkpointing,
-    };
-  }
-
-  private tellLeader(tell: (leader: LeaderModel) => void): void {
-    const { leader } = this;
-    leader?.clock.after(0, () => tell(leader));
-  }
-
-  /** The store makes another entry lead once the last one's term is over. */
-  private elect(): void {
-    const { leader, clock } = this;
-    const isVacant =
-      !leader || clock.monotonic() - leader.confirmedAt >= LEADERSHIP.ttlMs;
-    if (isVacant) this.beginTerm();
-    clock.after(WORLD.electionMs.every, () => this.elect());
-  }
-
-  private beginTerm(): void {
-    this.epoch += 1;
-    const leader = new LeaderModel({
-      epoch: this.epoch as unknown as Epoch,
-      clock: this.clock,
-      store: this.store,
-      queue: QUEUE,
-      endsFormerLinks: this.options.endsFormerLinks,
-      isEvacuated: (zone) => this.evacuated.has(zone),
-      jobs: () =>
-        [...this.jobs.values()].map((accepted) => ({
-          accepted,
-          isCancelled: this.cancelled.has(accepted.spec.id),
-        })),
+      findLeader: () => this.leaders.named,
     });
-    this.leader = leader;
-    leader.begin().catch(() => leader.end());
   }
 }
--- a/packages/checker/src/jobs/chanceSchedules.ts
+++ b/packages/checker/src/jobs/chanceSchedules.ts
@@ -69,11 +69,12 @@
     () => random.next() * CHANCE.maxPauseMs,
   );
   await clock.advance(CHANCE.troubledMs + CHANCE.finishMs);
-  for (const id of world.wanted) {
-    if (!world.hasEnded(id)) history.add("not-finished", clock.monotonic(), id);
+  for (const id of world.jobs.wanted) {
+    if (!world.jobs.hasEnded(id))
+      history.add("not-finished", clock.monotonic(), id);
   }
   world.checkEnds();
-  const givenUp = world.wanted.filter((id) => world.hasFailed(id));
+  const givenUp = world.jobs.wanted.filter((id) => world.jobs.hasFailed(id));
   const withoutCause = givenUp.filter(
     (id) => world.mostCrashes(id) < CRASHES_TO_GIVE_UP,
   );
@@ -81,7 +82,7 @@
     history.add("given-up", clock.monotonic(), id);
   }
   return {
-    jobs: world.wanted.length,
+    jobs: world.jobs.wanted.length,
     givenUp: givenUp.length,
     withoutCause: withoutCause.length,
     violations: history.violations,
--- a/packages/checker/src/jobs/eventMixes.ts
+++ b/packages/checker/src/jobs/eventMixes.ts
@@ -27,8 +27,8 @@
   [4, (world) => world.resetLink()],
   [4, (world) => world.restartSide()],
   [3, (world, random) => world.drain(between(random, 500, 4_000))],
-  [4, (world, random) => world.freezeLeader(between(random, 100, 6_000))],
-  [2, (world) => world.killLeader()],
+  [4, (world, random) => world.leaders.freeze(between(random, 100, 6_000))],
+  [2, (world) => world.leaders.kill()],
   [4, failStore],
 ];
 
@@ -52,7 +52,7 @@
 /** The leader's process is often short of processor time for a moment. */
 export const STARVED_EVENTS: WeightedEvents = [
   ...EVENTS,
-  [20, (world, random) => world.starveLeader(between(random, 200, 1_500))],
+  [20, (world, random) => world.leaders.starve(between(random, 200, 1_500))],
 ];
 
 /**
@@ -66,8 +66,8 @@
   [3, (world, random) => world.cutLink(between(random, 100, 4_000))],
   [3, (world) => world.resetLink()],
   [3, (world) => world.restartSide()],
-  [5, (world, random) => world.suspendLeader(between(random, 500, 9_000))],
-  [3, (world) => world.killLeader()],
+  [5, (world, random) => world.leaders.suspend(between(random, 500, 9_000))],
+  [3, (world) => world.leaders.kill()],
   [8, (world, random) => world.changeRoom(between(random, 0.25, 1))],
 ];
 
@@ -92,8 +92,8 @@
   [8, cancelJob],
   [6, (world, random) => world.cutLink(between(random, 100, 8_000))],
   [4, (world) => world.resetLink()],
-  [4, (world, random) => world.freezeLeader(between(random, 100, 6_000))],
-  [2, (world) => world.killLeader()],
+  [4, (world, random) => world.leaders.freeze(between(random, 100, 6_000))],
+  [2, (world) => world.leaders.kill()],
   [
     4,
     (world, random) =>
@@ -110,9 +110,9 @@
 
 /** How a leader may be lost. */
 export const LEADER_LOSSES: readonly ScheduleEvent[] = [
-  (world) => world.killLeader(),
-  (world, random) => world.freezeLeader(between(random, 2_600, 6_000)),
-  (world) => world.cutLeaderFromStore(),
+  (world) => world.leaders.kill(),
+  (world, random) => world.leaders.freeze(between(random, 2_600, 6_000)),
+  (world) => world.leaders.cutFromStore(),
 ];
 
 /** Beside leaders that are lost one after the other. */
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -117,7 +117,7 @@
   events: DROPPED_EVENTS,
   // The lease that leaders grant is longer by more than their term.
   unattendedLeaseMs: 2_500,
-  losses: [...LEADER_LOSSES, (world) => world.dropLeader()],
+  losses: [...LEADER_LOSSES, (world) => world.leaders.drop()],
   staysWithGranter: true,
 };
 
@@ -221,16 +221,18 @@
 const finish = async (world: JobWorld, mayGiveUp: boolean): Promise<void> => {
   const { clock } = world;
   await clock.advance(SCHEDULE.settleMs);
-  for (const id of world.wanted) if (world.isLasting(id)) world.cancel(id);
+  for (const id of world.jobs.wanted)
+    if (world.jobs.isLasting(id)) world.cancel(id);
   await clock.advance(SCHEDULE.cancelledMs);
   for (const task of world.unwantedRuns()) {
     world.history.add("unasked", clock.monotonic(), `${task} runs on`);
   }
   await clock.advance(SCHEDULE.finishMs);
-  for (const id of world.wanted) {
-    if (!world.hasEnded(id))
+  for (const id of world.jobs.wanted) {
+    if (!world.jobs.hasEnded(id))
       world.history.add("not-finished", clock.monotonic(), id);
-    if (mayGiveUp || world.isCrashing(id) || !world.hasFailed(id)) continue;
+    if (mayGiveUp || world.jobs.isCrashing(id) || !world.jobs.hasFailed(id))
+      continue;
     world.history.add("given-up", clock.monotonic(), id);
   }
   world.checkEnds();
--- a/packages/checker/src/jobs/scheduleEvents.ts
+++ b/packages/checker/src/jobs/scheduleEvents.ts
@@ -69,7 +69,7 @@
 
 /** Any job that nobody has cancelled yet. */
 export const cancelJob: ScheduleEvent = (world, random) => {
-  const { wanted } = world;
+  const { wanted } = world.jobs;
   const id = wanted[pickIndex(random, wanted.length)];
   if (id !== undefined) world.cancel(id);
 };
@@ -113,8 +113,8 @@
     world.hideReturn(cut, ms, between(random, 500, 6_000));
   else world.cutWorker(cut, 3 * ms);
   const draw = random.next();
-  if (draw < 0.2) world.killLeader();
-  else if (draw < 0.7) world.dropLeader();
+  if (draw < 0.2) world.leaders.kill();
+  else if (draw < 0.7) world.leaders.drop();
 };
 
 const STORE_FAULTS: readonly StoreFault[] = [
