--- a/packages/scheduling/src/WaitWatch.ts
+++ b/packages/scheduling/src/WaitWatch.ts
@@ -107,10 +107,9 @@
       step,
       service: queue?.service ?? live.job.terms.service,
       mayStart: gate.mayStart(live.firstSeenAt, now),
-      entries: hosts.all(),
-      isEjected: ({ host }) => ejector.isEjected(host),
-      isEvacuated: ({ availabilityZone }) =>
-        options.isEvacuated(availabilityZone),
+      entries: [...hosts.all()],
+      ejector,
+      isEvacuated: options.isEvacuated,
       now,
     });
     wait.toldAt = now;
--- a/packages/scheduling/src/explainWait.ts
+++ b/packages/scheduling/src/explainWait.ts
@@ -1,10 +1,16 @@
 /** Tells what a waiting task waits for: which rule keeps it from which hosts. */
 
-import type { Monotonic } from "@rackspan/common";
 import { crashesOf, type HostLedger, type StepRun } from "@rackspan/jobs";
 import type { HostEntry } from "./engineTypes.js";
 import { fitsInto, isAllowedOn, roomLeft } from "./taskPlacers.js";
-import { closedReason, type ClosedReason } from "./usableHosts.js";
+import {
+  closedReason,
+  NO_HOSTS,
+  triesEjected,
+  usableHosts,
+  type ClosedReason,
+  type UsableHostsOptions,
+} from "./usableHosts.js";
 
 /**
  * Why a step is not placed at all:
@@ -24,8 +30,7 @@
   | "hosts";
 
 /** Why an open host does not take it: `placer` when it fits and the placer passes it over. */
-type RefusalRule =
-  "evacuated" | "ejected" | "label-or-limit" | "room" | "placer";
+type RefusalRule = "ejected" | "label-or-limit" | "room" | "placer";
 
 /** How many hosts of the service each rule closes to the step. */
 export type HostCounts = Readonly<
@@ -37,21 +42,22 @@
   readonly hosts: HostCounts;
 }
 
-export interface WaitingStep {
+export interface WaitingStep extends UsableHostsOptions {
   readonly step: StepRun;
   readonly service: string;
   /** Whether the take-over lets its job start. */
   readonly mayStart: boolean;
-  readonly entries: Iterable<HostEntry>;
-  readonly isEjected: (host: HostLedger) => boolean;
-  readonly isEvacuated: (host: HostLedger) => boolean;
-  readonly now: Monotonic;
+  /** Walked twice. */
+  readonly entries: readonly HostEntry[];
 }
 
 export const explainWait = (waiting: WaitingStep): Wait => {
+  const { step, service, now } = waiting;
+  const { ejected } = usableHosts(waiting).get(service) ?? NO_HOSTS;
+  const passedOver = new Set(triesEjected(step, now) ? [] : ejected);
   const counts = new Map<keyof HostCounts, number>();
   for (const entry of waiting.entries) {
-    const rule = ruleFor(entry, waiting);
+    const rule = ruleFor(entry, waiting, passedOver);
     counts.set(rule, (counts.get(rule) ?? 0) + 1);
   }
   return { cause: causeOf(waiting), hosts: Object.fromEntries(counts) };
@@ -70,16 +76,18 @@
   return "hosts";
 };
 
+/** @param passedOver usable hosts of the service that the step does not try */
 const ruleFor = (
   entry: HostEntry,
-  { step, service, isEjected, isEvacuated, now }: WaitingStep,
+  waiting: WaitingStep,
+  passedOver: ReadonlySet<HostLedger>,
 ): keyof HostCounts => {
+  const { step, service } = waiting;
   const { ledger } = entry;
   if ((ledger.worker.service as string) !== service) return "other-service";
-  const closed = closedReason(entry, now);
+  const closed = closedReason(entry, waiting);
   if (closed) return closed;
-  if (isEvacuated(ledger)) return "evacuated";
-  if (isEjected(ledger)) return "ejected";
+  if (passedOver.has(ledger)) return "ejected";
   const [task] = step.waiting;
   if (!task) return "placer";
   if (!isAllowedOn(task, ledger)) return "label-or-limit";
