Runs of which nobody knows whether they were at work give a task up after five, not four

Callers saw a plain job shown as failed under whose task one worker had crashed.

Evidence unheard, unseen, unheard, unanswered: 12 points, and none of the runs was known to have been at work. Change: without one run that was at work for certain a task is given up once five runs are lost. That is the most that the users allow a task that crashes its workers; such a task leaves certain evidence as a rule.

--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -30,7 +30,7 @@
   young: 4,
   unanswered: 4,
   unseen: 2,
-  // Four are enough to give a task up: sides of busy workers seldom know more.
+  // Four reach the limit: sides of busy workers seldom know more.
   unheard: 3,
   settled: 2,
   lost: 2,
@@ -54,6 +54,11 @@
    * as well, count for it once two workers are known to have crashed.
    */
   unprovenPoints: 12,
+  /**
+   * Lost runs after which points alone are enough. Before, at least one is to have
+   * been at work for certain: runs that ended unheard of or never began add up too.
+   */
+  unseenRuns: 5,
   /** Proof is doubted when another worker was lost within this of it, milliseconds. */
   togetherMs: 1_500,
   /** A run that has worked for this long is not thought of first when its worker crashes, milliseconds. */
@@ -140,10 +145,12 @@
 
   /** Whether the task is to be started no more. */
   get isSpent(): boolean {
-    const { provenCrashes, unprovenPoints } = CRASH_LIMITS;
+    const { provenCrashes, unprovenPoints, unseenRuns } = CRASH_LIMITS;
     const isProven = this.evidence.includes("sole");
     if (isProven && this.crashes >= provenCrashes) return true;
-    return this.lostWorkers >= provenCrashes && this.points >= unprovenPoints;
+    if (this.lostWorkers < provenCrashes) return false;
+    if (this.points < unprovenPoints) return false;
+    return this.crashes > 0 || this.runs.size >= unseenRuns;
   }
 
   /**
