A call is not failed for the time its own process stood still

Cause: Node runs timers before it reads sockets. After a standstill of the process that outlasts a call's time-out (a busy machine, a long turn) the timer fired first: the answer that lay in the socket was thrown away (LostAnswerError), and a connection that was up already was given up before anything was sent over it (ConnectError). Two tests failed so beside load: "a connection is confirmed once, and then used for call after call" and "permits are read from the rows of the answer". Change: HttpClient's time-out gives the time again for which it is late, in all no more than the time-out itself, so that a silent peer is still found.

--- a/packages/protocol/src/HttpClient.ts
+++ b/packages/protocol/src/HttpClient.ts
@@ -2,19 +2,26 @@
 
 import { Agent, request, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { SystemClock } from "@rackspan/common";
 import { ConnectError, LostAnswerError } from "./errors.js";
 import { readBody } from "./readBody.js";
+import { startTimeout } from "./startTimeout.js";
 
 const DEFAULT_TIMEOUT_MS = 5_000;
 const DEFAULT_MAX_SOCKETS = 16;
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
+const clock = new SystemClock({ keepsProcessAlive: true });
+
 export interface HttpCall {
   readonly method: "GET" | "POST" | "PUT" | "DELETE";
   readonly path: string;
   readonly body?: Buffer | string;
   readonly headers?: Readonly<Record<string, string>>;
-  /** Milliseconds until the call is given up and its connection is closed. */
+  /**
+   * Milliseconds until the call is given up and its connection is closed; those for
+   * which this process stood still when they were over are given again.
+   */
   readonly timeoutMs?: number;
   readonly signal?: AbortSignal;
   /** Whether the call may be sent over that connection; any when left out. */
@@ -89,13 +96,13 @@
         headers: headersOf(call),
       });
       const timeoutMs = call.timeoutMs ?? DEFAULT_TIMEOUT_MS;
-      const timer = setTimeout(() => {
+      const timer = startTimeout(clock, timeoutMs, () => {
         if (req.reusedSocket) this.closeIdle();
         const err = new Error(`no answer within ${timeoutMs} ms`);
         // Node tells a call without a connection only when one becomes free.
         if (!req.socket) reject(new ConnectError(url, err));
         req.destroy(err);
-      }, timeoutMs);
+      });
       req.on("socket", (socket) => {
         if (call.admits?.(socket) === false) {
           // Before a byte is written.
@@ -105,7 +112,7 @@
         if (!socket.connecting) connected = true;
         else socket.once("connect", () => (connected = true));
       });
-      req.on("close", () => clearTimeout(timer));
+      req.on("close", () => timer.cancel());
       req.on("response", resolve);
       req.on("error", (err) => {
         reject(
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -15,3 +15,4 @@
 export * from "./relayAnswer.js";
 export * from "./rpc.js";
 export * from "./sideMethods.js";
+export * from "./startTimeout.js";
