A call behind another one waits for its connection past a standstill

Cause: the time-out of ConfirmedHttpClient's wait for a free connection fired after a standstill of the process, before the answer was read that set the connection free: the waiting call failed with a ConnectError. Change: it gives the time again for which it is late, as HttpClient's does.

--- a/packages/protocol/src/ConfirmedHttpClient.ts
+++ b/packages/protocol/src/ConfirmedHttpClient.ts
@@ -6,11 +6,15 @@
  */
 
 import type { Socket } from "node:net";
+import { SystemClock } from "@rackspan/common";
 import { ConnectError, LostAnswerError } from "./errors.js";
 import { HttpClient, type HttpAnswer, type HttpCall } from "./HttpClient.js";
+import { startTimeout } from "./startTimeout.js";
 
 const DEFAULT_TIMEOUT_MS = 5_000;
 
+const clock = new SystemClock({ keepsProcessAlive: true });
+
 /** Sends a call over the connection that is to be confirmed. */
 export type AskPeer = (call: HttpCall) => Promise<HttpAnswer>;
 
@@ -75,14 +79,14 @@
     if (free) return Promise.resolve(free);
     return new Promise((resolve, reject) => {
       const take = (connection: PeerConnection): void => {
-        clearTimeout(timer);
+        timer.cancel();
         resolve(connection);
       };
-      const timer = setTimeout(() => {
+      const timer = startTimeout(clock, timeoutMs, () => {
         this.waiting.delete(take);
         const cause = new Error(`no connection free in ${timeoutMs} ms`);
         reject(new ConnectError(this.options.baseUrl, cause));
-      }, timeoutMs);
+      });
       this.waiting.add(take);
     });
   }
--- a/packages/protocol/tests/standstill.test.ts
+++ b/packages/protocol/tests/standstill.test.ts
@@ -4,7 +4,12 @@
 import { test, type TestContext } from "node:test";
 import { Worker } from "node:worker_threads";
 import { expect } from "earl";
-import { HttpClient, type HttpCall } from "@rackspan/protocol";
+import {
+  ConfirmedHttpClient,
+  HttpClient,
+  type ConfirmedCall,
+  type HttpCall,
+} from "@rackspan/protocol";
 
 const TIMEOUT_MS = 150;
 const STANDSTILL_MS = 2 * TIMEOUT_MS;
@@ -51,3 +56,18 @@
   standStill();
   expect((await late).body.toString("utf8")).toEqual("answered");
 });
+
+test("a call that stood still behind another one gets its connection", async (t) => {
+  const { baseUrl, standStillPast } = await startServer(t);
+  const client = new ConfirmedHttpClient({ baseUrl, maxSockets: 1 });
+  const call: ConfirmedCall = {
+    ...CALL,
+    peer: "the only one",
+    confirm: async (ask) => void (await ask(CALL)),
+  };
+  await client.call(call);
+  const calls = [client.call({ ...call, timeoutMs: 5_000 }), client.call(call)];
+  setImmediate(() => standStillPast(3));
+  const answers = await Promise.all(calls);
+  expect(answers.map(({ status }) => status)).toEqual([200, 200]);
+});
