--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -122,6 +122,11 @@
   }
 });
 
+// The bar of a start that was left unanswered arrives just after that start does.
+test("a start that the life before left unanswered does not begin beside its bar", async () => {
+  await expectNothingBroken(runRebornSchedule, 183);
+});
+
 test("schedules notice an id that is taken for a life", async () => {
   for (const seed of SEEDS.slice(0, 2)) {
     const violations = await runRebornSchedule(seed, true);
--- a/packages/side/src/jobs/SentLease.ts
+++ b/packages/side/src/jobs/SentLease.ts
@@ -24,7 +24,7 @@
 export interface SentLeaseOptions {
   readonly clock: Clock;
   /** Longest lease that the worker takes, milliseconds; Infinity when nobody says. */
-  readonly longestMs: number;
+  readonly longestLeaseMs: number;
 }
 
 export class SentLease {
@@ -68,8 +68,8 @@
   }
 
   private longestFromNow(): Monotonic {
-    const { clock, longestMs } = this.options;
-    return leaseOverBy(clock.monotonic(), longestMs);
+    const { clock, longestLeaseMs } = this.options;
+    return leaseOverBy(clock.monotonic(), longestLeaseMs);
   }
 
   private raise(overBy: Monotonic): void {
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -87,8 +87,8 @@
   private readonly sent: SentLease;
 
   constructor(private readonly options: WorkerWatchOptions) {
-    const { clock, longestLeaseMs: longestMs } = options;
-    this.sent = new SentLease({ clock, longestMs });
+    const { clock, longestLeaseMs } = options;
+    this.sent = new SentLease({ clock, longestLeaseMs });
   }
 
   start(): void {
--- a/packages/side/tests/sentLease.test.ts
+++ b/packages/side/tests/sentLease.test.ts
@@ -23,9 +23,9 @@
 
 const at = (ms: number): WorkerTime => (AHEAD_MS + ms) as unknown as WorkerTime;
 
-const create = (longestMs = LONGEST_MS) => {
+const create = (longestLeaseMs = LONGEST_MS) => {
   const clock = new ManualClock();
-  const sent = new SentLease({ clock, longestMs });
+  const sent = new SentLease({ clock, longestLeaseMs });
   sent.begin();
   return { clock, sent };
 };
