Tests: a call that must succeed has time, also beside standstills

Cause: the calls of these tests that get an answer had 150 to 300 ms for it, as those that get none. The server is on the test's own loop, so that it stands still with it: its silence beyond the time-out is real there, and no fault of the client's. No test's subject is how fast an answer comes.

--- a/packages/protocol/tests/confirmedHttpClient.test.ts
+++ b/packages/protocol/tests/confirmedHttpClient.test.ts
@@ -13,6 +13,11 @@
   type ConfirmedCall,
 } from "@rackspan/protocol";
 
+/** For calls that get no answer. */
+const TIMEOUT_MS = 300;
+/** For calls that get one, however busy the machine is. */
+const PATIENT_MS = 30_000;
+
 class OtherPeerError extends Error {}
 
 /** A process that says its name when it is asked for it, and notes all other calls. */
@@ -44,17 +49,17 @@
   }
 }
 
-const callFor = (peer: string): ConfirmedCall => ({
+const callFor = (peer: string, timeoutMs = PATIENT_MS): ConfirmedCall => ({
   method: "POST",
   path: "/act",
   body: "{}",
-  timeoutMs: 300,
+  timeoutMs,
   peer,
   confirm: async (ask) => {
     const { body } = await ask({
       method: "GET",
       path: "/name",
-      timeoutMs: 300,
+      timeoutMs,
     });
     if (body.toString("utf8") !== peer) throw new OtherPeerError();
   },
@@ -105,7 +110,9 @@
 test("a call whose connection cannot be confirmed in time was not sent", async (t) => {
   const { client, first } = await startBoth(t);
   first.answers = false;
-  await expect(client.call(callFor("first"))).toBeRejectedWith(ConnectError);
+  await expect(client.call(callFor("first", TIMEOUT_MS))).toBeRejectedWith(
+    ConnectError,
+  );
   expect(first.calls).toEqual(0);
 });
 
@@ -114,8 +121,8 @@
   await client.call(callFor("first"));
   first.answers = false;
   const outcomes = await Promise.allSettled([
-    client.call(callFor("first")),
-    client.call({ ...callFor("first"), timeoutMs: 100 }),
+    client.call(callFor("first", TIMEOUT_MS)),
+    client.call(callFor("first", TIMEOUT_MS / 3)),
   ]);
   const reasons = outcomes.map(
     (outcome) => outcome.status === "rejected" && (outcome.reason as unknown),
--- a/packages/protocol/tests/httpClient.test.ts
+++ b/packages/protocol/tests/httpClient.test.ts
@@ -13,7 +13,10 @@
   LostAnswerError,
 } from "@rackspan/protocol";
 
+/** For calls that get no answer. */
 const TIMEOUT_MS = 150;
+/** For calls that get one, however busy the machine is. */
+const PATIENT_MS = 30_000;
 const KEPT_OPEN = 4;
 
 const createSilencingServer = async () => {
@@ -45,17 +48,15 @@
     await closeServer(server);
   });
   const client = new HttpClient({ baseUrl: `http://${addressOf(server)}` });
-  const call = () =>
-    client.call({ method: "GET", path: "/", timeoutMs: TIMEOUT_MS });
-  const first = Array.from({ length: KEPT_OPEN }, () =>
-    client.call({ method: "GET", path: "/" }),
-  );
+  const call = (timeoutMs: number) =>
+    client.call({ method: "GET", path: "/", timeoutMs });
+  const first = Array.from({ length: KEPT_OPEN }, () => call(PATIENT_MS));
   while (waiting.length < KEPT_OPEN) await new Promise(setImmediate);
   fallSilent();
   await Promise.all(first);
   const outcomes: string[] = [];
-  for (let tries = 0; tries < 2; tries += 1) {
-    const outcome = await call().then(
+  for (const timeoutMs of [TIMEOUT_MS, PATIENT_MS]) {
+    const outcome = await call(timeoutMs).then(
       ({ body }) => body.toString("utf8"),
       () => "no answer",
     );
@@ -92,7 +93,7 @@
   await expect(call("/behind", TIMEOUT_MS)).toBeRejectedWith(ConnectError);
   expect(performance.now() - began < 3 * TIMEOUT_MS).toEqual(true);
   await silent;
-  const { body } = await call("/next", 1_000);
+  const { body } = await call("/next", PATIENT_MS);
   expect(body.toString("utf8")).toEqual("answered");
   expect(paths).toEqual(["/silent", "/next"]);
 });
@@ -115,11 +116,11 @@
     server.closeAllConnections();
     await closeServer(server);
   });
-  const call = (path: string) =>
-    client.call({ method: "POST", path, timeoutMs: TIMEOUT_MS });
+  const call = (path: string, timeoutMs: number) =>
+    client.call({ method: "POST", path, timeoutMs });
   for (const path of ["/broken", "/silent"]) {
-    await call("/answered");
-    await expect(call(path)).toBeRejectedWith(LostAnswerError);
+    await call("/answered", PATIENT_MS);
+    await expect(call(path, TIMEOUT_MS)).toBeRejectedWith(LostAnswerError);
     expect(paths.at(-1)).toEqual(path);
   }
 });
--- a/packages/protocol/tests/standstill.test.ts
+++ b/packages/protocol/tests/standstill.test.ts
@@ -11,12 +11,15 @@
   type HttpCall,
 } from "@rackspan/protocol";
 
-const TIMEOUT_MS = 150;
+const TIMEOUT_MS = 500;
 const STANDSTILL_MS = 2 * TIMEOUT_MS;
-const ANSWER_LIMIT_MS = 5_000;
+const ANSWER_LIMIT_MS = 30_000;
+const PATIENT_MS = 30_000;
 
 const CALL: HttpCall = { method: "GET", path: "/", timeoutMs: TIMEOUT_MS };
 
+const PATIENT_CALL: HttpCall = { ...CALL, timeoutMs: PATIENT_MS };
+
 const createWord = (): Int32Array => new Int32Array(new SharedArrayBuffer(4));
 
 const standStill = (): void =>
@@ -41,7 +44,7 @@
   const { baseUrl, standStillPast } = await startServer(t);
   const client = new HttpClient({ baseUrl });
   t.after(() => client.close());
-  await client.call(CALL);
+  await client.call(PATIENT_CALL);
   const late = client.call(CALL);
   // The call is sent by then, and no socket has been read since.
   setImmediate(() => standStillPast(2));
@@ -63,10 +66,11 @@
   const call: ConfirmedCall = {
     ...CALL,
     peer: "the only one",
-    confirm: async (ask) => void (await ask(CALL)),
+    confirm: async (ask) => void (await ask(PATIENT_CALL)),
   };
-  await client.call(call);
-  const calls = [client.call({ ...call, timeoutMs: 5_000 }), client.call(call)];
+  const patient = { ...call, ...PATIENT_CALL };
+  await client.call(patient);
+  const calls = [client.call(patient), client.call(call)];
   setImmediate(() => standStillPast(3));
   const answers = await Promise.all(calls);
   expect(answers.map(({ status }) => status)).toEqual([200, 200]);
