Tests: how soon a call without a connection fails is told in time the process ran

Cause: "a call that gets no connection in its time fails then" bounded it by 450 ms of the wall clock, which a standstill of the test's own process used up. Change: the same 450 ms, counted without standstills of more than 20 ms; the call ahead, which must not end first, has 3 s in place of 0.9 s.

--- a/packages/protocol/tests/httpClient.test.ts
+++ b/packages/protocol/tests/httpClient.test.ts
@@ -3,7 +3,7 @@
 import { createServer, type ServerResponse } from "node:http";
 import { once } from "node:events";
 import type { Socket } from "node:net";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { expect } from "earl";
 import {
   addressOf,
@@ -19,6 +19,23 @@
 const PATIENT_MS = 30_000;
 const KEPT_OPEN = 4;
 
+const METER_TICK_MS = 10;
+
+/** Milliseconds for which this process ran, without those for which it stood still. */
+const startRunMeter = (t: TestContext): (() => number) => {
+  let ranMs = 0;
+  let lookedAt = performance.now();
+  const look = (): number => {
+    const now = performance.now();
+    ranMs += Math.min(now - lookedAt, 2 * METER_TICK_MS);
+    lookedAt = now;
+    return ranMs;
+  };
+  const timer = setInterval(look, METER_TICK_MS);
+  t.after(() => clearInterval(timer));
+  return look;
+};
+
 const createSilencingServer = async () => {
   const silent = new Set<Socket>();
   const waiting: ServerResponse[] = [];
@@ -86,12 +103,12 @@
   });
   const call = (path: string, timeoutMs: number) =>
     client.call({ method: "GET", path, timeoutMs });
-  const silent = expect(call("/silent", 6 * TIMEOUT_MS)).toBeRejectedWith(
+  const silent = expect(call("/silent", 20 * TIMEOUT_MS)).toBeRejectedWith(
     LostAnswerError,
   );
-  const began = performance.now();
+  const readRunMs = startRunMeter(t);
   await expect(call("/behind", TIMEOUT_MS)).toBeRejectedWith(ConnectError);
-  expect(performance.now() - began < 3 * TIMEOUT_MS).toEqual(true);
+  expect(readRunMs() < 3 * TIMEOUT_MS).toEqual(true);
   await silent;
   const { body } = await call("/next", PATIENT_MS);
   expect(body.toString("utf8")).toEqual("answered");
