Announcements that nobody ordered are none of the five lost runs that give a task up

Callers would have seen a job shown as failed under which one worker crashed.

Change: the limit counts lost runs only. Measured: the new test of crashLog.test.ts fails before (true for false).

--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -150,7 +150,12 @@
     if (isProven && this.crashes >= provenCrashes) return true;
     if (this.lostWorkers < provenCrashes) return false;
     if (this.points < unprovenPoints) return false;
-    return this.crashes > 0 || this.runs.size >= unseenRuns;
+    return this.crashes > 0 || this.lostRuns >= unseenRuns;
+  }
+
+  /** Without announcements: each change of leader may leave one that was never ordered. */
+  private get lostRuns(): number {
+    return this.evidence.filter((one) => one !== "unknown").length;
   }
 
   /**
--- a/packages/jobs/tests/crashLog.test.ts
+++ b/packages/jobs/tests/crashLog.test.ts
@@ -82,6 +82,12 @@
   expect(logOf("unheard", "unheard", "unheard", "young").isSpent).toEqual(true);
 });
 
+test("announcements that nobody ordered are no lost runs", () => {
+  const unheard = Array.from({ length: 4 }, () => "unheard" as const);
+  expect(logOf(...unheard, "unknown", "unknown").isSpent).toEqual(false);
+  expect(logOf(...unheard, "unknown", "unseen").isSpent).toEqual(true);
+});
+
 // One worker had crashed under the task: two runs had ended unheard of, one never began.
 test("four runs of which nobody knows whether they were at work are not enough", () => {
   const log = logOf("unheard", "unseen", "unheard", "unanswered");
