A wait for the answer to an order ends with that answer, and the store hears of its outcome alone

Cause, found by a review: the record was kept with the count that awaits its answer, so that the next leader gave the task up at once; and the time of an earlier wait ended a later one, 1.3 s after its loss in place of 1.8 s. A job that ended while its task was held stayed in memory for the leader's term. Change: the store is written once the answer is there or due; each wait has a timer of its own, which the answer cancels.

--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -4,7 +4,7 @@
  * from it, and neither a worker's new life nor its host's entry resets it.
  */
 
-import type { HostId, Monotonic, RunNumber } from "@rackspan/common";
+import type { HostId, Monotonic, RunNumber, Timer } from "@rackspan/common";
 import {
   blameCrash,
   CRASH_LIMITS,
@@ -34,6 +34,11 @@
 
 const PROOFS: readonly CrashEvidence[] = ["sole", "unanswered"];
 
+interface AwaitedAnswer {
+  readonly run: RunNumber;
+  readonly timer: Timer;
+}
+
 /** Runs that are remembered as judged: a side repeats what it tells until it is answered. */
 const MAX_JUDGED = 10_000;
 
@@ -48,7 +53,7 @@
   private readonly unexplained = new Map<HostId, Monotonic>();
 
   /** Tasks held until the order to a run that would give them up is answered. */
-  private readonly awaitingAnswer = new Set<JobTask>();
+  private readonly awaitingAnswer = new Map<JobTask, AwaitedAnswer>();
 
   constructor(private readonly parts: CrashKeeperOptions) {}
 
@@ -99,7 +104,12 @@
     metrics.count("task_crashes_taken_back");
     const { points } = task.crashes;
     logger.info("task.crash-taken-back", { task: task.id, run, points });
-    if (this.awaitingAnswer.delete(task)) task.heldUntil = clock.monotonic();
+    const awaited = this.awaitingAnswer.get(task);
+    if (awaited?.run === run) {
+      awaited.timer.cancel();
+      this.awaitingAnswer.delete(task);
+      task.heldUntil = clock.monotonic();
+    }
     this.keep(job, task);
     this.parts.requestPass();
   }
@@ -184,8 +194,7 @@
     this.logCount(task, evidence, run, host);
     if (evidence === "sole") this.doubtLater(host, task, run);
     else if (phase === "starting" && job.hasSpentCrashes(task)) {
-      this.awaitingAnswer.add(task);
-      this.judgeLater(task, ENGINE.orderTimeoutMs);
+      this.awaitAnswer(task, run);
     } else this.keep(job, task);
   }
 
@@ -196,27 +205,31 @@
    */
   private doubtLater(host: HostId, task: JobTask, run: RunNumber): void {
     const at = this.parts.options.clock.monotonic();
+    this.parts.keeper.keepJob(task.step.job);
     this.judgeLater(task, CRASH_LIMITS.togetherMs, () => {
-      if (!this.othersWereLost(host, at)) return;
+      if (task.step.job.isEnded || !this.othersWereLost(host, at)) return;
       task.crashes.note(run, "doubted");
       this.logCount(task, "doubted", run, host);
     });
   }
 
+  /** The store is not told before: the next leader would give the task up at once. */
+  private awaitAnswer(task: JobTask, run: RunNumber): void {
+    this.awaitingAnswer.get(task)?.timer.cancel();
+    const timer = this.judgeLater(task, ENGINE.orderTimeoutMs, () =>
+      this.awaitingAnswer.delete(task),
+    );
+    this.awaitingAnswer.set(task, { run, timer });
+  }
+
   /** Holds the task until all that speaks for it has had time to arrive. */
-  private judgeLater(
-    task: JobTask,
-    ms: number,
-    doubt: () => void = () => undefined,
-  ): void {
-    const { keeper, options, requestPass } = this.parts;
+  private judgeLater(task: JobTask, ms: number, onDue: () => void): Timer {
+    const { options, requestPass } = this.parts;
     const { job } = task.step;
     task.heldUntil = options.clock.monotonic() + ms;
-    keeper.keepJob(job);
-    options.clock.after(ms, () => {
+    return options.clock.after(ms, () => {
+      onDue();
       if (job.isEnded) return;
-      this.awaitingAnswer.delete(task);
-      doubt();
       this.keep(job, task);
       requestPass();
     });
