The newest word of a silent host holds, also when it is a longer one

Cause, found by a review: leader and gate took the shortest bound that a side had told. Once the next life is heard of, a start that the life before left unanswered may bring it the longest lease; the side tells that, and it was passed over, so that a task could start beside such a run. Change: the newest word replaces the one before, within the bound of the take-over. Measured: "a longer word of a silent host takes the place of a shorter one" fails before (one start for none).

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -253,7 +253,7 @@
    */
   noteSilent(overBy: Monotonic): number {
     const before = this.leaseOverBy;
-    this.sentOverBy = Math.min(this.sentOverBy, overBy);
+    this.sentOverBy = overBy;
     return before - this.leaseOverBy;
   }
 
--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -42,14 +42,16 @@
   }
 
   /**
-   * The side of a host that was not heard tells when the leases there are over.
-   * @returns by how much sooner that is than was known, milliseconds; 0 when it is not
+   * The side of a host that was not heard tells when the leases there are over. Its
+   * newest word holds: a start that is late may bring a longer one.
+   * @returns by how much sooner that is than was known, milliseconds; negative when later
    */
   noteSilent(host: HostId, overBy: Monotonic): number {
     const known = this.silent.get(host);
-    if (known === undefined || overBy >= known) return 0;
-    this.silent.set(host, overBy);
-    return known - overBy;
+    if (known === undefined) return 0;
+    const bound = Math.min(overBy, this.leasesOverBy);
+    this.silent.set(host, bound);
+    return known - bound;
   }
 
   /**
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -80,7 +80,7 @@
     const soonerByMs = ledger
       ? ledger.noteSilent(overBy)
       : gate.noteSilent(host, overBy);
-    if (soonerByMs < SILENCE.leastChangeMs) return;
+    if (Math.abs(soonerByMs) < SILENCE.leastChangeMs) return;
     logger.info("host.silent", {
       host,
       overInMs,
--- a/packages/scheduling/tests/silentBeforeTakeOver.test.ts
+++ b/packages/scheduling/tests/silentBeforeTakeOver.test.ts
@@ -181,3 +181,14 @@
   await harness.run(OVER_IN_MS + 2 * SOON_MS, [heard]);
   expect(heard.starts).toEqual([]);
 });
+
+// A start that the life before left unanswered may bring the next one a longer lease.
+test("a longer word of a silent host takes the place of a shorter one", async () => {
+  const { next, heard, host } = await takeOverBesideOne();
+  next.engine.noteWorkerSilent(host.host, SOON_MS);
+  next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
+  await next.run(2 * SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+  await next.run(OVER_IN_MS, [heard]);
+  expect(heard.starts.length).toEqual(1);
+});
