An answered start ends a worker's silence; a doubted run is one of its gang member alone

Cause, found by a review: a start that was answered after a look without an answer left the worker silent for the side, so that a crash under the next start counted as an announcement; and the list of doubted runs named them for all members of a gang, whatever was known of the others. Change: noteStarted clears the silence; only what is stored as young is doubted. Measured: the new tests of runsOfLives and progressRecords fail before.

--- a/packages/side/src/jobs/RunsOfLives.ts
+++ b/packages/side/src/jobs/RunsOfLives.ts
@@ -66,7 +66,9 @@
 
   /** The worker has said that the run is there. */
   noteStarted(instance: WorkerInstance, ref: RunRef, at: WorkerTime): void {
-    const run = this.runsOf(instance).get(runKeyOf(ref));
+    const life = this.lifeOf(instance);
+    life.silentSince = undefined;
+    const run = life.runs.get(runKeyOf(ref));
     if (!run) return;
     run.shownFirstAt ??= at;
     run.shownLastAt = at;
--- a/packages/side/tests/runsOfLives.test.ts
+++ b/packages/side/tests/runsOfLives.test.ts
@@ -100,19 +100,34 @@
 
 test("it is told that a run was ordered after its worker had stopped answering", async () => {
   const { clock, registry, crash } = setUp();
+  const shown: RunRef = { ...RUN, run: brand<RunNumber>(9) };
+  registry.runs.noteOrdered(FIRST, shown);
+  registry.runs.noteStarted(FIRST, shown, timeOf(1_000));
   registry.runs.noteSilent(FIRST);
   await clock.advance(40);
   registry.runs.noteSilent(FIRST);
   const late: RunRef = { ...RUN, run: brand<RunNumber>(8) };
   registry.runs.noteOrdered(FIRST, late);
-  const shown: RunRef = { ...RUN, run: brand<RunNumber>(9) };
-  registry.runs.noteOrdered(FIRST, shown);
-  registry.runs.noteStarted(FIRST, shown, timeOf(1_000));
   crash();
   expect(registry.runs.untold).toEqual([
     { ...RUN, workedMs: undefined, wasAtWork: false },
-    { ...late, wasAtWork: false, orderedMs: -40 },
     { ...shown, workedMs: 0, wasAtWork: false },
+    { ...late, wasAtWork: false, orderedMs: -40 },
+  ]);
+});
+
+test("a worker that answers a start may carry out the next one", async () => {
+  const { clock, registry, crash } = setUp();
+  registry.runs.noteSilent(FIRST);
+  await clock.advance(40);
+  registry.runs.noteStarted(FIRST, RUN, timeOf(1_000));
+  await clock.advance(40);
+  const next: RunRef = { ...RUN, run: brand<RunNumber>(8) };
+  registry.runs.noteOrdered(FIRST, next);
+  crash();
+  expect(registry.runs.untold.map(({ orderedMs }) => orderedMs)).toEqual([
+    undefined,
+    undefined,
   ]);
 });
 
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -245,7 +245,7 @@
   ({ doubted, crashes, ...rest }): ProgressRecord => ({
     ...rest,
     crashes: mapEvidence(crashes, (run, evidence) =>
-      doubted.includes(run) ? "doubted" : evidence,
+      evidence === "young" && doubted.includes(run) ? "doubted" : evidence,
     ),
   }),
 );
--- a/packages/state/tests/progressRecords.test.ts
+++ b/packages/state/tests/progressRecords.test.ts
@@ -41,3 +41,14 @@
   ]);
   expect(decodeProgress("job", kept)).toEqual(RECORD);
 });
+
+test("what is doubted of one gang member is not doubted of another with that run", () => {
+  const record: ProgressRecord = {
+    ...RECORD,
+    crashes: [
+      ["0.0.0", [[7, "doubted"]]],
+      ["0.0.1", [[7, "lost"]]],
+    ],
+  };
+  expect(decodeProgress("job", encodeProgress(record))).toEqual(record);
+});
