--- a/packages/scheduling/tests/neverBegunRuns.test.ts
+++ b/packages/scheduling/tests/neverBegunRuns.test.ts
@@ -160,6 +160,24 @@
   return job;
 };
 
+/** The next leader, to which all sides attach at once. */
+const leadNext = (
+  site: EngineHarness,
+  job: AcceptedJob,
+  progress: ProgressRecord | undefined,
+): EngineHarness => {
+  const { clock, store } = site;
+  const next = new EngineHarness({ epoch: 2, clock, store, roster: [] });
+  next.engine.addJob(job, progress);
+  for (const host of site.hosts) {
+    host.answers = "ok";
+    next.hosts.push(host);
+    next.engine.attach(host.host, host);
+    next.reportOf(host);
+  }
+  return next;
+};
+
 const loseOrdered = (host: FakeHost): void => {
   const { task, run } = host.starts.at(-1) ?? {};
   if (task === undefined || run === undefined) throw new Error("no order");
@@ -177,15 +195,7 @@
   site.leads = false;
   site.engine.stop();
   host.answerHeld({ kind: "replaced" });
-  const { clock, store } = site;
-  const next = new EngineHarness({ epoch: 2, clock, store, roster: [] });
-  next.engine.addJob(job, progressOf(site));
-  for (const one of site.hosts) {
-    one.answers = "ok";
-    next.hosts.push(one);
-    next.engine.attach(one.host, one);
-    next.reportOf(one);
-  }
+  const next = leadNext(site, job, progressOf(site));
   await next.run(3_000);
   expect(progressOf(next)?.state).toEqual("running");
 });
@@ -209,3 +219,19 @@
   await site.run(300);
   expect(progressOf(site)?.state).toEqual("running");
 });
+
+test("a run that a side tells a new leader of while its order is open gives no task up", async () => {
+  const site = await siteOf(3);
+  const job = await orderNearLimit(site);
+  const host = orderedAt(site);
+  if (!host) throw new Error("the task was not ordered");
+  const progress = progressOf(site);
+  site.leads = false;
+  site.engine.stop();
+  loseOrdered(host);
+  const next = leadNext(site, job, progress);
+  await next.run(60);
+  host.answerHeld({ kind: "replaced" });
+  await next.run(3_000);
+  expect(progressOf(next)?.state).toEqual("running");
+});
