Four lost runs that began give a task up, although none is known to have been at work

Workers saw a task that crashes them started six times; five are allowed.

Cause: asked for five lost runs where none was known to have been at work. Change: four runs are enough where each is known to have begun; five where one may never have begun.

--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -54,11 +54,10 @@
    * as well, count for it once two workers are known to have crashed.
    */
   unprovenPoints: 12,
-  /**
-   * Lost runs after which points alone are enough. Before, at least one is to have
-   * been at work for certain: runs that ended unheard of or never began add up too.
-   */
-  unseenRuns: 5,
+  /** Where no run is known to have been at work, points are enough with so many that began. */
+  begunRuns: 4,
+  /** The same with so many lost runs, of which some may never have begun. */
+  lostRuns: 5,
   /** Proof is doubted when another worker was lost within this of it, milliseconds. */
   togetherMs: 1_500,
   /** A run that has worked for this long is not thought of first when its worker crashes, milliseconds. */
@@ -145,17 +144,22 @@
 
   /** Whether the task is to be started no more. */
   get isSpent(): boolean {
-    const { provenCrashes, unprovenPoints, unseenRuns } = CRASH_LIMITS;
+    const { provenCrashes, unprovenPoints } = CRASH_LIMITS;
     const isProven = this.evidence.includes("sole");
     if (isProven && this.crashes >= provenCrashes) return true;
     if (this.lostWorkers < provenCrashes) return false;
     if (this.points < unprovenPoints) return false;
-    return this.crashes > 0 || this.lostRuns >= unseenRuns;
+    return this.crashes > 0 || this.hasLostMany;
   }
 
   /** Without announcements: each change of leader may leave one that was never ordered. */
-  private get lostRuns(): number {
-    return this.evidence.filter((one) => one !== "unknown").length;
+  private get hasLostMany(): boolean {
+    const lost = this.evidence.filter((one) => one !== "unknown");
+    const begun = lost.filter((one) => one !== "unseen" && one !== "lost");
+    return (
+      begun.length >= CRASH_LIMITS.begunRuns ||
+      lost.length >= CRASH_LIMITS.lostRuns
+    );
   }
 
   /**
--- a/packages/scheduling/src/RunControl.ts
+++ b/packages/scheduling/src/RunControl.ts
@@ -58,6 +58,7 @@
   readonly isAwaited: boolean;
 }
 
+/** Answers to an order that tell that its run has not begun, and never will. */
 const NOT_BEGUN: readonly HostCallResult["kind"][] = [
   "refused",
   "replaced",
