Side: the bars of former starts are a class of their own

Cause: WorkerWatch looked at the worker and barred starts, with the settings of both. Change: FormerStartBars; behaviour as before.

--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -7,7 +7,6 @@
   ChangeSignal,
   describeError,
   pause,
-  sleep,
   type Clock,
   type Epoch,
   type Logger,
@@ -21,9 +20,9 @@
   WorkerSilentError,
   type EndedRun,
   type HoldAnswer,
-  type RunRef,
   type TaskHost,
 } from "@rackspan/ports";
+import { FormerStartBars } from "./FormerStartBars.js";
 import type { Pacer } from "./Pacer.js";
 import { PACING } from "./PacePlanner.js";
 import { SentLease } from "./SentLease.js";
@@ -39,12 +38,6 @@
    * longer than a call takes on one machine.
    */
   heldMs: 15,
-  /** Starts of former lives that are barred at once. */
-  barsAtOnce: 4,
-  /** Tries of one bar; all that are on their way need a connection each. */
-  barTries: 3,
-  /** Until a bar without an answer is sent once more. */
-  barAgainMs: 50,
 } as const;
 
 /** What one look at the worker has shown. */
@@ -85,10 +78,13 @@
   private answering = true;
   private task: Promise<void> | undefined;
   private readonly sent: SentLease;
+  private readonly formerStarts: FormerStartBars;
 
   constructor(private readonly options: WorkerWatchOptions) {
-    const { clock, longestLeaseMs } = options;
+    const { clock, longestLeaseMs, registry } = options;
     this.sent = new SentLease({ clock, longestLeaseMs });
+    const { unanswered } = registry;
+    this.formerStarts = new FormerStartBars({ ...options, unanswered });
   }
 
   start(): void {
@@ -219,57 +215,16 @@
   }
 
   /**
-   * Before the leader hears of this life: what a former one was told to start, and has
-   * not answered, never begins here. Each may be carried out until it is barred, so
-   * one bar without an answer holds up none of the others.
-   * @returns whether the worker has barred them all
+   * Before the leader hears of this life.
+   * @returns whether no start of a former one begins here any more
    */
   private async barFormerStarts(
     instance: WorkerInstance,
     epoch: Epoch,
   ): Promise<boolean> {
-    const { registry, logger } = this.options;
-    const open = registry.unanswered.openAt(instance);
-    if (open.length === 0) return true;
-    const left = [...open];
-    const failures: unknown[] = [];
-    const barInTurn = async (): Promise<void> => {
-      for (let ref = left.shift(); ref; ref = left.shift()) {
-        await this.barStart(instance, ref, epoch);
-      }
-    };
-    const lanes = Array.from({ length: WATCH.barsAtOnce }, () =>
-      barInTurn().catch((err: unknown) => failures.push(err)),
-    );
-    await Promise.all(lanes);
-    for (const err of failures) this.noteFailure(instance, err);
-    if (failures.length > 0) return false;
-    logger.info("worker.former-starts-barred", { instance, runs: open.length });
-    return true;
-  }
-
-  /**
-   * Does not wait until a try is given up before the next one: the run may begin
-   * meanwhile.
-   */
-  private async barStart(
-    instance: WorkerInstance,
-    ref: RunRef,
-    epoch: Epoch,
-  ): Promise<void> {
-    const { host, registry, clock } = this.options;
-    let isBarred = false;
-    const tryAfter = async (afterMs: number): Promise<void> => {
-      if (afterMs > 0) await sleep(clock, afterMs);
-      if (isBarred) return;
-      await host.stop(instance, ref, epoch);
-      isBarred = true;
-    };
-    const tries = Array.from({ length: WATCH.barTries }, (_, index) =>
-      tryAfter(index * WATCH.barAgainMs),
-    );
-    await Promise.any(tries).catch(() => tries[0]);
-    registry.unanswered.noteBarred(instance, ref);
+    const errors = await this.formerStarts.barAll(instance, epoch);
+    for (const err of errors) this.noteFailure(instance, err);
+    return errors.length === 0;
   }
 
   /**
