Crashes: what the side saw of each lost run is worked out once

Cause: blameCrash worked it out up to three times a run, each time with the run's expected time; CrashKeeper named a phase for runs that have none here. Change: one map; a flag says whether the order is open. HostLedger says what a negative answer means.

--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -249,7 +249,7 @@
    * The side renews nothing before it hears of the next grant, and all that it has sent
    * is over by then. Orders that are on their way to it keep their time.
    *
-   * @returns by how much sooner nothing runs there any more, milliseconds
+   * @returns by how much sooner nothing runs there any more, milliseconds; negative when later
    */
   noteSilent(overBy: Monotonic): number {
     const before = this.leaseOverBy;
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -72,13 +72,16 @@
     const lost = told.get(runKeyOf(refOf(run)));
     return lost ? sightOf(lost, expectedMs(run.task.step)) : "unheard";
   };
-  const sole = findSole(runs.filter((run) => sightOfRun(run) !== "unreached"));
-  const soleSight = sole && sightOfRun(sole);
+  const sights = new Map(runs.map((run) => [run, sightOfRun(run)]));
+  const sole = findSole(runs.filter((run) => sights.get(run) !== "unreached"));
+  const soleSight = sole && sights.get(sole);
   if (sole && soleSight && soleSight !== "unheard") {
     const evidence = evidenceApart(sole.task, wasShown(sole), soleSight);
     return new Map([[sole, evidence]]);
   }
-  return new Map(runs.map((run) => [run, evidenceOf(run, sightOfRun(run))]));
+  return new Map(
+    [...sights].map(([run, sight]) => [run, evidenceOf(run, sight)]),
+  );
 };
 
 /** The run that began apart, unless another one had begun just before it. */
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -93,7 +93,10 @@
       this.judged.set(runKeyOf(refOf(run)), true);
       runs.giveBack(entry, run, reason);
     }
-    for (const [run, evidence] of blamed) this.note(ledger.host, run, evidence);
+    for (const [run, evidence] of blamed) {
+      const isOrderOpen = run.phase === "starting";
+      this.note(ledger.host, run, evidence, isOrderOpen);
+    }
   }
 
   /** The answer to its order shows that a lost run never began: it speaks against nothing. */
@@ -151,7 +154,7 @@
       const evidence = isSole
         ? evidenceApart(task, lost.workedMs !== undefined, sight)
         : evidenceAfter(lost.workedMs, sight);
-      this.note(host, { task, run: lost.run, phase: "running" }, evidence);
+      this.note(host, { task, run: lost.run }, evidence);
     }
     for (const lost of lostRuns) this.judged.set(runKeyOf(lost), true);
   }
@@ -182,10 +185,12 @@
     if (isNew || job.hasSpentCrashes(task)) this.keep(job, task);
   }
 
+  /** @param isOrderOpen whether the answer to the run's order may yet come */
   private note(
     host: HostId,
-    { task, run, phase }: Pick<ActiveRun, "task" | "run" | "phase">,
+    { task, run }: Pick<ActiveRun, "task" | "run">,
     evidence: CrashEvidence,
+    isOrderOpen = false,
   ): void {
     const { job } = task.step;
     if (job.isEnded || task.phase === "done") return;
@@ -193,7 +198,7 @@
     task.crashes.note(run, evidence);
     this.logCount(task, evidence, run, host);
     if (evidence === "sole") this.doubtLater(host, task, run);
-    else if (phase === "starting" && job.hasSpentCrashes(task)) {
+    else if (isOrderOpen && job.hasSpentCrashes(task)) {
       this.awaitAnswer(task, run);
     } else this.keep(job, task);
   }
