One predicate for lasting steps that have waited long

Cause: three places asked for a lasting step and for its patience, two of them by wrappers of each other. Change: isOverdueLasting serves the dispatcher, the log's causes and held-back hosts.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -7,7 +7,7 @@
 import { ApartTurns } from "./ApartTurns.js";
 import { chooseGangHosts } from "./chooseGangHosts.js";
 import { ENGINE, type EngineOptions, type LiveJob } from "./engineTypes.js";
-import { HeldBackHosts } from "./HeldBackHosts.js";
+import { HeldBackHosts, isOverdueLasting } from "./HeldBackHosts.js";
 import type { HostBook } from "./HostBook.js";
 import type { PermitBook } from "./PermitBook.js";
 import { PassTimer } from "./PassTimer.js";
@@ -20,12 +20,7 @@
   unreservedMilliCores,
   type TaskPlacer,
 } from "./taskPlacers.js";
-import {
-  NO_HOSTS,
-  triesEjected,
-  usableHosts,
-  type ServiceHosts,
-} from "./usableHosts.js";
+import { NO_HOSTS, usableHosts, type ServiceHosts } from "./usableHosts.js";
 
 export interface DispatcherOptions {
   readonly engine: EngineOptions;
@@ -179,7 +174,7 @@
         continue;
       }
       const mustPlace = step.spec.lasting
-        ? this.heldBack.hasWaitedLong(step)
+        ? isOverdueLasting(step, this.options.engine.clock.monotonic())
         : isStarved && !this.options.hosts.hasRunsOf(job);
       const host =
         placer.pick(task, open, mustPlace) ??
@@ -200,7 +195,8 @@
     step: StepRun,
     ejected: readonly HostLedger[],
   ): readonly HostLedger[] {
-    if (!triesEjected(step, this.options.engine.clock.monotonic())) return [];
+    if (!isOverdueLasting(step, this.options.engine.clock.monotonic()))
+      return [];
     return this.heldBack.openTo(step, ejected);
   }
 
--- a/packages/scheduling/src/HeldBackHosts.ts
+++ b/packages/scheduling/src/HeldBackHosts.ts
@@ -28,18 +28,15 @@
     return open.filter((host) => !this.emptying.has(host));
   }
 
-  hasWaitedLong(step: StepRun): boolean {
-    return hasWaitedLong(step, this.clock.monotonic());
-  }
-
   /**
    * Lasting tasks are large: room for one comes only when the plain tasks of a
    * host end and no others take their place.
    */
   noteUnplaced(step: StepRun, hosts: readonly HostLedger[]): void {
-    step.unplacedSince ??= this.clock.monotonic();
-    const { lasting, demand } = step.spec;
-    if (!lasting || !this.hasWaitedLong(step)) return;
+    const now = this.clock.monotonic();
+    step.unplacedSince ??= now;
+    if (!isOverdueLasting(step, now)) return;
+    const { demand } = step.spec;
     const withoutPlain = hosts.filter(
       ({ worker, room }) =>
         worker.milliCores - room.servingMilliCores >= demand.milliCores &&
@@ -52,9 +49,15 @@
   }
 }
 
-/** Whether a step has found no place for so long that it may take what is kept for others. */
-export const hasWaitedLong = (
-  { unplacedSince }: StepRun,
+/**
+ * Whether a lasting step has found no place for so long that it may take what is kept
+ * for others, and tries hosts that failed others of late: ejections may last for longer
+ * than it is to stand still.
+ */
+export const isOverdueLasting = (
+  { spec, unplacedSince }: StepRun,
   now: Monotonic,
 ): boolean =>
-  unplacedSince !== undefined && now - unplacedSince > ENGINE.lastingPatienceMs;
+  spec.lasting &&
+  unplacedSince !== undefined &&
+  now - unplacedSince > ENGINE.lastingPatienceMs;
--- a/packages/scheduling/src/explainWait.ts
+++ b/packages/scheduling/src/explainWait.ts
@@ -2,11 +2,11 @@
 
 import { crashesOf, type HostLedger, type StepRun } from "@rackspan/jobs";
 import type { HostEntry } from "./engineTypes.js";
+import { isOverdueLasting } from "./HeldBackHosts.js";
 import { fitsInto, isAllowedOn, roomLeft } from "./taskPlacers.js";
 import {
   closedReason,
   NO_HOSTS,
-  triesEjected,
   usableHosts,
   type ClosedReason,
   type UsableHostsOptions,
@@ -54,7 +54,7 @@
 export const explainWait = (waiting: WaitingStep): Wait => {
   const { step, service, now } = waiting;
   const { ejected } = usableHosts(waiting).get(service) ?? NO_HOSTS;
-  const passedOver = new Set(triesEjected(step, now) ? [] : ejected);
+  const passedOver = new Set(isOverdueLasting(step, now) ? [] : ejected);
   const counts = new Map<keyof HostCounts, number>();
   for (const entry of waiting.entries) {
     const rule = ruleFor(entry, waiting, passedOver);
--- a/packages/scheduling/src/usableHosts.ts
+++ b/packages/scheduling/src/usableHosts.ts
@@ -5,10 +5,9 @@
   type AvailabilityZone,
   type Monotonic,
 } from "@rackspan/common";
-import type { HostLedger, StepRun } from "@rackspan/jobs";
+import type { HostLedger } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
 import { ENGINE, type HostEntry } from "./engineTypes.js";
-import { hasWaitedLong } from "./HeldBackHosts.js";
 
 /** What the rules go by besides the host itself. */
 export interface RuleContext {
@@ -97,10 +96,3 @@
   const inService = hosts.filter(({ host }) => !ejector.isEjected(host));
   return { inService, ejected };
 };
-
-/**
- * Lasting tasks that have waited for long try hosts that failed others of late:
- * ejections may last for longer than such a task is to stand still.
- */
-export const triesEjected = (step: StepRun, now: Monotonic): boolean =>
-  step.spec.lasting && hasWaitedLong(step, now);
