Checker and scripts: one draw between two bounds, one printing of violations

Cause: check:chance had its own copies, and JobWorld passed a question of the history on. Change: scheduleEvents' between, printViolations, the history itself.

--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -321,11 +321,6 @@
     this.clock.after(ms, () => (this.store.fault = "none"));
   }
 
-  /** Under how many runs of one of its tasks workers ended, at the most. */
-  mostCrashes(id: JobId): number {
-    return this.history.mostCrashes(id);
-  }
-
   private judgeWaits(): void {
     this.waits.look();
     this.clock.after(WORLD.lookEveryMs, () => this.judgeWaits());
--- a/packages/checker/src/jobs/chanceSchedules.ts
+++ b/packages/checker/src/jobs/chanceSchedules.ts
@@ -6,6 +6,7 @@
 import { pickIndex, type SeededRandom } from "@rackspan/common";
 import { JobWorld } from "./JobWorld.js";
 import type { JobViolation } from "./RunHistory.js";
+import { between } from "./scheduleEvents.js";
 
 const CHANCE = {
   /** Work comes, and workers end, for this long, milliseconds. */
@@ -58,7 +59,7 @@
   };
   repeat(
     () => world.breakWorkerDown(CHANCE.backMs),
-    () => between(random, CHANCE.endsEveryMs),
+    () => between(random, CHANCE.endsEveryMs.least, CHANCE.endsEveryMs.most),
   );
   repeat(
     () => world.slowWorker(CHANCE.slow.mostMs, CHANCE.slow.forMs),
@@ -76,7 +77,7 @@
   world.checkEnds();
   const givenUp = world.jobs.wanted.filter((id) => world.jobs.hasFailed(id));
   const withoutCause = givenUp.filter(
-    (id) => world.mostCrashes(id) < CRASHES_TO_GIVE_UP,
+    (id) => history.mostCrashes(id) < CRASHES_TO_GIVE_UP,
   );
   for (const id of withoutCause) {
     history.add("given-up", clock.monotonic(), id);
@@ -102,11 +103,6 @@
 const submitInnocent = (world: JobWorld, random: SeededRandom): void => {
   const milliCores = 250 * (1 + pickIndex(random, 3));
   const demand = { memoryMiB: 100, accelerators: 0, milliCores };
-  const estimateMs = between(random, { least: 200, most: 1_500 });
+  const estimateMs = between(random, 200, 1_500);
   world.submit([{ taskCount: 1 + pickIndex(random, 3), estimateMs, demand }]);
 };
-
-const between = (
-  random: SeededRandom,
-  { least, most }: { readonly least: number; readonly most: number },
-): number => least + random.next() * (most - least);
--- a/scripts/src/checkChance.ts
+++ b/scripts/src/checkChance.ts
@@ -9,6 +9,7 @@
   runChanceSchedule,
   type ChanceOutcome,
 } from "@rackspan/checker";
+import { printViolations } from "./printViolations.js";
 import { wholeNumber } from "./wholeNumber.js";
 
 const { runs, seed } = new Command("check:chance")
@@ -26,12 +27,7 @@
 for (let at = seed; at < seed + runs; at += 1) {
   const outcome = await runChanceSchedule(at);
   sum = addChance(sum, outcome);
-  for (const { kind, at: ms, detail } of outcome.violations) {
-    process.exitCode = 1;
-    process.stdout.write(
-      `seed ${at}, ${Math.round(ms)} ms: ${kind} ${detail}\n`,
-    );
-  }
+  printViolations(at, outcome.violations);
 }
 process.stdout.write(
   `${runs} schedules from seed ${seed}: ${sum.jobs} jobs, ${sum.givenUp} given up, ` +
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -12,6 +12,7 @@
   runReturnSchedule,
   runSuccessionSchedule,
 } from "@rackspan/checker";
+import { printViolations } from "./printViolations.js";
 import { wholeNumber } from "./wholeNumber.js";
 
 interface Options {
@@ -62,14 +63,8 @@
 let broken = 0;
 for (let at = seed; at < seed + runs; at += 1) {
   const violations = await run(at);
-  if (violations.length === 0) continue;
-  broken += 1;
-  process.exitCode = 1;
-  for (const { kind, at: ms, detail } of violations) {
-    process.stdout.write(
-      `seed ${at}, ${Math.round(ms)} ms: ${kind} ${detail}\n`,
-    );
-  }
+  if (violations.length > 0) broken += 1;
+  printViolations(at, violations);
 }
 process.stdout.write(
   `${runs} schedules from seed ${seed}: ${broken} with a violation\n`,
--- /dev/null
+++ b/scripts/src/printViolations.ts
@@ -0,0 +1,14 @@
+/** Prints what a schedule broke, and lets the process fail for it. */
+
+import type { JobViolation } from "@rackspan/checker";
+
+export const printViolations = (
+  seed: number,
+  violations: readonly JobViolation[],
+): void => {
+  for (const { kind, at, detail } of violations) {
+    process.exitCode = 1;
+    const ms = Math.round(at);
+    process.stdout.write(`seed ${seed}, ${ms} ms: ${kind} ${detail}\n`);
+  }
+};
