Tests of the side: one wiring of its parts, one order to start

Cause: six files put registry, pacer, watch and orders together, three wrote the same order. Change: buildSide, startCall; assertions as before.

--- a/packages/side/tests/brokenLook.test.ts
+++ b/packages/side/tests/brokenLook.test.ts
@@ -16,8 +16,6 @@
 import {
   brand,
   ManualClock,
-  Metrics,
-  silentLogger,
   type Epoch,
   type WorkerInstance,
   type WorkerTime,
@@ -31,8 +29,7 @@
   type RunRef,
   type TaskHost,
 } from "@rackspan/ports";
-import { Pacer, WorkerRegistry, WorkerWatch } from "@rackspan/side";
-import { beatOf } from "./beatOf.js";
+import { buildSide } from "./buildSide.js";
 
 const INSTANCE = brand<WorkerInstance>("w1");
 const RUN = { task: "j.0.0.0", run: 3 } as unknown as RunRef;
@@ -63,7 +60,6 @@
   isSecond = false,
 }: Death): Promise<boolean | undefined> => {
   const clock = new ManualClock();
-  const logger = silentLogger;
   let isDead = false;
   let breakOff: (err: Error) => void = () => undefined;
   const answer = (): HoldAnswer => ({
@@ -83,22 +79,11 @@
       });
     },
   } as unknown as TaskHost;
-  const base = { host, clock, logger };
-  const metrics = new Metrics();
-  const pacer = new Pacer({
-    ...base,
-    metrics,
-    tailGraceMs: 4_000,
-    tailAim: 0.9,
-  });
-  const registry = new WorkerRegistry(clock, logger);
-  registry.noteHeartbeat(beatOf(INSTANCE));
-  const watch = new WorkerWatch({
-    ...base,
-    registry,
-    pacer,
+  const { registry, watch, stop } = buildSide({
+    host,
+    clock,
+    heard: [INSTANCE],
     unattendedLeaseMs: 3_000,
-    longestLeaseMs: 10_000,
   });
   watch.raiseEpoch(1 as unknown as Epoch);
   watch.start();
@@ -112,9 +97,7 @@
   await clock.advance(silentMs);
   breakOff(new WorkerSilentError("the call broke off"));
   await clock.advance(1_000);
-  const stopped = watch.stop();
-  await clock.advance(1_000);
-  await stopped;
+  await stop();
   const told = registry.runs.untold.find(
     (run) => runKeyOf(run) === runKeyOf(RUN),
   );
--- a/packages/side/tests/formerStarts.test.ts
+++ b/packages/side/tests/formerStarts.test.ts
@@ -5,11 +5,8 @@
 import {
   brand,
   ManualClock,
-  Metrics,
-  silentLogger,
   sleep,
   type Epoch,
-  type JobTaskId,
   type RunNumber,
   type WorkerInstance,
   type WorkerTime,
@@ -22,8 +19,10 @@
   type RunRef,
   type TaskHost,
 } from "@rackspan/ports";
-import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
+import type { StartTaskCall } from "@rackspan/protocol";
 import { beatOf } from "./beatOf.js";
+import { buildSide } from "./buildSide.js";
+import { START_CALL } from "./startCall.js";
 
 const CALL_TIMEOUT_MS = 400;
 const LONGEST_LEASE_MS = 10_000;
@@ -32,23 +31,15 @@
 /** Longer than a look at the former life and the pause after it take. */
 const SOON_MS = 390;
 
-const orderOf = (instance: string, run: number) =>
-  ({
-    instance: brand<WorkerInstance>(instance),
-    epoch: 1 as unknown as Epoch,
-    task: brand<JobTaskId>("j.0.0.0"),
-    run: run as unknown as RunNumber,
-    spec: "",
-    leaseUntil: 2_500 as unknown as WorkerTime,
-    checkpoint: "",
-    firstPercent: 100,
-    nature: { kind: "plain", tailTargetMs: 0, image: "", milliCores: 100 },
-  }) as const;
+const orderOf = (instance: string, run: number): StartTaskCall => ({
+  ...START_CALL,
+  instance: brand<WorkerInstance>(instance),
+  run: run as unknown as RunNumber,
+});
 
 /** A worker that leaves starts without an answer, and what it was told to bar. */
 const watchWorker = async () => {
   const clock = new ManualClock();
-  const logger = silentLogger;
   const worker = {
     life: "w1",
     answersStarts: false,
@@ -87,20 +78,12 @@
       return worker.silentBars.has(run) ? fallSilent() : at();
     },
   } as unknown as TaskHost;
-  const base = { host, clock, logger };
-  const metrics = new Metrics();
-  const pacing = { tailGraceMs: 4_000, tailAim: 0.9 };
-  const pacer = new Pacer({ ...base, metrics, ...pacing });
-  const registry = new WorkerRegistry(clock, logger);
-  const watch = new WorkerWatch({
-    ...base,
-    registry,
-    pacer,
-    unattendedLeaseMs: Infinity,
+  const { registry, watch, orders, stop } = buildSide({
+    host,
+    clock,
+    heard: [worker.life],
     longestLeaseMs: LONGEST_LEASE_MS,
   });
-  const orders = new TaskOrders({ ...base, registry, watch, pacer, metrics });
-  registry.noteHeartbeat(beatOf(worker.life));
   watch.raiseEpoch(1 as unknown as Epoch);
   watch.start();
   await clock.advance(SOON_MS);
@@ -110,11 +93,6 @@
     worker.life = life;
     registry.noteHeartbeat(beatOf(life));
   };
-  const stop = async (): Promise<void> => {
-    const stopped = watch.stop();
-    await clock.advance(2_000);
-    await stopped;
-  };
   return { clock, watch, worker, order, replace, stop };
 };
 
--- a/packages/side/tests/orderedFromSilentWorker.test.ts
+++ b/packages/side/tests/orderedFromSilentWorker.test.ts
@@ -4,38 +4,25 @@
 import { expect } from "earl";
 import {
   brand,
-  ManualClock,
-  Metrics,
-  silentLogger,
   type Epoch,
   type RunNumber,
   type WorkerInstance,
 } from "@rackspan/common";
 import { WorkerSilentError, type RunRef, type TaskHost } from "@rackspan/ports";
-import { Pacer, WorkerRegistry, WorkerWatch } from "@rackspan/side";
 import { beatOf } from "./beatOf.js";
+import { buildSide } from "./buildSide.js";
 
 const INSTANCE = brand<WorkerInstance>("w1");
 const BEFORE = { task: "j.0.0.0", run: 3 } as unknown as RunRef;
 const AFTER: RunRef = { ...BEFORE, run: brand<RunNumber>(4) };
 
 test("a run that was ordered after a look without an answer is told as such", async () => {
-  const clock = new ManualClock();
-  const logger = silentLogger;
-  const metrics = new Metrics();
   const host = {
     hold: () => Promise.reject(new WorkerSilentError("no answer")),
   } as unknown as TaskHost;
-  const base = { host, clock, logger };
-  const pacing = { tailGraceMs: 4_000, tailAim: 0.9 };
-  const registry = new WorkerRegistry(clock, logger);
-  registry.noteHeartbeat(beatOf(INSTANCE));
-  const watch = new WorkerWatch({
-    ...base,
-    registry,
-    pacer: new Pacer({ ...base, ...pacing, metrics }),
-    unattendedLeaseMs: 3_000,
-    longestLeaseMs: 10_000,
+  const { clock, registry, watch, stop } = buildSide({
+    host,
+    heard: [INSTANCE],
   });
   registry.runs.noteOrdered(INSTANCE, BEFORE);
   watch.raiseEpoch(1 as unknown as Epoch);
@@ -46,7 +33,5 @@
   registry.noteAnswered(brand<WorkerInstance>("w2"));
   const told = registry.runs.untold.map(({ orderedMs = 0 }) => orderedMs < 0);
   expect(told).toEqual([false, true]);
-  const stopped = watch.stop();
-  await clock.advance(1_000);
-  await stopped;
+  await stop();
 });
--- a/packages/side/tests/silentWorker.test.ts
+++ b/packages/side/tests/silentWorker.test.ts
@@ -5,11 +5,7 @@
 import {
   brand,
   ManualClock,
-  Metrics,
-  silentLogger,
   type Epoch,
-  type JobTaskId,
-  type RunNumber,
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
@@ -21,8 +17,8 @@
   type HoldOrder,
   type TaskHost,
 } from "@rackspan/ports";
-import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
-import { beatOf } from "./beatOf.js";
+import { buildSide } from "./buildSide.js";
+import { START_CALL } from "./startCall.js";
 
 const INSTANCE = brand<WorkerInstance>("w1");
 const LONGEST_MS = 10_000;
@@ -32,17 +28,6 @@
 /** Longer than a look and the pause after it take. */
 const SEVERAL_LOOKS_MS = 2_000;
 
-const ORDER = {
-  instance: INSTANCE,
-  epoch: 1 as unknown as Epoch,
-  task: brand<JobTaskId>("j.0.0.0"),
-  run: 7 as unknown as RunNumber,
-  spec: "",
-  checkpoint: "",
-  firstPercent: 100,
-  nature: { kind: "plain", tailTargetMs: 0, image: "", milliCores: 100 },
-} as const;
-
 interface Look {
   readonly sentAt: number;
   readonly leaseUntil: number | undefined;
@@ -51,7 +36,6 @@
 /** A worker whose clock shows what the side's does, with a lease under epoch 1. */
 const watchWorker = async () => {
   const clock = new ManualClock();
-  const logger = silentLogger;
   const looks: Look[] = [];
   const worker = { answers: true, fences: false };
   const workerTime = (): WorkerTime =>
@@ -73,20 +57,13 @@
       throw new WorkerSilentError("no answer");
     },
   } as unknown as TaskHost;
-  const base = { host, clock, logger };
-  const metrics = new Metrics();
-  const pacing = { tailGraceMs: 4_000, tailAim: 0.9 };
-  const pacer = new Pacer({ ...base, metrics, ...pacing });
-  const registry = new WorkerRegistry(clock, logger);
-  registry.noteHeartbeat(beatOf(INSTANCE));
-  const watch = new WorkerWatch({
-    ...base,
-    registry,
-    pacer,
+  const { watch, orders, stop } = buildSide({
+    host,
+    clock,
+    heard: [INSTANCE],
     unattendedLeaseMs: UNATTENDED_MS,
     longestLeaseMs: LONGEST_MS,
   });
-  const orders = new TaskOrders({ ...base, registry, watch, pacer, metrics });
   const lead = (epoch: number): void =>
     watch.raiseEpoch(epoch as unknown as Epoch);
   const grant = (): void =>
@@ -100,11 +77,6 @@
   await clock.advance(2 * LONGEST_MS);
   grant();
   await clock.advance(1_000);
-  const stop = async (): Promise<void> => {
-    const stopped = watch.stop();
-    await clock.advance(SEVERAL_LOOKS_MS);
-    await stopped;
-  };
   return { clock, watch, orders, looks, worker, lead, grant, stop };
 };
 
@@ -186,7 +158,11 @@
   const { clock, watch, orders, lead, stop } = await watchWorker();
   const until = clock.monotonic() + LONGEST_MS;
   const leaseUntil = until as unknown as WorkerTime;
-  const ordered = orders.start({ ...ORDER, leaseUntil });
+  const ordered = orders.start({
+    ...START_CALL,
+    instance: INSTANCE,
+    leaseUntil,
+  });
   lead(2);
   expect((watch.boundLease() ?? 0) >= LONGEST_MS).toEqual(true);
   await stop();
--- a/packages/side/tests/taskOrders.test.ts
+++ b/packages/side/tests/taskOrders.test.ts
@@ -2,17 +2,7 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
-import {
-  brand,
-  ManualClock,
-  Metrics,
-  silentLogger,
-  type Epoch,
-  type JobTaskId,
-  type RunNumber,
-  type WorkerInstance,
-  type WorkerTime,
-} from "@rackspan/common";
+import { ManualClock, type WorkerTime } from "@rackspan/common";
 import {
   WorkerReplacedError,
   WorkerSilentError,
@@ -20,21 +10,9 @@
   type StartRefusal,
   type TaskHost,
 } from "@rackspan/ports";
-import type { HostCallResult, StartTaskCall } from "@rackspan/protocol";
-import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
-import { beatOf } from "./beatOf.js";
-
-const CALL: StartTaskCall = {
-  instance: brand<WorkerInstance>("w"),
-  epoch: 1 as unknown as Epoch,
-  task: brand<JobTaskId>("j.0.0.0"),
-  run: 7 as unknown as RunNumber,
-  spec: "",
-  leaseUntil: 2_500 as unknown as WorkerTime,
-  checkpoint: "",
-  firstPercent: 100,
-  nature: { kind: "plain", tailTargetMs: 0, image: "", milliCores: 100 },
-};
+import type { HostCallResult } from "@rackspan/protocol";
+import { buildSide } from "./buildSide.js";
+import { START_CALL } from "./startCall.js";
 
 /**
  * Orders a start at a worker that gives these answers in turn; undefined for none.
@@ -54,37 +32,8 @@
       return answer;
     },
   } as unknown as TaskHost;
-  const logger = silentLogger;
-  const metrics = new Metrics();
-  const pacer = new Pacer({
-    host,
-    clock,
-    logger,
-    metrics,
-    tailGraceMs: 4_000,
-    tailAim: 0.9,
-  });
-  const registry = new WorkerRegistry(clock, logger);
-  for (const life of heard) registry.noteHeartbeat(beatOf(life));
-  const watch = new WorkerWatch({
-    registry,
-    host,
-    pacer,
-    clock,
-    logger,
-    unattendedLeaseMs: Infinity,
-    longestLeaseMs: 10_000,
-  });
-  const orders = new TaskOrders({
-    host,
-    registry,
-    watch,
-    pacer,
-    clock,
-    logger,
-    metrics,
-  });
-  const result = orders.start(CALL);
+  const { orders } = buildSide({ host, clock, heard });
+  const result = orders.start(START_CALL);
   await clock.advance(2_000);
   return result;
 };
@@ -146,7 +95,7 @@
 // the next life, whose answer said that the run had never begun, so nobody counted
 // the crash.
 test("the answer of another life says nothing of an unanswered try before it", async () => {
-  const replaced = new WorkerReplacedError(CALL.instance);
+  const replaced = new WorkerReplacedError(START_CALL.instance);
   expect(await startWith([undefined, replaced])).toEqual({ kind: "silent" });
   expect(await startWith([replaced])).toEqual({ kind: "replaced" });
 });
--- a/packages/side/tests/unattendedLease.test.ts
+++ b/packages/side/tests/unattendedLease.test.ts
@@ -16,15 +16,12 @@
 import {
   brand,
   ManualClock,
-  Metrics,
-  silentLogger,
   type Epoch,
-  type ServiceName,
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
 import type { HoldAnswer, HoldOrder, TaskHost } from "@rackspan/ports";
-import { Pacer, WorkerRegistry, WorkerWatch } from "@rackspan/side";
+import { buildSide } from "./buildSide.js";
 
 const UNATTENDED_MS = 3_000;
 /** The worker's clock is ahead of the side's by this, milliseconds. */
@@ -39,7 +36,6 @@
 /** A worker that is looked at; tells how far ahead its lease was renewed. */
 const watchWorker = async () => {
   const clock = new ManualClock();
-  const logger = silentLogger;
   const renewals: Renewal[] = [];
   const workerTime = (): WorkerTime =>
     (clock.monotonic() + OFFSET_MS) as unknown as WorkerTime;
@@ -58,42 +54,15 @@
       };
     },
   } as unknown as TaskHost;
-  const base = { host, clock, logger };
-  const pacer = new Pacer({
-    ...base,
-    metrics: new Metrics(),
-    tailGraceMs: 4_000,
-    tailAim: 0.9,
-  });
-  const registry = new WorkerRegistry(clock, logger);
-  registry.noteHeartbeat({
-    sequence: 1,
-    worker: {
-      instance: INSTANCE,
-      service: brand<ServiceName>("kaigi"),
-      labels: [],
-      rack: "r1",
-      milliCores: 32_000,
-      memoryMiB: 1_000,
-      accelerators: 0,
-      draining: false,
-    },
-  });
-  const watch = new WorkerWatch({
-    ...base,
-    registry,
-    pacer,
+  const { watch, stop } = buildSide({
+    host,
+    clock,
+    heard: [INSTANCE],
     unattendedLeaseMs: UNATTENDED_MS,
-    longestLeaseMs: 10_000,
   });
   watch.raiseEpoch(1 as unknown as Epoch);
   watch.start();
   await clock.advance(500);
-  const stop = async (): Promise<void> => {
-    const stopped = watch.stop();
-    await clock.advance(2_000);
-    await stopped;
-  };
   return { clock, watch, renewals, workerTime, stop };
 };
 
