Tests of the engine: one crash site, one blank progress record, one logged harness

Cause: three files read a job's progress and crash evidence in copies of their own, five wrote out a blank record, three a harness with a log, two the same ejection. Change: crashSite, harnessWithLog, ejectHost, BEGUN_PROGRESS; assertions as before.

--- a/packages/scheduling/tests/apartTurns.test.ts
+++ b/packages/scheduling/tests/apartTurns.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import type { ProgressRecord } from "@rackspan/state";
-import { plainJob } from "@rackspan/standins";
+import { BEGUN_PROGRESS, plainJob } from "@rackspan/standins";
 import { EngineHarness, taskId } from "./engineHarness.js";
 
 const LARGE = "5c0e7a21d94b36f8";
@@ -12,14 +12,8 @@
 
 /** What a former leader has kept of a job under whose task a worker has crashed. */
 const SUSPECTED: ProgressRecord = {
-  state: "running",
-  begun: true,
-  endedAt: 0,
-  done: {},
-  failures: [],
-  checkpoints: [],
+  ...BEGUN_PROGRESS,
   crashes: [["0.0.0", [[7, "young"]]]],
-  announced: [],
 };
 
 const addSuspect = (
--- a/packages/scheduling/tests/crashingTasks.test.ts
+++ b/packages/scheduling/tests/crashingTasks.test.ts
@@ -19,16 +19,10 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { silentLogger, type JobTaskId, type Logger } from "@rackspan/common";
-import {
-  decodeProgress,
-  TOPICS,
-  type AcceptedJob,
-  type ProgressRecord,
-} from "@rackspan/state";
-import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+import type { AcceptedJob } from "@rackspan/state";
+import { JOB, progressOf, siteOf, stateOf, TASK } from "./crashSite.js";
+import { EngineHarness, type FakeHost } from "./engineHarness.js";
 
-const JOB = "5c0e7a21d94b36f8";
-const TASK = taskId(`${JOB}.0.0.0`);
 const OTHER = "77aa7a21d94b36f8";
 /** A crashed worker is back after this, milliseconds. */
 const DOWN_MS = 600;
@@ -37,27 +31,6 @@
 /** Room for one task on a host of the harness. */
 const WHOLE_HOST = { milliCores: 30_000, memoryMiB: 100, accelerators: 0 };
 
-const progressOf = (
-  site: EngineHarness,
-  id: string,
-): ProgressRecord | undefined => {
-  const record = site.store
-    .recordsOf(TOPICS.progress)
-    .findLast(({ key }) => key === id);
-  return record?.value && decodeProgress(id, record.value);
-};
-
-const stateOf = (site: EngineHarness, id: string): string | undefined =>
-  progressOf(site, id)?.state;
-
-const siteOf = async (count: number, logger?: Logger) => {
-  const site = new EngineHarness({ logger });
-  for (let number = 1; number <= count; number += 1) {
-    await site.addHost(`h${number}`);
-  }
-  return site;
-};
-
 /** Ends the leader at once; the next one knows what the store keeps, and hears all hosts. */
 const succeed = (
   former: EngineHarness,
--- a/packages/scheduling/tests/doubtfulCrashes.test.ts
+++ b/packages/scheduling/tests/doubtfulCrashes.test.ts
@@ -3,11 +3,16 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import type { LostRun } from "@rackspan/protocol";
-import { decodeProgress, TOPICS } from "@rackspan/state";
-import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+import {
+  evidenceOf,
+  hostOfTask,
+  JOB,
+  siteOf,
+  stateOf,
+  TASK,
+} from "./crashSite.js";
+import type { EngineHarness } from "./engineHarness.js";
 
-const JOB = "5c0e7a21d94b36f8";
-const TASK = taskId(`${JOB}.0.0.0`);
 const OTHER = "77aa7a21d94b36f8";
 const ESTIMATE_MS = 500;
 /** Crashes that may give a task up without proof. */
@@ -20,22 +25,6 @@
 /** Last shown early, and due when the look at its worker broke off. */
 const DUE: Told = { workedMs: 90, wasAtWork: true, orderedMs: 635 };
 
-const siteOf = async (count: number): Promise<EngineHarness> => {
-  const site = new EngineHarness();
-  for (let number = 1; number <= count; number += 1) {
-    await site.addHost(`h${number}`);
-  }
-  return site;
-};
-
-const evidenceOf = (site: EngineHarness, id = JOB): string[] => {
-  const record = site.store
-    .recordsOf(TOPICS.progress)
-    .findLast(({ key }) => key === id);
-  const crashes = record?.value ? decodeProgress(id, record.value).crashes : [];
-  return crashes.flatMap(([, runs]) => runs.map(([, evidence]) => evidence));
-};
-
 /** After the time for which proof waits for other workers that are lost. */
 const judgedStateOf = async (
   site: EngineHarness,
@@ -44,22 +33,6 @@
   return stateOf(site);
 };
 
-const stateOf = (site: EngineHarness): string | undefined => {
-  const record = site.store
-    .recordsOf(TOPICS.progress)
-    .findLast(({ key }) => key === JOB);
-  return record?.value && decodeProgress(JOB, record.value).state;
-};
-
-const hostOfTask = async (site: EngineHarness): Promise<FakeHost> => {
-  for (let tries = 0; tries < 200; tries += 1) {
-    const host = site.hosts.find((one) => one.isRunning(TASK));
-    if (host) return host;
-    await site.run(50);
-  }
-  throw new Error("the task was not started");
-};
-
 /** The worker of the task ends; its side tells that of the task. */
 const loseWorker = async (site: EngineHarness, told: Told): Promise<void> => {
   const host = await hostOfTask(site);
--- a/packages/scheduling/tests/ejectedHosts.test.ts
+++ b/packages/scheduling/tests/ejectedHosts.test.ts
@@ -3,9 +3,9 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { brand, type ServiceName } from "@rackspan/common";
-import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+import { ejectHost } from "./ejectHost.js";
+import { EngineHarness, taskId } from "./engineHarness.js";
 
-const FAILURES_TO_EJECT = 3;
 /** Longer than a lasting task waits for hosts in service, shorter than an ejection. */
 const PATIENCE_MS = 2_500;
 
@@ -13,20 +13,10 @@
   demand: { milliCores, memoryMiB: 10, accelerators: 0 },
 });
 
-const eject = async (harness: EngineHarness, host: FakeHost): Promise<void> => {
-  harness.submit("f", [{ taskCount: FAILURES_TO_EJECT }]);
-  await harness.run(200);
-  for (const task of [...host.runningTasks]) host.end(task, "failed");
-  host.milliCores = 0;
-  await harness.run(100);
-  host.milliCores = 32_000;
-  await harness.run(100);
-};
-
 test("a lasting task does not wait beside an ejected host that alone has room for it", async () => {
   const harness = new EngineHarness();
   const ejected = await harness.addHost("h1");
-  await eject(harness, ejected);
+  await ejectHost(harness, ejected);
   const full = await harness.addHost("h2");
   full.milliCores = 1_000;
   await harness.run(100);
@@ -38,7 +28,7 @@
 test("a suspected lasting task does not wait beside an ejected host that alone has room for it", async () => {
   const harness = new EngineHarness();
   const ejected = await harness.addHost("h1");
-  await eject(harness, ejected);
+  await ejectHost(harness, ejected);
   const full = await harness.addHost("h2");
   harness.submit("l", [{ lasting: true, ...cores(10_000) }]);
   await harness.run(100);
@@ -52,7 +42,7 @@
 test("a service whose hosts are all ejected is served although another has hosts left", async () => {
   const harness = new EngineHarness();
   const ejected = await harness.addHost("h1");
-  await eject(harness, ejected);
+  await ejectHost(harness, ejected);
   const other = await harness.addHost("h2");
   other.service = brand<ServiceName>("other");
   await harness.run(100);
--- a/packages/scheduling/tests/explainedWaits.test.ts
+++ b/packages/scheduling/tests/explainedWaits.test.ts
@@ -2,10 +2,10 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
-import { createLogger } from "@rackspan/common";
-import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+import { ejectHost } from "./ejectHost.js";
+import { taskId } from "./engineHarness.js";
+import { harnessWithLog } from "./harnessWithLog.js";
 
-const FAILURES_TO_EJECT = 3;
 /** A wait is logged by then, and a lasting task tries ejected hosts. */
 const LOGGED_MS = 4_500;
 
@@ -13,25 +13,6 @@
   demand: { milliCores: 40_000, memoryMiB: 10, accelerators: 0 },
 };
 
-const harnessWithLog = (): { harness: EngineHarness; lines: string[] } => {
-  const lines: string[] = [];
-  const logger = createLogger({
-    level: "info",
-    write: (line) => void lines.push(line),
-  });
-  return { harness: new EngineHarness({ logger }), lines };
-};
-
-const eject = async (harness: EngineHarness, host: FakeHost): Promise<void> => {
-  harness.submit("f", [{ taskCount: FAILURES_TO_EJECT }]);
-  await harness.run(200);
-  for (const task of [...host.runningTasks]) host.end(task, "failed");
-  host.milliCores = 0;
-  await harness.run(100);
-  host.milliCores = 32_000;
-  await harness.run(100);
-};
-
 const waitOf = (lines: readonly string[], task: string): string =>
   lines.findLast(
     (line) =>
@@ -41,7 +22,7 @@
 
 test("a host that is ejected beside another is named as ejected", async () => {
   const { harness, lines } = harnessWithLog();
-  await eject(harness, await harness.addHost("h1"));
+  await ejectHost(harness, await harness.addHost("h1"));
   await harness.addHost("h2");
   harness.submit("j", [tooLarge]);
   await harness.run(LOGGED_MS);
@@ -51,7 +32,7 @@
 
 test("the only host of a service, which takes tasks although it is ejected, is not named as ejected", async () => {
   const { harness, lines } = harnessWithLog();
-  await eject(harness, await harness.addHost("h1"));
+  await ejectHost(harness, await harness.addHost("h1"));
   harness.submit("j", [tooLarge]);
   await harness.run(LOGGED_MS);
   expect(waitOf(lines, "j.0.0.0")).toInclude("room=1");
@@ -60,7 +41,7 @@
 
 test("an ejected host that a lasting task tries as its last resort is not named as ejected", async () => {
   const { harness, lines } = harnessWithLog();
-  await eject(harness, await harness.addHost("h1"));
+  await ejectHost(harness, await harness.addHost("h1"));
   await harness.addHost("h2");
   harness.submit("l", [{ lasting: true, ...tooLarge }]);
   await harness.run(LOGGED_MS);
--- a/packages/scheduling/tests/gangCheckpoints.test.ts
+++ b/packages/scheduling/tests/gangCheckpoints.test.ts
@@ -2,6 +2,7 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
+import { BEGUN_PROGRESS } from "@rackspan/standins";
 import { EngineHarness, type FakeHost } from "./engineHarness.js";
 
 const JOB = "5c0e7a21d94b36f8";
@@ -48,14 +49,8 @@
   ]);
   site.engine.forgetJob(job.spec.id);
   site.engine.addJob(job, {
-    state: "running",
-    begun: true,
-    endedAt: 0,
-    done: {},
-    failures: [],
+    ...BEGUN_PROGRESS,
     checkpoints: [["0.0.1", "only"]],
-    crashes: [],
-    announced: [],
   });
   await site.run(200);
   const starts = hosts.flatMap((host) => host.starts);
--- a/packages/scheduling/tests/givenBackTwice.test.ts
+++ b/packages/scheduling/tests/givenBackTwice.test.ts
@@ -17,9 +17,10 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
-import { createLogger, type JobTaskId } from "@rackspan/common";
+import type { JobTaskId } from "@rackspan/common";
 import type { HostCallResult } from "@rackspan/protocol";
 import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
+import { harnessWithLog } from "./harnessWithLog.js";
 
 const TASK = taskId("j.0.0.0");
 
@@ -36,12 +37,7 @@
 
 /** A task is ordered at a worker that dies, and starts elsewhere before the answer. */
 const loseUnansweredStart = async (): Promise<Site> => {
-  const lines: string[] = [];
-  const logger = createLogger({
-    level: "info",
-    write: (line) => void lines.push(line),
-  });
-  const harness = new EngineHarness({ logger });
+  const { harness, lines } = harnessWithLog();
   const lost = await harness.addHost("h1");
   lost.answers = "held";
   harness.submit("j", [{}]);
--- /dev/null
+++ b/packages/scheduling/tests/harnessWithLog.ts
@@ -0,0 +1,16 @@
+/** An engine harness whose log lines a test reads. */
+
+import { createLogger } from "@rackspan/common";
+import { EngineHarness } from "./engineHarness.js";
+
+export const harnessWithLog = (): {
+  harness: EngineHarness;
+  lines: string[];
+} => {
+  const lines: string[] = [];
+  const logger = createLogger({
+    level: "info",
+    write: (line) => void lines.push(line),
+  });
+  return { harness: new EngineHarness({ logger }), lines };
+};
--- a/packages/scheduling/tests/leaderLog.test.ts
+++ b/packages/scheduling/tests/leaderLog.test.ts
@@ -2,8 +2,8 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
-import { createLogger } from "@rackspan/common";
 import { EngineHarness } from "./engineHarness.js";
+import { harnessWithLog } from "./harnessWithLog.js";
 
 const ANSWER_MS = 70;
 /** Longer than a timer may be late without a line. */
@@ -11,15 +11,6 @@
 /** A wait of a second and more. */
 const LONG_WAIT = /rackspan_longest_wait_ms\{kind="plain"\} \d{4}/;
 
-const harnessWithLog = (): { harness: EngineHarness; lines: string[] } => {
-  const lines: string[] = [];
-  const logger = createLogger({
-    level: "info",
-    write: (line) => void lines.push(line),
-  });
-  return { harness: new EngineHarness({ logger }), lines };
-};
-
 const linesOf = (lines: readonly string[], event: string): string[] =>
   lines.filter((line) => line.includes(`event=${event} `));
 
--- a/packages/scheduling/tests/neverBegunRuns.test.ts
+++ b/packages/scheduling/tests/neverBegunRuns.test.ts
@@ -3,25 +3,22 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import type { HostCallResult, LostRun } from "@rackspan/protocol";
-import { plainJob } from "@rackspan/standins";
+import { BEGUN_PROGRESS, plainJob } from "@rackspan/standins";
+import type { AcceptedJob, ProgressRecord } from "@rackspan/state";
 import {
-  decodeProgress,
-  TOPICS,
-  type AcceptedJob,
-  type ProgressRecord,
-} from "@rackspan/state";
-import { EngineHarness, taskId, type FakeHost } from "./engineHarness.js";
-
-const JOB = "5c0e7a21d94b36f8";
-const TASK = taskId(`${JOB}.0.0.0`);
-
+  evidenceOf,
+  hostOfTask,
+  JOB,
+  progressOf,
+  siteOf,
+  stateOf,
+  TASK,
+} from "./crashSite.js";
+import { EngineHarness, type FakeHost } from "./engineHarness.js";
+
+/** One more loss without proof gives the task up. */
 const NEAR_LIMIT: ProgressRecord = {
-  state: "running",
-  begun: true,
-  endedAt: 0,
-  done: {},
-  failures: [],
-  checkpoints: [],
+  ...BEGUN_PROGRESS,
   crashes: [
     [
       "0.0.0",
@@ -31,44 +28,14 @@
       ],
     ],
   ],
-  announced: [],
-};
-
-const siteOf = async (count: number): Promise<EngineHarness> => {
-  const site = new EngineHarness();
-  for (let number = 1; number <= count; number += 1) {
-    await site.addHost(`h${number}`);
-  }
-  return site;
-};
-
-const progressOf = (site: EngineHarness) => {
-  const record = site.store
-    .recordsOf(TOPICS.progress)
-    .findLast(({ key }) => key === JOB);
-  return record?.value ? decodeProgress(JOB, record.value) : undefined;
 };
 
-const evidenceOf = (site: EngineHarness): string[] =>
-  (progressOf(site)?.crashes ?? []).flatMap(([, runs]) =>
-    runs.map(([, evidence]) => evidence),
-  );
-
 const orderedAt = (site: EngineHarness): FakeHost | undefined =>
   site.hosts.find(
     ({ answers, starts }) =>
       answers === "held" && starts.some(({ task }) => task === TASK),
   );
 
-const hostOfTask = async (site: EngineHarness): Promise<FakeHost> => {
-  for (let tries = 0; tries < 200; tries += 1) {
-    const host = site.hosts.find((one) => one.isRunning(TASK));
-    if (host) return host;
-    await site.run(50);
-  }
-  throw new Error("the task was not started");
-};
-
 /** The worker crashes beside the running task; later orders are answered in that way. */
 const loseRunning = async (
   site: EngineHarness,
@@ -134,7 +101,7 @@
   await site.run(200);
   await crashUnderOrder(site, undefined, { wasAtWork: true, orderedMs: 10 });
   expect(evidenceOf(site)).toEqual(["young", "unanswered"]);
-  expect(progressOf(site)?.state).toEqual("running");
+  expect(stateOf(site)).toEqual("running");
   for (const host of site.hosts) host.answerHeld({ kind: "replaced" });
   for (const host of site.hosts) host.answers = "ok";
   await site.run(3_000);
@@ -197,7 +164,7 @@
   host.answerHeld({ kind: "replaced" });
   const next = leadNext(site, job, progressOf(site));
   await next.run(3_000);
-  expect(progressOf(next)?.state).toEqual("running");
+  expect(stateOf(next)).toEqual("running");
 });
 
 test("an answer that came does not shorten the wait for that of the next order", async () => {
@@ -217,7 +184,7 @@
   await site.run(1_700);
   second.answerHeld({ kind: "replaced" });
   await site.run(300);
-  expect(progressOf(site)?.state).toEqual("running");
+  expect(stateOf(site)).toEqual("running");
 });
 
 test("a run that a side tells a new leader of while its order is open gives no task up", async () => {
@@ -233,5 +200,5 @@
   await next.run(60);
   host.answerHeld({ kind: "replaced" });
   await next.run(3_000);
-  expect(progressOf(next)?.state).toEqual("running");
+  expect(stateOf(next)).toEqual("running");
 });
--- a/packages/scheduling/tests/silentBeforeTakeOver.test.ts
+++ b/packages/scheduling/tests/silentBeforeTakeOver.test.ts
@@ -40,6 +40,16 @@
   return { next, heard, host };
 };
 
+/** A leader that goes on while the host of its task falls silent, beside one with room. */
+const leadBesideOne = async () => {
+  const harness = new EngineHarness();
+  const silent = await harness.addHost("silent");
+  harness.submit("j", [{ lasting: true }]);
+  await harness.run(LEASE_MS);
+  const heard = await harness.addHost("heard");
+  return { harness, silent, heard };
+};
+
 test("a task starts once the lease that its silent host was sent last is over, and not before", async () => {
   const { next, heard, host } = await takeOverBesideOne();
   next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
@@ -114,11 +124,7 @@
 });
 
 test("a task starts once the lease of a host is over that fell silent under its leader, and not before", async () => {
-  const harness = new EngineHarness();
-  const silent = await harness.addHost("silent");
-  harness.submit("j", [{ lasting: true }]);
-  await harness.run(LEASE_MS);
-  const heard = await harness.addHost("heard");
+  const { harness, silent, heard } = await leadBesideOne();
   harness.engine.noteWorkerSilent(silent.host, OVER_IN_MS);
   await harness.run(OVER_IN_MS - SOON_MS, [heard]);
   expect(heard.starts).toEqual([]);
@@ -171,11 +177,7 @@
 });
 
 test("the word of a side that has detached shortens no grant of its leader", async () => {
-  const harness = new EngineHarness();
-  const silent = await harness.addHost("silent");
-  harness.submit("j", [{ lasting: true }]);
-  await harness.run(LEASE_MS);
-  const heard = await harness.addHost("heard");
+  const { harness, silent, heard } = await leadBesideOne();
   harness.engine.noteWorkerSilent(silent.host, OVER_IN_MS);
   harness.engine.detach(silent.host, silent);
   await harness.run(OVER_IN_MS + 2 * SOON_MS, [heard]);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./begunProgress.js";
 export * from "./EndpointStandin.js";
 export * from "./FaultSwitches.js";
 export * from "./HostListStandin.js";
--- a/packages/state/tests/otherWriters.test.ts
+++ b/packages/state/tests/otherWriters.test.ts
@@ -30,7 +30,7 @@
   type JobId,
   type ProgressRecord,
 } from "@rackspan/state";
-import { plainJob } from "@rackspan/standins";
+import { BEGUN_PROGRESS, plainJob } from "@rackspan/standins";
 
 const SEED = 20_000;
 const RECORDS = 10_000;
@@ -39,14 +39,8 @@
 const LIFE = brand<WorkerInstance>("i-1");
 
 const PROGRESS: ProgressRecord = {
-  state: "running",
-  begun: true,
-  endedAt: 0,
+  ...BEGUN_PROGRESS,
   done: { "0.0": "0-2,5" },
-  failures: [],
-  checkpoints: [],
-  crashes: [],
-  announced: [],
 };
 
 const createView = (): JobView =>
--- a/packages/state/tests/progressRecords.test.ts
+++ b/packages/state/tests/progressRecords.test.ts
@@ -2,6 +2,7 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
+import { BEGUN_PROGRESS } from "@rackspan/standins";
 import {
   decodeProgress,
   encodeProgress,
@@ -9,12 +10,7 @@
 } from "@rackspan/state";
 
 const RECORD: ProgressRecord = {
-  state: "running",
-  begun: true,
-  endedAt: 0,
-  done: {},
-  failures: [],
-  checkpoints: [],
+  ...BEGUN_PROGRESS,
   crashes: [
     [
       "0.0.0",
@@ -24,7 +20,6 @@
       ],
     ],
   ],
-  announced: [],
 };
 
 test("evidence that earlier leaders cannot read is kept as one that they know", () => {
