A test file that does not end fails under its own name

Cause: the run of all test files waited for each file's process without a limit. Change: runTestFiles gives each file ten minutes; one that takes longer fails under the name of the file and is ended.

--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./EventWatch.js";
 export * from "./knownRed.js";
 export * from "./OperatorSession.js";
+export * from "./runTestFiles.js";
 export * from "./Site.js";
 export * from "./siteFile.js";
 export * from "./StandinPlatform.js";
--- a/scripts/src/runTests.ts
+++ b/scripts/src/runTests.ts
@@ -5,39 +5,23 @@
  */
 
 import { existsSync, readFileSync } from "node:fs";
-import { run } from "node:test";
-import { tap } from "node:test/reporters";
 import {
   judgeOutcomes,
   parseKnownRed,
+  runTestFiles,
   type KnownRed,
-  type TestOutcome,
   type Verdict,
 } from "@rackspan/harness";
 
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
+/** Several times what the longest file takes on a busy machine. */
+const FILE_TIMEOUT_MS = 10 * 60 * 1_000;
 
 const readKnownRed = (): KnownRed[] =>
   existsSync(KNOWN_RED_FILE)
     ? parseKnownRed(readFileSync(KNOWN_RED_FILE, "utf8"))
     : [];
 
-/** Runs the files, prints their results, and collects how each test ended. */
-const runFiles = async (files: string[]): Promise<TestOutcome[]> => {
-  const outcomes: TestOutcome[] = [];
-  const events = run({ files, concurrency: true });
-  events.on("test:pass", ({ name }) =>
-    outcomes.push({ test: name, passed: true }),
-  );
-  events.on("test:fail", ({ name }) =>
-    outcomes.push({ test: name, passed: false }),
-  );
-  for await (const line of events.compose(tap)) {
-    process.stdout.write(String(line));
-  }
-  return outcomes;
-};
-
 const printVerdict = ({
   unexpected,
   knownRed,
@@ -57,7 +41,11 @@
 };
 
 const files = process.argv.slice(2);
-const outcomes = await runFiles(files);
+const outcomes = await runTestFiles({
+  files,
+  fileTimeoutMs: FILE_TIMEOUT_MS,
+  write: (text) => process.stdout.write(text),
+});
 const verdict = judgeOutcomes(outcomes, readKnownRed());
 printVerdict(verdict);
 const isGreen =
