Tests listen at addresses that no other process uses

Cause: all test processes and soaks took entries to 127.0.1.x and sides to 127.0.2.x, at ports chosen by listening once and closing. Another process could take the port in between (EADDRINUSE), and PlatformSite.start then left its listeners open, so the process of livesUnderOneId.test never ended. Workers that start again on their port at 127.0.0.1 shared that address with the local ends of all connections.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./log.js";
 export * from "./ManualClock.js";
 export * from "./metrics.js";
+export * from "./ownLoopback.js";
 export * from "./random.js";
 export * from "./Registry.js";
 export * from "./resources.js";
--- a/packages/entry/tests/sideServer.test.ts
+++ b/packages/entry/tests/sideServer.test.ts
@@ -6,6 +6,7 @@
 import { expect } from "earl";
 import {
   brand,
+  ownLoopback,
   silentLogger,
   sleep,
   SystemClock,
@@ -30,6 +31,7 @@
 const HOST = brand<HostId>("h1");
 const ZONE = brand<AvailabilityZone>("a");
 const TIMEOUT_MS = 1_000;
+const ADDRESS = ownLoopback(1);
 
 const reportOf = (life: string): HostReport => ({
   worker: {
@@ -70,7 +72,7 @@
 }
 
 const freePort = async (): Promise<number> => {
-  const server = createServer().listen(0, "127.0.0.1");
+  const server = createServer().listen(0, ADDRESS);
   await once(server, "listening");
   const port = Number(addressOf(server).split(":")[1]);
   server.close();
@@ -109,7 +111,7 @@
 const withServer = async (
   play: (listen: ListenAddress, probe: EngineProbe) => Promise<void>,
 ): Promise<void> => {
-  const listen = { address: "127.0.0.1", port: await freePort() };
+  const listen = { address: ADDRESS, port: await freePort() };
   const probe = new EngineProbe();
   const leading = {
     epoch: brand<Epoch>(1),
--- a/packages/protocol/tests/confirmedHttpClient.test.ts
+++ b/packages/protocol/tests/confirmedHttpClient.test.ts
@@ -3,6 +3,7 @@
 import { createServer, type Server } from "node:http";
 import { test, type TestContext } from "node:test";
 import { expect } from "earl";
+import { ownLoopback } from "@rackspan/common";
 import {
   addressOf,
   closeServer,
@@ -18,6 +19,8 @@
 /** For calls that get one, however busy the machine is. */
 const PATIENT_MS = 30_000;
 
+const ADDRESS = ownLoopback(1);
+
 class OtherPeerError extends Error {}
 
 /** A process that says its name when it is asked for it, and notes all other calls. */
@@ -36,7 +39,7 @@
   }
 
   async listen(port = 0): Promise<number> {
-    await listenOn(this.server, { address: "127.0.0.1", port });
+    await listenOn(this.server, { address: ADDRESS, port });
     return Number(addressOf(this.server).split(":")[1]);
   }
 
@@ -69,7 +72,7 @@
   const first = new NamedProcess("first");
   const second = new NamedProcess("second");
   const port = await first.listen();
-  const baseUrl = `http://127.0.0.1:${port}`;
+  const baseUrl = `http://${ADDRESS}:${port}`;
   const client = new ConfirmedHttpClient({ baseUrl, maxSockets });
   t.after(() => Promise.allSettled([first.close(), second.close()]));
   const replace = async (): Promise<void> => {
--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -2,7 +2,7 @@
 
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { brand, SystemClock, type HostId } from "@rackspan/common";
+import { brand, ownLoopback, SystemClock, type HostId } from "@rackspan/common";
 import { freePort, StoreServer } from "@rackspan/platform-standins";
 import { MemoryStore } from "@rackspan/standins";
 import { ManagedProcess } from "./ManagedProcess.js";
@@ -18,6 +18,9 @@
   service: "kaigi",
 } as const;
 
+/** Host part of the first side's address; entries are numbered from 1. */
+const FIRST_INBOX = 51;
+
 /** Hosts stand in them by turns. */
 export const ZONES = ["zone-a", "zone-b"] as const;
 
@@ -94,7 +97,7 @@
   }
 
   private addressOfEntry(at: number): string {
-    return `127.0.1.${at + 1}`;
+    return ownLoopback(1 + at);
   }
 
   /** Where callers reach the entries, `IP:PORT` each. */
@@ -182,7 +185,7 @@
   private async startHost(at: number): Promise<void> {
     const { seed, recorder, programs, sharesId } = this.options;
     const name = hostAt(at);
-    const inbox = `127.0.2.${at + 1}:${await freePort()}`;
+    const inbox = `${ownLoopback(FIRST_INBOX + at)}:${await freePort()}`;
     const worker = new SoakWorker({
       host: name,
       service: QUEUE.service,
