A start from before is refused by the worker's next life from its first call on

Cause: a start that got no answer may be carried out seconds later, by the worker's next life where that stands under the same id. Each such run was barred by a stop of its own. The wire allows that order: a call without an answer may be done seconds later, after newer calls; the id is the same, and the lease is ahead of a clock that starts anew. One try only would not help: the run is then barred at its life and begins under another number, and the one try comes at the next life all the same.

Change: where `worker.fencesLives` is set, each life is called under a part of the leader's epoch of its own, above those of lives called before and above what an earlier process of the side has used. The worker refuses what is below the highest that it has heard, so the first call bars all starts from before at once. No part passes the next epoch. It is off by default: a side that does not know parts is refused by a life that has heard them, so it is to be set only once no earlier version is to come back.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -15,7 +15,13 @@
 } from "@rackspan/common";
 import { leaseOverBy } from "@rackspan/leadership";
 import type { Grant, HostReport, WorkerDescription } from "@rackspan/protocol";
-import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
+import {
+  FencedTaskHost,
+  Pacer,
+  TaskOrders,
+  WorkerRegistry,
+  WorkerWatch,
+} from "@rackspan/side";
 import type { LeaderModel } from "./LeaderModel.js";
 import { SideLink } from "./SideLink.js";
 import type { WorkerModel } from "./WorkerModel.js";
@@ -165,7 +171,8 @@
     const logger = silentLogger;
     const metrics = new Metrics();
     const registry = new WorkerRegistry(clock, logger);
-    const base = { host: worker, clock, logger, metrics };
+    const host = new FencedTaskHost({ host: worker, clock });
+    const base = { host, clock, logger, metrics };
     const pacer = new Pacer({ ...base, tailGraceMs: 4_000, tailAim: 0.9 });
     const watch = new WorkerWatch({
       ...base,
--- a/packages/side/src/jobs/JobSideProcess.ts
+++ b/packages/side/src/jobs/JobSideProcess.ts
@@ -14,9 +14,11 @@
   storeClients,
   taskHostClients,
   type StoreClient,
+  type TaskHost,
 } from "@rackspan/ports";
 import { MetricsServer } from "@rackspan/protocol";
 import { TOPICS } from "@rackspan/state";
+import { FencedTaskHost } from "./FencedTaskHost.js";
 import { LeaderFinder } from "./LeaderFinder.js";
 import { LeaderLink } from "./LeaderLink.js";
 import { Pacer } from "./Pacer.js";
@@ -61,10 +63,7 @@
     const metrics = new Metrics();
     const { client, store: address } = settings.platform;
     this.store = storeClients.create(client, { address });
-    const host = taskHostClients.create(client, {
-      address: settings.worker.address,
-      callTimeoutMs: SIDE.workerCallTimeoutMs,
-    });
+    const host = buildHost(settings, clock);
     const base = { clock, logger, metrics };
     const { service } = settings.worker;
     const registry = new WorkerRegistry(clock, logger, service);
@@ -129,6 +128,19 @@
   }
 }
 
+const buildHost = (
+  { platform, worker }: JobSideSettings,
+  clock: Clock,
+): TaskHost => {
+  const { address, fencesLives } = worker;
+  const callTimeoutMs = SIDE.workerCallTimeoutMs;
+  const host = taskHostClients.create(platform.client, {
+    address,
+    callTimeoutMs,
+  });
+  return fencesLives ? new FencedTaskHost({ host, clock }) : host;
+};
+
 /** Settings list entries with another port than the one that sides connect to. */
 const buildFinder = (
   { entries, entryPort }: JobSideSettings,
--- a/packages/side/src/jobs/index.ts
+++ b/packages/side/src/jobs/index.ts
@@ -2,6 +2,7 @@
 export * from "./settings.js";
 export * from "./workerInboxes.js";
 export * from "./WorkerRegistry.js";
+export { FencedTaskHost } from "./FencedTaskHost.js";
 export { LeaderFinder } from "./LeaderFinder.js";
 export { LeaderLink } from "./LeaderLink.js";
 export { PACING } from "./PacePlanner.js";
--- a/packages/side/src/jobs/settings.ts
+++ b/packages/side/src/jobs/settings.ts
@@ -28,6 +28,12 @@
     address: endpointSchema,
     /** Heartbeats of any other service are passed over; all count when left out. */
     service: idSchema<ServiceName>().optional(),
+    /**
+     * Whether each of its lives is called under a part of the epoch of its own, so that
+     * none carries out what was sent before. Sides that do not know this are refused by
+     * lives that were called so.
+     */
+    fencesLives: z.boolean().default(false),
   }),
   /** Where it reports itself. */
   inbox: listenAddressSchema,
