A host whose leases are over is looked at at that moment, not at the next tick

Cause: the bound of a silent host was compared with the clock at each tick of 250 ms alone, so its tasks waited up to a tick longer than needed. Change: the next tick comes no later than the earliest bound of any host, in the ledgers or in the gate of the take-over, and a word of silence brings it forward. Measured: three tests, told at five moments within a tick, failed before and pass.

--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -81,6 +81,11 @@
     return expired.map(([host]) => host);
   }
 
+  /** When the next host that was not heard holds no lease any more; Infinity without any. */
+  get nextOverBy(): Monotonic {
+    return Math.min(Infinity, ...this.silent.values());
+  }
+
   /** Hosts that may yet hide a run of a former leader. */
   unheard(now: Monotonic): readonly HostId[] {
     return [...this.silent].flatMap(([host, overBy]) =>
--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -38,6 +38,13 @@
     }
   }
 
+  /** When the next host's leases are over, unless it is heard before; Infinity without any. */
+  nextOverBy(): Monotonic {
+    const { options, hosts } = this.parts;
+    const ledgers = [...hosts.all()].map(({ ledger }) => ledger.leaseOverBy);
+    return Math.min(options.gate.nextOverBy, ...ledgers);
+  }
+
   /** Nothing runs there any more: it ended, or was silent until its lease was over. */
   dropHost(
     entry: HostEntry,
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -6,6 +6,7 @@
 import type {
   AvailabilityZone,
   HostId,
+  Monotonic,
   Timer,
   WorkerInstance,
   WorkerTime,
@@ -79,6 +80,8 @@
   private readonly ends: EndTaker;
   private readonly crashes: CrashKeeper;
   private timer: Timer | undefined;
+  /** When the next tick is due. */
+  private tickAt: Monotonic = Infinity;
   private stopped = false;
 
   constructor(private readonly options: EngineOptions) {
@@ -264,6 +267,7 @@
    */
   noteWorkerSilent(host: HostId, overInMs: number | undefined): boolean {
     if (overInMs !== undefined) this.watch.noteSilent(host, overInMs);
+    if (this.nextTickAt() < this.tickAt) this.schedule();
     return this.options.mayDecide();
   }
 
@@ -331,10 +335,14 @@
     this.stops.orderDueStops(entry);
   }
 
+  /** Sets the next tick, in place of one that is due later. */
   private schedule(): void {
     const { clock } = this.options;
-    const dueAt = clock.monotonic() + ENGINE.tickMs;
-    this.timer = clock.after(ENGINE.tickMs, () => {
+    this.timer?.cancel();
+    if (this.stopped) return;
+    const dueAt = this.nextTickAt();
+    this.tickAt = dueAt;
+    this.timer = clock.after(dueAt - clock.monotonic(), () => {
       if (this.stopped) return;
       this.noteLateness(clock.monotonic() - dueAt);
       this.tick();
@@ -342,6 +350,13 @@
     });
   }
 
+  /** When a host's leases are over its tasks may start elsewhere, so no tick comes later. */
+  private nextTickAt(): Monotonic {
+    const now = this.options.clock.monotonic();
+    const overBy = Math.max(now, this.watch.nextOverBy());
+    return Math.min(now + ENGINE.tickMs, overBy + ENGINE.timerGrainMs);
+  }
+
   /** Tells how late the timers of this process are: it may be short of processor time. */
   private noteLateness(lateMs: number): void {
     const { logger, metrics } = this.options;
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -44,8 +44,10 @@
   starvedMs: 1_500,
   /** A lasting task that found no place for this long may take what is kept for plain ones. */
   lastingPatienceMs: 2_000,
-  /** How often timers of the engine are looked at. */
+  /** How often timers of the engine are looked at, at least. */
   tickMs: 250,
+  /** Timers may fire this much before they are due, milliseconds. */
+  timerGrainMs: 1,
   /** Runs of one leader; run numbers of a later one are all higher. */
   runsPerEpoch: 2 ** 20,
   /** A step whose ticket was refused is tried again after this. */
--- a/packages/scheduling/tests/silentBeforeTakeOver.test.ts
+++ b/packages/scheduling/tests/silentBeforeTakeOver.test.ts
@@ -3,15 +3,35 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { ENGINE } from "@rackspan/scheduling";
-import { EngineHarness, LEASE_MS, TTL_MS } from "./engineHarness.js";
+import {
+  EngineHarness,
+  LEASE_MS,
+  TTL_MS,
+  type FakeHost,
+} from "./engineHarness.js";
 
 /** Until the leases of the silent host are over, as its side tells. */
 const OVER_IN_MS = 1_500;
 /** Longer than a pass over the waiting work takes to begin. */
 const SOON_MS = 200;
+/** A pass begins, and its orders are given. */
+const NEXT_PASS_MS = 2 * ENGINE.passFloorMs;
+/** When the silence is told, after a tick of the engine: all over its interval. */
+const TICK_PHASES_MS = [0, 60, 120, 180, 240];
 /** Every lease that former leaders could grant is over. */
 const ALL_OVER_MS = (TTL_MS + LEASE_MS) * 1.05;
 
+/** Lets all but the last of these milliseconds pass; the host reports until shortly before. */
+const waitUntilJustBefore = async (
+  { clock, engine }: EngineHarness,
+  ms: number,
+  host: FakeHost,
+): Promise<void> => {
+  await clock.advance(ms - ENGINE.quietMs / 2);
+  engine.report(host.host, host.zone, host.report());
+  await clock.advance(ENGINE.quietMs / 2 - 1);
+};
+
 /** A leader that takes over while a task waits, with hosts of which one reports. */
 const takeOver = async (silentHosts = 1) => {
   const former = new EngineHarness();
@@ -194,3 +214,38 @@
   await next.run(OVER_IN_MS, [heard]);
   expect(heard.starts.length).toEqual(1);
 });
+
+// Its lease takes most of the time within which a lasting task is to have a run again.
+test("a lasting task of a silent host starts as its lease ends, not with a later tick", async () => {
+  for (const phaseMs of TICK_PHASES_MS) {
+    const { harness, silent, heard } = await leadBesideOne();
+    await harness.clock.advance(phaseMs);
+    harness.engine.noteWorkerSilent(silent.host, OVER_IN_MS);
+    await waitUntilJustBefore(harness, OVER_IN_MS, heard);
+    expect(heard.starts).toEqual([]);
+    await harness.clock.advance(1 + NEXT_PASS_MS);
+    expect(heard.starts.length).toEqual(1);
+  }
+});
+
+test("a take-over starts tasks as the last lease of its silent hosts ends", async () => {
+  for (const phaseMs of TICK_PHASES_MS) {
+    const { next, heard, host } = await takeOverBesideOne();
+    await next.clock.advance(phaseMs);
+    next.engine.noteWorkerSilent(host.host, OVER_IN_MS);
+    await waitUntilJustBefore(next, OVER_IN_MS, heard);
+    expect(heard.starts).toEqual([]);
+    await next.clock.advance(1 + NEXT_PASS_MS);
+    expect(heard.starts.length).toEqual(1);
+  }
+});
+
+test("a bound that is over as it is told is not waited for until the next tick", async () => {
+  for (const phaseMs of TICK_PHASES_MS) {
+    const { harness, silent, heard } = await leadBesideOne();
+    await harness.clock.advance(phaseMs);
+    harness.engine.noteWorkerSilent(silent.host, 0);
+    await harness.clock.advance(NEXT_PASS_MS);
+    expect(heard.starts.length).toEqual(1);
+  }
+});
