A side renews its worker's lease no further ahead than a lasting task may be without a run

Cause: the lease of a worker that its side leaves alone was as long as the time for cancelled tasks allows (6.27 s where leases last 10 s), so the tasks of a silent worker began elsewhere 6.55 s after it at the soonest; users want a lasting task to have a run again after 6 s. Change: leases.lastingGapMs bounds the lease as well: 5,490 ms, over after 5,749.8 ms, with 250 ms left for the pass and a refused order. A side that is away for 3 s, starts and attaches within 2.4 s more finds its tasks alive. A schedule of workers with lasting tasks, one of which is lost in calm, judges the 6 s.

--- a/packages/checker/src/jobs/RunHistory.ts
+++ b/packages/checker/src/jobs/RunHistory.ts
@@ -39,6 +39,9 @@
 /** Nothing begins in a zone this long after its evacuation was asked for, milliseconds. */
 const EVACUATE_MS = 5_000;
 
+/** Users want a lasting task to have a run again this long after its last one, milliseconds. */
+export const LASTING_GAP_MS = 6_000;
+
 export class RunHistory {
   readonly violations: JobViolation[] = [];
   private readonly byTask = new Map<JobTaskId, RunSeen[]>();
@@ -80,6 +83,20 @@
       .filter(({ endedAt }) => endedAt === undefined);
   }
 
+  /** Tasks that are to last had a next run in time after each one. */
+  checkGaps(isLasting: (task: JobTaskId) => boolean, now: Monotonic): void {
+    for (const [task, runs] of this.byTask) {
+      if (!isLasting(task)) continue;
+      const inOrder = [...runs].sort((a, b) => a.beganAt - b.beganAt);
+      inOrder.forEach((run, index) => {
+        const nextAt = inOrder[index + 1]?.beganAt ?? now;
+        const gapMs = nextAt - (run.endedAt ?? now);
+        if (gapMs <= LASTING_GAP_MS) return;
+        this.add("waits", nextAt, `${show(run)}, ${Math.round(gapMs)} ms`);
+      });
+    }
+  }
+
   /** What can be told only at the end: which ends were taken note of. */
   checkEnds(
     maxAttempts: number,
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -12,6 +12,7 @@
   runReturnSchedule,
   runHarshSchedule,
   runJobSchedule,
+  runLastingSchedule,
   runStarvedSchedule,
   runSuccessionSchedule,
 } from "./jobSchedules.js";
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -1,6 +1,7 @@
 /** Random schedules of work and faults for the job engine, by seed. */
 
 import { pickIndex } from "@rackspan/common";
+import { unattendedLeaseMs } from "@rackspan/leadership";
 import {
   CRASHING_EVENTS,
   DROPPED_EVENTS,
@@ -15,7 +16,7 @@
   type WeightedEvents,
 } from "./eventMixes.js";
 import { JobWorld, type JobWorldOptions } from "./JobWorld.js";
-import type { JobViolation } from "./RunHistory.js";
+import { LASTING_GAP_MS, type JobViolation } from "./RunHistory.js";
 import {
   between,
   silenceBesideLoss,
@@ -38,6 +39,10 @@
   rounds: 4,
   jobsARound: 6,
   roundMs: 14_000,
+  /** A worker that is lost in calm stays away this long, and its tasks begin elsewhere meanwhile. */
+  lostMs: 9_000,
+  /** A side that is started anew attaches and renews the lease within this. */
+  sideBackMs: 3_000,
 } as const;
 
 interface Harshness extends Omit<JobWorldOptions, "seed"> {
@@ -260,3 +265,43 @@
   await finish(world, mayGiveUp);
   return world.history.violations;
 };
+
+const CALM: Harshness = {
+  ...PLAIN,
+  failShare: 0,
+  unattendedLeaseMs: unattendedLeaseMs({
+    leastMs: SCHEDULE.sideBackMs,
+    outOfTouchMs: undefined,
+    cancelMs: undefined,
+    stopMs: undefined,
+    lastingGapMs: LASTING_GAP_MS,
+  }),
+};
+
+/**
+ * Plays one seed of workers with lasting tasks that are lost one after the other while
+ * all else is calm.
+ * @param losses how many are lost
+ * @returns what broke, in order
+ */
+export const runLastingSchedule = async (
+  seed: number,
+  losses = 1,
+): Promise<readonly JobViolation[]> => {
+  const world = new JobWorld({ ...CALM, seed });
+  const { clock, random, jobs } = world;
+  const demand = { memoryMiB: 100, accelerators: 0, milliCores: 40 };
+  for (let job = 0; job < SCHEDULE.jobsARound; job += 1) {
+    world.submit([{ taskCount: 2, demand, lasting: true }]);
+  }
+  for (let lost = 0; lost < losses; lost += 1) {
+    await clock.advance(between(random, 3_000, 4_000));
+    world.loseWorker(SCHEDULE.lostMs);
+    await clock.advance(SCHEDULE.lostMs);
+  }
+  world.history.checkGaps(
+    (task) => jobs.isLastingTask(task),
+    clock.monotonic(),
+  );
+  return world.history.violations;
+};
--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -4,6 +4,7 @@
   runFormerSchedule,
   runHarshSchedule,
   runJobSchedule,
+  runLastingSchedule,
   runCrashingSchedule,
   runEvacuatingSchedule,
   runDroppedLeaderSchedule,
@@ -160,3 +161,9 @@
     await expectNothingBroken(runDroppedLeaderSchedule, seed);
   }
 });
+
+test("a lasting task of a lost worker runs elsewhere within the time that users allow", async () => {
+  for (const seed of [...SEEDS, 99, 102, 113, 139, 152, 199]) {
+    await expectNothingBroken((at) => runLastingSchedule(at), seed);
+  }
+});
--- a/packages/leadership/src/leaseBounds.ts
+++ b/packages/leadership/src/leaseBounds.ts
@@ -10,6 +10,11 @@
   workerClockDrift: 0.02,
   /** Added to each bound for timers that fire late. */
   marginMs: 150,
+  /**
+   * From the end of a lease until what ran under it has begun elsewhere, with an order
+   * or two that are refused before, milliseconds.
+   */
+  replaceMs: 250,
 } as const;
 
 /** What bounds the lease of a worker whose side is gone; all in milliseconds. */
@@ -22,13 +27,15 @@
   readonly cancelMs: number | undefined;
   /** Time that a worker may take to stop a task. */
   readonly stopMs: number | undefined;
+  /** Longest time that a lasting task may be without a run; undefined when nobody says. */
+  readonly lastingGapMs: number | undefined;
 }
 
 /**
  * How far ahead a side renews its worker's lease, whatever the leader has granted.
- * A worker whose side was removed for good runs what it has until its lease is
- * over, also what was cancelled since. To grant less instead would lose tasks whenever
- * nobody leads for as long.
+ * A worker whose side was removed for good runs what it has until its lease is over, also
+ * what was cancelled since, and the tasks of a silent worker begin elsewhere only then. To
+ * grant less instead would lose tasks whenever nobody leads for as long.
  *
  * @returns Infinity where nothing bounds it
  */
@@ -37,10 +44,17 @@
   outOfTouchMs,
   cancelMs,
   stopMs = 0,
+  lastingGapMs,
 }: UnattendedBounds): number => {
-  if (outOfTouchMs === undefined || cancelMs === undefined) return Infinity;
-  const goneWithinMs = outOfTouchMs + cancelMs + stopMs;
-  const leaseMs = Math.floor(goneWithinMs / (1 + LEASE.workerClockDrift));
+  const bounds: number[] = [];
+  if (outOfTouchMs !== undefined && cancelMs !== undefined) {
+    bounds.push(outOfTouchMs + cancelMs + stopMs);
+  }
+  if (lastingGapMs !== undefined) {
+    bounds.push(lastingGapMs - LEASE.marginMs - LEASE.replaceMs);
+  }
+  const overWithinMs = Math.min(Infinity, ...bounds);
+  const leaseMs = Math.floor(overWithinMs / (1 + LEASE.workerClockDrift));
   return Math.max(leastMs, leaseMs);
 };
 
--- a/packages/side/src/jobs/JobSideProcess.ts
+++ b/packages/side/src/jobs/JobSideProcess.ts
@@ -80,6 +80,7 @@
         outOfTouchMs: settings.leases.outOfTouchMs,
         cancelMs: settings.leases.cancelMs,
         stopMs: settings.leases.stopMs,
+        lastingGapMs: settings.leases.lastingGapMs,
       }),
       longestLeaseMs: settings.leases.longestMs ?? Infinity,
     });
--- a/packages/side/src/jobs/settings.ts
+++ b/packages/side/src/jobs/settings.ts
@@ -44,6 +44,8 @@
       cancelMs: boundSchema.optional(),
       /** Time that the worker may take to stop a task. */
       stopMs: boundSchema.optional(),
+      /** Longest time that a lasting task may be without a run. */
+      lastingGapMs: boundSchema.optional(),
       /** Longest lease that the worker takes; it cuts longer ones to this. */
       longestMs: boundSchema.optional(),
     })
