--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -21,85 +21,70 @@
   expect({ seed, violations }).toEqual({ seed, violations: [] });
 };
 
-/**
- * Before late answers for lost runs were passed over, 6 of these 12 showed tasks
- * that ran twice, up to 11 a seed.
- */
+/** Seeds that most schedules share. */
 const SEEDS = Array.from({ length: 12 }, (_, index) => index + 1);
 
 test("no task runs twice, past its attempts, beyond a host's room or after its cancel, whatever comes late", async () => {
   for (const seed of SEEDS) await expectNothingBroken(runFormerSchedule, seed);
 });
 
-// The leader stood still between its election and its reading of the jobs for
-// longer than the former term: it took all of them for new ones. Seed 26 shows it
-// where leaders end the former connections of a host.
+// Jobs that were read at a take-over count as known, however long it lasted.
 test("a leader that stood still while it took over starts nothing that may run", async () => {
   await expectNothingBroken(runFormerSchedule, 145);
   await expectNothingBroken(runJobSchedule, 26);
 });
 
-// The same cause. A schedule changes with each change of the engine, and 145 shows
-// nothing any more with the mend left out; this one shows five tasks.
+// The same fault under another schedule.
 test("a leader that stood still while it took over starts nothing that may run: another seed", async () => {
   await expectNothingBroken(runFormerSchedule, 105);
 });
 
-// A stop was lost, and a report that listed the run counted as its answer.
+// A report that lists the run is no answer to its stop.
 for (const seed of [229, 262]) {
   test(`stops that are lost are ordered again: seed ${seed}`, async () => {
     await expectNothingBroken(runFormerSchedule, seed);
   });
 }
 
-// A report of the worker's former life came late over a connection that its side
-// had given up: it made the leader lose the runs of the present life.
+// Such a report speaks of the worker's former life.
 test("a report over a former connection loses no run", async () => {
   await expectNothingBroken(runJobSchedule, 458);
 });
 
-// Gangs, tasks that fill or serve, limits by host, repeats; workers that leave, two
-// sides of one host for a while, and losses of power of the whole site.
+// All natures of tasks, limits by host, leaving workers, two sides of a host, losses of power.
 for (const seed of [1, 2, 3, 4]) {
   test(`jobs of all kinds under harsher faults: seed ${seed}`, async () => {
     await expectNothingBroken(runHarshSchedule, seed);
   });
 }
 
-// The leader is short of processor time, and every other run fails. With passes made
-// inside reports each of these seeds shows a start past the attempts: the last failure
-// of a task let it wait, and the overdue pass started it before its job was closed.
+// Every other run fails; an overdue pass must not start a task whose attempts are spent.
 for (const seed of [2, 13, 18]) {
   test(`a leader short of processor time starts nothing past its attempts: seed ${seed}`, async () => {
     await expectNothingBroken(runStarvedSchedule, seed);
   });
 }
 
-// Leaders whose machines are suspended past their terms, tasks that crash their
-// workers, workers whose room changes. Without the count, or with one that is kept
-// in memory alone, such a task is started for as long as the schedule lasts.
+// The count of crashes must outlive the leader that keeps it.
 test("tasks that crash their workers are given up across suspended leaders, and no others", async () => {
   for (const seed of SEEDS) {
     await expectNothingBroken(runCrashingSchedule, seed);
   }
 });
 
-// Suspects that had waited for 2 s took every host, one after the other: a job that
-// nobody suspected did not begin for 43 s.
+// Suspects must leave a host to jobs that nobody suspects.
 test("jobs that nobody suspects begin beside many suspects", async () => {
   for (const seed of [14, 47, 81]) {
     await expectNothingBroken(runCrashingSchedule, seed);
   }
 });
 
-// A task that had only shared its worker with one that crashes it was suspected, and
-// waited for more than 21 s: each host that came free went to a suspect of more worth.
+// Suspects of more worth must not take each host that comes free.
 test("a job is done in its time beside many suspects although one of its tasks is suspected", async () => {
   await expectNothingBroken(runCrashingSchedule, 51);
 });
 
-// A task shared two workers with one that crashes them, and was announced by four
-// leaders that ended before they could order it: each of these counted.
+// Announcements that no order followed are no crashes.
 test("changes of leader do not give up a task that only shared its workers", async () => {
   await expectNothingBroken(runCrashingSchedule, 71);
 });
@@ -114,8 +99,7 @@
   await expectNothingBroken(runCrashingSchedule, 58);
 });
 
-// Workers that start again at once under their ids, twice in a second, after a pause;
-// orders that a next life carries out.
+// Workers start again at once under their ids; next lives may carry former orders out.
 test("lives of a worker under one id are told apart, whatever comes late", async () => {
   for (const seed of SEEDS.slice(0, 8)) {
     await expectNothingBroken(runRebornSchedule, seed);
@@ -134,9 +118,7 @@
   }
 });
 
-// Zones that are evacuated, one after the other, the same twice and all at once, beside
-// changes of leader, sides and workers that restart, cuts, and orders that come late. An
-// engine that passes evacuations over shows starts in evacuated zones with each seed.
+// Evacuations one after the other, repeated and all at once, beside faults of all kinds.
 test("nothing begins in an evacuated zone past its time, whoever leads, and all jobs end", async () => {
   for (const seed of SEEDS.slice(0, 6)) {
     await expectNothingBroken(runEvacuatingSchedule, seed);
--- a/packages/jobs/tests/crashLog.test.ts
+++ b/packages/jobs/tests/crashLog.test.ts
@@ -70,8 +70,7 @@
   expect(logOf(...unknown, "young", "young", "unseen").isSpent).toEqual(true);
 });
 
-// A soak started a task six times that crashed each worker after 10 ms: the sides of busy
-// workers did not know of one of the first five runs that it had been at work.
+// Sides of busy workers may not know that a run was at work.
 test("crashes under runs that nobody saw at work give a task up after four, not after three", () => {
   const unheard = Array.from({ length: 4 }, () => "unheard" as const);
   expect(logOf(...unheard.slice(1)).isSpent).toEqual(false);
@@ -89,14 +88,13 @@
   expect(logOf(...three, "unseen", "unknown", "unseen").isSpent).toEqual(true);
 });
 
-// One worker had crashed under the task: two runs had ended unheard of, one never began.
+// Runs that ended unheard of or never began crashed nothing.
 test("four runs of which nobody knows whether they were at work are not enough", () => {
   const log = logOf("unheard", "unseen", "unheard", "unanswered");
   expect([log.points, log.isSpent]).toEqual([12, false]);
 });
 
-// Another soak gave a job up of which one run had begun: two others were lost with their
-// workers before these had shown them, and two announcements were never ordered.
+// Neither lost runs that no worker had shown nor announcements without an order prove a crash.
 test("runs that may not have begun do not give a task up beside one crash", () => {
   const log = logOf("unseen", "unseen", "young", "unknown", "unknown");
   expect([log.points, log.isSpent]).toEqual([10, false]);
--- a/packages/scheduling/tests/apartTurns.test.ts
+++ b/packages/scheduling/tests/apartTurns.test.ts
@@ -26,8 +26,7 @@
   site.engine.addJob(job, SUSPECTED);
 };
 
-// A schedule showed a suspect that had waited for 21 s: each host that came free went
-// to one of more worth.
+// Turns go by how long a suspect has waited, not by worth alone.
 test("a suspected task of little worth does not wait for as long as others of more come", async () => {
   const site = new EngineHarness();
   const host = await site.addHost("h1");
--- a/packages/scheduling/tests/changingRoom.test.ts
+++ b/packages/scheduling/tests/changingRoom.test.ts
@@ -1,8 +1,4 @@
-/**
- * Workers whose room shrinks and grows while they run: nothing is started that a
- * worker which guards nothing would take past its room. What is being stopped
- * counts, and so does what runs there from before.
- */
+/** Workers whose room changes while they run are never filled past it. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/crashingTasks.test.ts
+++ b/packages/scheduling/tests/crashingTasks.test.ts
@@ -1,20 +1,4 @@
-/**
- * What users saw: a task that crashed each worker that started it was started six
- * times in 17 s and more than that until the day's end. Every crash took all other
- * runs of that worker with it, and callers of quick requests waited for workers.
- *
- * Order of events: the task starts; some milliseconds later its worker is gone and
- * lists no end. Three seconds later the worker's next life reports, and shows none
- * of the runs. All of them wait again, and the task is started on the next worker.
- *
- * Cause: only ends that a worker lists as failed counted towards a bound. A run
- * that was lost with its worker's life counted towards none, whatever had ended it,
- * so neither this leader nor the next one ever gave the task up.
- *
- * Evidence: in the leader's log each of 126 runs was given back as `worker-gone` or
- * `worker-replaced`, none was counted, and 140 lives of 11 workers ended in 120 s.
- * In the first of these tests a leader without a count starts the task 28 times.
- */
+/** A task that crashes its workers is given up, across leaders, and no other task with it. */
 
 import { test } from "node:test";
 import { expect } from "earl";
@@ -221,8 +205,7 @@
   expect(stateOf(site, JOB)).toEqual("failed");
 });
 
-// A host that falls silent may only be cut off, with its worker and the task going on
-// until the lease is over: six cuts gave up a job that had crashed nothing.
+// A host that falls silent may only be cut off, and its task may be at work still.
 test("a task whose hosts fall silent is not given up until workers are known to have crashed", async () => {
   const site = await siteOf(12);
   site.submit(JOB, [{}]);
@@ -298,9 +281,7 @@
 const isRunning = ({ hosts }: EngineHarness, task: JobTaskId): boolean =>
   hosts.some((host) => host.isRunning(task));
 
-// A soak gave a job up whose task had been done twice: each time its worker died
-// before anybody had heard of the end. The leader takes a run that it believes to be
-// at work for one that was lost with its worker; the side does not name it as lost.
+// The leader believes such runs to be at work; their side does not name them as lost.
 test("runs that had ended before their workers crashed do not speak against their task", async () => {
   const site = await siteOf(3);
   site.submit(JOB, [{}]);
--- a/packages/scheduling/tests/earlierRuns.test.ts
+++ b/packages/scheduling/tests/earlierRuns.test.ts
@@ -9,11 +9,7 @@
 const TASK = taskId(`${JOB}.0.0.0`);
 const ZONE = brand<AvailabilityZone>("obihiro-a");
 
-// A host is cut off, its task goes on elsewhere and saves more of its progress,
-// and then the host comes back and lists its failed run with what that had saved.
-// When the worker of the later run crashed, the task went on from the older point:
-// that work was done twice. The cause: the checkpoint of the earlier run was
-// taken for the newest one of the task.
+// A checkpoint of an earlier run is not the newest of its task.
 test("the end of an earlier run does not take back what a later one has saved", async () => {
   const site = new EngineHarness();
   const first = await site.addHost("h1");
--- a/packages/scheduling/tests/estimateBook.test.ts
+++ b/packages/scheduling/tests/estimateBook.test.ts
@@ -1,9 +1,4 @@
-/**
- * What callers guess of run times is off by half and more, and the jobs of one queue
- * differ. In the play of more bulk work than a site can do callers got 0.923, 0.738 and
- * 0.607 of what all jobs are worth with the run times that were seen in a step, 0.919,
- * 0.729 and 0.591 with the queue's correction alone (1.0, 1.4 and 1.8 times the load).
- */
+/** Run times that were seen correct what callers guess of them. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/evacuatedZones.test.ts
+++ b/packages/scheduling/tests/evacuatedZones.test.ts
@@ -1,16 +1,4 @@
-/**
- * What users saw: an availability zone was to be emptied, and tasks went on being
- * started there until its hosts were taken away under them.
- *
- * Order of events: the operator asks that nothing more go to the zone's workers; the
- * store keeps it; for as long as it stands, jobs come.
- *
- * Cause: nobody read the operator's record, so the zone's hosts stayed as usable as
- * all others.
- *
- * Evidence: on a played day with one evacuation of 10 s, 375 tasks began in the zone
- * later than 5 s after the record was acknowledged, the first 5.1 s after it.
- */
+/** Nothing is started in an availability zone for as long as its evacuation stands. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/formerLives.test.ts
+++ b/packages/scheduling/tests/formerLives.test.ts
@@ -1,16 +1,4 @@
-/**
- * What users would see where one of these fails: a task runs twice, or runs again
- * after it was done.
- *
- * Order of events: a worker ends, and its next life takes its place. What was said
- * of the one before, or over its side's connection before, is heard after that.
- *
- * Cause: such news acts on the life that is present, where it speaks of the former
- * one.
- *
- * Evidence: each of these tests fails where its check is left out, and no other test
- * of the package does.
- */
+/** What is heard late of a worker's former life does not act on the present one. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/gangAttempts.test.ts
+++ b/packages/scheduling/tests/gangAttempts.test.ts
@@ -1,15 +1,4 @@
-/**
- * What users would see: a gang is started more often than its attempts allow, and
- * its job is shown as running when it has failed.
- *
- * Order of events: one member fails and breaks the others; in the next run another
- * member does.
- *
- * Cause: failures were counted for each member by itself, so that a gang of N could
- * fail N times as often. A gang fails as one, whichever member begins.
- *
- * Evidence: these tests. No played day has had gangs.
- */
+/** A gang's failures count together, whichever member fails first. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/gangCheckpoints.test.ts
+++ b/packages/scheduling/tests/gangCheckpoints.test.ts
@@ -13,11 +13,7 @@
     starts.slice(1).map(({ checkpoint }) => checkpoint),
   );
 
-// A gang of two runs on two hosts; both have saved their progress. The worker of
-// one crashes, so the other member ends as broken, having saved once more. All of
-// the gang is started again, and users saw its members go on from two different
-// points, which workers do not accept of a gang. The cause: each member brought
-// the checkpoint that was last heard of itself, and the lost one's was older.
+// The newest checkpoint may be that of a member whose worker did not crash.
 test("all members of a gang go on from the newest checkpoint of any of them", async () => {
   const site = new EngineHarness();
   const hosts = [await site.addHost("h1"), await site.addHost("h2")];
--- a/packages/scheduling/tests/givenBackTwice.test.ts
+++ b/packages/scheduling/tests/givenBackTwice.test.ts
@@ -1,19 +1,4 @@
-/**
- * What users saw: a task that must run once ran on two hosts at the same time,
- * was started again whenever one of its runs had ended, up to five times in
- * three seconds; a cancelled job could run on.
- *
- * Order of events: a worker falls silent while an order to start is on its way
- * to it. Its next life registers, so the leader frees what ran there and starts
- * the task elsewhere. Then the order is answered "replaced".
- *
- * Cause: that answer freed the run a second time and let the task wait again,
- * although its next run was under way.
- *
- * Evidence: the leader's log of such a day. All 15 tasks that were started beside
- * a run of their own had such an answer for a run that was lost up to 0.2 s
- * before; none of the 18 tasks whose answer came before the loss ran twice.
- */
+/** An answer to the order of a lost run does not start its task beside the next run. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/grants.test.ts
+++ b/packages/scheduling/tests/grants.test.ts
@@ -1,11 +1,4 @@
-/**
- * What users would see where one of these fails: after a change of leader a task
- * runs beside its own run, since the next leader did not wait for a host that
- * still had a lease.
- *
- * Evidence: each of these tests fails where its check is left out, and no other test
- * of the package does.
- */
+/** No lease is granted by a leader that may not decide, or to a host outside the roster. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/hiddenEnds.test.ts
+++ b/packages/scheduling/tests/hiddenEnds.test.ts
@@ -1,17 +1,4 @@
-/**
- * What users would see: tasks that are done are started again on the same worker,
- * and end once more.
- *
- * Order of events: the store takes no records for a while, so no end is
- * acknowledged, and more runs end on one worker than it lists at once. The leader
- * hears of neither the run nor its end, and takes the run for one that vanished.
- *
- * Cause: a report with a list of ends that is cut off was compared as a whole one. A
- * failure behind it was counted only after the next start: one past the attempts.
- *
- * Evidence: these tests. No played day has shown it: a worker would have to end 500
- * runs while the store keeps nothing.
- */
+/** A run whose end does not fit into the list of its worker does not count as vanished. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/keptEnds.test.ts
+++ b/packages/scheduling/tests/keptEnds.test.ts
@@ -6,11 +6,7 @@
 
 const JOB = "5c0e7a21d94b36f8";
 
-// A host reports that a task is done while the store takes no records, is cut off
-// until its lease is over, and comes back with the same worker, which lists the
-// end again. The worker was let forget it at once, though nothing was kept: had
-// the leader ended then, its successor would have run the task again. The cause:
-// what an end waits for was kept with the host's entry, and the entry was new.
+// The list comes anew with a new entry of the host, whose earlier ends still wait for the store.
 test("an end that is listed again is acknowledged only once its progress is kept", async () => {
   const site = new EngineHarness();
   const host = await site.addHost("h1");
@@ -28,10 +24,7 @@
   expect(host.acknowledged).toEqual(1);
 });
 
-// One end of a gang's member stands for all of them. The worker of another member
-// was let forget its own end before the first was kept, so that a successor of the
-// leader could run the gang again. The cause: an end that changes nothing waited
-// for earlier ends of its host only, not for those of its job.
+// The end of one member stands for all, so none may be forgotten before its record is kept.
 test("the end of a gang's member waits for the record that another one's end has caused", async () => {
   const site = new EngineHarness();
   const hosts = [await site.addHost("h1"), await site.addHost("h2")];
--- a/packages/scheduling/tests/leftWhileNobodyLed.test.ts
+++ b/packages/scheduling/tests/leftWhileNobodyLed.test.ts
@@ -1,22 +1,4 @@
-/**
- * What users saw: lasting tasks that were moved off a leaving worker did not run
- * for 18 s although there was room, and hardly any work of before the change of
- * leader was started.
- *
- * Order of events: the leader is lost; a worker says that it leaves, and ends,
- * before the next one leads. The next leader takes over with that host in its
- * roster, hears from its side that the worker is gone, and from all other hosts
- * what they run.
- *
- * Cause: the host never reports any more, so the gate of the take-over waits until
- * the longest lease that it might hold is over. Nor does it leave the roster, so
- * that the take-over after it waits as long again.
- *
- * Evidence: the log of a played day, the same in five of five plays. The worker
- * went 0.55 s before the next leader; that leader's gate was closed for the 12.4 s
- * of its term, and that of the one after it for 12.85 s, until the leases of a host
- * were over that had been gone for 26 s.
- */
+/** A worker that left while there was no leader does not delay starts after the next take-over. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/playOverload.ts
+++ b/packages/scheduling/tests/playOverload.ts
@@ -1,8 +1,4 @@
-/**
- * Plays more bulk work than a site can do on the engine, and tells what its callers
- * get: jobs of two steps of many wide tasks, of very unequal size, with estimates that
- * are wrong.
- */
+/** Plays more bulk work on the engine than a site can do, and adds up what its callers get. */
 
 import {
   SeededRandom,
--- a/packages/scheduling/tests/reportAfterFreeze.test.ts
+++ b/packages/scheduling/tests/reportAfterFreeze.test.ts
@@ -1,17 +1,4 @@
-/**
- * What users would see: a task started once more than its attempts allow, or a
- * second run of a task that its host had just listed.
- *
- * Order of events: the leader's process stands still for a while, with a pass
- * over the waiting work due. When it wakes, the reports that have come meanwhile
- * are taken before its timers run.
- *
- * Cause: a pass that is overdue was made at once, by whoever asked for it, and
- * taking a report asks for one at every run that it frees: the pass then worked
- * on books of which the report was half taken.
- *
- * Evidence: these tests, which fail where the pass is made inside the report.
- */
+/** No overdue pass is made while a report is half taken. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/silentHosts.test.ts
+++ b/packages/scheduling/tests/silentHosts.test.ts
@@ -1,17 +1,4 @@
-/**
- * What users would see: all plain tasks of a host that was cut off for some
- * seconds are stopped once it is back, and begin anew elsewhere; the host gets
- * nothing for a while, as one that fails its tasks.
- *
- * Order of events: the reports of a host fail to come for longer than a task may
- * go without progress, though for less than its lease. Its connection stays open.
- *
- * Cause: how long a task had stood still was counted up to now, not up to the
- * last report, so silence of the host was taken for a standstill of its tasks.
- *
- * Evidence: these tests; six of six stops in the first one were of tasks that had
- * gained percents all the time.
- */
+/** Silence of a host is not taken for a standstill of its tasks. */
 
 import { test } from "node:test";
 import { expect } from "earl";
@@ -81,8 +68,7 @@
   expect(host.stops.length).toEqual(1);
 });
 
-// Were the silence of hosts counted with the time for which the leader's machine was
-// suspended, their leases would be taken for over while their tasks run on.
+// Silence that includes a suspension of the leader's machine would end leases too early.
 test("a leader whose machine was suspended takes no lease for over", async () => {
   const { harness, host, work } = await createSite();
   harness.clock.suspend(20_000);
--- a/packages/scheduling/tests/twoRunsMillisecondsApart.test.ts
+++ b/packages/scheduling/tests/twoRunsMillisecondsApart.test.ts
@@ -1,27 +1,4 @@
-/**
- * What users saw: tasks that must run once were started twice by one leader within
- * 4 to 5 ms, with run numbers that are 5 and 7 apart; once two tasks of a job on
- * one host, and 4 ms later the same two, in the same order, on that host and on
- * another. Elsewhere a task was started once more than its attempts allow.
- *
- * Order of events: a worker stops answering while five starts are on their way to
- * it. Its side tells the leader that it is gone, so all five tasks wait. The
- * leader's process is short of time: the pass that is due comes late, and is made
- * as soon as the next report is taken. It starts the five tasks. Behind that report
- * lie the answers to the five old orders, "replaced", and after them the late timer
- * of the pass that was made already: it makes another one at once.
- *
- * Cause: each of those answers let its task wait again, although it had its next
- * run by then. That is enough for the second start; the late timer is one way in which
- * it comes sooner than the 8 ms that lie between two passes, and orders that take
- * unequal times to their workers are another. A task that fails wherever it runs then has two runs that
- * fail side by side, and its next start comes before the second failure is told.
- *
- * Evidence: of 242 second runs on 30 played days, 29 began within 10 ms of the
- * first, and each of the 29 followed such an answer for an older run. The first and
- * the last of these tests fail where such answers let the task wait; the second one
- * needs the pass to be made inside the news of the lost worker as well.
- */
+/** Late answers and overdue passes do not start a task twice within milliseconds. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/scheduling/tests/unasked.test.ts
+++ b/packages/scheduling/tests/unasked.test.ts
@@ -33,9 +33,7 @@
 };
 
 test("a stop that an unhealthy worker refuses is given again until it is obeyed", async () => {
-  // Users saw a task run on after its job was cancelled, with its lease renewed.
-  // Order: cancel, the worker refuses the stop for a moment, a report lists the run.
-  // Cause: a report that lists a run counted as the answer to its stop.
+  // A report that lists a run is no answer to its stop.
   const { harness, host, job } = await startLasting();
   loseOrders(host, "refused");
   host.refusal = "unhealthy";
@@ -47,9 +45,7 @@
 });
 
 test("a stop without an answer is given again until it is obeyed", async () => {
-  // Users saw a task run on after its job was cancelled, with its lease renewed.
-  // Order: cancel, the worker is silent to orders for a moment, a report lists the run.
-  // Cause: a report that lists a run counted as the answer to its stop.
+  // A report that lists a run is no answer to its stop.
   const { harness, host, job } = await startLasting();
   loseOrders(host, "silent");
   harness.engine.cancelJob(job);
@@ -60,10 +56,7 @@
 });
 
 test("a job that is cancelled while its host is cut off is stopped when the host is back", async () => {
-  // Users saw a task run on after its job was cancelled, with its lease renewed.
-  // Order: the side's connection breaks, cancel, the side attaches and reports at once.
-  // Cause: no stop was sent for want of a connection, and the first report of the
-  // new one counted as the answer to it.
+  // The first report over a new connection does not answer a stop that was never sent.
   const { harness, host, job } = await startLasting();
   harness.engine.detach(host.host, host);
   harness.engine.cancelJob(job);
@@ -74,10 +67,7 @@
 });
 
 test("a stop that went out on a connection that fell silent is given again on the next one", async () => {
-  // Users saw a task run on after its job was cancelled, with its lease renewed.
-  // Order: the connection falls silent, cancel, the side attaches anew and reports.
-  // Cause: the stop was lost with the old connection, and the first report of the
-  // new one counted as the answer to it.
+  // The first report over a new connection does not answer a stop that was lost with the old one.
   const { harness, host, job } = await startLasting();
   loseOrders(host, "hang");
   harness.engine.cancelJob(job);
@@ -90,9 +80,7 @@
 });
 
 test("a stop that the worker has confirmed is given again when the run is listed on and on", async () => {
-  // Users saw a task run on after its job was cancelled, with its lease renewed.
-  // Order: cancel, the worker says that it stops the run, and lists it ever after.
-  // Cause: a stop that was answered once was never given again.
+  // A worker may confirm a stop and not carry it out.
   const { harness, host, job } = await startLasting();
   host.stopsAtOnce = false;
   harness.engine.cancelJob(job);
@@ -105,10 +93,7 @@
 });
 
 test("a run that is being stopped for another reason is stopped for a cancel as well", async () => {
-  // Users saw a task run on after its job was cancelled, with its lease renewed.
-  // Order: the worker drains, its lasting task is to move and the stop is lost, cancel.
-  // Cause: a run that was being stopped was not stopped again, and a report that
-  // lists it counted as the answer to the first stop.
+  // The stop that moves a lasting task may be lost when the cancel comes.
   const { harness, host, job } = await startLasting();
   loseOrders(host, "silent");
   host.draining = true;
@@ -134,9 +119,7 @@
 };
 
 test("a start that is carried out after its job's cancel is stopped, though the first stop was lost", async () => {
-  // Users saw a task that its worker had started late run on after a cancel.
-  // Order: start and stop without an answer, the worker carries out only the start.
-  // Cause: the report that lists the late run counted as the answer to its stop.
+  // The report that lists the late run is no answer to its stop.
   const { harness, host, order, job } = await startUnanswered();
   harness.engine.cancelJob(job);
   await harness.run(500);
@@ -163,9 +146,7 @@
 });
 
 test("an unanswered start of a cancelled job frees its room once it can begin no more", async () => {
-  // Users saw other jobs wait for room that a cancelled job, never begun, had taken.
-  // Order: start and stop without an answer, the order lapses, reports list nothing.
-  // Cause: only the answer to its stop told that the run is not there.
+  // A run that never began is never listed, and its stop may get no answer.
   const { harness, host, job } = await startUnanswered();
   harness.engine.cancelJob(job);
   await harness.run(3_000);
@@ -185,9 +166,7 @@
 });
 
 test("a late run beside the task's own on one worker is stopped, whichever is listed first", async () => {
-  // Users saw a task run on after its job was cancelled, beside a run that was stopped.
-  // Order: a worker begins an earlier run late, while the next one of the task runs there.
-  // Cause: rows of a report were told apart by task, so one of two runs was not seen.
+  // Rows of a report are told apart by run, not by task.
   for (const newestFirst of [false, true]) {
     const { harness, host } = await startLasting();
     const [order] = host.starts;
@@ -213,9 +192,7 @@
 };
 
 test("a new leader finds both runs of one task on a worker, and stops both after a cancel", async () => {
-  // Users saw a task run on after its job was cancelled and its leader had changed.
-  // Order: two runs of a task on one worker, its job is cancelled, a new leader.
-  // Cause: rows of a report were told apart by task, so one of two runs was not seen.
+  // Rows of a report are told apart by run, not by task.
   const before = await startLasting();
   const { host } = before;
   const [order] = host.starts;
@@ -231,9 +208,7 @@
 });
 
 test("a new leader keeps the later of two runs of one task, and stops the other", async () => {
-  // Users saw two runs of one task go on beside each other after a change of leader.
-  // Order: two runs of a task on one worker, a new leader takes over.
-  // Cause: rows of a report were told apart by task, so one of two runs was not seen.
+  // Rows of a report are told apart by run, not by task.
   for (const newestFirst of [false, true]) {
     const before = await startLasting();
     const { host } = before;
@@ -252,9 +227,7 @@
 });
 
 test("a cancel stops all runs of a task that hosts are believed to run", async () => {
-  // Users saw a task run on after its job was cancelled, beside a run that was stopped.
-  // Order: a task runs on two hosts, since it was taken as waiting twice; cancel.
-  // Cause: a cancel stopped the run that was placed last, and no other.
+  // The run that was placed last may not be the only one.
   const harness = new EngineHarness();
   const first = await harness.addHost("h1");
   let answer: (result: HostCallResult) => void = () => undefined;
@@ -276,9 +249,7 @@
 });
 
 test("a stop that hangs is not given again beside itself, but once it has had its time", async () => {
-  // Users saw dozens of orders wait at a worker that had stopped answering.
-  // Order: a new leader finds runs of a cancelled job, their stops get no answer.
-  // Cause: each report gave the stop again, beside those that were still on their way.
+  // Each report would otherwise add an order to those that still wait at a silent worker.
   const before = await startLasting();
   const { host } = before;
   before.harness.leads = false;
