--- a/packages/entry/tests/attemptLoop.test.ts
+++ b/packages/entry/tests/attemptLoop.test.ts
@@ -36,10 +36,7 @@
     ADDRESS,
   );
 
-// A side process ends with a request that may run once only, and its next run is
-// known to the entry before the entry notices that the connection is dead. The
-// request was run on a second host as well. The cause: the side's next run was
-// asked whether the request had started there, which it truly denied.
+// Another process of the side truly denies what was sent to the one before it.
 test("the run of a side that an attempt was sent to is asked whether it started", async () => {
   const clock = new ManualClock();
   const endpoints = new Map(
--- a/packages/entry/tests/jobDesk.test.ts
+++ b/packages/entry/tests/jobDesk.test.ts
@@ -69,9 +69,7 @@
 });
 
 test("a cancel is denied only when the store has been asked since it came", async () => {
-  // Users saw a job run on whose cancel had been answered with "no such job".
-  // Order: another entry takes the job, this one loses the store, the cancel comes.
-  // Cause: a view that was some seconds old was taken to prove that no such job exists.
+  // A view that is some seconds old does not prove that a job does not exist.
   const { clock, store, desk, job, deadline, stop } = await setUp();
   store.fault = "refuses";
   const cancel = desk.cancel(job.spec.queue, JOB, deadline());
@@ -94,9 +92,7 @@
 });
 
 test("a cancel that comes before its job is kept for it", async () => {
-  // Users saw a job run whose cancel had been answered with "no such job" before.
-  // Order: a caller gets no answer to its job, cancels it, the job's record is kept late.
-  // Cause: a cancel of a job that the store did not hold yet was answered and forgotten.
+  // The record of a job may be kept after its cancel has come.
   const { clock, store, desk, job, deadline, stop } = await setUp();
   const cancel = desk.cancel(job.spec.queue, NEVER, deadline());
   await clock.advance(200);
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -194,9 +194,7 @@
 });
 
 test("a cancel is kept for a job whose record this version cannot read", async () => {
-  // Users would see a cancelled job run after a version was taken back and put in again.
-  // Order: a cancelled job's record is not readable, the time for ended jobs passes.
-  // Cause: a job that could not be read was taken as one that never came.
+  // A job that this version cannot read exists all the same.
   const { clock, store, jobsWriter, leadership, stop, keepCancel } = setUp();
   const value = Buffer.from("of another version");
   const { kept } = jobsWriter.write({ key: JOB, value });
@@ -211,9 +209,7 @@
 });
 
 test("a cancel whose job never came is dropped when ended jobs are", async () => {
-  // Users would see the topic of cancels grow with every job that is denied.
-  // Order: a cancel is kept for a job that never comes, the time for ended jobs passes.
-  // Cause: cancels were dropped with their jobs only.
+  // Such a cancel has no job with which it could be dropped.
   const { clock, store, leadership, stop, keepCancel } = setUp();
   leadership.begin(brand<Epoch>(1));
   await clock.advance(200);
@@ -262,19 +258,7 @@
   lostRuns: [],
 });
 
-/**
- * What users would see: a task runs on two hosts after a change of leader.
- *
- * Order of events: the store answers the next leader late, or its process stands
- * still, so that its take-over lasts longer than the term of the former leader.
- * Then a host is silent that still runs what the former leader started.
- *
- * Cause: jobs count as new, and may start at once, when the leader first sees
- * them after the former term. It saw those that it read at its take-over then.
- *
- * Evidence: random schedules of the engine with workers and leaders that stand
- * still; seed 145 of them starts eight tasks beside their runs.
- */
+/** A slow take-over must not let tasks run beside what a silent host still runs. */
 test("a take-over that lasts longer than the former term takes no job that it reads for a new one", async () => {
   const { clock, store, view, leadership, follow, stop, keepJob } = setUp();
   const silent = brand<HostId>("h1");
@@ -311,11 +295,7 @@
   await stopped;
 });
 
-// Several entries join at once, and the store deals leadership anew while its new
-// owner still reads how the jobs stand. That owner begins a second term; the first
-// one then fails, as it must, since its writers are closed. The entry stepped down
-// for it, so that nobody led for a while, each time anew. The cause: the failure of
-// a term was taken for that of the present one.
+// The former term fails because its writers are closed; the next one does not.
 test("a term that fails after the next one has begun deposes nobody", async () => {
   const { clock, store, leadership, jobs, deposed } = setUp();
   store.fault = "refuses";
--- a/packages/entry/tests/sideServer.test.ts
+++ b/packages/entry/tests/sideServer.test.ts
@@ -129,11 +129,7 @@
   }
 };
 
-// A network that repeats lost packets late delivers a report seconds after its
-// side gave the connection up and attached anew. Tasks ran twice: the report
-// named the worker's former life, the engine took the present life for over,
-// let all its runs wait, and started them elsewhere. The cause: a report was
-// taken from any connection on which the host had ever attached.
+// It speaks of the worker's former life, and would end the runs of the present one.
 test("a report over a connection that its side has replaced is not taken", async () => {
   await withServer(async (listen, probe) => {
     const old = await openSide(listen);
@@ -152,11 +148,7 @@
   });
 });
 
-// A request to attach can be late in the same way, and arrive after that of the
-// connection which replaced it, just before the end of its own. Cancelled tasks
-// ran on for as long as the host was up: its reports were answered and its
-// leases renewed, but the engine had no connection to give an order through.
-// The cause: the end of the last connection to attach left the host without any.
+// Otherwise reports are answered and leases renewed, but no order reaches the host.
 test("a host whose connections attached out of order gets a connection for orders again", async () => {
   await withServer(async (listen, probe) => {
     const present = await openSide(listen);
--- a/packages/entry/tests/storeOutage.test.ts
+++ b/packages/entry/tests/storeOutage.test.ts
@@ -1,12 +1,4 @@
-/**
- * What callers saw: the store turned all writes away for four seconds, and half of
- * those who handed a job in meanwhile were refused for good, each after three
- * refusals that came at once and a second apart; some of them had two thirds of
- * their time left when the store came back.
- *
- * The load: ten callers a second at three entries, each with 3 s and four retries,
- * each coming back when it is told to, at the next entry.
- */
+/** What callers get who hand jobs in while the store turns all writes away. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/leadership/tests/joinDelay.test.ts
+++ b/packages/leadership/tests/joinDelay.test.ts
@@ -1,11 +1,4 @@
-/**
- * What users saw at thirty-five entries: after each loss of a leader two entries asked
- * at once, the second took leadership from the first 0.5 s after it had begun, and
- * all 160 hosts attached twice before anything was started.
- *
- * Cause: even waits within a fixed window leave a gap between the first two that
- * shrinks with the number of entries.
- */
+/** Entries that lose their leader at once do not ask for leadership at once. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/leadership/tests/leaderElection.test.ts
+++ b/packages/leadership/tests/leaderElection.test.ts
@@ -194,12 +194,7 @@
   };
 };
 
-// A leader is stopped, or steps down, while the answer to its last renewal is on
-// its way. It led again under the epoch that it had just given up, beside its
-// successor, and began a new term with the same run numbers and record numbers
-// as the one before: orders of both passed the workers' fences, and tasks ran
-// twice. The cause: the answer was applied to the membership of now, although it
-// speaks of the one that had ended.
+// The answer speaks of a membership that was given up, and its epoch is never led again.
 for (const way of ["stops", "steps down"] as const) {
   test(`a renewal that is answered after its leader ${way} confirms nothing`, async () => {
     const { clock, store, terms, entry } = setUp();
@@ -252,9 +247,7 @@
   return { joins };
 };
 
-// An entry is told to stop while it looks who leads, and finds nobody. It joined
-// all the same, and led for as long as its last requests took to end. The cause:
-// what it had set out to do before the stop was carried on after it.
+// What was begun before the stop is not carried on after it.
 test("an entry that is stopped while it looks for a leader does not join", async () => {
   const { clock, store, terms, entry } = setUp();
   await stopDuringLook({ clock, store, entry });
@@ -280,9 +273,7 @@
   expect(weak.leads).toEqual(true);
 });
 
-// A leader's machine is suspended past its term. Its steady clock has not moved, so
-// by that it would still lead: it would start tasks beside the next leader, on hosts
-// that have not spoken to that one yet.
+// A steady clock stands still while the machine is suspended.
 test("a leader whose machine was suspended past its term decides nothing before the store names it again", async () => {
   const { clock, entry } = setUp();
   const a = entry("a");
--- a/packages/protocol/tests/httpClient.test.ts
+++ b/packages/protocol/tests/httpClient.test.ts
@@ -83,10 +83,7 @@
   client.close();
 });
 
-// A worker falls silent while a dozen orders are on their way to it. The orders
-// behind them, and the look that renews the lease, were told that they had failed
-// only when a connection became free, however short their own time was. The
-// cause: a call that is given up before it has a connection says so to nobody.
+// Calls behind those that keep all connections busy have a time-out of their own.
 test("a call that gets no connection in its time fails then, and is never sent", async (t) => {
   const paths: (string | undefined)[] = [];
   const server = createServer((req, res) => {
--- a/packages/side/tests/brokenLook.test.ts
+++ b/packages/side/tests/brokenLook.test.ts
@@ -1,15 +1,4 @@
-/**
- * What users saw: a job whose task had been done twice was shown as failed.
- *
- * Order of events: the task ends; before the side has heard of it, its worker dies.
- * The same happens to the task's next run.
- *
- * Cause: side and leader took every run that they had not heard the end of for one
- * that was at work when its worker died, and so for one that may have crashed it.
- *
- * Evidence: of 50 soaks in which half of the workers died each 2.5 s, two showed it;
- * the worker's own record of both runs was `done`, and nobody had taken note of them.
- */
+/** Runs that ended unheard of before their worker died are not told as lost at work. */
 
 import { test } from "node:test";
 import { expect } from "earl";
@@ -117,8 +106,7 @@
   expect(await loseWorker({ afterMs: 5 })).toEqual(false);
 });
 
-// A soak gave a job up in the same way: the worker died while its answers were held
-// back, and the next look was dropped at once by what stood at its address.
+// Whatever stands at the address by then may drop the next look at once.
 test("a run may have ended when the look before had failed too", async () => {
   expect(await loseWorker({ afterMs: 100, isSecond: true })).toEqual(false);
 });
--- a/packages/side/tests/lostPaces.test.ts
+++ b/packages/side/tests/lostPaces.test.ts
@@ -90,10 +90,7 @@
   return { clock, worker, pacer, look };
 };
 
-// An order to let a filling task work faster gets no answer, the next one slows it
-// down, and then the worker carries out the first. The serving task beside it was
-// disturbed until something else changed its pace. The cause: the pace last ordered
-// was taken for the one in force, although an order before it was still open.
+// An order without an answer may be carried out after the one that follows it.
 test("a pace that is carried out after a newer one does not stay in force", async () => {
   const { worker, look } = setUp();
   await look(2);
@@ -110,10 +107,7 @@
   expect(worker.percent).toEqual(31);
 });
 
-// The order that gives a new filling task its first pace is lost before the worker
-// lists the task. The task went on at full pace beside a serving one that could not
-// bear it. The cause: that failure was noted for a pace in force, and the first
-// look at the task then noted the pace as given.
+// An order may be lost before the worker lists its task.
 test("a first pace whose order was lost is ordered again at the first look", async () => {
   const { clock, worker, pacer, look } = setUp();
   worker.answers = false;
--- a/packages/side/tests/taskOrders.test.ts
+++ b/packages/side/tests/taskOrders.test.ts
@@ -57,12 +57,7 @@
   }
 });
 
-// A worker carries a start out, its answer is lost, and the task is done at once.
-// The side tries again and is told that the run is an old one. The task ran twice:
-// the leader took the run for one that never began, started the task elsewhere,
-// and then acknowledged the end of the first run. The same holds for a fence or a
-// deadline that has passed between the two tries. The cause: an answer to the
-// second try was taken for one to the first, which had been carried out.
+// The try without an answer may have been carried out, and its run be over by now.
 test("no refusal says that an unanswered try before it was not carried out", async () => {
   for (const reason of ["fenced", "old-run", "late"] as const) {
     const result = await startWith([undefined, refused(reason)]);
@@ -77,8 +72,7 @@
   }
 });
 
-// Another writer's heartbeat named a life that never was, and until the worker had
-// been asked, each order to the one that works was answered with "replaced".
+// A heartbeat of another writer may name a life that never was.
 test("an order to a life that another one's heartbeat displaced is carried out", async () => {
   const at = 5 as unknown as WorkerTime;
   const answer = await startWith([{ kind: "started", at }], ["w", "other"]);
@@ -91,9 +85,7 @@
   expect(answer).toEqual({ kind: "replaced" });
 });
 
-// A task crashed its worker before the start was answered. The second try reached
-// the next life, whose answer said that the run had never begun, so nobody counted
-// the crash.
+// The task may have crashed the life that got the first try.
 test("the answer of another life says nothing of an unanswered try before it", async () => {
   const replaced = new WorkerReplacedError(START_CALL.instance);
   expect(await startWith([undefined, replaced])).toEqual({ kind: "silent" });
--- a/packages/side/tests/unattendedLease.test.ts
+++ b/packages/side/tests/unattendedLease.test.ts
@@ -1,15 +1,4 @@
-/**
- * What users would see: tasks of cancelled jobs run on for up to ten seconds.
- *
- * Order of events: the side of a host is removed for good while its worker lives
- * on; then jobs are cancelled whose tasks run there.
- *
- * Cause: nobody can stop them, so that they run until the worker's lease is over.
- * Each side renewed it as far ahead as the leader had granted, the longest that
- * workers take.
- *
- * Evidence: a played day with sides removed: 20 such tasks, the longest for 10.2 s.
- */
+/** A worker whose side is removed does not keep its lease for as long as the leader granted. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/state/tests/followerBehind.test.ts
+++ b/packages/state/tests/followerBehind.test.ts
@@ -14,11 +14,7 @@
 const TOPIC = brand<TopicName>("progress");
 const RECORDS = 7;
 
-// An entry is cut off from the store while many tasks end, and takes over when it
-// is back. Users saw tasks that were done start once more, and jobs that were
-// completed shown as running. The store answers a read with a megabyte at most;
-// the cause: the first such answer was taken for all that the store had, and the
-// entry led by a view that ended in the middle of what it had missed.
+// The store answers a read with a megabyte at most.
 test("a follower is up to date once it has read all that the store holds, not one answer of it", async () => {
   const clock = new ManualClock();
   const memory = new MemoryStore(clock);
@@ -66,10 +62,7 @@
   return { store, calls: () => calls };
 };
 
-// The store turns an entry away while it reads a topic anew and a caller waits for
-// a fresh view. The entry asked again at once, some hundred times a second, and so
-// took the calls that other entries needed. The cause: the wish for a fresh view
-// ends a poll, and a refused reading of all keys was taken for such an ended poll.
+// The wish for a fresh view ends a poll; a refused reading of all keys is no such end.
 test("a follower that is turned away pauses, also while somebody waits for its view", async () => {
   const clock = new ManualClock();
   const { store, calls } = turnsAway(clock);
--- a/packages/state/tests/otherWriters.test.ts
+++ b/packages/state/tests/otherWriters.test.ts
@@ -1,11 +1,4 @@
-/**
- * Records of other writers in the product's own topics: a cancel that nobody sent,
- * a host that nobody runs, progress of a job that says what cannot be.
- *
- * What users saw where this fails: a record that nothing could read cancelled a job,
- * and each new leader waited for a host that does not exist before it started
- * anything.
- */
+/** Records of other writers in the product's topics cancel no job and name no host. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/state/tests/slowStore.test.ts
+++ b/packages/state/tests/slowStore.test.ts
@@ -1,13 +1,4 @@
-/**
- * What users saw: while the store was slow, most jobs were refused or accepted seconds
- * late, although the store kept all that it was sent.
- *
- * Order of events: the store takes its appends in turn and answers each after 360 ms;
- * the writer gives each first try up after 300 ms and sends the batch again.
- *
- * Cause: a try that was given up is carried out all the same, so every batch cost the
- * slow store two appends; each batch began with the same short time anew.
- */
+/** Appends to a slow store are not given up and repeated while it carries them out. */
 
 import { test } from "node:test";
 import { expect } from "earl";
--- a/packages/state/tests/stampedWriter.test.ts
+++ b/packages/state/tests/stampedWriter.test.ts
@@ -91,16 +91,7 @@
   expect(keys()).toEqual(["a", "b"]);
 });
 
-// What users would see: after a change of leader a task is started past its
-// attempts, or again after it was done.
-// Order of events: a leader keeps a few records (five at the most) and is
-// replaced. Its successor sets its epoch by an empty append, and keeps the
-// progress of a job by its first record. The store knows that record's number
-// from the former leader's, and gives the answer to that one again.
-// Cause: each leader counted its appends from 1, and only an append that comes
-// with a higher epoch may do so; the empty one was that.
-// Evidence: this test, on a store that keeps its last five answers for repeats
-// across epochs. On played days the store did not behave so.
+// The store may know their numbers from the former leader, and take them for repeats.
 test("the first records of a new leader are not taken for repeats of the former one's", async () => {
   for (const former of [1, 3, 5, 7]) {
     const { clock, writer, writerOf, keys } = setUp({ retriesRefused: true });
--- a/packages/state/tests/topicFollower.test.ts
+++ b/packages/state/tests/topicFollower.test.ts
@@ -72,11 +72,7 @@
   return { clock, memory, store, write, known, follower, stop };
 };
 
-// An entry is cut off from the store while a job that ended is dropped there, and
-// for so long that the record of the drop is gone when it comes back. It went on
-// listing the job, without the progress that says that it had ended: once it led,
-// it would run the whole job again. The cause: a fresh reading of all keys was
-// taken as news of some keys, and said nothing of those that it no longer holds.
+// A reading of all keys also tells which keys are held no longer.
 test("keys that were dropped while a follower was cut off are dropped when it reads anew", async () => {
   const { clock, memory, store, write, known, follower, stop } = setUp();
   await write("loaded", Buffer.from("1"));
