Tests of paces: one pacer, one row of the worker's list

Cause: pacer.test.ts and lostPaces.test.ts built the same pacer, tasks and rows. Change: buildPacer.ts does it for both; no assertion, bound or name differs.

--- a/packages/side/tests/lostPaces.test.ts
+++ b/packages/side/tests/lostPaces.test.ts
@@ -2,40 +2,18 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
+import type { WorkerInstance } from "@rackspan/common";
+import { WorkerSilentError, type PaceOrder } from "@rackspan/ports";
 import {
-  brand,
-  ManualClock,
-  Metrics,
-  silentLogger,
-  type Epoch,
-  type JobTaskId,
-  type RunNumber,
-  type WorkerInstance,
-} from "@rackspan/common";
-import {
-  WorkerSilentError,
-  type PaceOrder,
-  type RunningTask,
-  type TaskHost,
-} from "@rackspan/ports";
-import { Pacer } from "@rackspan/side";
-
-const INSTANCE = brand<WorkerInstance>("w");
-const EPOCH = brand<Epoch>(1);
-const RUN = {
-  task: brand<JobTaskId>("heavy"),
-  run: brand<RunNumber>(1),
-};
-const TARGET_MS = 10;
-const LOOK_MS = 250;
+  buildPacer,
+  EPOCH,
+  INSTANCE,
+  LOOK_MS,
+  row,
+  runOf,
+} from "./buildPacer.js";
 
-const row = (task: string, reading: number): RunningTask => ({
-  task: brand<JobTaskId>(task),
-  run: RUN.run,
-  checkpoint: "",
-  progressPercent: 100,
-  reading,
-});
+const RUN = runOf("heavy");
 
 /** A worker that lets the first orders to a run go unanswered, and carries them out later. */
 class ForgetfulWorker {
@@ -59,27 +37,10 @@
 }
 
 const setUp = () => {
-  const clock = new ManualClock();
   const worker = new ForgetfulWorker();
-  const pacer = new Pacer({
-    host: worker as unknown as TaskHost,
-    clock,
-    logger: silentLogger,
-    metrics: new Metrics(),
-    tailGraceMs: 4_000,
-    tailAim: 0.9,
-  });
-  pacer.describe(brand<JobTaskId>("server"), {
-    kind: "serving",
-    image: "web",
-    tailTargetMs: TARGET_MS,
-    milliCores: 4_000,
-  });
-  pacer.describe(RUN.task, {
-    kind: "filling",
-    image: "render",
-    tailTargetMs: 0,
-    milliCores: 4_000,
+  const { clock, pacer } = buildPacer({
+    host: worker,
+    fillingImages: { heavy: "render" },
   });
   pacer.learn([{ serving: "web", filling: "render", weight: 0.2 }]);
   pacer.noteStarted(RUN);
--- a/packages/side/tests/pacer.test.ts
+++ b/packages/side/tests/pacer.test.ts
@@ -2,25 +2,23 @@
 import { expect } from "earl";
 import {
   brand,
-  ManualClock,
-  Metrics,
-  silentLogger,
-  type Epoch,
   type JobTaskId,
   type RunNumber,
   type WorkerInstance,
 } from "@rackspan/common";
-import type { PaceOrder, RunningTask, TaskHost } from "@rackspan/ports";
-import { Pacer } from "@rackspan/side";
+import type { PaceOrder } from "@rackspan/ports";
+import {
+  buildPacer,
+  EPOCH,
+  GRACE_MS,
+  INSTANCE,
+  LOOK_MS,
+  row,
+  runOf,
+} from "./buildPacer.js";
 
-const INSTANCE = brand<WorkerInstance>("w");
-const EPOCH = brand<Epoch>(1);
-const TARGET_MS = 10;
 /** A tail just over the target. */
 const HOT_MS = 10.5;
-const GRACE_MS = 4_000;
-/** How often the worker is looked at, milliseconds. */
-const LOOK_MS = 250;
 
 const setUp = () => {
   const orders: PaceOrder[] = [];
@@ -28,31 +26,12 @@
     pace: async (_: WorkerInstance, order: PaceOrder) => {
       orders.push(order);
     },
-  } as unknown as TaskHost;
-  const clock = new ManualClock();
-  const pacer = new Pacer({
+  };
+  const { clock, pacer } = buildPacer({
     host,
-    clock,
-    logger: silentLogger,
-    metrics: new Metrics(),
-    tailGraceMs: GRACE_MS,
-    tailAim: 0.9,
+    fillingImages: { heavy: "render", light: "index" },
   });
-  const describe = (task: string, kind: "serving" | "filling", image: string) =>
-    pacer.describe(brand<JobTaskId>(task), {
-      kind,
-      image,
-      tailTargetMs: kind === "serving" ? TARGET_MS : 0,
-      milliCores: 4_000,
-    });
-  describe("server", "serving", "web");
-  describe("heavy", "filling", "render");
-  describe("light", "filling", "index");
-  const startOf = (task: string) =>
-    pacer.noteStarted({
-      task: brand<JobTaskId>(task),
-      run: brand<RunNumber>(1),
-    });
+  const startOf = (task: string) => pacer.noteStarted(runOf(task));
   startOf("heavy");
   startOf("light");
   const lookAt = (tailMs: number, used: number) =>
@@ -74,14 +53,6 @@
   return { pacer, look, lookAt, lookFor, paceOf, startOf, orders };
 };
 
-const row = (task: string, reading: number): RunningTask => ({
-  task: brand<JobTaskId>(task),
-  run: brand<RunNumber>(1),
-  checkpoint: "",
-  progressPercent: 100,
-  reading,
-});
-
 test("all filling tasks slow down while no pair is known", () => {
   const { look, paceOf } = setUp();
   look(HOT_MS);
@@ -223,7 +194,7 @@
 
 test("a task's first pace is ordered at once, and speeds up while the tail has slack", () => {
   const { pacer, look, paceOf, orders } = setUp();
-  const ref = { task: brand<JobTaskId>("heavy"), run: brand<RunNumber>(1) };
+  const ref = runOf("heavy");
   pacer.learn([{ serving: "web", filling: "render", weight: 0.2 }]);
   const first = { instance: INSTANCE, epoch: EPOCH, firstPercent: 30 };
   pacer.paceFirst({ ...ref, ...first });
@@ -237,7 +208,7 @@
 test("a first pace that comes after a look changes nothing", () => {
   const { pacer, look, paceOf, orders } = setUp();
   look(2);
-  const ref = { task: brand<JobTaskId>("heavy"), run: brand<RunNumber>(1) };
+  const ref = runOf("heavy");
   const first = { instance: INSTANCE, epoch: EPOCH, firstPercent: 30 };
   pacer.paceFirst({ ...ref, ...first });
   expect([paceOf("heavy"), orders.length]).toEqual([undefined, 0]);
