Tests of runs of lives: one order after the worker has answered

Cause: two tests ended with the same order, crash and reading of what the side tells. Change: crashAfterNextOrder does these; the expected values are as they were. Trial: each test fails where RunsOfLives does not end the silence at its answer.

--- a/packages/side/tests/runsOfLives.test.ts
+++ b/packages/side/tests/runsOfLives.test.ts
@@ -44,7 +44,13 @@
     registry.noteHeartbeat(beatOf("w2"));
     registry.noteAnswered(brand<WorkerInstance>("w2"));
   };
-  return { clock, registry, crash };
+  /** @returns how long before the broken look each lost run was ordered */
+  const crashAfterNextOrder = () => {
+    registry.runs.noteOrdered(FIRST, { ...RUN, run: brand<RunNumber>(8) });
+    crash();
+    return registry.runs.untold.map(({ orderedMs }) => orderedMs);
+  };
+  return { clock, registry, crash, crashAfterNextOrder };
 };
 
 test("a run that was ordered in a life that crashed is told", () => {
@@ -117,32 +123,20 @@
 });
 
 test("a worker that answers a start may carry out the next one", async () => {
-  const { clock, registry, crash } = setUp();
+  const { clock, registry, crashAfterNextOrder } = setUp();
   registry.runs.noteSilent(FIRST);
   await clock.advance(40);
   registry.runs.noteStarted(FIRST, RUN, timeOf(1_000));
   await clock.advance(40);
-  const next: RunRef = { ...RUN, run: brand<RunNumber>(8) };
-  registry.runs.noteOrdered(FIRST, next);
-  crash();
-  expect(registry.runs.untold.map(({ orderedMs }) => orderedMs)).toEqual([
-    undefined,
-    undefined,
-  ]);
+  expect(crashAfterNextOrder()).toEqual([undefined, undefined]);
 });
 
 test("a worker that answers again may carry out what is ordered then", async () => {
-  const { clock, registry, crash } = setUp();
+  const { clock, registry, crashAfterNextOrder } = setUp();
   registry.runs.noteSilent(FIRST);
   await clock.advance(40);
   registry.runs.noteListed(FIRST, listOf(1_000, []), 0);
-  const next: RunRef = { ...RUN, run: brand<RunNumber>(8) };
-  registry.runs.noteOrdered(FIRST, next);
-  crash();
-  expect(registry.runs.untold.map(({ orderedMs }) => orderedMs)).toEqual([
-    undefined,
-    undefined,
-  ]);
+  expect(crashAfterNextOrder()).toEqual([undefined, undefined]);
 });
 
 test("runs of a worker that leaves as it had said are not told", () => {
