Tests of the HTTP client: one server and client for single connections

Cause: two tests set up the same server, paths and client. Change: connectTo does it; it closes all connections at the end for both, as one of them did. No assertion or bound differs.

--- a/packages/protocol/tests/httpClient.test.ts
+++ b/packages/protocol/tests/httpClient.test.ts
@@ -1,6 +1,10 @@
 /** What an HTTP client makes of connections that fall silent while new ones work. */
 
-import { createServer, type ServerResponse } from "node:http";
+import {
+  createServer,
+  type RequestListener,
+  type ServerResponse,
+} from "node:http";
 import { once } from "node:events";
 import type { Socket } from "node:net";
 import { test, type TestContext } from "node:test";
@@ -58,6 +62,25 @@
   return { server, waiting, fallSilent };
 };
 
+/** A client with one connection at a time, and the paths that its server was asked for. */
+const connectTo = async (t: TestContext, answer: RequestListener) => {
+  const paths: (string | undefined)[] = [];
+  const server = createServer((req, res) => {
+    paths.push(req.url);
+    answer(req, res);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const baseUrl = `http://${addressOf(server)}`;
+  const client = new HttpClient({ baseUrl, maxSockets: 1 });
+  t.after(async () => {
+    client.close();
+    server.closeAllConnections();
+    await closeServer(server);
+  });
+  return { client, paths };
+};
+
 test("connections that fell silent cost one time-out, not one each", async (t) => {
   const { server, waiting, fallSilent } = await createSilencingServer();
   t.after(async () => {
@@ -85,19 +108,9 @@
 
 // Calls behind those that keep all connections busy have a time-out of their own.
 test("a call that gets no connection in its time fails then, and is never sent", async (t) => {
-  const paths: (string | undefined)[] = [];
-  const server = createServer((req, res) => {
-    paths.push(req.url);
+  const { client, paths } = await connectTo(t, (req, res) => {
     if (req.url !== "/silent") res.end("answered");
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const baseUrl = `http://${addressOf(server)}`;
-  const client = new HttpClient({ baseUrl, maxSockets: 1 });
-  t.after(async () => {
-    client.close();
-    await closeServer(server);
-  });
   const call = (path: string, timeoutMs: number) =>
     client.call({ method: "GET", path, timeoutMs });
   const silent = expect(call("/silent", 20 * TIMEOUT_MS)).toBeRejectedWith(
@@ -115,21 +128,10 @@
 // Who is told that nothing was sent may give the order to somebody else. A call
 // over a connection that was kept open is sent at once, so it may have arrived.
 test("a call over a kept connection that gets no answer may have taken effect", async (t) => {
-  const paths: (string | undefined)[] = [];
-  const server = createServer((req, res) => {
-    paths.push(req.url);
+  const { client, paths } = await connectTo(t, (req, res) => {
     if (req.url === "/answered") res.end();
     if (req.url === "/broken") req.socket.destroy();
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const baseUrl = `http://${addressOf(server)}`;
-  const client = new HttpClient({ baseUrl, maxSockets: 1 });
-  t.after(async () => {
-    client.close();
-    server.closeAllConnections();
-    await closeServer(server);
-  });
   const call = (path: string, timeoutMs: number) =>
     client.call({ method: "POST", path, timeoutMs });
   for (const path of ["/broken", "/silent"]) {
