--- a/packages/checker/src/FakeLog.ts
+++ b/packages/checker/src/FakeLog.ts
@@ -36,7 +36,7 @@
   slow = false;
   /** How many appends to come lose their answer after they took effect. */
   loseAnswers = 0;
-  /** Tells of each entry that was kept, whatever its writer hears. */
+  /** Emits each entry that was kept, also where its writer got no answer. */
   readonly kept = new Emitter<KeptEntry>();
   private readonly streams = new Map<string, Stream>();
 
--- a/packages/checker/src/FakeWorker.ts
+++ b/packages/checker/src/FakeWorker.ts
@@ -43,7 +43,7 @@
   loseAnswers = 0;
   /** How much longer the next order to start is on its way. */
   delayNextStartMs = 0;
-  /** Calls do not come through, and nobody will ever learn how its tasks end. */
+  /** Calls do not arrive, and no process ever learns how its tasks end. */
   private cut = false;
   private owner: Incarnation | undefined;
   private gone = false;
--- a/packages/checker/src/World.ts
+++ b/packages/checker/src/World.ts
@@ -1,4 +1,4 @@
-/** Two entries and three hosts on fakes of the platform, and the faults that meet them. */
+/** Two entries and three hosts on fakes of the platform, and the faults that are injected. */
 
 import {
   brand,
@@ -258,7 +258,7 @@
     return this.clock.advance(ms);
   }
 
-  /** Mends everything, lets it come to rest, and notes how it stands. */
+  /** Ends all faults, waits until nothing is left to do, and notes how things stand. */
   async finish(): Promise<void> {
     this.log.down = false;
     this.log.slow = false;
--- a/packages/checker/src/checkHistory.ts
+++ b/packages/checker/src/checkHistory.ts
@@ -1,4 +1,4 @@
-/** Decides each of the brief's invariants ("What must always hold") over a history. */
+/** Checks each invariant of the requests, tasks and configuration over a history. */
 
 import {
   addResources,
--- a/packages/checker/src/fakeAttempts.ts
+++ b/packages/checker/src/fakeAttempts.ts
@@ -10,7 +10,7 @@
 import type { History } from "./history.js";
 import type { SideNode } from "./SideNode.js";
 
-/** `late`: it arrives after the entry has given up. `answer-lost`: it ran, and nobody hears. */
+/** `late`: it arrives after the entry has given up. `answer-lost`: it ran unheard. */
 export type RequestFault =
   "none" | "not-sent" | "lost" | "late" | "answer-lost";
 
--- a/packages/checker/src/history.ts
+++ b/packages/checker/src/history.ts
@@ -34,7 +34,7 @@
     /** Its success or checkpoint was on a host that was lost before anybody is known to have heard. */
     | { readonly type: "resultLost"; readonly task: string }
     | { readonly type: "jobAccepted"; readonly unit: string }
-    /** The end of the run, after all faults have been mended. */
+    /** The end of the run, after all faults have ended. */
     | {
         readonly type: "jobFinal";
         readonly unit: string;
--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -79,7 +79,7 @@
   readonly maxAttempts: number;
   /** See WorkerModelOptions. */
   readonly lives?: LivesOfWorker | undefined;
-  /** Whether it is judged how long tasks of silent workers wait. */
+  /** Whether the waits of tasks of silent workers are checked. */
   readonly judgesWaits?: boolean;
   /** Whether sides ask the store who leads only once nothing was granted for a while. */
   readonly staysWithGranter?: boolean;
@@ -326,7 +326,7 @@
     this.clock.after(WORLD.lookEveryMs, () => this.judgeWaits());
   }
 
-  /** Runs of jobs that somebody has cancelled. */
+  /** Runs of cancelled jobs. */
   unwantedRuns(): readonly JobTaskId[] {
     return this.history
       .openRuns()
--- a/packages/checker/src/jobs/RunHistory.ts
+++ b/packages/checker/src/jobs/RunHistory.ts
@@ -1,4 +1,4 @@
-/** What workers really ran, as somebody sees it who sees all of them at once. */
+/** What workers really ran, as an observer of all of them sees it. */
 
 import type { HostId, JobTaskId, Monotonic, RunNumber } from "@rackspan/common";
 import type { RunOutcome } from "@rackspan/ports";
@@ -33,7 +33,7 @@
   readonly detail: string;
 }
 
-/** Three starts that crash their workers, and two more. */
+/** Starts that may crash their workers before a task is given up. */
 const MOST_CRASHED_STARTS = 5;
 
 /** Nothing begins in a zone this long after its evacuation was asked for, milliseconds. */
--- a/packages/checker/src/jobs/SubmittedJobs.ts
+++ b/packages/checker/src/jobs/SubmittedJobs.ts
@@ -31,7 +31,7 @@
   readonly maxAttempts: number;
 }
 
-/** A job, and whether somebody has cancelled it. */
+/** A job, and whether it was cancelled. */
 export interface SubmittedJob {
   readonly accepted: AcceptedJob;
   readonly isCancelled: boolean;
@@ -74,7 +74,7 @@
     }));
   }
 
-  /** Jobs that nobody has cancelled. */
+  /** Jobs that were not cancelled. */
   get wanted(): JobId[] {
     return [...this.jobs.keys()].filter((id) => !this.cancelled.has(id));
   }
@@ -99,7 +99,7 @@
     );
   }
 
-  /** Whether somebody has cancelled the task's job. */
+  /** Whether the task's job was cancelled. */
   isCancelled(task: JobTaskId): boolean {
     const position = parseTaskId(task);
     return position !== undefined && this.cancelled.has(position.job);
@@ -133,7 +133,7 @@
     );
   }
 
-  /** Drawn anew for each run. @throws Error when nobody has submitted it */
+  /** Drawn anew for each run. @throws Error when it was not submitted */
   traitsOf(task: JobTaskId): TaskTraits {
     const { random, failShare } = this.options;
     const position = parseTaskId(task);
--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -46,14 +46,14 @@
   readonly lives?: LivesOfWorker;
 }
 
-/** What its lives have to do with each other. */
+/** How the lives of one worker are related. */
 export interface LivesOfWorker {
   /**
    * Whether an order without an answer may be carried out by the next life, as where both
-   * stand under one id; not before anybody has spoken to it, which nothing could bar.
+   * stand under one id; not before its first call, since nothing could bar it then.
    */
   readonly ordersOutlive: boolean;
-  /** Whether all lives bear one name, as for an adapter that takes an id for a life. */
+  /** Whether all lives have one name, as for an adapter that takes an id for a life. */
   readonly bearOneName: boolean;
 }
 
@@ -124,7 +124,7 @@
     return this.life.instance;
   }
 
-  /** Ends that it still lists: nobody has let it forget them. */
+  /** Ends that it still lists: they are not acknowledged. */
   get listedEnds(): number {
     return this.up ? this.life.listedEnds.length : 0;
   }
@@ -374,7 +374,7 @@
   }
 }
 
-/** A fenced order that comes late does nothing, and nobody hears of it. */
+/** A fenced order that comes late does nothing, and gets no answer. */
 const tryTo = (act: () => void): void => {
   try {
     act();
--- a/packages/checker/src/jobs/chanceSchedules.ts
+++ b/packages/checker/src/jobs/chanceSchedules.ts
@@ -1,5 +1,5 @@
 /**
- * Random schedules of innocent tasks on workers that end by chance, about one a
+ * Random schedules of tasks that crash nothing, on workers that end by chance, about one a
  * second: how often a job is given up, and how often without cause.
  */
 
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -177,7 +177,7 @@
 
 /**
  * Plays one seed where leaders take what comes over former connections of a host.
- * Leaders do not; seeds that have shown other faults so are still played so.
+ * Leaders do not: this repeats the schedules of seeds that were found so.
  * @returns what broke, in order
  */
 export const runFormerSchedule = (
@@ -217,7 +217,7 @@
   return world.history.violations;
 };
 
-/** Lets the world come to its rest, and judges what is told only then. */
+/** Plays the world until it is idle, and checks what can be told only then. */
 const finish = async (world: JobWorld, mayGiveUp: boolean): Promise<void> => {
   const { clock } = world;
   await clock.advance(SCHEDULE.settleMs);
--- a/packages/checker/src/jobs/scheduleEvents.ts
+++ b/packages/checker/src/jobs/scheduleEvents.ts
@@ -67,7 +67,7 @@
   }
 };
 
-/** Any job that nobody has cancelled yet. */
+/** Any job that was not cancelled yet. */
 export const cancelJob: ScheduleEvent = (world, random) => {
   const { wanted } = world.jobs;
   const id = wanted[pickIndex(random, wanted.length)];
--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -1,4 +1,4 @@
-/** `rackspan apply`: publishes declarations, and tells what became of them. */
+/** `rackspan apply`: publishes declarations, and reports the result. */
 
 import { userInfo } from "node:os";
 import { sleep, SystemClock, type Sequence } from "@rackspan/common";
--- a/packages/cli/src/reportVerdict.ts
+++ b/packages/cli/src/reportVerdict.ts
@@ -1,4 +1,4 @@
-/** Tells what became of a change, and gives the exit code for it. */
+/** Reports the result of a change, and returns the exit code for it. */
 
 import type { OperatorVerdict } from "@rackspan/entry";
 import { EXIT_CODE, type ExitCode } from "./exitCodes.js";
--- a/packages/common/src/Emitter.ts
+++ b/packages/common/src/Emitter.ts
@@ -1,4 +1,4 @@
-/** A tiny typed event source. */
+/** A typed event source. */
 
 export type Unsubscribe = () => void;
 
--- a/packages/common/src/ManualClock.ts
+++ b/packages/common/src/ManualClock.ts
@@ -1,4 +1,4 @@
-/** A clock that moves only when told to; for tests and decision benchmarks. */
+/** A clock that moves only by calls; for tests and decision benchmarks. */
 
 import type { Clock, Instant, Monotonic, Timer } from "./clock.js";
 
--- a/packages/common/src/log.ts
+++ b/packages/common/src/log.ts
@@ -51,7 +51,7 @@
   }
 
   debug(event: string, fields: LogFields = {}): void {
-    // Debug lines stand on hot paths: nothing is put together for nobody.
+    // Debug lines stand on hot paths: none is formatted that is not written.
     if (this.sink.level < LogLevels.debug) return;
     this.sink.debug(formatLogLine(event, { ...this.fields, ...fields }));
   }
--- a/packages/entry/src/AttemptLoop.ts
+++ b/packages/entry/src/AttemptLoop.ts
@@ -342,7 +342,7 @@
   if (Number.isInteger(busy)) endpoint.heard(busy, at);
 };
 
-/** The side drops this header from endpoints' answers, so it speaks for itself here. */
+// The side drops this header from endpoints' answers, so here it is the side's own.
 const readRefusal = (answer: IncomingMessage): Failure => {
   answer.resume();
   const outcome =
--- a/packages/entry/src/HostListWatcher.ts
+++ b/packages/entry/src/HostListWatcher.ts
@@ -21,7 +21,7 @@
 }
 
 export class HostListWatcher {
-  /** Tells of each successful read. */
+  /** Emits each successful read. */
   readonly read = new Emitter<readonly HostRecord[]>();
   private records: readonly HostRecord[] = [];
 
--- a/packages/entry/src/SideDirectory.ts
+++ b/packages/entry/src/SideDirectory.ts
@@ -27,7 +27,7 @@
 }
 
 export class SideDirectory implements HostDirectory {
-  /** Tells of each change of any side. */
+  /** Emits each change of any side. */
   readonly changed = new Emitter<void>();
   private readonly peers = new Map<HostId, SidePeer>();
   /** Dropped when a host comes or goes. */
--- a/packages/entry/src/SidePeer.ts
+++ b/packages/entry/src/SidePeer.ts
@@ -57,7 +57,7 @@
 const FAILURES_TO_AVOID = 2;
 
 export class SidePeer implements HostControl {
-  /** Tells of each new status. */
+  /** Emits each new status. */
   readonly changed = new Emitter<void>();
   readonly record: HostRecord;
   private readonly rpc: RpcClient<SideMethods>;
--- a/packages/entry/src/Sweeper.ts
+++ b/packages/entry/src/Sweeper.ts
@@ -28,7 +28,7 @@
   readonly everyMs: number;
 }
 
-/** Changes that come close together are dealt with in one sweep. */
+/** Changes that come close together are handled in one sweep. */
 const GATHER_MS = 5;
 
 export class Sweeper {
--- a/packages/entry/src/callerRequest.ts
+++ b/packages/entry/src/callerRequest.ts
@@ -1,4 +1,4 @@
-/** Reads what a caller's request says about itself, and checks it. */
+/** Reads and checks what a caller's request asks for. */
 
 import type { IncomingMessage } from "node:http";
 import { freshId, type RequestId } from "@rackspan/common";
--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -104,7 +104,7 @@
 
   /**
    * Ends the host's connection before: what comes late over one that its side has
-   * given up may speak of a former life of the worker. When requests to attach
+   * given up may concern a former life of the worker. When requests to attach
    * came out of order, this ends the one in use, and its side attaches anew.
    */
   private replaceFormer(host: HostId, peer: SidePeer): void {
--- a/packages/entry/src/jobs/holdRefused.ts
+++ b/packages/entry/src/jobs/holdRefused.ts
@@ -1,17 +1,15 @@
 /**
- * How long a job that the store turns away is held for its caller. Answers the load
- * of a store that is away for seconds: a caller who is sent away at once comes back
- * a second later, three times at most within its time, and most outages end in
- * between. Held here, its job is kept as soon as the store takes it.
+ * How long a job that the store refuses is held for its caller. A caller that is refused
+ * at once comes back a second later, three times at most within its time, and most
+ * outages of the store end in between: a held job is kept as soon as the store takes it.
  */
 
 import type { Monotonic } from "@rackspan/common";
 
 export const HOLD = {
   /**
-   * Share of the caller's time for which its job is held. The store may turn this
-   * entry alone away, so a third: as long as a caller who is sent away at once is
-   * told to stay away, with two thirds left for other entries.
+   * Share of the caller's time for which its job is held. The store may refuse this
+   * entry alone, so time is left for other entries.
    */
   share: 1 / 3,
   /** Between two tries, milliseconds: a store that comes back is noticed within this. */
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -44,7 +44,7 @@
 export const jobEntrySettingsSchema = z.strictObject({
   entry: idSchema<EntryId>(),
   availabilityZone: idSchema<AvailabilityZone>(),
-  /** The plug-ins that speak to the platform. */
+  /** The plug-ins for the platform. */
   platform: z.strictObject({
     client: z.string().min(1),
     /** `IP:PORT` of the store. */
@@ -57,8 +57,8 @@
   /** Where the platform asks whether this entry takes callers. */
   readiness: listenAddressSchema,
   /**
-   * Whether an entry that cannot reach the store says that it is not ready. One
-   * that did not refused 101 requests in 11 s of a cut, and left 19 unserved.
+   * Whether an entry that cannot reach the store reports that it is not ready, so
+   * that callers go to other entries.
    */
   readyFollowsStore: z.boolean().default(true),
   /** Where sides connect to the leader. */
@@ -66,7 +66,7 @@
   metrics: listenAddressSchema.optional(),
   leases: z.strictObject({
     /**
-     * Silence after which the store deals leadership to another entry. Shorter:
+     * Silence after which the store gives leadership to another entry. Shorter:
      * a dead leader is replaced sooner; longer: a leader outlasts longer outages.
      */
     leadershipTtlMs: millisecondsSchema.default(2_500),
@@ -99,9 +99,8 @@
       /** Least time between two polls of one topic by the entry that leads. */
       pollFloorMs: z.number().min(0).max(1_000).default(25),
       /**
-       * The same for entries that do not lead: how late they may hear that a job
-       * has ended. Every entry polls for itself, so their calls are the most: a
-       * day of fourteen entries takes 22,000 calls with 100 ms, 46,000 with 25.
+       * The same for entries that do not lead: how late they may hear that a job has
+       * ended. Every entry polls for itself, so most calls to the store are theirs.
        */
       followFloorMs: z.number().min(0).max(1_000).default(100),
     })
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -13,7 +13,7 @@
 
 const urlSchema = z.url({ protocol: /^http$/ });
 
-/** The wire format by which a service of the platform is spoken to. */
+/** The wire format of a service of the platform. */
 const clientSchema = (names: readonly string[]) =>
   z.enum(names as [string, ...string[]]).default("http");
 
--- a/packages/jobs/src/HostCertifier.ts
+++ b/packages/jobs/src/HostCertifier.ts
@@ -1,6 +1,6 @@
 /**
- * Certifies the end of hosts: only the host list's word and then the longest
- * lease's time count. Not hearing from a host is never enough.
+ * Certifies the end of hosts: only the host list and then the longest lease's
+ * time count. Not hearing from a host is never enough.
  */
 
 import {
--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -117,7 +117,7 @@
   heardAt: Monotonic = -Infinity;
   /** When every lease granted so far is over for certain. */
   private grantsOverBy: Monotonic = -Infinity;
-  /** When all that its side has sent is over, by the side's word; Infinity without one. */
+  /** When all that its side has sent is over, as the side told; Infinity before it did. */
   private sentOverBy: Monotonic = Infinity;
   /** When every order to start given so far has lapsed for certain, and its lease is over. */
   private ordersOverBy: Monotonic = -Infinity;
@@ -257,7 +257,7 @@
     return before - this.leaseOverBy;
   }
 
-  /** Another process of the side, which knows nothing of that word, may serve the host. */
+  /** Another process of the side, which knows nothing of that time, may serve the host. */
   forgetSilent(): void {
     this.sentOverBy = Infinity;
   }
--- a/packages/jobs/src/StepRun.ts
+++ b/packages/jobs/src/StepRun.ts
@@ -14,7 +14,7 @@
   doneCount = 0;
   /** Nothing of it is started before; set when a host refuses its ticket. */
   heldUntil: Monotonic = -Infinity;
-  /** Since when a task of it has waited for a place in vain; undefined when none does. */
+  /** Since when a task of it has found no host; undefined when none waits. */
   unplacedSince: Monotonic | undefined;
   /** The checkpoint of any of its tasks that was heard of last; empty for none. */
   newestCheckpoint = "";
--- a/packages/jobs/src/StopOrder.ts
+++ b/packages/jobs/src/StopOrder.ts
@@ -1,6 +1,6 @@
 /**
- * A stop that is wanted of a run, and what has become of it. Only the worker's
- * own word ends it: that a report still lists the run says that the stop has not
+ * A stop that is wanted of a run, and how far it has come. Only the worker's own
+ * answer ends it: that a report still lists the run says that the stop has not
  * been carried out, never that it has arrived.
  */
 
--- a/packages/jobs/src/TailModel.ts
+++ b/packages/jobs/src/TailModel.ts
@@ -30,8 +30,7 @@
   driftVariance: 3e-5,
   /**
    * Variance a second by which the base moves. The users of an image come and go
-   * on all hosts together, so its tails rise and fall as one (correlation 0.8
-   * between tasks of a host, a swing of 0.45 within 14 s). A base that stands
+   * on all hosts together, so its tails rise and fall together. A base that stands
    * still takes this for disturbance.
    */
   baseDriftVariance: 0.02,
--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -42,8 +42,8 @@
   }
 
   /**
-   * The side of a host that was not heard tells when the leases there are over. Its
-   * newest word holds: a start that is late may bring a longer one.
+   * The side of a host that was not heard tells when the leases there are over. The
+   * newest time that it told holds: a late start may bring a longer lease.
    * @returns by how much sooner that is than was known, milliseconds; negative when later
    */
   noteSilent(host: HostId, overBy: Monotonic): number {
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -51,7 +51,7 @@
 }
 
 /**
- * A run that began apart answers for the crash, and those beside it go free: they
+ * A run that began apart counts for the crash, and those beside it do not: they
  * only shared the worker. Else each run there may have done it, most of all those
  * of which the side knows that they were at work. Without that knowledge a run that
  * had ended unheard of would count as a crash under its task.
--- a/packages/jobs/src/types.ts
+++ b/packages/jobs/src/types.ts
@@ -22,7 +22,7 @@
   readonly availabilityZone: AvailabilityZone;
   readonly rack: Rack;
   readonly capacity: Resources;
-  /** Free by the side's word, less what this entry has reserved since. */
+  /** Free by the side's last status, less what this entry has reserved since. */
   readonly free: Resources;
   readonly ready: boolean;
   readonly leaving: boolean;
--- a/packages/leadership/src/LeaderElection.ts
+++ b/packages/leadership/src/LeaderElection.ts
@@ -1,7 +1,7 @@
 /**
  * Decides whether this entry leads. Leadership is the ownership of a partition
  * in a group of the store. An entry joins only when nobody owns it, so that the
- * store has no reason to deal it to another member.
+ * store has no reason to assign it to another member.
  *
  * The leader counts its lease from when it *sent* the last confirmed join, and
  * the store from when that join *arrived*: the leader's ends first, also when its
@@ -29,7 +29,7 @@
   watchEveryMs: 500,
   /** How often the leader renews. */
   renewEveryMs: 500,
-  /** Between joins while the store deals partitions, and after a failure. */
+  /** Between joins while the store assigns partitions, and after a failure. */
   retryMs: 80,
   /** A call without an answer for this long is made again on a new connection. */
   callTimeoutMs: 600,
--- a/packages/leadership/src/leaseBounds.ts
+++ b/packages/leadership/src/leaseBounds.ts
@@ -16,7 +16,7 @@
 export interface UnattendedBounds {
   /** A shorter one would be lost whenever the side is started anew. */
   readonly leastMs: number;
-  /** Silence after which a host is out of touch; undefined when nobody says. */
+  /** Silence after which a host is out of touch; undefined where no bound is stated. */
   readonly outOfTouchMs: number | undefined;
   /** Time within which the tasks of a cancelled job are to be ordered to stop. */
   readonly cancelMs: number | undefined;
--- a/packages/protocol/src/Attempt.ts
+++ b/packages/protocol/src/Attempt.ts
@@ -103,7 +103,7 @@
       }
       this.req.on("error", (err) => reject(this.failure(err)));
       this.req.on("close", () => {
-        // An error that nobody sees would cost more than the rest of this.
+        // Errors are costly to create: none is where the answer has come.
         if (!answered) reject(this.failure(undefined));
       });
     });
@@ -113,7 +113,7 @@
     this.sendBody();
   }
 
-  /** Cuts the connection; the other side learns that nobody waits any more. */
+  /** Closes the connection, which also tells the other side that no answer is awaited. */
   cancel(): void {
     this.req.destroy();
   }
--- a/packages/protocol/src/HttpClient.ts
+++ b/packages/protocol/src/HttpClient.ts
@@ -1,4 +1,4 @@
-/** HTTP calls over Node's http, with bounded answers and honest failure kinds. */
+/** HTTP calls over Node's http, with bounded answers and a typed error for each failure. */
 
 import { Agent, request, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
--- a/packages/protocol/src/headers.ts
+++ b/packages/protocol/src/headers.ts
@@ -25,7 +25,7 @@
   REPLAYED: "rackspan-replayed",
 } as const;
 
-/** Headers that only our own processes may set; dropped from what strangers send. */
+/** Headers that only our own processes may set; dropped from what others send. */
 export const INTERNAL_HEADERS: ReadonlySet<string> = new Set([
   HEADER.OUTCOME,
   HEADER.REASON,
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -1,7 +1,7 @@
 /**
- * What a side process and the leading entry say to each other. The two are
- * upgraded one after the other: a field that is added later has a default, and
- * fields that are not known are passed over.
+ * Calls between a side process and the leading entry. The two are upgraded one
+ * after the other: a field that is added later has a default, and fields that are
+ * not known are passed over.
  */
 
 import { z } from "zod";
@@ -54,7 +54,7 @@
   leavesInMs: z.number().optional(),
 });
 
-/** What a worker said of itself, as its side last heard it. */
+/** A worker's description of itself, as its side last heard it. */
 export type WorkerDescription = z.output<typeof workerSchema>;
 
 const lostRunSchema = z.object({
@@ -63,7 +63,7 @@
   workedMs: z.number().optional(),
   /**
    * Whether the look broke off in which the worker would have told of its end; else it
-   * may have ended before, and nobody has heard of that. An older side takes each for
+   * may have ended before, unheard of. An older side takes each for
    * one at work.
    */
   wasAtWork: z.boolean().default(true),
@@ -191,7 +191,7 @@
 
 export type HostCallResult = z.output<typeof callResultSchema>;
 
-/** Percent; the pace of a task that nobody slows. */
+/** Percent; the pace of a task that is not slowed. */
 export const FULL_PACE = 100;
 
 const startSchema = z.object({
@@ -231,7 +231,7 @@
     }),
     result: z.object({}),
   },
-  /** Tells what runs that the side did not start itself are. */
+  /** Describes the runs that the side did not start itself. */
   describe: {
     params: z.object({
       tasks: z.array(
--- a/packages/protocol/src/relayAnswer.ts
+++ b/packages/protocol/src/relayAnswer.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 
-/** `broken`: the sender broke off. `receiver-gone`: nobody listens any more. */
+/** `broken`: the sender broke off. `receiver-gone`: the receiver closed. */
 export type RelayEnd = "whole" | "broken" | "receiver-gone";
 
 export interface RelayOptions {
--- a/packages/routing/src/EndpointPicker.ts
+++ b/packages/routing/src/EndpointPicker.ts
@@ -1,4 +1,4 @@
-/** Picks the endpoint for one attempt of a request. Source: brief, "What we measure". */
+/** Picks the endpoint for one attempt of a request. */
 
 import { Registry, type AvailabilityZone, type Random } from "@rackspan/common";
 import type { EndpointView } from "./types.js";
--- a/packages/routing/src/leastLoadedOfTwoPicker.ts
+++ b/packages/routing/src/leastLoadedOfTwoPicker.ts
@@ -4,7 +4,7 @@
 import { pickers, type EndpointPicker } from "./EndpointPicker.js";
 import type { EndpointView } from "./types.js";
 
-/** The side's word on busy slots may be old; this entry's own count is not. */
+/** The side's count of busy slots may be old; this entry's own count is not. */
 const loadOf = ({ inFlight, busySlots, slots }: EndpointView): number =>
   Math.max(inFlight, busySlots) / slots;
 
--- a/packages/routing/src/pooledPicker.ts
+++ b/packages/routing/src/pooledPicker.ts
@@ -72,7 +72,7 @@
   }
 }
 
-/** The side's word may be old, and this entry's own count knows nothing of others. */
+/** The side's count may be old, and this entry's own leaves out what other entries sent. */
 const loadShare = ({ inFlight, busySlots, slots }: EndpointView): number =>
   Math.max(inFlight, busySlots) / slots;
 
--- a/packages/routing/src/roundRobinPicker.ts
+++ b/packages/routing/src/roundRobinPicker.ts
@@ -10,7 +10,7 @@
   private turn: number;
 
   constructor(random: Random) {
-    // Entries that start together must not walk in step.
+    // Entries that start together must not pick the same endpoints in the same order.
     this.turn = pickIndex(random, START_RANGE);
   }
 
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -17,7 +17,7 @@
   readonly slots: number;
   /** Requests of this entry that are in progress there. */
   readonly inFlight: number;
-  /** Slots in use as the side last said, and when that was heard. */
+  /** Slots in use as the side last reported, and when that was heard. */
   readonly busySlots: number;
   readonly heardAt: Monotonic;
   /** Smoothed latency of answers to this entry, milliseconds; 0 while unknown. */
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -48,7 +48,7 @@
 
   /**
    * When the worker of a host was last lost without proof against a task: whatever
-   * has struck it may have struck others.
+   * ended it may have ended others.
    */
   private readonly unexplained = new Map<HostId, Monotonic>();
 
--- a/packages/scheduling/src/EndTaker.ts
+++ b/packages/scheduling/src/EndTaker.ts
@@ -59,10 +59,10 @@
   }
 
   /**
-   * Takes the end of a run when a later one of the task is under way. Only a
-   * failure counts: a new leader hears of runs in any order of hosts, and one
-   * that passed such failures over started a task twice past its attempts. What
-   * the run had saved does not: the later one may have saved more.
+   * Takes the end of a run when a later one of the task is under way. Only a failure
+   * counts: a new leader hears of runs in any order of hosts, and a failure that is
+   * passed over would allow a start past the task's attempts. What the run had saved
+   * does not: the later one may have saved more.
    */
   private takeEarlier(task: JobTask, end: EndedRun): JobRun | undefined {
     if (end.outcome !== "failed") return undefined;
--- a/packages/scheduling/src/EstimateBook.ts
+++ b/packages/scheduling/src/EstimateBook.ts
@@ -21,9 +21,7 @@
 
   /**
    * Mean run time of the tasks of a step that are done, milliseconds, and their number.
-   * A step's tasks are alike, and its estimate is off by half and more: with this
-   * callers got 0.607 of what all jobs are worth at 1.8 times the work that a site can
-   * do, 0.591 with the queue's correction alone (a play of 24 hosts, four seeds).
+   * A step's tasks are alike, and callers' estimates are often far off.
    */
   private readonly seen = new WeakMap<StepRun, { ms: number; tasks: number }>();
 
--- a/packages/scheduling/src/PassTimer.ts
+++ b/packages/scheduling/src/PassTimer.ts
@@ -24,10 +24,10 @@
   }
 
   /**
-   * Makes a pass that was due long ago, without waiting for its timer: timers of
-   * a process that is short of time run late. Only for callers between two
-   * changes of the books. A pass in the middle of a report started a task past
-   * its attempts, and another beside a run that the report listed.
+   * Makes a pass that was due long ago, without waiting for its timer: timers of a
+   * process that is short of time run late. Only for callers between two changes of
+   * the books: a pass in the middle of a report could start a task past its attempts,
+   * or beside a run that the report lists.
    */
   passIfOverdue(): void {
     if (this.dueSince === undefined) return;
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -1,4 +1,4 @@
-/** Takes over runs that a former leader started, and stops those nobody wants. */
+/** Takes over runs that a former leader started, and stops those that are not wanted. */
 
 import type { WorkerTime } from "@rackspan/common";
 import {
--- a/packages/scheduling/src/TailForecast.ts
+++ b/packages/scheduling/src/TailForecast.ts
@@ -1,4 +1,4 @@
-/** Foretells the tails of serving tasks on a host by what was learnt of the images. */
+/** Forecasts the tails of serving tasks on a host by what was learnt of the images. */
 
 import type { HostLedger, InterferenceBook } from "@rackspan/jobs";
 import type { ImageName } from "@rackspan/state";
--- a/packages/scheduling/src/WaitWatch.ts
+++ b/packages/scheduling/src/WaitWatch.ts
@@ -1,5 +1,5 @@
 /**
- * Tells which tasks have waited for long, and what for. Without it nothing in the log
+ * Logs tasks that have waited for long, and what for. Without it nothing in the log
  * names a task between its end and its next start, however long that takes.
  */
 
@@ -12,11 +12,11 @@
 const WAIT = {
   /** How often waiting tasks are looked at, milliseconds. */
   lookEveryMs: 1_000,
-  /** A wait is told once it is this long, milliseconds: half of what a lasting task may wait. */
+  /** A wait is logged once it is this long, milliseconds. */
   tellAfterMs: 3_000,
   /** And again after this, milliseconds. */
   tellEveryMs: 5_000,
-  /** Waits told at one look, the longest ones. */
+  /** Waits logged at one look, the longest ones. */
   mostTold: 6,
   /** Hosts named as not heard since the take-over. */
   mostNamed: 4,
--- a/packages/scheduling/src/byWorthOrder.ts
+++ b/packages/scheduling/src/byWorthOrder.ts
@@ -29,10 +29,7 @@
   most: 4,
 } as const;
 
-/**
- * What an end is worth by when it can be, to one in time. The users' sheets give 0.13
- * to 0.16 for late ones; jobs of no use go last of all.
- */
+/** Worth of an end by when it can be, where 1 is an end in time. */
 const WORTH_OF_HOPE: Readonly<Record<Hope, number>> = {
   [Hope.InTime]: 1,
   [Hope.Late]: 0.15,
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -35,10 +35,7 @@
   passFloorMs: 8,
   /** A pass that was due this long ago is made at once, and logged. */
   passOverdueMs: 400,
-  /**
-   * A timer that is later than this is logged, milliseconds: more than ten passes
-   * over the waiting work could have been made meanwhile.
-   */
+  /** A timer that is later than this is logged, milliseconds. */
   lateTimerMs: 100,
   /** A job with nothing running for this long gets one task started, whatever it disturbs. */
   starvedMs: 1_500,
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -2,9 +2,8 @@
 
 export interface SchedulingPolicy {
   /**
-   * A filling task is placed beside serving tasks only where their tails are
-   * foretold to stay below this share of their target. The load of an image
-   * swings by about as much as 0.64 leaves.
+   * A filling task is placed beside serving tasks only where their tails are forecast
+   * to stay below this share of their target.
    */
   readonly fillingTailLimit: number;
   /**
@@ -37,9 +36,8 @@
    */
   readonly checkpointEveryMs: number;
   /**
-   * How often what was learnt is kept for the next leader, milliseconds; 0 for
-   * never. Pairs of images take 10 to 30 s to learn; leaders change more often
-   * than that on a day of restarts.
+   * How often what was learnt is kept for the next leader, milliseconds; 0 for never.
+   * A new leader learns pairs of images again in 10 to 30 s otherwise.
    */
   readonly learntEveryMs: number;
 }
--- a/packages/side/src/TaskHolder.ts
+++ b/packages/side/src/TaskHolder.ts
@@ -67,7 +67,7 @@
 const FENCED_TASKS_KEPT = 10_000;
 
 export class TaskHolder {
-  /** Tells of each change of any task. */
+  /** Emits each change of any task. */
   readonly changed = new Emitter<void>();
   private readonly tasks = new Map<TaskId, HeldTask>();
   private readonly fenced = new Set<TaskId>();
--- a/packages/side/src/jobs/SilenceReporter.ts
+++ b/packages/side/src/jobs/SilenceReporter.ts
@@ -18,11 +18,11 @@
 const SILENCE = {
   /** A worker that has not been seen for this long since the side attached is silent, milliseconds. */
   unseenMs: 500,
-  /** Least time between two tellings, milliseconds. */
+  /** Least time between two calls to the leader, milliseconds. */
   tellEveryMs: 500,
 } as const;
 
-/** What a leader was told of a silent worker, and what came of it. */
+/** A call to a leader about a silent worker, and its outcome. */
 interface SilenceTold {
   /** Absent when the side cannot tell when the worker's lease is over. */
   readonly overInMs: number | undefined;
@@ -45,7 +45,7 @@
 
 export class SilenceReporter {
   private toldAt: Monotonic = -Infinity;
-  /** What came of the telling that was logged last. */
+  /** The outcome of the call that was logged last. */
   private loggedOutcome: string | undefined;
 
   constructor(private readonly options: SilenceReporterOptions) {}
--- a/packages/side/src/jobs/settings.ts
+++ b/packages/side/src/jobs/settings.ts
@@ -18,7 +18,7 @@
 export const jobSideSettingsSchema = z.strictObject({
   host: idSchema<HostId>(),
   availabilityZone: idSchema<AvailabilityZone>(),
-  /** The plug-ins that speak to the platform. */
+  /** The plug-ins for the platform. */
   platform: z.strictObject({
     client: z.string().min(1),
     store: endpointSchema,
--- a/packages/side/src/settings.ts
+++ b/packages/side/src/settings.ts
@@ -1,4 +1,4 @@
-/** Settings of a side process. Defaults fit the hosts of today (brief, "Sizes of today"). */
+/** Settings of a side process. */
 
 import { z } from "zod";
 import {
@@ -25,7 +25,7 @@
   /** The worker agent of this host. */
   worker: z.strictObject({
     url: z.url({ protocol: /^http$/ }),
-    /** The wire format by which it is spoken to. */
+    /** Its wire format. */
     client: z.enum(workers.names() as [string, ...string[]]).default("http"),
   }),
   security: z.strictObject({
--- a/packages/standins/src/FaultSwitches.ts
+++ b/packages/standins/src/FaultSwitches.ts
@@ -18,7 +18,7 @@
     this.loseAnswers = 0;
   }
 
-  /** @returns true when the call must not take effect and is dealt with. */
+  /** @returns true when the call must not take effect and was answered here. */
   interceptBefore(req: IncomingMessage, res: ServerResponse): boolean {
     if (this.mode === "down") {
       res.writeHead(503, { "content-type": "application/json" });
--- a/packages/standins/src/TaskLedger.ts
+++ b/packages/standins/src/TaskLedger.ts
@@ -1,4 +1,4 @@
-/** What really ran where, as the stand-in workers saw it; the judge of the demo and tests. */
+/** What really ran where, as the stand-in workers saw it; the demo and tests check it. */
 
 export interface LedgerEntry {
   readonly unit: string;
--- a/packages/state/src/Appender.ts
+++ b/packages/state/src/Appender.ts
@@ -1,6 +1,6 @@
 /**
- * Appends this process's records to the log in batches, and tells for each what
- * the fold made of it once it was read back.
+ * Appends this process's records to the log in batches, and returns the fold's verdict
+ * on each once it was read back.
  */
 
 import {
--- a/packages/state/src/BoundedMap.ts
+++ b/packages/state/src/BoundedMap.ts
@@ -1,4 +1,4 @@
-/** A map that forgets its oldest entries past a size, by order of insertion. */
+/** A map that drops its oldest entries past a size, by order of insertion. */
 
 export class BoundedMap<K, V> {
   private readonly entries = new Map<K, V>();
--- a/packages/state/src/Fold.ts
+++ b/packages/state/src/Fold.ts
@@ -51,7 +51,7 @@
   readonly config = new ConfigFold();
   readonly units = new UnitFold();
   readonly requests = new RequestFold();
-  /** Tells of each record right after it was applied. */
+  /** Emits each record right after it was applied. */
   readonly applied = new Emitter<Applied>();
   private readonly writers = new BoundedMap<Incarnation, number>(WRITERS_KEPT);
   private count = 0;
@@ -79,7 +79,7 @@
     });
   }
 
-  /** Applies one record and tells what became of it. */
+  /** Applies one record and returns the verdict on it. */
   apply(record: LogRecord): Verdict {
     this.count += 1;
     const at = this.sequence;
--- a/packages/state/src/LogFollower.ts
+++ b/packages/state/src/LogFollower.ts
@@ -44,7 +44,7 @@
 }
 
 export class LogFollower {
-  /** Tells when the fold was restored from a snapshot: its past was not applied one by one. */
+  /** Emits when the fold was restored from a snapshot: its past was not applied one by one. */
   readonly restoredState = new Emitter<void>();
   private from = offset(0);
   private restored = false;
--- a/packages/state/src/StampedWriter.ts
+++ b/packages/state/src/StampedWriter.ts
@@ -79,8 +79,7 @@
   private sequence = 1;
   /**
    * Time for the first try of the next batch. A store that takes its appends in turn
-   * carries out each try that was given up as well: with 300 ms for answers that take
-   * 360, ten records one after the other took 20 appends and 7.2 s, now 11 and 4.0 s.
+   * carries out each try that was given up as well, so it grows with a slow store.
    */
   private firstTimeoutMs: number = WRITER.firstTimeoutMs;
   private running = false;
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -110,7 +110,7 @@
     }
   }
 
-  /** Ends early when somebody waits for a fresh view. */
+  /** Ends early when a caller waits for a fresh view. */
   private async pauseFor(ms: number): Promise<void> {
     this.pollAbort = new AbortController();
     const signals = [this.abort.signal, this.pollAbort.signal];
--- a/packages/state/src/records.ts
+++ b/packages/state/src/records.ts
@@ -138,7 +138,7 @@
   { type: T }
 >;
 
-/** What the fold made of a record. */
+/** The fold's verdict on a record. */
 export type Verdict =
   | { readonly accepted: true; readonly sequence: Sequence }
   | {
--- a/scripts/src/checkChance.ts
+++ b/scripts/src/checkChance.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run check:chance -- --runs N --seed S`: how often jobs of innocent tasks are
+ * `npm run check:chance -- --runs N --seed S`: how often jobs whose tasks crash nothing are
  * given up where workers end by chance.
  */
 
--- a/soak/src/FaultPlayer.ts
+++ b/soak/src/FaultPlayer.ts
@@ -1,4 +1,4 @@
-/** Brings drawn faults about at a site, and undoes them. */
+/** Injects drawn faults into a site, and ends them. */
 
 import { setTimeout as delay } from "node:timers/promises";
 import { pickIndex, type Random } from "@rackspan/common";
@@ -24,7 +24,7 @@
     private readonly note: (line: string) => void,
   ) {}
 
-  /** Resolves when the last fault is undone. */
+  /** Resolves when the last fault has ended. */
   async play(faults: readonly Fault[]): Promise<void> {
     const beganAt = performance.now();
     for (const fault of faults) {
--- a/soak/src/FaultyProxy.ts
+++ b/soak/src/FaultyProxy.ts
@@ -1,6 +1,6 @@
 /**
- * A TCP proxy on loopback that harms what passes: late bytes, which still arrive
- * when their sender has given up, silence, resets, connections closed on one side.
+ * A TCP proxy on loopback that injects faults: late bytes, which still arrive when
+ * their sender has given up, silence, resets, connections closed on one side.
  */
 
 import { connect, createServer, type Server, type Socket } from "node:net";
@@ -9,7 +9,7 @@
 import { addressOf, listenOn } from "@rackspan/protocol";
 import { HeldPipe } from "./HeldPipe.js";
 
-/** What stays of a connection whose one side is gone, milliseconds. */
+/** How long a connection stays open after one of its sides is gone, milliseconds. */
 const LINGER_MS = 500;
 
 /** How often chunks are held, and for how long. */
@@ -68,7 +68,7 @@
     for (const near of this.mute) reset(near);
   }
 
-  /** Open connections carry nothing more; neither end hears of it. */
+  /** Open connections carry nothing more; neither end is notified. */
   muteAll(): void {
     for (const { pipes } of this.links) {
       for (const pipe of pipes) pipe.isCut = true;
--- a/soak/src/ManagedProcess.ts
+++ b/soak/src/ManagedProcess.ts
@@ -20,7 +20,7 @@
 export class ManagedProcess {
   private child: ChildProcess | undefined;
   private exited: Promise<unknown> = Promise.resolve();
-  /** Ends that nobody asked for. */
+  /** Times that it ended unasked. */
   ownEnds = 0;
   private isAskedToEnd = false;
 
--- a/soak/src/RunRecorder.ts
+++ b/soak/src/RunRecorder.ts
@@ -1,4 +1,4 @@
-/** What all workers ran, on one steady clock, as they tell it at the moment. */
+/** Records what all workers run, on one steady clock. */
 
 import type { HostId, JobTaskId, RunNumber } from "@rackspan/common";
 import { RunHistory, type RunSeen } from "@rackspan/checker";
--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -104,7 +104,7 @@
     );
   }
 
-  /** Processes that ended although nobody asked them to. */
+  /** Processes that ended unasked. */
   get ownEnds(): number {
     const all = [...this.entries, ...this.sides];
     return all.reduce((sum, { ownEnds }) => sum + ownEnds, 0);
--- a/soak/src/SoakWorker.ts
+++ b/soak/src/SoakWorker.ts
@@ -13,9 +13,9 @@
   readonly inbox: string;
   readonly longestLeaseMs: number;
   readonly recorder: RunRecorder;
-  /** Decides what the proxy harms. */
+  /** Draws the faults of the proxy. */
   readonly random: Random;
-  /** Decides the clocks of lives, and what comes late of the one before. */
+  /** Draws the clocks of lives, and what comes late of the one before. */
   readonly livesRandom: Random;
   /** Whether all lives have one id, and only the time of their birth tells them apart. */
   readonly sharesId: boolean;
@@ -91,7 +91,7 @@
     if (!this.isClosed) await this.beginLife();
   }
 
-  /** The present life is over, and says nothing of it. */
+  /** The present life ends without a goodbye. */
   async endLife(withoutTarget: WithoutTarget): Promise<void> {
     const { life, proxy } = this;
     if (!life) return;
@@ -120,7 +120,7 @@
     if (!life?.isCutOff) return;
     life.isCutOff = false;
     proxy.target = hiddenTarget;
-    // Calls that are open still wait in vain.
+    // Calls that are open would get no answer.
     proxy.resetAll();
   }
 
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -24,7 +24,7 @@
   readonly at: number;
   /** How long it lasts, milliseconds. */
   readonly forMs: number;
-  /** Decides which hosts or entries it strikes, in [0, 1). */
+  /** Decides which hosts or entries it affects, in [0, 1). */
   readonly draw: number;
 }
 
--- a/soak/src/judgeEnds.ts
+++ b/soak/src/judgeEnds.ts
@@ -1,4 +1,4 @@
-/** What is judged once the faults are over: how jobs end, and what runs on unasked. */
+/** Checks after the faults: how jobs end, and what runs on unasked. */
 
 import { setTimeout as delay } from "node:timers/promises";
 import type { JobTaskId } from "@rackspan/common";
--- a/soak/src/playSoak.ts
+++ b/soak/src/playSoak.ts
@@ -1,4 +1,4 @@
-/** One run of the soak: a site, a stream of jobs, series of faults, a calm, a verdict. */
+/** One run of the soak: a site, jobs, series of faults, a time without faults, the checks. */
 
 import { appendFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
