--- a/packages/side/tests/brokenLook.test.ts
+++ b/packages/side/tests/brokenLook.test.ts
@@ -7,7 +7,6 @@
   ManualClock,
   type Epoch,
   type WorkerInstance,
-  type WorkerTime,
 } from "@rackspan/common";
 import {
   runKeyOf,
@@ -19,6 +18,7 @@
   type TaskHost,
 } from "@rackspan/ports";
 import { buildSide } from "./buildSide.js";
+import { listOf } from "./listOf.js";
 
 const INSTANCE = brand<WorkerInstance>("w1");
 const RUN = { task: "j.0.0.0", run: 3 } as unknown as RunRef;
@@ -51,19 +51,13 @@
   const clock = new ManualClock();
   let isDead = false;
   let breakOff: (err: Error) => void = () => undefined;
-  const answer = (): HoldAnswer => ({
-    at: clock.monotonic() as unknown as WorkerTime,
-    running: [{ ...RUN, checkpoint: "", progressPercent: 1, reading: 0 }],
-    ended: [],
-    hasMoreEnds: false,
-  });
   const host = {
     hold: (_: WorkerInstance, { waitMs }: HoldOrder): Promise<HoldAnswer> => {
       if (isDead) throw new WorkerReplacedError(INSTANCE);
       return new Promise((resolve, reject) => {
         breakOff = reject;
         clock.after(waitMs, () => {
-          if (!isDead) resolve(answer());
+          if (!isDead) resolve(listOf(clock.monotonic(), [RUN]));
         });
       });
     },
--- a/packages/side/tests/formerStarts.test.ts
+++ b/packages/side/tests/formerStarts.test.ts
@@ -22,6 +22,7 @@
 import type { StartTaskCall } from "@rackspan/protocol";
 import { beatOf } from "./beatOf.js";
 import { buildSide } from "./buildSide.js";
+import { listOf } from "./listOf.js";
 import { START_CALL } from "./startCall.js";
 
 const CALL_TIMEOUT_MS = 400;
@@ -65,7 +66,7 @@
       reach(instance);
       await sleep(clock, waitMs);
       reach(instance);
-      return { at: at(), running: [], ended: [], hasMoreEnds: false };
+      return listOf(at());
     },
     start: async (instance: WorkerInstance) => {
       reach(instance);
--- /dev/null
+++ b/packages/side/tests/listOf.ts
@@ -0,0 +1,19 @@
+/** What a worker lists at that time of its clock; none of its runs has ended. */
+
+import type { WorkerTime } from "@rackspan/common";
+import type { HoldAnswer, RunRef } from "@rackspan/ports";
+
+export const listOf = (
+  at: number,
+  running: readonly RunRef[] = [],
+): HoldAnswer => ({
+  at: at as unknown as WorkerTime,
+  running: running.map((ref) => ({
+    ...ref,
+    checkpoint: "",
+    progressPercent: 1,
+    reading: 0,
+  })),
+  ended: [],
+  hasMoreEnds: false,
+});
--- a/packages/side/tests/runsOfLives.test.ts
+++ b/packages/side/tests/runsOfLives.test.ts
@@ -11,10 +11,11 @@
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
-import type { HoldAnswer, RunRef } from "@rackspan/ports";
+import type { RunRef } from "@rackspan/ports";
 import type { LostRun } from "@rackspan/protocol";
 import { WorkerRegistry } from "@rackspan/side";
 import { beatOf } from "./beatOf.js";
+import { listOf } from "./listOf.js";
 
 const FIRST = brand<WorkerInstance>("w1");
 const RUN: RunRef = {
@@ -23,18 +24,6 @@
 };
 const timeOf = (ms: number): WorkerTime => ms as unknown as WorkerTime;
 
-const listOf = (at: number, running: readonly RunRef[]): HoldAnswer => ({
-  at: timeOf(at),
-  running: running.map((ref) => ({
-    ...ref,
-    checkpoint: "",
-    progressPercent: 1,
-    reading: 0,
-  })),
-  ended: [],
-  hasMoreEnds: false,
-});
-
 const setUp = () => {
   const clock = new ManualClock();
   const registry = new WorkerRegistry(clock, silentLogger);
--- a/packages/side/tests/silentWorker.test.ts
+++ b/packages/side/tests/silentWorker.test.ts
@@ -18,6 +18,7 @@
   type TaskHost,
 } from "@rackspan/ports";
 import { buildSide } from "./buildSide.js";
+import { listOf } from "./listOf.js";
 import { START_CALL } from "./startCall.js";
 
 const INSTANCE = brand<WorkerInstance>("w1");
@@ -51,7 +52,7 @@
       const takesMs = isAnswered ? waitMs : TIMEOUT_MS;
       await new Promise<void>((resolve) => clock.after(takesMs, resolve));
       if (!isAnswered) throw new WorkerSilentError("no answer");
-      return { at: workerTime(), running: [], ended: [], hasMoreEnds: false };
+      return listOf(workerTime());
     },
     start: async (): Promise<never> => {
       throw new WorkerSilentError("no answer");
--- a/packages/side/tests/unattendedLease.test.ts
+++ b/packages/side/tests/unattendedLease.test.ts
@@ -11,6 +11,7 @@
 } from "@rackspan/common";
 import type { HoldAnswer, HoldOrder, TaskHost } from "@rackspan/ports";
 import { buildSide } from "./buildSide.js";
+import { listOf } from "./listOf.js";
 
 const UNATTENDED_MS = 3_000;
 /** The worker's clock is ahead of the side's by this, milliseconds. */
@@ -35,12 +36,7 @@
     ): Promise<HoldAnswer> => {
       renewals.push({ at: workerTime(), leaseUntil });
       await new Promise<void>((resolve) => clock.after(waitMs, resolve));
-      return {
-        at: workerTime(),
-        running: [],
-        ended: [],
-        hasMoreEnds: false,
-      };
+      return listOf(workerTime());
     },
   } as unknown as TaskHost;
   const { watch, stop } = buildSide({
