--- a/packages/side/tests/lostPaces.test.ts
+++ b/packages/side/tests/lostPaces.test.ts
@@ -2,40 +2,18 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
+import type { WorkerInstance } from "@rackspan/common";
+import { WorkerSilentError, type PaceOrder } from "@rackspan/ports";
 import {
-  brand,
-  ManualClock,
-  Metrics,
-  silentLogger,
-  type Epoch,
-  type JobTaskId,
-  type RunNumber,
-  type WorkerInstance,
-} from "@rackspan/common";
-import {
-  WorkerSilentError,
-  type PaceOrder,
-  type RunningTask,
-  type TaskHost,
-} from "@rackspan/ports";
-import { Pacer } from "@rackspan/side";
-
-const INSTANCE = brand<WorkerInstance>("w");
-const EPOCH = brand<Epoch>(1);
-const RUN = {
-  task: brand<JobTaskId>("heavy"),
-  run: brand<RunNumber>(1),
-};
-const TARGET_MS = 10;
-const LOOK_MS = 250;
+  buildPacer,
+  EPOCH,
+  INSTANCE,
+  LOOK_MS,
+  row,
+  runOf,
+} from "./buildPacer.js";
 
-const row = (task: string, reading: number): RunningTask => ({
-  task: brand<JobTaskId>(task),
-  run: RUN.run,
-  checkpoint: "",
-  progressPercent: 100,
-  reading,
-});
+const RUN = runOf("heavy");
 
 /** A worker that lets the first orders to a run go unanswered, and carries them out later. */
 class ForgetfulWorker {
@@ -59,27 +37,10 @@
 }
 
 const setUp = () => {
-  const clock = new ManualClock();
   const worker = new ForgetfulWorker();
-  const pacer = new Pacer({
-    host: worker as unknown as TaskHost,
-    clock,
-    logger: silentLogger,
-    metrics: new Metrics(),
-    tailGraceMs: 4_000,
-    tailAim: 0.9,
-  });
-  pacer.describe(brand<JobTaskId>("server"), {
-    kind: "serving",
-    image: "web",
-    tailTargetMs: TARGET_MS,
-    milliCores: 4_000,
-  });
-  pacer.describe(RUN.task, {
-    kind: "filling",
-    image: "render",
-    tailTargetMs: 0,
-    milliCores: 4_000,
+  const { clock, pacer } = buildPacer({
+    host: worker,
+    fillingImages: { heavy: "render" },
   });
   pacer.learn([{ serving: "web", filling: "render", weight: 0.2 }]);
   pacer.noteStarted(RUN);
@@ -90,10 +51,7 @@
   return { clock, worker, pacer, look };
 };
 
-// An order to let a filling task work faster gets no answer, the next one slows it
-// down, and then the worker carries out the first. The serving task beside it was
-// disturbed until something else changed its pace. The cause: the pace last ordered
-// was taken for the one in force, although an order before it was still open.
+// An order without an answer may be carried out after the one that follows it.
 test("a pace that is carried out after a newer one does not stay in force", async () => {
   const { worker, look } = setUp();
   await look(2);
@@ -110,10 +68,7 @@
   expect(worker.percent).toEqual(31);
 });
 
-// The order that gives a new filling task its first pace is lost before the worker
-// lists the task. The task went on at full pace beside a serving one that could not
-// bear it. The cause: that failure was noted for a pace in force, and the first
-// look at the task then noted the pace as given.
+// An order may be lost before the worker lists its task.
 test("a first pace whose order was lost is ordered again at the first look", async () => {
   const { clock, worker, pacer, look } = setUp();
   worker.answers = false;
--- a/packages/side/tests/unattendedLease.test.ts
+++ b/packages/side/tests/unattendedLease.test.ts
@@ -1,15 +1,4 @@
-/**
- * What users would see: tasks of cancelled jobs run on for up to ten seconds.
- *
- * Order of events: the side of a host is removed for good while its worker lives
- * on; then jobs are cancelled whose tasks run there.
- *
- * Cause: nobody can stop them, so that they run until the worker's lease is over.
- * Each side renewed it as far ahead as the leader had granted, the longest that
- * workers take.
- *
- * Evidence: a played day with sides removed: 20 such tasks, the longest for 10.2 s.
- */
+/** A worker whose side is removed does not keep its lease for as long as the leader granted. */
 
 import { test } from "node:test";
 import { expect } from "earl";
@@ -22,6 +11,7 @@
 } from "@rackspan/common";
 import type { HoldAnswer, HoldOrder, TaskHost } from "@rackspan/ports";
 import { buildSide } from "./buildSide.js";
+import { listOf } from "./listOf.js";
 
 const UNATTENDED_MS = 3_000;
 /** The worker's clock is ahead of the side's by this, milliseconds. */
@@ -46,12 +36,7 @@
     ): Promise<HoldAnswer> => {
       renewals.push({ at: workerTime(), leaseUntil });
       await new Promise<void>((resolve) => clock.after(waitMs, resolve));
-      return {
-        at: workerTime(),
-        running: [],
-        ended: [],
-        hasMoreEnds: false,
-      };
+      return listOf(workerTime());
     },
   } as unknown as TaskHost;
   const { watch, stop } = buildSide({
