--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -283,13 +283,17 @@
           ended: [...watch.unacknowledged],
           hasMoreEnds: sighting.answer.hasMoreEnds,
           lostRuns: [...registry.runs.untold],
+          neverBegun: [...registry.runs.neverBegun],
         };
         const grant = await this.ask(link, () =>
           leader.report(this.options.host, this.options.zone, report),
         );
         unanswered = grant ? 0 : unanswered + 1;
         if (grant?.leaseUntil !== undefined) grantedAt = clock.monotonic();
-        if (grant) registry.runs.noteTold(report.lostRuns);
+        if (grant) {
+          registry.runs.noteTold(report.lostRuns);
+          registry.runs.noteNeverBegunTold(report.neverBegun ?? []);
+        }
         if (grant) takeGrant(watch, worker, grant);
         if (unanswered >= HOST.maxUnanswered) return;
       } else if (
@@ -299,9 +303,11 @@
       ) {
         silenceToldAt = clock.monotonic();
         const overInMs = watch.boundLease();
+        const { neverBegun } = registry.runs;
         const grants = await this.ask(link, () =>
-          leader.noteWorkerSilent(this.options.host, overInMs),
+          leader.noteWorkerSilent(this.options.host, overInMs, neverBegun),
         );
+        if (grants !== undefined) registry.runs.noteNeverBegunTold(neverBegun);
         unanswered = grants === undefined ? unanswered + 1 : 0;
         if (grants) grantedAt = clock.monotonic();
         if (unanswered >= HOST.maxUnanswered) return;
--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -13,7 +13,7 @@
 import { StoredRoster } from "@rackspan/entry";
 import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
 import { leaseOverBy } from "@rackspan/leadership";
-import type { StoreClient } from "@rackspan/ports";
+import type { RunRef, StoreClient } from "@rackspan/ports";
 import type { Grant, HostReport, LostRun } from "@rackspan/protocol";
 import { DEFAULT_POLICY, JobEngine } from "@rackspan/scheduling";
 import {
@@ -205,9 +205,10 @@
   noteWorkerSilent(
     host: HostId,
     overInMs: number | undefined,
+    neverBegun: readonly RunRef[],
   ): boolean | undefined {
     if (this.isOver) return undefined;
-    return this.engine?.noteWorkerSilent(host, overInMs);
+    return this.engine?.noteWorkerSilent(host, overInMs, neverBegun);
   }
 
   noteWorkerGone(
--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -157,9 +157,10 @@
           if (await Promise.race([noted, tooLate])) return {};
           throw new NotNotedError(instance);
         },
-        workerSilent: ({ overInMs }) => {
+        workerSilent: ({ overInMs, neverBegun }) => {
           const { host, leading } = this.current();
-          const grants = leading.engine.noteWorkerSilent(host, overInMs);
+          const { engine } = leading;
+          const grants = engine.noteWorkerSilent(host, overInMs, neverBegun);
           return { grants };
         },
         ping: () => ({}),
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -73,11 +73,18 @@
    * the order. Absent when no look broke off, and from an older side.
    */
   orderedMs: z.number().optional(),
+  /**
+   * Whether the order to start it is still being repeated; else its answer is known, or
+   * none will come. It is told again once that is so. Absent from an older side.
+   */
+  isOrderOpen: z.boolean().optional(),
 });
 
 /** A run that may have begun in a life of the worker that has crashed since. */
 export type LostRun = z.output<typeof lostRunSchema>;
 
+const neverBegunSchema = z.array(z.object(runShape));
+
 const reportSchema = z.object({
   worker: workerSchema,
   /** The worker's clock when it gave the lists. */
@@ -89,6 +96,11 @@
   hasMoreEnds: z.boolean().default(false),
   /** Runs of former lives that no leader has answered for; none from an older side. */
   lostRuns: z.array(lostRunSchema).default([]),
+  /**
+   * Runs of former lives that were told as lost, and that never began: the answers to
+   * their orders came later. Absent from an older side.
+   */
+  neverBegun: neverBegunSchema.optional(),
 });
 
 export type HostReport = z.output<typeof reportSchema>;
@@ -148,6 +160,8 @@
        * absent when the side cannot tell.
        */
       overInMs: z.number().min(0).optional(),
+      /** As in a report, of which there are none while the worker is silent. */
+      neverBegun: neverBegunSchema.optional(),
     }),
     /** Whether this leader may still grant leases. */
     result: z.object({ grants: z.boolean() }),
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -19,7 +19,7 @@
   type StepRun,
   type WorkerLoss,
 } from "@rackspan/jobs";
-import { runKeyOf } from "@rackspan/ports";
+import { runKeyOf, type RunRef } from "@rackspan/ports";
 import type { LostRun } from "@rackspan/protocol";
 import { BoundedMap, type CrashEvidence } from "@rackspan/state";
 import { ENGINE, type HostEntry } from "./engineTypes.js";
@@ -34,8 +34,15 @@
 
 const PROOFS: readonly CrashEvidence[] = ["sole", "unanswered"];
 
+/** Whether the answer to the order of a lost run may yet come, and who tells of it. */
+type OrderState = "open" | "told-open" | "over";
+
+type TaskRun = Pick<ActiveRun, "task" | "run">;
+
 interface AwaitedAnswer {
   readonly run: RunNumber;
+  /** Whether the side has told that the order is open, and tells when it is over. */
+  readonly isToldBySide: boolean;
   readonly timer: Timer;
 }
 
@@ -93,30 +100,39 @@
       this.judged.set(runKeyOf(refOf(run)), true);
       runs.giveBack(entry, run, reason);
     }
+    const toldOpen = keysOfOpen(lostRuns);
     for (const [run, evidence] of blamed) {
-      const isOrderOpen = run.phase === "starting";
-      this.note(ledger.host, run, evidence, isOrderOpen);
+      const isToldOpen = toldOpen.has(runKeyOf(refOf(run)));
+      const order = isToldOpen ? "told-open" : orderOf(run);
+      this.note(ledger.host, run, evidence, order);
     }
   }
 
   /** The answer to its order shows that a lost run never began: it speaks against nothing. */
-  noteNotBegun({ task, run }: ActiveRun): void {
+  noteNotBegun({ task, run }: TaskRun): void {
     const { job } = task.step;
     if (job.isEnded || !task.crashes.forget(run)) return;
     const { clock, logger, metrics } = this.parts.options;
     metrics.count("task_crashes_taken_back");
     const { points } = task.crashes;
     logger.info("task.crash-taken-back", { task: task.id, run, points });
-    const awaited = this.awaitingAnswer.get(task);
-    if (awaited?.run === run) {
-      awaited.timer.cancel();
-      this.awaitingAnswer.delete(task);
-      task.heldUntil = clock.monotonic();
-    }
+    if (this.endWait(task, run)) task.heldUntil = clock.monotonic();
     this.keep(job, task);
     this.parts.requestPass();
   }
 
+  /**
+   * Takes what a side tells of lost runs that never began. A former leader may have
+   * ordered them, and have ended before their orders were answered.
+   */
+  noteNeverBegun(refs: readonly RunRef[]): void {
+    for (const ref of refs) {
+      this.judged.set(runKeyOf(ref), true);
+      const task = this.parts.jobs.findTask(ref.task);
+      if (task) this.noteNotBegun({ task, run: ref.run });
+    }
+  }
+
   /** Whether workers of other hosts were lost at about that time, without a suspected task. */
   private othersWereLost(host: HostId, at: Monotonic): boolean {
     return [...this.unexplained].some(
@@ -154,9 +170,31 @@
       const evidence = isSole
         ? evidenceApart(task, lost.workedMs !== undefined, sight)
         : evidenceAfter(lost.workedMs, sight);
-      this.note(host, { task, run: lost.run }, evidence);
+      const run = { task, run: lost.run };
+      this.note(host, run, evidence, lost.isOrderOpen ? "told-open" : "over");
+    }
+    for (const lost of lostRuns) {
+      this.judged.set(runKeyOf(lost), true);
+      if (!lost.isOrderOpen) this.noteOrderOver(lost);
     }
-    for (const lost of lostRuns) this.judged.set(runKeyOf(lost), true);
+  }
+
+  /** No answer will take the count of that run back: a task held for one is judged. */
+  private noteOrderOver(lost: LostRun): void {
+    const task = this.parts.jobs.findTask(lost.task);
+    if (!task || !this.awaitingAnswer.get(task)?.isToldBySide) return;
+    if (!this.endWait(task, lost.run)) return;
+    task.heldUntil = this.parts.options.clock.monotonic();
+    this.keep(task.step.job, task);
+    this.parts.requestPass();
+  }
+
+  /** @returns whether the task was held for the answer to the order of that run */
+  private endWait(task: JobTask, run: RunNumber): boolean {
+    const awaited = this.awaitingAnswer.get(task);
+    if (awaited?.run !== run) return false;
+    awaited.timer.cancel();
+    return this.awaitingAnswer.delete(task);
   }
 
   /** How long a run of the step is expected to take; undefined for one that lasts. */
@@ -185,12 +223,11 @@
     if (isNew || job.hasSpentCrashes(task)) this.keep(job, task);
   }
 
-  /** @param isOrderOpen whether the answer to the run's order may yet come */
   private note(
     host: HostId,
-    { task, run }: Pick<ActiveRun, "task" | "run">,
+    { task, run }: TaskRun,
     evidence: CrashEvidence,
-    isOrderOpen = false,
+    order: OrderState,
   ): void {
     const { job } = task.step;
     if (job.isEnded || task.phase === "done") return;
@@ -198,8 +235,8 @@
     task.crashes.note(run, evidence);
     this.logCount(task, evidence, run, host);
     if (evidence === "sole") this.doubtLater(host, task, run);
-    else if (isOrderOpen && job.hasSpentCrashes(task)) {
-      this.awaitAnswer(task, run);
+    else if (order !== "over" && job.hasSpentCrashes(task)) {
+      this.awaitAnswer(task, run, order === "told-open");
     } else this.keep(job, task);
   }
 
@@ -219,12 +256,16 @@
   }
 
   /** The store is not told before: the next leader would give the task up at once. */
-  private awaitAnswer(task: JobTask, run: RunNumber): void {
+  private awaitAnswer(
+    task: JobTask,
+    run: RunNumber,
+    isToldBySide: boolean,
+  ): void {
     this.awaitingAnswer.get(task)?.timer.cancel();
     const timer = this.judgeLater(task, ENGINE.orderTimeoutMs, () =>
       this.awaitingAnswer.delete(task),
     );
-    this.awaitingAnswer.set(task, { run, timer });
+    this.awaitingAnswer.set(task, { run, isToldBySide, timer });
   }
 
   /** Holds the task until all that speaks for it has had time to arrive. */
@@ -267,6 +308,13 @@
   }
 }
 
+const orderOf = ({ phase }: ActiveRun): OrderState =>
+  phase === "starting" ? "open" : "over";
+
+/** Of the runs that a side tells of, those whose orders are still being repeated. */
+const keysOfOpen = (lostRuns: readonly LostRun[]): ReadonlySet<string> =>
+  new Set(lostRuns.filter((lost) => lost.isOrderOpen).map(runKeyOf));
+
 const isProven = (blamed: ReadonlyMap<ActiveRun, CrashEvidence>): boolean =>
   [...blamed.values()].some((evidence) => PROOFS.includes(evidence));
 
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -17,6 +17,7 @@
   type ReportChanges,
 } from "@rackspan/jobs";
 import { leaseOverBy } from "@rackspan/leadership";
+import type { RunRef } from "@rackspan/ports";
 import type { Grant, HostReport, LostRun } from "@rackspan/protocol";
 import { OutlierEjector } from "@rackspan/routing";
 import {
@@ -260,9 +261,15 @@
    *
    * @param overInMs until every lease of the worker is over, as its side knows them;
    *   undefined when it does not
+   * @param neverBegun lost runs that never began, by the answers to their orders
    * @returns whether this leader may still decide
    */
-  noteWorkerSilent(host: HostId, overInMs: number | undefined): boolean {
+  noteWorkerSilent(
+    host: HostId,
+    overInMs: number | undefined,
+    neverBegun: readonly RunRef[] = [],
+  ): boolean {
+    this.crashes.noteNeverBegun(neverBegun);
     if (overInMs !== undefined) this.watch.noteSilent(host, overInMs);
     return this.options.mayDecide();
   }
@@ -283,6 +290,7 @@
       return { acknowledged: ledger.acknowledgedEnds };
     }
     this.crashes.noteTold(host, report.lostRuns);
+    this.crashes.noteNeverBegun(report.neverBegun ?? []);
     this.intake.noteWorker(entry, report);
     this.takeChanges(entry, reconcileReport(ledger, report, now));
     const tasks = [...ledger.runs.values()].map(({ task }) => task);
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -61,6 +61,13 @@
 const SERVICE = brand<ServiceName>("kaigi");
 export const ZONE = brand<AvailabilityZone>("obihiro-a");
 
+/** An order whose answer the test gives later. */
+interface HeldOrder {
+  /** Undefined for a stop. */
+  readonly start: StartTaskCall | undefined;
+  readonly resolve: (result: HostCallResult) => void;
+}
+
 /** The side of one host and its worker, as the leader sees them. */
 export class FakeHost implements HostSession {
   readonly starts: StartTaskCall[] = [];
@@ -81,7 +88,9 @@
   lostRuns: HostReport["lostRuns"] = [];
   /** How many lives of the worker have ended. */
   crashes = 0;
-  private readonly held: ((result: HostCallResult) => void)[] = [];
+  private held: HeldOrder[] = [];
+  /** Starts that were held, and are answered as never begun, until a leader is told. */
+  private neverBegun: StartTaskCall[] = [];
   /** Whether reports list what began last before the others. */
   listsNewestFirst = false;
   /** By run: a worker may run two of one task. */
@@ -109,7 +118,7 @@
   async startTask(call: StartTaskCall): Promise<HostCallResult> {
     this.starts.push(call);
     if (this.answers === "hang") return new Promise(() => undefined);
-    if (this.answers === "held") return this.hold();
+    if (this.answers === "held") return this.hold(call);
     if (this.answers === "ok") this.running.set(runKeyOf(call), call);
     return this.answer();
   }
@@ -202,6 +211,26 @@
     return this.listsNewestFirst ? runs.reverse() : runs;
   }
 
+  /**
+   * Tells of the orders of former leaders as well. Of its own orders a leader takes
+   * the answers alone, so that the tests of these stand for themselves.
+   */
+  reportTo(epoch: number): HostReport {
+    const isFormer = (call: StartTaskCall): boolean =>
+      Number(call.epoch) < epoch;
+    const open = this.held.flatMap(({ start }) =>
+      start && isFormer(start) ? [runKeyOf(start)] : [],
+    );
+    const report = this.report();
+    return {
+      ...report,
+      lostRuns: report.lostRuns.map((lost) =>
+        open.includes(runKeyOf(lost)) ? { ...lost, isOrderOpen: true } : lost,
+      ),
+      neverBegun: this.neverBegun.filter(isFormer),
+    };
+  }
+
   report(): HostReport {
     return {
       worker: {
@@ -231,11 +260,36 @@
 
   /** The answers to all orders held so far arrive now. */
   answerHeld(result: HostCallResult): void {
-    for (const resolve of this.held.splice(0)) resolve(result);
+    const isNotBegun = ["refused", "replaced", "draining"].includes(
+      result.kind,
+    );
+    for (const { start, resolve } of this.held.splice(0)) {
+      if (start && isNotBegun) this.noteNotBegun(start);
+      resolve(result);
+    }
+  }
+
+  private noteNotBegun(start: StartTaskCall): void {
+    this.neverBegun.push(start);
+    const key = runKeyOf(start);
+    this.lostRuns = this.lostRuns.filter((lost) => runKeyOf(lost) !== key);
+  }
+
+  /** A leader has answered the report. */
+  noteTold({ lostRuns, neverBegun = [] }: HostReport): void {
+    const open = lostRuns.filter(({ isOrderOpen }) => isOrderOpen);
+    const openKeys = new Set(open.map(runKeyOf));
+    this.lostRuns = this.lostRuns.filter((lost) =>
+      openKeys.has(runKeyOf(lost)),
+    );
+    const told = new Set(neverBegun.map(runKeyOf));
+    this.neverBegun = this.neverBegun.filter(
+      (call) => !told.has(runKeyOf(call)),
+    );
   }
 
-  private hold(): Promise<HostCallResult> {
-    return new Promise((resolve) => this.held.push(resolve));
+  private hold(start?: StartTaskCall): Promise<HostCallResult> {
+    return new Promise((resolve) => this.held.push({ start, resolve }));
   }
 
   private runOf(task: JobTaskId): RunNumber | undefined {
@@ -394,8 +448,9 @@
   }
 
   reportOf(host: FakeHost): Grant {
-    const grant = this.engine.report(host.host, host.zone, host.report());
-    host.lostRuns = [];
+    const report = host.reportTo(this.epoch);
+    const grant = this.engine.report(host.host, host.zone, report);
+    host.noteTold(report);
     return grant;
   }
 
--- a/packages/scheduling/tests/neverBegunRuns.test.ts
+++ b/packages/scheduling/tests/neverBegunRuns.test.ts
@@ -202,3 +202,74 @@
   await next.run(3_000);
   expect(stateOf(next)).toEqual("running");
 });
+
+/** A side tells the next leader of the run while it still repeats the order to it. */
+const tellNextWhileOpen = async (): Promise<{
+  readonly next: EngineHarness;
+  readonly host: FakeHost;
+}> => {
+  const site = await siteOf(3);
+  const job = await orderNearLimit(site);
+  const host = orderedAt(site);
+  if (!host) throw new Error("the task was not ordered");
+  const progress = progressOf(site);
+  site.leads = false;
+  site.engine.stop();
+  loseOrdered(host);
+  const next = leadNext(site, job, progress);
+  await next.run(1_000);
+  return { next, host };
+};
+
+const startsOf = ({ hosts }: EngineHarness): number =>
+  hosts.flatMap(({ starts }) => starts).filter(({ task }) => task === TASK)
+    .length;
+
+test("a task that an open order may give up starts no more until the order is over", async () => {
+  const { next, host } = await tellNextWhileOpen();
+  expect(startsOf(next)).toEqual(1);
+  expect(stateOf(next)).toEqual("running");
+  host.answerHeld({ kind: "silent" });
+  await next.run(200);
+  expect(stateOf(next)).toEqual("failed");
+  expect(startsOf(next)).toEqual(1);
+});
+
+test("a task is given up where its side does not tell what came of an open order", async () => {
+  const { next } = await tellNextWhileOpen();
+  await next.run(1_000, []);
+  expect(stateOf(next)).toEqual("failed");
+  expect(startsOf(next)).toEqual(1);
+});
+
+test("an open order that its leader gave over a former connection gives no task up", async () => {
+  const site = await siteOf(3);
+  await orderNearLimit(site);
+  const host = orderedAt(site);
+  const order = host?.starts.at(-1);
+  if (!host || !order) throw new Error("the task was not ordered");
+  site.engine.attach(host.host, host);
+  const { task, run } = order;
+  host.replaceWorker();
+  const lost = { task, run, wasAtWork: true, orderedMs: 10 };
+  host.lostRuns = [{ ...lost, isOrderOpen: true }];
+  await site.run(300);
+  expect(evidenceOf(site)).toEqual(["young", "unanswered"]);
+  expect(stateOf(site)).toEqual("running");
+  site.engine.report(host.host, host.zone, {
+    ...host.report(),
+    lostRuns: [],
+    neverBegun: [{ task, run }],
+  });
+  await site.run(3_000);
+  expect(stateOf(site)).toEqual("running");
+});
+
+test("a run that a side tells of as never begun while its worker is silent is taken back", async () => {
+  const { next, host } = await tellNextWhileOpen();
+  const { task, run } = host.starts[0] ?? {};
+  if (task === undefined || run === undefined) throw new Error("no order");
+  next.engine.noteWorkerSilent(host.host, undefined, [{ task, run }]);
+  await next.run(1_500, []);
+  expect(stateOf(next)).toEqual("running");
+});
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -323,6 +323,7 @@
     if (worker?.instance !== instance) return true;
     this.reportedAt = clock.monotonic();
     const lostRuns = [...registry.runs.untold];
+    const neverBegun = [...registry.runs.neverBegun];
     const params = {
       worker,
       at: answer.at,
@@ -330,10 +331,12 @@
       ended: [...watch.unacknowledged],
       hasMoreEnds: answer.hasMoreEnds,
       lostRuns,
+      neverBegun,
     };
     try {
       const grant = await connection.call("report", params, LINK.callTimeoutMs);
       registry.runs.noteTold(lostRuns);
+      registry.runs.noteNeverBegunTold(neverBegun);
       this.take(instance, grant);
       return true;
     } catch (err) {
--- a/packages/side/src/jobs/RunsOfLives.ts
+++ b/packages/side/src/jobs/RunsOfLives.ts
@@ -54,6 +54,10 @@
   );
   /** By run. */
   private readonly lost = new BoundedMap<string, LostRun>(MEMORY.maxLost);
+  /** Of the lost runs those that never began, of which no leader has taken note; by run. */
+  private readonly notBegun = new BoundedMap<string, RunRef>(MEMORY.maxLost);
+  /** Runs whose orders are being repeated. */
+  private readonly openOrders = new Set<string>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -64,6 +68,15 @@
     if (!runs.has(key)) runs.set(key, this.begun(ref, true));
   }
 
+  /** The order to start it is repeated until it is answered, or given up. */
+  noteOrderOpen(ref: RunRef): void {
+    this.openOrders.add(runKeyOf(ref));
+  }
+
+  noteOrderOver(ref: RunRef): void {
+    this.openOrders.delete(runKeyOf(ref));
+  }
+
   /** The worker has said that the run is there. */
   noteStarted(instance: WorkerInstance, ref: RunRef, at: WorkerTime): void {
     const life = this.lifeOf(instance);
@@ -78,7 +91,9 @@
   noteRefused(instance: WorkerInstance, ref: RunRef): void {
     const key = runKeyOf(ref);
     this.lives.get(instance)?.runs.delete(key);
+    if (!this.lost.get(key)) return;
     this.lost.delete(key);
+    this.notBegun.set(key, { task: ref.task, run: ref.run });
   }
 
   /** @param askedAt when the worker was asked for these lists, on the side's clock */
@@ -136,12 +151,26 @@
 
   /** Lost runs that no leader has answered for yet. */
   get untold(): readonly LostRun[] {
-    return [...this.lost].map(([, run]) => run);
+    return [...this.lost].map(([key, run]) =>
+      this.openOrders.has(key) ? { ...run, isOrderOpen: true } : run,
+    );
   }
 
-  /** A leader has taken note of them. */
+  /** Lost runs that never began, of which no leader has taken note yet. */
+  get neverBegun(): readonly RunRef[] {
+    return [...this.notBegun].map(([, ref]) => ref);
+  }
+
+  /** A leader has taken note of them; of those with an open order the rest is to come. */
   noteTold(told: readonly LostRun[]): void {
-    for (const run of told) this.lost.delete(runKeyOf(run));
+    for (const run of told) {
+      if (!run.isOrderOpen) this.lost.delete(runKeyOf(run));
+    }
+  }
+
+  /** A leader has taken note of them. */
+  noteNeverBegunTold(told: readonly RunRef[]): void {
+    for (const ref of told) this.notBegun.delete(runKeyOf(ref));
   }
 
   private begun(ref: RunRef, isOwn: boolean): BegunRun {
--- a/packages/side/src/jobs/SilenceReporter.ts
+++ b/packages/side/src/jobs/SilenceReporter.ts
@@ -61,15 +61,17 @@
 
   /** @returns whether the leader answered, and whether it grants leases */
   async tell(): Promise<{ isAnswered: boolean; grants: boolean }> {
-    const { connection, watch, clock, callTimeoutMs } = this.options;
+    const { connection, registry, watch, clock, callTimeoutMs } = this.options;
     const overInMs = watch.boundLease();
+    const neverBegun = [...registry.runs.neverBegun];
     this.toldAt = clock.monotonic();
     try {
       const { grants } = await connection.call(
         "workerSilent",
-        { overInMs },
+        { overInMs, neverBegun },
         callTimeoutMs,
       );
+      registry.runs.noteNeverBegunTold(neverBegun);
       this.logOutcome({ overInMs, grants });
       return { isAnswered: true, grants };
     } catch (err) {
--- a/packages/side/src/jobs/TaskOrders.ts
+++ b/packages/side/src/jobs/TaskOrders.ts
@@ -55,12 +55,22 @@
   async start(call: StartTaskCall): Promise<HostCallResult> {
     const refusal = this.refusal(call.epoch, call.instance);
     if (refusal) return this.note("start", call, refusal);
-    const { registry, host, pacer, clock, watch } = this.options;
+    const { registry, pacer } = this.options;
     if (registry.worker?.draining) {
       return this.note("start", call, { kind: "draining" });
     }
     pacer.describe(call.task, call.nature);
     pacer.noteStarted(call);
+    registry.runs.noteOrderOpen(call);
+    try {
+      return await this.orderStart(call);
+    } finally {
+      registry.runs.noteOrderOver(call);
+    }
+  }
+
+  private async orderStart(call: StartTaskCall): Promise<HostCallResult> {
+    const { registry, host, pacer, clock, watch } = this.options;
     const { instance, ...order } = call;
     const beganAt = clock.monotonic();
     registry.runs.noteOrdered(instance, order);
--- a/packages/side/tests/runsOfLives.test.ts
+++ b/packages/side/tests/runsOfLives.test.ts
@@ -163,6 +163,45 @@
   expect(registry.runs.untold).toEqual([]);
 });
 
+test("a lost run whose order is open is told again once the order is over", () => {
+  const { registry, crash } = setUp();
+  const { runs } = registry;
+  runs.noteOrderOpen(RUN);
+  crash();
+  const lost = { ...RUN, workedMs: undefined, wasAtWork: false };
+  expect(runs.untold).toEqual([{ ...lost, isOrderOpen: true }]);
+  runs.noteTold(runs.untold);
+  expect(runs.untold).toEqual([{ ...lost, isOrderOpen: true }]);
+  const told = runs.untold;
+  runs.noteOrderOver(RUN);
+  // The leader's answer is to what was told before.
+  runs.noteTold(told);
+  expect(runs.untold).toEqual([lost]);
+  runs.noteTold(runs.untold);
+  expect(runs.untold).toEqual([]);
+});
+
+test("a run that was told as lost and never began is told as such until a leader answers", () => {
+  const { registry, crash } = setUp();
+  const { runs } = registry;
+  runs.noteOrderOpen(RUN);
+  crash();
+  runs.noteTold(runs.untold);
+  runs.noteRefused(FIRST, RUN);
+  runs.noteOrderOver(RUN);
+  expect(runs.untold).toEqual([]);
+  expect(runs.neverBegun).toEqual([RUN]);
+  runs.noteNeverBegunTold(runs.neverBegun);
+  expect(runs.neverBegun).toEqual([]);
+});
+
+test("a run that is refused while its life stands is told in no way", () => {
+  const { registry, crash } = setUp();
+  registry.runs.noteRefused(FIRST, RUN);
+  crash();
+  expect(registry.runs.neverBegun).toEqual([]);
+});
+
 test("a run is told as one at work only if the last look broke off while it would have told of an end", () => {
   const broken = setUp();
   broken.registry.runs.noteStarted(FIRST, RUN, timeOf(1_000));
--- a/packages/side/tests/taskOrders.test.ts
+++ b/packages/side/tests/taskOrders.test.ts
@@ -43,6 +43,24 @@
   reason,
 });
 
+test("a run that is lost while its order is repeated is told as one with an open order", async () => {
+  const clock = new ManualClock();
+  const host = {
+    start: () => Promise.reject(new WorkerSilentError("no answer")),
+  } as unknown as TaskHost;
+  const { orders, registry } = buildSide({ host, clock, heard: ["w"] });
+  const { instance } = START_CALL;
+  const result = orders.start(START_CALL);
+  await clock.advance(500);
+  registry.noteGone(instance, "another life answers");
+  const isOpen = () =>
+    registry.runs.untold.map(({ isOrderOpen }) => isOrderOpen);
+  expect(isOpen()).toEqual([true]);
+  await clock.advance(2_000);
+  expect(await result).toEqual({ kind: "silent" });
+  expect(isOpen()).toEqual([undefined]);
+});
+
 test("a refusal is taken as one when no try before it was left unanswered", async () => {
   expect(await startWith([refused("unhealthy")])).toEqual({
     kind: "refused",
