Schedules of workers that start again under their ids beside sides that are started anew

Cause: a side that was started anew knew none of the starts that the one before had left unanswered, so it barred none of them at the worker's next life, and tasks whose end was known began again there.

--- a/packages/checker/src/jobs/eventMixes.ts
+++ b/packages/checker/src/jobs/eventMixes.ts
@@ -108,6 +108,13 @@
   [8, (world, random) => world.carryOutLate(between(random, 500, 3_000))],
 ];
 
+/** The same, and sides that are started anew, which know nothing of the one before. */
+export const FORGETTING_EVENTS: WeightedEvents = [
+  ...REBORN_EVENTS,
+  [5, (world) => world.restartSide()],
+  [5, (world, random) => world.loseSide(between(random, 300, 3_000))],
+];
+
 /** How a leader may be lost. */
 export const LEADER_LOSSES: readonly ScheduleEvent[] = [
   (world) => world.leaders.kill(),
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -8,6 +8,7 @@
   runFormerSchedule,
   runCrashingSchedule,
   runEvacuatingSchedule,
+  runForgettingSchedule,
   runRebornSchedule,
   runReturnSchedule,
   runHarshSchedule,
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -6,6 +6,7 @@
   DROPPED_EVENTS,
   EVACUATING_EVENTS,
   EVENTS,
+  FORGETTING_EVENTS,
   HARSH_EVENTS,
   LEADER_LOSSES,
   pickEvent,
@@ -144,6 +145,12 @@
     lives: { ordersOutlive: true, bearOneName: takesIdForLife },
   });
 
+/** Plays one seed of the same with sides that are started anew. @returns what broke, in order */
+export const runForgettingSchedule = (
+  seed: number,
+): Promise<readonly JobViolation[]> =>
+  runSchedule(seed, { ...REBORN, events: FORGETTING_EVENTS });
+
 /** Plays one seed with zones that are evacuated. @returns what broke, in order */
 export const runEvacuatingSchedule = (
   seed: number,
--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -6,6 +6,7 @@
   runJobSchedule,
   runCrashingSchedule,
   runEvacuatingSchedule,
+  runForgettingSchedule,
   runDroppedLeaderSchedule,
   runRebornSchedule,
   runReturnSchedule,
@@ -127,6 +128,13 @@
   await expectNothingBroken(runRebornSchedule, 183);
 });
 
+// A side that was started anew knows none of the starts of the one before.
+test("a start that a former side left unanswered does not begin at the worker's next life", async () => {
+  for (const seed of [8, 9, 14, 16, 52]) {
+    await expectNothingBroken(runForgettingSchedule, seed);
+  }
+});
+
 test("schedules notice an id that is taken for a life", async () => {
   for (const seed of SEEDS.slice(0, 2)) {
     const violations = await runRebornSchedule(seed, true);
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -6,6 +6,7 @@
   runJobSchedule,
   runCrashingSchedule,
   runEvacuatingSchedule,
+  runForgettingSchedule,
   runRebornSchedule,
   runStarvedSchedule,
   runDroppedLeaderSchedule,
@@ -23,6 +24,7 @@
   readonly crashing: boolean;
   readonly evacuating: boolean;
   readonly reborn: boolean;
+  readonly forgetting: boolean;
   readonly succession: boolean;
   readonly dropped: boolean;
   readonly returning: boolean;
@@ -40,18 +42,20 @@
   )
   .option("--evacuating", "harsh, and zones that are evacuated", false)
   .option("--reborn", "harsh, and workers that start again at once", false)
+  .option("--forgetting", "reborn, and sides that are started anew", false)
   .option("--succession", "leaders lost in a row, workers silent", false)
   .option("--dropped", "the same, and leaders the store drops untold", false)
   .option("--returning", "workers silent as their leaders are lost", false)
   .parse()
   .opts<Options>();
 const { runs, seed, harsh, starved, crashing, evacuating, reborn } = options;
-const { succession, dropped, returning } = options;
+const { forgetting, succession, dropped, returning } = options;
 
 const pickSchedule = (): typeof runJobSchedule => {
   if (returning) return runReturnSchedule;
   if (dropped) return runDroppedLeaderSchedule;
   if (succession) return (at) => runSuccessionSchedule(at);
+  if (forgetting) return runForgettingSchedule;
   if (reborn) return runRebornSchedule;
   if (crashing) return runCrashingSchedule;
   if (evacuating) return runEvacuatingSchedule;
