A next life that is not heard yet refuses the starts of the one before from the first look on

Cause: a worker that starts again under its id is reached by the side's looks for the life before, until its first heartbeat is heard. They carried the same part of the epoch as the starts without an answer, which could still begin there until the side knew of the next life.

Change: a look without an answer raises the part under which its life is called, so the first look that reaches the next life, heard or not, bars what was sent before. At a life that only was silent, a start that comes late is refused as well; orders are tried again under the higher part. What is left is a start that comes before the first look does, which nothing can bar.

--- a/packages/side/src/jobs/FencedTaskHost.ts
+++ b/packages/side/src/jobs/FencedTaskHost.ts
@@ -12,6 +12,7 @@
 } from "@rackspan/common";
 import {
   TaskRefusedError,
+  WorkerSilentError,
   type HoldAnswer,
   type HoldOrder,
   type PaceOrder,
@@ -75,9 +76,15 @@
 
   hold(instance: WorkerInstance, order: HoldOrder): Promise<HoldAnswer> {
     const { host } = this.options;
-    return this.climb(instance, order.epoch, (part) =>
-      host.hold(instance, { ...order, epoch: divide(order.epoch, part) }),
-    );
+    return this.climb(instance, order.epoch, async (part) => {
+      const epoch = divide(order.epoch, part);
+      try {
+        return await host.hold(instance, { ...order, epoch });
+      } catch (err) {
+        if (err instanceof WorkerSilentError) this.raise(instance);
+        throw err;
+      }
+    });
   }
 
   pace(instance: WorkerInstance, order: PaceOrder): Promise<void> {
@@ -131,17 +138,30 @@
     }
   }
 
+  /**
+   * The life may be over. The next one may stand under its id and be reached by calls for
+   * this one, before it is heard: the first of them bars what was sent until now.
+   */
+  private raise(instance: WorkerInstance): void {
+    const life = this.lives.get(instance);
+    if (life) life.part = this.nextPart();
+  }
+
   /** Above those of all lives that were called before under the epoch. */
   private lifeOf(instance: WorkerInstance, epoch: Epoch): LifePart {
     if (this.epoch === undefined || epoch > this.epoch) this.beginEpoch(epoch);
     const known = this.lives.get(instance);
     if (known) return known;
-    this.highest = Math.max(this.highest + 1, this.partOfNow());
-    const life = { part: this.highest, reach: 1 };
+    const life = { part: this.nextPart(), reach: 1 };
     this.lives.set(instance, life);
     return life;
   }
 
+  private nextPart(): number {
+    this.highest = Math.max(this.highest + 1, this.partOfNow());
+    return this.highest;
+  }
+
   /** All that was sent under the epoch before is below each part of this one. */
   private beginEpoch(epoch: Epoch): void {
     this.epoch = epoch;
--- a/packages/side/tests/fencedTaskHost.test.ts
+++ b/packages/side/tests/fencedTaskHost.test.ts
@@ -11,6 +11,7 @@
 } from "@rackspan/common";
 import {
   TaskRefusedError,
+  WorkerSilentError,
   type HoldAnswer,
   type HoldOrder,
   type RunStart,
@@ -33,6 +34,7 @@
 /** A worker of which only the fence counts, and the starts that it was sent. */
 class FencingWorker implements TaskHost {
   heard = 0;
+  isSilent = false;
   readonly sent: RunStart[] = [];
 
   start(_: WorkerInstance, order: RunStart): Promise<StartOutcome> {
@@ -53,6 +55,7 @@
 
   async hold(_: WorkerInstance, { epoch }: HoldOrder): Promise<HoldAnswer> {
     const answer = { at: AT, running: [], ended: [], hasMoreEnds: false };
+    if (this.isSilent) throw new WorkerSilentError("no answer");
     return this.obey(epoch, answer);
   }
 
@@ -116,6 +119,18 @@
   expect(carryOutLast(worker)).toEqual({ kind: "refused", reason: "fenced" });
 });
 
+test("a start is refused by a next life that a call for the one before reaches first", async () => {
+  const { worker, look, start } = build();
+  await look(FIRST);
+  await start(FIRST);
+  worker.isSilent = true;
+  await expect(look(FIRST)).toBeRejectedWith(WorkerSilentError);
+  worker.isSilent = false;
+  worker.startAgain();
+  await look(FIRST);
+  expect(carryOutLast(worker)).toEqual({ kind: "refused", reason: "fenced" });
+});
+
 test("a life is started under what it was looked at with", async () => {
   const { clock, look, start } = build();
   await look(FIRST);
