A host that cannot be reached is waited for while a start of a former life may come

Cause: a worker that starts again under its id may carry out a start that its former life left unanswered. That brings a lease by the clock of the former life, cut to the longest, also where the run is barred. The ledger counted the lease from its last grant alone, so behind a cut of the side's connection what ran there outlasted it and was started elsewhere. Change: each report tells for how long such a start may come (formerStartsForMs, absent from an older side); the ledger of a host counts the longest lease from then. The word of a side that is attached holds before it, as it is renewed. The engine's test fails where the ledger takes no note of it.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -283,6 +283,7 @@
           ended: [...watch.unacknowledged],
           hasMoreEnds: sighting.answer.hasMoreEnds,
           lostRuns: [...registry.runs.untold],
+          formerStartsForMs: registry.unanswered.mayReachForMs(worker.instance),
         };
         const grant = await this.ask(link, () =>
           leader.report(this.options.host, this.options.zone, report),
--- a/packages/jobs/src/HostLedger.ts
+++ b/packages/jobs/src/HostLedger.ts
@@ -117,6 +117,8 @@
   heardAt: Monotonic = -Infinity;
   /** When every lease granted so far is over for certain. */
   private grantsOverBy: Monotonic = -Infinity;
+  /** When every lease is over that a start to a former life may bring, carried out late. */
+  private formerStartsOverBy: Monotonic = -Infinity;
   /** When all that its side has sent is over, by the side's word; Infinity without one. */
   private sentOverBy: Monotonic = Infinity;
   /** When every order to start given so far has lapsed for certain, and its lease is over. */
@@ -230,7 +232,8 @@
 
   /** When nothing runs there any more for certain, unless the host is heard before. */
   get leaseOverBy(): Monotonic {
-    const leasesOverBy = Math.min(this.grantsOverBy, this.sentOverBy);
+    const unheardOverBy = Math.max(this.grantsOverBy, this.formerStartsOverBy);
+    const leasesOverBy = Math.min(unheardOverBy, this.sentOverBy);
     return Math.max(leasesOverBy, this.ordersOverBy);
   }
 
@@ -240,6 +243,11 @@
     this.forgetSilent();
   }
 
+  /** The worker may carry out a start of a former life, whose lease is over by then. */
+  noteFormerStarts(overBy: Monotonic): void {
+    this.formerStartsOverBy = Math.max(this.formerStartsOverBy, overBy);
+  }
+
   /** An order was given whose lease is over by then for certain. */
   noteOrder(overBy: Monotonic): void {
     this.ordersOverBy = Math.max(this.ordersOverBy, overBy);
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -89,6 +89,12 @@
   hasMoreEnds: z.boolean().default(false),
   /** Runs of former lives that no leader has answered for; none from an older side. */
   lostRuns: z.array(lostRunSchema).default([]),
+  /**
+   * For how long a start that was sent to another life may yet be carried out by this
+   * one, milliseconds. Its lease is by the clock of that life, so it may be the longest.
+   * Absent from an older side.
+   */
+  formerStartsForMs: z.number().min(0).optional(),
 });
 
 export type HostReport = z.output<typeof reportSchema>;
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -286,6 +286,7 @@
       logger.warn("report.stale", { host, at: report.at });
       return { acknowledged: ledger.acknowledgedEnds };
     }
+    this.noteFormerStarts(entry, report, now);
     this.crashes.noteTold(host, report.lostRuns);
     this.intake.noteWorker(entry, report);
     this.takeChanges(entry, reconcileReport(ledger, report, now));
@@ -319,6 +320,17 @@
     };
   }
 
+  /** Such a start brings a lease by the clock of another life, so it may be the longest. */
+  private noteFormerStarts(
+    { ledger }: HostEntry,
+    { formerStartsForMs = 0 }: HostReport,
+    now: Monotonic,
+  ): void {
+    if (formerStartsForMs === 0) return;
+    const latestAt = now + formerStartsForMs;
+    ledger.noteFormerStarts(leaseOverBy(latestAt, this.options.leaseMs));
+  }
+
   private takeChanges(entry: HostEntry, changes: ReportChanges): void {
     const { ledger } = entry;
     for (const run of changes.vanished) {
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -79,6 +79,8 @@
   stopsAtOnce = true;
   /** What its side tells of runs that crashed with it, until a leader answers. */
   lostRuns: HostReport["lostRuns"] = [];
+  /** For how long a start that was sent to another life may come; see HostReport. */
+  formerStartsForMs = 0;
   /** How many lives of the worker have ended. */
   crashes = 0;
   private readonly held: ((result: HostCallResult) => void)[] = [];
@@ -226,6 +228,7 @@
       ended: this.ended.slice(0, MAX_LISTED_ENDS),
       hasMoreEnds: this.ended.length > MAX_LISTED_ENDS,
       lostRuns: this.lostRuns,
+      formerStartsForMs: this.formerStartsForMs,
     };
   }
 
--- a/packages/scheduling/tests/silentBeforeTakeOver.test.ts
+++ b/packages/scheduling/tests/silentBeforeTakeOver.test.ts
@@ -249,3 +249,34 @@
     expect(heard.starts.length).toEqual(1);
   }
 });
+
+/** The connection of the task's host is lost, where a former life may have left a start. */
+const detachBesideFormerStarts = async (formerStartsForMs: number) => {
+  const { harness, silent, heard } = await leadBesideOne();
+  silent.formerStartsForMs = formerStartsForMs;
+  harness.reportOf(silent);
+  harness.engine.detach(silent.host, silent);
+  await harness.run(LEASE_MS * 1.02 + SOON_MS, [heard]);
+  return { harness, silent, heard };
+};
+
+// Its lease is by the clock of the former life, and lasts as long as any from there.
+test("a host that cannot be reached is waited for while a start of a former life may come", async () => {
+  const without = await detachBesideFormerStarts(0);
+  expect(without.heard.starts.length).toEqual(1);
+  const { harness, heard } = await detachBesideFormerStarts(OVER_IN_MS);
+  expect(heard.starts).toEqual([]);
+  await harness.run(OVER_IN_MS - 2 * SOON_MS, [heard]);
+  expect(heard.starts).toEqual([]);
+  await harness.run(2 * SOON_MS, [heard]);
+  expect(heard.starts.length).toEqual(1);
+});
+
+test("a silent host whose side is attached is waited for by its word beside starts of a former life", async () => {
+  const { harness, silent, heard } = await leadBesideOne();
+  silent.formerStartsForMs = 2 * OVER_IN_MS;
+  harness.reportOf(silent);
+  harness.engine.noteWorkerSilent(silent.host, OVER_IN_MS);
+  await harness.run(OVER_IN_MS, [heard]);
+  expect(heard.starts.length).toEqual(1);
+});
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -330,6 +330,7 @@
       ended: [...watch.unacknowledged],
       hasMoreEnds: answer.hasMoreEnds,
       lostRuns,
+      formerStartsForMs: registry.unanswered.mayReachForMs(instance),
     };
     try {
       const grant = await connection.call("report", params, LINK.callTimeoutMs);
--- a/packages/side/src/jobs/UnansweredStarts.ts
+++ b/packages/side/src/jobs/UnansweredStarts.ts
@@ -68,6 +68,15 @@
     return this.ofOthers(instance).length > 0;
   }
 
+  /** For how long such a start may yet be carried out, milliseconds; 0 without any. */
+  mayReachForMs(instance: WorkerInstance): number {
+    const now = this.clock.monotonic();
+    const leftMs = this.ofOthers(instance).map(
+      ({ triedAt }) => triedAt + UNANSWERED.keptMs - now,
+    );
+    return Math.max(0, ...leftMs);
+  }
+
   private ofOthers(
     instance: WorkerInstance | undefined,
   ): readonly UnansweredStart[] {
--- a/packages/side/tests/formerStarts.test.ts
+++ b/packages/side/tests/formerStarts.test.ts
@@ -93,7 +93,7 @@
     worker.life = life;
     registry.noteHeartbeat(beatOf(life));
   };
-  return { clock, watch, worker, order, replace, stop };
+  return { clock, watch, worker, registry, order, replace, stop };
 };
 
 test("a start whose answer is still awaited is barred at the worker's next life", async () => {
@@ -187,3 +187,22 @@
   expect(watch.boundLease()).toEqual(0);
   await stop();
 });
+
+// A barred start begins nothing, and its lease counts all the same.
+test("it is told for how long a start to the life before may yet be carried out, also once it is barred", async () => {
+  const { clock, registry, order, replace, stop } = await watchWorker();
+  const [former, next] = [
+    brand<WorkerInstance>("w1"),
+    brand<WorkerInstance>("w2"),
+  ];
+  order(7);
+  await clock.advance(CALL_TIMEOUT_MS);
+  expect(registry.unanswered.mayReachForMs(former)).toEqual(0);
+  replace("w2");
+  await clock.advance(SOON_MS);
+  expect(registry.unanswered.openAt(next)).toEqual([]);
+  expect(registry.unanswered.mayReachForMs(next) > 12_000).toEqual(true);
+  await clock.advance(LATEST_MS);
+  expect(registry.unanswered.mayReachForMs(next)).toEqual(0);
+  await stop();
+});
