Revert "A task that lost two silent hosts begins apart for the time of a first suspicion"

Workers that come back under another life turn what was counted as silence into crashes, which it leaves as they were. Change: the time apart as before.

--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -177,14 +177,6 @@
   /** For how long the next run is to begin apart from others, milliseconds; 0 for not at all. */
   get apartMs(): number {
     if (!this.isSuspect) return 0;
-    const { apartMs, longApartMs } = CRASH_LIMITS;
-    return this.isSuspectAtFirst ? apartMs : longApartMs;
-  }
-
-  /** One crash makes it so, or two hosts that only fell silent. */
-  private get isSuspectAtFirst(): boolean {
-    if (this.runs.size === 1) return true;
-    if (this.evidence.some((one) => one !== "lost")) return false;
-    return !new CrashLog(this.entries.slice(0, -1)).isSuspect;
+    return this.runs.size > 1 ? CRASH_LIMITS.longApartMs : CRASH_LIMITS.apartMs;
   }
 }
