--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -291,6 +291,7 @@
           hasMoreEnds: sighting.answer.hasMoreEnds,
           lostRuns: [...registry.runs.untold],
           neverBegun: [...registry.runs.neverBegun],
+          formerStartsForMs: registry.unanswered.mayReachForMs(worker.instance),
         };
         const grant = await this.ask(link, () =>
           leader.report(this.options.host, this.options.zone, report),
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -101,6 +101,12 @@
    * their orders came later. Absent from an older side.
    */
   neverBegun: neverBegunSchema.optional(),
+  /**
+   * For how long a start that was sent to another life may yet be carried out by this
+   * one, milliseconds. Its lease is by the clock of that life, so it may be the longest.
+   * Absent from an older side.
+   */
+  formerStartsForMs: z.number().min(0).optional(),
 });
 
 export type HostReport = z.output<typeof reportSchema>;
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -332,6 +332,7 @@
       hasMoreEnds: answer.hasMoreEnds,
       lostRuns,
       neverBegun,
+      formerStartsForMs: registry.unanswered.mayReachForMs(instance),
     };
     try {
       const grant = await connection.call("report", params, LINK.callTimeoutMs);
