--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -284,6 +284,7 @@
           hasMoreEnds: sighting.answer.hasMoreEnds,
           lostRuns: [...registry.runs.untold],
           neverBegun: [...registry.runs.neverBegun],
+          unheardEnds: [...registry.runs.unheardEnds],
         };
         const grant = await this.ask(link, () =>
           leader.report(this.options.host, this.options.zone, report),
@@ -293,6 +294,7 @@
         if (grant) {
           registry.runs.noteTold(report.lostRuns);
           registry.runs.noteNeverBegunTold(report.neverBegun ?? []);
+          registry.runs.noteEndsTold(report.unheardEnds ?? []);
         }
         if (grant) takeGrant(watch, worker, grant);
         if (unanswered >= HOST.maxUnanswered) return;
@@ -315,9 +317,9 @@
       const gone = registry.lastGone;
       if (gone !== undefined && gone !== toldGone) {
         toldGone = gone;
-        const lostRuns = [...registry.runs.untold];
+        const { untold, unheardEnds } = registry.runs;
         link.tellLeader(() =>
-          leader.noteWorkerGone(this.options.host, gone, lostRuns),
+          leader.noteWorkerGone(this.options.host, gone, untold, unheardEnds),
         );
       }
       await watch.news.wait(clock, HOST.newsWaitMs);
--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -215,9 +215,10 @@
     host: HostId,
     instance: WorkerInstance,
     lostRuns: readonly LostRun[],
+    unheardEnds: readonly RunRef[],
   ): void {
     if (this.isOver) return;
-    void this.engine?.noteWorkerGone(host, instance, lostRuns);
+    void this.engine?.noteWorkerGone(host, instance, lostRuns, unheardEnds);
   }
 
   /** Its term is over: it decides nothing more, and its connections end. */
--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -149,10 +149,15 @@
           const { host, zone, leading } = this.current();
           return leading.engine.report(host, zone, report);
         },
-        workerGone: async ({ instance, lostRuns }) => {
+        workerGone: async ({ instance, lostRuns, unheardEnds }) => {
           const { host, leading } = this.current();
           const { engine } = leading;
-          const noted = engine.noteWorkerGone(host, instance, lostRuns);
+          const noted = engine.noteWorkerGone(
+            host,
+            instance,
+            lostRuns,
+            unheardEnds,
+          );
           const tooLate = sleep(clock, SERVER.noteMs).then(() => false);
           if (await Promise.race([noted, tooLate])) return {};
           throw new NotNotedError(instance);
--- a/packages/jobs/src/blameCrash.ts
+++ b/packages/jobs/src/blameCrash.ts
@@ -48,6 +48,8 @@
   readonly lostRuns: readonly LostRun[];
   /** How long a run of the step is expected to take; undefined for one that lasts. */
   readonly expectedMs: (step: StepRun) => number | undefined;
+  /** Whether the side knows that the run had ended before its worker crashed. */
+  readonly hasEnded: (run: ActiveRun) => boolean;
 }
 
 /**
@@ -63,9 +65,10 @@
   loss,
   lostRuns,
   expectedMs,
+  hasEnded,
 }: WorkerCrash): ReadonlyMap<ActiveRun, CrashEvidence> => {
   if (ledger.worker.draining) return new Map();
-  const runs = [...ledger.runs.values()];
+  const runs = [...ledger.runs.values()].filter((run) => !hasEnded(run));
   if (loss === "silent") return new Map(runs.map((run) => [run, "lost"]));
   const told = new Map(lostRuns.map((lost) => [runKeyOf(lost), lost]));
   const sightOfRun = (run: ActiveRun): LastSight => {
--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -85,6 +85,12 @@
 
 const neverBegunSchema = z.array(z.object(runShape));
 
+/**
+ * Runs whose ends a worker had listed before it crashed. No leader may have taken note
+ * of them; told for as long as lost runs are. Absent from an older side.
+ */
+const unheardEndsSchema = z.array(z.object(runShape)).optional();
+
 const reportSchema = z.object({
   worker: workerSchema,
   /** The worker's clock when it gave the lists. */
@@ -101,6 +107,7 @@
    * their orders came later. Absent from an older side.
    */
   neverBegun: neverBegunSchema.optional(),
+  unheardEnds: unheardEndsSchema,
 });
 
 export type HostReport = z.output<typeof reportSchema>;
@@ -146,6 +153,7 @@
     params: z.object({
       instance: idSchema<WorkerInstance>(),
       lostRuns: z.array(lostRunSchema).default([]),
+      unheardEnds: unheardEndsSchema,
     }),
     result: z.object({}),
   },
--- a/packages/scheduling/src/CrashKeeper.ts
+++ b/packages/scheduling/src/CrashKeeper.ts
@@ -53,6 +53,9 @@
   /** Lost runs that this leader has judged, those it let go free among them. */
   private readonly judged = new BoundedMap<string, true>(MAX_JUDGED);
 
+  /** Runs that had ended before their workers crashed, as sides tell. */
+  private readonly ended = new BoundedMap<string, true>(MAX_JUDGED);
+
   /**
    * When the worker of a host was last lost without proof against a task: whatever
    * has struck it may have struck others.
@@ -83,6 +86,7 @@
       loss,
       lostRuns,
       expectedMs: (step) => this.expectedMs(step),
+      hasEnded: (run) => this.ended.get(runKeyOf(refOf(run))) === true,
     });
     const wasPlanned = ledger.worker.draining;
     if (loss === "crashed" && !wasPlanned && !isProven(blamed)) {
@@ -121,6 +125,11 @@
     this.parts.requestPass();
   }
 
+  /** Takes which runs had ended before their workers crashed: these speak against nothing. */
+  noteUnheardEnds(refs: readonly RunRef[]): void {
+    for (const ref of refs) this.ended.set(runKeyOf(ref), true);
+  }
+
   /**
    * Takes what a side tells of lost runs that never began. A former leader may have
    * ordered them, and have ended before their orders were answered.
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -239,13 +239,18 @@
 
   /**
    * The worker has ended, by its own word or since another life answers for it.
+   *
+   * @param lostRuns runs of ended lives that may have been at work then
+   * @param unheardEnds runs of ended lives that had ended before
    * @returns whether this leader has taken note of it, and a next one will not wait for it
    */
   async noteWorkerGone(
     host: HostId,
     instance: WorkerInstance,
     lostRuns: readonly LostRun[] = [],
+    unheardEnds: readonly RunRef[] = [],
   ): Promise<boolean> {
+    this.crashes.noteUnheardEnds(unheardEnds);
     const { roster, mayDecide } = this.options;
     const entry = this.hosts.get(host);
     if (entry?.ledger.instance === instance)
@@ -280,6 +285,7 @@
     const now = clock.monotonic();
     const entry = this.intake.entryOf(host, zone, report, now);
     const { ledger } = entry;
+    this.crashes.noteUnheardEnds(report.unheardEnds ?? []);
     if (ledger.instance !== report.worker.instance) {
       this.watch.replaceWorker(entry, report);
       this.intake.keepInRoster(entry);
--- a/packages/scheduling/tests/doubtfulCrashes.test.ts
+++ b/packages/scheduling/tests/doubtfulCrashes.test.ts
@@ -2,6 +2,7 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
+import type { RunRef } from "@rackspan/ports";
 import type { LostRun } from "@rackspan/protocol";
 import {
   evidenceOf,
@@ -11,7 +12,7 @@
   stateOf,
   TASK,
 } from "./crashSite.js";
-import type { EngineHarness } from "./engineHarness.js";
+import type { EngineHarness, FakeHost } from "./engineHarness.js";
 
 const OTHER = "77aa7a21d94b36f8";
 const ESTIMATE_MS = 500;
@@ -129,3 +130,53 @@
   expect(evidenceOf(site)).toEqual(["settled", "young", "unanswered"]);
   expect(await judgedStateOf(site)).not.toEqual("failed");
 });
+
+/** The worker lists the run's end, and crashes before its leader takes note of that. */
+const loseEnd = async (site: EngineHarness): Promise<FakeHost> => {
+  const host = await hostOfTask(site);
+  await site.run(100);
+  host.replaceWorker();
+  const isOfTask = ({ task }: RunRef): boolean => task === TASK;
+  host.unheardEnds = host.lostRuns.filter(isOfTask);
+  host.lostRuns = host.lostRuns.filter((lost) => !isOfTask(lost));
+  return host;
+};
+
+test("runs whose ends their workers had listed before they crashed speak against nothing", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
+  for (let end = 0; end <= MOST_CRASHES; end += 1) {
+    await loseEnd(site);
+    await site.run(100);
+  }
+  expect(evidenceOf(site)).toEqual([]);
+  const host = await hostOfTask(site);
+  host.end(TASK, "done");
+  await site.run(500);
+  expect(stateOf(site)).toEqual("completed");
+});
+
+test("a run that had ended is passed over where no other life of its worker reports", async () => {
+  const site = await siteOf(3);
+  site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
+  const host = await hostOfTask(site);
+  const { instance } = host;
+  await loseEnd(site);
+  const { unheardEnds } = host;
+  void site.engine.noteWorkerGone(host.host, instance, [], unheardEnds);
+  await site.run(100, []);
+  expect(evidenceOf(site)).toEqual([]);
+});
+
+test("a crash is not put down to a run that began apart and had ended", async () => {
+  const site = await siteOf(3);
+  site.submit(OTHER, [{ lasting: true, taskCount: 3, maxPerHost: 1 }]);
+  await site.run(1_000);
+  site.submit(JOB, [{ estimateMs: ESTIMATE_MS }]);
+  await loseWorker(site, AT_WORK);
+  expect(evidenceOf(site, OTHER)).toEqual(["settled"]);
+  await loseEnd(site);
+  await site.run(100);
+  expect(evidenceOf(site)).toEqual(["young"]);
+  expect(evidenceOf(site, OTHER)).toEqual(["settled", "settled"]);
+});
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -86,6 +86,8 @@
   stopsAtOnce = true;
   /** What its side tells of runs that crashed with it, until a leader answers. */
   lostRuns: HostReport["lostRuns"] = [];
+  /** What its side tells of runs that had ended before the worker crashed. */
+  unheardEnds: RunRef[] = [];
   /** How many lives of the worker have ended. */
   crashes = 0;
   private held: HeldOrder[] = [];
@@ -255,6 +257,7 @@
       ended: this.ended.slice(0, MAX_LISTED_ENDS),
       hasMoreEnds: this.ended.length > MAX_LISTED_ENDS,
       lostRuns: this.lostRuns,
+      unheardEnds: this.unheardEnds,
     };
   }
 
@@ -282,6 +285,7 @@
     this.lostRuns = this.lostRuns.filter((lost) =>
       openKeys.has(runKeyOf(lost)),
     );
+    this.unheardEnds = [];
     const told = new Set(neverBegun.map(runKeyOf));
     this.neverBegun = this.neverBegun.filter(
       (call) => !told.has(runKeyOf(call)),
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -267,7 +267,8 @@
   ): Promise<void> {
     const { registry, clock, logger } = this.options;
     const lostRuns = [...registry.runs.untold];
-    const params = { instance, lostRuns };
+    const unheardEnds = [...registry.runs.unheardEnds];
+    const params = { instance, lostRuns, unheardEnds };
     try {
       await connection.call("workerGone", params, LINK.callTimeoutMs);
       if (this.connection === connection) this.toldGone = instance;
@@ -324,6 +325,7 @@
     this.reportedAt = clock.monotonic();
     const lostRuns = [...registry.runs.untold];
     const neverBegun = [...registry.runs.neverBegun];
+    const unheardEnds = [...registry.runs.unheardEnds];
     const params = {
       worker,
       at: answer.at,
@@ -332,11 +334,13 @@
       hasMoreEnds: answer.hasMoreEnds,
       lostRuns,
       neverBegun,
+      unheardEnds,
     };
     try {
       const grant = await connection.call("report", params, LINK.callTimeoutMs);
       registry.runs.noteTold(lostRuns);
       registry.runs.noteNeverBegunTold(neverBegun);
+      registry.runs.noteEndsTold(unheardEnds);
       this.take(instance, grant);
       return true;
     } catch (err) {
--- a/packages/side/src/jobs/RunsOfLives.ts
+++ b/packages/side/src/jobs/RunsOfLives.ts
@@ -39,6 +39,8 @@
 interface WorkerLife {
   /** By run. */
   readonly runs: Map<string, BegunRun>;
+  /** Ends in the newest list: the worker lists each until it is acknowledged. */
+  ended: readonly RunRef[];
   /**
    * When the call broke off in which the worker would have told of an end, on the
    * side's clock; undefined while calls are answered.
@@ -56,6 +58,8 @@
   private readonly lost = new BoundedMap<string, LostRun>(MEMORY.maxLost);
   /** Of the lost runs those that never began, of which no leader has taken note; by run. */
   private readonly notBegun = new BoundedMap<string, RunRef>(MEMORY.maxLost);
+  /** Runs that had ended before their lives did, of which no leader has taken note; by run. */
+  private readonly ended = new BoundedMap<string, RunRef>(MEMORY.maxLost);
   /** Runs whose orders are being repeated. */
   private readonly openOrders = new Set<string>();
 
@@ -115,6 +119,7 @@
       runs.set(runKeyOf(row), known);
     }
     for (const row of ended) runs.delete(runKeyOf(row));
+    life.ended = ended.map(({ task, run }) => ({ task, run }));
     for (const [key, { shownLastAt, orderedAt }] of runs) {
       if (listed.has(key)) continue;
       const hasLapsed = askedAt - orderedAt > MEMORY.unshownMs;
@@ -144,6 +149,7 @@
     if (!life) return;
     this.lives.delete(instance);
     if (wasPlanned) return;
+    for (const ref of life.ended) this.ended.set(runKeyOf(ref), ref);
     for (const [key, run] of life.runs) {
       this.lost.set(key, toLost(run, life));
     }
@@ -156,6 +162,11 @@
     );
   }
 
+  /** Runs that had ended before their lives did, of which no leader has taken note yet. */
+  get unheardEnds(): readonly RunRef[] {
+    return [...this.ended].map(([, ref]) => ref);
+  }
+
   /** Lost runs that never began, of which no leader has taken note yet. */
   get neverBegun(): readonly RunRef[] {
     return [...this.notBegun].map(([, ref]) => ref);
@@ -168,6 +179,11 @@
     }
   }
 
+  /** A leader has taken note of them. */
+  noteEndsTold(told: readonly RunRef[]): void {
+    for (const ref of told) this.ended.delete(runKeyOf(ref));
+  }
+
   /** A leader has taken note of them. */
   noteNeverBegunTold(told: readonly RunRef[]): void {
     for (const ref of told) this.notBegun.delete(runKeyOf(ref));
@@ -192,6 +208,7 @@
     if (known) return known;
     const life: WorkerLife = {
       runs: new Map(),
+      ended: [],
       lookBrokenAt: undefined,
       silentSince: undefined,
     };
--- a/packages/side/tests/runsOfLives.test.ts
+++ b/packages/side/tests/runsOfLives.test.ts
@@ -202,6 +202,34 @@
   expect(registry.runs.neverBegun).toEqual([]);
 });
 
+const listOfEnd = (at: number): HoldAnswer => ({
+  ...listOf(at, []),
+  ended: [{ ...RUN, number: 1, outcome: "done", checkpoint: "" }],
+});
+
+test("a run whose end was listed before its life ended is told as ended until a leader answers", () => {
+  const { registry, crash } = setUp();
+  const { runs } = registry;
+  runs.noteStarted(FIRST, RUN, timeOf(1_000));
+  runs.noteListed(FIRST, listOfEnd(1_500), 0);
+  expect(runs.unheardEnds).toEqual([]);
+  crash();
+  expect(runs.untold).toEqual([]);
+  expect(runs.unheardEnds).toEqual([RUN]);
+  runs.noteEndsTold(runs.unheardEnds);
+  expect(runs.unheardEnds).toEqual([]);
+});
+
+test("an end that a leader has acknowledged is told no more once its life has ended", () => {
+  const { registry, crash } = setUp();
+  const { runs } = registry;
+  runs.noteStarted(FIRST, RUN, timeOf(1_000));
+  runs.noteListed(FIRST, listOfEnd(1_500), 0);
+  runs.noteListed(FIRST, listOf(1_600, []), 0);
+  crash();
+  expect(runs.unheardEnds).toEqual([]);
+});
+
 test("a run is told as one at work only if the last look broke off while it would have told of an end", () => {
   const broken = setUp();
   broken.registry.runs.noteStarted(FIRST, RUN, timeOf(1_000));
