--- a/packages/protocol/src/hostMethods.ts
+++ b/packages/protocol/src/hostMethods.ts
@@ -85,6 +85,12 @@
 
 const neverBegunSchema = z.array(z.object(runShape));
 
+/**
+ * Runs whose ends a worker had listed before it crashed. No leader may have taken note
+ * of them; told for as long as lost runs are. Absent from an older side.
+ */
+const unheardEndsSchema = z.array(z.object(runShape)).optional();
+
 const reportSchema = z.object({
   worker: workerSchema,
   /** The worker's clock when it gave the lists. */
@@ -107,6 +113,7 @@
    * Absent from an older side.
    */
   formerStartsForMs: z.number().min(0).optional(),
+  unheardEnds: unheardEndsSchema,
 });
 
 export type HostReport = z.output<typeof reportSchema>;
@@ -152,6 +159,7 @@
     params: z.object({
       instance: idSchema<WorkerInstance>(),
       lostRuns: z.array(lostRunSchema).default([]),
+      unheardEnds: unheardEndsSchema,
     }),
     result: z.object({}),
   },
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -88,6 +88,8 @@
   lostRuns: HostReport["lostRuns"] = [];
   /** For how long a start that was sent to another life may come; see HostReport. */
   formerStartsForMs = 0;
+  /** What its side tells of runs that had ended before the worker crashed. */
+  unheardEnds: RunRef[] = [];
   /** How many lives of the worker have ended. */
   crashes = 0;
   private held: HeldOrder[] = [];
@@ -258,6 +260,7 @@
       hasMoreEnds: this.ended.length > MAX_LISTED_ENDS,
       lostRuns: this.lostRuns,
       formerStartsForMs: this.formerStartsForMs,
+      unheardEnds: this.unheardEnds,
     };
   }
 
@@ -285,6 +288,7 @@
     this.lostRuns = this.lostRuns.filter((lost) =>
       openKeys.has(runKeyOf(lost)),
     );
+    this.unheardEnds = [];
     const told = new Set(neverBegun.map(runKeyOf));
     this.neverBegun = this.neverBegun.filter(
       (call) => !told.has(runKeyOf(call)),
