--- a/packages/side/tests/runsOfLives.test.ts
+++ b/packages/side/tests/runsOfLives.test.ts
@@ -11,7 +11,7 @@
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
-import type { RunRef } from "@rackspan/ports";
+import type { HoldAnswer, RunRef } from "@rackspan/ports";
 import type { LostRun } from "@rackspan/protocol";
 import { WorkerRegistry } from "@rackspan/side";
 import { beatOf } from "./beatOf.js";
