Random schedules of one run: earlier looks, cancels and next leaders

Cause: the schedules told a leader what a worker showed at that moment, never a look from before a start that was answered in the same millisecond, and played one leader whose jobs nobody cancels, so nothing ever was a stray. Two mutants passed: `at >= answeredAt` in reconcileReport, and strays that get no stop. Change: hosts look at one time and report that look later; a start is carried out and answered in the millisecond of the look before it; jobs are cancelled, with no run of them left in the calm; leaders change, read what was kept, and workers refuse the epochs before.

--- a/packages/scheduling/tests/oneRunProperty.test.ts
+++ b/packages/scheduling/tests/oneRunProperty.test.ts
@@ -3,15 +3,27 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import fc from "fast-check";
-import type { JobTaskId, Monotonic, WorkerInstance } from "@rackspan/common";
+import type { JobTaskId, WorkerInstance, WorkerTime } from "@rackspan/common";
 import { runKeyOf } from "@rackspan/ports";
-import type { HostCallResult, StartTaskCall } from "@rackspan/protocol";
+import type {
+  HostCallResult,
+  HostReport,
+  StartTaskCall,
+} from "@rackspan/protocol";
+import {
+  decodeProgress,
+  TOPICS,
+  type AcceptedJob,
+  type ProgressRecord,
+} from "@rackspan/state";
 import { EngineHarness, FakeHost, ZONE } from "./engineHarness.js";
 
 const HOSTS = 3;
 const TASKS_PER_JOB = 4;
 /** Longer than an unanswered order lasts. */
 const CALM_MS = 6_000;
+/** A leader has kept what it was told by then. */
+const KEPT_BY_MS = 30;
 /** Seeds are named so that a failure can be played again. */
 const PLAYED = { seed: 1, numRuns: 150 } as const;
 
@@ -25,6 +37,10 @@
 
 /** A host whose orders arrive, and are answered, when the play says so. */
 class SlowHost extends FakeHost {
+  /** Highest that the worker has heard; it refuses what bears a lower one. */
+  private epoch = 0;
+  /** What the worker showed last, while its leader has not been told. */
+  private shown: HostReport | undefined;
   private orders: OpenOrder[] = [];
   /** Orders whose answers were given up; the worker may yet carry them out. */
   private readonly silent: OpenOrder[] = [];
@@ -36,6 +52,35 @@
     });
   }
 
+  /** The side looks at the worker, and tells the leader later. */
+  look(epoch: number): void {
+    this.epoch = epoch;
+    this.shown = this.report();
+  }
+
+  /** What the leader is told: the last look, or one of now. */
+  takeShown(epoch: number): HostReport {
+    if (!this.shown) this.look(epoch);
+    const shown = this.shown as HostReport;
+    this.shown = undefined;
+    const ended = shown.ended.filter(
+      ({ number }) => number > this.acknowledged,
+    );
+    return { ...shown, ended };
+  }
+
+  /** The side reports no look of before it attached, or of a former life. */
+  forgetShown(): void {
+    this.shown = undefined;
+  }
+
+  override replaceWorker(): void {
+    super.replaceWorker();
+    this.forgetShown();
+    this.acknowledged = 0;
+    this.epoch = 0;
+  }
+
   /** @param isGivenUp whether its side has given the order up */
   arrive(pick: number, isGivenUp: boolean): void {
     const orders = isGivenUp ? this.silent : this.orders;
@@ -62,6 +107,7 @@
 
   private carryOut(call: StartTaskCall): HostCallResult {
     if (call.instance !== this.instance) return { kind: "replaced" };
+    if (call.epoch < this.epoch) return { kind: "refused", reason: "fenced" };
     if (this.draining) return { kind: "draining" };
     if (call.leaseUntil < this.at) return { kind: "refused", reason: "late" };
     this.beginLate(call);
@@ -114,6 +160,17 @@
   }),
   fc.record({ kind: fc.constant("tell-gone" as const), pick }),
   fc.record({ kind: fc.constant("report" as const), host }),
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("start-after-look" as const),
+      host,
+      pick,
+    }),
+  },
+  fc.record({ kind: fc.constant("look" as const), host }),
+  fc.record({ kind: fc.constant("cancel" as const), pick }),
+  fc.record({ kind: fc.constant("change-leader" as const) }),
   fc.record({ kind: fc.constant("drain" as const), host }),
   fc.record({ kind: fc.constant("attach" as const), host }),
   fc.record({
@@ -122,7 +179,12 @@
   }),
 );
 type Event = typeof eventArbitrary extends fc.Arbitrary<infer T> ? T : never;
-type HostEvent = Extract<Event, { host: number }>;
+type StartAfterLook = Extract<Event, { kind: "start-after-look" }>;
+type PlainEvent = Exclude<
+  Event,
+  { kind: "pass" | "change-leader" | "start-after-look" }
+>;
+type HostEvent = Extract<PlainEvent, { host: number }>;
 
 const stepArbitrary = fc.record({
   event: eventArbitrary,
@@ -131,18 +193,21 @@
 });
 type Step = typeof stepArbitrary extends fc.Arbitrary<infer T> ? T : never;
 
+const TERMS = { maxAttempts: 50 } as const;
+
 class Play {
-  /** Second runs, and runs of tasks that are done. */
+  /** Second runs, runs of tasks that are done, and runs of cancelled jobs. */
   readonly faults: string[] = [];
-  private readonly harness = new EngineHarness({ terms: { maxAttempts: 50 } });
+  private harness = new EngineHarness({ terms: TERMS });
   private readonly hosts: SlowHost[] = [];
   /** Lives that are over, and of which the leader may be told again. */
   private readonly gone: [SlowHost, WorkerInstance][] = [];
   /** Tasks that the leader was told are done. */
   private readonly done = new Set<JobTaskId>();
   /** A worker whose clock has not gone on has answered nothing new. */
-  private readonly reportedAt = new Map<SlowHost, Monotonic>();
-  private jobs = 0;
+  private readonly reportedAt = new Map<SlowHost, WorkerTime>();
+  private readonly jobs: AcceptedJob[] = [];
+  private readonly cancelled = new Set<AcceptedJob>();
 
   async begin(): Promise<void> {
     for (let number = 1; number <= HOSTS; number += 1) {
@@ -162,6 +227,9 @@
 
   async take({ event, thenMs }: Step): Promise<void> {
     if (event.kind === "pass") await this.pass(event.ms);
+    else if (event.kind === "change-leader") await this.changeLeader();
+    else if (event.kind === "start-after-look")
+      await this.startAfterLook(event);
     else this.befall(event);
     await this.harness.clock.advance(thenMs);
     this.look();
@@ -176,14 +244,15 @@
       await this.pass(100);
       this.look();
     }
+    this.findUnasked();
   }
 
-  private befall(event: Exclude<Event, { kind: "pass" }>): void {
+  private befall(event: PlainEvent): void {
     switch (event.kind) {
       case "submit":
-        this.jobs += 1;
-        this.harness.submit(`j${this.jobs}`, [{ taskCount: TASKS_PER_JOB }]);
-        return;
+        return this.submit();
+      case "cancel":
+        return this.cancel(event.pick);
       case "answer-all":
         for (const each of this.hosts) each.answerAll();
         return;
@@ -207,16 +276,73 @@
         return at.answerOne(event.pick, event.isKnown);
       case "report":
         return this.report(at);
+      case "look":
+        return at.look(this.harness.epoch);
       case "drain":
         at.draining = !at.draining;
         return;
       case "attach":
-        return this.harness.engine.attach(at.host, at);
+        return this.attach(at);
       case "replace-worker":
         return this.replaceWorker(at, event.isToldFirst);
     }
   }
 
+  private submit(): void {
+    const steps = [{ taskCount: TASKS_PER_JOB }];
+    const id = `j${this.jobs.length + 1}`;
+    this.jobs.push(this.harness.submit(id, steps));
+  }
+
+  private cancel(pick: number): void {
+    const job = chosen(this.jobs, pick);
+    if (!job) return;
+    this.cancelled.add(job);
+    this.harness.engine.cancelJob(job.spec.id);
+  }
+
+  /** The worker answers a start in the millisecond of the look that is told next. */
+  private async startAfterLook({ host, pick }: StartAfterLook): Promise<void> {
+    const at = this.hosts[host] as SlowHost;
+    at.look(this.harness.epoch);
+    at.arrive(pick, false);
+    at.answerOne(pick, true);
+    await this.harness.clock.advance(0);
+    this.report(at);
+  }
+
+  private attach(at: SlowHost): void {
+    at.forgetShown();
+    this.harness.engine.attach(at.host, at);
+  }
+
+  /** The next leader reads what the one before has kept, and all hosts attach to it. */
+  private async changeLeader(): Promise<void> {
+    const former = this.harness;
+    const { clock, store, epoch } = former;
+    await clock.advance(KEPT_BY_MS);
+    former.leads = false;
+    former.engine.stop();
+    const roster = this.hosts.map(({ host }) => host);
+    this.harness = new EngineHarness({
+      epoch: epoch + 1,
+      store,
+      roster,
+      clock,
+      terms: TERMS,
+    });
+    for (const host of roster) {
+      const instance = former.roster.instanceOf(host);
+      if (instance) await this.harness.roster.keep(host, instance);
+    }
+    const kept = await progressIn(former);
+    for (const job of this.jobs) {
+      this.harness.engine.addJob(job, kept(job));
+      if (this.cancelled.has(job)) this.harness.engine.cancelJob(job.spec.id);
+    }
+    for (const each of this.hosts) this.attach(each);
+  }
+
   private endRun(pick: number, outcome: "done" | "failed"): void {
     const all = this.hosts.flatMap((at) => at.runs.map((run) => ({ at, run })));
     const found = chosen(all, pick);
@@ -237,13 +363,13 @@
   }
 
   private report(at: SlowHost): void {
-    const now = this.harness.clock.monotonic();
-    if (this.reportedAt.get(at) === now) return;
-    this.reportedAt.set(at, now);
-    const { ended } = at.report();
-    const grant = this.harness.reportOf(at);
+    const { engine, epoch } = this.harness;
+    const report = at.takeShown(epoch);
+    if (this.reportedAt.get(at) === report.at) return;
+    this.reportedAt.set(at, report.at);
+    const grant = engine.report(at.host, at.zone, report);
     at.acknowledge(at.instance, grant.acknowledged);
-    for (const { task, outcome } of ended) {
+    for (const { task, outcome } of report.ended) {
       if (outcome === "done") this.done.add(task);
     }
   }
@@ -267,8 +393,30 @@
       running.add(task);
     }
   }
+
+  private findUnasked(): void {
+    const isCancelled = (task: JobTaskId): boolean =>
+      [...this.cancelled].some(({ spec }) => task.startsWith(`${spec.id}.`));
+    for (const { task } of this.hosts.flatMap(({ runs }) => runs)) {
+      if (isCancelled(task)) this.faults.push(`${task} runs, and is cancelled`);
+    }
+  }
 }
 
+/** What a leader has kept of each job. */
+const progressIn = async ({
+  store,
+}: EngineHarness): Promise<
+  (job: AcceptedJob) => ProgressRecord | undefined
+> => {
+  const { records } = await store.newest(TOPICS.progress);
+  const values = new Map(records.map(({ key, value }) => [key, value]));
+  return ({ spec }) => {
+    const value = values.get(String(spec.id));
+    return value && decodeProgress(spec.id, value);
+  };
+};
+
 test("whatever life an answer, a list or a goodbye speaks of, a task has one run, and none once it is done", async () => {
   await fc.assert(
     fc.asyncProperty(
