Random schedules: connections that fall silent, heartbeats that come late

Cause: the schedules cut links, which deliver all that was sent once they are whole again, and delivered every heartbeat at once. Nothing was played of connections that stay open and carry nothing beside new ones that work, nor of heartbeats that come after their sender's end and the next life's first. Change: links between sides and leaders fall silent one way or both, for good or until late bytes arrive; calls to workers are lost, or carried out at once or later, each without an answer; heartbeats come up to 6 s late and in any order beside lives that end twice. A silent link is no attachment for that judge, as a cut one is none.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -15,9 +15,15 @@
 } from "@rackspan/common";
 import { leaseOverBy } from "@rackspan/leadership";
 import type { Grant, HostReport, WorkerDescription } from "@rackspan/protocol";
-import { Pacer, TaskOrders, WorkerRegistry, WorkerWatch } from "@rackspan/side";
+import {
+  Pacer,
+  TaskOrders,
+  WorkerRegistry,
+  WorkerWatch,
+  type WorkerHeartbeat,
+} from "@rackspan/side";
 import type { LeaderModel } from "./LeaderModel.js";
-import { SideLink } from "./SideLink.js";
+import { SideLink, type SilentWay } from "./SideLink.js";
 import type { WorkerModel } from "./WorkerModel.js";
 
 const HOST = {
@@ -74,6 +80,8 @@
   /** Whether side and leader cannot reach each other. */
   isCut = false;
   draining = false;
+  /** How late heartbeats arrive, at the most; also after their sender's end. Milliseconds. */
+  beatsLateMs = 0;
   private sequence = 0;
   private side: SideParts;
   private link: SideLink | undefined;
@@ -99,10 +107,11 @@
     return this.options.worker;
   }
 
-  /** Whether the side has attached to that leader, and both ends are open. */
+  /** Whether the side has attached to that leader, and messages pass both ways. */
   isAttachedTo(leader: LeaderModel): boolean {
     const { attachment } = this;
     if (attachment?.leader !== leader || this.isCut) return false;
+    if (attachment.link.isSilent) return false;
     return attachment.link.isOpenAtSide && attachment.link.isOpenAtLeader;
   }
 
@@ -160,6 +169,11 @@
     this.link?.closeAtSide(() => undefined);
   }
 
+  /** The connection of now falls silent for that time; the ends stay open. */
+  silenceLink(way: SilentWay, ms: number): void {
+    this.link?.fallSilent(way, this.options.clock.monotonic() + ms);
+  }
+
   private startSide(): SideParts {
     const { clock, worker } = this.options;
     const logger = silentLogger;
@@ -187,15 +201,19 @@
     clock.after(HOST.heartbeatMs * (0.5 + random.next()), () => {
       if (worker.isHeard) {
         this.sequence += 1;
-        this.side.registry.noteHeartbeat({
-          worker: this.describe(),
-          sequence: this.sequence,
-        });
+        this.deliver({ worker: this.describe(), sequence: this.sequence });
       }
       this.beat();
     });
   }
 
+  private deliver(beat: WorkerHeartbeat): void {
+    const { clock, random } = this.options;
+    const arrive = (): void => this.side.registry.noteHeartbeat(beat);
+    if (this.beatsLateMs === 0) arrive();
+    else clock.after(random.next() * this.beatsLateMs, arrive);
+  }
+
   private describe(): WorkerDescription {
     const { service, worker } = this.options;
     return {
--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -23,6 +23,7 @@
 import { LEADERSHIP, VIEW_LAG_MS } from "./LeaderModel.js";
 import { LeaderSuccession } from "./LeaderSuccession.js";
 import { RunHistory } from "./RunHistory.js";
+import type { SilentWay } from "./SideLink.js";
 import { SubmittedJobs } from "./SubmittedJobs.js";
 import { TakeoverWaits } from "./TakeoverWaits.js";
 import {
@@ -301,6 +302,45 @@
     this.anyHost().resetLink();
   }
 
+  /** A connection between a side and its leader falls silent; new ones work. */
+  silenceLink(way: SilentWay, ms: number): void {
+    this.anyHost().silenceLink(way, ms);
+  }
+
+  /** Those of all sides at once. */
+  silenceLinks(way: SilentWay, ms: number): void {
+    for (const host of this.hosts) host.silenceLink(way, ms);
+  }
+
+  /** Connections to a worker fall silent, each with one call on it; new ones work. */
+  silenceCalls(share: number, forMs: number): void {
+    const { worker } = this.anyHost();
+    worker.silentShare = share;
+    this.clock.after(forMs, () => (worker.silentShare = 0));
+  }
+
+  /** A worker's heartbeats come late for a while. */
+  delayBeats(lateMs: number, forMs: number): void {
+    const host = this.anyHost();
+    host.beatsLateMs = lateMs;
+    this.clock.after(forMs, () => (host.beatsLateMs = 0));
+  }
+
+  /** Its heartbeats come late, and it ends twice within that time. */
+  crashBesideLateBeats(lateMs: number, backMs: number): void {
+    const host = this.anyHost();
+    const { worker } = host;
+    const crash = (): void => {
+      if (!worker.isUp) return;
+      worker.crash();
+      this.clock.after(backMs, () => worker.revive());
+    };
+    host.beatsLateMs = lateMs;
+    this.clock.after(lateMs / 3, crash);
+    this.clock.after((2 * lateMs) / 3, crash);
+    this.clock.after(lateMs, () => (host.beatsLateMs = 0));
+  }
+
   drain(ms: number): void {
     const host = this.anyHost();
     host.draining = true;
--- a/packages/checker/src/jobs/SideLink.ts
+++ b/packages/checker/src/jobs/SideLink.ts
@@ -1,11 +1,12 @@
 /**
  * One connection between a side and a leader: messages arrive late but in their
- * order, wait while the link is cut, and are lost when an end has closed.
+ * order, wait while the link is cut or silent, and are lost when an end has closed.
  */
 
 import type {
   Clock,
   JobTaskId,
+  Monotonic,
   Random,
   WorkerInstance,
 } from "@rackspan/common";
@@ -45,6 +46,7 @@
 /** One direction; its receiver may close before its sender knows. */
 class Lane {
   isOpen = true;
+  private silentUntil: Monotonic = -Infinity;
   private readonly queue: (() => void)[] = [];
   private isBusy = false;
 
@@ -59,17 +61,36 @@
   }
 
   private pump(): void {
-    const { random, isCut } = this.options;
+    const { random } = this.options;
     this.isBusy = true;
-    const delayMs = isCut() ? LINK.cutPollMs : random.next() * LINK.maxDelayMs;
+    if (this.silentUntil === Infinity) return;
+    const delayMs = this.isHeldUp
+      ? LINK.cutPollMs
+      : random.next() * LINK.maxDelayMs;
     this.clock.after(delayMs, () => {
-      if (!isCut()) this.queue.shift()?.();
+      if (!this.isHeldUp) this.queue.shift()?.();
       this.isBusy = this.queue.length > 0;
       if (this.isBusy) this.pump();
     });
   }
+
+  /** Nothing arrives until then, and neither end hears of it. */
+  hush(until: Monotonic): void {
+    this.silentUntil = Math.max(this.silentUntil, until);
+  }
+
+  get isSilent(): boolean {
+    return this.clock.monotonic() < this.silentUntil;
+  }
+
+  private get isHeldUp(): boolean {
+    return this.options.isCut() || this.isSilent;
+  }
 }
 
+/** Which way nothing arrives any more over a connection that stays open. */
+export type SilentWay = "to-side" | "to-leader" | "both";
+
 export class SideLink implements HostSession {
   private readonly toSide: Lane;
   private readonly toLeader: Lane;
@@ -120,6 +141,17 @@
     );
   }
 
+  /** Whether one of its directions carries nothing now. */
+  get isSilent(): boolean {
+    return this.toSide.isSilent || this.toLeader.isSilent;
+  }
+
+  /** Nothing arrives until then, for good when it is infinite; the ends stay open. */
+  fallSilent(way: SilentWay, until: Monotonic): void {
+    if (way !== "to-leader") this.toSide.hush(until);
+    if (way !== "to-side") this.toLeader.hush(until);
+  }
+
   /** The side's end closes; the leader hears of it when the link lets it. */
   closeAtSide(onLeaderClosed: () => void): void {
     this.toSide.isOpen = false;
--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -100,6 +100,8 @@
   private cut: WorkerCut | undefined;
   /** How long a look may wait for a worker short of processor time; milliseconds. */
   slowMs = 0;
+  /** Share of the calls whose connection falls silent. */
+  silentShare = 0;
   private lives = 0;
   private life: WorkerLife;
   private up = true;
@@ -303,6 +305,7 @@
       await sleep(clock, WORKER.callTimeoutMs);
       throw new WorkerSilentError("it is cut off");
     }
+    if (this.up && this.drawsSilence()) return this.fallSilent(instance, act);
     if (this.up) await sleep(clock, this.delay(WORKER.maxLatencyMs));
     if (!this.up) {
       if (!this.refuses) await sleep(clock, WORKER.callTimeoutMs);
@@ -313,6 +316,23 @@
       throw new WorkerReplacedError(instance);
   }
 
+  private drawsSilence(): boolean {
+    const { silentShare } = this;
+    return silentShare > 0 && this.options.random.next() < silentShare;
+  }
+
+  /** @throws WorkerSilentError since the call's connection falls silent */
+  private async fallSilent(
+    instance: WorkerInstance,
+    act?: () => void,
+  ): Promise<never> {
+    const { clock, random } = this.options;
+    const cut = random.next() < 0.5 ? "answers" : "calls";
+    if (act && this.life.instance === instance) this.passCut(cut, act);
+    await sleep(clock, WORKER.callTimeoutMs);
+    throw new WorkerSilentError("the connection fell silent");
+  }
+
   private passCut(cut: WorkerCut, act: () => void): void {
     const { clock, random } = this.options;
     const { life } = this;
--- a/packages/checker/src/jobs/eventMixes.ts
+++ b/packages/checker/src/jobs/eventMixes.ts
@@ -6,6 +6,8 @@
   cancelJob,
   failStore,
   silenceBesideLoss,
+  silenceCalls,
+  silenceLink,
   silenceWorker,
   submitCrashingJob,
   submitJob,
@@ -108,6 +110,33 @@
   [8, (world, random) => world.carryOutLate(between(random, 500, 3_000))],
 ];
 
+/**
+ * Connections that fall silent without a reset, between all ends, heartbeats that come
+ * after their sender's end, and workers that are back at once; beside everything harsh.
+ */
+export const SILENCED_EVENTS: WeightedEvents = [
+  ...HARSH_EVENTS,
+  [12, silenceLink],
+  [8, silenceCalls],
+  [
+    6,
+    (world, random) =>
+      world.delayBeats(
+        between(random, 200, 6_000),
+        between(random, 500, 6_000),
+      ),
+  ],
+  [
+    10,
+    (world, random) =>
+      world.crashBesideLateBeats(
+        between(random, 300, 5_000),
+        between(random, 1, 600),
+      ),
+  ],
+  [6, (world, random) => world.crashWorkers(0.4, between(random, 200, 400))],
+];
+
 /** How a leader may be lost. */
 export const LEADER_LOSSES: readonly ScheduleEvent[] = [
   (world) => world.leaders.kill(),
@@ -133,6 +162,13 @@
   [8, silenceBesideLoss],
 ];
 
+/** Connections that fall silent between all ends, beside leaders that are lost in a row. */
+export const SILENT_SUCCESSION_EVENTS: WeightedEvents = [
+  ...SUCCESSION_EVENTS,
+  [8, silenceLink],
+  [4, silenceCalls],
+];
+
 /** One of them, as often as its weight says. */
 export const pickEvent = (
   events: WeightedEvents,
--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -10,6 +10,8 @@
   runEvacuatingSchedule,
   runRebornSchedule,
   runReturnSchedule,
+  runSilencedSchedule,
+  runSilentSuccessionSchedule,
   runHarshSchedule,
   runJobSchedule,
   runStarvedSchedule,
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -10,6 +10,8 @@
   LEADER_LOSSES,
   pickEvent,
   REBORN_EVENTS,
+  SILENCED_EVENTS,
+  SILENT_SUCCESSION_EVENTS,
   STARVED_EVENTS,
   SUCCESSION_EVENTS,
   type WeightedEvents,
@@ -89,6 +91,16 @@
   lives: { ordersOutlive: true, bearOneName: false },
 };
 
+const SILENCED: Harshness = { ...HARSH, events: SILENCED_EVENTS };
+
+/**
+ * Plays one seed with connections that fall silent and heartbeats of lives that are
+ * over. @returns what broke, in order
+ */
+export const runSilencedSchedule = (
+  seed: number,
+): Promise<readonly JobViolation[]> => runSchedule(seed, SILENCED);
+
 const SUCCESSION: Harshness = {
   ...HARSH,
   events: SUCCESSION_EVENTS,
@@ -112,6 +124,15 @@
     lives: bearOneId ? { ordersOutlive: true, bearOneName: false } : undefined,
   });
 
+/**
+ * Plays one seed with connections that fall silent, beside leaders that are lost in a
+ * row and silent workers. @returns what broke, in order
+ */
+export const runSilentSuccessionSchedule = (
+  seed: number,
+): Promise<readonly JobViolation[]> =>
+  runSchedule(seed, { ...SUCCESSION, events: SILENT_SUCCESSION_EVENTS });
+
 const DROPPED: Harshness = {
   ...SUCCESSION,
   events: DROPPED_EVENTS,
--- a/packages/checker/src/jobs/scheduleEvents.ts
+++ b/packages/checker/src/jobs/scheduleEvents.ts
@@ -4,6 +4,7 @@
 import type { StoreFault } from "@rackspan/standins";
 import type { ImageName } from "@rackspan/state";
 import type { JobWorld } from "./JobWorld.js";
+import type { SilentWay } from "./SideLink.js";
 
 /** What may happen in a schedule; it draws whatever it needs. */
 export type ScheduleEvent = (world: JobWorld, random: SeededRandom) => void;
@@ -127,3 +128,17 @@
   const fault = STORE_FAULTS[pickIndex(random, STORE_FAULTS.length)];
   world.failStore(fault as StoreFault, between(random, 100, 3_000));
 };
+
+const SILENT_WAYS: readonly SilentWay[] = ["to-side", "to-leader", "both"];
+
+/** For good, or until late bytes of it arrive beside the next connection. */
+export const silenceLink: ScheduleEvent = (world, random) => {
+  const way = SILENT_WAYS[pickIndex(random, SILENT_WAYS.length)] as SilentWay;
+  const ms = random.next() < 0.5 ? Infinity : between(random, 100, 5_000);
+  if (random.next() < 0.2) world.silenceLinks(way, ms);
+  else world.silenceLink(way, ms);
+};
+
+/** Of the calls to a worker some are lost, and some carried out at once or later. */
+export const silenceCalls: ScheduleEvent = (world, random) =>
+  world.silenceCalls(between(random, 0.1, 0.9), between(random, 200, 3_000));
--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -9,6 +9,8 @@
   runDroppedLeaderSchedule,
   runRebornSchedule,
   runReturnSchedule,
+  runSilencedSchedule,
+  runSilentSuccessionSchedule,
   runStarvedSchedule,
   runSuccessionSchedule,
   type JobViolation,
@@ -160,3 +162,15 @@
     await expectNothingBroken(runDroppedLeaderSchedule, seed);
   }
 });
+
+// Heartbeats of several former lives after the next one's, workers back in 0.3 s.
+test("connections that fall silent and late heartbeats leave each task one run at a time", async () => {
+  for (const seed of SEEDS)
+    await expectNothingBroken(runSilencedSchedule, seed);
+});
+
+test("a task of a silent worker starts elsewhere in time although connections fall silent", async () => {
+  for (const seed of SEEDS.slice(0, 8)) {
+    await expectNothingBroken(runSilentSuccessionSchedule, seed);
+  }
+});
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -10,6 +10,8 @@
   runStarvedSchedule,
   runDroppedLeaderSchedule,
   runReturnSchedule,
+  runSilencedSchedule,
+  runSilentSuccessionSchedule,
   runSuccessionSchedule,
 } from "@rackspan/checker";
 import { printViolations } from "./printViolations.js";
@@ -26,6 +28,7 @@
   readonly succession: boolean;
   readonly dropped: boolean;
   readonly returning: boolean;
+  readonly silenced: boolean;
 }
 
 const options = new Command("check:jobs")
@@ -43,12 +46,15 @@
   .option("--succession", "leaders lost in a row, workers silent", false)
   .option("--dropped", "the same, and leaders the store drops untold", false)
   .option("--returning", "workers silent as their leaders are lost", false)
+  .option("--silenced", "harsh, silent connections, late heartbeats", false)
   .parse()
   .opts<Options>();
 const { runs, seed, harsh, starved, crashing, evacuating, reborn } = options;
-const { succession, dropped, returning } = options;
+const { succession, dropped, returning, silenced } = options;
 
 const pickSchedule = (): typeof runJobSchedule => {
+  if (silenced && succession) return runSilentSuccessionSchedule;
+  if (silenced) return runSilencedSchedule;
   if (returning) return runReturnSchedule;
   if (dropped) return runDroppedLeaderSchedule;
   if (succession) return (at) => runSuccessionSchedule(at);
