--- a/packages/checker/src/jobs/index.ts
+++ b/packages/checker/src/jobs/index.ts
@@ -11,6 +11,8 @@
   runForgettingSchedule,
   runRebornSchedule,
   runReturnSchedule,
+  runSilencedSchedule,
+  runSilentSuccessionSchedule,
   runHarshSchedule,
   runJobSchedule,
   runLastingSchedule,
--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -11,6 +11,8 @@
   runDroppedLeaderSchedule,
   runRebornSchedule,
   runReturnSchedule,
+  runSilencedSchedule,
+  runSilentSuccessionSchedule,
   runStarvedSchedule,
   runSuccessionSchedule,
   type JobViolation,
@@ -164,3 +166,15 @@
     await expectNothingBroken((at) => runLastingSchedule(at, 2), seed);
   }
 });
+
+// Heartbeats of several former lives after the next one's, workers back in 0.3 s.
+test("connections that fall silent and late heartbeats leave each task one run at a time", async () => {
+  for (const seed of SEEDS)
+    await expectNothingBroken(runSilencedSchedule, seed);
+});
+
+test("a task of a silent worker starts elsewhere in time although connections fall silent", async () => {
+  for (const seed of SEEDS.slice(0, 8)) {
+    await expectNothingBroken(runSilentSuccessionSchedule, seed);
+  }
+});
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -11,6 +11,8 @@
   runStarvedSchedule,
   runDroppedLeaderSchedule,
   runReturnSchedule,
+  runSilencedSchedule,
+  runSilentSuccessionSchedule,
   runSuccessionSchedule,
 } from "@rackspan/checker";
 import { printViolations } from "./printViolations.js";
@@ -28,6 +30,7 @@
   readonly succession: boolean;
   readonly dropped: boolean;
   readonly returning: boolean;
+  readonly silenced: boolean;
 }
 
 const options = new Command("check:jobs")
@@ -46,12 +49,15 @@
   .option("--succession", "leaders lost in a row, workers silent", false)
   .option("--dropped", "the same, and leaders the store drops untold", false)
   .option("--returning", "workers silent as their leaders are lost", false)
+  .option("--silenced", "harsh, silent connections, late heartbeats", false)
   .parse()
   .opts<Options>();
 const { runs, seed, harsh, starved, crashing, evacuating, reborn } = options;
-const { forgetting, succession, dropped, returning } = options;
+const { forgetting, succession, dropped, returning, silenced } = options;
 
 const pickSchedule = (): typeof runJobSchedule => {
+  if (silenced && succession) return runSilentSuccessionSchedule;
+  if (silenced) return runSilencedSchedule;
   if (returning) return runReturnSchedule;
   if (dropped) return runDroppedLeaderSchedule;
   if (succession) return (at) => runSuccessionSchedule(at);
