Judge of waits: a host whose calls get no answer is not known

Cause: of a host whose worker was up but answered no call, the judge took it that a next leader hears it at once, and counted the wait from then. Change: such a host counts as known 1.5 s after its calls are answered again, as one behind a cut does.

--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -315,8 +315,8 @@
   /** Connections to a worker fall silent, each with one call on it; new ones work. */
   silenceCalls(share: number, forMs: number): void {
     const { worker } = this.anyHost();
-    worker.silentShare = share;
-    this.clock.after(forMs, () => (worker.silentShare = 0));
+    worker.loseCalls(share);
+    this.clock.after(forMs, () => worker.loseCalls(0));
   }
 
   /** A worker's heartbeats come late for a while. */
--- a/packages/checker/src/jobs/TakeoverWaits.ts
+++ b/packages/checker/src/jobs/TakeoverWaits.ts
@@ -88,7 +88,8 @@
     if (!leader.leads) return false;
     return this.options.hosts().every((host) => {
       if (!host.isAttachedTo(leader)) return false;
-      const { silentSince, heardSince } = host.worker;
+      const { silentSince, heardSince, losesCalls } = host.worker;
+      if (losesCalls) return false;
       if (silentSince === undefined) return now - heardSince > WAITS.rejoinMs;
       const grantsOverAt = leader.grantsOverAt(host.host);
       return now >= Math.max(host.leasesOverBy, grantsOverAt);
--- a/packages/checker/src/jobs/WorkerModel.ts
+++ b/packages/checker/src/jobs/WorkerModel.ts
@@ -101,7 +101,7 @@
   /** How long a look may wait for a worker short of processor time; milliseconds. */
   slowMs = 0;
   /** Share of the calls whose connection falls silent. */
-  silentShare = 0;
+  private silentShare = 0;
   private lives = 0;
   private life: WorkerLife;
   private up = true;
@@ -160,6 +160,17 @@
     this.noteHeard();
   }
 
+  /** From now on that share of the calls to it gets no answer. */
+  loseCalls(share: number): void {
+    this.silentShare = share;
+    if (share === 0) this.heardSince = this.options.clock.monotonic();
+  }
+
+  /** Whether calls to it may get no answer although it is up. */
+  get losesCalls(): boolean {
+    return this.silentShare > 0;
+  }
+
   private noteHeard(): void {
     const now = this.options.clock.monotonic();
     if (!this.isHeard) {
