A lasting task of a silent host does not wait anew for room that is kept for others

Cause: the 2 s after which a lasting task may take what is kept for plain ones counted from the first pass that found no place, so after the lease of a silent host (5.75 s) it could wait for 7.75 s with room for it. Change: where its host fell silent under the same leader they count from when that was heard last. A next leader, which does not know that, counts its own 2 s.

--- a/packages/scheduling/src/HostWatch.ts
+++ b/packages/scheduling/src/HostWatch.ts
@@ -33,6 +33,7 @@
     this.dropExpiredHosts(now);
     for (const entry of [...this.parts.hosts.all()]) {
       if (now >= entry.ledger.leaseOverBy) {
+        noteUnplaced(entry);
         this.dropHost(entry, "silent", "lease-over");
       } else this.watchRuns(entry, now);
     }
@@ -173,6 +174,16 @@
   }
 }
 
+/** Lasting tasks of a silent host have been without a run since it was heard last. */
+const noteUnplaced = ({ ledger }: HostEntry): void => {
+  for (const { task } of ledger.runs.values()) {
+    const { step } = task;
+    if (!step.spec.lasting) continue;
+    const since = step.unplacedSince ?? Infinity;
+    step.unplacedSince = Math.min(since, ledger.heardAt);
+  }
+};
+
 /**
  * Up to when it is known what the host's runs do: a host that has fallen silent may
  * still do its work, and counted up to now it would be stopped as one that stands still.
--- a/packages/scheduling/tests/silentBeforeTakeOver.test.ts
+++ b/packages/scheduling/tests/silentBeforeTakeOver.test.ts
@@ -280,3 +280,22 @@
   await harness.run(OVER_IN_MS, [heard]);
   expect(heard.starts.length).toEqual(1);
 });
+
+// It has been without a run for a whole lease, and room may be kept for plain tasks.
+test("a lasting task of a silent host does not wait again for room that is kept for others", async () => {
+  const harness = new EngineHarness();
+  const silent = await harness.addHost("silent");
+  const demand = { memoryMiB: 100, accelerators: 0, milliCores: 8_000 };
+  harness.submit("lost", [{ lasting: true, tailTargetMs: 100, demand }]);
+  await harness.run(LEASE_MS);
+  expect(silent.starts.length).toEqual(1);
+  const heard = await harness.addHost("heard");
+  heard.milliCores = demand.milliCores;
+  await harness.run(SOON_MS, [heard]);
+  const overInMs = ENGINE.lastingPatienceMs + OVER_IN_MS;
+  harness.engine.noteWorkerSilent(silent.host, overInMs);
+  await waitUntilJustBefore(harness, overInMs, heard);
+  expect(heard.starts).toEqual([]);
+  await harness.clock.advance(1 + NEXT_PASS_MS);
+  expect(heard.starts.length).toEqual(1);
+});
