Looks at hosts whose leases end one after the other keep the distance of passes

Cause: the next tick came as soon as the next host's leases were over. Change: two ticks keep ENGINE.passFloorMs between them.

--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -83,6 +83,7 @@
   private timer: Timer | undefined;
   /** When the next tick is due. */
   private tickAt: Monotonic = Infinity;
+  private lastTickAt: Monotonic = -Infinity;
   private stopped = false;
 
   constructor(private readonly options: EngineOptions) {
@@ -370,7 +371,8 @@
     this.tickAt = dueAt;
     this.timer = clock.after(dueAt - clock.monotonic(), () => {
       if (this.stopped) return;
-      this.noteLateness(clock.monotonic() - dueAt);
+      this.lastTickAt = clock.monotonic();
+      this.noteLateness(this.lastTickAt - dueAt);
       this.tick();
       this.schedule();
     });
@@ -380,7 +382,9 @@
   private nextTickAt(): Monotonic {
     const now = this.options.clock.monotonic();
     const overBy = Math.max(now, this.watch.nextOverBy());
-    return Math.min(now + ENGINE.tickMs, overBy + ENGINE.timerGrainMs);
+    const leastAt = this.lastTickAt + ENGINE.passFloorMs;
+    const soonest = Math.max(leastAt, overBy + ENGINE.timerGrainMs);
+    return Math.min(now + ENGINE.tickMs, soonest);
   }
 
   /** Tells how late the timers of this process are: it may be short of processor time. */
