A run that never began is told again when the leader that heard of it grants nothing

Cause: a side forgot what it had told of such a run also when the answer said that this leader decides nothing any more; the next one kept the count of a crash. Found by review. Change: it is forgotten once a leader that grants has taken note. Measured: the test failed before and passes; the same of reports without a lease is by reading, and open.

--- a/packages/side/src/jobs/SilenceReporter.ts
+++ b/packages/side/src/jobs/SilenceReporter.ts
@@ -71,7 +71,8 @@
         { overInMs, neverBegun },
         callTimeoutMs,
       );
-      registry.runs.noteNeverBegunTold(neverBegun);
+      // One that decides nothing any more hands nothing on.
+      if (grants) registry.runs.noteNeverBegunTold(neverBegun);
       this.logOutcome({ overInMs, grants });
       return { isAnswered: true, grants };
     } catch (err) {
--- a/packages/side/src/jobs/index.ts
+++ b/packages/side/src/jobs/index.ts
@@ -8,5 +8,6 @@
 export { PACING } from "./PacePlanner.js";
 export { Pacer } from "./Pacer.js";
 export { SentLease } from "./SentLease.js";
+export { SilenceReporter } from "./SilenceReporter.js";
 export { TaskOrders } from "./TaskOrders.js";
 export { WorkerWatch } from "./WorkerWatch.js";
