A silent worker is not waited for because of starts that its fence refuses

Cause: for 15 s after a start to a former life got no answer each telling counted the longest lease anew, also where the present life had answered a look under a higher part of the epoch: it refuses such a start, and takes no lease from it. A stop or a pace for a former life was tried again above its part as well, up to that of the next life. Change: TaskHost.bars tells which starts a life refuses for certain; these lengthen no bound. Looks alone are tried again above their part. A part is one of 2^32, tenths of a second that begin anew after 13 years; tokens stay exact up to epoch 2,097,151.

--- a/packages/checker/src/jobs/HostModel.ts
+++ b/packages/checker/src/jobs/HostModel.ts
@@ -304,7 +304,7 @@
           hasMoreEnds: sighting.answer.hasMoreEnds,
           lostRuns: [...registry.runs.untold],
           neverBegun: [...registry.runs.neverBegun],
-          formerStartsForMs: registry.unanswered.mayReachForMs(worker.instance),
+          formerStartsForMs: watch.formerStartsForMs(worker.instance),
           unheardEnds: [...registry.runs.unheardEnds],
         };
         const grant = await this.ask(link, () =>
--- a/packages/ports/src/taskHost.ts
+++ b/packages/ports/src/taskHost.ts
@@ -97,6 +97,11 @@
   ): Promise<WorkerTime>;
   hold(instance: WorkerInstance, order: HoldOrder): Promise<HoldAnswer>;
   pace(instance: WorkerInstance, order: PaceOrder): Promise<void>;
+  /**
+   * Whether that life refuses the start for certain, whenever it comes, and takes no
+   * lease from it. Absent where the client cannot tell.
+   */
+  bars?(instance: WorkerInstance, run: RunRef): boolean;
 }
 
 /** Another life of the worker answers at its address: the old one is gone. */
--- a/packages/side/src/jobs/FencedTaskHost.ts
+++ b/packages/side/src/jobs/FencedTaskHost.ts
@@ -11,6 +11,7 @@
   WorkerTime,
 } from "@rackspan/common";
 import {
+  runKeyOf,
   TaskRefusedError,
   WorkerSilentError,
   type HoldAnswer,
@@ -24,12 +25,14 @@
 import { BoundedMap } from "@rackspan/state";
 
 const PARTS = {
-  /** Of one epoch; those by the clock begin anew after 310 days. */
-  ofEpoch: 2 ** 28,
+  /** Of one epoch; those by the clock begin anew after 13 years. */
+  ofEpoch: 2 ** 32,
   /** What one part stands for on the wall clock, milliseconds. */
   unitMs: 100,
   /** Lives whose parts are kept; the oldest are forgotten. */
   maxLives: 64,
+  /** Starts of which it is kept what they were sent under; the oldest are forgotten. */
+  maxStarts: 1_024,
 } as const;
 
 /** Below the first one. */
@@ -40,6 +43,8 @@
   part: number;
   /** How far above it is tried next, should the worker have heard a higher one. */
   reach: number;
+  /** The highest that it has answered a look under; undefined before. */
+  obeyed: Epoch | undefined;
 }
 
 export interface FencedTaskHostOptions {
@@ -51,15 +56,16 @@
   private readonly lives = new BoundedMap<WorkerInstance, LifePart>(
     PARTS.maxLives,
   );
+  /** What each start was last sent under, by run. */
+  private readonly sentUnder = new BoundedMap<string, Epoch>(PARTS.maxStarts);
   private highest = NO_PART;
   private epoch: Epoch | undefined;
 
   constructor(private readonly options: FencedTaskHostOptions) {}
 
-  /** Is not climbed for: the next look at the worker is, and a start may go elsewhere. */
   start(instance: WorkerInstance, order: RunStart): Promise<StartOutcome> {
-    const { part } = this.lifeOf(instance, order.epoch);
-    const epoch = divide(order.epoch, part);
+    const epoch = this.presentOf(instance, order.epoch);
+    this.sentUnder.set(runKeyOf(order), epoch);
     return this.options.host.start(instance, { ...order, epoch });
   }
 
@@ -69,75 +75,87 @@
     epoch: Epoch,
   ): Promise<WorkerTime> {
     const { host } = this.options;
-    return this.climb(instance, epoch, (part) =>
-      host.stop(instance, run, divide(epoch, part)),
-    );
-  }
-
-  hold(instance: WorkerInstance, order: HoldOrder): Promise<HoldAnswer> {
-    const { host } = this.options;
-    return this.climb(instance, order.epoch, async (part) => {
-      const epoch = divide(order.epoch, part);
-      try {
-        return await host.hold(instance, { ...order, epoch });
-      } catch (err) {
-        if (err instanceof WorkerSilentError) this.raise(instance);
-        throw err;
-      }
-    });
+    return host.stop(instance, run, this.presentOf(instance, epoch));
   }
 
   pace(instance: WorkerInstance, order: PaceOrder): Promise<void> {
-    const { host } = this.options;
-    return this.climb(instance, order.epoch, (part) =>
-      host.pace(instance, { ...order, epoch: divide(order.epoch, part) }),
-    );
+    const epoch = this.presentOf(instance, order.epoch);
+    return this.options.host.pace(instance, { ...order, epoch });
   }
 
   /**
    * The worker may have heard a higher part of the same epoch: from a process whose clock
-   * was ahead, or in a look that was meant for another life under its id. No part of this
-   * epoch passes a higher epoch.
+   * was ahead, or in a look that was meant for another life under its id. Looks alone are
+   * tried again above it, and no part of this epoch passes a higher epoch.
    */
-  private async climb<T>(
-    instance: WorkerInstance,
-    epoch: Epoch,
-    call: (part: number) => Promise<T>,
-  ): Promise<T> {
-    const life = this.lifeOf(instance, epoch);
+  async hold(instance: WorkerInstance, order: HoldOrder): Promise<HoldAnswer> {
+    const life = this.lifeOf(instance, order.epoch);
     try {
-      return await call(life.part);
+      return await this.look(instance, order, life.part);
     } catch (err) {
       if (!isFenced(err)) throw err;
       const [byClock, byReach] = [this.partOfNow(), life.part + life.reach];
-      const nextParts = [Math.max(life.part + 1, byClock), byReach];
-      for (const part of nextParts) {
-        const isTaken = await this.tryPart(life, part, call);
-        if (isTaken) return isTaken.answer;
+      for (const part of [Math.max(life.part + 1, byClock), byReach]) {
+        const answer = await this.tryPart(instance, order, part);
+        if (answer) return answer;
       }
       life.reach = Math.min(2 * life.reach, PARTS.ofEpoch);
       throw err;
     }
   }
 
+  /** Whether that life has obeyed more than the start was last sent under. */
+  bars(instance: WorkerInstance, run: RunRef): boolean {
+    const sentUnder = this.sentUnder.get(runKeyOf(run));
+    const obeyed = this.lives.get(instance)?.obeyed;
+    if (sentUnder === undefined || obeyed === undefined) return false;
+    return sentUnder < obeyed;
+  }
+
+  private async look(
+    instance: WorkerInstance,
+    order: HoldOrder,
+    part: number,
+  ): Promise<HoldAnswer> {
+    const epoch = divide(order.epoch, part);
+    try {
+      const answer = await this.options.host.hold(instance, {
+        ...order,
+        epoch,
+      });
+      const life = this.lives.get(instance);
+      if (life && epoch > (life.obeyed ?? 0)) life.obeyed = epoch;
+      return answer;
+    } catch (err) {
+      if (err instanceof WorkerSilentError) this.raise(instance);
+      throw err;
+    }
+  }
+
   /** @returns undefined when the worker has heard a higher one */
-  private async tryPart<T>(
-    life: LifePart,
+  private async tryPart(
+    instance: WorkerInstance,
+    order: HoldOrder,
     part: number,
-    call: (part: number) => Promise<T>,
-  ): Promise<{ readonly answer: T } | undefined> {
+  ): Promise<HoldAnswer | undefined> {
     try {
-      const answer = await call(part);
+      const answer = await this.look(instance, order, part);
+      const life = this.lifeOf(instance, order.epoch);
       life.part = Math.max(life.part, part);
       life.reach = 1;
       this.highest = Math.max(this.highest, part);
-      return { answer };
+      return answer;
     } catch (err) {
       if (!isFenced(err)) throw err;
       return undefined;
     }
   }
 
+  /** What that life is called under now. */
+  private presentOf(instance: WorkerInstance, epoch: Epoch): Epoch {
+    return divide(epoch, this.lifeOf(instance, epoch).part);
+  }
+
   /**
    * The life may be over. The next one may stand under its id and be reached by calls for
    * this one, before it is heard: the first of them bars what was sent until now.
@@ -152,7 +170,7 @@
     if (this.epoch === undefined || epoch > this.epoch) this.beginEpoch(epoch);
     const known = this.lives.get(instance);
     if (known) return known;
-    const life = { part: this.nextPart(), reach: 1 };
+    const life = { part: this.nextPart(), reach: 1, obeyed: undefined };
     this.lives.set(instance, life);
     return life;
   }
--- a/packages/side/src/jobs/LeaderLink.ts
+++ b/packages/side/src/jobs/LeaderLink.ts
@@ -334,7 +334,7 @@
       hasMoreEnds: answer.hasMoreEnds,
       lostRuns,
       neverBegun,
-      formerStartsForMs: registry.unanswered.mayReachForMs(instance),
+      formerStartsForMs: watch.formerStartsForMs(instance),
       unheardEnds,
     };
     try {
--- a/packages/side/src/jobs/UnansweredStarts.ts
+++ b/packages/side/src/jobs/UnansweredStarts.ts
@@ -61,19 +61,19 @@
   }
 
   /**
-   * Whether that life may still be reached by a start that was sent to another one.
+   * For how long a start that was sent to another life may yet reach that one.
    * @param instance undefined for a life that was not heard yet
+   * @param isBarred whether that life refuses the start, whenever it comes
+   * @returns milliseconds; 0 when none may
    */
-  mayReach(instance: WorkerInstance | undefined): boolean {
-    return this.ofOthers(instance).length > 0;
-  }
-
-  /** For how long such a start may yet be carried out, milliseconds; 0 without any. */
-  mayReachForMs(instance: WorkerInstance): number {
+  mayReachForMs(
+    instance: WorkerInstance | undefined,
+    isBarred: (run: RunRef) => boolean = () => false,
+  ): number {
     const now = this.clock.monotonic();
-    const leftMs = this.ofOthers(instance).map(
-      ({ triedAt }) => triedAt + UNANSWERED.keptMs - now,
-    );
+    const leftMs = this.ofOthers(instance)
+      .filter(({ ref }) => !isBarred(ref))
+      .map(({ triedAt }) => triedAt + UNANSWERED.keptMs - now);
     return Math.max(0, ...leftMs);
   }
 
--- a/packages/side/src/jobs/WorkerWatch.ts
+++ b/packages/side/src/jobs/WorkerWatch.ts
@@ -142,13 +142,28 @@
    * @returns milliseconds; undefined when it cannot be told
    */
   boundLease(): number | undefined {
-    const { unanswered, worker } = this.options.registry;
+    const { worker } = this.options.registry;
     this.leaseUntil = undefined;
-    // Such a start brings a lease by the clock of another life, also where it is barred.
-    if (unanswered.mayReach(worker?.instance)) this.sent.noteLongest();
+    // Its lease is by the clock of another life.
+    if (this.formerStartsForMs(worker?.instance) > 0) this.sent.noteLongest();
     return this.sent.overInMs;
   }
 
+  /**
+   * For how long a start that was sent to another life may yet bring a lease at that one.
+   * One that a stop has barred brings it too; one that is refused by its fence does not.
+   *
+   * @param instance undefined for a life that was not heard yet
+   * @returns milliseconds; 0 when none may
+   */
+  formerStartsForMs(instance: WorkerInstance | undefined): number {
+    const { registry, host } = this.options;
+    return registry.unanswered.mayReachForMs(
+      instance,
+      (run) => instance !== undefined && host.bars?.(instance, run) === true,
+    );
+  }
+
   /** The store keeps all ends up to this number. */
   acknowledge(instance: WorkerInstance, acknowledged: number): void {
     if (this.lastSighting?.instance !== instance) return;
--- /dev/null
+++ b/packages/side/tests/fencedLease.test.ts
@@ -0,0 +1,99 @@
+/** How long a silent worker is waited for that refuses the starts of the life before. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  ManualClock,
+  sleep,
+  type Epoch,
+  type WorkerInstance,
+  type WorkerTime,
+} from "@rackspan/common";
+import { leaseOverBy } from "@rackspan/leadership";
+import {
+  TaskRefusedError,
+  WorkerSilentError,
+  type HoldAnswer,
+  type HoldOrder,
+  type RunStart,
+  type TaskHost,
+} from "@rackspan/ports";
+import { FencedTaskHost } from "@rackspan/side";
+import { beatOf } from "./beatOf.js";
+import { buildSide } from "./buildSide.js";
+import { listOf } from "./listOf.js";
+import { START_CALL } from "./startCall.js";
+
+const CALL_TIMEOUT_MS = 400;
+const UNATTENDED_MS = 5_490;
+const FIRST = brand<WorkerInstance>("w1");
+const NEXT = brand<WorkerInstance>("w2");
+const EPOCH = 1 as unknown as Epoch;
+
+/** A worker that answers no start, and refuses calls below the highest that it has heard. */
+const watchWorker = async () => {
+  const clock = new ManualClock();
+  const worker = { heard: 0, isSilent: false, starts: [] as RunStart[] };
+  const at = (): WorkerTime => clock.monotonic() as unknown as WorkerTime;
+  const fallSilent = async (): Promise<never> => {
+    await sleep(clock, CALL_TIMEOUT_MS);
+    throw new WorkerSilentError("no answer");
+  };
+  const obey = (epoch: Epoch): void => {
+    if (epoch < worker.heard) throw new TaskRefusedError("a higher one", true);
+    worker.heard = epoch;
+  };
+  const inner = {
+    hold: async (
+      _: WorkerInstance,
+      { epoch, waitMs }: HoldOrder,
+    ): Promise<HoldAnswer> => {
+      if (worker.isSilent) return fallSilent();
+      obey(epoch);
+      await sleep(clock, waitMs);
+      return worker.isSilent ? fallSilent() : listOf(at());
+    },
+    start: (_: WorkerInstance, order: RunStart) => {
+      worker.starts.push(order);
+      return fallSilent();
+    },
+    stop: async (_: WorkerInstance, __: unknown, epoch: Epoch) => {
+      obey(epoch);
+      return at();
+    },
+  } as unknown as TaskHost;
+  const host = new FencedTaskHost({ host: inner, clock });
+  const side = buildSide({
+    host,
+    clock,
+    heard: [FIRST],
+    unattendedLeaseMs: UNATTENDED_MS,
+  });
+  side.watch.raiseEpoch(EPOCH);
+  side.watch.start();
+  await clock.advance(500);
+  return { ...side, clock, worker, at };
+};
+
+// A refusal of this kind brings no lease, so nothing outlasts what its side has renewed.
+test("a silent worker that refuses the starts of the life before is waited for no longer than its renewed lease", async () => {
+  const { clock, worker, watch, registry, orders, at, stop } =
+    await watchWorker();
+  void orders.start({ ...START_CALL, instance: FIRST, epoch: EPOCH });
+  await clock.advance(CALL_TIMEOUT_MS);
+  worker.heard = 0;
+  registry.noteHeartbeat(beatOf("w2"));
+  await clock.advance(11_000);
+  expect(worker.starts.every(({ epoch }) => epoch < worker.heard)).toEqual(
+    true,
+  );
+  watch.grant(NEXT, (at() + 10_000) as unknown as WorkerTime);
+  await clock.advance(1_000);
+  worker.isSilent = true;
+  await clock.advance(2 * CALL_TIMEOUT_MS);
+  const overInMs = watch.boundLease() ?? Infinity;
+  const mostMs = leaseOverBy(0, UNATTENDED_MS);
+  expect(Math.max(overInMs, mostMs)).toEqual(mostMs);
+  await stop();
+});
