--- /dev/null
+++ b/packages/checker/tests/lastingTasks.test.ts
@@ -0,0 +1,15 @@
+/** How long a lasting task is without a run when its workers are lost one after the other. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { runLastingSchedule } from "@rackspan/checker";
+
+const SEEDS = Array.from({ length: 20 }, (_, index) => index + 1);
+const LOSSES = 3;
+
+test("lasting tasks that have lost workers run elsewhere in time although they outnumber the hosts", async () => {
+  for (const seed of SEEDS) {
+    const violations = await runLastingSchedule(seed, LOSSES);
+    expect({ seed, violations }).toEqual({ seed, violations: [] });
+  }
+});
