Lasting tasks that have lost workers do not wait for hosts of their own

Cause: a lasting task whose workers were lost twice or more is suspected, and begins on a host that it holds for 2.5 s; one host is left to others. Change: where no host more may be held, a lasting task of which no run is known to have crashed its worker just after its start begins on the host that is left.

--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -89,6 +89,14 @@
   lost: "none",
 };
 
+/** Evidence of runs that had just begun. */
+const AT_START: ReadonlySet<CrashEvidence> = new Set([
+  "sole",
+  "doubted",
+  "unanswered",
+  "young",
+]);
+
 export class CrashLog {
   /** By run. */
   private readonly runs = new Map<number, CrashEvidence>();
@@ -142,6 +150,11 @@
     return this.points >= CRASH_LIMITS.suspectPoints;
   }
 
+  /** Whether no run of it is known to have crashed its worker just after its start. */
+  get hasCrashedNoneAtStart(): boolean {
+    return !this.evidence.some((one) => AT_START.has(one));
+  }
+
   /** Whether the task is to be started no more. */
   get isSpent(): boolean {
     const { provenCrashes, unprovenPoints } = CRASH_LIMITS;
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -216,12 +216,15 @@
     if (run === undefined || task.step.job.isEnded) return "not-now";
     this.turns.noteWaiting(task, now);
     // Users want a lasting task to have a run again soon, and it has lost its last one.
-    const takesTurn =
-      task.step.spec.lasting || this.turns.hasWaitedLong(task, now);
-    if (!mayHoldApart(open, book.all(), takesTurn)) return "not-now";
+    const { lasting } = task.step.spec;
+    const takesTurn = lasting || this.turns.hasWaitedLong(task, now);
+    const isApart = mayHoldApart(open, book.all(), takesTurn);
+    // Where no host more may be held, a lasting task whose workers outlived its start shares one.
+    const mayShare = lasting && task.crashes.hasCrashedNoneAtStart;
+    if (!isApart && !mayShare) return "not-now";
     const host = pickApart({ task, open, placer, mustPlace: takesTurn });
-    if (!host) return "no-host";
-    this.startOn(host, task, run, true);
+    if (!host) return isApart ? "no-host" : "not-now";
+    this.startOn(host, task, run, isApart);
     return "placed";
   }
 
