Known red: a plain job waits long beside suspected lasting tasks

Cause: since lasting tasks that have lost two workers take hosts of their own at once, a plain job of crashing schedule 123 is done at 76.20 of 76.28 s, and three of its ends are not acknowledged when the schedule ends; before it was done in time. Trial: that rule only for tasks of which no run crashed its worker at its start: 123 passes, 103 leaves two jobs unfinished; not kept.

--- a/packages/checker/tests/jobSchedules.test.ts
+++ b/packages/checker/tests/jobSchedules.test.ts
@@ -99,6 +99,10 @@
   }
 });
 
+test("jobs are done in their time beside lasting tasks that take hosts of their own at once", async () => {
+  await expectNothingBroken(runCrashingSchedule, 123);
+});
+
 test("a task that shared three workers with ones that crash them is not given up", async () => {
   await expectNothingBroken(runCrashingSchedule, 58);
 });
