--- a/packages/common/src/ownLoopback.ts
+++ b/packages/common/src/ownLoopback.ts
@@ -4,7 +4,7 @@
 const NETWORKS_OF_OCTET = 250;
 
 /**
- * An address on which no other process listens, so that a port which is chosen first
+ * An address on which no other process listens, so that a port which is picked first
  * and listened on later, or again, cannot be taken meanwhile.
  *
  * @param host from 1 to 254, to tell the process's own listeners apart
