scheduling: a task that was done before its worker's lease lapsed does not run again

Cause: callers saw a task run again although its run had ended as done and the worker had listed that end. A leader on 0.069 of a core takes 0.8 to 2.3 s for an answer; its term ended before it took the report, the side could not attach to the next one for 3.8 s, and the worker's lease lapsed. Change: voidEndsBeforeLapse is gone; an end that is listed as done stays done.

--- a/packages/scheduling/src/RunEndHandler.ts
+++ b/packages/scheduling/src/RunEndHandler.ts
@@ -20,7 +20,7 @@
   handleEnds(entry: HostEntry, ended: readonly EndedRun[]): void {
     if (ended.length === 0) return;
     const changed = new Set<JobRun>();
-    for (const end of voidEndsBeforeLapse(ended)) {
+    for (const end of ended) {
       const job = this.handleEnd(entry, end);
       if (job) changed.add(job);
     }
@@ -114,16 +114,3 @@
     avoidHost(task, host);
   }
 }
-
-/**
- * Marks ends that were listed before the last lapse as lapsed: the lease expired before
- * they were processed, so they are void. Failures still count.
- */
-const voidEndsBeforeLapse = (ended: readonly EndedRun[]): EndedRun[] => {
-  const lastLapse = ended.findLastIndex(({ outcome }) => outcome === "lapsed");
-  return ended.map((end, at) =>
-    at < lastLapse && end.outcome !== "failed"
-      ? { ...end, outcome: "lapsed" }
-      : end,
-  );
-};
