Entry: refuse a submission of which nothing was sent, early enough for another entry

Cause: a record in a batch whose append had no connection yet was answered as unknown (504) when the caller's time ended, although nothing had been sent. A record that was still queued was refused only 120 ms before the caller's deadline, with a Retry-After of one second. In the other direction, a record whose answer was lost before its writer was fenced or closed was reported as refused, although it may be persisted.

Change: store clients report when they send the first byte of an append (onSending). Until then TopicWriter can cancel the append and withdraw the record; the other records of the batch are sent with the next one. JobService withdraws an unsent record after two thirds of the caller's time and answers it with 503 and Retry-After 0. An append that may be persisted is never reported as refused.

Tests: five of the new tests fail before (unsentSubmissions: 250 ms, 400 ms, behind an unanswered append; topicWriter: withdrawn record, fenced after a lost answer). All pass with this change.

--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -12,6 +12,7 @@
   type Logger,
   type Metrics,
   type Monotonic,
+  type Timer,
 } from "@rackspan/common";
 import {
   FencedError,
@@ -35,7 +36,7 @@
   type TopicWriter,
   type TopicFollower,
 } from "@rackspan/state";
-import { STORE_RETRY, retryDeadline } from "./storeRetry.js";
+import { STORE_RETRY, retryDeadline, unsentDeadline } from "./storeRetry.js";
 import type { StoreReachability } from "./StoreReachability.js";
 
 /** Times of the JobService, milliseconds. */
@@ -86,6 +87,14 @@
   readonly metrics: Metrics;
 }
 
+/** When a pending write is given up, in monotonic time. */
+interface WriteTimes {
+  /** When a record that was not sent is withdrawn. */
+  readonly abandonAt: Monotonic;
+  /** When the caller's response is due. */
+  readonly respondAt: Monotonic;
+}
+
 const refused = (reason: string) =>
   ({
     kind: "refused",
@@ -293,28 +302,37 @@
     onPersisted: () => void,
   ): Promise<JobRequestOutcome> {
     const { clock } = this.options;
-    const lastAttemptAt =
-      retryDeadline(clock.monotonic(), deadline) - STORE_RETRY.retryMs;
-    for (let attempts = 1; ; attempts += 1) {
+    const { retryMs, retryAfterMs } = STORE_RETRY;
+    const arrivedAt = clock.monotonic();
+    const lastAttemptAt = retryDeadline(arrivedAt, deadline) - retryMs;
+    const times: WriteTimes = {
+      abandonAt: unsentDeadline(arrivedAt, deadline),
+      respondAt: deadline - JOB_SERVICE.responseMarginMs,
+    };
+    if (arrivedAt >= times.respondAt)
+      return { ...refused("the caller's time is over"), retryAfterMs };
+    for (;;) {
       const outcome = await this.awaitWrite(
         writer.write(record),
-        deadline,
+        times,
         onPersisted,
       );
       // A refused record was not persisted and never will be, so it may be written again.
       if (outcome.kind !== "refused") return outcome;
-      if (clock.monotonic() > lastAttemptAt) {
-        const { retryAfterMs } = attempts > 1 ? STORE_RETRY : JOB_SERVICE;
+      if (clock.monotonic() > lastAttemptAt)
         return { ...outcome, retryAfterMs };
-      }
-      await sleep(clock, STORE_RETRY.retryMs);
+      await sleep(clock, retryMs);
     }
   }
 
-  /** Waits for a write until it is persisted, refused, or the caller's response is due. */
+  /**
+   * Waits for a write until it is persisted, refused, or the caller's response is due.
+   * A record that was not sent is withdrawn early enough for the caller to try another
+   * entry.
+   */
   private async awaitWrite(
     write: PendingWrite,
-    deadline: Monotonic,
+    { abandonAt, respondAt }: WriteTimes,
     onPersisted: () => void,
   ): Promise<JobRequestOutcome> {
     const { clock } = this.options;
@@ -328,19 +346,25 @@
           ? refused(describeError(err))
           : { kind: "unknown", reason: describeError(err) },
     );
-    let cancelTimer = (): void => undefined;
+    const timers: Timer[] = [];
     const timedOut = new Promise<JobRequestOutcome>((resolve) => {
-      const waitMs =
-        deadline - clock.monotonic() - JOB_SERVICE.responseMarginMs;
-      const timer = clock.after(waitMs, () => {
+      const now = clock.monotonic();
+      const abandon = (): boolean => {
         const notSent = write.abandon();
-        const reason = "the store has not answered in time";
-        resolve(notSent ? refused(reason) : { kind: "unknown", reason });
-      });
-      cancelTimer = () => timer.cancel();
+        if (notSent) resolve(refused("the store could not be asked in time"));
+        return notSent;
+      };
+      timers.push(
+        clock.after(abandonAt - now, abandon),
+        clock.after(respondAt - now, () => {
+          if (abandon()) return;
+          const reason = "the store has not answered in time";
+          resolve({ kind: "unknown", reason });
+        }),
+      );
     });
     const outcome = await Promise.race([persisted, timedOut]);
-    cancelTimer();
+    for (const timer of timers) timer.cancel();
     return outcome;
   }
 
--- a/packages/entry/src/jobs/storeRetry.ts
+++ b/packages/entry/src/jobs/storeRetry.ts
@@ -13,9 +13,18 @@
    * entries, because the store may refuse only this one.
    */
   callerTimeShare: 1 / 3,
+  /**
+   * Share of the caller's time after which a record that was not sent yet is given up.
+   * The rest is enough for another entry, and a store that is only slow takes queued
+   * records in this time.
+   */
+  unsentTimeShare: 2 / 3,
   /** Delay between two attempts, milliseconds; a recovered store is detected within it. */
   retryMs: 100,
-  /** Retry delay of a caller that has waited here: it may try another entry at once. */
+  /**
+   * Retry delay of a caller whose job could not be persisted: it may try another entry
+   * at once. A longer delay might end after the caller has given up.
+   */
   retryAfterMs: 0,
 } as const;
 
@@ -30,3 +39,10 @@
   deadline: Monotonic,
 ): Monotonic =>
   arrivedAt + STORE_RETRY.callerTimeShare * (deadline - arrivedAt);
+
+/** When a record that was not sent yet is given up; see retryDeadline. */
+export const unsentDeadline = (
+  arrivedAt: Monotonic,
+  deadline: Monotonic,
+): Monotonic =>
+  arrivedAt + STORE_RETRY.unsentTimeShare * (deadline - arrivedAt);
--- /dev/null
+++ b/packages/entry/tests/unsentSubmissions.test.ts
@@ -0,0 +1,90 @@
+/**
+ * Submissions of which nothing was sent to the store. An entry that answers them as
+ * unknown keeps the caller from trying another entry, although the job does not exist.
+ */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import { ManualClock } from "@rackspan/common";
+import type { JobRequestOutcome } from "@rackspan/entry";
+import { TOPICS } from "@rackspan/state";
+import { MemoryStore, plainJob, type StoreFault } from "@rackspan/standins";
+import { createJobService } from "./createJobService.js";
+
+const QUEUE = {} as never;
+
+interface Submission {
+  readonly outcome: JobRequestOutcome;
+  readonly tookMs: number;
+}
+
+const setUp = async () => {
+  const clock = new ManualClock();
+  const store = new MemoryStore(clock);
+  const entry = { clock, store, entry: "entry", pollIntervalMs: 100 };
+  const { jobService, stop } = createJobService(entry);
+  await clock.advance(1_000);
+  let count = 0;
+  const submit = async (timeMs: number): Promise<Submission> => {
+    const id = (count += 1).toString(16).padStart(16, "0");
+    const { spec } = plainJob({ id, acceptedAt: clock.now() });
+    const startedAt = clock.monotonic();
+    const outcome = await jobService.submit(QUEUE, spec, startedAt + timeMs);
+    return { outcome, tookMs: clock.monotonic() - startedAt };
+  };
+  const finish = async (): Promise<number> => {
+    store.fault = "none";
+    await clock.advance(10_000);
+    const stopped = stop();
+    await clock.advance(2_000);
+    await stopped;
+    return store.recordsOf(TOPICS.jobs).length;
+  };
+  return { clock, store, submit, finish };
+};
+
+for (const timeMs of [250, 400, 3_000]) {
+  test(`a submission whose append gets no connection is refused within its ${timeMs} ms, and never runs`, async () => {
+    const { clock, store, submit, finish } = await setUp();
+    store.fault = "unconnected";
+    const submission = submit(timeMs);
+    await clock.advance(timeMs);
+    const { outcome, tookMs } = await submission;
+    expect(outcome.kind).toEqual("refused");
+    expect("retryAfterMs" in outcome && outcome.retryAfterMs).toEqual(0);
+    expect(tookMs <= (2 / 3) * timeMs).toEqual(true);
+    expect(await finish()).toEqual(0);
+  });
+}
+
+test("a submission that waits behind an unanswered append is refused while its caller can try another entry", async () => {
+  const { clock, store, submit, finish } = await setUp();
+  store.fault = "silent";
+  const sent = submit(600);
+  await clock.advance(50);
+  const waiting = submit(600);
+  await clock.advance(1_000);
+  expect((await sent).outcome.kind).toEqual("unknown");
+  const { outcome, tookMs } = await waiting;
+  expect(outcome.kind).toEqual("refused");
+  expect("retryAfterMs" in outcome && outcome.retryAfterMs).toEqual(0);
+  expect(tookMs <= 400).toEqual(true);
+  // Only the submission that was answered as unknown may be in the store.
+  expect((await finish()) <= 1).toEqual(true);
+});
+
+// Guards against the opposite fault: a record that was sent may be persisted.
+test("a submission that was sent and not answered is unknown, under every fault before and after", async () => {
+  const others: readonly StoreFault[] = ["none", "refuses", "unconnected"];
+  for (const later of others) {
+    const { clock, store, submit, finish } = await setUp();
+    store.fault = "loses-answers";
+    const submission = submit(3_000);
+    await clock.advance(100);
+    store.fault = later;
+    await clock.advance(3_000);
+    const { outcome } = await submission;
+    expect(outcome.kind).toEqual(later === "none" ? "accepted" : "unknown");
+    expect(await finish()).toEqual(1);
+  }
+});
--- a/packages/ports/src/recordStore.ts
+++ b/packages/ports/src/recordStore.ts
@@ -36,6 +36,13 @@
   readonly records: readonly KeyedRecord[];
   readonly stamp: ProducerStamp;
   readonly timeoutMs: number;
+  /**
+   * Cancels the append. If `onSending` was not called before, nothing is sent and the
+   * append fails with StoreRefusedError.
+   */
+  readonly signal?: AbortSignal;
+  /** Every store client calls it before the first byte of the append is sent. */
+  readonly onSending?: () => void;
 }
 
 export interface ReadRequest {
--- a/packages/protocol/src/HttpClient.ts
+++ b/packages/protocol/src/HttpClient.ts
@@ -29,6 +29,8 @@
   readonly signal?: AbortSignal;
   /** Whether the call may be sent over the given connection; any connection if absent. */
   readonly acceptsSocket?: (socket: Socket) => boolean;
+  /** Called once there is a connection, before the first byte of the call is sent. */
+  readonly onSending?: () => void;
 }
 
 export interface HttpResponse {
@@ -113,8 +115,12 @@
           req.destroy(new Error("the confirmed connection was closed"));
           return;
         }
-        if (!socket.connecting) connected = true;
-        else socket.once("connect", () => (connected = true));
+        const markConnected = (): void => {
+          connected = true;
+          call.onSending?.();
+        };
+        if (!socket.connecting) markConnected();
+        else socket.once("connect", markConnected);
       });
       req.on("close", () => timer.cancel());
       req.on("response", resolve);
--- a/packages/protocol/tests/httpClient.test.ts
+++ b/packages/protocol/tests/httpClient.test.ts
@@ -144,3 +144,28 @@
     expect(paths.at(-1)).toEqual(path);
   }
 });
+
+// Guards against an abort that tells a caller that nothing was sent after it was.
+test("a call that is aborted before its connection is sent nothing; after that it may have taken effect", async (t) => {
+  const { client, paths } = await connectTo(t, () => undefined);
+  const before = new AbortController();
+  let sending = 0;
+  const onSending = (): void => void (sending += 1);
+  const call = (path: string, signal: AbortSignal) =>
+    client.call({ method: "POST", path, signal, onSending });
+  const unsent = expect(call("/unsent", before.signal)).toBeRejectedWith(
+    ConnectError,
+  );
+  before.abort();
+  await unsent;
+  expect(sending).toEqual(0);
+  const after = new AbortController();
+  const lost = expect(call("/sent", after.signal)).toBeRejectedWith(
+    LostAnswerError,
+  );
+  while (paths.length === 0) await new Promise(setImmediate);
+  expect(sending).toEqual(1);
+  after.abort();
+  await lost;
+  expect(paths).toEqual(["/sent"]);
+});
--- a/packages/standins/src/MemoryStore.ts
+++ b/packages/standins/src/MemoryStore.ts
@@ -44,7 +44,13 @@
 }
 
 /** How calls fail while a fault is switched on. */
-export type StoreFault = "none" | "refuses" | "loses-answers" | "silent";
+export type StoreFault =
+  | "none"
+  | "refuses"
+  | "loses-answers"
+  | "silent"
+  /** Appends get no connection, so nothing of them is sent. */
+  | "unconnected";
 
 const NO_ANSWER_AFTER_MS = 500;
 
@@ -63,6 +69,9 @@
   constructor(private readonly clock: Clock) {}
 
   async append(req: AppendRequest): Promise<number> {
+    if (this.fault === "unconnected" || req.signal?.aborted)
+      await this.failToConnect(req);
+    req.onSending?.();
     await this.applyFault("before");
     const topic = this.topic(req.topic);
     const end = appendChecked(topic, req);
@@ -181,6 +190,7 @@
   private async applyFault(when: "before" | "after"): Promise<void> {
     switch (this.fault) {
       case "none":
+      case "unconnected":
         return;
       case "refuses":
         if (when === "before")
@@ -194,6 +204,23 @@
     }
   }
 
+  private async failToConnect({
+    signal,
+    timeoutMs,
+  }: AppendRequest): Promise<never> {
+    if (!signal?.aborted) {
+      await new Promise<void>((resolve) => {
+        const timer = this.clock.after(timeoutMs, resolve);
+        const cancel = (): void => {
+          timer.cancel();
+          resolve();
+        };
+        signal?.addEventListener("abort", cancel, { once: true });
+      });
+    }
+    throw new StoreRefusedError("the store cannot be reached");
+  }
+
   private async failWithoutAnswer(): Promise<never> {
     await new Promise<void>((resolve) =>
       this.clock.after(NO_ANSWER_AFTER_MS, resolve),
--- a/packages/state/src/TopicWriter.ts
+++ b/packages/state/src/TopicWriter.ts
@@ -68,6 +68,17 @@
   readonly reject: (err: unknown) => void;
 }
 
+/** The records of one append. */
+interface Batch {
+  readonly records: readonly QueuedRecord[];
+  /** Records whose callers were told that they are not sent. */
+  readonly abandoned: Set<QueuedRecord>;
+  /** Cancels an attempt that has no connection yet. */
+  readonly abort: AbortController;
+  /** Whether any attempt may have reached the store. */
+  mayBeSent: boolean;
+}
+
 /** A record that is queued or being sent to the store. */
 export interface PendingWrite {
   /**
@@ -77,7 +88,7 @@
    */
   readonly persisted: Promise<number>;
   /**
-   * Removes the record from the queue unless it has been sent.
+   * Withdraws the record unless it may have been sent.
    * @returns whether the record was not sent and never will be
    */
   readonly abandon: () => boolean;
@@ -93,6 +104,7 @@
    */
   private firstTimeoutMs: number = WRITER.firstTimeoutMs;
   private running = false;
+  private inFlight: Batch | undefined;
   /** When the in-flight batch was first sent; undefined when there is none. */
   private batchSentAt: Monotonic | undefined;
   private closed: Error | undefined;
@@ -172,11 +184,23 @@
   private abandon(queued: QueuedRecord | undefined): boolean {
     if (!queued) return true;
     const at = this.queue.indexOf(queued);
-    if (at < 0) return false;
+    if (at < 0) return this.abandonInFlight(queued);
     this.queue.splice(at, 1);
     return true;
   }
 
+  /**
+   * Cancels the in-flight batch if it contains the record and has no connection yet.
+   * Its other records are sent with the next batch.
+   */
+  private abandonInFlight(queued: QueuedRecord): boolean {
+    const { inFlight } = this;
+    if (!inFlight?.records.includes(queued) || inFlight.mayBeSent) return false;
+    inFlight.abandoned.add(queued);
+    inFlight.abort.abort();
+    return true;
+  }
+
   private async run(): Promise<void> {
     if (this.running) return;
     this.running = true;
@@ -201,22 +225,47 @@
     return this.queue.splice(0, count);
   }
 
-  private async sendBatch(batch: readonly QueuedRecord[]): Promise<void> {
+  private async sendBatch(records: readonly QueuedRecord[]): Promise<void> {
+    const batch: Batch = {
+      records,
+      abandoned: new Set(),
+      abort: new AbortController(),
+      mayBeSent: false,
+    };
+    const { signal } = batch.abort;
     this.batchSentAt = this.options.clock.monotonic();
+    this.inFlight = batch;
     try {
-      const next = await this.send(batch.map(({ record }) => record));
-      for (const { resolve } of batch) resolve(next);
+      const keyed = records.map(({ record }) => record);
+      const next = await this.send(keyed, signal, batch);
+      for (const { resolve } of records) resolve(next);
     } catch (err) {
-      for (const { reject } of batch) reject(err);
+      if (signal.aborted) this.requeueOthers(batch);
+      else for (const { reject } of records) reject(err);
     } finally {
       this.batchSentAt = undefined;
+      this.inFlight = undefined;
+    }
+  }
+
+  private requeueOthers({ records, abandoned }: Batch): void {
+    const others = records.filter((queued) => !abandoned.has(queued));
+    if (!this.closed) {
+      this.queue.unshift(...others);
+      return;
     }
+    for (const { reject } of others) reject(this.closed);
   }
 
-  /** @throws StoreRefusedError when nothing was persisted; FencedError */
+  /**
+   * @throws StoreRefusedError when nothing was persisted
+   * @throws StoreAnswerLostError when the records may be persisted
+   * @throws FencedError when nothing was persisted and another writer has taken over
+   */
   private async send(
     records: readonly KeyedRecord[],
     signal?: AbortSignal,
+    batch?: Batch,
   ): Promise<number> {
     const { clock, retriesRefusedBatches } = this.options;
     let mayBePersisted = false;
@@ -225,7 +274,7 @@
       signal?.throwIfAborted();
       if (this.closed && !mayBePersisted) throw this.closed;
       try {
-        return await this.appendOnce(records, timeoutMs);
+        return await this.appendOnce(records, timeoutMs, batch);
       } catch (err) {
         const expected = err instanceof SequenceError ? err.expected : Infinity;
         // The last persisted number is below that of this batch, so no
@@ -237,10 +286,14 @@
         }
         const lost = err instanceof StoreAnswerLostError;
         const refused = err instanceof StoreRefusedError;
-        if (!lost && !refused) throw this.closeIfFenced(err);
+        if (!lost && !refused) {
+          const failure = this.closeIfFenced(err);
+          throw mayBePersisted ? this.lostError(failure) : failure;
+        }
         mayBePersisted ||= lost;
+        if (batch && lost) batch.mayBeSent = true;
         if (!mayBePersisted && !retriesRefusedBatches) throw err;
-        if (this.closed) throw err;
+        if (this.closed) throw mayBePersisted ? this.lostError(err) : err;
         if (this.isStuck()) this.rejectQueued();
         if (lost) timeoutMs = Math.min(WRITER.maxTimeoutMs, 2 * timeoutMs);
       }
@@ -251,6 +304,7 @@
   private async appendOnce(
     records: readonly KeyedRecord[],
     timeoutMs: number,
+    batch?: Batch,
   ): Promise<number> {
     const { store, topic, producer, epoch, clock } = this.options;
     const sentAt = clock.monotonic();
@@ -259,6 +313,10 @@
       records,
       stamp: { producer, epoch, sequence: this.sequence },
       timeoutMs,
+      signal: batch?.abort.signal,
+      onSending: () => {
+        if (batch) batch.mayBeSent = true;
+      },
     });
     this.adjustTimeout(clock.monotonic() - sentAt);
     // An empty append only sets the epoch and uses no number.
@@ -275,6 +333,15 @@
     );
   }
 
+  /** An earlier attempt may be persisted, whatever the last one was answered. */
+  private lostError(cause: unknown): StoreAnswerLostError {
+    const { topic } = this.options;
+    return new StoreAnswerLostError(
+      `an append to topic ${topic} was not answered`,
+      cause,
+    );
+  }
+
   private closeIfFenced(err: unknown): unknown {
     const { topic, logger, epoch } = this.options;
     logger.warn("writer.closed", { topic, epoch, error: describeError(err) });
--- a/packages/state/tests/topicWriter.test.ts
+++ b/packages/state/tests/topicWriter.test.ts
@@ -1,7 +1,11 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { ManualClock, silentLogger } from "@rackspan/common";
-import { FencedError, StoreRefusedError } from "@rackspan/ports";
+import {
+  FencedError,
+  StoreAnswerLostError,
+  StoreRefusedError,
+} from "@rackspan/ports";
 import { MemoryStore } from "@rackspan/standins";
 import { TopicWriter, TOPICS } from "@rackspan/state";
 
@@ -137,3 +141,48 @@
   await persisted;
   expect(keys()).toEqual(["former", "next"]);
 });
+
+// A caller that learns that nothing was sent may try another entry at once.
+test("a record whose append gets no connection can be withdrawn, and the others of its batch are sent", async () => {
+  const { clock, store, writer, keys } = setUp();
+  store.fault = "unconnected";
+  const withdrawn = writer.write(record("withdrawn"));
+  withdrawn.persisted.catch(() => undefined);
+  const other = writer.write(record("other"));
+  await clock.advance(100);
+  store.fault = "none";
+  expect(withdrawn.abandon()).toEqual(true);
+  await clock.advance(100);
+  await other.persisted;
+  expect(keys()).toEqual(["other"]);
+});
+
+test("a record that was sent cannot be withdrawn", async () => {
+  const { clock, store, writer, keys } = setUp();
+  store.fault = "silent";
+  const { persisted, abandon } = writer.write(record("sent"));
+  await clock.advance(100);
+  expect(abandon()).toEqual(false);
+  store.fault = "none";
+  await clock.advance(1_500);
+  await persisted;
+  expect(keys()).toEqual(["sent"]);
+});
+
+// The first attempt may have been persisted before the other writer took over, so the
+// record must not be reported as refused.
+test("a record whose answer was lost before the writer was fenced may be persisted", async () => {
+  const { clock, store, writer, writerOf, keys } = setUp();
+  const first = writer.write(record("first")).persisted;
+  await clock.advance(10);
+  await first;
+  store.fault = "loses-answers";
+  const { persisted } = writer.write(record("a"));
+  const lost = expect(persisted).toBeRejectedWith(StoreAnswerLostError);
+  await clock.advance(400);
+  store.fault = "none";
+  await writerOf(2).fenceLowerEpochs();
+  await clock.advance(1_000);
+  await lost;
+  expect(keys()).toEqual(["first", "a"]);
+});
