Load summary of the leader, and the admission decision by it

Cause: under more work than capacity, callers wait in vain for jobs that end too late to be of use, because nothing tells an entry how much work is pending.

Change: the leader computes a load summary (free millicores, pending core-milliseconds by utility density, rate of work done, run time ratios of queues) and writes it with other progress records under the key 'load', only if an interval is set (default: never). JobView ignores the reserved keys 'load' and 'term'. LoadSummaryView holds the newest summary and its age from its arrival. decideAdmission is pure; AdmissionController adds what was accepted since, and ReturnQueue keeps the order of refused callers. The utility formula moves from byUtilityOrder to routing, unchanged.

Without the setting no record is written.

--- a/packages/jobs/src/ProgressJournal.ts
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -1,6 +1,7 @@
 /** Persists the progress of jobs in the store; several changes of a job become one record. */
 
 import type { Clock } from "@rackspan/common";
+import type { KeyedRecord } from "@rackspan/ports";
 import { encodeProgress, type TopicWriter } from "@rackspan/state";
 import type { JobRun } from "./JobRun.js";
 
@@ -13,6 +14,8 @@
 
 interface Batch {
   readonly jobs: Set<JobRun>;
+  /** Records without a job, by key. */
+  readonly enclosed: Map<string, KeyedRecord>;
   readonly persisted: Promise<void>;
 }
 
@@ -42,6 +45,16 @@
     return this.unpersisted.get(job) ?? Promise.resolve();
   }
 
+  /**
+   * Writes a record that is no job's progress with the next batch. Nobody waits for it:
+   * it is lost if another leader has taken over.
+   */
+  enclose(record: KeyedRecord): void {
+    this.next ??= this.openBatch();
+    this.next.enclosed.set(record.key, record);
+    this.next.persisted.catch(() => undefined);
+  }
+
   private trackWrite(job: JobRun, persisted: Promise<void>): void {
     if (this.unpersisted.get(job) === persisted) return;
     this.unpersisted.set(job, persisted);
@@ -54,22 +67,28 @@
 
   private openBatch(): Batch {
     const jobs = new Set<JobRun>();
+    const enclosed = new Map<string, KeyedRecord>();
     const { clock, batchWindowMs } = this.options;
     const persisted = new Promise<void>((resolve, reject) => {
       clock.after(batchWindowMs, () => {
         this.next = undefined;
-        this.write(jobs).then(resolve, reject);
+        this.write(jobs, enclosed).then(resolve, reject);
       });
     });
-    return { jobs, persisted };
+    return { jobs, enclosed, persisted };
   }
 
-  private async write(jobs: ReadonlySet<JobRun>): Promise<void> {
+  private async write(
+    jobs: ReadonlySet<JobRun>,
+    enclosed: ReadonlyMap<string, KeyedRecord>,
+  ): Promise<void> {
     const { writer } = this.options;
-    const writes = [...jobs].map((job) => {
+    const records = [...jobs].map((job): KeyedRecord => {
       const value = encodeProgress(job.toRecord());
-      return writer.write({ key: job.id, value }).persisted;
+      return { key: job.id, value };
     });
+    records.push(...enclosed.values());
+    const writes = records.map((record) => writer.write(record).persisted);
     await Promise.all(writes);
   }
 }
--- /dev/null
+++ b/packages/routing/src/AdmissionController.ts
@@ -0,0 +1,203 @@
+/**
+ * Refuses jobs that can be of no use to their callers any more, by the leader's load
+ * summary and what has been accepted since. It never refuses without a current summary.
+ */
+
+import type { Clock, Logger, Metrics } from "@rackspan/common";
+import {
+  BoundedMap,
+  type AcceptedJob,
+  type JobId,
+  type JobSpec,
+  type JobTerms,
+  type LoadSummary,
+  type LoadSummaryView,
+} from "@rackspan/state";
+import {
+  decideAdmission,
+  type AddedWork,
+  type AdmissionDecision,
+} from "./decideAdmission.js";
+import { estimateJob, type JobEstimate } from "./jobEstimate.js";
+import { retryAfterMs } from "./retryAfter.js";
+import { ReturnQueue } from "./ReturnQueue.js";
+
+const ADMISSION = {
+  /** Maximum number of ids that are remembered because their records may exist. */
+  maxWrittenIds: 10_000,
+} as const;
+
+export interface AdmissionControllerOptions {
+  /** Whether jobs are refused at all. */
+  readonly refusesHopeless: boolean;
+  /** Milliseconds; an older summary refuses nothing. */
+  readonly maxSummaryAgeMs: number;
+  readonly summaries: Pick<LoadSummaryView, "current">;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+export interface AdmissionRefusal {
+  readonly retryAfterMs: number;
+}
+
+export class AdmissionController {
+  private added: AddedWork[] = [];
+  private readonly returns = new ReturnQueue();
+  private readonly written = new BoundedMap<JobId, true>(
+    ADMISSION.maxWrittenIds,
+  );
+
+  constructor(private readonly options: AdmissionControllerOptions) {}
+
+  /** Called when a summary has arrived: it contains the work that was added before. */
+  handleSummary(): void {
+    this.added = [];
+  }
+
+  /**
+   * Counts a job that this entry has accepted, or that it has read of another entry, as
+   * pending work until the next summary.
+   */
+  handleAccepted({ spec, terms }: AcceptedJob): void {
+    const { refusesHopeless, summaries } = this.options;
+    const { current } = summaries;
+    if (!refusesHopeless) return;
+    this.returns.remove(spec.id);
+    this.written.delete(spec.id);
+    if (!current || !isLimited(spec, terms)) return;
+    const { work, bucket } = this.estimate(spec, terms, current.summary);
+    const { service, priority } = terms;
+    this.added.push({ service, priority, bucket, work });
+  }
+
+  /**
+   * Called before the job's record is written. From then on the record may be persisted,
+   * so the job is not refused any more: a refusal states that it never runs.
+   */
+  handleWriting(id: JobId): void {
+    if (this.options.refusesHopeless) this.written.set(id, true);
+  }
+
+  /** Whether the job would be refused now. It has no effect and is not counted. */
+  wouldRefuse(spec: JobSpec, terms: JobTerms): boolean {
+    if (!this.options.refusesHopeless) return false;
+    if (!isLimited(spec, terms) || this.written.get(spec.id)) return false;
+    return this.decide(spec, terms).decision.outcome === "refuse";
+  }
+
+  /** @returns undefined if the job is to be accepted */
+  admit(spec: JobSpec, terms: JobTerms): AdmissionRefusal | undefined {
+    const { clock, refusesHopeless } = this.options;
+    if (!refusesHopeless) return undefined;
+    const { id } = spec;
+    if (!isLimited(spec, terms) || this.written.get(id)) {
+      const reason = this.written.get(id) ? "may-be-accepted" : "unlimited";
+      this.record(spec, terms, "accept", reason);
+      return undefined;
+    }
+    const { decision, estimate } = this.decide(spec, terms);
+    const { outcome, reason, drainMs = 0, expected } = decision;
+    const now = clock.monotonic();
+    const arrivedAt = this.returns.firstArrivalOf(id, now) ?? now;
+    if (outcome === "accept" || !expected) {
+      this.record(spec, terms, "accept", reason, decision);
+      return undefined;
+    }
+    const usefulUntil = arrivedAt + expected.limitMs - estimate.chainMs;
+    const afterMs = retryAfterMs({ drainMs, usefulForMs: usefulUntil - now });
+    const { service, priority } = terms;
+    const refused = { id, service, priority, work: estimate.work };
+    this.returns.add(refused, now, now + afterMs);
+    this.record(spec, terms, outcome, reason, decision, {
+      chainMs: Math.round(estimate.chainMs),
+      retryAfterMs: afterMs,
+      firstArrivedMs: Math.round(now - arrivedAt),
+    });
+    return { retryAfterMs: afterMs };
+  }
+
+  private decide(
+    spec: JobSpec,
+    terms: JobTerms,
+  ): {
+    readonly decision: AdmissionDecision;
+    readonly estimate: JobEstimate;
+  } {
+    const { summaries, maxSummaryAgeMs, clock } = this.options;
+    const { current } = summaries;
+    const { service, priority } = terms;
+    const estimate = this.estimate(spec, terms, current?.summary);
+    const { id } = spec;
+    const job = { id, service, priority, work: estimate.work };
+    const now = clock.monotonic();
+    const decision = decideAdmission({
+      service,
+      priority,
+      estimate,
+      summary: current?.summary,
+      summaryAgeMs: current?.ageMs ?? Infinity,
+      maxSummaryAgeMs,
+      added: this.added,
+      waitedMs: now - (this.returns.firstArrivalOf(id, now) ?? now),
+      returningWork: this.returns.workBefore(job, now),
+    });
+    return { decision, estimate };
+  }
+
+  private estimate(
+    spec: JobSpec,
+    terms: JobTerms,
+    summary: LoadSummary | undefined,
+  ): JobEstimate {
+    const load = summary?.queues.find(({ queue }) => queue === spec.queue);
+    return estimateJob(spec, terms, load);
+  }
+
+  private record(
+    { id }: JobSpec,
+    { service, priority }: JobTerms,
+    outcome: "accept" | "refuse",
+    reason: string,
+    decision?: AdmissionDecision,
+    details: Readonly<Record<string, number>> = {},
+  ): void {
+    const { logger, metrics, summaries } = this.options;
+    const ageMs = summaries.current?.ageMs;
+    metrics.count("admission_decisions", {
+      outcome,
+      reason,
+      priority: String(priority),
+    });
+    if (ageMs !== undefined) metrics.gauge("load_summary_age_ms", ageMs);
+    logger.info("job.admission", {
+      job: id,
+      outcome,
+      reason,
+      service,
+      priority,
+      summaryAge: ageMs === undefined ? undefined : Math.round(ageMs),
+      ...roundAll(decision?.expected ?? {}),
+      ...details,
+    });
+  }
+}
+
+const roundAll = (values: object): Readonly<Record<string, number>> =>
+  Object.fromEntries(
+    Object.entries(values).map(([name, value]) => [
+      name,
+      Math.round(value as number),
+    ]),
+  );
+
+/**
+ * Whether a job of this form may be refused. Jobs whose hosts need permits wait for
+ * these, repeated jobs start at given times, and lasting steps have no end, so none of
+ * them has an expected end that follows from the pending work.
+ */
+const isLimited = ({ steps, repeat }: JobSpec, terms: JobTerms): boolean =>
+  terms.permitRule === undefined &&
+  repeat === undefined &&
+  steps.every(({ lasting }) => !lasting);
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -41,6 +41,7 @@
 import { JobRegistry } from "./JobRegistry.js";
 import { JobFinisher } from "./JobFinisher.js";
 import { disturbancesFor, learnInterference } from "./learnInterference.js";
+import { LoadSummaryPublisher } from "./LoadSummaryPublisher.js";
 import { PermitTracker } from "./PermitTracker.js";
 import { LearnedStateStore } from "./LearnedStateStore.js";
 import { ProgressRecorder } from "./ProgressRecorder.js";
@@ -81,6 +82,7 @@
   private readonly waitMonitor: WaitMonitor;
   private readonly adopter: RunAdopter;
   private readonly jobFinisher: JobFinisher;
+  private readonly loadPublisher: LoadSummaryPublisher;
   private readonly endHandler: RunEndHandler;
   private readonly crashTracker: CrashTracker;
   private timer: Timer | undefined;
@@ -175,7 +177,15 @@
       progressRecorder,
       jobFinisher: this.jobFinisher,
     };
-    this.endHandler = new RunEndHandler(partsWithFinisher);
+    this.loadPublisher = new LoadSummaryPublisher({
+      ...options,
+      ...parts,
+      intervalMs: options.loadSummaryIntervalMs ?? 0,
+    });
+    this.endHandler = new RunEndHandler({
+      ...partsWithFinisher,
+      loadPublisher: this.loadPublisher,
+    });
     this.crashTracker = new CrashTracker(partsWithFinisher);
     this.hostMonitor = new HostMonitor({
       ...parts,
@@ -187,6 +197,7 @@
   start(): void {
     this.schedule();
     this.learnedState.start();
+    this.loadPublisher.start();
     this.dispatcher.requestCycle();
   }
 
@@ -196,6 +207,7 @@
     this.permitTracker.stop();
     this.checkpoints.stop();
     this.learnedState.stop();
+    this.loadPublisher.stop();
     this.waitMonitor.stop();
     this.timer?.cancel();
   }
--- a/packages/scheduling/src/JobRegistry.ts
+++ b/packages/scheduling/src/JobRegistry.ts
@@ -16,6 +16,11 @@
     return this.entries.get(id);
   }
 
+  /** Returns all jobs, including ended ones that are still retained. */
+  *all(): Iterable<JobRun> {
+    for (const { job } of this.entries.values()) yield job;
+  }
+
   add(tracked: TrackedJob): void {
     this.entries.set(tracked.job.id, tracked);
     if (!tracked.job.isEnded) this.active.add(tracked);
--- a/packages/scheduling/src/RunEndHandler.ts
+++ b/packages/scheduling/src/RunEndHandler.ts
@@ -5,6 +5,7 @@
 import type { EngineParts } from "./engineParts.js";
 import type { HostEntry, PlacedRun } from "./engineTypes.js";
 import type { JobFinisher } from "./JobFinisher.js";
+import type { LoadSummaryPublisher } from "./LoadSummaryPublisher.js";
 import type { ProgressRecorder } from "./ProgressRecorder.js";
 
 const NO_CHECKPOINT = "";
@@ -12,6 +13,7 @@
 export interface RunEndHandlerOptions extends EngineParts {
   readonly jobFinisher: JobFinisher;
   readonly progressRecorder: ProgressRecorder;
+  readonly loadPublisher: LoadSummaryPublisher;
 }
 
 export class RunEndHandler {
@@ -104,6 +106,7 @@
     const { host } = hostState;
     if (outcome === "done") {
       ejector.report({ host, ok: true });
+      if (active) this.parts.loadPublisher.recordDone(task.step);
       // A run that continued from a checkpoint took less time than the whole task.
       if (!active || task.checkpoint !== "") return;
       const tookMs = options.clock.monotonic() - active.run.startedAt;
--- a/packages/scheduling/src/RuntimeEstimator.ts
+++ b/packages/scheduling/src/RuntimeEstimator.ts
@@ -78,13 +78,17 @@
     this.observed.set(step, { ms: mean, tasks: tasks + 1 });
   }
 
+  /** Returns the run times seen in the queue, relative to the callers' estimates. */
+  runTimeRatio(queue: QueueKey): number {
+    return Math.exp(this.corrections.get(queue) ?? 0);
+  }
+
   /** Returns the expected run time of one task, milliseconds. */
   taskMs(step: StepRun): number {
     const observed = this.observed.get(step);
     if (observed) return observed.ms;
     const { queue } = step.job.accepted.spec;
-    const correction = Math.exp(this.corrections.get(queue) ?? 0);
-    return step.estimateMs * correction;
+    return step.estimateMs * this.runTimeRatio(queue);
   }
 
   /**
--- a/packages/scheduling/src/byUtilityOrder.ts
+++ b/packages/scheduling/src/byUtilityOrder.ts
@@ -8,6 +8,7 @@
 
 import type { Instant } from "@rackspan/common";
 import type { JobRun } from "@rackspan/jobs";
+import { LATE_UTILITY, MIN_WORK, utilityOf } from "@rackspan/routing";
 import type { QueueKey } from "@rackspan/state";
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import {
@@ -22,29 +23,15 @@
   type StepOrderOptions,
 } from "./stepOrders.js";
 
-/**
- * Utility of a job, in units of a job of its queue with the mean work (users' pages,
- * "Credit").
- */
-const UTILITY = {
-  /** Part that does not depend on the work. */
-  fixed: 0.3,
-  /** Part that is proportional to the work, for a job with the mean work. */
-  proportional: 0.7,
-  max: 4,
-} as const;
-
 /**
  * Share of the utility that is left by deadline feasibility, where 1 is an end in time.
  */
-const REMAINING_UTILITY: Readonly<Record<DeadlineFeasibility, number>> = {
-  [DeadlineFeasibility.InTime]: 1,
-  [DeadlineFeasibility.Late]: 0.15,
-  [DeadlineFeasibility.TooLate]: 0,
-};
-
-/** Minimum estimate of work, core-milliseconds. */
-const MIN_WORK = 1;
+export const REMAINING_UTILITY: Readonly<Record<DeadlineFeasibility, number>> =
+  {
+    [DeadlineFeasibility.InTime]: 1,
+    [DeadlineFeasibility.Late]: LATE_UTILITY,
+    [DeadlineFeasibility.TooLate]: 0,
+  };
 
 /** Mean work of the jobs of one queue that this leader has seen. */
 interface MeanWork {
@@ -95,11 +82,9 @@
 
   /** Returns the utility per core-millisecond of unplaced work. */
   private densityOf(job: JobRun): number {
-    const { fixed, proportional, max } = UTILITY;
     const mean = this.means.get(job.accepted.spec.queue);
-    const meanWork = Math.max(MIN_WORK, mean ? mean.total / mean.jobs : 0);
-    const size = this.estimates.totalWork(job) / meanWork;
-    const utility = Math.min(max, fixed + proportional * size);
+    const meanWork = mean ? mean.total / mean.jobs : 0;
+    const utility = utilityOf(this.estimates.totalWork(job), meanWork);
     return utility / Math.max(MIN_WORK, this.estimates.unplacedWork(job));
   }
 }
--- a/packages/scheduling/src/deadlineFeasibility.ts
+++ b/packages/scheduling/src/deadlineFeasibility.ts
@@ -4,15 +4,10 @@
  */
 
 import type { Instant } from "@rackspan/common";
+import { TOO_LATE_FACTOR } from "@rackspan/routing";
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import type { Candidate } from "./stepOrders.js";
 
-/**
- * A job that ends later than this many times its objective has no utility to its
- * caller.
- */
-const TOO_LATE_FACTOR = 3;
-
 /** Lower is better. */
 export const enum DeadlineFeasibility {
   InTime = 0,
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -141,6 +141,11 @@
   readonly persistLearned: (record: LearnedRecord) => void;
   /** Undefined if the platform has no permit service. */
   readonly permits: PermitService | undefined;
+  /**
+   * Interval at which the load summary is published, milliseconds; never if 0 or
+   * absent.
+   */
+  readonly loadSummaryIntervalMs?: number;
 }
 
 /** A host with the session to its side, if there is one. */
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -377,6 +377,8 @@
   readonly terms?: Partial<JobTerms>;
   /** Overrides of the default policy. */
   readonly policy?: Partial<SchedulingPolicy>;
+  /** See EngineOptions. */
+  readonly loadSummaryIntervalMs?: number;
 }
 
 export class EngineHarness {
@@ -444,6 +446,7 @@
       isEvacuated: (zone) => this.evacuatedZones.has(zone),
       persistLearned: (record) => this.learned.push(record),
       permits: options.permits,
+      loadSummaryIntervalMs: options.loadSummaryIntervalMs,
     });
     this.engine.start();
   }
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -15,6 +15,7 @@
   decodeCancel,
   decodeJob,
   decodeProgress,
+  isJobKey,
   type AcceptedJob,
   type ProgressRecord,
 } from "./jobRecords.js";
@@ -167,6 +168,7 @@
 
   applyProgressRecords(records: readonly KeyedRecord[]): void {
     for (const { key, value } of records) {
+      if (!isJobKey(key)) continue;
       const id = key as unknown as JobId;
       if (!value) {
         this.progress.delete(id);
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -13,6 +13,8 @@
 export * from "./jobRecords.js";
 export * from "./JobView.js";
 export * from "./learnedRecords.js";
+export * from "./loadSummary.js";
+export * from "./LoadSummaryView.js";
 export * from "./LogFollower.js";
 export * from "./OperatorView.js";
 export * from "./records.js";
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -23,7 +23,7 @@
   jobs: "jobs" as TopicName,
   /** Key: job id. Written by the entry that accepts the cancel. */
   cancels: "cancels" as TopicName,
-  /** Key: job id. Written by the leader. */
+  /** Key: job id, or one of PROGRESS_KEYS. Written by the leader. */
   progress: "progress" as TopicName,
   /** Key: host name. Written by the leader before it first grants a lease there. */
   hosts: "hosts" as TopicName,
@@ -35,6 +35,19 @@
   leadership: "leadership" as TopicName,
 } as const;
 
+/** Keys of topic `progress` that are not ids of jobs. */
+export const PROGRESS_KEYS = {
+  /** The leader's load summary. */
+  load: "load",
+  /** The leader's term. */
+  term: "term",
+} as const;
+
+const NO_JOB_KEYS: ReadonlySet<string> = new Set(Object.values(PROGRESS_KEYS));
+
+/** Whether a key of topic `progress` is the id of a job. */
+export const isJobKey = (key: string): boolean => !NO_JOB_KEYS.has(key);
+
 export class BadRecordError extends RackspanError {
   readonly kind = "bad-record";
   constructor(topic: TopicName, key: string, cause: unknown) {
