Entry: refuse jobs that can be of no use any more with 429 and Retry-After

Cause: no caller was ever refused for want of room; at 3 times the usual bulk arrivals two thirds of the callers waited in vain for a minute.

JobService asks the admission controller before it writes a job. Before a refusal it refreshes its view, since a refusal states that the job never runs; a job whose record may have been written is not refused. Refusals carry their cause: 429 for want of room, 503 for any other.

--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -19,6 +19,7 @@
   StoreRefusedError,
   type KeyedRecord,
 } from "@rackspan/ports";
+import type { AdmissionController } from "@rackspan/routing";
 import {
   encodeCancel,
   encodeJob,
@@ -51,17 +52,22 @@
   responseMarginMs: 120,
 } as const;
 
+/** The request was not carried out and never will be. */
+export interface RefusedOutcome {
+  readonly kind: "refused";
+  /** `overload`: the hosts have no room for the job; `unavailable`: any other cause. */
+  readonly cause: "overload" | "unavailable";
+  readonly reason: string;
+  readonly retryAfterMs: number;
+}
+
 /**
  * Result of a submit or a cancel. After `unknown` the caller may repeat the request at
  * once; a `refused` request was not carried out and never will be.
  */
 export type JobRequestOutcome =
   | { readonly kind: "accepted" }
-  | {
-      readonly kind: "refused";
-      readonly reason: string;
-      readonly retryAfterMs: number;
-    }
+  | RefusedOutcome
   | { readonly kind: "unknown"; readonly reason: string }
   | { readonly kind: "no-such-job" };
 
@@ -69,14 +75,11 @@
 export type JobStateOutcome =
   | { readonly kind: "known"; readonly state: JobStateName }
   | { readonly kind: "no-such-job" }
-  | {
-      readonly kind: "refused";
-      readonly reason: string;
-      readonly retryAfterMs: number;
-    };
+  | RefusedOutcome;
 
 export interface JobServiceOptions {
   readonly view: JobView;
+  readonly admission: AdmissionController;
   readonly config: ConfigHolder;
   readonly jobsFollower: TopicFollower;
   readonly storeReachability: StoreReachability;
@@ -98,6 +101,7 @@
 const refused = (reason: string) =>
   ({
     kind: "refused",
+    cause: "unavailable",
     reason,
     retryAfterMs: JOB_SERVICE.retryAfterMs,
   }) as const;
@@ -147,19 +151,16 @@
     spec: JobSpec,
     deadline: Monotonic,
   ): Promise<JobRequestOutcome> {
-    const { view, jobsWriter, clock, metrics } = this.options;
+    const { view, admission, jobsWriter, clock, metrics } = this.options;
     const startedAt = clock.monotonic();
-    const known = view.get(spec.id);
-    if (known) {
-      const isSame = known.accepted.spec.queue === spec.queue;
-      const outcome = isSame
-        ? ({ kind: "accepted" } as const)
-        : refused("the id belongs to a job of another queue");
-      return this.recordOutcome("submit", spec.id, outcome, startedAt);
-    }
     const terms = jobTermsOf(queue);
+    const decided =
+      this.outcomeOfKnown(spec) ?? (await this.refusal(spec, terms, deadline));
+    if (decided)
+      return this.recordOutcome("submit", spec.id, decided, startedAt);
     const job: AcceptedJob = { spec, acceptedAt: clock.now(), terms };
     const record = { key: spec.id, value: encodeJob(job) };
+    admission.handleWriting(spec.id);
     const outcome = await this.persist(jobsWriter, record, deadline, () =>
       view.addAccepted(job),
     );
@@ -169,6 +170,39 @@
     return this.recordOutcome("submit", spec.id, outcome, startedAt);
   }
 
+  private outcomeOfKnown(spec: JobSpec): JobRequestOutcome | undefined {
+    const known = this.options.view.get(spec.id);
+    if (!known) return undefined;
+    return known.accepted.spec.queue === spec.queue
+      ? { kind: "accepted" }
+      : refused("the id belongs to a job of another queue");
+  }
+
+  /**
+   * Refuses a job that can be of no use any more. The view is refreshed first: a refusal
+   * states that the job never runs, and another entry may have accepted it a moment ago.
+   * If the view cannot be refreshed, the job is not refused.
+   */
+  private async refusal(
+    spec: JobSpec,
+    terms: JobTerms,
+    deadline: Monotonic,
+  ): Promise<JobRequestOutcome | undefined> {
+    const { admission, clock, jobsFollower } = this.options;
+    const arrivedAt = clock.monotonic();
+    if (admission.wouldRefuse(spec, terms)) {
+      await this.refreshView(deadline);
+      const known = this.outcomeOfKnown(spec);
+      if (known) return known;
+      const viewedAt = clock.monotonic() - jobsFollower.ageMs;
+      if (viewedAt < arrivedAt) return undefined;
+    }
+    const refusal = admission.admit(spec, terms);
+    if (!refusal) return undefined;
+    const reason = "the pending work leaves no time for the job";
+    return { kind: "refused", cause: "overload", reason, ...refusal };
+  }
+
   /**
    * The state of a job. If the view does not contain the job, it is refreshed from the
    * store first, because another entry may have accepted the job a moment ago.
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -61,6 +61,8 @@
   readonly policy: SchedulingPolicy;
   /** Undefined if the platform has no permit service. */
   readonly permits: PermitService | undefined;
+  /** Milliseconds; the load summary is not published if 0 or absent. */
+  readonly loadSummaryIntervalMs?: number;
   /** Whether the leadership lease is unexpired, so that this entry may decide. */
   readonly mayDecide: () => boolean;
   /** Called when the current term has failed, for example because its writes are fenced. */
@@ -240,6 +242,7 @@
       isEvacuated: (zone) => zones.has(zone),
       persistLearned: (record) => this.persistLearned(record),
       permits: this.options.permits,
+      loadSummaryIntervalMs: this.options.loadSummaryIntervalMs,
     });
     for (const { accepted, cancelled, progress } of view.all()) {
       engine.addJob(accepted, progress);
--- a/packages/entry/src/jobs/createJobEntryParts.ts
+++ b/packages/entry/src/jobs/createJobEntryParts.ts
@@ -17,10 +17,12 @@
   type StoreClient,
   type TopicName,
 } from "@rackspan/ports";
+import { AdmissionController } from "@rackspan/routing";
 import {
   ConfigHolder,
   EvacuatedZones,
   JobView,
+  LoadSummaryView,
   operatorDecoders,
   OperatorView,
   TopicWriter,
@@ -68,6 +70,7 @@
 interface StoreParts {
   readonly store: StoreClient;
   readonly view: JobView;
+  readonly admission: AdmissionController;
   readonly config: ConfigHolder;
   readonly zones: EvacuatedZones;
   readonly jobsFollower: TopicFollower;
@@ -88,6 +91,7 @@
   const { jobsWriter, cancelsWriter } = storeParts;
   const jobService = new JobService({
     view,
+    admission: storeParts.admission,
     config,
     jobsFollower,
     storeReachability: new StoreReachability({
@@ -133,6 +137,18 @@
   const view = new JobView({ logger, metrics });
   const config = new ConfigHolder(logger);
   const zones = new EvacuatedZones(context);
+  const summaries = new LoadSummaryView({
+    ...context,
+    onSummary: () => admission.handleSummary(),
+  });
+  const admission = new AdmissionController({
+    ...context,
+    ...context.settings.admission,
+    summaries,
+  });
+  view.changes.on((change) => {
+    if (change.kind === "accepted") admission.handleAccepted(change.job);
+  });
   const decoder = operatorDecoders.create(client, {});
   const operator = new OperatorView({ decoder, config, zones, logger });
   const follow = (
@@ -143,13 +159,17 @@
   return {
     store,
     view,
+    admission,
     config,
     zones,
     jobsFollower,
     followers: [
       jobsFollower,
       follow(TOPICS.cancels, (r) => view.applyCancelRecords(r)),
-      follow(TOPICS.progress, (r) => view.applyProgressRecords(r)),
+      follow(TOPICS.progress, (r) => {
+        view.applyProgressRecords(r);
+        summaries.applyProgressRecords(r);
+      }),
       follow(TOPICS.hosts, (r) => view.applyHostRecords(r)),
       follow(TOPICS.config, (r) => operator.applyRecords(r)),
     ],
@@ -234,6 +254,9 @@
     placer: scheduling.placer,
     policy: scheduling.policy,
     permits: buildPermitService(settings),
+    loadSummaryIntervalMs: settings.admission.refusesHopeless
+      ? settings.admission.summaryIntervalMs
+      : 0,
     mayDecide: () => election.isLeader,
     onTermFailed: (reason) => void election.stepDown(reason),
   });
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -119,6 +119,20 @@
         .prefault({}),
     })
     .prefault({}),
+  /** Whether and how jobs that can be of no use any more are refused. */
+  admission: z
+    .strictObject({
+      /**
+       * Whether entries refuse jobs that would end too late, and the leader publishes
+       * the load summary by which they decide.
+       */
+      refusesHopeless: flagSchema.default(false),
+      /** Interval at which the leader publishes the load summary, milliseconds. */
+      summaryIntervalMs: millisecondsSchema.default(500),
+      /** An older load summary refuses nothing, milliseconds. */
+      maxSummaryAgeMs: millisecondsSchema.default(2_000),
+    })
+    .prefault({}),
   logLevel: z
     .enum(["error", "warn", "info", "debug", "silent"])
     .default("info"),
--- a/packages/entry/tests/createJobService.ts
+++ b/packages/entry/tests/createJobService.ts
@@ -2,9 +2,11 @@
 
 import { Metrics, silentLogger, type ManualClock } from "@rackspan/common";
 import { JobService, StoreReachability } from "@rackspan/entry";
+import { AdmissionController } from "@rackspan/routing";
 import {
   ConfigHolder,
   JobView,
+  LoadSummaryView,
   TopicWriter,
   TopicFollower,
   TOPICS,
@@ -20,6 +22,8 @@
   readonly entry: string;
   /** Minimum interval between two polls of the entry, milliseconds. */
   readonly pollIntervalMs: number;
+  /** Whether the entry refuses jobs that can be of no use any more. */
+  readonly refusesHopeless?: boolean;
 }
 
 /** A writer with the default settings: batches for 4 ms, and reports refusals. */
@@ -43,6 +47,22 @@
   const logger = silentLogger;
   const metrics = new Metrics();
   const view = new JobView({ logger, metrics });
+  const summaries = new LoadSummaryView({
+    clock,
+    logger,
+    onSummary: () => admission.handleSummary(),
+  });
+  const admission = new AdmissionController({
+    refusesHopeless: options.refusesHopeless ?? false,
+    maxSummaryAgeMs: 2_000,
+    summaries,
+    clock,
+    logger,
+    metrics,
+  });
+  view.changes.on((change) => {
+    if (change.kind === "accepted") admission.handleAccepted(change.job);
+  });
   const jobsFollower = new TopicFollower({
     topic: TOPICS.jobs,
     store,
@@ -57,6 +77,7 @@
   const writers = [jobsWriter];
   const jobService = new JobService({
     view,
+    admission,
     config: new ConfigHolder(logger),
     jobsFollower,
     storeReachability: new StoreReachability({
@@ -71,5 +92,11 @@
     logger,
     metrics,
   });
-  return { jobService, stop: () => jobsFollower.stop() };
+  return {
+    jobService,
+    view,
+    summaries,
+    metrics,
+    stop: () => jobsFollower.stop(),
+  };
 };
