Load summary: half the time to compute, and a bounded list of accepted work

Cause: the work of each job was computed several times for a summary, and the list of accepted work grew without bound while no summaries arrived, for example under a leader with the setting off.

Change: the work of a job is computed once, and a host's tasks are summed once for all priorities. Work is not added while the summary is too old.

Tests: a new test in entry/admission covers a job whose record is being written; it fails if the entry does not mark the job before it writes.

--- a/packages/entry/tests/admission.test.ts
+++ b/packages/entry/tests/admission.test.ts
@@ -2,7 +2,7 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
-import { brand, ManualClock, type ServiceName } from "@rackspan/common";
+import { brand, ManualClock, sleep, type ServiceName } from "@rackspan/common";
 import {
   encodeJob,
   encodeLoadSummary,
@@ -66,7 +66,10 @@
     await clock.advance(10_000);
     await stopped;
   };
-  return { clock, store, submit, publish, stop, metrics: created.metrics };
+  const { metrics } = created;
+  const deadline = () => clock.monotonic() + 3_000;
+  const request = () => jobService.submit(queue, spec, deadline());
+  return { clock, store, submit, request, publish, stop, metrics };
 };
 
 test("a hopeless job is refused for want of room, and nothing of it is stored", async () => {
@@ -120,6 +123,29 @@
   await stop();
 });
 
+test("a job whose record is being written is not refused", async () => {
+  const { clock, store, request, publish, stop } = await setUp();
+  // The summary is too old, so the first submission is accepted and written.
+  await clock.advance(2_100);
+  const append = store.append.bind(store);
+  store.append = async (req) => {
+    req.onSending?.();
+    await sleep(clock, 500);
+    return append(req);
+  };
+  const first = request();
+  await clock.advance(50);
+  publish();
+  await clock.advance(100);
+  publish();
+  // The caller has lost its connection and repeats the submission.
+  const second = request();
+  await clock.advance(2_000);
+  expect((await first).kind).toEqual("accepted");
+  expect((await second).kind).toEqual("accepted");
+  await stop();
+});
+
 test("an entry that cannot read the store refuses nothing for want of room", async () => {
   const { store, submit, stop } = await setUp();
   store.fault = "refuses";
--- a/packages/routing/src/AdmissionController.ts
+++ b/packages/routing/src/AdmissionController.ts
@@ -61,12 +61,14 @@
    * pending work until the next summary.
    */
   handleAccepted({ spec, terms }: AcceptedJob): void {
-    const { refusesHopeless, summaries } = this.options;
+    const { refusesHopeless, maxSummaryAgeMs, summaries } = this.options;
     const { current } = summaries;
     if (!refusesHopeless) return;
     this.returns.remove(spec.id);
     this.written.delete(spec.id);
     if (!current || !isLimited(spec, terms)) return;
+    // Without new summaries the list would grow for as long as the entry runs.
+    if (current.ageMs > maxSummaryAgeMs) return;
     const { work, bucket } = this.estimate(spec, terms, current.summary);
     const { service, priority } = terms;
     this.added.push({ service, priority, bucket, work });
--- a/packages/scheduling/src/summarizeLoad.ts
+++ b/packages/scheduling/src/summarizeLoad.ts
@@ -7,12 +7,7 @@
   type Monotonic,
   type ServiceName,
 } from "@rackspan/common";
-import {
-  interferenceProfileOf,
-  type HostState,
-  type JobRun,
-  type StepRun,
-} from "@rackspan/jobs";
+import { type HostState, type JobRun, type StepRun } from "@rackspan/jobs";
 import { densityBucketOf, MIN_WORK, utilityOf } from "@rackspan/routing";
 import type {
   FreeCapacity,
@@ -57,34 +52,38 @@
 
 export const summarizeLoad = (inputs: LoadInputs): LoadSummary => {
   const { epoch, now, estimates } = inputs;
-  const jobs = [...inputs.jobs];
-  const queues = summarizeQueues(jobs, estimates);
+  const works = new Map<JobRun, number>();
+  for (const job of inputs.jobs) works.set(job, estimates.totalWork(job));
+  const queues = summarizeQueues(works, estimates);
   const meanWork = new Map(queues.map((each) => [each.queue, each.meanWork]));
   const pending: PendingLoads = new Map();
-  for (const job of jobs) {
-    if (!job.isEnded) addPending(pending, job, inputs, meanWork);
+  for (const [job, work] of works) {
+    if (job.isEnded) continue;
+    const mean = meanWork.get(job.accepted.spec.queue) ?? work;
+    addPending(pending, job, utilityOf(work, mean), inputs);
   }
-  const services = [...pending].map(([service, byPriority]) => ({
-    service,
-    priorities: [...byPriority]
+  const services = [...pending].map(([service, byPriority]) => {
+    const hosts = (inputs.hosts.get(service) ?? []).map(useOf);
+    const priorities = [...byPriority]
       .sort(([a], [b]) => a - b)
       .map(([priority, load]) =>
-        summarizePriority(service, priority, load, byPriority, inputs),
-      ),
-  }));
+        summarizePriority(service, priority, load, byPriority, hosts, inputs),
+      );
+    return { service, priorities };
+  });
   return { epoch: Number(epoch), writtenAt: now, services, queues };
 };
 
 const summarizeQueues = (
-  jobs: readonly JobRun[],
+  works: ReadonlyMap<JobRun, number>,
   estimates: RuntimeEstimator,
 ): QueueLoad[] => {
   const sums = new Map<QueueKey, { jobs: number; work: number }>();
-  for (const job of jobs) {
+  for (const [job, work] of works) {
     const { queue } = job.accepted.spec;
     const sum = sums.get(queue) ?? { jobs: 0, work: 0 };
     sum.jobs += 1;
-    sum.work += estimates.totalWork(job);
+    sum.work += work;
     sums.set(queue, sum);
   }
   return [...sums].map(([queue, sum]) => ({
@@ -97,29 +96,27 @@
 const addPending = (
   pending: PendingLoads,
   job: JobRun,
+  utility: number,
   { serviceOf, estimates, now }: LoadInputs,
-  meanWork: ReadonlyMap<QueueKey, number>,
 ): void => {
   const steps = job.steps.filter(({ spec }) => !spec.lasting);
   const [first] = steps;
   if (!first) return;
   const load = pendingLoadOf(pending, serviceOf(job), job.terms.priority);
-  const feasibility = deadlineFeasibilityOf(
-    { job, step: first, isStarved: false },
-    estimates,
-    now,
-  );
-  const utility = utilityOf(
-    estimates.totalWork(job),
-    meanWork.get(job.accepted.spec.queue) ?? 0,
-  );
-  const density = utility / Math.max(MIN_WORK, estimates.unplacedWork(job));
-  const bucket = densityBucketOf(REMAINING_UTILITY[feasibility] * density);
-  let work = 0;
+  let unplaced = 0;
+  let placed = 0;
   for (const step of steps) {
-    work += pendingWorkOf(step, estimates);
+    const taskWork = taskWorkOf(step, estimates);
+    const { waiting, tasks, doneCount } = step;
+    unplaced += taskWork * waiting.size;
+    placed += taskWork * (tasks.length - doneCount - waiting.size);
     recordUnplaced(load, step);
   }
+  const candidate = { job, step: first, isStarved: false };
+  const feasibility = deadlineFeasibilityOf(candidate, estimates, now);
+  const density = utility / Math.max(MIN_WORK, unplaced);
+  const bucket = densityBucketOf(REMAINING_UTILITY[feasibility] * density);
+  const work = unplaced + PLACED_WORK_LEFT * placed;
   load.buckets.set(bucket, (load.buckets.get(bucket) ?? 0) + work);
 };
 
@@ -142,14 +139,9 @@
   return load;
 };
 
-/** Core-milliseconds that the step still needs. */
-const pendingWorkOf = (step: StepRun, estimates: RuntimeEstimator): number => {
-  const waiting = step.waiting.size;
-  const placed = step.tasks.length - step.doneCount - waiting;
-  const tasks = waiting + PLACED_WORK_LEFT * placed;
-  const { milliCores } = step.spec.demand;
-  return (tasks * estimates.taskMs(step) * milliCores) / MILLI_CORES_PER_CORE;
-};
+/** Core-milliseconds of one task of the step. */
+const taskWorkOf = (step: StepRun, estimates: RuntimeEstimator): number =>
+  (estimates.taskMs(step) * step.spec.demand.milliCores) / MILLI_CORES_PER_CORE;
 
 /**
  * Steps with rules of their own are left out: that they find no host says nothing about
@@ -171,23 +163,21 @@
   priority: number,
   load: PendingLoad,
   byPriority: ReadonlyMap<number, PendingLoad>,
-  { hosts, meter, monotonic }: LoadInputs,
+  hosts: readonly HostUse[],
+  { meter, monotonic }: LoadInputs,
 ): PriorityLoad => {
-  const serviceHosts = hosts.get(service) ?? [];
   const unplaced = smallestUnplaced(byPriority, priority);
-  const plain = freeFor(serviceHosts, priority, "plain");
-  const filling = freeFor(serviceHosts, priority, "filling");
-  const isPlainBlocked = !plain.holdsLessUrgent && unplaced.plain < Infinity;
-  const isBlocked = isPlainBlocked || unplaced.filling < Infinity;
-  meter.recordSaturation(service, priority, isBlocked, monotonic);
+  const holdsLessUrgent = hosts.some(({ byPriority: uses }) =>
+    uses.some((use) => use.priority > priority),
+  );
+  // While less urgent work holds hosts, waiting for them is no lack of capacity.
+  const unplacedPlain = holdsLessUrgent ? Infinity : unplaced.plain;
+  const isSaturated = Math.min(unplacedPlain, unplaced.filling) < Infinity;
+  meter.recordSaturation(service, priority, isSaturated, monotonic);
   return {
     priority,
-    // While less urgent work holds hosts, waiting for them is no lack of capacity.
-    plain: limitTo(
-      plain.free,
-      plain.holdsLessUrgent ? Infinity : unplaced.plain,
-    ),
-    filling: limitTo(filling.free, unplaced.filling),
+    plain: limitTo(freeFor(hosts, priority, "plain"), unplacedPlain),
+    filling: limitTo(freeFor(hosts, priority, "filling"), unplaced.filling),
     pending: [...load.buckets],
     ...meter.measure(service, priority, monotonic),
   };
@@ -214,38 +204,64 @@
     ? free
     : { ...free, largestMilliCores: Math.max(0, unplaced - 1) };
 
-interface HostCapacity {
-  readonly free: FreeCapacity;
-  /** Whether the hosts run work of less urgent priorities. */
-  readonly holdsLessUrgent: boolean;
+/** Millicores of the placed tasks of one priority on a host. */
+interface PriorityUse {
+  readonly priority: number;
+  plain: number;
+  filling: number;
+}
+
+/** Millicores of a host, and what its tasks hold. */
+interface HostUse {
+  readonly milliCores: number;
+  /** Serving tasks reserve cores against plain tasks only. */
+  serving: number;
+  /** Other lasting tasks. */
+  lasting: number;
+  readonly byPriority: readonly PriorityUse[];
 }
 
+const useOf = ({ worker, runs }: HostState): HostUse => {
+  const byPriority: PriorityUse[] = [];
+  let serving = 0;
+  let lasting = 0;
+  for (const { task } of runs.values()) {
+    const { spec, job } = task.step;
+    const { milliCores } = spec.demand;
+    if (spec.lasting) {
+      if (spec.tailTargetMs > 0) serving += milliCores;
+      else lasting += milliCores;
+      continue;
+    }
+    const { priority } = job.terms;
+    let use = byPriority.find((each) => each.priority === priority);
+    if (!use) byPriority.push((use = { priority, plain: 0, filling: 0 }));
+    use[spec.filling ? "filling" : "plain"] += milliCores;
+  }
+  return { milliCores: worker.milliCores, serving, lasting, byPriority };
+};
+
 /**
  * Capacity that is not in use by work of this priority or more urgent ones. What serving
  * tasks reserve is closed to plain tasks, but filling tasks may use what is idle of it.
+ * Filling tasks hold nothing that plain tasks could not have.
  */
 const freeFor = (
-  hosts: readonly HostState[],
+  hosts: readonly HostUse[],
   priority: number,
   kind: "plain" | "filling",
-): HostCapacity => {
+): FreeCapacity => {
   let freeMilliCores = 0;
   let largestMilliCores = 0;
-  let holdsLessUrgent = false;
-  for (const host of hosts) {
-    let free = host.worker.milliCores;
-    for (const { task } of host.runs.values()) {
-      const { lasting, filling, demand } = task.step.spec;
-      const isServing = interferenceProfileOf(task).kind === "serving";
-      const lessUrgent = !lasting && task.step.job.terms.priority > priority;
-      if (lessUrgent) holdsLessUrgent = true;
-      // Filling tasks reserve nothing that plain tasks could not have.
-      const counts = kind === "plain" ? !filling : !isServing;
-      if (counts && !lessUrgent) free -= demand.milliCores;
+  for (const { milliCores, serving, lasting, byPriority } of hosts) {
+    let free = milliCores - lasting - (kind === "plain" ? serving : 0);
+    for (const use of byPriority) {
+      if (use.priority > priority) continue;
+      free -= use.plain + (kind === "filling" ? use.filling : 0);
     }
     const left = Math.max(0, free);
     freeMilliCores += left;
     largestMilliCores = Math.max(largestMilliCores, left);
   }
-  return { free: { freeMilliCores, largestMilliCores }, holdsLessUrgent };
+  return { freeMilliCores, largestMilliCores };
 };
