Tests: load summaries of consecutive leaders, and accepted work under an old summary

Cause: that Leadership passes the interval on, that a new leader writes under its own epoch, and that accepted work is bounded without summaries were not tested.

Change: two tests in entry/leadership and one in routing/admission (the latter fails without the check of the summary's age).

--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -22,10 +22,12 @@
 import type { KeyedRecord } from "@rackspan/ports";
 import {
   ConfigHolder,
+  decodeLoadSummary,
   decodeProgress,
   encodeJob,
   EvacuatedZones,
   JobView,
+  PROGRESS_KEYS,
   TopicWriter,
   TopicFollower,
   TOPICS,
@@ -40,7 +42,8 @@
 const acceptedJob = (acceptedAt: number): AcceptedJob =>
   plainJob({ id: JOB, acceptedAt, terms: { maxAttempts: 1 } });
 
-const setUp = () => {
+/** @param loadSummaryIntervalMs see LeadershipOptions */
+const setUp = (loadSummaryIntervalMs?: number) => {
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
   const logger = silentLogger;
@@ -96,6 +99,7 @@
     stopMs: 200,
     endedJobRetentionMs: 10_000,
     progressBatchWindowMs: 5,
+    loadSummaryIntervalMs,
     order: "byWorth",
     permits: undefined,
     placer: "colocating",
@@ -335,3 +339,38 @@
   await clock.advance(2_000);
   await stopped;
 });
+
+test("each leader publishes load summaries under its own epoch, and none after its term", async () => {
+  const { clock, store, leadership, persistJob, stop } = setUp(500);
+  const epochs = (): number[] =>
+    store
+      .recordsOf(TOPICS.progress)
+      .flatMap(({ key, value }) =>
+        key === PROGRESS_KEYS.load && value
+          ? [decodeLoadSummary(key, value).epoch]
+          : [],
+      );
+  leadership.beginTerm(brand<Epoch>(1));
+  await clock.advance(200);
+  await persistJob();
+  await clock.advance(1_200);
+  expect(epochs()).toEqual([1, 1]);
+  leadership.endTerm();
+  await clock.advance(2_000);
+  expect(epochs()).toEqual([1, 1]);
+  leadership.beginTerm(brand<Epoch>(2));
+  await clock.advance(1_200);
+  expect(epochs()).toEqual([1, 1, 2, 2]);
+  await stop();
+});
+
+test("a leader whose setting is off writes no load summary", async () => {
+  const { clock, store, leadership, persistJob, stop } = setUp();
+  leadership.beginTerm(brand<Epoch>(1));
+  await clock.advance(200);
+  await persistJob();
+  await clock.advance(2_000);
+  const keys = store.recordsOf(TOPICS.progress).map(({ key }) => key);
+  expect(keys.includes(PROGRESS_KEYS.load)).toEqual(false);
+  await stop();
+});
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -324,6 +324,21 @@
   );
 });
 
+// Guards against a list that grows for as long as no leader publishes summaries.
+test("accepted work is not added up while the summary is too old", () => {
+  const { admit, controller, state } = createController(summaryOf([loadOf()]));
+  const accept = (count: number): void => {
+    for (let n = 0; n < count; n += 1)
+      controller.handleAccepted(jobOf(`accepted-${n}`, 1));
+  };
+  state.ageMs = 2_001;
+  accept(100);
+  state.ageMs = 0;
+  expect(admit("a")).toEqual(undefined);
+  accept(100);
+  expect(admit("b") !== undefined).toEqual(true);
+});
+
 test("a job whose record may have been written is not refused", () => {
   const { admit, controller } = createController();
   controller.handleWriting(brand<JobId>("a"));
