--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -12,12 +12,14 @@
   type Logger,
   type Metrics,
   type Monotonic,
+  type Timer,
 } from "@rackspan/common";
 import {
   FencedError,
   StoreRefusedError,
   type KeyedRecord,
 } from "@rackspan/ports";
+import type { AdmissionController } from "@rackspan/routing";
 import {
   encodeCancel,
   encodeJob,
@@ -35,7 +37,7 @@
   type TopicWriter,
   type TopicFollower,
 } from "@rackspan/state";
-import { STORE_RETRY, retryDeadline } from "./storeRetry.js";
+import { STORE_RETRY, retryDeadline, unsentDeadline } from "./storeRetry.js";
 import type { StoreReachability } from "./StoreReachability.js";
 
 /** Times of the JobService, milliseconds. */
@@ -50,17 +52,22 @@
   responseMarginMs: 120,
 } as const;
 
+/** The request was not carried out and never will be. */
+export interface RefusedOutcome {
+  readonly kind: "refused";
+  /** `overload`: the hosts have no room for the job; `unavailable`: any other cause. */
+  readonly cause: "overload" | "unavailable";
+  readonly reason: string;
+  readonly retryAfterMs: number;
+}
+
 /**
  * Result of a submit or a cancel. After `unknown` the caller may repeat the request at
  * once; a `refused` request was not carried out and never will be.
  */
 export type JobRequestOutcome =
   | { readonly kind: "accepted" }
-  | {
-      readonly kind: "refused";
-      readonly reason: string;
-      readonly retryAfterMs: number;
-    }
+  | RefusedOutcome
   | { readonly kind: "unknown"; readonly reason: string }
   | { readonly kind: "no-such-job" };
 
@@ -68,14 +75,11 @@
 export type JobStateOutcome =
   | { readonly kind: "known"; readonly state: JobStateName }
   | { readonly kind: "no-such-job" }
-  | {
-      readonly kind: "refused";
-      readonly reason: string;
-      readonly retryAfterMs: number;
-    };
+  | RefusedOutcome;
 
 export interface JobServiceOptions {
   readonly view: JobView;
+  readonly admission: AdmissionController;
   readonly config: ConfigHolder;
   readonly jobsFollower: TopicFollower;
   readonly storeReachability: StoreReachability;
@@ -86,9 +90,18 @@
   readonly metrics: Metrics;
 }
 
+/** When a pending write is given up, in monotonic time. */
+interface WriteTimes {
+  /** When a record that was not sent is withdrawn. */
+  readonly abandonAt: Monotonic;
+  /** When the caller's response is due. */
+  readonly respondAt: Monotonic;
+}
+
 const refused = (reason: string) =>
   ({
     kind: "refused",
+    cause: "unavailable",
     reason,
     retryAfterMs: JOB_SERVICE.retryAfterMs,
   }) as const;
@@ -138,19 +151,16 @@
     spec: JobSpec,
     deadline: Monotonic,
   ): Promise<JobRequestOutcome> {
-    const { view, jobsWriter, clock, metrics } = this.options;
+    const { view, admission, jobsWriter, clock, metrics } = this.options;
     const startedAt = clock.monotonic();
-    const known = view.get(spec.id);
-    if (known) {
-      const isSame = known.accepted.spec.queue === spec.queue;
-      const outcome = isSame
-        ? ({ kind: "accepted" } as const)
-        : refused("the id belongs to a job of another queue");
-      return this.recordOutcome("submit", spec.id, outcome, startedAt);
-    }
     const terms = jobTermsOf(queue);
+    const decided =
+      this.outcomeOfKnown(spec) ?? (await this.refusal(spec, terms, deadline));
+    if (decided)
+      return this.recordOutcome("submit", spec.id, decided, startedAt);
     const job: AcceptedJob = { spec, acceptedAt: clock.now(), terms };
     const record = { key: spec.id, value: encodeJob(job) };
+    admission.handleWriting(spec.id);
     const outcome = await this.persist(jobsWriter, record, deadline, () =>
       view.addAccepted(job),
     );
@@ -160,6 +170,39 @@
     return this.recordOutcome("submit", spec.id, outcome, startedAt);
   }
 
+  private outcomeOfKnown(spec: JobSpec): JobRequestOutcome | undefined {
+    const known = this.options.view.get(spec.id);
+    if (!known) return undefined;
+    return known.accepted.spec.queue === spec.queue
+      ? { kind: "accepted" }
+      : refused("the id belongs to a job of another queue");
+  }
+
+  /**
+   * Refuses a job that can be of no use any more. The view is refreshed first: a refusal
+   * states that the job never runs, and another entry may have accepted it a moment ago.
+   * If the view cannot be refreshed, the job is not refused.
+   */
+  private async refusal(
+    spec: JobSpec,
+    terms: JobTerms,
+    deadline: Monotonic,
+  ): Promise<JobRequestOutcome | undefined> {
+    const { admission, clock, jobsFollower } = this.options;
+    const arrivedAt = clock.monotonic();
+    if (admission.wouldRefuse(spec, terms)) {
+      await this.refreshView(deadline);
+      const known = this.outcomeOfKnown(spec);
+      if (known) return known;
+      const viewedAt = clock.monotonic() - jobsFollower.ageMs;
+      if (viewedAt < arrivedAt) return undefined;
+    }
+    const refusal = admission.admit(spec, terms);
+    if (!refusal) return undefined;
+    const reason = "the pending work leaves no time for the job";
+    return { kind: "refused", cause: "overload", reason, ...refusal };
+  }
+
   /**
    * The state of a job. If the view does not contain the job, it is refreshed from the
    * store first, because another entry may have accepted the job a moment ago.
@@ -293,28 +336,37 @@
     onPersisted: () => void,
   ): Promise<JobRequestOutcome> {
     const { clock } = this.options;
-    const lastAttemptAt =
-      retryDeadline(clock.monotonic(), deadline) - STORE_RETRY.retryMs;
-    for (let attempts = 1; ; attempts += 1) {
+    const { retryMs, retryAfterMs } = STORE_RETRY;
+    const arrivedAt = clock.monotonic();
+    const lastAttemptAt = retryDeadline(arrivedAt, deadline) - retryMs;
+    const times: WriteTimes = {
+      abandonAt: unsentDeadline(arrivedAt, deadline),
+      respondAt: deadline - JOB_SERVICE.responseMarginMs,
+    };
+    if (arrivedAt >= times.respondAt)
+      return { ...refused("the caller's time is over"), retryAfterMs };
+    for (;;) {
       const outcome = await this.awaitWrite(
         writer.write(record),
-        deadline,
+        times,
         onPersisted,
       );
       // A refused record was not persisted and never will be, so it may be written again.
       if (outcome.kind !== "refused") return outcome;
-      if (clock.monotonic() > lastAttemptAt) {
-        const { retryAfterMs } = attempts > 1 ? STORE_RETRY : JOB_SERVICE;
+      if (clock.monotonic() > lastAttemptAt)
         return { ...outcome, retryAfterMs };
-      }
-      await sleep(clock, STORE_RETRY.retryMs);
+      await sleep(clock, retryMs);
     }
   }
 
-  /** Waits for a write until it is persisted, refused, or the caller's response is due. */
+  /**
+   * Waits for a write until it is persisted, refused, or the caller's response is due.
+   * A record that was not sent is withdrawn early enough for the caller to try another
+   * entry.
+   */
   private async awaitWrite(
     write: PendingWrite,
-    deadline: Monotonic,
+    { abandonAt, respondAt }: WriteTimes,
     onPersisted: () => void,
   ): Promise<JobRequestOutcome> {
     const { clock } = this.options;
@@ -328,19 +380,25 @@
           ? refused(describeError(err))
           : { kind: "unknown", reason: describeError(err) },
     );
-    let cancelTimer = (): void => undefined;
+    const timers: Timer[] = [];
     const timedOut = new Promise<JobRequestOutcome>((resolve) => {
-      const waitMs =
-        deadline - clock.monotonic() - JOB_SERVICE.responseMarginMs;
-      const timer = clock.after(waitMs, () => {
+      const now = clock.monotonic();
+      const abandon = (): boolean => {
         const notSent = write.abandon();
-        const reason = "the store has not answered in time";
-        resolve(notSent ? refused(reason) : { kind: "unknown", reason });
-      });
-      cancelTimer = () => timer.cancel();
+        if (notSent) resolve(refused("the store could not be asked in time"));
+        return notSent;
+      };
+      timers.push(
+        clock.after(abandonAt - now, abandon),
+        clock.after(respondAt - now, () => {
+          if (abandon()) return;
+          const reason = "the store has not answered in time";
+          resolve({ kind: "unknown", reason });
+        }),
+      );
     });
     const outcome = await Promise.race([persisted, timedOut]);
-    cancelTimer();
+    for (const timer of timers) timer.cancel();
     return outcome;
   }
 
