Scheduling: order of bulk work by completion

Cause: byWorth lets denser new jobs begin while started ones could still end in time, knows neither the rate at which bulk work is done nor the tail of run times.

By the measured rate of bulk work it sorts by slack while all jobs can be in time, by expected utility per core-millisecond otherwise, and lets started jobs precede others while the backlog takes longer than an objective. Run time distributions per queue are learned and, with this order, handed to the next leader. Lasting and urgent work keeps its order.

--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -28,6 +28,7 @@
   type ProgressRecord,
 } from "@rackspan/state";
 import { CheckpointWriter } from "./CheckpointWriter.js";
+import { CompletionRate } from "./CompletionRate.js";
 import { CrashTracker } from "./CrashTracker.js";
 import { Dispatcher } from "./Dispatcher.js";
 import { RunEndHandler } from "./RunEndHandler.js";
@@ -95,6 +96,7 @@
     const interference = new InterferenceEstimator(policy.learnsInterference);
     this.interference = interference;
     const estimates = new RuntimeEstimator(policy.correctsEstimates);
+    const completionRate = new CompletionRate(clock);
     const failuresToEject = policy.ejectsFailingHosts
       ? EJECTION.failuresToEject
       : Infinity;
@@ -124,7 +126,7 @@
       engine: options,
       hosts,
       runStarter,
-      order: stepOrders.create(order, { estimates }),
+      order: stepOrders.create(order, { estimates, completionRate }),
       placer: taskPlacers.create(placer, { forecast, policy }),
       ejector,
       permitTracker,
@@ -145,6 +147,7 @@
       runStarter,
       runStopper: this.runStopper,
       estimates,
+      completionRate,
       ejector,
       requestCycle,
     };
--- a/packages/scheduling/src/RunEndHandler.ts
+++ b/packages/scheduling/src/RunEndHandler.ts
@@ -100,10 +100,16 @@
     { outcome }: EndedRun,
     active: PlacedRun | undefined,
   ): void {
-    const { options, ejector, estimates } = this.parts;
+    const { options, ejector, estimates, completionRate } = this.parts;
     const { host } = hostState;
     if (outcome === "done") {
       ejector.report({ host, ok: true });
+      const { spec, job } = task.step;
+      if (spec.filling)
+        completionRate.record(
+          job.terms.priority,
+          estimates.taskWork(task.step),
+        );
       // A run that continued from a checkpoint took less time than the whole task.
       if (!active || task.checkpoint !== "") return;
       const tookMs = options.clock.monotonic() - active.run.startedAt;
--- a/packages/scheduling/src/RuntimeEstimator.ts
+++ b/packages/scheduling/src/RuntimeEstimator.ts
@@ -7,6 +7,7 @@
 import { MILLI_CORES_PER_CORE, type Instant } from "@rackspan/common";
 import type { JobRun, StepRun } from "@rackspan/jobs";
 import type { LearnedEstimates, QueueKey } from "@rackspan/state";
+import { RuntimeDistributions } from "./RuntimeDistributions.js";
 
 const ESTIMATES = {
   /** Weight of one observation in the moving mean of the logarithm. */
@@ -28,6 +29,10 @@
     { ms: number; tasks: number }
   >();
 
+  /** Learned by every leader; persisted only if an order of work uses them. */
+  readonly distributions = new RuntimeDistributions();
+  private persistsDistributions = false;
+
   private changed = false;
 
   /** @param isEnabled whether observed run times correct the estimates */
@@ -36,6 +41,7 @@
   /** @param tookMs run time of one task that ended as done */
   recordRunTime(step: StepRun, tookMs: number): void {
     if (!this.isEnabled || tookMs <= 0) return;
+    this.distributions.record(step, tookMs, this.taskMs(step));
     this.recordObserved(step, tookMs);
     if (step.spec.estimateMs <= 0) return;
     const limit = Math.log(ESTIMATES.maxFactor);
@@ -50,6 +56,11 @@
     this.changed = true;
   }
 
+  /** Hands the run time distributions to the next leader, too. */
+  persistDistributions(): void {
+    this.persistsDistributions = true;
+  }
+
   /**
    * Returns the learned corrections; undefined if they have not changed since the last
    * call.
@@ -58,15 +69,18 @@
     if (!this.changed) return undefined;
     this.changed = false;
     const corrections = [...this.corrections];
-    return { kind: "estimates", writtenAt: now, corrections };
+    const record = { kind: "estimates" as const, writtenAt: now, corrections };
+    if (!this.persistsDistributions) return record;
+    return { ...record, runTimes: this.distributions.toRecords() };
   }
 
   /**
    * Restores what a previous leader has learned.
    * @returns whether it was used; it is ignored if something was learned here already
    */
-  restore({ corrections }: LearnedEstimates): boolean {
+  restore({ corrections, runTimes = [] }: LearnedEstimates): boolean {
     if (!this.isEnabled || this.corrections.size > 0) return false;
+    this.distributions.restore(runTimes);
     for (const [queue, value] of corrections)
       this.corrections.set(queue, value);
     return true;
@@ -114,6 +128,13 @@
     return this.sumWork(job, ({ tasks }) => tasks.length);
   }
 
+  /** Returns the expected core-milliseconds of one task. */
+  taskWork(step: StepRun): number {
+    return (
+      (this.taskMs(step) * step.spec.demand.milliCores) / MILLI_CORES_PER_CORE
+    );
+  }
+
   private sumWork(job: JobRun, count: (step: StepRun) => number): number {
     let total = 0;
     for (const step of job.steps) {
@@ -128,25 +149,30 @@
    * step run at the same time.
    */
   chainMs(job: JobRun, occurrence: number): number {
-    return this.longestChain(job, occurrence, () => true);
+    return this.longestChain(job, occurrence, (step) => this.taskMs(step));
   }
 
   /** Returns the duration of the longest chain of unfinished steps, milliseconds. */
   remainingChainMs(job: JobRun, occurrence: number): number {
-    return this.longestChain(job, occurrence, (step) => !step.isDone);
+    return this.longestChain(job, occurrence, (step) =>
+      step.isDone ? 0 : this.taskMs(step),
+    );
   }
 
-  private longestChain(
+  /**
+   * Returns the duration of the longest chain of steps, milliseconds, where each step
+   * lasts as long as `msOf` returns.
+   */
+  longestChain(
     job: JobRun,
     occurrence: number,
-    counts: (step: StepRun) => boolean,
+    msOf: (step: StepRun) => number,
   ): number {
     const steps = job.steps.filter((step) => step.occurrence === occurrence);
     const ends: number[] = [];
     for (const step of steps) {
       const previous = step.spec.after.map((number) => ends[number] ?? 0);
-      const ownMs = counts(step) ? this.taskMs(step) : 0;
-      ends[step.number] = Math.max(0, ...previous) + ownMs;
+      ends[step.number] = Math.max(0, ...previous) + msOf(step);
     }
     return Math.max(0, ...ends);
   }
--- /dev/null
+++ b/packages/scheduling/src/byCompletionOrder.ts
@@ -0,0 +1,178 @@
+/**
+ * Orders bulk work (steps of filling tasks) so that most of what has started still ends
+ * in time. All other work is ordered as by ByUtilityOrder. Per priority, one of three
+ * rules applies, depending on the backlog at the measured rate:
+ *
+ * - every job can still be in time: the job with the least slack goes first;
+ * - otherwise: the most expected utility per core-millisecond of unplaced work;
+ * - the backlog takes longer than an objective: the same, but started jobs that can
+ *   still end in time precede all others.
+ */
+
+import type { Instant } from "@rackspan/common";
+import type { JobRun } from "@rackspan/jobs";
+import type { CompletionRate } from "./CompletionRate.js";
+import type { RuntimeEstimator } from "./RuntimeEstimator.js";
+import {
+  ByUtilityOrder,
+  MIN_WORK,
+  REMAINING_UTILITY,
+} from "./byUtilityOrder.js";
+import { forecastCompletion } from "./completionForecast.js";
+import { DeadlineFeasibility } from "./deadlineFeasibility.js";
+import {
+  slackMsOf,
+  startDemandsOf,
+  fitsRate,
+  objectiveMsOf,
+} from "./startDemands.js";
+import {
+  sortByKeys,
+  stepOrders,
+  type Candidate,
+  type StepOrder,
+  type StepOrderOptions,
+} from "./stepOrders.js";
+
+const COMPLETION = {
+  /**
+   * Share of the measured rate that the backlog may need for the order by slack. In the
+   * load test that order earns 0.966 of the utility at load 1 with a share of 1, 0.977
+   * with 0.5; at load 1.25 0.753 and 0.812, since it delays all jobs until the last
+   * moment while estimates are off.
+   */
+  plannedShare: 0.5,
+  /**
+   * Tasks that have to start within this time count as if they had it, milliseconds:
+   * they may use what is free now, and one scheduling cycle does not decide.
+   */
+  graceMs: 300,
+  /** A started job is preferred while it is expected to earn this share of its utility. */
+  minExpectedShare: 0.3,
+} as const;
+
+interface RatedCandidate {
+  readonly candidate: Candidate;
+  /** Share of the job's utility that it is expected to earn. */
+  readonly expectedShare: number;
+  /** Expected utility per core-millisecond of unplaced work. */
+  readonly density: number;
+}
+
+export class ByCompletionOrder implements StepOrder {
+  private readonly estimates: RuntimeEstimator;
+  private readonly completionRate: CompletionRate | undefined;
+  private readonly byUtility: ByUtilityOrder;
+  /**
+   * Bulk jobs that were candidates and have not ended. Those that are none now have all
+   * tasks of a step placed, but need the rate for their next steps.
+   */
+  private readonly unended = new Set<JobRun>();
+
+  constructor(options: StepOrderOptions) {
+    this.estimates = options.estimates;
+    this.completionRate = options.completionRate;
+    this.byUtility = new ByUtilityOrder(options);
+    this.estimates.persistDistributions();
+  }
+
+  sort(candidates: readonly Candidate[], now: Instant): readonly Candidate[] {
+    const sorted = this.byUtility.sort(candidates, now);
+    const groups = new Map<number, Candidate[]>();
+    for (const candidate of sorted) {
+      if (!isBulk(candidate)) continue;
+      this.unended.add(candidate.job);
+      const { priority } = candidate.job.terms;
+      groups.set(priority, [...(groups.get(priority) ?? []), candidate]);
+    }
+    for (const job of this.unended) {
+      if (job.isEnded) this.unended.delete(job);
+    }
+    const bulk = new Map(
+      [...groups].map(([priority, group]) => [
+        priority,
+        this.sortBulk(group, priority, now).values(),
+      ]),
+    );
+    // Bulk steps take the positions of bulk steps, so that other work stays in order.
+    return sorted.map((candidate) =>
+      isBulk(candidate)
+        ? (bulk.get(candidate.job.terms.priority)?.next().value ?? candidate)
+        : candidate,
+    );
+  }
+
+  private sortBulk(
+    group: readonly Candidate[],
+    priority: number,
+    now: Instant,
+  ): readonly Candidate[] {
+    const rate = this.completionRate?.of(priority);
+    if (rate !== undefined && this.canAllBeInTime(group, priority, rate, now)) {
+      const slacks = new Map(
+        group.map((one) => [one, slackMsOf(one, this.estimates, now)]),
+      );
+      return sortByKeys(group, (one) => [slacks.get(one) ?? 0]);
+    }
+    const prefersStarted = rate !== undefined && this.isDeep(group, rate);
+    const rated = new Map(group.map((one) => [one, this.rate(one, now)]));
+    return sortByKeys(group, (one) => {
+      const { expectedShare = 0, density = 0 } = rated.get(one) ?? {};
+      const isPreferred =
+        prefersStarted &&
+        one.job.begun &&
+        expectedShare >= COMPLETION.minExpectedShare;
+      return [expectedShare > 0 ? 0 : 1, isPreferred ? 0 : 1, -density];
+    });
+  }
+
+  /** Whether the planned share of the rate suffices for all unfinished bulk jobs. */
+  private canAllBeInTime(
+    group: readonly Candidate[],
+    priority: number,
+    rate: number,
+    now: Instant,
+  ): boolean {
+    const isLate = (one: Candidate): boolean =>
+      slackMsOf(one, this.estimates, now) < 0;
+    if (group.some(isLate)) return false;
+    const demands = [...this.unended]
+      .filter(({ terms }) => terms.priority === priority)
+      .flatMap((job) => startDemandsOf(job, this.estimates, now));
+    const { plannedShare, graceMs } = COMPLETION;
+    return fitsRate(demands, plannedShare * rate, graceMs);
+  }
+
+  /** Whether the backlog takes longer than the mean objective of its jobs. */
+  private isDeep(group: readonly Candidate[], rate: number): boolean {
+    let work = 0;
+    let objectiveMs = 0;
+    for (const { job, step } of group) {
+      work += this.estimates.unplacedWork(job);
+      objectiveMs += objectiveMsOf(job, step.occurrence, this.estimates);
+    }
+    return work / rate > objectiveMs / group.length;
+  }
+
+  private rate(candidate: Candidate, now: Instant): RatedCandidate {
+    const { job } = candidate;
+    const { inTime, useful } = forecastCompletion(
+      candidate,
+      this.estimates,
+      now,
+    );
+    const late = REMAINING_UTILITY[DeadlineFeasibility.Late];
+    const expectedShare = inTime + late * (useful - inTime);
+    const work = Math.max(MIN_WORK, this.estimates.unplacedWork(job));
+    const density = (expectedShare * this.byUtility.utilityOf(job)) / work;
+    return { candidate, expectedShare, density };
+  }
+}
+
+const isBulk = ({ step }: Candidate): boolean =>
+  step.spec.filling && !step.spec.lasting;
+
+stepOrders.register({
+  name: "byCompletion",
+  create: (options) => new ByCompletionOrder(options),
+});
--- a/packages/scheduling/src/byUtilityOrder.ts
+++ b/packages/scheduling/src/byUtilityOrder.ts
@@ -37,14 +37,15 @@
 /**
  * Share of the utility that is left by deadline feasibility, where 1 is an end in time.
  */
-const REMAINING_UTILITY: Readonly<Record<DeadlineFeasibility, number>> = {
-  [DeadlineFeasibility.InTime]: 1,
-  [DeadlineFeasibility.Late]: 0.15,
-  [DeadlineFeasibility.TooLate]: 0,
-};
+export const REMAINING_UTILITY: Readonly<Record<DeadlineFeasibility, number>> =
+  {
+    [DeadlineFeasibility.InTime]: 1,
+    [DeadlineFeasibility.Late]: 0.15,
+    [DeadlineFeasibility.TooLate]: 0,
+  };
 
 /** Minimum estimate of work, core-milliseconds. */
-const MIN_WORK = 1;
+export const MIN_WORK = 1;
 
 /** Mean work of the jobs of one queue that this leader has seen. */
 interface MeanWork {
@@ -95,12 +96,18 @@
 
   /** Returns the utility per core-millisecond of unplaced work. */
   private densityOf(job: JobRun): number {
+    return (
+      this.utilityOf(job) / Math.max(MIN_WORK, this.estimates.unplacedWork(job))
+    );
+  }
+
+  /** Returns the utility of the job if it ends in time. */
+  utilityOf(job: JobRun): number {
     const { fixed, proportional, max } = UTILITY;
     const mean = this.means.get(job.accepted.spec.queue);
     const meanWork = Math.max(MIN_WORK, mean ? mean.total / mean.jobs : 0);
     const size = this.estimates.totalWork(job) / meanWork;
-    const utility = Math.min(max, fixed + proportional * size);
-    return utility / Math.max(MIN_WORK, this.estimates.unplacedWork(job));
+    return Math.min(max, fixed + proportional * size);
   }
 }
 
--- a/packages/scheduling/src/deadlineFeasibility.ts
+++ b/packages/scheduling/src/deadlineFeasibility.ts
@@ -11,7 +11,7 @@
  * A job that ends later than this many times its objective has no utility to its
  * caller.
  */
-const TOO_LATE_FACTOR = 3;
+export const TOO_LATE_FACTOR = 3;
 
 /** Lower is better. */
 export const enum DeadlineFeasibility {
--- a/packages/scheduling/src/engineParts.ts
+++ b/packages/scheduling/src/engineParts.ts
@@ -1,6 +1,7 @@
 /** The components that the parts of the job engine share. */
 
 import type { OutlierEjector } from "@rackspan/routing";
+import type { CompletionRate } from "./CompletionRate.js";
 import type { EngineOptions } from "./engineTypes.js";
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import type { HostRegistry } from "./HostRegistry.js";
@@ -15,6 +16,7 @@
   readonly runStarter: RunStarter;
   readonly runStopper: RunStopper;
   readonly estimates: RuntimeEstimator;
+  readonly completionRate: CompletionRate;
   readonly ejector: OutlierEjector;
   /** Requests a scheduling cycle soon. */
   readonly requestCycle: () => void;
--- a/packages/scheduling/src/stepOrders.ts
+++ b/packages/scheduling/src/stepOrders.ts
@@ -2,6 +2,7 @@
 
 import { Registry, type Instant } from "@rackspan/common";
 import type { JobRun, StepRun } from "@rackspan/jobs";
+import type { CompletionRate } from "./CompletionRate.js";
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 
 /** A step with tasks to start, and the inputs for its position in the order. */
@@ -19,6 +20,8 @@
 
 export interface StepOrderOptions {
   readonly estimates: RuntimeEstimator;
+  /** Undefined where nothing measures it; orders then assume no bound. */
+  readonly completionRate?: CompletionRate;
 }
 
 export const stepOrders = new Registry<StepOrderOptions, StepOrder>(
