Scheduling: count discarded work, weigh it before a stop, report bulk work

Cause: nothing showed how much work stops and failures discard, a stalled filling task without checkpoints lost all of its work after 7 s, and operators could not see how many bulk jobs are in progress, at which rate, and which wait.

Gauges bulk_jobs and bulk_rate_cores and log line bulk.backlog with the order byCompletion.

--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -35,6 +35,7 @@
   correctsEstimates: flagSchema,
   movesCrawling: flagSchema,
   movesStalled: flagSchema,
+  weighsDiscardedWork: flagSchema,
   movesFromSlowHosts: flagSchema,
   ejectsFailingHosts: flagSchema,
   checkpointEveryMs: z.number().int().min(0).max(60_000),
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -54,7 +54,8 @@
   run.progressPercent = row.progressPercent;
   run.reading = row.reading;
   run.crawlingSince = isCrawling(run) ? (run.crawlingSince ?? now) : undefined;
-  run.task.step.job.recordCheckpoint(run.task, row.checkpoint);
+  if (run.task.step.job.recordCheckpoint(run.task, row.checkpoint))
+    run.checkpointedAt = now;
 };
 
 /**
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -27,6 +27,7 @@
   type LearnedRecord,
   type ProgressRecord,
 } from "@rackspan/state";
+import { BulkMonitor } from "./BulkMonitor.js";
 import { CheckpointWriter } from "./CheckpointWriter.js";
 import { CompletionRate } from "./CompletionRate.js";
 import { CrashTracker } from "./CrashTracker.js";
@@ -80,6 +81,7 @@
   private readonly registrar: HostRegistrar;
   private readonly hostMonitor: HostMonitor;
   private readonly waitMonitor: WaitMonitor;
+  private readonly bulkMonitor: BulkMonitor;
   private readonly adopter: RunAdopter;
   private readonly jobFinisher: JobFinisher;
   private readonly endHandler: RunEndHandler;
@@ -122,11 +124,13 @@
     });
     this.runStarter = runStarter;
     this.runStopper = new RunStopper(options);
+    const stepOrder = stepOrders.create(order, { estimates, completionRate });
+    this.bulkMonitor = new BulkMonitor(options, stepOrder);
     this.dispatcher = new Dispatcher({
       engine: options,
       hosts,
       runStarter,
-      order: stepOrders.create(order, { estimates, completionRate }),
+      order: stepOrder,
       placer: taskPlacers.create(placer, { forecast, policy }),
       ejector,
       permitTracker,
@@ -200,6 +204,7 @@
     this.checkpoints.stop();
     this.learnedState.stop();
     this.waitMonitor.stop();
+    this.bulkMonitor.stop();
     this.timer?.cancel();
   }
 
@@ -443,6 +448,7 @@
   private tick(): void {
     this.hostMonitor.check();
     this.waitMonitor.check();
+    this.bulkMonitor.check();
     if (this.jobs.active.size > 0) this.dispatcher.requestCycle();
   }
 }
--- a/packages/scheduling/src/RunEndHandler.ts
+++ b/packages/scheduling/src/RunEndHandler.ts
@@ -1,7 +1,13 @@
 /** Processes the ended runs that workers list, in the order in which they ended. */
 
-import { avoidHost, type JobRun, type JobTask } from "@rackspan/jobs";
+import {
+  avoidHost,
+  type ActiveRun,
+  type JobRun,
+  type JobTask,
+} from "@rackspan/jobs";
 import type { EndedRun } from "@rackspan/ports";
+import { countDiscardedWork, discardedWork } from "./discardedWork.js";
 import type { EngineParts } from "./engineParts.js";
 import type { HostEntry, PlacedRun } from "./engineTypes.js";
 import type { JobFinisher } from "./JobFinisher.js";
@@ -45,7 +51,10 @@
     entry.hostState.removeOrphan(end);
     if (!task) return undefined;
     const { job } = task.step;
-    if (active) hosts.release(entry, active.run);
+    if (active) {
+      this.countDiscarded(active.run, end);
+      hosts.release(entry, active.run);
+    }
     if (job.isEnded) return undefined;
     if (!active && placed) return this.handleEarlierRunEnd(task, end);
     const changed = job.recordEnd(task, end.run, end.outcome, end.checkpoint);
@@ -75,6 +84,17 @@
     return changed ? job : undefined;
   }
 
+  private countDiscarded(
+    run: ActiveRun,
+    { outcome, checkpoint }: EndedRun,
+  ): void {
+    if (outcome === "done") return;
+    const { clock, metrics } = this.parts.options;
+    const isSaved = checkpoint !== NO_CHECKPOINT && outcome === "stopped";
+    const work = discardedWork(run, clock.monotonic(), isSaved);
+    countDiscardedWork(metrics, run.stop?.reason ?? outcome, work);
+  }
+
   private logEnd(
     { hostState }: HostEntry,
     { task, run, outcome, number }: EndedRun,
--- a/packages/scheduling/src/byCompletionOrder.ts
+++ b/packages/scheduling/src/byCompletionOrder.ts
@@ -29,6 +29,7 @@
 import {
   sortByKeys,
   stepOrders,
+  type BulkBacklog,
   type Candidate,
   type StepOrder,
   type StepOrderOptions,
@@ -59,6 +60,10 @@
   readonly density: number;
 }
 
+type WaitingWork = Pick<BulkBacklog, "waitingJobs" | "work" | "rule">;
+
+const NO_BACKLOG: WaitingWork = { waitingJobs: [], work: 0, rule: "utility" };
+
 export class ByCompletionOrder implements StepOrder {
   private readonly estimates: RuntimeEstimator;
   private readonly completionRate: CompletionRate | undefined;
@@ -68,6 +73,8 @@
    * tasks of a step placed, but need the rate for their next steps.
    */
   private readonly unended = new Set<JobRun>();
+  /** What waited in the last scheduling cycle, by priority. */
+  private readonly backlogs = new Map<number, WaitingWork>();
 
   constructor(options: StepOrderOptions) {
     this.estimates = options.estimates;
@@ -76,6 +83,22 @@
     this.estimates.persistDistributions();
   }
 
+  bulkBacklogs(): readonly BulkBacklog[] {
+    const begunJobs = new Map<number, number>();
+    for (const { terms, begun, isEnded } of this.unended) {
+      if (!begun || isEnded) continue;
+      const { priority } = terms;
+      begunJobs.set(priority, (begunJobs.get(priority) ?? 0) + 1);
+    }
+    const priorities = new Set([...begunJobs.keys(), ...this.backlogs.keys()]);
+    return [...priorities].map((priority) => ({
+      priority,
+      begunJobs: begunJobs.get(priority) ?? 0,
+      rate: this.completionRate?.of(priority),
+      ...(this.backlogs.get(priority) ?? NO_BACKLOG),
+    }));
+  }
+
   sort(candidates: readonly Candidate[], now: Instant): readonly Candidate[] {
     const sorted = this.byUtility.sort(candidates, now);
     const groups = new Map<number, Candidate[]>();
@@ -88,6 +111,7 @@
     for (const job of this.unended) {
       if (job.isEnded) this.unended.delete(job);
     }
+    this.backlogs.clear();
     const bulk = new Map(
       [...groups].map(([priority, group]) => [
         priority,
@@ -108,13 +132,49 @@
     now: Instant,
   ): readonly Candidate[] {
     const rate = this.completionRate?.of(priority);
-    if (rate !== undefined && this.canAllBeInTime(group, priority, rate, now)) {
-      const slacks = new Map(
-        group.map((one) => [one, slackMsOf(one, this.estimates, now)]),
-      );
-      return sortByKeys(group, (one) => [slacks.get(one) ?? 0]);
-    }
-    const prefersStarted = rate !== undefined && this.isDeep(group, rate);
+    const work = this.unplacedWork(group);
+    const rule = this.ruleFor(group, priority, rate, work, now);
+    const sorted =
+      rule === "slack"
+        ? this.sortBySlack(group, now)
+        : this.sortByUtility(group, rule === "started-first", now);
+    const waiting = sorted.filter(
+      ({ step }) => step.waiting.size === step.tasks.length,
+    );
+    const waitingJobs = [...new Set(waiting.map(({ job }) => job.id))];
+    this.backlogs.set(priority, { waitingJobs, work, rule });
+    return sorted;
+  }
+
+  private ruleFor(
+    group: readonly Candidate[],
+    priority: number,
+    rate: number | undefined,
+    work: number,
+    now: Instant,
+  ): BulkBacklog["rule"] {
+    if (rate === undefined) return "utility";
+    if (this.canAllBeInTime(group, priority, rate, now)) return "slack";
+    // No job that begins now can expect to end in time once all others have.
+    const isDeep = work / rate > this.meanObjectiveMs(group);
+    return isDeep ? "started-first" : "utility";
+  }
+
+  private sortBySlack(
+    group: readonly Candidate[],
+    now: Instant,
+  ): readonly Candidate[] {
+    const slacks = new Map(
+      group.map((one) => [one, slackMsOf(one, this.estimates, now)]),
+    );
+    return sortByKeys(group, (one) => [slacks.get(one) ?? 0]);
+  }
+
+  private sortByUtility(
+    group: readonly Candidate[],
+    prefersStarted: boolean,
+    now: Instant,
+  ): readonly Candidate[] {
     const rated = new Map(group.map((one) => [one, this.rate(one, now)]));
     return sortByKeys(group, (one) => {
       const { expectedShare = 0, density = 0 } = rated.get(one) ?? {};
@@ -143,15 +203,17 @@
     return fitsRate(demands, plannedShare * rate, graceMs);
   }
 
-  /** Whether the backlog takes longer than the mean objective of its jobs. */
-  private isDeep(group: readonly Candidate[], rate: number): boolean {
-    let work = 0;
-    let objectiveMs = 0;
-    for (const { job, step } of group) {
-      work += this.estimates.unplacedWork(job);
-      objectiveMs += objectiveMsOf(job, step.occurrence, this.estimates);
-    }
-    return work / rate > objectiveMs / group.length;
+  private meanObjectiveMs(group: readonly Candidate[]): number {
+    let total = 0;
+    for (const { job, step } of group)
+      total += objectiveMsOf(job, step.occurrence, this.estimates);
+    return total / group.length;
+  }
+
+  private unplacedWork(group: readonly Candidate[]): number {
+    let total = 0;
+    for (const { job } of group) total += this.estimates.unplacedWork(job);
+    return total;
   }
 
   private rate(candidate: Candidate, now: Instant): RatedCandidate {
