Scheduling: forecast completions with fewer sums

Cause: byCompletion took 14 ms for 100 and 44 ms for 300 bulk jobs on a busy machine, against 5 and 7 ms of byWorth: each candidate summed histograms and chains for each quantile.

Change: histograms keep cumulative sums; the known and the unknown part of a chain are computed once and scaled by each quantile.

--- a/packages/scheduling/src/RuntimeDistribution.ts
+++ b/packages/scheduling/src/RuntimeDistribution.ts
@@ -31,6 +31,8 @@
 export class RuntimeDistribution {
   private readonly counts = new Float64Array(BUCKETS);
   private total = 0;
+  /** Sums of the counts up to each bucket; undefined after a change. */
+  private sums: Float64Array | undefined;
 
   /** Number of observations, at most the memory. */
   get count(): number {
@@ -47,22 +49,17 @@
   shareUpTo(ratio: number): number {
     if (this.total === 0) return ratio >= 1 ? 1 : 0;
     if (ratio <= 0) return 0;
-    const last = bucketOf(ratio);
-    let sum = 0;
-    for (let bucket = 0; bucket <= last; bucket += 1)
-      sum += this.counts[bucket] ?? 0;
+    const sum = this.cumulative()[bucketOf(ratio)] ?? 0;
     return Math.min(1, sum / this.total);
   }
 
   /** Returns the ratio below which the given share of the observations lies. */
   quantile(share: number): number {
     if (this.total === 0) return 1;
-    let sum = 0;
-    for (let bucket = 0; bucket < BUCKETS; bucket += 1) {
-      sum += this.counts[bucket] ?? 0;
-      if (sum >= share * this.total) return ratioOf(bucket);
-    }
-    return ratioOf(BUCKETS - 1);
+    const bucket = this.cumulative().findIndex(
+      (sum) => sum >= share * this.total,
+    );
+    return ratioOf(bucket < 0 ? BUCKETS - 1 : bucket);
   }
 
   /** Returns the buckets that are not empty, with their counts rounded to hundredths. */
@@ -85,12 +82,21 @@
       this.scale(HISTOGRAM.memory / this.total);
   }
 
+  private cumulative(): Float64Array {
+    if (this.sums) return this.sums;
+    let sum = 0;
+    this.sums = this.counts.map((count) => (sum += count));
+    return this.sums;
+  }
+
   private add(bucket: number, count: number): void {
+    this.sums = undefined;
     this.counts[bucket] = (this.counts[bucket] ?? 0) + count;
     this.total += count;
   }
 
   private scale(factor: number): void {
+    this.sums = undefined;
     for (let bucket = 0; bucket < BUCKETS; bucket += 1)
       this.counts[bucket] = (this.counts[bucket] ?? 0) * factor;
     this.total *= factor;
--- a/packages/scheduling/src/byCompletionOrder.ts
+++ b/packages/scheduling/src/byCompletionOrder.ts
@@ -106,7 +106,9 @@
       if (!isBulk(candidate)) continue;
       this.unended.add(candidate.job);
       const { priority } = candidate.job.terms;
-      groups.set(priority, [...(groups.get(priority) ?? []), candidate]);
+      const group = groups.get(priority);
+      if (group) group.push(candidate);
+      else groups.set(priority, [candidate]);
     }
     for (const job of this.unended) {
       if (job.isEnded) this.unended.delete(job);
--- a/packages/scheduling/src/completionForecast.ts
+++ b/packages/scheduling/src/completionForecast.ts
@@ -42,15 +42,22 @@
     steps.count < FORECAST.minObservations
       ? [1]
       : FORECAST.stepQuantiles.map((share) => steps.quantile(share));
+  // The ratio applies to steps without a finished task. The two parts of a chain are
+  // summed, which is exact where each step has one successor.
+  const chainOf = (counts: (one: StepRun) => boolean): number =>
+    estimates.longestChain(job, step.occurrence, (one) =>
+      counts(one) ? estimates.taskMs(one) : 0,
+    );
+  const isKnown = (one: StepRun): boolean => distributions.isObserved(one);
+  const knownMs = chainOf(isKnown);
+  const unknownMs = chainOf((one) => !isKnown(one));
+  const knownLeftMs = chainOf((one) => isKnown(one) && !one.isDone);
+  const unknownLeftMs = chainOf((one) => !isKnown(one) && !one.isDone);
   let inTime = 0;
   let useful = 0;
   for (const ratio of ratios) {
-    const msOf = (one: StepRun): number =>
-      estimates.taskMs(one) * (distributions.isObserved(one) ? 1 : ratio);
-    const chainMs = estimates.longestChain(job, step.occurrence, msOf);
-    const leftMs = estimates.longestChain(job, step.occurrence, (one) =>
-      one.isDone ? 0 : msOf(one),
-    );
+    const chainMs = knownMs + ratio * unknownMs;
+    const leftMs = knownLeftMs + ratio * unknownLeftMs;
     const objectiveMs = stretch * chainMs + targetLatencyMs;
     const least = Math.max(1, leftMs);
     inTime += shareUpTo((objectiveMs - ageMs) / least);
