--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -27,7 +27,9 @@
   type LearnedRecord,
   type ProgressRecord,
 } from "@rackspan/state";
+import { BulkMonitor } from "./BulkMonitor.js";
 import { CheckpointWriter } from "./CheckpointWriter.js";
+import { CompletionRate } from "./CompletionRate.js";
 import { CrashTracker } from "./CrashTracker.js";
 import { Dispatcher } from "./Dispatcher.js";
 import { RunEndHandler } from "./RunEndHandler.js";
@@ -80,6 +82,7 @@
   private readonly registrar: HostRegistrar;
   private readonly hostMonitor: HostMonitor;
   private readonly waitMonitor: WaitMonitor;
+  private readonly bulkMonitor: BulkMonitor;
   private readonly adopter: RunAdopter;
   private readonly jobFinisher: JobFinisher;
   private readonly loadPublisher: LoadSummaryPublisher;
@@ -97,6 +100,7 @@
     const interference = new InterferenceEstimator(policy.learnsInterference);
     this.interference = interference;
     const estimates = new RuntimeEstimator(policy.correctsEstimates);
+    const completionRate = new CompletionRate(clock);
     const failuresToEject = policy.ejectsFailingHosts
       ? EJECTION.failuresToEject
       : Infinity;
@@ -122,11 +126,13 @@
     });
     this.runStarter = runStarter;
     this.runStopper = new RunStopper(options);
+    const stepOrder = stepOrders.create(order, { estimates, completionRate });
+    this.bulkMonitor = new BulkMonitor(options, stepOrder);
     this.dispatcher = new Dispatcher({
       engine: options,
       hosts,
       runStarter,
-      order: stepOrders.create(order, { estimates }),
+      order: stepOrder,
       placer: taskPlacers.create(placer, { forecast, policy }),
       ejector,
       permitTracker,
@@ -147,6 +153,7 @@
       runStarter,
       runStopper: this.runStopper,
       estimates,
+      completionRate,
       ejector,
       requestCycle,
     };
@@ -209,6 +216,7 @@
     this.learnedState.stop();
     this.loadPublisher.stop();
     this.waitMonitor.stop();
+    this.bulkMonitor.stop();
     this.timer?.cancel();
   }
 
@@ -452,6 +460,7 @@
   private tick(): void {
     this.hostMonitor.check();
     this.waitMonitor.check();
+    this.bulkMonitor.check();
     if (this.jobs.active.size > 0) this.dispatcher.requestCycle();
   }
 }
