--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -10,15 +10,15 @@
   type Monotonic,
   type WorkerInstance,
 } from "@rackspan/common";
-import { StoredRoster } from "@rackspan/entry";
-import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
+import { StoredRoster, TermLog } from "@rackspan/entry";
+import { ProgressJournal, TakeoverGate, type JobRun } from "@rackspan/jobs";
 import { latestLeaseExpiry } from "@rackspan/leadership";
-import type { RunRef, StoreClient } from "@rackspan/ports";
+import type { KeyedRecord, RunRef, StoreClient } from "@rackspan/ports";
 import type { Grant, HostReport, LostRun } from "@rackspan/protocol";
 import { DEFAULT_POLICY, JobEngine } from "@rackspan/scheduling";
 import {
-  decodeHost,
   decodeProgress,
+  JobView,
   TopicWriter,
   TOPICS,
   type AcceptedJob,
@@ -41,11 +41,39 @@
 /** Maximum delay until a leader sees what the store has persisted, milliseconds. */
 export const VIEW_LAG_MS = 60;
 
+/** Guards of recorded placements that can be switched off, to show that schedules detect it. */
+export const PLACEMENT_MUTANTS = [
+  /** An order is sent before the placement of its run is persisted. */
+  "order-before-record",
+  /** Stored placements are trusted whether or not every leader has recorded them. */
+  "trust-without-term",
+  /** The takeover gate does not wait for one of the unreported hosts. */
+  "host-left-out-of-gate",
+] as const;
+
+export type PlacementMutant = (typeof PLACEMENT_MUTANTS)[number];
+
+/** A journal that reports placements as persisted before they are. */
+class EagerJournal extends ProgressJournal {
+  override async persistSoon(job: JobRun): Promise<void> {
+    super.persistSoon(job).catch(() => undefined);
+  }
+}
+
+/**
+ * What a leader does about placements: it records them or not, or is of a version that
+ * knows no placements and neither reads nor writes anything about them.
+ */
+export type PlacementMode = "on" | "off" | "former-version";
+
 export interface LeaderModelOptions {
   readonly epoch: Epoch;
   readonly clock: Clock;
   readonly store: StoreClient;
   readonly queue: QueueSpec;
+  /** The mode of the leader of an epoch; `off` for all when undefined. */
+  readonly placementMode?: ((epoch: number) => PlacementMode) | undefined;
+  readonly placementMutant?: PlacementMutant | undefined;
   /** Whether an attaching host closes its previous connection, as at real leaders. */
   readonly closesPreviousLinks: boolean;
   /** Whether the view of the entry currently shows the availability zone as evacuated. */
@@ -64,6 +92,8 @@
   /** When the store last confirmed the term, by the clock of the store. */
   confirmedAt: Monotonic;
   engine: JobEngine | undefined;
+  /** When the engine was started; undefined before. */
+  readyAt: Monotonic | undefined;
   private readonly links = new Map<HostId, SideLink>();
   /** The connection over which each host attached last. */
   private readonly attached = new Map<HostId, SideLink>();
@@ -104,16 +134,39 @@
     const progress = await this.read(TOPICS.progress);
     const hosts = await this.read(TOPICS.hosts);
     if (this.hasEnded || this.isDead) return;
-    const roster: Roster = new Map(
-      [...hosts].map(([key, value]) => [
-        key as unknown as HostId,
-        decodeHost(key, value),
-      ]),
+    const view = new JobView({ logger: silentLogger, metrics: new Metrics() });
+    view.applyProgressRecords(toRecords(progress));
+    view.applyHostRecords(toRecords(hosts));
+    const { placementMutant, placementMode } = this.options;
+    const mode = placementMode?.(Number(epoch)) ?? "off";
+    const recordsPlacements = mode === "on";
+    const roster = mode === "former-version" ? formerRoster(view) : view.roster;
+    const termLog = new TermLog({
+      view,
+      writer: progressWriter,
+      epoch,
+      recordsPlacements,
+      logger: silentLogger,
+    });
+    const since = mode === "former-version" ? undefined : await termLog.begin();
+    if (this.hasEnded || this.isDead) return;
+    const isTrusting = placementMutant === "trust-without-term";
+    const placementsSince = isTrusting && recordsPlacements ? 0 : since;
+    const storedRoster = new StoredRoster(
+      hostsWriter,
+      silentLogger,
+      roster,
+      recordsPlacements,
     );
+    const isLeavingOut = placementMutant === "host-left-out-of-gate";
     const { leaseMs, ttlMs, stopMs } = LEADERSHIP;
+    const Journal =
+      placementMutant === "order-before-record"
+        ? EagerJournal
+        : ProgressJournal;
     const gate = new TakeoverGate({
       takenOverAt,
-      roster: roster.keys(),
+      roster: [...roster.keys()].slice(isLeavingOut ? 1 : 0),
       leadershipTtlMs: ttlMs,
       leaseMs,
     });
@@ -122,16 +175,16 @@
       clock: this.clock,
       logger: silentLogger,
       metrics: new Metrics(),
-      journal: new ProgressJournal({
+      journal: new Journal({
         writer: progressWriter,
         clock: this.clock,
         batchWindowMs: 5,
       }),
-      roster: new StoredRoster(hostsWriter, silentLogger, roster),
+      roster: storedRoster,
       gate,
       order: "byWorth",
       placer: "colocating",
-      policy: DEFAULT_POLICY,
+      policy: { ...DEFAULT_POLICY, recordsPlacements },
       leaseMs,
       stopMs,
       mayDecide: () => this.mayDecide(),
@@ -139,9 +192,12 @@
       isEvacuated: this.options.isEvacuated,
       persistLearned: () => undefined,
       permits: undefined,
+      placementsSince,
+      onPlacementsComplete: () => void termLog.markComplete(storedRoster),
     });
 
     this.engine = engine;
+    this.readyAt = this.clock.monotonic();
     for (const { accepted, isCancelled } of this.options.jobs()) {
       const { id } = accepted.spec;
       const stored = progress.get(id as unknown as string);
@@ -294,3 +350,15 @@
     }
   }
 }
+
+const toRecords = (byKey: ReadonlyMap<string, Buffer>): KeyedRecord[] =>
+  [...byKey].map(([key, value]) => ({ key, value }));
+
+/** The roster as read by versions that know no placements. */
+const formerRoster = ({ roster, hostsWithoutPlacements }: JobView): Roster =>
+  new Map(
+    [...roster].map(([host, instance]) => [
+      host,
+      hostsWithoutPlacements.includes(host) ? instance : undefined,
+    ]),
+  );
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -30,6 +30,7 @@
   type TopicFollower,
 } from "@rackspan/state";
 import { StoredRoster } from "./StoredRoster.js";
+import { TermLog } from "./TermLog.js";
 
 const LEADERSHIP = {
   producer: "leader",
@@ -112,6 +113,7 @@
   private readonly progressWriter: TopicWriter;
   private readonly learnedWriter: TopicWriter;
   private readonly hostsWriter: TopicWriter;
+  private readonly termLog: TermLog;
   private readonly unsubscribes: Unsubscribe[] = [];
 
   constructor(
@@ -134,6 +136,13 @@
     this.progressWriter = writerOf(TOPICS.progress);
     this.hostsWriter = writerOf(TOPICS.hosts);
     this.writers = [this.progressWriter, this.hostsWriter];
+    this.termLog = new TermLog({
+      view: options.view,
+      writer: this.progressWriter,
+      epoch,
+      recordsPlacements: options.policy.recordsPlacements,
+      logger,
+    });
   }
 
   async run(): Promise<void> {
@@ -145,8 +154,10 @@
     );
     await Promise.all(followers.map((follower) => follower.catchUp(signal)));
     if (signal.aborted) return;
+    const placementsSince = await this.termLog.begin();
+    if (signal.aborted) return;
     const tookMs = clock.monotonic() - startedAt;
-    this.engine = this.buildEngine(startedAt);
+    this.engine = this.buildEngine(startedAt, placementsSince);
     metrics.latency("takeover").record(tookMs);
     logger.info("leader.ready", {
       epoch: this.epoch,
@@ -208,10 +219,20 @@
     }
   }
 
-  private buildEngine(takenOverAt: number): JobEngine {
+  private buildEngine(
+    takenOverAt: number,
+    placementsSince: number | undefined,
+  ): JobEngine {
     const { view, config, zones, clock, logger, metrics } = this.options;
     const { leadershipTtlMs, leaseMs, stopMs, mayDecide } = this.options;
+    const { policy } = this.options;
     const { roster } = view;
+    const storedRoster = new StoredRoster(
+      this.hostsWriter,
+      logger,
+      roster,
+      policy.recordsPlacements,
+    );
     const gate = new TakeoverGate({
       takenOverAt,
       roster: roster.keys(),
@@ -228,11 +249,11 @@
         clock,
         batchWindowMs: this.options.progressBatchWindowMs,
       }),
-      roster: new StoredRoster(this.hostsWriter, logger, roster),
+      roster: storedRoster,
       gate,
       order: this.options.order,
       placer: this.options.placer,
-      policy: this.options.policy,
+      policy,
       leaseMs,
       stopMs,
       mayDecide: () => !this.abort.signal.aborted && mayDecide(),
@@ -240,6 +261,8 @@
       isEvacuated: (zone) => zones.has(zone),
       persistLearned: (record) => this.persistLearned(record),
       permits: this.options.permits,
+      placementsSince,
+      onPlacementsComplete: () => void this.termLog.markComplete(storedRoster),
     });
     for (const { accepted, cancelled, progress } of view.all()) {
       engine.addJob(accepted, progress);
--- a/packages/entry/src/jobs/StoredRoster.ts
+++ b/packages/entry/src/jobs/StoredRoster.ts
@@ -23,6 +23,8 @@
     private readonly writer: TopicWriter,
     private readonly logger: Logger,
     roster: Roster,
+    /** Whether this leader records placements; see encodeHost. */
+    private readonly hasPlacements = false,
   ) {
     this.persisted = new Map(roster);
   }
@@ -34,13 +36,29 @@
   async persist(host: HostId, instance: WorkerInstance): Promise<void> {
     this.lastWritten.set(host, instance);
     this.removals.delete(host);
-    await this.writer.write({ key: host, value: encodeHost(instance) })
-      .persisted;
+    const value = encodeHost(instance, this.hasPlacements);
+    await this.writer.write({ key: host, value }).persisted;
     // If the host was removed or replaced during the write, the later write wins.
     if (this.lastWritten.get(host) === instance)
       this.persisted.set(host, instance);
   }
 
+  /**
+   * Rewrites the records of previous leaders, to show that all starts on these hosts are
+   * recorded by now.
+   */
+  async recordPlacements(): Promise<void> {
+    const ofPrevious = [...this.persisted].filter(
+      ([host]) => !this.lastWritten.has(host),
+    );
+    await Promise.all(
+      ofPrevious.map(([host, instance]) => {
+        const value = encodeHost(instance, this.hasPlacements);
+        return this.writer.write({ key: host, value }).persisted;
+      }),
+    );
+  }
+
   remove(host: HostId): void {
     this.persisted.delete(host);
     this.lastWritten.set(host, undefined);
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -39,6 +39,7 @@
   ejectsFailingHosts: flagSchema,
   checkpointEveryMs: z.number().int().min(0).max(60_000),
   learntEveryMs: z.number().int().min(0).max(60_000),
+  recordsPlacements: flagSchema,
 }) satisfies z.ZodType<SchedulingPolicy>;
 
 export const jobEntrySettingsSchema = z.strictObject({
--- a/packages/jobs/src/HostState.ts
+++ b/packages/jobs/src/HostState.ts
@@ -20,19 +20,21 @@
 import type { StopOrder, StoppingRun } from "./StopOrder.js";
 
 /**
+ * - `recording`: placed; its order is sent once its placement is persisted;
  * - `starting`: ordered, not confirmed yet;
  * - `running`: listed or confirmed by the worker;
  * - `unsure`: ordered without an answer; it may start until its order expires;
  * - `stopping`: a stop was ordered; its resources stay allocated until its end is listed.
  */
-export type RunPhase = "starting" | "running" | "unsure" | "stopping";
+export type RunPhase =
+  "recording" | "starting" | "running" | "unsure" | "stopping";
 
 export interface ActiveRun {
   readonly task: JobTask;
   readonly run: RunNumber;
   phase: RunPhase;
-  /** When the leader ordered or adopted the run, on its own clock. */
-  readonly startedAt: Monotonic;
+  /** When the leader placed, ordered or adopted the run last, on its own clock. */
+  startedAt: Monotonic;
   /**
    * The run is isolated until it has worked for this long, milliseconds: no other run
    * starts on its host. 0 if it does not need an isolated start.
@@ -45,8 +47,8 @@
    * start; undefined before.
    */
   lastSeenAt: WorkerTime | undefined;
-  /** Worker's clock after which an unanswered order has no effect. */
-  readonly orderExpiresAt: WorkerTime;
+  /** Worker's clock after which an unanswered order has no effect; Infinity until it is sent. */
+  orderExpiresAt: WorkerTime;
   progressPercent: number;
   /** When the progress last increased, on the leader's clock. */
   progressedAt: Monotonic;
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -16,6 +16,7 @@
 } from "@rackspan/state";
 import type { CrashLog } from "./CrashLog.js";
 import type { JobTask } from "./JobTask.js";
+import { encodePlacements } from "./placements.js";
 import { StepRun } from "./StepRun.js";
 
 const setCheckpoint = (task: JobTask, checkpoint: string): void => {
@@ -40,16 +41,25 @@
   endedAt: Instant = 0;
   /** Whether a new checkpoint or the clearing of a crash log is not in the last record yet. */
   hasUnpersistedProgress = false;
+  /**
+   * Epoch of this leader if it records placements and knows for each task on which host
+   * it may run; otherwise undefined, and the job's records contain no placements.
+   */
+  placementEpoch: number | undefined;
   private readonly occurrences = new Map<number, readonly StepRun[]>();
   private doneOccurrences = 0;
   /** Number of the first occurrence that is not complete. */
   private firstIncomplete = 0;
 
+  /** Whether a previous leader has recorded progress of the job. */
+  readonly isRestored: boolean;
+
   constructor(
     readonly accepted: AcceptedJob,
     progress?: ProgressRecord,
   ) {
     this.terms = accepted.terms;
+    this.isRestored = progress !== undefined;
     if (progress) this.restore(progress);
     else this.occurrence(0);
   }
@@ -230,8 +240,8 @@
           announced.push([key, task.writeAheadRun]);
       }
     }
-    const { state, begun, endedAt } = this;
-    return {
+    const { state, begun, endedAt, placementEpoch } = this;
+    const record = {
       state,
       begun,
       endedAt,
@@ -241,6 +251,9 @@
       crashes,
       announced,
     };
+    if (placementEpoch === undefined) return record;
+    const placed = encodePlacements(this.steps);
+    return { ...record, placed, placedEpoch: placementEpoch };
   }
 
   private restore(progress: ProgressRecord): void {
--- a/packages/jobs/src/JobTask.ts
+++ b/packages/jobs/src/JobTask.ts
@@ -23,6 +23,11 @@
   writeAheadRun: RunNumber | undefined;
   /** The task is not started before this time: until then it may still fail permanently. */
   notBefore: Monotonic = -Infinity;
+  /**
+   * The host of its last start, unless that run is known to be over. A task that waits
+   * has one only if it was read from a record of a previous leader.
+   */
+  placedOn: HostId | undefined;
   /** The checkpoint from which the next run resumes; empty if there is none. */
   checkpoint = "";
   /** The last hosts on which the task failed or stalled. */
--- a/packages/jobs/src/ProgressJournal.ts
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -1,6 +1,7 @@
 /** Persists the progress of jobs in the store; several changes of a job become one record. */
 
 import type { Clock } from "@rackspan/common";
+import type { KeyedRecord } from "@rackspan/ports";
 import { encodeProgress, type TopicWriter } from "@rackspan/state";
 import type { JobRun } from "./JobRun.js";
 
@@ -14,10 +15,14 @@
 interface Batch {
   readonly jobs: Set<JobRun>;
   readonly persisted: Promise<void>;
+  /** Writes the batch now, unless that was done before. */
+  readonly close: () => void;
 }
 
 export class ProgressJournal {
   private next: Batch | undefined;
+  /** Whether the next batch is written without the wait for further changes. */
+  private closesSoon = false;
   /** The last write of each job that is not confirmed yet. */
   private readonly unpersisted = new Map<JobRun, Promise<void>>();
 
@@ -34,6 +39,20 @@
     return this.next.persisted;
   }
 
+  /**
+   * The same without the wait for further changes: everything that is passed before the
+   * next timers run is written in one append.
+   */
+  persistSoon(job: JobRun): Promise<void> {
+    const persisted = this.persist(job);
+    const batch = this.next;
+    if (batch && !this.closesSoon) {
+      this.closesSoon = true;
+      this.options.clock.after(0, batch.close);
+    }
+    return persisted;
+  }
+
   /**
    * Resolves once all earlier writes for the job are persisted; writes nothing itself.
    * Rejects when another leader has taken over before that.
@@ -55,21 +74,41 @@
   private openBatch(): Batch {
     const jobs = new Set<JobRun>();
     const { clock, batchWindowMs } = this.options;
+    let close = (): void => undefined;
     const persisted = new Promise<void>((resolve, reject) => {
-      clock.after(batchWindowMs, () => {
+      let isClosed = false;
+      close = () => {
+        if (isClosed) return;
+        isClosed = true;
+        const isOneAppend = this.closesSoon;
         this.next = undefined;
-        this.write(jobs).then(resolve, reject);
-      });
+        this.closesSoon = false;
+        const writes = isOneAppend
+          ? this.writeTogether(jobs)
+          : this.write(jobs);
+        writes.then(resolve, reject);
+      };
+      clock.after(batchWindowMs, close);
     });
-    return { jobs, persisted };
+    return { jobs, persisted, close };
   }
 
   private async write(jobs: ReadonlySet<JobRun>): Promise<void> {
     const { writer } = this.options;
-    const writes = [...jobs].map((job) => {
-      const value = encodeProgress(job.toRecord());
-      return writer.write({ key: job.id, value }).persisted;
-    });
+    const writes = [...jobs].map(
+      (job) => writer.write(recordOf(job)).persisted,
+    );
     await Promise.all(writes);
   }
+
+  private async writeTogether(jobs: ReadonlySet<JobRun>): Promise<void> {
+    const { writer } = this.options;
+    const writes = writer.writeTogether([...jobs].map(recordOf));
+    await Promise.all(writes.map(({ persisted }) => persisted));
+  }
 }
+
+const recordOf = (job: JobRun): KeyedRecord => ({
+  key: job.id,
+  value: encodeProgress(job.toRecord()),
+});
--- a/packages/jobs/src/TakeoverGate.ts
+++ b/packages/jobs/src/TakeoverGate.ts
@@ -1,10 +1,12 @@
 /**
  * Delays starts after a change of leader until no run of a previous leader can be unknown
- * to this one. Starts are not persisted, so the running tasks are known only once each host
- * of the roster has either reported to this leader, after which it rejects orders of
- * previous leaders, or holds no valid lease any more. The latter is known from the expiry
- * that its side reports, as only the side renews leases, or at the latest when the longest
- * lease that previous leaders could grant has expired.
+ * to this one. A host of the roster is settled once it has either reported to this leader,
+ * after which it rejects orders of previous leaders, or holds no valid lease any more. The
+ * latter is known from the expiry that its side reports, as only the side renews leases, or
+ * at the latest when the longest lease that previous leaders could grant has expired.
+ *
+ * If previous leaders recorded on which host a task may run, the task waits only for that
+ * host. Otherwise it may run on any host, and waits until all of them are settled.
  */
 
 import type { HostId, Monotonic } from "@rackspan/common";
@@ -20,6 +22,14 @@
   readonly leaseMs: number;
 }
 
+/** What is recorded about the last start of a task. */
+export interface KnownPlacement {
+  /** Undefined if the task was never started, or its last run is known to be over. */
+  readonly host: HostId | undefined;
+}
+
+const NO_HOSTS: readonly HostId[] = [];
+
 export class TakeoverGate {
   /** For each unreported host, the time by which no run of a previous leader is left there. */
   private readonly expiryByHost: Map<HostId, Monotonic>;
@@ -104,11 +114,34 @@
   }
 
   /**
-   * Whether tasks of a job that are not known to run on any host may be started.
+   * Whether a task that is not known to run on any host may be started.
    * @param firstSeenAt when this leader first read the job from the store
+   * @param placement undefined if the task may run on any host
    */
-  mayStart(firstSeenAt: Monotonic, now: Monotonic): boolean {
+  mayStart(
+    firstSeenAt: Monotonic,
+    now: Monotonic,
+    placement?: KnownPlacement,
+  ): boolean {
+    if (placement) return !this.isUnsettled(placement.host, now);
     if (this.isOpen(now)) return true;
     return firstSeenAt > this.viewCurrentAt;
   }
+
+  /** The hosts for which the task waits; empty if it may start. See `mayStart`. */
+  awaitedHosts(
+    firstSeenAt: Monotonic,
+    now: Monotonic,
+    placement?: KnownPlacement,
+  ): readonly HostId[] {
+    if (this.mayStart(firstSeenAt, now, placement)) return NO_HOSTS;
+    return placement?.host === undefined
+      ? this.unreported(now)
+      : [placement.host];
+  }
+
+  private isUnsettled(host: HostId | undefined, now: Monotonic): boolean {
+    const expiresBy = host && this.expiryByHost.get(host);
+    return expiresBy !== undefined && now < expiresBy;
+  }
 }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./ClaimReconciler.js";
 export * from "./CrashLog.js";
 export * from "./describeTask.js";
+export * from "./placements.js";
 export * from "./PresenceTracker.js";
 export * from "./HostCertifier.js";
 export * from "./HostDrainer.js";
--- a/packages/scheduling/src/CrashTracker.ts
+++ b/packages/scheduling/src/CrashTracker.ts
@@ -97,6 +97,7 @@
   ): void {
     const { options, runStarter } = this.parts;
     const { hostState } = entry;
+    this.withdrawUnsent(entry, reason);
     const blamed = attributeCrash({
       host: hostState,
       loss,
@@ -128,6 +129,14 @@
     }
   }
 
+  /** A run whose order was not sent is not lost with the worker. */
+  private withdrawUnsent(entry: HostEntry, reason: string): void {
+    for (const run of [...entry.hostState.runs.values()]) {
+      if (run.phase !== "recording") continue;
+      this.parts.runStarter.withdraw(entry, run, reason);
+    }
+  }
+
   /**
    * Withdraws the count of a lost run after the answer to its order showed that it
    * never started.
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -3,7 +3,7 @@
  * the order of work returns.
  */
 
-import type { RunNumber } from "@rackspan/common";
+import type { Monotonic, RunNumber } from "@rackspan/common";
 import type { HostState, JobRun, JobTask, StepRun } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
 import type { PermitRule, JobTerms, QueueSpec } from "@rackspan/state";
@@ -14,9 +14,12 @@
 import type { HostRegistry } from "./HostRegistry.js";
 import type { PermitTracker } from "./PermitTracker.js";
 import { SchedulingCycleTimer } from "./SchedulingCycleTimer.js";
+import { OrderLimiter } from "./OrderLimiter.js";
+import { knownPlacementOf } from "./PlacementLog.js";
 import { mayIsolate, pickIsolatedHost } from "./pickIsolatedHost.js";
 import type { RunWriteAheadLog } from "./RunWriteAheadLog.js";
 import type { RunStarter } from "./RunStarter.js";
+import { sortForTakeover } from "./sortForTakeover.js";
 import type { Candidate, StepOrder } from "./stepOrders.js";
 import {
   isAllowedOn,
@@ -44,6 +47,10 @@
   private readonly timer: SchedulingCycleTimer;
   private readonly hostFilter: CycleHostFilter;
   private readonly isolatedStarts = new IsolatedStartQueue();
+  /** Undefined if this leader records no placements. */
+  private readonly orderLimiter: OrderLimiter | undefined;
+  /** When a scheduling cycle first found the takeover gate open. */
+  private gateOpenAt: Monotonic | undefined;
   /** Usable hosts by service, computed at the start of each scheduling cycle. */
   private hostsByService: ReturnType<typeof usableHosts> = new Map();
 
@@ -55,6 +62,8 @@
       runCycle: () => this.runCycle(),
     });
     this.hostFilter = new CycleHostFilter(clock);
+    const { recordsPlacements } = this.options.engine.policy;
+    this.orderLimiter = recordsPlacements ? new OrderLimiter() : undefined;
   }
 
   /** See SchedulingCycleTimer. */
@@ -67,6 +76,11 @@
     this.timer.runIfOverdue();
   }
 
+  /** Requests a cycle if tasks may have waited for the answer to an order. */
+  handleOrderAnswered(): void {
+    if (this.orderLimiter?.isHoldingBack) this.requestCycle();
+  }
+
   private runCycle(): void {
     const { engine, order, hosts, ejector } = this.options;
     if (!engine.mayDecide()) return;
@@ -74,7 +88,11 @@
     this.hostFilter.startCycle();
     this.isolatedStarts.startCycle(startedAt);
     const now = engine.clock.now();
-    const candidates = order.sort(this.candidates(now), now);
+    this.orderLimiter?.startCycle(hosts.all());
+    const sorted = order.sort(this.candidates(now), now);
+    const candidates = this.isTakingOver(startedAt)
+      ? sortForTakeover(sorted)
+      : sorted;
     this.hostsByService = usableHosts({
       entries: hosts.all(),
       ejector,
@@ -89,6 +107,25 @@
       .record(engine.clock.monotonic() - startedAt);
   }
 
+  /** Whether tasks that waited for the takeover may be among the candidates. */
+  private isTakingOver(now: Monotonic): boolean {
+    const { gate, policy } = this.options.engine;
+    if (!policy.recordsPlacements) return false;
+    if (this.gateOpenAt === undefined && gate.isOpen(now))
+      this.gateOpenAt = now;
+    const openAt = this.gateOpenAt ?? Infinity;
+    return now < openAt + ENGINE.takeoverOrderMs;
+  }
+
+  /** Returns those of the hosts on which tasks of the step may start now. */
+  private hostsOpenTo(
+    step: StepRun,
+    hosts: readonly HostState[],
+  ): readonly HostState[] {
+    const open = this.hostFilter.hostsOpenTo(step, hosts);
+    return this.orderLimiter?.select(open) ?? open;
+  }
+
   private candidates(now: number): Candidate[] {
     const { engine, active } = this.options;
     const monotonic = engine.clock.monotonic();
@@ -100,14 +137,44 @@
         if (job.nextDueAt(now) === undefined) active.delete(tracked);
         continue;
       }
-      if (!engine.gate.mayStart(firstSeenAt, monotonic)) continue;
+      const open = steps.filter((step) =>
+        this.mayStartAny(step, firstSeenAt, monotonic),
+      );
+      if (open.length === 0) continue;
       if (this.options.hosts.hasRunsOf(job)) tracked.lastRunSeenAt = monotonic;
       const isStarved = monotonic - tracked.lastRunSeenAt > ENGINE.starvedMs;
-      candidates.push(...steps.map((step) => ({ job, step, isStarved })));
+      candidates.push(...open.map((step) => ({ job, step, isStarved })));
     }
     return candidates;
   }
 
+  /** Whether the takeover gate allows at least one task of the step to start. */
+  private mayStartAny(
+    step: StepRun,
+    firstSeenAt: Monotonic,
+    now: Monotonic,
+  ): boolean {
+    const { gate } = this.options.engine;
+    if (step.job.placementEpoch === undefined)
+      return gate.mayStart(firstSeenAt, now);
+    for (const task of step.waiting) {
+      if (gate.mayStart(firstSeenAt, now, knownPlacementOf(task))) return true;
+    }
+    return false;
+  }
+
+  /**
+   * Whether the host of the task's last start allows it to start elsewhere. A job whose
+   * placements are unknown is a candidate only if all of its tasks may start.
+   */
+  private isSettled(task: JobTask): boolean {
+    const placement = knownPlacementOf(task);
+    if (placement?.host === undefined) return true;
+    const { gate, clock } = this.options.engine;
+    const now = clock.monotonic();
+    return gate.mayStart(now, now, placement);
+  }
+
   /**
    * Returns the current settings of the job's queue, or those at submission if the
    * queue was deleted.
@@ -172,12 +239,12 @@
       return;
     }
     const { placer, runStarter, runLog } = this.options;
-    let openHosts = this.hostFilter.hostsOpenTo(step, hosts);
+    let openHosts = this.hostsOpenTo(step, hosts);
     let isUnplaced = false;
     for (const task of [...step.waiting]) {
+      if (!this.isSettled(task)) continue;
       if (runLog.needsRecord(task)) {
-        if (this.placeOverdue(job))
-          openHosts = this.hostFilter.hostsOpenTo(step, hosts);
+        if (this.placeOverdue(job)) openHosts = this.hostsOpenTo(step, hosts);
         if (job.isEnded) return;
         if (!step.waiting.has(task)) continue;
         let outcome = this.placeIsolated(task, openHosts);
@@ -188,8 +255,7 @@
         }
         if (outcome === "no-host") isUnplaced = true;
         // No other task may start on the host of an isolated run.
-        if (outcome === "placed")
-          openHosts = this.hostFilter.hostsOpenTo(step, hosts);
+        if (outcome === "placed") openHosts = this.hostsOpenTo(step, hosts);
         if (job.isEnded) return;
         continue;
       }
@@ -206,6 +272,7 @@
         return;
       }
       this.startOn(host, task, runStarter.nextRunNumber());
+      if (this.orderLimiter) openHosts = this.orderLimiter.select(openHosts);
     }
     if (isUnplaced) this.hostFilter.recordUnplaced(step, hosts);
     else step.unplacedSince = undefined;
@@ -218,7 +285,7 @@
   ): readonly HostState[] {
     if (!isOverdueLasting(step, this.options.engine.clock.monotonic()))
       return [];
-    return this.hostFilter.hostsOpenTo(step, ejected);
+    return this.hostsOpenTo(step, ejected);
   }
 
   /**
@@ -277,7 +344,7 @@
       if (this.options.engine.clock.monotonic() < step.notBefore) continue;
       const { permitRule } = this.termsOf(step.job);
       const allowed = permitRule ? this.permittedHosts(step, hosts) : hosts;
-      const openHosts = this.hostFilter.hostsOpenTo(step, allowed);
+      const openHosts = this.hostsOpenTo(step, allowed);
       if (this.placeIsolated(task, openHosts) === "placed") isAnyPlaced = true;
     }
     return isAnyPlaced;
@@ -287,7 +354,9 @@
   private placeGang(step: StepRun, hosts: readonly HostState[]): void {
     const waiting = [...step.waiting];
     if (waiting.length < step.tasks.length - step.doneCount) return;
-    const openHosts = this.hostFilter.hostsOpenTo(step, hosts);
+    // The end of a run of one member would count for all of them.
+    if (!waiting.every((task) => this.isSettled(task))) return;
+    const openHosts = this.hostsOpenTo(step, hosts);
     const chosen = chooseGangHosts(step, waiting, openHosts);
     if (!chosen) return;
     const runNumber = this.options.runLog.recordedRunFor(waiting);
@@ -308,6 +377,7 @@
     const ticket = permitTracker.ticketFor(task.step, host);
     runLog.markOrdered(task);
     this.isolatedStarts.remove(task);
+    this.orderLimiter?.recordOrder(host);
     const isolationMs = isIsolated ? task.crashLog.isolationMs : 0;
     if (entry)
       runStarter.start(entry, task, runNumber, { ticket, isolationMs });
--- a/packages/scheduling/src/HostRegistry.ts
+++ b/packages/scheduling/src/HostRegistry.ts
@@ -45,6 +45,7 @@
     host.hostState.add(run);
     this.placements.set(task, { host, run });
     this.countRun(run, 1);
+    task.placedOn = host.hostState.host;
     task.step.job.markPlaced(task);
     return true;
   }
@@ -62,6 +63,7 @@
     host.hostState.remove(run);
     this.placements.delete(task);
     this.countRun(run, -1);
+    task.placedOn = undefined;
     task.step.job.markWaiting(task);
     return true;
   }
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -44,6 +44,7 @@
 import { PermitTracker } from "./PermitTracker.js";
 import { LearnedStateStore } from "./LearnedStateStore.js";
 import { ProgressRecorder } from "./ProgressRecorder.js";
+import { PlacementLog } from "./PlacementLog.js";
 import { RunAdopter } from "./RunAdopter.js";
 import { RunWriteAheadLog } from "./RunWriteAheadLog.js";
 import { RunStarter } from "./RunStarter.js";
@@ -73,6 +74,7 @@
   private readonly checkpoints: CheckpointWriter;
   private readonly learnedState: LearnedStateStore;
   private readonly permitTracker: PermitTracker;
+  private readonly placementLog: PlacementLog | undefined;
   private readonly runStarter: RunStarter;
   private readonly runStopper: RunStopper;
   private readonly dispatcher: Dispatcher;
@@ -109,12 +111,23 @@
       onRequestFinished: requestCycle,
     });
     this.permitTracker = permitTracker;
+    const placementLog = policy.recordsPlacements
+      ? new PlacementLog({
+          ...options,
+          jobs,
+          placementsSince: options.placementsSince,
+          onComplete: () => options.onPlacementsComplete?.(),
+        })
+      : undefined;
+    this.placementLog = placementLog;
     const forecast = new TailForecast({ interference, policy });
     const runStarter = new RunStarter({
       ...options,
       hosts,
       forecast,
       permitTracker,
+      placementLog,
+      onOrderAnswered: () => this.dispatcher.handleOrderAnswered(),
       onTaskWaiting,
       onNeverStarted: (run) => this.crashTracker.handleNeverStarted(run),
     });
@@ -146,6 +159,7 @@
       runStopper: this.runStopper,
       estimates,
       ejector,
+      placementLog,
       requestCycle,
     };
     this.learnedState = new LearnedStateStore({
@@ -209,6 +223,7 @@
     if (this.jobs.get(accepted.spec.id)) return;
     const { clock, logger } = this.options;
     const job = new JobRun(accepted, progress);
+    this.placementLog?.restore(job, progress);
     const now = clock.monotonic();
     this.jobs.add({ job, firstSeenAt: now, lastRunSeenAt: now });
     if (job.isEnded) return;
@@ -439,6 +454,7 @@
 
   private tick(): void {
     this.hostMonitor.check();
+    this.placementLog?.completeWhenKnown();
     this.waitMonitor.check();
     if (this.jobs.active.size > 0) this.dispatcher.requestCycle();
   }
--- a/packages/scheduling/src/JobFinisher.ts
+++ b/packages/scheduling/src/JobFinisher.ts
@@ -46,10 +46,11 @@
   }
 
   private stopRuns(job: JobRun, reason: string): void {
-    const { hosts, runStopper } = this.parts;
+    const { hosts, runStarter, runStopper } = this.parts;
     for (const { tasks } of job.steps) {
       for (const { host, run } of hosts.placedRunsOf(tasks)) {
-        runStopper.stop(host, run, reason);
+        if (run.phase === "recording") runStarter.withdraw(host, run, reason);
+        else runStopper.stop(host, run, reason);
       }
     }
   }
--- a/packages/scheduling/src/JobRegistry.ts
+++ b/packages/scheduling/src/JobRegistry.ts
@@ -44,6 +44,13 @@
     return tracked.job.task(occurrence, step, index);
   }
 
+  /** Returns the jobs that have not ended. */
+  unended(): JobRun[] {
+    return [...this.entries.values()].flatMap(({ job }) =>
+      job.isEnded ? [] : [job],
+    );
+  }
+
   /** Returns the jobs that ended before the given wall-clock time. */
   endedBefore(time: number): JobId[] {
     const ended: JobId[] = [];
--- /dev/null
+++ b/packages/scheduling/src/OrderLimiter.ts
@@ -0,0 +1,51 @@
+/**
+ * Limits how many start orders to one host are open at once, so that a host that many
+ * tasks wait for after a takeover answers each of them within the order timeout.
+ */
+
+import type { HostState } from "@rackspan/jobs";
+import type { HostEntry } from "./engineTypes.js";
+
+/**
+ * Maximum number of open start orders per host. A side that carries out orders one after
+ * the other then has 225 ms for each within the order timeout of 1,800 ms.
+ */
+export const MAX_OPEN_ORDERS = 8;
+
+export class OrderLimiter {
+  private readonly openOrders = new Map<HostState, number>();
+  private isHolding = false;
+
+  /** Starts a scheduling cycle. */
+  startCycle(entries: Iterable<HostEntry>): void {
+    this.openOrders.clear();
+    this.isHolding = false;
+    for (const { hostState } of entries) {
+      let open = 0;
+      for (const { phase } of hostState.runs.values()) {
+        if (phase === "recording" || phase === "starting") open += 1;
+      }
+      this.openOrders.set(hostState, open);
+    }
+  }
+
+  recordOrder(host: HostState): void {
+    this.openOrders.set(host, this.countOf(host) + 1);
+  }
+
+  /** Returns the hosts to which another order may be sent. */
+  select(hosts: readonly HostState[]): readonly HostState[] {
+    const open = hosts.filter((host) => this.countOf(host) < MAX_OPEN_ORDERS);
+    if (open.length < hosts.length) this.isHolding = true;
+    return open;
+  }
+
+  /** Whether the last cycle left out a host, so that an answer may allow further starts. */
+  get isHoldingBack(): boolean {
+    return this.isHolding;
+  }
+
+  private countOf(host: HostState): number {
+    return this.openOrders.get(host) ?? 0;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/PlacementLog.ts
@@ -0,0 +1,133 @@
+/**
+ * Persists on which host each task is placed, before its start is ordered. The next leader
+ * then knows for each task where it may be running, and the task waits only for that host.
+ */
+
+import { describeError, type Logger, type Metrics } from "@rackspan/common";
+import {
+  restorePlacements,
+  type JobRun,
+  type JobTask,
+  type KnownPlacement,
+  type ProgressJournal,
+  type TakeoverGate,
+} from "@rackspan/jobs";
+import type { ProgressRecord } from "@rackspan/state";
+import type { Clock, Epoch } from "@rackspan/common";
+import type { JobRegistry } from "./JobRegistry.js";
+
+export interface PlacementLogOptions {
+  readonly journal: ProgressJournal;
+  readonly jobs: JobRegistry;
+  readonly gate: TakeoverGate;
+  readonly clock: Clock;
+  readonly epoch: Epoch;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /**
+   * Epoch since which every leader has recorded all placements; undefined if the records
+   * of previous leaders are not to be trusted.
+   */
+  readonly placementsSince: number | undefined;
+  /**
+   * Called once the placements of all tasks are persisted, although those of previous
+   * leaders were not to be trusted.
+   */
+  readonly onComplete: () => void;
+}
+
+/**
+ * Returns the recorded placement of the task; undefined if the task may run on any host.
+ */
+export const knownPlacementOf = ({
+  step,
+  placedOn,
+}: JobTask): KnownPlacement | undefined =>
+  step.job.placementEpoch === undefined ? undefined : { host: placedOn };
+
+export class PlacementLog {
+  private isComplete: boolean;
+
+  constructor(private readonly options: PlacementLogOptions) {
+    this.isComplete = options.placementsSince !== undefined;
+  }
+
+  /**
+   * Takes over the placements of a job from its last record. Without any record its tasks
+   * were never started.
+   */
+  restore(job: JobRun, progress: ProgressRecord | undefined): void {
+    const { placementsSince, epoch } = this.options;
+    if (placementsSince === undefined) return;
+    if (progress) {
+      const { placed, placedEpoch = -Infinity } = progress;
+      if (!placed || placedEpoch < placementsSince) return;
+      restorePlacements(job, placed);
+    }
+    job.placementEpoch = Number(epoch);
+  }
+
+  /**
+   * Resolves once the current placement of the task is persisted. Rejects if it is not and
+   * never will be, or if another leader has taken over.
+   */
+  async record({ step }: JobTask): Promise<void> {
+    const { clock, metrics } = this.options;
+    // If the placements of its job were unknown, the gate has let the task start only
+    // because no task of the job can run unknown to this leader any more.
+    this.setKnown(step.job);
+    const startedAt = clock.monotonic();
+    await this.options.journal.persistSoon(step.job);
+    metrics.count("placements_recorded");
+    metrics.latency("placement_record").record(clock.monotonic() - startedAt);
+  }
+
+  /**
+   * Persists the placement of a run that was adopted on another host than the recorded
+   * one. Complete records rule this out; if it happens, the record must not mislead the
+   * next leader.
+   */
+  correct(task: JobTask, recorded: KnownPlacement | undefined): void {
+    if (!recorded || recorded.host === task.placedOn) return;
+    const { logger, metrics } = this.options;
+    metrics.count("placements_corrected");
+    logger.error("placement.corrected", {
+      task: task.id,
+      recorded: recorded.host,
+      host: task.placedOn,
+    });
+    this.persistLater(task.step.job).catch(() => undefined);
+  }
+
+  /**
+   * Persists the placements of all jobs once no run of a previous leader can be unknown,
+   * so that the next leader can trust the records. Called at each tick of the engine.
+   */
+  completeWhenKnown(): void {
+    const { gate, clock, jobs, logger, onComplete } = this.options;
+    if (this.isComplete || !gate.isOpen(clock.monotonic())) return;
+    this.isComplete = true;
+    const unknown = jobs
+      .unended()
+      .filter(({ placementEpoch }) => placementEpoch === undefined);
+    for (const job of unknown) this.setKnown(job);
+    // A job without a record counts as never started.
+    const begun = unknown.filter((job) => job.begun || job.isRestored);
+    logger.info("placements.completing", { jobs: begun.length });
+    Promise.all(begun.map((job) => this.persistLater(job))).then(
+      onComplete,
+      (err: unknown) => {
+        // The next leader trusts no placements, and waits for all hosts.
+        logger.warn("placements.incomplete", { error: describeError(err) });
+      },
+    );
+  }
+
+  private persistLater(job: JobRun): Promise<void> {
+    return this.options.journal.persist(job);
+  }
+
+  private setKnown(job: JobRun): void {
+    job.placementEpoch = Number(this.options.epoch);
+  }
+}
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -11,6 +11,7 @@
 import type { RunningTask } from "@rackspan/ports";
 import type { EngineParts } from "./engineParts.js";
 import type { HostEntry } from "./engineTypes.js";
+import { knownPlacementOf } from "./PlacementLog.js";
 
 export class RunAdopter {
   constructor(private readonly parts: EngineParts) {}
@@ -30,7 +31,9 @@
       }
       this.log("task.adopted", entry, row);
       task.step.job.recordCheckpoint(task, row.checkpoint);
+      const recorded = knownPlacementOf(task);
       hosts.place(entry, this.runOf(entry, task, row));
+      this.parts.placementLog?.correct(task, recorded);
       adopted.push(task);
     }
     entry.hostState.replaceOrphans(orphans);
--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -17,17 +17,23 @@
   type JobRun,
   type JobTask,
 } from "@rackspan/jobs";
-import type { StartRefusal } from "@rackspan/ports";
+import { StoreRefusedError, type StartRefusal } from "@rackspan/ports";
 import { FULL_PACE, type HostCallResult } from "@rackspan/protocol";
 import { ENGINE, type EngineOptions, type HostEntry } from "./engineTypes.js";
 import type { HostRegistry } from "./HostRegistry.js";
 import type { PermitTracker } from "./PermitTracker.js";
+import type { PlacementLog } from "./PlacementLog.js";
 import type { TailForecast } from "./TailForecast.js";
+import { orderBlockedReason } from "./usableHosts.js";
 
 export interface RunStarterOptions extends EngineOptions {
   readonly hosts: HostRegistry;
   readonly forecast: TailForecast;
   readonly permitTracker: PermitTracker;
+  /** Undefined if this leader records no placements. */
+  readonly placementLog: PlacementLog | undefined;
+  /** Called when a host has answered a start order, or has not in time. */
+  readonly onOrderAnswered: () => void;
   /** Called when a task of the job waits again. */
   readonly onTaskWaiting: (job: JobRun) => void;
   /**
@@ -70,6 +76,7 @@
 
 export class RunStarter {
   private startedRuns = 0;
+  private hasLoggedUnrecorded = false;
 
   constructor(private readonly options: RunStarterOptions) {}
 
@@ -86,20 +93,18 @@
     runNumber: RunNumber,
     { ticket, isolationMs }: RunStartOptions,
   ): void {
-    const { clock, hosts, leaseMs } = this.options;
+    const { clock, hosts, placementLog } = this.options;
     const now = clock.monotonic();
     const { hostState } = host;
-    const orderLeaseMs = Math.min(ENGINE.startLeaseMs, leaseMs);
     const run: ActiveRun = {
       task,
       run: runNumber,
-      phase: "starting",
+      phase: placementLog ? "recording" : "starting",
       startedAt: now,
       isolationMs,
       firstSeenAt: undefined,
       lastSeenAt: undefined,
-      orderExpiresAt: (workerTimeAt(hostState, now) +
-        orderLeaseMs) as WorkerTime,
+      orderExpiresAt: Infinity as unknown as WorkerTime,
       progressPercent: 0,
       progressedAt: now,
       reading: 0,
@@ -113,8 +118,93 @@
       this.logAlreadyPlaced(host, run);
       return;
     }
+    const orderFields = { ticket, firstPercent };
+    if (!placementLog) {
+      this.sendOrder(host, run, orderFields);
+      return;
+    }
+    placementLog.record(task).then(
+      () => this.sendRecorded(host, run, orderFields),
+      (err: unknown) => this.handleUnrecorded(host, run, err),
+    );
+  }
+
+  /**
+   * Sends the order of a run whose placement is persisted, if the run is still wanted there
+   * and this process still decides. Otherwise the order is never sent.
+   */
+  private sendRecorded(
+    host: HostEntry,
+    run: ActiveRun,
+    orderFields: StartOrderFields,
+  ): void {
+    const { hosts, mayDecide, clock, isEvacuated, permitTracker } =
+      this.options;
+    if (!hosts.isCurrent(run)) return;
+    const context = { now: clock.monotonic(), isEvacuated };
+    const needsTicket = orderFields.ticket !== undefined;
+    const ticket = permitTracker.ticketFor(run.task.step, host.hostState);
+    if (!mayDecide()) this.withdraw(host, run, "no-authority");
+    else if (needsTicket && ticket === undefined) {
+      this.withdraw(host, run, "ticket-expired");
+    } else {
+      const reason = orderBlockedReason(host, context);
+      if (reason) this.withdraw(host, run, reason);
+      else this.sendOrder(host, run, { ...orderFields, ticket });
+    }
+  }
+
+  /**
+   * Releases a run whose order was not sent and never will be. It leaves no evidence
+   * against its task.
+   */
+  withdraw(host: HostEntry, run: ActiveRun, reason: string): void {
+    this.options.metrics.count("placements_unsent", { reason });
+    this.returnRun(host, run, `unsent-${reason}`);
+  }
+
+  /**
+   * If another leader has taken over, the run stays placed, so that this process places
+   * the task no more.
+   */
+  private handleUnrecorded(
+    host: HostEntry,
+    run: ActiveRun,
+    err: unknown,
+  ): void {
+    const { clock, hosts, logger } = this.options;
+    const isRefused = err instanceof StoreRefusedError;
+    if (!this.hasLoggedUnrecorded || isRefused) {
+      logger.warn("placement.not-recorded", {
+        task: run.task.id,
+        run: run.run,
+        host: host.hostState.host,
+        error: describeError(err),
+      });
+    }
+    this.hasLoggedUnrecorded = true;
+    if (!isRefused || !hosts.isCurrent(run)) return;
+    run.task.step.notBefore = clock.monotonic() + ENGINE.unrecordedPauseMs;
+    this.withdraw(host, run, "store-refused");
+  }
+
+  /** Sends the start order; its lease counts from now. */
+  private sendOrder(
+    host: HostEntry,
+    run: ActiveRun,
+    orderFields: StartOrderFields,
+  ): void {
+    const { clock, leaseMs } = this.options;
+    const now = clock.monotonic();
+    const { hostState } = host;
+    const orderLeaseMs = Math.min(ENGINE.startLeaseMs, leaseMs);
+    run.phase = "starting";
+    run.startedAt = now;
+    run.progressedAt = now;
+    run.orderExpiresAt = (workerTimeAt(hostState, now) +
+      orderLeaseMs) as WorkerTime;
     hostState.recordOrder(latestLeaseExpiry(now, orderLeaseMs));
-    void this.orderStart(host, run, { ticket, firstPercent });
+    void this.orderStart(host, run, orderFields);
   }
 
   /**
@@ -188,6 +278,7 @@
     if (isAwaited) this.applyStartResult(host, run, result);
     else if (NEVER_STARTED.includes(result.kind))
       this.options.onNeverStarted(run);
+    this.options.onOrderAnswered();
   }
 
   /**
--- a/packages/scheduling/src/WaitMonitor.ts
+++ b/packages/scheduling/src/WaitMonitor.ts
@@ -9,6 +9,7 @@
 import type { EngineParts } from "./engineParts.js";
 import type { TrackedJob } from "./engineTypes.js";
 import { explainWait } from "./explainWait.js";
+import { knownPlacementOf } from "./PlacementLog.js";
 
 const WAIT = {
   /** Interval of the checks, milliseconds. */
@@ -111,11 +112,13 @@
     const { tracked, task, since } = wait;
     const { step } = task;
     const { gate } = options;
+    const { firstSeenAt } = tracked;
+    const awaited = gate.awaitedHosts(firstSeenAt, now, knownPlacementOf(task));
     const queue = options.queueOf(tracked.job.accepted.spec.queue);
     const { cause, hosts: counts } = explainWait({
       step,
       service: queue?.service ?? tracked.job.terms.service,
-      mayStart: gate.mayStart(tracked.firstSeenAt, now),
+      mayStart: awaited.length === 0,
       entries: [...hosts.all()],
       ejector,
       isEvacuated: options.isEvacuated,
@@ -129,10 +132,7 @@
       waiting: step.waiting.size,
       cause,
       ...counts,
-      unheard:
-        cause === "take-over"
-          ? describeUnreported(gate.unreported(now))
-          : undefined,
+      unheard: cause === "take-over" ? describeUnreported(awaited) : undefined,
     });
   }
 }
--- a/packages/scheduling/src/engineParts.ts
+++ b/packages/scheduling/src/engineParts.ts
@@ -5,6 +5,7 @@
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import type { HostRegistry } from "./HostRegistry.js";
 import type { JobRegistry } from "./JobRegistry.js";
+import type { PlacementLog } from "./PlacementLog.js";
 import type { RunStarter } from "./RunStarter.js";
 import type { RunStopper } from "./RunStopper.js";
 
@@ -16,6 +17,8 @@
   readonly runStopper: RunStopper;
   readonly estimates: RuntimeEstimator;
   readonly ejector: OutlierEjector;
+  /** Undefined if this leader records no placements. */
+  readonly placementLog: PlacementLog | undefined;
   /** Requests a scheduling cycle soon. */
   readonly requestCycle: () => void;
 }
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -77,6 +77,16 @@
   crawlMs: 1_200,
   /** A host that refused a start gets no other for this long, milliseconds. */
   refusedPauseMs: 400,
+  /**
+   * For this long after the takeover gate has opened, steps are started in the order of
+   * sortForTakeover, milliseconds. The tasks that waited are to start within this time.
+   */
+  takeoverOrderMs: 2_000,
+  /**
+   * A step whose placement the store refused to record is tried again after this,
+   * milliseconds; the queue of records is full then.
+   */
+  unrecordedPauseMs: 300,
   /**
    * The same as `stallMs` for filling tasks, which may be throttled to a standstill for
    * a while.
@@ -141,6 +151,16 @@
   readonly persistLearned: (record: LearnedRecord) => void;
   /** Undefined if the platform has no permit service. */
   readonly permits: PermitService | undefined;
+  /**
+   * Epoch since which every leader has recorded all placements; undefined if their records
+   * are not to be trusted. Used only with `policy.recordsPlacements`.
+   */
+  readonly placementsSince?: number | undefined;
+  /**
+   * Called once the placements of all tasks are persisted, although those of previous
+   * leaders were not to be trusted.
+   */
+  readonly onPlacementsComplete?: () => void;
 }
 
 /** A host with the session to its side, if there is one. */
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -48,6 +48,11 @@
    * never. Without it a new leader needs 10 to 30 s to learn the pairs of images again.
    */
   readonly learntEveryMs: number;
+  /**
+   * Whether the host of each start is persisted before the start is ordered. After a
+   * takeover a task then waits only for that host, instead of for all hosts.
+   */
+  readonly recordsPlacements: boolean;
 }
 
 /** Values used where the settings contain none. */
@@ -65,4 +70,5 @@
   ejectsFailingHosts: true,
   checkpointEveryMs: 1_000,
   learntEveryMs: 2_000,
+  recordsPlacements: false,
 };
--- a/packages/scheduling/src/usableHosts.ts
+++ b/packages/scheduling/src/usableHosts.ts
@@ -64,6 +64,26 @@
 ): ClosedReason | undefined =>
   HOST_RULES.find(({ closes }) => closes(entry, context))?.reason;
 
+/**
+ * Rules that concern the start of further tasks only: they do not keep back an order whose
+ * task was placed before.
+ */
+const RULES_FOR_PLACING: readonly ClosedReason[] = [
+  "unknown-run",
+  "holds-suspect",
+  "not-reported",
+];
+
+/** @returns why no order may be sent to the host for a task that is placed there */
+export const orderBlockedReason = (
+  entry: HostEntry,
+  context: HostRuleContext,
+): ClosedReason | undefined =>
+  HOST_RULES.find(
+    ({ reason, closes }) =>
+      !RULES_FOR_PLACING.includes(reason) && closes(entry, context),
+  )?.reason;
+
 export interface UsableHostsOptions extends HostRuleContext {
   readonly entries: Iterable<HostEntry>;
   readonly ejector: OutlierEjector;
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -10,7 +10,7 @@
   type WorkerInstance,
 } from "@rackspan/common";
 import type { KeyedRecord } from "@rackspan/ports";
-import { decodeHost } from "./hostRecords.js";
+import { decodeStoredHost } from "./hostRecords.js";
 import {
   decodeCancel,
   decodeJob,
@@ -24,6 +24,12 @@
   type JobStateName,
   type QueueKey,
 } from "./jobModel.js";
+import {
+  decodeTerm,
+  RESERVED_PROGRESS_KEYS,
+  TERM_KEY,
+  type TermRecord,
+} from "./termRecord.js";
 
 export interface JobEntry {
   readonly accepted: AcceptedJob;
@@ -59,6 +65,11 @@
   private readonly cancels = new Map<JobId, Instant>();
   private readonly progress = new Map<JobId, ProgressRecord>();
   private readonly hosts = new Map<HostId, WorkerInstance | undefined>();
+  /** Hosts that a leader without recorded placements may have used last. */
+  private readonly unrecordedHosts = new Set<HostId>();
+  private term: TermRecord | undefined;
+  /** Keys of progress records that this version cannot read. */
+  private readonly unreadableProgress = new Set<string>();
 
   constructor(private readonly options: JobViewOptions) {}
 
@@ -119,6 +130,24 @@
     return this.hosts;
   }
 
+  /** The last term that wrote a term record. */
+  get lastTerm(): TermRecord | undefined {
+    return this.term;
+  }
+
+  /** Whether a progress record cannot be read, so that its job seems never started. */
+  get hasUnreadableProgress(): boolean {
+    return this.unreadableProgress.size > 0;
+  }
+
+  /**
+   * Hosts on which a leader that records no placements may have started tasks since the
+   * last leader that does.
+   */
+  get hostsWithoutPlacements(): readonly HostId[] {
+    return [...this.unrecordedHosts];
+  }
+
   /**
    * Adds an accepted job. Also called by the entry that wrote the
    * record, before it reads it back.
@@ -167,26 +196,47 @@
 
   applyProgressRecords(records: readonly KeyedRecord[]): void {
     for (const { key, value } of records) {
+      if (RESERVED_PROGRESS_KEYS.has(key)) {
+        if (key === TERM_KEY) this.applyTermRecord(value);
+        continue;
+      }
       const id = key as unknown as JobId;
+      this.unreadableProgress.delete(key);
       if (!value) {
         this.progress.delete(id);
         continue;
       }
-      this.decode(key, () => this.progress.set(id, decodeProgress(key, value)));
+      const isRead = this.decode(key, () =>
+        this.progress.set(id, decodeProgress(key, value)),
+      );
+      if (!isRead) this.unreadableProgress.add(key);
     }
   }
 
   applyHostRecords(records: readonly KeyedRecord[]): void {
     for (const { key, value } of records) {
       const host = key as unknown as HostId;
+      this.unrecordedHosts.delete(host);
       if (!value) {
         this.hosts.delete(host);
         continue;
       }
-      this.decode(key, () => this.hosts.set(host, decodeHost(key, value)));
+      this.decode(key, () => {
+        // An unreadable record may be of a leader that records no placements.
+        this.unrecordedHosts.add(host);
+        const { instance, hasPlacements } = decodeStoredHost(key, value);
+        this.hosts.set(host, instance);
+        if (hasPlacements) this.unrecordedHosts.delete(host);
+      });
     }
   }
 
+  private applyTermRecord(value: Buffer | undefined): void {
+    // Without a readable record the next leader trusts no placements.
+    this.term = undefined;
+    if (value) this.decode(TERM_KEY, () => (this.term = decodeTerm(value)));
+  }
+
   /** @returns whether the record could be read */
   private decode(key: string, apply: () => void): boolean {
     try {
--- a/packages/state/src/TopicWriter.ts
+++ b/packages/state/src/TopicWriter.ts
@@ -105,6 +105,19 @@
   }
 
   write(record: KeyedRecord): PendingWrite {
+    const pending = this.enqueue(record);
+    void this.run();
+    return pending;
+  }
+
+  /** Writes the records in one append, unless they exceed its size. */
+  writeTogether(records: readonly KeyedRecord[]): PendingWrite[] {
+    const pending = records.map((record) => this.enqueue(record));
+    void this.run();
+    return pending;
+  }
+
+  private enqueue(record: KeyedRecord): PendingWrite {
     let queued: QueuedRecord | undefined;
     const persisted = new Promise<number>((resolve, reject) => {
       const refusal = this.refusal();
@@ -115,7 +128,6 @@
       queued = { record, resolve, reject };
       this.queue.push(queued);
     });
-    void this.run();
     return { persisted, abandon: () => this.abandon(queued) };
   }
 
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./allReplicasClaimed.js";
 export * from "./RequestFold.js";
 export * from "./snapshots.js";
+export * from "./termRecord.js";
 export * from "./SnapshotWriter.js";
 export * from "./TopicWriter.js";
 export * from "./TopicFollower.js";
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -237,8 +237,29 @@
    * suspected tasks only.
    */
   announced: z.array(z.tuple([z.string(), z.number()])).default([]),
+  /**
+   * Hosts, each with the tasks that were last started there and may still run: maps
+   * `occurrence.step` to the indices of these tasks, as ranges. Absent if the tasks may
+   * be on any host, as in records of leaders that record no placements.
+   */
+  placed: z
+    .array(
+      z.tuple([
+        z.string(),
+        z.record(z.string(), z.string().refine(isIndexList)),
+      ]),
+    )
+    .optional(),
+  /** Epoch of the leader that wrote `placed`. */
+  placedEpoch: z.number().optional(),
 });
 
+/** See `placed` in the stored progress. */
+export type StoredPlacements = readonly (readonly [
+  string,
+  Readonly<Record<string, string>>,
+])[];
+
 type StoredProgress = z.output<typeof storedProgressSchema>;
 
 /** Progress of a job, as last recorded by the leader. */
--- /dev/null
+++ b/packages/state/tests/termRecord.test.ts
@@ -0,0 +1,105 @@
+/** What a new leader reads about the placements that previous leaders recorded. */
+
+import { test } from "node:test";
+import { expect } from "earl";
+import {
+  brand,
+  Metrics,
+  silentLogger,
+  type HostId,
+  type WorkerInstance,
+} from "@rackspan/common";
+import {
+  decodeHost,
+  decodeProgress,
+  decodeStoredHost,
+  encodeHost,
+  encodeProgress,
+  encodeTerm,
+  JobView,
+  TERM_KEY,
+  type JobId,
+} from "@rackspan/state";
+import { plainJob, STARTED_PROGRESS } from "@rackspan/standins";
+
+const HOST = brand<HostId>("h1");
+const INSTANCE = brand<WorkerInstance>("h1-1");
+const TERM = encodeTerm({ epoch: 7, placementsSince: 3 });
+
+const createView = () => {
+  const metrics = new Metrics();
+  return { metrics, view: new JobView({ logger: silentLogger, metrics }) };
+};
+
+// Decoded as progress, each of them would be logged as an unreadable job.
+test("the keys of the term and of the load summary are not taken for jobs", async () => {
+  const { view, metrics } = createView();
+  for (const id of [TERM_KEY, "load"]) {
+    view.addAccepted(plainJob({ id, acceptedAt: 0 }));
+  }
+  view.applyProgressRecords([
+    { key: TERM_KEY, value: TERM },
+    { key: "load", value: encodeProgress(STARTED_PROGRESS) },
+  ]);
+  expect(view.lastTerm).toEqual({ epoch: 7, placementsSince: 3 });
+  expect(view.get(brand<JobId>("load"))?.progress).toEqual(undefined);
+  expect(view.hasUnreadableProgress).toEqual(false);
+  expect(await metrics.total("records_passed_over")).toEqual(0);
+});
+
+// An older term must not vouch for the leaders after it.
+test("a term that cannot be read, or is deleted, replaces the term before", () => {
+  for (const value of [Buffer.from("{"), undefined]) {
+    const { view } = createView();
+    view.applyProgressRecords([{ key: TERM_KEY, value: TERM }]);
+    view.applyProgressRecords([{ key: TERM_KEY, value }]);
+    expect(view.lastTerm).toEqual(undefined);
+  }
+});
+
+// Such a job seems to have no record, as if it had never been started.
+test("progress that cannot be read is known as such until it is replaced", () => {
+  const { view } = createView();
+  view.applyProgressRecords([{ key: "j", value: Buffer.from("{}") }]);
+  expect(view.hasUnreadableProgress).toEqual(true);
+  const value = encodeProgress(STARTED_PROGRESS);
+  view.applyProgressRecords([{ key: "j", value }]);
+  expect(view.hasUnreadableProgress).toEqual(false);
+});
+
+test("hosts written by leaders without placements are told apart", () => {
+  const { view } = createView();
+  const key = HOST as string;
+  view.applyHostRecords([{ key, value: encodeHost(INSTANCE) }]);
+  expect(view.hostsWithoutPlacements).toEqual([HOST]);
+  view.applyHostRecords([{ key, value: encodeHost(INSTANCE, true) }]);
+  expect(view.hostsWithoutPlacements).toEqual([]);
+  expect(view.roster.get(HOST)).toEqual(INSTANCE);
+  view.applyHostRecords([{ key, value: encodeHost(INSTANCE) }]);
+  view.applyHostRecords([{ key, value: undefined }]);
+  expect(view.hostsWithoutPlacements).toEqual([]);
+});
+
+// Versions without placements read only `instance`, and write the host anew without it.
+test("a host written by a leader with placements names no incarnation for former versions", () => {
+  const value = encodeHost(INSTANCE, true);
+  const fields = Object.keys(JSON.parse(value.toString()) as object);
+  expect(fields).toEqual(["instanceWithPlacements"]);
+  expect(decodeHost("h1", value)).toEqual(INSTANCE);
+  const unnamed = encodeHost(undefined, true);
+  expect(decodeStoredHost("h1", unnamed)).toEqual({
+    instance: undefined,
+    hasPlacements: true,
+  });
+});
+
+test("placements are stored with a record, and absent from records of former versions", () => {
+  const record = {
+    ...STARTED_PROGRESS,
+    placed: [["h1", { "0.0": "0-3,7" }]] as [string, Record<string, string>][],
+    placedEpoch: 4,
+  };
+  expect(decodeProgress("j", encodeProgress(record))).toEqual(record);
+  const former = decodeProgress("j", encodeProgress(STARTED_PROGRESS));
+  expect(former.placed).toEqual(undefined);
+});
