--- a/packages/scheduling/src/PlacementLog.ts
+++ b/packages/scheduling/src/PlacementLog.ts
@@ -3,7 +3,13 @@
  * then knows for each task where it may be running, and the task waits only for that host.
  */
 
-import { describeError, type Logger, type Metrics } from "@rackspan/common";
+import {
+  describeError,
+  type Clock,
+  type Epoch,
+  type Logger,
+  type Metrics,
+} from "@rackspan/common";
 import {
   restorePlacements,
   type JobRun,
@@ -13,7 +19,6 @@
   type TakeoverGate,
 } from "@rackspan/jobs";
 import type { ProgressRecord } from "@rackspan/state";
-import type { Clock, Epoch } from "@rackspan/common";
 import type { JobRegistry } from "./JobRegistry.js";
 
 export interface PlacementLogOptions {
--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -76,7 +76,7 @@
 
 export class RunStarter {
   private startedRuns = 0;
-  private hasLoggedUnrecorded = false;
+  private unrecordedLoggedAt: Monotonic = -Infinity;
 
   constructor(private readonly options: RunStarterOptions) {}
 
@@ -174,7 +174,10 @@
   ): void {
     const { clock, hosts, logger } = this.options;
     const isRefused = err instanceof StoreRefusedError;
-    if (!this.hasLoggedUnrecorded || isRefused) {
+    const now = clock.monotonic();
+    // A refused append concerns many runs; the first one is logged.
+    if (now - this.unrecordedLoggedAt >= ENGINE.unrecordedPauseMs) {
+      this.unrecordedLoggedAt = now;
       logger.warn("placement.not-recorded", {
         task: run.task.id,
         run: run.run,
@@ -182,9 +185,8 @@
         error: describeError(err),
       });
     }
-    this.hasLoggedUnrecorded = true;
     if (!isRefused || !hosts.isCurrent(run)) return;
-    run.task.step.notBefore = clock.monotonic() + ENGINE.unrecordedPauseMs;
+    run.task.step.notBefore = now + ENGINE.unrecordedPauseMs;
     this.withdraw(host, run, "store-refused");
   }
 
--- a/packages/scheduling/src/WaitMonitor.ts
+++ b/packages/scheduling/src/WaitMonitor.ts
@@ -8,6 +8,7 @@
 import type { JobTask, StepRun } from "@rackspan/jobs";
 import type { EngineParts } from "./engineParts.js";
 import type { TrackedJob } from "./engineTypes.js";
+import { countTakeoverWaits } from "./countTakeoverWaits.js";
 import { explainWait } from "./explainWait.js";
 import { knownPlacementOf } from "./PlacementLog.js";
 
@@ -45,6 +46,8 @@
 export class WaitMonitor {
   private readonly nextTasks = new Map<StepRun, NextTask>();
   private checkedAt: Monotonic = -Infinity;
+  /** Whether the takeover gate was open at the last check. */
+  private isTakeoverOver = false;
 
   constructor(private readonly parts: EngineParts) {}
 
@@ -56,6 +59,7 @@
     this.checkedAt = now;
     this.updateWaits(now);
     this.setGauges(now);
+    this.reportTakeover(now);
     const due = [...this.nextTasks.values()]
       .filter(({ since }) => now - since >= WAIT.logAfterMs)
       .filter(({ loggedAt }) => now - loggedAt >= WAIT.logIntervalMs)
@@ -73,6 +77,26 @@
     this.setGauges(this.parts.options.clock.monotonic());
   }
 
+  /** Logs how many tasks wait for which unreported hosts, once per check. */
+  private reportTakeover(now: Monotonic): void {
+    const { jobs, options } = this.parts;
+    const { gate, policy, metrics, logger } = options;
+    if (!policy.recordsPlacements || this.isTakeoverOver) return;
+    this.isTakeoverOver = gate.isOpen(now);
+    const waits = countTakeoverWaits(jobs.active, gate, now);
+    metrics.gauge("takeover_waiting_tasks", waits.tasks);
+    metrics.gauge("takeover_unreported_hosts", gate.unreported(now).length);
+    if (this.isTakeoverOver) return;
+    const named = waits.byHost.slice(0, WAIT.maxNamedHosts);
+    logger.info("takeover.waits", {
+      tasks: waits.tasks,
+      unknown: waits.unknown,
+      unheard: describeUnreported(gate.unreported(now)),
+      hosts:
+        named.map(([host, tasks]) => `${host}:${tasks}`).join(",") || undefined,
+    });
+  }
+
   private updateWaits(now: Monotonic): void {
     const { jobs, options } = this.parts;
     const seen = new Set<StepRun>();
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -377,6 +377,8 @@
   readonly terms?: Partial<JobTerms>;
   /** Overrides of the default policy. */
   readonly policy?: Partial<SchedulingPolicy>;
+  /** Epoch since which all leaders have recorded placements; see EngineOptions. */
+  readonly placementsSince?: number;
 }
 
 export class EngineHarness {
@@ -388,6 +390,8 @@
   readonly roster: FakeRoster;
   readonly hosts: FakeHost[] = [];
   isLeader = true;
+  /** How often the engine has reported that the placements of all tasks are persisted. */
+  completions = 0;
   /** Learned records that the engine has stored for the next leader, in order. */
   readonly learned: LearnedRecord[] = [];
   /** Zones under evacuation, in which nothing may be started. */
@@ -444,6 +448,8 @@
       isEvacuated: (zone) => this.evacuatedZones.has(zone),
       persistLearned: (record) => this.learned.push(record),
       permits: options.permits,
+      placementsSince: options.placementsSince,
+      onPlacementsComplete: () => (this.completions += 1),
     });
     this.engine.start();
   }
--- a/packages/scheduling/tests/harnessWithLog.ts
+++ b/packages/scheduling/tests/harnessWithLog.ts
@@ -1,9 +1,11 @@
 /** An engine harness that records its log lines. */
 
 import { createLogger } from "@rackspan/common";
-import { EngineHarness } from "./engineHarness.js";
+import { EngineHarness, type HarnessOptions } from "./engineHarness.js";
 
-export const harnessWithLog = (): {
+export const harnessWithLog = (
+  options: HarnessOptions = {},
+): {
   harness: EngineHarness;
   lines: string[];
 } => {
@@ -12,5 +14,5 @@
     level: "info",
     write: (line) => void lines.push(line),
   });
-  return { harness: new EngineHarness({ logger }), lines };
+  return { harness: new EngineHarness({ ...options, logger }), lines };
 };
