checker: schedules and figures with hosts missing at takeovers

Cause: placements written ahead are a new argument for why no task runs twice, and nothing showed what they gain.

Change: schedules in which leaders end while hosts are cut off and run on, with all leaders recording placements, with the flag turned off and on again, and with leaders of a version that knows none in between.

--- a/packages/checker/src/jobs/JobWorld.ts
+++ b/packages/checker/src/jobs/JobWorld.ts
@@ -13,6 +13,7 @@
 import { MemoryStore, type StoreFault } from "@rackspan/standins";
 import type {
   JobId,
+  JobSpec,
   QueueKey,
   QueueSpec,
   RepeatSpec,
@@ -20,7 +21,12 @@
 } from "@rackspan/state";
 import { GangRunTracker } from "./GangRunTracker.js";
 import { HostModel } from "./HostModel.js";
-import { LEADERSHIP, VIEW_LAG_MS } from "./LeaderModel.js";
+import {
+  LEADERSHIP,
+  VIEW_LAG_MS,
+  type PlacementMode,
+  type PlacementMutant,
+} from "./LeaderModel.js";
 import { LeaderSuccession } from "./LeaderSuccession.js";
 import { RunHistory } from "./RunHistory.js";
 import type { SilentDirection } from "./SideLink.js";
@@ -84,6 +90,10 @@
   readonly checksRestartDelays?: boolean;
   /** Whether sides query the store for the leader only after a time without any grant. */
   readonly staysWithGrantingLeader?: boolean;
+  /** See LeaderModelOptions. */
+  readonly placementMode?: ((epoch: number) => PlacementMode) | undefined;
+  /** See LeaderModelOptions. */
+  readonly placementMutant?: PlacementMutant | undefined;
 }
 
 export class JobWorld {
@@ -128,11 +138,13 @@
     if (options.checksRestartDelays) this.checkRestartDelays();
   }
 
-  submit(steps: readonly Partial<StepSpec>[], repeat?: RepeatSpec): void {
+  /** @returns the specification of the job */
+  submit(steps: readonly Partial<StepSpec>[], repeat?: RepeatSpec): JobSpec {
     const job = this.jobs.add(steps, repeat);
     this.clock.after(this.random.next() * VIEW_LAG_MS, () =>
       this.leaders.sendToLeader((leader) => leader.addJob(job)),
     );
+    return job.spec;
   }
 
   /** Submits a job whose first task crashes each worker that starts it. */
@@ -278,6 +290,35 @@
     this.crashWorkers(1, downMs);
   }
 
+  /**
+   * Cuts hosts, whose workers run on, from all leaders, and ends the leader: the next one
+   * takes over without reports of these hosts.
+   */
+  loseLeaderBesideMissingHosts(count: number, ms: number): void {
+    for (let missing = 0; missing < count; missing += 1) this.cutLink(ms);
+    this.leaders.kill();
+  }
+
+  /**
+   * Ends the leader, all sides and all workers at once. The given number of hosts does not
+   * come back.
+   */
+  losePowerAndHosts(lostHosts: number, downMs: number): void {
+    this.leaders.kill();
+    this.hosts.forEach((host, index) => {
+      const isLost = index < lostHosts;
+      if (host.worker.isUp) host.worker.crash();
+      if (isLost) {
+        host.isCut = true;
+        return;
+      }
+      host.restartSide();
+      this.clock.after(downMs * (0.5 + this.random.next()), () =>
+        host.worker.restart(),
+      );
+    });
+  }
+
   /** Evacuates a share of the availability zones and ends the evacuation after the given time. */
   evacuate(share: number, ms: number): void {
     for (const zone of ZONES) {
--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -47,6 +47,8 @@
   "order-before-record",
   /** Stored placements are trusted whether or not every leader has recorded them. */
   "trust-without-term",
+  /** Hosts that a leader of a former version has written do not revoke the trust. */
+  "former-version-ignored",
   /** The takeover gate does not wait for one of the unreported hosts. */
   "host-left-out-of-gate",
 ] as const;
@@ -141,8 +143,14 @@
     const mode = placementMode?.(Number(epoch)) ?? "off";
     const recordsPlacements = mode === "on";
     const roster = mode === "former-version" ? formerRoster(view) : view.roster;
+    const isIgnoring = placementMutant === "former-version-ignored";
+    const { lastTerm, hasUnreadableProgress } = view;
     const termLog = new TermLog({
-      view,
+      view: {
+        lastTerm,
+        hasUnreadableProgress,
+        hostsWithoutPlacements: isIgnoring ? [] : view.hostsWithoutPlacements,
+      },
       writer: progressWriter,
       epoch,
       recordsPlacements,
--- a/packages/checker/src/jobs/eventMixes.ts
+++ b/packages/checker/src/jobs/eventMixes.ts
@@ -1,6 +1,6 @@
 /** The events of each kind of schedule, with their weights. */
 
-import type { SeededRandom } from "@rackspan/common";
+import { pickIndex, type SeededRandom } from "@rackspan/common";
 import {
   between,
   cancelJob,
@@ -180,6 +180,24 @@
   [4, silenceCalls],
 ];
 
+/**
+ * The harsh events, silent workers, and leaders that end while some hosts are cut off and
+ * run on.
+ */
+export const MISSING_HOST_EVENTS: WeightedEvents = [
+  ...HARSH_EVENTS,
+  [20, submitSmallJob],
+  [6, silenceWorker],
+  [
+    6,
+    (world, random) =>
+      world.loseLeaderBesideMissingHosts(
+        1 + pickIndex(random, 2),
+        between(random, 2_000, 14_000),
+      ),
+  ],
+];
+
 /** Picks one event at random by weight. */
 export const pickEvent = (
   events: WeightedEvents,
--- a/packages/checker/src/jobs/jobSchedules.ts
+++ b/packages/checker/src/jobs/jobSchedules.ts
@@ -10,6 +10,7 @@
   SIDE_RESTART_EVENTS,
   HARSH_EVENTS,
   LEADER_LOSSES,
+  MISSING_HOST_EVENTS,
   pickEvent,
   WORKER_RESTART_EVENTS,
   SILENT_CONNECTION_EVENTS,
@@ -19,6 +20,7 @@
   type WeightedEvents,
 } from "./eventMixes.js";
 import { JobWorld, type JobWorldOptions } from "./JobWorld.js";
+import type { PlacementMode, PlacementMutant } from "./LeaderModel.js";
 import { MAX_LASTING_GAP_MS, type JobViolation } from "./RunHistory.js";
 import {
   between,
@@ -186,6 +188,49 @@
 ): Promise<readonly JobViolation[]> =>
   runSchedule(seed, { ...WORKER_RESTARTS, events: SIDE_RESTART_EVENTS });
 
+const MISSING_HOSTS: ScheduleOptions = {
+  ...HARSH,
+  events: MISSING_HOST_EVENTS,
+  losses: [...LEADER_LOSSES, (world) => world.leaders.replaceWithoutNotice()],
+  deliversMessagesBeforeTimers: true,
+};
+
+/** A trusted leader precedes each of the leaders that record no placements. */
+const MIXED_MODES: readonly PlacementMode[] = [
+  "on",
+  "former-version",
+  "on",
+  "off",
+];
+
+/** How the leaders of a schedule with missing hosts record placements. */
+export const PLACEMENT_PLANS = {
+  /** All of them do. */
+  always: () => "on",
+  /** The flag is turned off and on again, with each change of leader. */
+  alternating: (epoch) => (epoch % 2 === 0 ? "off" : "on"),
+  /** Entries of a version without placements lead in between. */
+  mixed: (epoch) =>
+    MIXED_MODES[Math.floor((epoch - 1) / 2) % MIXED_MODES.length] ?? "on",
+} as const satisfies Record<string, (epoch: number) => PlacementMode>;
+
+export type PlacementPlan = keyof typeof PLACEMENT_PLANS;
+
+/**
+ * Runs one seed with leaders that record placements and with hosts that are missing at
+ * takeovers. @returns the violations, in order
+ */
+export const runMissingHostSchedule = (
+  seed: number,
+  plan: PlacementPlan = "always",
+  placementMutant?: PlacementMutant,
+): Promise<readonly JobViolation[]> =>
+  runSchedule(seed, {
+    ...MISSING_HOSTS,
+    placementMode: PLACEMENT_PLANS[plan],
+    placementMutant,
+  });
+
 /** Runs one seed with evacuated availability zones. @returns the violations, in order */
 export const runEvacuatingSchedule = (
   seed: number,
--- a/scripts/src/checkJobSchedules.ts
+++ b/scripts/src/checkJobSchedules.ts
@@ -2,7 +2,9 @@
 
 import { Command } from "commander";
 import {
+  PLACEMENT_PLANS,
   runHarshSchedule,
+  runMissingHostSchedule,
   runJobSchedule,
   runCrashingSchedule,
   runEvacuatingSchedule,
@@ -14,6 +16,7 @@
   runSilentConnectionSchedule,
   runSilentSuccessionSchedule,
   runSuccessionSchedule,
+  type PlacementPlan,
 } from "@rackspan/checker";
 import { printViolations } from "./printViolations.js";
 import { parseInteger } from "./parseInteger.js";
@@ -31,6 +34,7 @@
   readonly dropped: boolean;
   readonly returning: boolean;
   readonly silenced: boolean;
+  readonly missing: boolean;
 }
 
 const options = new Command("check:jobs")
@@ -62,12 +66,21 @@
     "harsh, with silent connections and late heartbeats",
     false,
   )
+  .option(
+    "--missing",
+    "harsh, with recorded placements and hosts missing at takeovers",
+    false,
+  )
   .parse()
   .opts<Options>();
 const { runs, seed, harsh, starved, crashing, evacuating, reborn } = options;
 const { forgetting, succession, dropped, returning, silenced } = options;
 
+const PLANS = Object.keys(PLACEMENT_PLANS) as PlacementPlan[];
+
 const pickSchedule = (): typeof runJobSchedule => {
+  if (options.missing)
+    return (at) => runMissingHostSchedule(at, PLANS[at % PLANS.length]);
   if (silenced && succession) return runSilentSuccessionSchedule;
   if (silenced) return runSilentConnectionSchedule;
   if (returning) return runWorkerReturnSchedule;
