scheduling: adopt no earlier run while a later one may be on a missing host

Cause: a report that was taken before the leases of its host were over may arrive late. If a new leader adopted the run that it lists, although the last start of the task is recorded on a host that has not reported, the end of that run released the task, which then started beside its later run.

Change: such a run is not adopted but stopped, and the task goes on waiting for the recorded host. A record names the last host of a task no more once that host has reported without the task. Gauges of the takeover are reset at the end of a term. placement.corrected is no error any more, as a host may list a run again.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -172,7 +172,10 @@
     if (placement?.host === undefined) return true;
     const { gate, clock } = this.options.engine;
     const now = clock.monotonic();
-    return gate.mayStart(now, now, placement);
+    if (!gate.mayStart(now, now, placement)) return false;
+    // Its last run is over, so the next record need not name the host.
+    task.placedOn = undefined;
+    return true;
   }
 
   /**
--- a/packages/scheduling/src/PlacementLog.ts
+++ b/packages/scheduling/src/PlacementLog.ts
@@ -89,14 +89,15 @@
 
   /**
    * Persists the placement of a run that was adopted on another host than the recorded
-   * one. Complete records rule this out; if it happens, the record must not mislead the
-   * next leader.
+   * one: of a host that lists a run again after its leases were over by the count of the
+   * leader, or of the last host of a task that another host was recorded for.
    */
   correct(task: JobTask, recorded: KnownPlacement | undefined): void {
     if (!recorded || recorded.host === task.placedOn) return;
     const { logger, metrics } = this.options;
-    metrics.count("placements_corrected");
-    logger.error("placement.corrected", {
+    const kind = recorded.host === undefined ? "none" : "other-host";
+    metrics.count("placements_corrected", { recorded: kind });
+    logger.info("placement.corrected", {
       task: task.id,
       recorded: recorded.host,
       host: task.placedOn,
--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -24,7 +24,7 @@
     // Of two runs of one task the later one is adopted, since it was ordered last.
     const latestFirst = [...rows].sort((a, b) => b.run - a.run);
     for (const row of latestFirst) {
-      const task = this.findWaitingTask(row);
+      const task = this.findWaitingTask(entry, row);
       if (!task) {
         orphans.push(this.orphanOf(entry, row));
         continue;
@@ -41,10 +41,26 @@
     entry.session?.describe(adopted.map(describeTask));
   }
 
-  private findWaitingTask(row: RunningTask): JobTask | undefined {
+  private findWaitingTask(
+    entry: HostEntry,
+    row: RunningTask,
+  ): JobTask | undefined {
     const task = this.parts.jobs.findTask(row.task);
-    if (task?.phase !== "waiting") return undefined;
-    return task.step.job.isEnded ? undefined : task;
+    if (task?.phase !== "waiting" || task.step.job.isEnded) return undefined;
+    return this.mayRunElsewhere(entry, task) ? undefined : task;
+  }
+
+  /**
+   * Whether a later run of the task may be on another host: its last start is recorded
+   * there, and that host has not reported. If the listed run were adopted, its end would
+   * let the task start beside the later run.
+   */
+  private mayRunElsewhere({ hostState }: HostEntry, task: JobTask): boolean {
+    const placement = knownPlacementOf(task);
+    if (!placement || placement.host === hostState.host) return false;
+    const { gate, clock } = this.parts.options;
+    const now = clock.monotonic();
+    return !gate.mayStart(now, now, placement);
   }
 
   private runOf(
--- a/packages/scheduling/src/WaitMonitor.ts
+++ b/packages/scheduling/src/WaitMonitor.ts
@@ -74,7 +74,11 @@
    */
   stop(): void {
     this.nextTasks.clear();
-    this.setGauges(this.parts.options.clock.monotonic());
+    const { clock, metrics, policy } = this.parts.options;
+    this.setGauges(clock.monotonic());
+    if (!policy.recordsPlacements) return;
+    metrics.gauge("takeover_waiting_tasks", 0);
+    metrics.gauge("takeover_unreported_hosts", 0);
   }
 
   /** Logs how many tasks wait for which unreported hosts, once per check. */
--- a/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
+++ b/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
@@ -265,3 +265,49 @@
   await next.run(ALL_EXPIRED_MS, [site.reporting]);
   expect(next.completions).toEqual(0);
 });
+
+// A later leader would wait for that host, too, if it is missing by then.
+test("a record no longer names the last host of a task once that has reported without it", async () => {
+  const previous = new EngineHarness({ policy });
+  const first = await previous.addHost("first");
+  const second = await previous.addHost("second");
+  const job = previous.submit("r", [{ taskCount: 2, maxPerHost: 1 }]);
+  await previous.run(SOON_MS);
+  previous.isLeader = false;
+  previous.engine.stop();
+  const [lost] = first.runningTasks;
+  const [left] = second.runningTasks;
+  if (!lost || !left) throw new Error("a task was not placed");
+  first.vanish(lost);
+  // Nothing can be placed, so the task keeps waiting.
+  for (const host of [first, second]) host.draining = true;
+  const site = { previous, jobs: [job], reporting: second, missing: first };
+  const next = await takeOver(site);
+  next.engine.attach(first.host, first);
+  await next.run(SOON_MS, [first, second]);
+  second.end(left, "done");
+  await next.run(SOON_MS, [first, second]);
+  const value = previous.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === "r")?.value;
+  const progress = value && decodeProgress("r", value);
+  expect(Object.keys(progress?.done ?? {})).toEqual(["0.0"]);
+  expect(progress?.placed).toEqual([]);
+});
+
+// A report that was taken before the leases of its host were over may arrive late. Once
+// that run vanished, the task would start beside its later run on the missing host.
+test("an earlier run of a task is not adopted while a later one may be on a missing host", async () => {
+  const site = await createSite();
+  const { missing, reporting } = site;
+  const task = taskId("m.0.0.0");
+  const later = missing.runs.find((run) => run.task === task);
+  if (!later) throw new Error("the task was not placed");
+  reporting.stopsAtOnce = false;
+  reporting.startLate({ task, run: (later.run - 1) as typeof later.run });
+  const next = await takeOver(site);
+  reporting.vanish(task);
+  await next.run(2 * SOON_MS, [reporting]);
+  expect(startedTasks(reporting)).toEqual(["u.0.0.0"]);
+  expect(reporting.stops.map((stop) => String(stop.task))).toInclude(task);
+});
