--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -5,7 +5,11 @@
   HostReport,
   StartTaskCall,
 } from "@rackspan/protocol";
-import { DEFAULT_POLICY, type HostSession } from "@rackspan/scheduling";
+import {
+  DEFAULT_POLICY,
+  type HostSession,
+  type SchedulingPolicy,
+} from "@rackspan/scheduling";
 import {
   brand,
   ManualClock,
@@ -24,6 +28,7 @@
   ConfigHolder,
   decodeLoadSummary,
   decodeProgress,
+  decodeTerm,
   encodeJob,
   EvacuatedZones,
   JobView,
@@ -43,7 +48,10 @@
   plainJob({ id: JOB, acceptedAt, terms: { maxAttempts: 1 } });
 
 /** @param loadSummaryIntervalMs see LeadershipOptions */
-const setUp = (loadSummaryIntervalMs?: number) => {
+const setUp = (
+  policy: Partial<SchedulingPolicy> = {},
+  loadSummaryIntervalMs?: number,
+) => {
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
   const logger = silentLogger;
@@ -103,7 +111,7 @@
     order: "byWorth",
     permits: undefined,
     placer: "colocating",
-    policy: DEFAULT_POLICY,
+    policy: { ...DEFAULT_POLICY, ...policy },
     mayDecide: () => true,
     onTermFailed: (reason) => termFailures.push(reason),
   });
@@ -341,7 +349,7 @@
 });
 
 test("each leader publishes load summaries under its own epoch, and none after its term", async () => {
-  const { clock, store, leadership, persistJob, stop } = setUp(500);
+  const { clock, store, leadership, persistJob, stop } = setUp({}, 500);
   const epochs = (): number[] =>
     store
       .recordsOf(TOPICS.progress)
@@ -374,3 +382,33 @@
   expect(keys.includes(PROGRESS_KEYS.load)).toEqual(false);
   await stop();
 });
+
+// Without it the next leader could take a task that was started here for one that never was.
+test("a leader that records placements writes its term first, and completes it without missing hosts", async () => {
+  const { clock, store, leadership, stop, persistJob } = setUp({
+    recordsPlacements: true,
+  });
+  await persistJob();
+  leadership.beginTerm(brand<Epoch>(4));
+  await clock.advance(100);
+  const [first] = store.recordsOf(TOPICS.progress);
+  expect(first?.key).toEqual(PROGRESS_KEYS.term);
+  expect(first?.value && decodeTerm(first.value)).toEqual({ epoch: 4 });
+  await clock.advance(1_000);
+  const last = store.recordsOf(TOPICS.progress).at(-1);
+  expect(last?.key).toEqual(PROGRESS_KEYS.term);
+  expect(last?.value && decodeTerm(last.value)).toEqual({
+    epoch: 4,
+    placementsSince: 4,
+  });
+  await stop();
+});
+
+test("a leader that records no placements writes no term", async () => {
+  const { clock, store, leadership, stop, persistJob } = setUp();
+  await persistJob();
+  leadership.beginTerm(brand<Epoch>(4));
+  await clock.advance(1_000);
+  expect(store.recordsOf(TOPICS.progress)).toEqual([]);
+  await stop();
+});
--- a/packages/jobs/src/ProgressJournal.ts
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -17,10 +17,14 @@
   /** Records without a job, by key. */
   readonly enclosed: Map<string, KeyedRecord>;
   readonly persisted: Promise<void>;
+  /** Writes the batch now, unless that was done before. */
+  readonly close: () => void;
 }
 
 export class ProgressJournal {
   private next: Batch | undefined;
+  /** Whether the next batch is written without the wait for further changes. */
+  private closesSoon = false;
   /** The last write of each job that is not confirmed yet. */
   private readonly unpersisted = new Map<JobRun, Promise<void>>();
 
@@ -37,6 +41,20 @@
     return this.next.persisted;
   }
 
+  /**
+   * The same without the wait for further changes: everything that is passed before the
+   * next timers run is written in one append.
+   */
+  persistSoon(job: JobRun): Promise<void> {
+    const persisted = this.persist(job);
+    const batch = this.next;
+    if (batch && !this.closesSoon) {
+      this.closesSoon = true;
+      this.options.clock.after(0, batch.close);
+    }
+    return persisted;
+  }
+
   /**
    * Resolves once all earlier writes for the job are persisted; writes nothing itself.
    * Rejects when another leader has taken over before that.
@@ -69,13 +87,23 @@
     const jobs = new Set<JobRun>();
     const enclosed = new Map<string, KeyedRecord>();
     const { clock, batchWindowMs } = this.options;
+    let close = (): void => undefined;
     const persisted = new Promise<void>((resolve, reject) => {
-      clock.after(batchWindowMs, () => {
+      let isClosed = false;
+      close = () => {
+        if (isClosed) return;
+        isClosed = true;
+        const isOneAppend = this.closesSoon;
         this.next = undefined;
-        this.write(jobs, enclosed).then(resolve, reject);
-      });
+        this.closesSoon = false;
+        const writes = isOneAppend
+          ? this.writeTogether(jobs, enclosed)
+          : this.write(jobs, enclosed);
+        writes.then(resolve, reject);
+      };
+      clock.after(batchWindowMs, close);
     });
-    return { jobs, enclosed, persisted };
+    return { jobs, enclosed, persisted, close };
   }
 
   private async write(
@@ -83,12 +111,28 @@
     enclosed: ReadonlyMap<string, KeyedRecord>,
   ): Promise<void> {
     const { writer } = this.options;
-    const records = [...jobs].map((job): KeyedRecord => {
-      const value = encodeProgress(job.toRecord());
-      return { key: job.id, value };
-    });
-    records.push(...enclosed.values());
+    const records = recordsOf(jobs, enclosed);
     const writes = records.map((record) => writer.write(record).persisted);
     await Promise.all(writes);
   }
+
+  private async writeTogether(
+    jobs: ReadonlySet<JobRun>,
+    enclosed: ReadonlyMap<string, KeyedRecord>,
+  ): Promise<void> {
+    const { writer } = this.options;
+    const writes = writer.writeTogether(recordsOf(jobs, enclosed));
+    await Promise.all(writes.map(({ persisted }) => persisted));
+  }
 }
+
+const recordsOf = (
+  jobs: ReadonlySet<JobRun>,
+  enclosed: ReadonlyMap<string, KeyedRecord>,
+): KeyedRecord[] => [
+  ...[...jobs].map((job) => ({
+    key: job.id,
+    value: encodeProgress(job.toRecord()),
+  })),
+  ...enclosed.values(),
+];
--- a/packages/scheduling/src/WaitMonitor.ts
+++ b/packages/scheduling/src/WaitMonitor.ts
@@ -8,7 +8,9 @@
 import type { JobTask, StepRun } from "@rackspan/jobs";
 import type { EngineParts } from "./engineParts.js";
 import type { TrackedJob } from "./engineTypes.js";
+import { countTakeoverWaits } from "./countTakeoverWaits.js";
 import { explainWait } from "./explainWait.js";
+import { knownPlacementOf } from "./PlacementLog.js";
 
 const WAIT = {
   /** Interval of the checks, milliseconds. */
@@ -44,6 +46,8 @@
 export class WaitMonitor {
   private readonly nextTasks = new Map<StepRun, NextTask>();
   private checkedAt: Monotonic = -Infinity;
+  /** Whether the takeover gate was open at the last check. */
+  private isTakeoverOver = false;
 
   constructor(private readonly parts: EngineParts) {}
 
@@ -55,6 +59,7 @@
     this.checkedAt = now;
     this.updateWaits(now);
     this.setGauges(now);
+    this.reportTakeover(now);
     const due = [...this.nextTasks.values()]
       .filter(({ since }) => now - since >= WAIT.logAfterMs)
       .filter(({ loggedAt }) => now - loggedAt >= WAIT.logIntervalMs)
@@ -69,7 +74,31 @@
    */
   stop(): void {
     this.nextTasks.clear();
-    this.setGauges(this.parts.options.clock.monotonic());
+    const { clock, metrics, policy } = this.parts.options;
+    this.setGauges(clock.monotonic());
+    if (!policy.recordsPlacements) return;
+    metrics.gauge("takeover_waiting_tasks", 0);
+    metrics.gauge("takeover_unreported_hosts", 0);
+  }
+
+  /** Logs how many tasks wait for which unreported hosts, once per check. */
+  private reportTakeover(now: Monotonic): void {
+    const { jobs, options } = this.parts;
+    const { gate, policy, metrics, logger } = options;
+    if (!policy.recordsPlacements || this.isTakeoverOver) return;
+    this.isTakeoverOver = gate.isOpen(now);
+    const waits = countTakeoverWaits(jobs.active, gate, now);
+    metrics.gauge("takeover_waiting_tasks", waits.tasks);
+    metrics.gauge("takeover_unreported_hosts", gate.unreported(now).length);
+    if (this.isTakeoverOver) return;
+    const named = waits.byHost.slice(0, WAIT.maxNamedHosts);
+    logger.info("takeover.waits", {
+      tasks: waits.tasks,
+      unknown: waits.unknown,
+      unheard: describeUnreported(gate.unreported(now)),
+      hosts:
+        named.map(([host, tasks]) => `${host}:${tasks}`).join(",") || undefined,
+    });
   }
 
   private updateWaits(now: Monotonic): void {
@@ -111,11 +140,13 @@
     const { tracked, task, since } = wait;
     const { step } = task;
     const { gate } = options;
+    const { firstSeenAt } = tracked;
+    const awaited = gate.awaitedHosts(firstSeenAt, now, knownPlacementOf(task));
     const queue = options.queueOf(tracked.job.accepted.spec.queue);
     const { cause, hosts: counts } = explainWait({
       step,
       service: queue?.service ?? tracked.job.terms.service,
-      mayStart: gate.mayStart(tracked.firstSeenAt, now),
+      mayStart: awaited.length === 0,
       entries: [...hosts.all()],
       ejector,
       isEvacuated: options.isEvacuated,
@@ -129,10 +160,7 @@
       waiting: step.waiting.size,
       cause,
       ...counts,
-      unheard:
-        cause === "take-over"
-          ? describeUnreported(gate.unreported(now))
-          : undefined,
+      unheard: cause === "take-over" ? describeUnreported(awaited) : undefined,
     });
   }
 }
--- a/packages/scheduling/src/engineParts.ts
+++ b/packages/scheduling/src/engineParts.ts
@@ -6,6 +6,7 @@
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import type { HostRegistry } from "./HostRegistry.js";
 import type { JobRegistry } from "./JobRegistry.js";
+import type { PlacementLog } from "./PlacementLog.js";
 import type { RunStarter } from "./RunStarter.js";
 import type { RunStopper } from "./RunStopper.js";
 
@@ -18,6 +19,8 @@
   readonly estimates: RuntimeEstimator;
   readonly completionRate: CompletionRate;
   readonly ejector: OutlierEjector;
+  /** Undefined if this leader records no placements. */
+  readonly placementLog: PlacementLog | undefined;
   /** Requests a scheduling cycle soon. */
   readonly requestCycle: () => void;
 }
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -379,6 +379,8 @@
   readonly policy?: Partial<SchedulingPolicy>;
   /** See EngineOptions. */
   readonly loadSummaryIntervalMs?: number;
+  /** Epoch since which all leaders have recorded placements; see EngineOptions. */
+  readonly placementsSince?: number;
 }
 
 export class EngineHarness {
@@ -390,6 +392,8 @@
   readonly roster: FakeRoster;
   readonly hosts: FakeHost[] = [];
   isLeader = true;
+  /** How often the engine has reported that the placements of all tasks are persisted. */
+  completions = 0;
   /** Learned records that the engine has stored for the next leader, in order. */
   readonly learned: LearnedRecord[] = [];
   /** Zones under evacuation, in which nothing may be started. */
@@ -447,6 +451,8 @@
       persistLearned: (record) => this.learned.push(record),
       permits: options.permits,
       loadSummaryIntervalMs: options.loadSummaryIntervalMs,
+      placementsSince: options.placementsSince,
+      onPlacementsComplete: () => (this.completions += 1),
     });
     this.engine.start();
   }
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -222,6 +222,9 @@
  */
 export type CrashEvidence = (typeof STORED_EVIDENCE)[number] | "doubted";
 
+/** `host 0.0:0-3,5 0.1:2`; see `placed`. */
+const PLACED_TASKS = /^\S+( \d+\.\d+:\d+(-\d+)?(,\d+(-\d+)?)*)+$/;
+
 const storedProgressSchema = z.object({
   state: z.enum(JOB_STATES),
   /** Whether a task of the job was ever started. */
@@ -250,6 +253,15 @@
    * suspected tasks only.
    */
   announced: z.array(z.tuple([z.string(), z.number()])).default([]),
+  /**
+   * Hosts, each with the tasks that were last started there and may still run: the host's
+   * name, and `occurrence.step:indices` for each step, with the indices as ranges. Absent
+   * if the tasks may be on any host, as in records of leaders that record no placements.
+   * Texts, because a new leader reads them for all tasks of a site before its first start.
+   */
+  placed: z.array(z.string().regex(PLACED_TASKS)).optional(),
+  /** Epoch of the leader that wrote `placed`. */
+  placedEpoch: z.number().optional(),
 });
 
 type StoredProgress = z.output<typeof storedProgressSchema>;
