Placement: forecast the swing of serving loads

Cause: a filling task is placed by the last tail reading of the serving tasks beside it, but their load swings during its run time. A starved job's task goes to the host with the most free processor time, whatever tails are exceeded there.

Change: policy flag forecastsServingLoad (default false). A wave is fitted to the undisturbed tail of each serving image (SwingModel); while its forecasts prove better than the level and the last reading, placement uses the highest tail of the expected run time, the first pace that of the next second, and the limit forecastTailLimit. A task that must be placed goes where the limit is exceeded the least. Waves are part of the learned tail records. Log line serving.forecast, gauges serving_forecasts and serving_forecast_error.

--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -37,6 +37,8 @@
   movesStalled: flagSchema,
   movesFromSlowHosts: flagSchema,
   ejectsFailingHosts: flagSchema,
+  forecastsServingLoad: flagSchema,
+  forecastTailLimit: z.number().min(0.1).max(2),
   checkpointEveryMs: z.number().int().min(0).max(60_000),
   learntEveryMs: z.number().int().min(0).max(60_000),
 }) satisfies z.ZodType<SchedulingPolicy>;
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -15,6 +15,7 @@
   InterferenceEstimator,
   JobRun,
   reconcileReport,
+  ServingLoadForecaster,
   type ReportChanges,
 } from "@rackspan/jobs";
 import { latestLeaseExpiry } from "@rackspan/leadership";
@@ -49,6 +50,7 @@
 import { RunStarter } from "./RunStarter.js";
 import { updateSlowness } from "./slowHosts.js";
 import { RunStopper } from "./RunStopper.js";
+import { ServingForecastReporter } from "./ServingForecastReporter.js";
 import { stepOrders } from "./stepOrders.js";
 import { TailForecast } from "./TailForecast.js";
 import { WaitMonitor } from "./WaitMonitor.js";
@@ -70,6 +72,8 @@
   private readonly jobs = new JobRegistry();
   private readonly hosts = new HostRegistry();
   private readonly interference: InterferenceEstimator;
+  private readonly servingLoads: ServingLoadForecaster;
+  private readonly forecastReporter: ServingForecastReporter;
   private readonly checkpoints: CheckpointWriter;
   private readonly learnedState: LearnedStateStore;
   private readonly permitTracker: PermitTracker;
@@ -94,6 +98,12 @@
     const { jobs, hosts } = this;
     const interference = new InterferenceEstimator(policy.learnsInterference);
     this.interference = interference;
+    const servingLoads = new ServingLoadForecaster(policy.forecastsServingLoad);
+    this.servingLoads = servingLoads;
+    this.forecastReporter = new ServingForecastReporter({
+      ...options,
+      servingLoads,
+    });
     const estimates = new RuntimeEstimator(policy.correctsEstimates);
     const failuresToEject = policy.ejectsFailingHosts
       ? EJECTION.failuresToEject
@@ -109,7 +119,12 @@
       onRequestFinished: requestCycle,
     });
     this.permitTracker = permitTracker;
-    const forecast = new TailForecast({ interference, policy });
+    const forecast = new TailForecast({
+      interference,
+      servingLoads,
+      clock,
+      policy,
+    });
     const runStarter = new RunStarter({
       ...options,
       hosts,
@@ -125,7 +140,7 @@
       hosts,
       runStarter,
       order: stepOrders.create(order, { estimates }),
-      placer: taskPlacers.create(placer, { forecast, policy }),
+      placer: taskPlacers.create(placer, { forecast, estimates, policy }),
       ejector,
       permitTracker,
       active: jobs.active,
@@ -150,6 +165,7 @@
     };
     this.learnedState = new LearnedStateStore({
       interference,
+      servingLoads,
       estimates,
       clock,
       logger,
@@ -187,6 +203,7 @@
   start(): void {
     this.schedule();
     this.learnedState.start();
+    if (this.options.policy.forecastsServingLoad) this.forecastReporter.start();
     this.dispatcher.requestCycle();
   }
 
@@ -196,6 +213,7 @@
     this.permitTracker.stop();
     this.checkpoints.stop();
     this.learnedState.stop();
+    this.forecastReporter.stop();
     this.waitMonitor.stop();
     this.timer?.cancel();
   }
@@ -335,7 +353,8 @@
     this.applyChanges(entry, reconcileReport(hostState, report, now));
     const tasks = [...hostState.runs.values()].map(({ task }) => task);
     this.checkpoints.trackTasks(tasks);
-    learnInterference(hostState, this.interference, now);
+    const { interference: estimator, servingLoads } = this;
+    learnInterference(hostState, { estimator, servingLoads }, now);
     updateSlowness(entry, this.hosts, now);
     // Ends that are not listed yet may belong to runs that a previous leader started.
     if (report.hasMoreEnds) gate.clearSilence(host);
--- a/packages/scheduling/src/LearnedStateStore.ts
+++ b/packages/scheduling/src/LearnedStateStore.ts
@@ -5,11 +5,15 @@
  */
 
 import type { Clock, Logger, Timer } from "@rackspan/common";
-import type { InterferenceEstimator } from "@rackspan/jobs";
+import type {
+  InterferenceEstimator,
+  ServingLoadForecaster,
+} from "@rackspan/jobs";
 import {
   learnedRecordAgeMs,
   learnedKeyOf,
   type LearnedRecord,
+  type LearnedTail,
 } from "@rackspan/state";
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 
@@ -18,6 +22,7 @@
 
 export interface LearnedStateStoreOptions {
   readonly interference: InterferenceEstimator;
+  readonly servingLoads: ServingLoadForecaster;
   readonly estimates: RuntimeEstimator;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -49,24 +54,36 @@
    * yet.
    */
   restore(records: readonly LearnedRecord[]): void {
-    const { interference, estimates, clock, logger, intervalMs } = this.options;
+    const { estimates, clock, logger, intervalMs } = this.options;
     if (intervalMs === 0) return;
     for (const record of records) {
       const age = learnedRecordAgeMs(record, clock.now());
       const taken =
         age <= MAX_RECORD_AGE_MS &&
         (record.kind === "tail"
-          ? interference.restore(record, age)
+          ? this.restoreTail(record, age)
           : estimates.restore(record));
       const key = learnedKeyOf(record);
       logger.info("learnt.restored", { key, age: Math.round(age), taken });
     }
   }
 
+  private restoreTail(record: LearnedTail, ageMs: number): boolean {
+    const { interference, servingLoads, clock } = this.options;
+    const { serving, swing } = record;
+    const now = clock.monotonic();
+    if (swing) servingLoads.restore(serving, swing, { now, ageMs });
+    return interference.restore(record, ageMs);
+  }
+
   private persist(): void {
-    const { interference, estimates, clock, write } = this.options;
+    const { interference, servingLoads, estimates, clock, write } =
+      this.options;
     const now = clock.now();
-    for (const record of interference.takeChanged(now)) write(record);
+    for (const record of interference.takeChanged(now)) {
+      const swing = servingLoads.snapshot(record.serving, clock.monotonic());
+      write(swing ? { ...record, swing } : record);
+    }
     const corrections = estimates.takeChanged(now);
     if (corrections) write(corrections);
   }
--- a/packages/scheduling/src/TailForecast.ts
+++ b/packages/scheduling/src/TailForecast.ts
@@ -3,8 +3,14 @@
  * between images.
  */
 
-import type { HostState, InterferenceEstimator } from "@rackspan/jobs";
+import type { Clock } from "@rackspan/common";
+import type {
+  HostState,
+  InterferenceEstimator,
+  ServingLoadForecaster,
+} from "@rackspan/jobs";
 import type { ImageName } from "@rackspan/state";
+import { READING_MIDDLE_MS } from "./learnInterference.js";
 import type { SchedulingPolicy } from "./policy.js";
 
 /**
@@ -16,21 +22,37 @@
 /** Additions to the logarithm of a tail below this are ignored. */
 const MIN_ADDED_TAIL = 0.02;
 
+/**
+ * Time ahead for which the first pace must hold, milliseconds. After two readings the
+ * side paces the task by what it observes.
+ */
+const FIRST_PACE_MS = 1_000;
+
 export interface TailForecastOptions {
   readonly interference: InterferenceEstimator;
+  readonly servingLoads: ServingLoadForecaster;
+  readonly clock: Clock;
   readonly policy: SchedulingPolicy;
 }
 
 export class TailForecast {
   private readonly interference: InterferenceEstimator;
+  private readonly servingLoads: ServingLoadForecaster;
+  private readonly clock: Clock;
   /** Natural logarithm of the tail limit as a share of the target. */
   private readonly limit: number;
+  /** The same for images whose swing is forecast. */
+  private readonly forecastLimit: number;
   private readonly policy: SchedulingPolicy;
 
-  constructor({ interference, policy }: TailForecastOptions) {
+  constructor(options: TailForecastOptions) {
+    const { interference, servingLoads, clock, policy } = options;
     this.interference = interference;
+    this.servingLoads = servingLoads;
+    this.clock = clock;
     this.policy = policy;
     this.limit = Math.log(policy.fillingTailLimit);
+    this.forecastLimit = Math.log(policy.forecastTailLimit);
   }
 
   /**
@@ -46,25 +68,50 @@
    * Returns the largest addition to a tail on the host by a filling task with this many
    * cores.
    *
+   * @param runMs expected run time of the filling task, milliseconds
    * @returns undefined if a tail would exceed the limit
    */
   maxAddedTail(
     host: HostState,
     filling: ImageName,
     cores: number,
+    runMs: number,
   ): number | undefined {
     let max = 0;
     for (const serving of host.servingImages) {
       const added = this.weightUpperBound(serving, filling) * cores;
       if (added > MIN_ADDED_TAIL) {
-        const tail = this.tailAtFullPace(host, serving) + added;
-        if (tail > this.limit) return undefined;
+        const tail = this.highestTail(host, serving, runMs) + added;
+        if (tail > this.limitOf(serving)) return undefined;
       }
       max = Math.max(max, added);
     }
     return max;
   }
 
+  /**
+   * Returns by how much the tails on the host together would exceed the limit because
+   * of a filling task with this many cores; logarithm.
+   *
+   * @param runMs expected run time of the filling task, milliseconds
+   */
+  totalExcess(
+    host: HostState,
+    filling: ImageName,
+    cores: number,
+    runMs: number,
+  ): number {
+    let total = 0;
+    for (const serving of host.servingImages) {
+      const added = this.weightUpperBound(serving, filling) * cores;
+      if (added <= MIN_ADDED_TAIL) continue;
+      const tail = this.highestTail(host, serving, runMs) + added;
+      const excess = Math.max(0, tail - this.limitOf(serving));
+      total += Math.min(added, excess);
+    }
+    return total;
+  }
+
   /**
    * Returns the share of full pace at which a filling task with this many cores may
    * start on the host without a tail exceeding the limit.
@@ -75,7 +122,8 @@
     for (const serving of host.servingImages) {
       const added = this.weightUpperBound(serving, filling) * cores;
       if (added <= MIN_ADDED_TAIL) continue;
-      const headroom = this.limit - this.tailAtFullPace(host, serving);
+      const tail = this.highestTail(host, serving, FIRST_PACE_MS);
+      const headroom = this.limitOf(serving) - tail;
       share = Math.min(share, headroom / added);
     }
     return Math.max(MIN_FIRST_SHARE, share);
@@ -91,6 +139,31 @@
     return this.interference.weightBound(serving, filling, weightCaution);
   }
 
+  private limitOf(serving: ImageName): number {
+    return this.servingLoads.isConfident(serving)
+      ? this.forecastLimit
+      : this.limit;
+  }
+
+  /**
+   * Returns the logarithm of the highest tail within this time from now, by the swing of
+   * the image's load where its forecast is confident.
+   */
+  private highestTail(
+    host: HostState,
+    serving: ImageName,
+    aheadMs: number,
+  ): number {
+    const tail = this.tailAtFullPace(host, serving);
+    if (!host.readings.tails.has(serving)) return tail;
+    const now = this.clock.monotonic();
+    const readAt = host.reportReceivedAt - READING_MIDDLE_MS;
+    const until = now + aheadMs;
+    return (
+      tail + (this.servingLoads.riseSince(serving, readAt, now, until) ?? 0)
+    );
+  }
+
   /**
    * Returns the logarithm of the tail when all tasks placed on the host run at full
    * pace: the last reading, plus the addition of tasks that used less than their demand
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -11,6 +11,7 @@
   type JobTask,
 } from "@rackspan/jobs";
 import type { SchedulingPolicy } from "./policy.js";
+import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import { slownessPenalty } from "./slowHosts.js";
 import type { TailForecast } from "./TailForecast.js";
 import {
@@ -49,6 +50,13 @@
    * must be placed.
    */
   disturbedPenalty: 5,
+  /**
+   * Score penalty per unit by which the logarithms of tails would exceed the limit, if
+   * the task must be placed. It outweighs the free processor time of a whole host: on
+   * the emptiest host alone such tasks caused half of the seconds over target in the
+   * load model (docs/design/colocation.md).
+   */
+  excessPenalty: 5,
   /** Score bonus of hosts on the rack that holds the step's data. */
   dataRackBonus: 0.3,
   /** Score penalty of hosts on which the task failed before. */
@@ -67,10 +75,12 @@
 
 export class ColocatingTaskPlacer implements TaskPlacer {
   private readonly forecast: TailForecast;
+  private readonly estimates: RuntimeEstimator;
   private readonly policy: SchedulingPolicy;
 
-  constructor({ forecast, policy }: TaskPlacerOptions) {
+  constructor({ forecast, estimates, policy }: TaskPlacerOptions) {
     this.forecast = forecast;
+    this.estimates = estimates;
     this.policy = policy;
   }
 
@@ -137,9 +147,14 @@
     const left = fillableMilliCores(host) / host.worker.milliCores;
     if (host.allocated.servingMilliCores === 0) return left;
     const cores = demand.milliCores / MILLI_CORES_PER_CORE;
-    const added = this.forecast.maxAddedTail(host, image, cores);
+    const runMs = this.estimates.taskMs(task.step);
+    const added = this.forecast.maxAddedTail(host, image, cores, runMs);
     if (added === undefined) {
-      return mustPlace ? left - COLOCATION.disturbedPenalty : -Infinity;
+      if (!mustPlace) return -Infinity;
+      const score = left - COLOCATION.disturbedPenalty;
+      if (!this.policy.forecastsServingLoad) return score;
+      const excess = this.forecast.totalExcess(host, image, cores, runMs);
+      return score - COLOCATION.excessPenalty * excess;
     }
     return left - COLOCATION.servingPenalty - COLOCATION.tailPenalty * added;
   }
--- a/packages/scheduling/src/learnInterference.ts
+++ b/packages/scheduling/src/learnInterference.ts
@@ -14,11 +14,14 @@
   type FillingCores,
   type HostState,
   type InterferenceEstimator,
+  type ServingLoadForecaster,
 } from "@rackspan/jobs";
 import type { InterferenceWeight } from "@rackspan/protocol";
 import type { ImageName } from "@rackspan/state";
 
 const FULL_PROGRESS = 100;
+/** A reading covers the half second before its report, so its middle is this old, milliseconds. */
+export const READING_MIDDLE_MS = 250;
 /** Weights are sent with three decimal places. */
 const WEIGHT_STEPS = 1_000;
 /** Minimum tail as a share of its target; differences below it are noise. */
@@ -26,10 +29,15 @@
 /** Pairs with lower weights are not sent. */
 const MIN_SENT_WEIGHT = 0.01;
 
+export interface LearnedModels {
+  readonly estimator: InterferenceEstimator;
+  readonly servingLoads: ServingLoadForecaster;
+}
+
 /** Reads the host's runs as of its last report. */
 export const learnInterference = (
   hostState: HostState,
-  estimator: InterferenceEstimator,
+  { estimator, servingLoads }: LearnedModels,
   now: Monotonic,
 ): void => {
   const runs = [...hostState.runs.values()];
@@ -45,6 +53,10 @@
       taskCount,
       colocatedCores: usedCores,
     });
+    let undisturbed = mean;
+    for (const [filling, cores] of usedCores)
+      undisturbed -= estimator.weight(image, filling) * cores;
+    servingLoads.learn(image, now - READING_MIDDLE_MS, undisturbed);
     tails.set(image, Math.max(...readings));
   }
   hostState.readings = { tails, usedCores };
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -38,6 +38,16 @@
   readonly movesFromSlowHosts: boolean;
   /** Whether hosts on which tasks fail repeatedly get no tasks for a while. */
   readonly ejectsFailingHosts: boolean;
+  /**
+   * Whether filling tasks are placed by a forecast of how the load of the serving tasks
+   * swings during their run time, instead of by the last reading only.
+   */
+  readonly forecastsServingLoad: boolean;
+  /**
+   * Replaces `fillingTailLimit` for serving tasks whose swing is forecast with
+   * confidence: then the limit need not leave room for the swing.
+   */
+  readonly forecastTailLimit: number;
   /**
    * How often checkpoints of running tasks are persisted, milliseconds; 0 persists them
    * only when a task of the job ends. After a power failure tasks continue from them.
@@ -63,6 +73,8 @@
   movesStalled: true,
   movesFromSlowHosts: true,
   ejectsFailingHosts: true,
+  forecastsServingLoad: false,
+  forecastTailLimit: 0.76,
   checkpointEveryMs: 1_000,
   learntEveryMs: 2_000,
 };
--- a/packages/scheduling/src/taskPlacers.ts
+++ b/packages/scheduling/src/taskPlacers.ts
@@ -3,6 +3,7 @@
 import { Registry } from "@rackspan/common";
 import type { HostState, JobTask } from "@rackspan/jobs";
 import type { SchedulingPolicy } from "./policy.js";
+import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import type { TailForecast } from "./TailForecast.js";
 
 export interface TaskPlacer {
@@ -21,6 +22,7 @@
 
 export interface TaskPlacerOptions {
   readonly forecast: TailForecast;
+  readonly estimates: RuntimeEstimator;
   readonly policy: SchedulingPolicy;
 }
 
--- a/packages/state/src/learnedRecords.ts
+++ b/packages/state/src/learnedRecords.ts
@@ -33,6 +33,19 @@
   mean: z.array(logarithm),
   /** Lower triangle, row by row. */
   covariance: z.array(z.array(covarianceTerm)),
+  /**
+   * The swing of the image's load: logarithms, relative to the time of writing. Absent
+   * while no forecast of it is confident.
+   */
+  swing: z
+    .object({
+      /** Milliseconds. */
+      periodMs: z.number().positive(),
+      level: logarithm,
+      cosine: logarithm,
+      sine: logarithm,
+    })
+    .optional(),
 });
 
 const estimatesSchema = z.object({
