--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -15,6 +15,7 @@
   InterferenceEstimator,
   JobRun,
   reconcileReport,
+  ServingLoadForecaster,
   type ReportChanges,
 } from "@rackspan/jobs";
 import { latestLeaseExpiry } from "@rackspan/leadership";
@@ -53,6 +54,7 @@
 import { RunStarter } from "./RunStarter.js";
 import { updateSlowness } from "./slowHosts.js";
 import { RunStopper } from "./RunStopper.js";
+import { ServingForecastReporter } from "./ServingForecastReporter.js";
 import { stepOrders } from "./stepOrders.js";
 import { TailForecast } from "./TailForecast.js";
 import { WaitMonitor } from "./WaitMonitor.js";
@@ -74,6 +76,8 @@
   private readonly jobs = new JobRegistry();
   private readonly hosts = new HostRegistry();
   private readonly interference: InterferenceEstimator;
+  private readonly servingLoads: ServingLoadForecaster;
+  private readonly forecastReporter: ServingForecastReporter;
   private readonly checkpoints: CheckpointWriter;
   private readonly learnedState: LearnedStateStore;
   private readonly permitTracker: PermitTracker;
@@ -101,6 +105,12 @@
     const { jobs, hosts } = this;
     const interference = new InterferenceEstimator(policy.learnsInterference);
     this.interference = interference;
+    const servingLoads = new ServingLoadForecaster(policy.forecastsServingLoad);
+    this.servingLoads = servingLoads;
+    this.forecastReporter = new ServingForecastReporter({
+      ...options,
+      servingLoads,
+    });
     const estimates = new RuntimeEstimator(policy.correctsEstimates);
     const completionRate = new CompletionRate(clock);
     const failuresToEject = policy.ejectsFailingHosts
@@ -126,7 +136,12 @@
         })
       : undefined;
     this.placementLog = placementLog;
-    const forecast = new TailForecast({ interference, policy });
+    const forecast = new TailForecast({
+      interference,
+      servingLoads,
+      clock,
+      policy,
+    });
     const runStarter = new RunStarter({
       ...options,
       hosts,
@@ -146,7 +161,7 @@
       hosts,
       runStarter,
       order: stepOrder,
-      placer: taskPlacers.create(placer, { forecast, policy }),
+      placer: taskPlacers.create(placer, { forecast, estimates, policy }),
       ejector,
       permitTracker,
       active: jobs.active,
@@ -173,6 +188,7 @@
     };
     this.learnedState = new LearnedStateStore({
       interference,
+      servingLoads,
       estimates,
       clock,
       logger,
@@ -219,6 +235,7 @@
     this.schedule();
     this.learnedState.start();
     this.loadPublisher.start();
+    if (this.options.policy.forecastsServingLoad) this.forecastReporter.start();
     this.dispatcher.requestCycle();
   }
 
@@ -229,6 +246,7 @@
     this.checkpoints.stop();
     this.learnedState.stop();
     this.loadPublisher.stop();
+    this.forecastReporter.stop();
     this.waitMonitor.stop();
     this.bulkMonitor.stop();
     this.timer?.cancel();
@@ -370,7 +388,8 @@
     this.applyChanges(entry, reconcileReport(hostState, report, now));
     const tasks = [...hostState.runs.values()].map(({ task }) => task);
     this.checkpoints.trackTasks(tasks);
-    learnInterference(hostState, this.interference, now);
+    const { interference: estimator, servingLoads } = this;
+    learnInterference(hostState, { estimator, servingLoads }, now);
     updateSlowness(entry, this.hosts, now);
     // Ends that are not listed yet may belong to runs that a previous leader started.
     if (report.hasMoreEnds) gate.clearSilence(host);
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -43,6 +43,21 @@
   readonly movesFromSlowHosts: boolean;
   /** Whether hosts on which tasks fail repeatedly get no tasks for a while. */
   readonly ejectsFailingHosts: boolean;
+  /**
+   * Whether filling tasks are placed by a forecast of how the load of the serving tasks
+   * swings during their run time, instead of by the last reading only.
+   */
+  readonly forecastsServingLoad: boolean;
+  /**
+   * Replaces `fillingTailLimit` for serving tasks whose swing is forecast with
+   * confidence: then the limit need not leave room for the swing.
+   */
+  readonly forecastTailLimit: number;
+  /**
+   * Whether the filling tasks that wait in one scheduling cycle are assigned to hosts
+   * jointly, instead of one after the other.
+   */
+  readonly assignsFillingJointly: boolean;
   /**
    * How often checkpoints of running tasks are persisted, milliseconds; 0 persists them
    * only when a task of the job ends. After a power failure tasks continue from them.
@@ -74,6 +89,9 @@
   weighsDiscardedWork: false,
   movesFromSlowHosts: true,
   ejectsFailingHosts: true,
+  forecastsServingLoad: false,
+  forecastTailLimit: 0.76,
+  assignsFillingJointly: false,
   checkpointEveryMs: 1_000,
   learntEveryMs: 2_000,
   recordsPlacements: false,
