Placement: a restored swing is not replaced by a fit of less than its period

Cause: a new leader replaced the wave of the last one after 5 s by its own fit of half a period of 10 s, which is worse.

Change: a restored wave is kept until a whole period of it was read, unless its tested forecasts are worse than the level.

--- a/packages/jobs/src/SwingModel.ts
+++ b/packages/jobs/src/SwingModel.ts
@@ -97,6 +97,8 @@
   private lastFoldedAt: Monotonic = -Infinity;
   private bin = { startedAt: -Infinity, count: 0, timeSum: 0, sum: 0 };
   private wave: Wave | undefined;
+  /** Whether the wave is that of a previous leader. */
+  private isRestored = false;
   private pending: PendingTest[] = [];
   private tests = 0;
   private readonly squaredErrors = { swing: 0, level: 0, lastReading: 0 };
@@ -155,6 +157,7 @@
     const { minPeriodMs, maxPeriodMs } = SWING_MODEL;
     if (wave.periodMs < minPeriodMs || wave.periodMs > maxPeriodMs) return;
     this.wave = wave;
+    this.isRestored = true;
   }
 
   private foldBin(): void {
@@ -165,7 +168,10 @@
     if (at - this.lastFoldedAt > SWING_MODEL.maxGapMs) this.pending = [];
     this.test(at, tail);
     this.fold(at, tail);
-    this.wave = this.bestWave(at) ?? this.wave;
+    if (!this.keepsRestored(at)) {
+      this.isRestored = false;
+      this.wave = this.bestWave(at) ?? this.wave;
+    }
     if (!this.wave) return;
     const dueAt = at + SWING_MODEL.testLeadMs;
     const { level } = this.wave;
@@ -173,6 +179,17 @@
     this.pending.push({ dueAt, swing, level, lastReading: tail });
   }
 
+  /**
+   * Whether a restored wave is still used: a fit of less than its period would be worse,
+   * unless the tests show that the wave does not fit any more.
+   */
+  private keepsRestored(at: Monotonic): boolean {
+    if (!this.isRestored || !this.wave) return false;
+    if (at - (this.firstAt ?? at) >= this.wave.periodMs) return false;
+    const { swing, level } = this.squaredErrors;
+    return this.tests < SWING_MODEL.minTests || swing <= level;
+  }
+
   /** Compares the forecasts that are due with the reading. */
   private test(at: Monotonic, tail: number): void {
     const { errorMemoryMs, binMs } = SWING_MODEL;
