entry: an entry without the store passes requests on to one that reaches it

An entry that the store turned away refused every submission until the balancer had taken it out. A lost answer is unknown; a forward that was certainly not sent leaves the answer to the entry itself.

Entries announce themselves to the leader every second and receive its list, so that a leader that is cut off also knows the others.

--- a/packages/entry/src/jobs/JobEntryProcess.ts
+++ b/packages/entry/src/jobs/JobEntryProcess.ts
@@ -63,6 +63,7 @@
     await sideServer.start();
     await this.metricsServer.start();
     election.start();
+    this.parts.forwarding?.start();
     const { incarnation } = this;
     const { entry } = this.settings;
     this.logger.info("entry.started", { entry, incarnation, pid: process.pid });
@@ -79,6 +80,7 @@
     await callerFront.drain(graceMs - STOP_MARGIN_MS);
     await handedOver;
     await callerFront.stop();
+    await this.parts.forwarding?.stop();
     await sideServer.stop();
     await Promise.all(followers.map((follower) => follower.stop()));
     await this.metricsServer.stop();
--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -94,7 +94,7 @@
   }) as const;
 
 /** The queue's settings that apply to the job even after the queue has been removed. */
-const jobTermsOf = ({
+export const jobTermsOf = ({
   service,
   priority,
   maxAttempts,
@@ -110,6 +110,9 @@
   permitRule,
 });
 
+/** The requests of callers, and what their listener must know to serve them. */
+export type JobRequests = Pick<JobService, keyof JobService>;
+
 export class JobService {
   constructor(private readonly options: JobServiceOptions) {}
 
--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -1,4 +1,7 @@
-/** Accepts connections of sides; only the leading entry lets them attach. */
+/**
+ * Accepts connections of sides, and of other entries. Only the leading entry lets sides
+ * attach.
+ */
 
 import { createServer, type Server, type Socket } from "node:net";
 import {
@@ -23,6 +26,9 @@
   type StopTaskCall,
 } from "@rackspan/protocol";
 import { ENGINE, type HostSession } from "@rackspan/scheduling";
+import { NotServingPeersError } from "./forwarding/NotServingPeersError.js";
+import { peerMethods } from "./forwarding/peerMethods.js";
+import type { PeerHandlers } from "./forwarding/PeerRequestHandler.js";
 import type { ActiveTerm } from "./Leadership.js";
 
 const SIDE_SERVER = {
@@ -57,14 +63,18 @@
   }
 }
 
+const servedMethods = { ...leaderMethods, ...peerMethods };
+
 type SideConnection = JsonRpcConnection<
-  typeof leaderMethods,
+  typeof servedMethods,
   typeof hostMethods
 >;
 
 export interface SideServerOptions {
   readonly listen: ListenAddress;
   readonly activeTerm: () => ActiveTerm | undefined;
+  /** Serves the calls of other entries; undefined if they are refused. */
+  readonly peerHandlers?: (() => PeerHandlers) | undefined;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -89,13 +99,18 @@
     return listenOn(this.server, this.options.listen);
   }
 
-  /** Closes all connections, so that sides search for the next leader at once. */
+  /**
+   * Closes the connections of all sides, so that they search for the next leader at
+   * once. Those of other entries stay open: their requests do not depend on who leads.
+   */
   disconnectAll(reason: string): void {
-    for (const session of this.sessions) session.close(reason);
+    for (const session of this.sessions) {
+      if (!session.isPeer) session.close(reason);
+    }
   }
 
   stop(): Promise<void> {
-    this.disconnectAll("stopping");
+    for (const session of this.sessions) session.close("stopping");
     return new Promise((resolve) => this.server.close(() => resolve()));
   }
 
@@ -134,9 +149,11 @@
   readonly onAttach: (host: HostId) => void;
 }
 
-/** One connected side. */
+/** One connected side, or another entry. */
 class SideSession implements HostSession {
   readonly closed: Promise<void>;
+  /** Whether another entry has called over this connection. */
+  isPeer = false;
   private readonly connection: SideConnection;
   private attachment: Attachment | undefined;
 
@@ -147,7 +164,7 @@
     const { clock, logger } = options;
     this.connection = new JsonRpcConnection({
       socket,
-      servedMethods: leaderMethods,
+      servedMethods,
       calledMethods: hostMethods,
       handlers: {
         attach: ({ host, availabilityZone }) =>
@@ -178,6 +195,8 @@
           return { grants };
         },
         ping: () => ({}),
+        announce: (call) => this.requirePeerHandlers().announce(call),
+        forward: (call) => this.requirePeerHandlers().forward(call),
       },
       idleTimeoutMs: SIDE_SERVER.idleTimeoutMs,
       clock,
@@ -243,6 +262,14 @@
     return attachment;
   }
 
+  /** @throws NotServingPeersError if the settings do not let this entry serve others */
+  private requirePeerHandlers(): PeerHandlers {
+    const { peerHandlers } = this.options;
+    if (!peerHandlers) throw new NotServingPeersError();
+    this.isPeer = true;
+    return peerHandlers();
+  }
+
   private detach(reason: string): void {
     if (!this.attachment) return;
     const { host, term } = this.attachment;
--- a/packages/entry/src/jobs/callerFronts.ts
+++ b/packages/entry/src/jobs/callerFronts.ts
@@ -7,7 +7,7 @@
   type Logger,
   type Metrics,
 } from "@rackspan/common";
-import type { JobService } from "./JobService.js";
+import type { JobRequests } from "./JobService.js";
 
 export interface CallerFront {
   start(): Promise<void>;
@@ -21,7 +21,7 @@
   /** Address of the readiness probe, which says whether this entry accepts callers. */
   readonly readiness: ListenAddress;
   readonly isReady: () => boolean;
-  readonly jobService: JobService;
+  readonly jobService: JobRequests;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
--- a/packages/entry/src/jobs/createJobEntryParts.ts
+++ b/packages/entry/src/jobs/createJobEntryParts.ts
@@ -28,6 +28,14 @@
   TOPICS,
 } from "@rackspan/state";
 import { callerFronts, type CallerFront } from "./callerFronts.js";
+import {
+  createForwarding,
+  NotServingPeersError,
+  PeerDirectory,
+  StoreCallMonitor,
+  type Forwarding,
+  type PeerHandlers,
+} from "./forwarding/index.js";
 import { JobService } from "./JobService.js";
 import { Leadership } from "./Leadership.js";
 import { availableProcessors, type JobEntrySettings } from "./settings.js";
@@ -62,11 +70,20 @@
   readonly election: LeaderElection;
   readonly sideServer: SideServer;
   readonly callerFront: CallerFront;
+  /** Undefined if requests are not passed on. */
+  readonly forwarding: Forwarding | undefined;
+}
+
+interface PeerParts {
+  readonly storeCalls: StoreCallMonitor;
+  readonly directory: PeerDirectory;
 }
 
 /** The entry's views of the store's records, their followers, and the writers of records. */
 interface StoreParts {
   readonly store: StoreClient;
+  /** What is needed to pass requests on; undefined if they are not passed on. */
+  readonly peers: PeerParts | undefined;
   readonly view: JobView;
   readonly config: ConfigHolder;
   readonly zones: EvacuatedZones;
@@ -83,7 +100,9 @@
   const { settings, clock, logger, metrics, isReady } = options;
   const isLeader = (): boolean => leaderParts.election.isLeader;
   const storeParts = buildStoreParts({ ...options, isLeader });
-  const leaderParts = buildLeaderParts(options, storeParts);
+  // Calls of other entries arrive only once the server has been started.
+  const peerHandlers = storeParts.peers && (() => handlersOf(forwarding));
+  const leaderParts = buildLeaderParts(options, storeParts, peerHandlers);
   const { store, view, config, jobsFollower } = storeParts;
   const { jobsWriter, cancelsWriter } = storeParts;
   const jobService = new JobService({
@@ -102,11 +121,24 @@
     logger,
     metrics,
   });
+  const forwarding =
+    storeParts.peers &&
+    createForwarding({
+      ...storeParts.peers,
+      self: selfOf(settings),
+      jobService,
+      config,
+      isLeader,
+      isReady,
+      clock,
+      logger,
+      metrics,
+    });
   const callerFront = callerFronts.create(settings.platform.client, {
     listen: settings.callers,
     readiness: settings.readiness,
     isReady,
-    jobService,
+    jobService: forwarding?.jobRequests ?? jobService,
     clock,
     logger,
     metrics,
@@ -118,9 +150,21 @@
     jobService,
     ...leaderParts,
     callerFront,
+    forwarding,
   };
 };
 
+const handlersOf = (forwarding: Forwarding | undefined): PeerHandlers => {
+  if (!forwarding) throw new NotServingPeersError();
+  return forwarding.peerHandlers;
+};
+
+/** The entry's name, and the address at which sides and other entries reach it. */
+const selfOf = ({ entry, sides }: JobEntrySettings) => ({
+  entry,
+  address: `${sides.address}:${sides.port}`,
+});
+
 interface StorePartsOptions extends JobEntryContext {
   /** Whether this entry leads now; a leader polls topics more often. */
   readonly isLeader: () => boolean;
@@ -129,7 +173,9 @@
 const buildStoreParts = (context: StorePartsOptions): StoreParts => {
   const { logger, metrics } = context;
   const { client, store: address } = context.settings.platform;
-  const store = storeClients.create(client, { address });
+  const storeClient = storeClients.create(client, { address });
+  const peers = buildPeerParts(context, storeClient);
+  const store = peers?.storeCalls ?? storeClient;
   const view = new JobView({ logger, metrics });
   const config = new ConfigHolder(logger);
   const zones = new EvacuatedZones(context);
@@ -142,6 +188,7 @@
   const jobsFollower = follow(TOPICS.jobs, (r) => view.applyJobRecords(r));
   return {
     store,
+    peers,
     view,
     config,
     zones,
@@ -158,6 +205,20 @@
   };
 };
 
+const buildPeerParts = (
+  { settings, clock }: StorePartsOptions,
+  store: StoreClient,
+): PeerParts | undefined => {
+  if (!settings.peers.forwardsRequests) return undefined;
+  const directory = new PeerDirectory({ self: settings.entry, clock });
+  const storeCalls = new StoreCallMonitor({
+    store,
+    clock,
+    onOwner: (member) => directory.setLeader(member),
+  });
+  return { storeCalls, directory };
+};
+
 const buildFollower = (
   { settings, clock, logger, isLeader }: StorePartsOptions,
   store: StoreClient,
@@ -205,6 +266,7 @@
 const buildLeaderParts = (
   context: JobEntryContext,
   storeParts: StoreParts,
+  peerHandlers: (() => PeerHandlers) | undefined,
 ): Pick<JobEntryParts, "election" | "sideServer"> => {
   const { settings, clock, logger, metrics, incarnation } = context;
   const { store, view, config, zones, followers } = storeParts;
@@ -240,17 +302,14 @@
   const sideServer = new SideServer({
     listen: sides,
     activeTerm: () => leadership.activeTerm,
+    peerHandlers,
     clock,
     logger,
   });
   const election = new LeaderElection({
     membership: store,
     topic: TOPICS.leadership,
-    self: {
-      entry: settings.entry,
-      incarnation,
-      address: `${sides.address}:${sides.port}`,
-    },
+    self: { ...selfOf(settings), incarnation },
     ttlMs: leadershipTtlMs,
     clock,
     random: new SeededRandom(Date.now() ^ process.pid),
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -119,6 +119,15 @@
         .prefault({}),
     })
     .prefault({}),
+  peers: z
+    .strictObject({
+      /**
+       * Whether this entry passes callers' requests on to another entry while it does
+       * not reach the store, and serves the requests of other entries.
+       */
+      forwardsRequests: flagSchema.default(false),
+    })
+    .prefault({}),
   logLevel: z
     .enum(["error", "warn", "info", "debug", "silent"])
     .default("info"),
--- a/packages/entry/tests/createJobService.ts
+++ b/packages/entry/tests/createJobService.ts
@@ -9,13 +9,13 @@
   TopicFollower,
   TOPICS,
 } from "@rackspan/state";
-import type { MemoryStore } from "@rackspan/standins";
+import type { RecordStore } from "@rackspan/ports";
 
 export type WrittenTopic = (typeof TOPICS)["jobs" | "cancels"];
 
 export interface JobServiceSetup {
   readonly clock: ManualClock;
-  readonly store: MemoryStore;
+  readonly store: RecordStore;
   /** Producer name of the entry. */
   readonly entry: string;
   /** Minimum interval between two polls of the entry, milliseconds. */
