entry: test that an entry without the store refuses other entries' requests at once

It now asks 2 s into the outage, with a submission, which the entry would retry for 1 s without the guard; it fails when the guard is omitted.

--- a/packages/entry/tests/forwarding.test.ts
+++ b/packages/entry/tests/forwarding.test.ts
@@ -2,10 +2,11 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
-import { FORWARD } from "@rackspan/entry";
-import { TOPICS } from "@rackspan/state";
+import { FORWARD, jobTermsOf } from "@rackspan/entry";
+import { encodeJob, TOPICS } from "@rackspan/state";
 import {
   ForwardingSite,
+  QUEUE,
   QUEUE_KEY,
   specOf,
   type StoreLink,
@@ -143,10 +144,13 @@
 
 // Otherwise it would retry for a third of the time, which is then missing elsewhere.
 test("an entry without the store refuses requests of other entries at once", async () => {
-  await withCutOffEntry(2, "refused", 300, async (site) => {
+  await withCutOffEntry(2, "refused", 2_000, async (site) => {
     const { handlers } = site.entry(1).handler;
-    const { id } = specOf(7);
-    const request = { kind: "cancel", queue: QUEUE_KEY, job: id } as const;
+    const spec = specOf(7);
+    const job = { spec, acceptedAt: 0, terms: jobTermsOf(QUEUE) };
+    const record = encodeJob(job).toString("utf8");
+    const ids = { queue: QUEUE_KEY, job: spec.id };
+    const request = { kind: "submit", ...ids, record } as const;
     const answer = handlers.forward({ request, remainingMs: 3_000 });
     const outcome = await settle(site, Promise.resolve(answer), 50);
     expect(outcome.kind).toEqual("refused");
