--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -35,7 +35,6 @@
   correctsEstimates: flagSchema,
   movesCrawling: flagSchema,
   movesStalled: flagSchema,
-  weighsDiscardedWork: flagSchema,
   movesFromSlowHosts: flagSchema,
   ejectsFailingHosts: flagSchema,
   forecastsServingLoad: flagSchema,
--- a/packages/jobs/src/HostState.ts
+++ b/packages/jobs/src/HostState.ts
@@ -54,8 +54,6 @@
   progressedAt: Monotonic;
   /** Tail latency in milliseconds, or millicores in use; see TaskHost. */
   reading: number;
-  /** When a new checkpoint of the run arrived last, on the leader's clock. */
-  checkpointedAt?: Monotonic;
   /** Since when a filling task has been crawling, on the leader's clock; undefined if it is not. */
   crawlingSince: Monotonic | undefined;
   /** Undefined while the run is wanted. */
@@ -75,10 +73,6 @@
 export const isIsolated = (run: ActiveRun): boolean =>
   workedMs(run) < run.isolationMs;
 
-/** Whether the worker has reported the run. */
-export const isStarted = ({ lastSeenAt }: ActiveRun): boolean =>
-  lastSeenAt !== undefined;
-
 /** Records that the worker reported the run at the given time of its clock. */
 export const markSeen = (run: ActiveRun, at: WorkerTime): void => {
   run.firstSeenAt ??= at;
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -55,8 +55,7 @@
   run.progressPercent = row.progressPercent;
   run.reading = row.reading;
   run.crawlingSince = isCrawling(run) ? (run.crawlingSince ?? now) : undefined;
-  if (run.task.step.job.recordCheckpoint(run.task, row.checkpoint))
-    run.checkpointedAt = now;
+  run.task.step.job.recordCheckpoint(run.task, row.checkpoint);
 };
 
 /**
--- a/packages/scheduling/src/HostMonitor.ts
+++ b/packages/scheduling/src/HostMonitor.ts
@@ -10,7 +10,6 @@
 import type { HostReport, LostRun } from "@rackspan/protocol";
 import type { CrashTracker } from "./CrashTracker.js";
 import type { EngineParts } from "./engineParts.js";
-import { isStopWorthwhile } from "./discardedWork.js";
 import { ENGINE, type HostEntry } from "./engineTypes.js";
 import { runsToMove, SLOWNESS } from "./slowHosts.js";
 
@@ -163,7 +162,7 @@
         runStopper.stop(entry, run, "crawling");
         continue;
       }
-      if (policy.movesStalled && this.isStalled(run, knownUntil)) {
+      if (policy.movesStalled && hasStalled(run, knownUntil)) {
         avoidHost(run.task, host);
         ejector.report({ host, ok: false });
         runStopper.stop(entry, run, "stalled");
@@ -171,14 +170,6 @@
     }
   }
 
-  private isStalled(run: ActiveRun, knownUntil: Monotonic): boolean {
-    const { options, estimates } = this.parts;
-    if (!hasStalled(run, knownUntil)) return false;
-    if (!options.policy.weighsDiscardedWork) return true;
-    if (!run.task.step.spec.filling) return true;
-    return isStopWorthwhile(run, estimates, knownUntil);
-  }
-
   private hasFasterHost({ hostState }: HostEntry): boolean {
     return [...this.parts.hosts.all()].some(
       (other) =>
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -28,9 +28,7 @@
   type LearnedRecord,
   type ProgressRecord,
 } from "@rackspan/state";
-import { BulkMonitor } from "./BulkMonitor.js";
 import { CheckpointWriter } from "./CheckpointWriter.js";
-import { CompletionRate } from "./CompletionRate.js";
 import { CrashTracker } from "./CrashTracker.js";
 import { Dispatcher } from "./Dispatcher.js";
 import { RunEndHandler } from "./RunEndHandler.js";
@@ -88,7 +86,6 @@
   private readonly registrar: HostRegistrar;
   private readonly hostMonitor: HostMonitor;
   private readonly waitMonitor: WaitMonitor;
-  private readonly bulkMonitor: BulkMonitor;
   private readonly adopter: RunAdopter;
   private readonly jobFinisher: JobFinisher;
   private readonly loadPublisher: LoadSummaryPublisher;
@@ -112,7 +109,6 @@
       servingLoads,
     });
     const estimates = new RuntimeEstimator(policy.correctsEstimates);
-    const completionRate = new CompletionRate(clock);
     const failuresToEject = policy.ejectsFailingHosts
       ? EJECTION.failuresToEject
       : Infinity;
@@ -154,13 +150,11 @@
     });
     this.runStarter = runStarter;
     this.runStopper = new RunStopper(options);
-    const stepOrder = stepOrders.create(order, { estimates, completionRate });
-    this.bulkMonitor = new BulkMonitor(options, stepOrder);
     this.dispatcher = new Dispatcher({
       engine: options,
       hosts,
       runStarter,
-      order: stepOrder,
+      order: stepOrders.create(order, { estimates }),
       placer: taskPlacers.create(placer, { forecast, estimates, policy }),
       ejector,
       permitTracker,
@@ -181,7 +175,6 @@
       runStarter,
       runStopper: this.runStopper,
       estimates,
-      completionRate,
       ejector,
       placementLog,
       requestCycle,
@@ -248,7 +241,6 @@
     this.loadPublisher.stop();
     this.forecastReporter.stop();
     this.waitMonitor.stop();
-    this.bulkMonitor.stop();
     this.timer?.cancel();
   }
 
@@ -495,7 +487,6 @@
     this.hostMonitor.check();
     this.placementLog?.completeWhenKnown();
     this.waitMonitor.check();
-    this.bulkMonitor.check();
     if (this.jobs.active.size > 0) this.dispatcher.requestCycle();
   }
 }
--- a/packages/scheduling/src/RunEndHandler.ts
+++ b/packages/scheduling/src/RunEndHandler.ts
@@ -1,13 +1,7 @@
 /** Processes the ended runs that workers list, in the order in which they ended. */
 
-import {
-  avoidHost,
-  type ActiveRun,
-  type JobRun,
-  type JobTask,
-} from "@rackspan/jobs";
+import { avoidHost, type JobRun, type JobTask } from "@rackspan/jobs";
 import type { EndedRun } from "@rackspan/ports";
-import { countDiscardedWork, discardedWork } from "./discardedWork.js";
 import type { EngineParts } from "./engineParts.js";
 import type { HostEntry, PlacedRun } from "./engineTypes.js";
 import type { JobFinisher } from "./JobFinisher.js";
@@ -53,10 +47,7 @@
     entry.hostState.removeOrphan(end);
     if (!task) return undefined;
     const { job } = task.step;
-    if (active) {
-      this.countDiscarded(active.run, end);
-      hosts.release(entry, active.run);
-    }
+    if (active) hosts.release(entry, active.run);
     if (job.isEnded) return undefined;
     if (!active && placed) return this.handleEarlierRunEnd(task, end);
     const changed = job.recordEnd(task, end.run, end.outcome, end.checkpoint);
@@ -86,17 +77,6 @@
     return changed ? job : undefined;
   }
 
-  private countDiscarded(
-    run: ActiveRun,
-    { outcome, checkpoint }: EndedRun,
-  ): void {
-    if (outcome === "done") return;
-    const { clock, metrics } = this.parts.options;
-    const isSaved = checkpoint !== NO_CHECKPOINT && outcome === "stopped";
-    const work = discardedWork(run, clock.monotonic(), isSaved);
-    countDiscardedWork(metrics, run.stop?.reason ?? outcome, work);
-  }
-
   private logEnd(
     { hostState }: HostEntry,
     { task, run, outcome, number }: EndedRun,
@@ -122,17 +102,11 @@
     { outcome }: EndedRun,
     active: PlacedRun | undefined,
   ): void {
-    const { options, ejector, estimates, completionRate } = this.parts;
+    const { options, ejector, estimates } = this.parts;
     const { host } = hostState;
     if (outcome === "done") {
       ejector.report({ host, ok: true });
       if (active) this.parts.loadPublisher.recordDone(task.step);
-      const { spec, job } = task.step;
-      if (spec.filling)
-        completionRate.record(
-          job.terms.priority,
-          estimates.taskWork(task.step),
-        );
       // A run that continued from a checkpoint took less time than the whole task.
       if (!active || task.checkpoint !== "") return;
       const tookMs = options.clock.monotonic() - active.run.startedAt;
--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -19,7 +19,6 @@
 } from "@rackspan/jobs";
 import { StoreRefusedError, type StartRefusal } from "@rackspan/ports";
 import { FULL_PACE, type HostCallResult } from "@rackspan/protocol";
-import { countDiscardedWork, discardedWork } from "./discardedWork.js";
 import { ENGINE, type EngineOptions, type HostEntry } from "./engineTypes.js";
 import type { HostRegistry } from "./HostRegistry.js";
 import type { PermitTracker } from "./PermitTracker.js";
@@ -217,9 +216,6 @@
   returnRun(host: HostEntry, run: ActiveRun, reason: string): void {
     this.logReturned(host, run, reason);
     if (!this.options.hosts.release(host, run)) return;
-    const { clock, metrics } = this.options;
-    const work = discardedWork(run, clock.monotonic(), false);
-    countDiscardedWork(metrics, reason, work);
     const { task } = run;
     if (task.writeAheadRun === run.run) task.writeAheadRun = undefined;
     this.notifyWaiting(task);
--- a/packages/scheduling/src/RuntimeEstimator.ts
+++ b/packages/scheduling/src/RuntimeEstimator.ts
@@ -7,7 +7,6 @@
 import { MILLI_CORES_PER_CORE, type Instant } from "@rackspan/common";
 import type { JobRun, StepRun } from "@rackspan/jobs";
 import type { LearnedEstimates, QueueKey } from "@rackspan/state";
-import { RuntimeDistributions } from "./RuntimeDistributions.js";
 
 const ESTIMATES = {
   /** Weight of one observation in the moving mean of the logarithm. */
@@ -29,10 +28,6 @@
     { ms: number; tasks: number }
   >();
 
-  /** Learned by every leader; persisted only if an order of work uses them. */
-  readonly distributions = new RuntimeDistributions();
-  private persistsDistributions = false;
-
   private changed = false;
 
   /** @param isEnabled whether observed run times correct the estimates */
@@ -41,7 +36,6 @@
   /** @param tookMs run time of one task that ended as done */
   recordRunTime(step: StepRun, tookMs: number): void {
     if (!this.isEnabled || tookMs <= 0) return;
-    this.distributions.record(step, tookMs, this.taskMs(step));
     this.recordObserved(step, tookMs);
     if (step.spec.estimateMs <= 0) return;
     const limit = Math.log(ESTIMATES.maxFactor);
@@ -56,11 +50,6 @@
     this.changed = true;
   }
 
-  /** Hands the run time distributions to the next leader, too. */
-  persistDistributions(): void {
-    this.persistsDistributions = true;
-  }
-
   /**
    * Returns the learned corrections; undefined if they have not changed since the last
    * call.
@@ -69,18 +58,15 @@
     if (!this.changed) return undefined;
     this.changed = false;
     const corrections = [...this.corrections];
-    const record = { kind: "estimates" as const, writtenAt: now, corrections };
-    if (!this.persistsDistributions) return record;
-    return { ...record, runTimes: this.distributions.toRecords() };
+    return { kind: "estimates", writtenAt: now, corrections };
   }
 
   /**
    * Restores what a previous leader has learned.
    * @returns whether it was used; it is ignored if something was learned here already
    */
-  restore({ corrections, runTimes = [] }: LearnedEstimates): boolean {
+  restore({ corrections }: LearnedEstimates): boolean {
     if (!this.isEnabled || this.corrections.size > 0) return false;
-    this.distributions.restore(runTimes);
     for (const [queue, value] of corrections)
       this.corrections.set(queue, value);
     return true;
@@ -132,13 +118,6 @@
     return this.sumWork(job, ({ tasks }) => tasks.length);
   }
 
-  /** Returns the expected core-milliseconds of one task. */
-  taskWork(step: StepRun): number {
-    return (
-      (this.taskMs(step) * step.spec.demand.milliCores) / MILLI_CORES_PER_CORE
-    );
-  }
-
   private sumWork(job: JobRun, count: (step: StepRun) => number): number {
     let total = 0;
     for (const step of job.steps) {
@@ -153,30 +132,25 @@
    * step run at the same time.
    */
   chainMs(job: JobRun, occurrence: number): number {
-    return this.longestChain(job, occurrence, (step) => this.taskMs(step));
+    return this.longestChain(job, occurrence, () => true);
   }
 
   /** Returns the duration of the longest chain of unfinished steps, milliseconds. */
   remainingChainMs(job: JobRun, occurrence: number): number {
-    return this.longestChain(job, occurrence, (step) =>
-      step.isDone ? 0 : this.taskMs(step),
-    );
+    return this.longestChain(job, occurrence, (step) => !step.isDone);
   }
 
-  /**
-   * Returns the duration of the longest chain of steps, milliseconds, where each step
-   * lasts as long as `msOf` returns.
-   */
-  longestChain(
+  private longestChain(
     job: JobRun,
     occurrence: number,
-    msOf: (step: StepRun) => number,
+    counts: (step: StepRun) => boolean,
   ): number {
     const steps = job.steps.filter((step) => step.occurrence === occurrence);
     const ends: number[] = [];
     for (const step of steps) {
       const previous = step.spec.after.map((number) => ends[number] ?? 0);
-      ends[step.number] = Math.max(0, ...previous) + msOf(step);
+      const ownMs = counts(step) ? this.taskMs(step) : 0;
+      ends[step.number] = Math.max(0, ...previous) + ownMs;
     }
     return Math.max(0, ...ends);
   }
--- a/packages/scheduling/src/byUtilityOrder.ts
+++ b/packages/scheduling/src/byUtilityOrder.ts
@@ -82,16 +82,10 @@
 
   /** Returns the utility per core-millisecond of unplaced work. */
   private densityOf(job: JobRun): number {
-    return (
-      this.utilityOf(job) / Math.max(MIN_WORK, this.estimates.unplacedWork(job))
-    );
-  }
-
-  /** Returns the utility of the job if it ends in time. */
-  utilityOf(job: JobRun): number {
     const mean = this.means.get(job.accepted.spec.queue);
     const meanWork = mean ? mean.total / mean.jobs : 0;
-    return utilityOf(this.estimates.totalWork(job), meanWork);
+    const utility = utilityOf(this.estimates.totalWork(job), meanWork);
+    return utility / Math.max(MIN_WORK, this.estimates.unplacedWork(job));
   }
 }
 
--- a/packages/scheduling/src/engineParts.ts
+++ b/packages/scheduling/src/engineParts.ts
@@ -1,7 +1,6 @@
 /** The components that the parts of the job engine share. */
 
 import type { OutlierEjector } from "@rackspan/routing";
-import type { CompletionRate } from "./CompletionRate.js";
 import type { EngineOptions } from "./engineTypes.js";
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import type { HostRegistry } from "./HostRegistry.js";
@@ -17,7 +16,6 @@
   readonly runStarter: RunStarter;
   readonly runStopper: RunStopper;
   readonly estimates: RuntimeEstimator;
-  readonly completionRate: CompletionRate;
   readonly ejector: OutlierEjector;
   /** Undefined if this leader records no placements. */
   readonly placementLog: PlacementLog | undefined;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,7 +1,6 @@
 import "./baselineTaskPlacers.js";
 import "./bestFitPlacer.js";
 import "./byAgeOrder.js";
-import "./byCompletionOrder.js";
 import "./bySlackOrder.js";
 import "./byUtilityOrder.js";
 import "./colocatingTaskPlacer.js";
@@ -9,8 +8,6 @@
 import "./leastLoadedPlacer.js";
 import "./spreadPlacer.js";
 
-export { CompletionRate } from "./CompletionRate.js";
-export { RuntimeDistribution } from "./RuntimeDistribution.js";
 export { RuntimeEstimator } from "./RuntimeEstimator.js";
 export { ENGINE, type EngineOptions, type HostRoster } from "./engineTypes.js";
 export type { StopTaskCall } from "@rackspan/protocol";
--- a/packages/scheduling/src/policy.ts
+++ b/packages/scheduling/src/policy.ts
@@ -34,11 +34,6 @@
   readonly movesCrawling: boolean;
   /** Whether stalled tasks are stopped and started elsewhere. */
   readonly movesStalled: boolean;
-  /**
-   * Whether a stalled filling task without checkpoints is stopped only once it has stood
-   * still for as long as the work takes that the stop discards.
-   */
-  readonly weighsDiscardedWork: boolean;
   /** Whether tasks are moved off hosts that are slower than others. */
   readonly movesFromSlowHosts: boolean;
   /** Whether hosts on which tasks fail repeatedly get no tasks for a while. */
@@ -86,7 +81,6 @@
   correctsEstimates: true,
   movesCrawling: true,
   movesStalled: true,
-  weighsDiscardedWork: false,
   movesFromSlowHosts: true,
   ejectsFailingHosts: true,
   forecastsServingLoad: false,
--- a/packages/state/src/learnedRecords.ts
+++ b/packages/state/src/learnedRecords.ts
@@ -48,26 +48,11 @@
     .optional(),
 });
 
-/** Bucket number and count of each bucket of a histogram that is not empty. */
-const histogramSchema = z
-  .array(z.tuple([z.number().int().min(0).max(1_000), z.number().min(0)]))
-  .max(1_000);
-
-const runTimesSchema = z.object({
-  queue: queueSchema,
-  /** Run time of a step's tasks over the expected one. */
-  steps: histogramSchema,
-  /** Run time of a task over the median of its step. */
-  tasks: histogramSchema,
-});
-
 const estimatesSchema = z.object({
   kind: z.literal("estimates"),
   writtenAt: z.number(),
   /** Mean natural logarithm of (time taken / estimate), by queue. */
   corrections: z.array(z.tuple([queueSchema, logarithm])),
-  /** Run time distributions by queue; absent if no order of work uses them. */
-  runTimes: z.array(runTimesSchema).optional(),
 });
 
 const learnedSchema = z.discriminatedUnion("kind", [
@@ -76,7 +61,6 @@
 ]);
 
 export type LearnedTail = z.output<typeof tailSchema>;
-export type LearnedRunTimes = z.output<typeof runTimesSchema>;
 export type LearnedEstimates = z.output<typeof estimatesSchema>;
 export type LearnedRecord = z.output<typeof learnedSchema>;
 
