jobs, scheduling: a forecast of the swing needs readings without a gap, and a reading on the host

Change: a gap makes the tests of the forecast start anew, and covered time that has lost its weight does not count; the higher limit needs a reading of the image on the host.

--- a/packages/jobs/src/SwingModel.ts
+++ b/packages/jobs/src/SwingModel.ts
@@ -165,7 +165,7 @@
     if (count === 0) return;
     const at = timeSum / count;
     const tail = sum / count;
-    if (at - this.lastFoldedAt > SWING_MODEL.maxGapMs) this.pending = [];
+    this.handleGap(at - this.lastFoldedAt);
     this.test(at, tail);
     this.fold(at, tail);
     if (!this.keepsRestored(at)) {
@@ -179,6 +179,17 @@
     this.pending.push({ dueAt, swing, level, lastReading: tail });
   }
 
+  /**
+   * After a gap in the readings the load may have changed: forecasts are tested anew, and
+   * readings that have lost their weight no longer count as covered time.
+   */
+  private handleGap(gapMs: number): void {
+    if (gapMs <= SWING_MODEL.maxGapMs) return;
+    this.pending = [];
+    this.tests = 0;
+    if (gapMs > SWING_MODEL.memoryMs) this.firstAt = undefined;
+  }
+
   /**
    * Whether a restored wave is still used: a fit of less than its period would be worse,
    * unless the tests show that the wave does not fit any more.
--- a/packages/jobs/tests/swingModel.test.ts
+++ b/packages/jobs/tests/swingModel.test.ts
@@ -88,7 +88,15 @@
   expect(model.confidentWave).toEqual(undefined);
 });
 
-test("nothing is forecast before a whole period was seen", () => {
+test("a gap in the readings takes the confidence until the forecast is tested again", () => {
+  const model = new SwingModel();
+  feed(model, wave(20_000), 100_000);
+  expect(model.confidentWave !== undefined).toEqual(true);
+  feed(model, wave(20_000), 704_000, { fromMs: 700_000 });
+  expect(model.confidentWave).toEqual(undefined);
+});
+
+test("nothing is forecast before half a period was seen", () => {
   const model = new SwingModel();
   feed(model, wave(20_000), 9_500);
   expect(riseOf(model, 9_500, 9_500, 12_000)).toEqual(undefined);
--- a/packages/scheduling/src/FillingAssignment.ts
+++ b/packages/scheduling/src/FillingAssignment.ts
@@ -223,7 +223,7 @@
       serving: [...host.servingImages].map((image) => ({
         image,
         taskCount: host.servingCount(image),
-        limit: forecast.limitOf(image),
+        limit: forecast.limitOf(host, image),
         isRead: host.readings.tails.has(image),
         tail: forecast.tailWithoutSwing(host, image),
       })),
--- a/packages/scheduling/src/TailForecast.ts
+++ b/packages/scheduling/src/TailForecast.ts
@@ -82,7 +82,7 @@
       const added = this.weightUpperBound(serving, filling) * cores;
       if (added > MIN_ADDED_TAIL) {
         const tail = this.highestTail(host, serving, runMs) + added;
-        if (tail > this.limitOf(serving)) return undefined;
+        if (tail > this.limitOf(host, serving)) return undefined;
       }
       max = Math.max(max, added);
     }
@@ -106,7 +106,7 @@
       const added = this.weightUpperBound(serving, filling) * cores;
       if (added <= MIN_ADDED_TAIL) continue;
       const tail = this.highestTail(host, serving, runMs) + added;
-      const excess = Math.max(0, tail - this.limitOf(serving));
+      const excess = Math.max(0, tail - this.limitOf(host, serving));
       total += Math.min(added, excess);
     }
     return total;
@@ -123,7 +123,7 @@
       const added = this.weightUpperBound(serving, filling) * cores;
       if (added <= MIN_ADDED_TAIL) continue;
       const tail = this.highestTail(host, serving, FIRST_PACE_MS);
-      const headroom = this.limitOf(serving) - tail;
+      const headroom = this.limitOf(host, serving) - tail;
       share = Math.min(share, headroom / added);
     }
     return Math.max(MIN_FIRST_SHARE, share);
@@ -140,10 +140,11 @@
   }
 
   /** Logarithm of the limit for tails of the image, as a share of the target. */
-  limitOf(serving: ImageName): number {
-    return this.servingLoads.isConfident(serving)
-      ? this.forecastLimit
-      : this.limit;
+  limitOf(host: HostState, serving: ImageName): number {
+    const isForecast =
+      host.readings.tails.has(serving) &&
+      this.servingLoads.isConfident(serving);
+    return isForecast ? this.forecastLimit : this.limit;
   }
 
   /**
