scheduling: a failed filling task is not starved by the joint assignment

Cause: the score by which classes of filling tasks compete contained the penalty of hosts on which the task failed before, so a task that failed on the only host it can use came after all other classes of its batch (review: no restart within 20 s beside a job of 200 tasks).

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -101,10 +101,12 @@
       now: engine.clock.monotonic(),
       isEvacuated: engine.isEvacuated,
     });
-    const fillingBatches = new FillingBatches(candidates);
+    const fillingBatches = engine.policy.assignsFillingJointly
+      ? new FillingBatches(candidates)
+      : undefined;
     for (const candidate of candidates) {
-      if (engine.policy.assignsFillingJointly)
-        this.assignFilling(fillingBatches.startingWith(candidate));
+      const batch = fillingBatches?.startingWith(candidate) ?? [];
+      if (batch.length > 0) this.assignFilling(batch);
       this.placeStep(candidate, this.hostsOf(candidate.job));
     }
     engine.metrics
--- a/packages/scheduling/src/FillingAssignment.ts
+++ b/packages/scheduling/src/FillingAssignment.ts
@@ -19,14 +19,20 @@
 export const FILLING_ASSIGNMENT = {
   /** Score penalty per serving task that is expected to pass its target; see `overRisk`. */
   riskPenalty: 1,
-  /** Spread of the error of a forecast tail; logarithm. */
+  /**
+   * Spread of the error of a forecast tail, logarithm; a tail this far below its target
+   * already carries some risk.
+   */
   riskSpread: 0.2,
   /**
-   * Score that a class loses for each class that precedes it in the order of work. In
-   * the load model 0.2 gave up most of the gain, and 0 made more jobs late.
+   * Score that a class loses for each class that precedes it in the order of work, so
+   * that the order decides between classes with similar scores.
    */
   orderPenalty: 0.05,
-  /** Weight of what a class loses if it gets its second best host; without it the gain was half. */
+  /**
+   * Weight of what a class loses if it gets its second best host, so that a class with
+   * no other good host goes first.
+   */
   regretWeight: 1,
   /** The regret of a class that fits on one host only. */
   maxRegret: 1,
@@ -137,7 +143,10 @@
       const { at, best, second } = bestTwo(one.scores);
       if (at < 0) continue;
       const regret = Math.min(maxRegret, best - second);
-      const value = best + regretWeight * regret - orderPenalty * rank;
+      const value =
+        this.rankingScore(one, at, best) +
+        regretWeight * regret -
+        orderPenalty * rank;
       rank += 1;
       if (value <= highest) continue;
       highest = value;
@@ -146,6 +155,17 @@
     return chosen;
   }
 
+  /**
+   * The score by which classes compete. Which host a task prefers does not count: a task
+   * that failed on the only host it can use would wait for all others.
+   */
+  private rankingScore(one: TaskClass, at: number, best: number): number {
+    const [task] = one.tasks;
+    const slot = this.slots[at];
+    if (!task || !slot) return best;
+    return best - this.options.bonusOf(task, slot.host);
+  }
+
   private place(one: TaskClass, at: number): void {
     const slot = this.slots[at] as HostSlot;
     const task = one.tasks.shift() as JobTask;
--- a/packages/scheduling/src/colocatingTaskPlacer.ts
+++ b/packages/scheduling/src/colocatingTaskPlacer.ts
@@ -54,9 +54,8 @@
   disturbedPenalty: 5,
   /**
    * Score penalty per unit by which the logarithms of tails would exceed the limit, if
-   * the task must be placed. It outweighs the free processor time of a whole host: on
-   * the emptiest host alone such tasks caused half of the seconds over target in the
-   * load model (docs/design/colocation.md).
+   * the task must be placed. It outweighs the free processor time of a whole host, since
+   * the emptiest host may have the tails closest to their limit.
    */
   excessPenalty: 5,
   /** Score bonus of hosts on the rack that holds the step's data. */
--- a/packages/scheduling/tests/fillingAssignment.test.ts
+++ b/packages/scheduling/tests/fillingAssignment.test.ts
@@ -55,6 +55,17 @@
   expect(metrics).toMatchRegex(/filling_assigned_total\{beside="none"\} 6/);
 });
 
+test("a task that failed on its only host is not starved by jobs that come after it", async () => {
+  const harness = new EngineHarness({ policy: JOINTLY });
+  const host = await harness.addHost("h1");
+  harness.submit("a", [filler("x", 1_000, 128_000)]);
+  await harness.run(100);
+  harness.submit("b", [{ taskCount: 200, ...filler("y", 1_000, 128_000) }]);
+  host.end(taskId("a.0.0.0"), "failed");
+  await harness.run(200);
+  expect(host.isRunning(taskId("a.0.0.0"))).toEqual(true);
+});
+
 test("a step with a lower priority takes no host from one with a higher priority", () => {
   const candidate = (job: string, priority: number, step = {}): Candidate => {
     const run = new JobRun(
