Store: a batch with records that were put back is not aborted again

Each withdrawal of a record without a connection aborted the append of its whole batch. With a connection that takes longer than the interval between withdrawals, the other records were put back until the time of their own callers was over.

A batch that contains records put back after an abort is no longer aborted. A record in it cannot be withdrawn; its outcome is unknown if the caller's time ends first.

--- a/packages/state/src/TopicWriter.ts
+++ b/packages/state/src/TopicWriter.ts
@@ -66,6 +66,8 @@
   readonly record: KeyedRecord;
   readonly resolve: (next: number) => void;
   readonly reject: (err: unknown) => void;
+  /** Whether the record was in a batch that was aborted. */
+  wasPutBack: boolean;
 }
 
 /** The records of one append. */
@@ -88,7 +90,8 @@
    */
   readonly persisted: Promise<number>;
   /**
-   * Withdraws the record unless it may have been sent.
+   * Withdraws the record unless it may have been sent, or is in a batch that must not be
+   * aborted again.
    * @returns whether the record was not sent and never will be
    */
   readonly abandon: () => boolean;
@@ -137,7 +140,7 @@
         reject(refusal);
         return;
       }
-      queued = { record, resolve, reject };
+      queued = { record, resolve, reject, wasPutBack: false };
       this.queue.push(queued);
     });
     return { persisted, abandon: () => this.abandon(queued) };
@@ -203,11 +206,14 @@
 
   /**
    * Cancels the in-flight batch if it contains the record and has no connection yet.
-   * Its other records are sent with the next batch.
+   * Its other records are sent with the next batch, which is not aborted: with a slow
+   * connection, frequent withdrawals would otherwise keep these records from being sent
+   * until their own callers' time is over.
    */
   private abandonInFlight(queued: QueuedRecord): boolean {
     const { inFlight } = this;
     if (!inFlight?.records.includes(queued) || inFlight.mayBeSent) return false;
+    if (inFlight.records.some(({ wasPutBack }) => wasPutBack)) return false;
     inFlight.abandoned.add(queued);
     inFlight.abort.abort();
     return true;
@@ -263,6 +269,7 @@
   private requeueOthers({ records, abandoned }: Batch): void {
     const others = records.filter((queued) => !abandoned.has(queued));
     if (!this.closed) {
+      for (const queued of others) queued.wasPutBack = true;
       this.queue.unshift(...others);
       return;
     }
--- a/packages/state/tests/topicWriter.test.ts
+++ b/packages/state/tests/topicWriter.test.ts
@@ -1,6 +1,6 @@
 import { test } from "node:test";
 import { expect } from "earl";
-import { ManualClock, silentLogger } from "@rackspan/common";
+import { ManualClock, pause, silentLogger } from "@rackspan/common";
 import {
   FencedError,
   StoreAnswerLostError,
@@ -186,3 +186,29 @@
   await lost;
   expect(keys()).toEqual(["first", "a"]);
 });
+
+// Guards against withdrawals that keep the other records of their batch from being sent:
+// each one used to cancel the connection attempt that the others wait for as well.
+test("frequent withdrawals do not keep other records from being sent over a slow connection", async () => {
+  const { clock, store, writer, keys } = setUp();
+  const append = store.append.bind(store);
+  store.append = async (req) => {
+    await pause(clock, 200, req.signal ?? new AbortController().signal);
+    if (req.signal?.aborted) throw new StoreRefusedError("no connection");
+    return append(req);
+  };
+  const abandonAfter = (key: string, ms: number): void => {
+    const { persisted, abandon } = writer.write(record(key));
+    persisted.catch(() => undefined);
+    clock.after(ms, abandon);
+  };
+  const patient = Array.from({ length: 30 }, (_, at) => `patient-${at}`);
+  for (const key of patient) abandonAfter(key, 2_000);
+  for (let at = 0; at < 300; at += 1) {
+    abandonAfter(`hurried-${at}`, 100);
+    await clock.advance(10);
+  }
+  const sent = new Set(keys());
+  expect(patient.filter((key) => sent.has(key)).length).toEqual(30);
+  await clock.advance(1_000);
+});
