HTTP client: a call that is aborted without a connection fails at once

Node reports the error of a destroyed request without a socket only once a socket becomes free, so a call aborted while the pool was busy settled at its time-out. It now rejects with ConnectError on the abort, as it does on the time-out.

--- a/packages/protocol/src/HttpClient.ts
+++ b/packages/protocol/src/HttpClient.ts
@@ -100,12 +100,12 @@
         signal: call.signal,
         headers: headersOf(call),
       });
+      // Node reports the error of a call that has no connection only once one becomes
+      // free, so time-outs and aborts reject such a call themselves.
       const timeoutMs = call.timeoutMs ?? DEFAULT_TIMEOUT_MS;
       const timer = startTimeout(clock, timeoutMs, () => {
         if (req.reusedSocket) this.closeIdle();
         const err = new Error(`no response within ${timeoutMs} ms`);
-        // Node reports the error to a call without a connection only
-        // once one becomes free.
         if (!req.socket) reject(new ConnectError(url, err));
         req.destroy(err);
       });
@@ -122,7 +122,18 @@
         if (!socket.connecting) markConnected();
         else socket.once("connect", markConnected);
       });
-      req.on("close", () => timer.cancel());
+      const { signal } = call;
+      const rejectUnsent = (): void => {
+        if (req.socket) return;
+        timer.cancel();
+        reject(new ConnectError(url, signal?.reason));
+      };
+      if (signal?.aborted) rejectUnsent();
+      else signal?.addEventListener("abort", rejectUnsent, { once: true });
+      req.on("close", () => {
+        timer.cancel();
+        signal?.removeEventListener("abort", rejectUnsent);
+      });
       req.on("response", resolve);
       req.on("error", (err) => {
         reject(
--- a/packages/protocol/tests/httpClient.test.ts
+++ b/packages/protocol/tests/httpClient.test.ts
@@ -169,3 +169,28 @@
   await lost;
   expect(paths).toEqual(["/sent"]);
 });
+
+// A caller that waits for the result of an abort would otherwise wait for the time-out,
+// although nothing was sent.
+test("a call that is aborted while it has no connection fails at once and is never sent", async (t) => {
+  const { client, paths } = await connectTo(t, (req, res) => {
+    if (req.url !== "/silent") res.end("answered");
+  });
+  const call = (path: string, timeoutMs: number, signal?: AbortSignal) =>
+    client.call({ method: "POST", path, timeoutMs, signal });
+  const silent = expect(call("/silent", 10 * TIMEOUT_MS)).toBeRejectedWith(
+    LostAnswerError,
+  );
+  const abort = new AbortController();
+  const unsent = expect(
+    call("/unsent", 10 * TIMEOUT_MS, abort.signal),
+  ).toBeRejectedWith(ConnectError);
+  while (paths.length === 0) await new Promise(setImmediate);
+  const readRunMs = startRunMeter(t);
+  abort.abort();
+  await unsent;
+  expect(readRunMs() < 3 * TIMEOUT_MS).toEqual(true);
+  await silent;
+  await call("/next", LONG_TIMEOUT_MS);
+  expect(paths).toEqual(["/silent", "/next"]);
+});
