Topics: a caller that waits for the view does not abort a short poll

TopicFollower.catchUp aborted the poll in flight even if it was one that other callers waited for. While callers asked more often than the store answered, no poll ended and the view grew older. Only long polls and pauses are aborted now.

A caller whose refresh timed out stayed in the list of waiters, so that polls stayed short. catchUp now rejects on its signal and drops the waiter; JobService passes one.

--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -6,7 +6,6 @@
 
 import {
   describeError,
-  pause,
   sleep,
   type Clock,
   type Logger,
@@ -261,11 +260,9 @@
     );
     if (waitMs <= 0) return;
     const abort = new AbortController();
-    await Promise.race([
-      jobsFollower.catchUp(),
-      pause(clock, waitMs, abort.signal),
-    ]);
-    abort.abort();
+    const timer = clock.after(waitMs, () => abort.abort());
+    await jobsFollower.catchUp(abort.signal).catch(() => undefined);
+    timer.cancel();
   }
 
   private stateOfMissingJob(id: JobId): JobStateOutcome {
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -55,6 +55,8 @@
   private readonly waiters = new Set<() => void>();
   /** Aborts the current poll or pause, so that a new poll starts. */
   private pollAbort = new AbortController();
+  /** Whether a poll is in flight that the store answers at once. */
+  private isShortPoll = false;
 
   constructor(private readonly options: TopicFollowerOptions) {}
 
@@ -92,16 +94,36 @@
     return !this.reachable;
   }
 
-  /** Resolves once all records that the store holds now have been passed on. */
+  /**
+   * Resolves once all records that the store holds now have been passed on. Rejects when
+   * the signal is aborted before.
+   */
   async catchUp(signal?: AbortSignal): Promise<void> {
     const requestedAt = this.options.clock.monotonic();
     while ((this.completeAt ?? -Infinity) < requestedAt) {
       signal?.throwIfAborted();
-      this.pollAbort.abort();
-      await new Promise<void>((resolve) => this.waiters.add(resolve));
+      // Earlier callers wait for a short poll. If each caller aborted it, no poll would
+      // end while they arrive more often than the store answers.
+      if (!this.isShortPoll) this.pollAbort.abort();
+      await this.nextCompletion(signal);
     }
   }
 
+  private nextCompletion(signal: AbortSignal | undefined): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const wake = (): void => {
+        signal?.removeEventListener("abort", drop);
+        resolve();
+      };
+      const drop = (): void => {
+        this.waiters.delete(wake);
+        reject(signal?.reason as Error);
+      };
+      this.waiters.add(wake);
+      signal?.addEventListener("abort", drop, { once: true });
+    });
+  }
+
   private async run(): Promise<void> {
     const { clock, minPollIntervalMs } = this.options;
     while (!this.abort.signal.aborted) {
@@ -156,7 +178,10 @@
     const waitMs = this.waiters.size > 0 ? 0 : FOLLOW.pollMs;
     this.pollAbort = new AbortController();
     const { signal } = this.pollAbort;
-    const page = await store.read({ topic, from, waitMs, signal });
+    this.isShortPoll = waitMs === 0;
+    const page = await store
+      .read({ topic, from, waitMs, signal })
+      .finally(() => (this.isShortPoll = false));
     this.logUnreadable(page);
     if (page.records.length > 0) this.passOn(page.records);
     this.next = page.next;
--- a/packages/state/tests/topicFollower.test.ts
+++ b/packages/state/tests/topicFollower.test.ts
@@ -2,7 +2,7 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
-import { brand, ManualClock, silentLogger } from "@rackspan/common";
+import { brand, ManualClock, pause, silentLogger } from "@rackspan/common";
 import {
   RecordsGoneError,
   type ReadRequest,
@@ -117,3 +117,45 @@
   expect([...known.keys()]).toEqual(["rewritten"]);
   await stop();
 });
+
+// Guards against callers that abort the read that earlier callers wait for, so that the
+// view grows older for as long as callers arrive.
+test("the view stays fresh while callers ask for it more often than the store answers", async () => {
+  const { clock, memory, store, follower, stop } = setUp();
+  store.read = async (req) => {
+    await pause(clock, 20, req.signal ?? new AbortController().signal);
+    req.signal?.throwIfAborted();
+    return memory.read(req);
+  };
+  follower.start();
+  await clock.advance(50);
+  const waitMs: number[] = [];
+  for (let at = 0; at < 300; at += 1) {
+    const askedAt = clock.monotonic();
+    void follower
+      .catchUp()
+      .then(() => waitMs.push(clock.monotonic() - askedAt));
+    await clock.advance(10);
+  }
+  expect(follower.ageMs <= 50).toEqual(true);
+  expect(waitMs.length >= 290).toEqual(true);
+  expect(Math.max(...waitMs) <= 50).toEqual(true);
+  await stop();
+});
+
+test("a caller that no longer waits for the view is dropped", async () => {
+  const { clock, memory, follower, stop } = setUp();
+  follower.start();
+  await clock.advance(50);
+  memory.fault = "silent";
+  const abort = new AbortController();
+  let isSettled = false;
+  const settle = (): void => void (isSettled = true);
+  follower.catchUp(abort.signal).then(settle, settle);
+  await clock.advance(10);
+  expect(isSettled).toEqual(false);
+  abort.abort();
+  await clock.advance(0);
+  expect(isSettled).toEqual(true);
+  await stop();
+});
