--- a/packages/jobs/src/ProgressJournal.ts
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -2,7 +2,11 @@
 
 import type { Clock } from "@rackspan/common";
 import type { KeyedRecord } from "@rackspan/ports";
-import { encodeProgress, type TopicWriter } from "@rackspan/state";
+import {
+  encodeProgress,
+  type PendingWrite,
+  type TopicWriter,
+} from "@rackspan/state";
 import type { JobRun } from "./JobRun.js";
 
 export interface ProgressJournalOptions {
@@ -65,7 +69,7 @@
 
   /**
    * Writes a record that is no job's progress with the next batch. Nobody waits for it:
-   * it is lost if another leader has taken over.
+   * it is lost if it is refused or another leader has taken over.
    */
   enclose(record: KeyedRecord): void {
     this.next ??= this.openBatch();
@@ -112,8 +116,8 @@
   ): Promise<void> {
     const { writer } = this.options;
     const records = recordsOf(jobs, enclosed);
-    const writes = records.map((record) => writer.write(record).persisted);
-    await Promise.all(writes);
+    const writes = records.map((record) => writer.write(record));
+    await jobsPersisted(writes, jobs.size);
   }
 
   private async writeTogether(
@@ -122,10 +126,23 @@
   ): Promise<void> {
     const { writer } = this.options;
     const writes = writer.writeTogether(recordsOf(jobs, enclosed));
-    await Promise.all(writes.map(({ persisted }) => persisted));
+    await jobsPersisted(writes, jobs.size);
   }
 }
 
+/**
+ * Waits for the records of the jobs, which come first. A refused record that is no job's
+ * progress says nothing about them.
+ */
+const jobsPersisted = async (
+  writes: readonly PendingWrite[],
+  jobCount: number,
+): Promise<void> => {
+  const persisted = writes.map((write) => write.persisted);
+  for (const write of persisted.slice(jobCount)) write.catch(() => undefined);
+  await Promise.all(persisted.slice(0, jobCount));
+};
+
 const recordsOf = (
   jobs: ReadonlySet<JobRun>,
   enclosed: ReadonlyMap<string, KeyedRecord>,
