Submissions: no refusal while an earlier write of the id is unsettled

A submission whose first attempt was sent and not answered was refused (503) when repeated at the same entry, and its record could still be stored afterwards.

AdmissionController.handleWriting, which kept ids even after a true refusal, is no longer called; the job service itself accepts ids that may be stored.

The new tests failed before (refused in place of unknown; accepted in place of refused after a true refusal) and pass now.

--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -38,6 +38,7 @@
 } from "@rackspan/state";
 import { STORE_RETRY, retryDeadline, unsentDeadline } from "./storeRetry.js";
 import type { StoreReachability } from "./StoreReachability.js";
+import { UnsettledWrites } from "./UnsettledWrites.js";
 
 /** Times of the JobService, milliseconds. */
 export const JOB_SERVICE = {
@@ -89,6 +90,16 @@
   readonly metrics: Metrics;
 }
 
+/** What is to be done about the writes of a request. */
+interface WriteHandlers {
+  readonly onPersisted: () => void;
+  /**
+   * Called before each write.
+   * @returns called once the record is persisted, or certainly never will be
+   */
+  readonly onWriting?: () => () => void;
+}
+
 /** When a pending write is given up, in monotonic time. */
 interface WriteTimes {
   /** When a record that was not sent is withdrawn. */
@@ -126,6 +137,8 @@
 export type JobRequests = Pick<JobService, keyof JobService>;
 
 export class JobService {
+  private readonly unsettled = new UnsettledWrites();
+
   constructor(private readonly options: JobServiceOptions) {}
 
   /** Whether the configuration and the jobs have been read, so that callers can be served. */
@@ -153,7 +166,7 @@
     spec: JobSpec,
     deadline: Monotonic,
   ): Promise<JobRequestOutcome> {
-    const { view, admission, jobsWriter, clock, metrics } = this.options;
+    const { view, jobsWriter, clock, metrics } = this.options;
     const startedAt = clock.monotonic();
     const terms = jobTermsOf(queue);
     const decided =
@@ -162,10 +175,11 @@
       return this.recordOutcome("submit", spec.id, decided, startedAt);
     const job: AcceptedJob = { spec, acceptedAt: clock.now(), terms };
     const record = { key: spec.id, value: encodeJob(job) };
-    admission.handleWriting(spec.id);
-    const outcome = await this.persist(jobsWriter, record, deadline, () =>
-      view.addAccepted(job),
-    );
+    const persisted = await this.persist(jobsWriter, record, deadline, {
+      onPersisted: () => view.addAccepted(job),
+      onWriting: () => this.unsettled.begin(spec.id),
+    });
+    const outcome = this.withoutFalseRefusal(spec.id, persisted);
     if (outcome.kind === "accepted") {
       metrics.latency("submit").record(clock.monotonic() - startedAt);
     }
@@ -180,6 +194,24 @@
       : refused("the id belongs to a job of another queue");
   }
 
+  /**
+   * Whether a record of the job may be stored, or may still be. A refusal, which states
+   * that the job never runs, might then be false.
+   */
+  private mayBeStored(id: JobId): boolean {
+    return this.unsettled.has(id);
+  }
+
+  /** The outcome of a write, unless it is a refusal that may be false. */
+  private withoutFalseRefusal(
+    id: JobId,
+    outcome: JobRequestOutcome,
+  ): JobRequestOutcome {
+    if (outcome.kind !== "refused" || !this.mayBeStored(id)) return outcome;
+    const reason = `${outcome.reason}; a record of the job may be stored`;
+    return { kind: "unknown", reason };
+  }
+
   /**
    * Refuses a job that can be of no use any more. The view is refreshed first: a refusal
    * states that the job never runs, and another entry may have accepted it a moment ago.
@@ -198,6 +230,10 @@
       if (known) return known;
       const viewedAt = clock.monotonic() - jobsFollower.ageMs;
       if (viewedAt < arrivedAt) return undefined;
+      if (this.mayBeStored(spec.id)) {
+        this.recordAcceptance(spec.id, terms, "may-be-accepted");
+        return undefined;
+      }
     }
     const refusal = admission.admit(spec, terms);
     if (!refusal) return undefined;
@@ -205,6 +241,22 @@
     return { kind: "refused", cause: "overload", reason, ...refusal };
   }
 
+  /** Records why a job is accepted that the pending work leaves no time for. */
+  private recordAcceptance(
+    job: JobId,
+    { service, priority }: JobTerms,
+    reason: "may-be-accepted",
+  ): void {
+    const { logger, metrics } = this.options;
+    const outcome = "accept";
+    metrics.count("admission_decisions", {
+      outcome,
+      reason,
+      priority: String(priority),
+    });
+    logger.info("job.admission", { job, outcome, reason, service, priority });
+  }
+
   /**
    * The state of a job. If the view does not contain the job, it is refreshed from the
    * store first, because another entry may have accepted the job a moment ago.
@@ -319,9 +371,9 @@
     const { view, cancelsWriter, clock } = this.options;
     const at = clock.now();
     const record = { key: id, value: encodeCancel(at) };
-    return this.persist(cancelsWriter, record, deadline, () =>
-      view.addCancel(id, at),
-    );
+    return this.persist(cancelsWriter, record, deadline, {
+      onPersisted: () => view.addCancel(id, at),
+    });
   }
 
   pendingCount(queue: QueueKey): number {
@@ -333,7 +385,7 @@
     writer: TopicWriter,
     record: KeyedRecord,
     deadline: Monotonic,
-    onPersisted: () => void,
+    { onPersisted, onWriting }: WriteHandlers,
   ): Promise<JobRequestOutcome> {
     const { clock } = this.options;
     const { retryMs, retryAfterMs } = STORE_RETRY;
@@ -346,11 +398,11 @@
     if (arrivedAt >= times.respondAt)
       return { ...refused("the caller's time is over"), retryAfterMs };
     for (;;) {
-      const outcome = await this.awaitWrite(
-        writer.write(record),
-        times,
+      const onSettled = onWriting?.();
+      const outcome = await this.awaitWrite(writer.write(record), times, {
         onPersisted,
-      );
+        onSettled,
+      });
       // A refused record was not persisted and never will be, so it may be written again.
       if (outcome.kind !== "refused") return outcome;
       if (clock.monotonic() > lastAttemptAt)
@@ -367,25 +419,36 @@
   private async awaitWrite(
     write: PendingWrite,
     { abandonAt, respondAt }: WriteTimes,
-    onPersisted: () => void,
+    {
+      onPersisted,
+      onSettled = () => undefined,
+    }: Pick<WriteHandlers, "onPersisted"> & { onSettled?: () => void },
   ): Promise<JobRequestOutcome> {
     const { clock } = this.options;
     const persisted = write.persisted.then(
       (): JobRequestOutcome => {
         onPersisted();
+        onSettled();
         return { kind: "accepted" };
       },
-      (err: unknown): JobRequestOutcome =>
-        err instanceof StoreRefusedError || err instanceof FencedError
-          ? refused(describeError(err))
-          : { kind: "unknown", reason: describeError(err) },
+      (err: unknown): JobRequestOutcome => {
+        const reason = describeError(err);
+        const isRefused =
+          err instanceof StoreRefusedError || err instanceof FencedError;
+        if (!isRefused) return { kind: "unknown", reason };
+        onSettled();
+        return refused(reason);
+      },
     );
     const timers: Timer[] = [];
     const timedOut = new Promise<JobRequestOutcome>((resolve) => {
       const now = clock.monotonic();
       const abandon = (): boolean => {
         const notSent = write.abandon();
-        if (notSent) resolve(refused("the store could not be asked in time"));
+        if (notSent) {
+          onSettled();
+          resolve(refused("the store could not be asked in time"));
+        }
         return notSent;
       };
       timers.push(
--- a/packages/entry/tests/admission.test.ts
+++ b/packages/entry/tests/admission.test.ts
@@ -160,3 +160,20 @@
   expect((await submit()).kind).toEqual("accepted");
   await stop();
 });
+
+test("a job whose record was certainly not stored is refused when it returns", async () => {
+  const { clock, store, submit, publish, stop } = await setUp();
+  // The view cannot be refreshed, so the job is not refused for want of room.
+  store.fault = "refuses";
+  const first = await submit(JOB, 3_000);
+  expect("cause" in first && first.cause).toEqual("unavailable");
+  store.fault = "none";
+  await clock.advance(2_000);
+  publish();
+  await clock.advance(100);
+  publish();
+  const second = await submit();
+  expect("cause" in second && second.cause).toEqual("overload");
+  expect(store.recordsOf(TOPICS.jobs)).toEqual([]);
+  await stop();
+});
--- a/packages/entry/tests/unsentSubmissions.test.ts
+++ b/packages/entry/tests/unsentSubmissions.test.ts
@@ -12,6 +12,7 @@
 import { createJobService } from "./createJobService.js";
 
 const QUEUE = {} as never;
+const JOB = "00000000000000aa";
 
 interface Submission {
   readonly outcome: JobRequestOutcome;
@@ -25,8 +26,8 @@
   const { jobService, stop } = createJobService(entry);
   await clock.advance(1_000);
   let count = 0;
-  const submit = async (timeMs: number): Promise<Submission> => {
-    const id = (count += 1).toString(16).padStart(16, "0");
+  const nextId = (): string => (count += 1).toString(16).padStart(16, "0");
+  const submit = async (timeMs: number, id = nextId()): Promise<Submission> => {
     const { spec } = plainJob({ id, acceptedAt: clock.now() });
     const startedAt = clock.monotonic();
     const outcome = await jobService.submit(QUEUE, spec, startedAt + timeMs);
@@ -88,3 +89,30 @@
     expect(await finish()).toEqual(1);
   }
 });
+
+// A refusal states that the job never runs, but the record of the first submission may
+// still be stored.
+test("a repeated submission is not refused while the outcome of an earlier one is unknown", async () => {
+  const { clock, store, submit, finish } = await setUp();
+  store.fault = "silent";
+  const first = submit(600, JOB);
+  await clock.advance(700);
+  expect((await first).outcome.kind).toEqual("unknown");
+  const repeated = submit(600, JOB);
+  const other = submit(600);
+  await clock.advance(700);
+  expect((await repeated).outcome.kind).toEqual("unknown");
+  expect((await other).outcome.kind).toEqual("refused");
+  expect(await finish()).toEqual(1);
+});
+
+test("a submission that was refused without being sent does not make a repeated one unknown", async () => {
+  const { clock, store, submit, finish } = await setUp();
+  for (const fault of ["refuses", "unconnected", "refuses"] as const) {
+    store.fault = fault;
+    const submission = submit(600, JOB);
+    await clock.advance(700);
+    expect((await submission).outcome.kind).toEqual("refused");
+  }
+  expect(await finish()).toEqual(0);
+});
