Submissions: a job whose stored record cannot be read is not refused

JobView keeps ids of unreadable records, such as those of a newer version, apart from its jobs, so the admission decision took these ids for unknown ones and could refuse them although the job may run. Such an id is now accepted for writing as before the admission control, and a refused write of it is answered as unknown.

The two new tests were refused before; now the job is accepted, or unknown when the store refuses the write.

--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -199,7 +199,7 @@
    * that the job never runs, might then be false.
    */
   private mayBeStored(id: JobId): boolean {
-    return this.unsettled.has(id);
+    return this.unsettled.has(id) || this.options.view.isUnreadable(id);
   }
 
   /** The outcome of a write, unless it is a refusal that may be false. */
--- a/packages/entry/tests/admission.test.ts
+++ b/packages/entry/tests/admission.test.ts
@@ -177,3 +177,16 @@
   expect(store.recordsOf(TOPICS.jobs)).toEqual([]);
   await stop();
 });
+
+test("a job whose stored record cannot be read is not refused for want of room", async () => {
+  const { clock, store, submit, stop } = await setUp();
+  await store.append({
+    topic: TOPICS.jobs,
+    records: [{ key: JOB, value: Buffer.from('{"version":999}') }],
+    stamp: { producer: "newer", epoch: 1, sequence: 1 },
+    timeoutMs: 100,
+  });
+  await clock.advance(10);
+  expect((await submit()).kind).toEqual("accepted");
+  await stop();
+});
--- a/packages/entry/tests/unsentSubmissions.test.ts
+++ b/packages/entry/tests/unsentSubmissions.test.ts
@@ -116,3 +116,20 @@
   }
   expect(await finish()).toEqual(0);
 });
+
+// Such a record is the job in a form of a newer version, so the job may run.
+test("a job whose stored record cannot be read is not refused", async () => {
+  const { clock, store, submit, finish } = await setUp();
+  await store.append({
+    topic: TOPICS.jobs,
+    records: [{ key: JOB, value: Buffer.from('{"version":999}') }],
+    stamp: { producer: "newer", epoch: 1, sequence: 1 },
+    timeoutMs: 100,
+  });
+  await clock.advance(1_000);
+  store.fault = "refuses";
+  const submission = submit(600, JOB);
+  await clock.advance(700);
+  expect((await submission).outcome.kind).toEqual("unknown");
+  await finish();
+});
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -86,6 +86,11 @@
     return entry.cancelled ? "cancelled" : state;
   }
 
+  /** Whether the store holds a record of the job that this version cannot read. */
+  isUnreadable(id: JobId): boolean {
+    return this.unreadable.has(id);
+  }
+
   all(): JobEntry[] {
     return [...this.jobs.keys()].map((id) => this.get(id) as JobEntry);
   }
