Submissions: count and log jobs that are accepted for want of a fresh view

A hopeless job is accepted if the jobs topic cannot be read to its end after the job arrived, but no decision was recorded. It is now counted and logged with the reason stale-view.

The new test counted no decision before and counts one now.

--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -229,7 +229,10 @@
       const known = this.outcomeOfKnown(spec);
       if (known) return known;
       const viewedAt = clock.monotonic() - jobsFollower.ageMs;
-      if (viewedAt < arrivedAt) return undefined;
+      if (viewedAt < arrivedAt) {
+        this.recordAcceptance(spec.id, terms, "stale-view");
+        return undefined;
+      }
       if (this.mayBeStored(spec.id)) {
         this.recordAcceptance(spec.id, terms, "may-be-accepted");
         return undefined;
@@ -245,7 +248,7 @@
   private recordAcceptance(
     job: JobId,
     { service, priority }: JobTerms,
-    reason: "may-be-accepted",
+    reason: "may-be-accepted" | "stale-view",
   ): void {
     const { logger, metrics } = this.options;
     const outcome = "accept";
--- a/packages/entry/tests/admission.test.ts
+++ b/packages/entry/tests/admission.test.ts
@@ -190,3 +190,19 @@
   expect((await submit()).kind).toEqual("accepted");
   await stop();
 });
+
+// Operators see otherwise neither that nor why hopeless jobs are accepted.
+test("a job that is accepted because the view could not be refreshed is counted", async () => {
+  const { clock, store, submit, stop, metrics } = await setUp();
+  const read = store.read.bind(store);
+  store.read = async (req) => {
+    await sleep(clock, 2_000);
+    return read(req);
+  };
+  expect((await submit()).kind).toEqual("accepted");
+  const counted = await metrics.values("admission_decisions");
+  expect(counted.map(({ labels }) => labels)).toEqual([
+    { outcome: "accept", reason: "stale-view", priority: "0" },
+  ]);
+  await stop();
+});
