--- a/packages/entry/tests/admission.test.ts
+++ b/packages/entry/tests/admission.test.ts
@@ -160,3 +160,49 @@
   expect((await submit()).kind).toEqual("accepted");
   await stop();
 });
+
+test("a job whose record was certainly not stored is refused when it returns", async () => {
+  const { clock, store, submit, publish, stop } = await setUp();
+  // The view cannot be refreshed, so the job is not refused for want of room.
+  store.fault = "refuses";
+  const first = await submit(JOB, 3_000);
+  expect("cause" in first && first.cause).toEqual("unavailable");
+  store.fault = "none";
+  await clock.advance(2_000);
+  publish();
+  await clock.advance(100);
+  publish();
+  const second = await submit();
+  expect("cause" in second && second.cause).toEqual("overload");
+  expect(store.recordsOf(TOPICS.jobs)).toEqual([]);
+  await stop();
+});
+
+test("a job whose stored record cannot be read is not refused for want of room", async () => {
+  const { clock, store, submit, stop } = await setUp();
+  await store.append({
+    topic: TOPICS.jobs,
+    records: [{ key: JOB, value: Buffer.from('{"version":999}') }],
+    stamp: { producer: "newer", epoch: 1, sequence: 1 },
+    timeoutMs: 100,
+  });
+  await clock.advance(10);
+  expect((await submit()).kind).toEqual("accepted");
+  await stop();
+});
+
+// Operators see otherwise neither that nor why hopeless jobs are accepted.
+test("a job that is accepted because the view could not be refreshed is counted", async () => {
+  const { clock, store, submit, stop, metrics } = await setUp();
+  const read = store.read.bind(store);
+  store.read = async (req) => {
+    await sleep(clock, 2_000);
+    return read(req);
+  };
+  expect((await submit()).kind).toEqual("accepted");
+  const counted = await metrics.values("admission_decisions");
+  expect(counted.map(({ labels }) => labels)).toEqual([
+    { outcome: "accept", reason: "stale-view", priority: "0" },
+  ]);
+  await stop();
+});
