Admission: measure the rate of each priority by progress, and refuse nothing without one

The decision tested the sum of the rates of this priority and more urgent ones, so a trickle of urgent work allowed refusing a priority with rate 0. And work counted only when tasks ended, so tasks longer than the window of 4 s gave 0 with peaks between.

The job's own priority must have a rate. Running tasks count by their progress. Rule by expected run time was not used: bulk tasks take 2.0 to 2.4 s, more than half of the window, so bulk work would never have a rate.

Both new tests fail without the change. Tasks of 10 s on 32 cores: the rate stays between 24 and 40 core-ms per ms.

--- a/packages/routing/src/decideAdmission.ts
+++ b/packages/routing/src/decideAdmission.ts
@@ -81,11 +81,11 @@
   const own = load?.priorities.find((each) => each.priority === priority);
   if (!load || !own) return accept("unknown-load");
   if (hasCapacity(own, estimate)) return accept("free-hosts");
-  if (!own.isSaturated) return accept("no-rate");
+  // The rate of more urgent work alone does not show what this priority gets done.
+  if (!own.isSaturated || own.ratePerMs <= 0) return accept("no-rate");
   const preceding = load.priorities.filter((each) => each.priority <= priority);
   // A lower bound of the wait: more urgent jobs that are still to arrive do not count.
   const ratePerMs = preceding.reduce((sum, each) => sum + each.ratePerMs, 0);
-  if (ratePerMs <= 0) return accept("no-rate");
   const waitOf = (bucket: number): number => {
     const work = precedingWork(inputs, preceding, bucket);
     const total = work + inputs.returningWork;
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -118,6 +118,15 @@
   );
 });
 
+// Guards against a wait computed from a trickle of more urgent work alone.
+test("a priority without a rate of its own refuses nothing, whatever the rate of more urgent work", () => {
+  const urgent = loadOf({ priority: 0, ratePerMs: 0.01 });
+  const bulk = loadOf({ pending: [[DENSE, 1e9]], ratePerMs: 0 });
+  expect(decideAdmission(inputsOf(summaryOf([urgent, bulk]))).reason).toEqual(
+    "no-rate",
+  );
+});
+
 test("work that was done since the summary was written does not precede the job", () => {
   const decision = decideAdmission(inputsOf(HOPELESS, { summaryAgeMs: 1_000 }));
   expect(decision.reason).toEqual("in-time");
--- a/packages/scheduling/src/LoadSummaryPublisher.ts
+++ b/packages/scheduling/src/LoadSummaryPublisher.ts
@@ -66,7 +66,7 @@
 
   /** Counts a task of the step as done. */
   recordDone(step: StepRun): void {
-    const { clock, estimates, intervalMs } = this.options;
+    const { estimates, intervalMs } = this.options;
     if (intervalMs === 0) return;
     const { job, spec } = step;
     const milliCoreMs = estimates.taskMs(step) * spec.demand.milliCores;
@@ -74,7 +74,6 @@
       this.serviceOf(job),
       job.terms.priority,
       milliCoreMs / MILLI_CORES_PER_CORE,
-      clock.monotonic(),
     );
   }
 
@@ -109,6 +108,7 @@
       epoch,
       jobs: jobs.all(),
       hosts: hostsByService,
+      allHosts: [...hosts.all()].map(({ hostState }) => hostState),
       serviceOf: (job) => this.serviceOf(job),
       estimates,
       meter: this.meter,
--- a/packages/scheduling/src/WorkRateMeter.ts
+++ b/packages/scheduling/src/WorkRateMeter.ts
@@ -1,53 +1,60 @@
-/** Measures the work done lately, by service and priority. */
+/**
+ * Measures the work done lately, by service and priority. Running tasks count by their
+ * progress: if work counted only when tasks end, tasks that run longer than the window
+ * would give rates of 0 with peaks between them.
+ */
 
 import type { Monotonic, ServiceName } from "@rackspan/common";
 
 const RATE = {
   /**
-   * Time over which work is averaged, milliseconds. It contains several tasks in each
-   * of many hosts' slots: bulk tasks take 2.0 to 2.4 s.
+   * Time over which work is averaged, milliseconds. Bulk tasks take 2.0 to 2.4 s, so it
+   * covers the fluctuation within the run of one task.
    */
   windowMs: 4_000,
-  /** Work is summed over intervals of this length, milliseconds. */
-  slotMs: 250,
 } as const;
 
-interface Slot {
-  readonly startedAt: Monotonic;
-  work: number;
+interface Sample {
+  readonly at: Monotonic;
+  /** Core-milliseconds of tasks that are done, and of running ones by their progress. */
+  readonly work: number;
 }
 
 interface Measurement {
-  readonly slots: Slot[];
+  /** Core-milliseconds of all tasks that are done. */
+  doneWork: number;
+  /** The first one is the newest that is at least as old as the window, if there is any. */
+  readonly samples: Sample[];
   /** Since when tasks have found no host; undefined while they do. */
   saturatedSince: Monotonic | undefined;
 }
 
+export interface LoadSample {
+  /** Core-milliseconds that running tasks have done so far. */
+  readonly runningWork: number;
+  /** Whether tasks of this priority find no host now. */
+  readonly isSaturated: boolean;
+}
+
 export class WorkRateMeter {
   private readonly measurements = new Map<string, Measurement>();
 
   /** @param work core-milliseconds of a task that is done */
-  recordDone(
-    service: ServiceName,
-    priority: number,
-    work: number,
-    now: Monotonic,
-  ): void {
-    const { slots } = this.measurementOf(service, priority);
-    removeOld(slots, now);
-    const last = slots.at(-1);
-    if (last && now - last.startedAt < RATE.slotMs) last.work += work;
-    else slots.push({ startedAt: now, work });
+  recordDone(service: ServiceName, priority: number, work: number): void {
+    this.measurementOf(service, priority).doneWork += work;
   }
 
-  /** @param isSaturated whether tasks of this priority find no host now */
-  recordSaturation(
+  /** Called once for each summary. */
+  recordSample(
     service: ServiceName,
     priority: number,
-    isSaturated: boolean,
+    { runningWork, isSaturated }: LoadSample,
     now: Monotonic,
   ): void {
     const measurement = this.measurementOf(service, priority);
+    const { samples, doneWork } = measurement;
+    samples.push({ at: now, work: doneWork + runningWork });
+    while (samples[1] && now - samples[1].at >= RATE.windowMs) samples.shift();
     if (!isSaturated) measurement.saturatedSince = undefined;
     else measurement.saturatedSince ??= now;
   }
@@ -61,24 +68,26 @@
     priority: number,
     now: Monotonic,
   ): { readonly ratePerMs: number; readonly isSaturated: boolean } {
-    const { slots, saturatedSince } = this.measurementOf(service, priority);
-    removeOld(slots, now);
-    const work = slots.reduce((sum, slot) => sum + slot.work, 0);
+    const { samples, saturatedSince } = this.measurementOf(service, priority);
     const isSaturated = now - (saturatedSince ?? now) >= RATE.windowMs;
-    return { ratePerMs: work / RATE.windowMs, isSaturated };
+    return { ratePerMs: rateOf(samples), isSaturated };
   }
 
   private measurementOf(service: ServiceName, priority: number): Measurement {
     const key = `${priority}@${service}`;
     let measurement = this.measurements.get(key);
     if (!measurement) {
-      measurement = { slots: [], saturatedSince: undefined };
+      measurement = { doneWork: 0, samples: [], saturatedSince: undefined };
       this.measurements.set(key, measurement);
     }
     return measurement;
   }
 }
 
-const removeOld = (slots: Slot[], now: Monotonic): void => {
-  while (slots[0] && now - slots[0].startedAt > RATE.windowMs) slots.shift();
+const rateOf = (samples: readonly Sample[]): number => {
+  const [first] = samples;
+  const last = samples.at(-1);
+  if (!first || !last || last.at <= first.at) return 0;
+  // Progress that stopped runs have lost may outweigh what was done.
+  return Math.max(0, last.work - first.work) / (last.at - first.at);
 };
--- a/packages/scheduling/src/summarizeLoad.ts
+++ b/packages/scheduling/src/summarizeLoad.ts
@@ -33,6 +33,8 @@
   readonly jobs: Iterable<JobRun>;
   /** Hosts that accept tasks, by service. */
   readonly hosts: ReadonlyMap<ServiceName, readonly HostState[]>;
+  /** All hosts, including those that accept no tasks. */
+  readonly allHosts: Iterable<HostState>;
   readonly serviceOf: (job: JobRun) => ServiceName;
   readonly estimates: RuntimeEstimator;
   readonly meter: WorkRateMeter;
@@ -43,6 +45,8 @@
 /** Pending work of one priority of a service. */
 interface PendingLoad {
   readonly buckets: Map<number, number>;
+  /** Core-milliseconds that running tasks have done so far. */
+  runningWork: number;
   /** Smallest demand of a waiting task that found no host, millicores; Infinity if none. */
   unplacedPlain: number;
   unplacedFilling: number;
@@ -62,6 +66,7 @@
     const mean = meanWork.get(job.accepted.spec.queue) ?? work;
     addPending(pending, job, utilityOf(work, mean), inputs);
   }
+  addRunningWork(pending, inputs);
   const services = [...pending].map(([service, byPriority]) => {
     const hosts = (inputs.hosts.get(service) ?? []).map(useOf);
     const priorities = [...byPriority]
@@ -120,6 +125,22 @@
   load.buckets.set(bucket, (load.buckets.get(bucket) ?? 0) + work);
 };
 
+const addRunningWork = (
+  pending: PendingLoads,
+  { allHosts, serviceOf, estimates }: LoadInputs,
+): void => {
+  for (const { runs } of allHosts) {
+    for (const { task, progressPercent } of runs.values()) {
+      const { step } = task;
+      if (step.spec.lasting) continue;
+      const load = pending.get(serviceOf(step.job));
+      const own = load?.get(step.job.terms.priority);
+      const share = Math.min(100, progressPercent) / 100;
+      if (own) own.runningWork += share * taskWorkOf(step, estimates);
+    }
+  }
+};
+
 const pendingLoadOf = (
   pending: PendingLoads,
   service: ServiceName,
@@ -131,6 +152,7 @@
   if (!load) {
     load = {
       buckets: new Map(),
+      runningWork: 0,
       unplacedPlain: Infinity,
       unplacedFilling: Infinity,
     };
@@ -173,7 +195,9 @@
   // While less urgent work holds hosts, waiting for them is no lack of capacity.
   const unplacedPlain = holdsLessUrgent ? Infinity : unplaced.plain;
   const isSaturated = Math.min(unplacedPlain, unplaced.filling) < Infinity;
-  meter.recordSaturation(service, priority, isSaturated, monotonic);
+  const { runningWork } = load;
+  const sample = { runningWork, isSaturated };
+  meter.recordSample(service, priority, sample, monotonic);
   return {
     priority,
     plain: limitTo(freeFor(hosts, priority, "plain"), unplacedPlain),
--- a/packages/scheduling/tests/loadSummary.test.ts
+++ b/packages/scheduling/tests/loadSummary.test.ts
@@ -101,6 +101,32 @@
   expect(rate > 20 && rate < 45).toEqual(true);
 });
 
+// Guards against rates of 0 with peaks between them, when work counts only at its end.
+test("tasks that run longer than the window give a steady rate", async () => {
+  const { site, host, addJob } = await setUp(INTERVAL_MS);
+  // 32 cores; tasks of 8 cores and 10 s, more than fit.
+  addJob(JOB, 0, { taskCount: 40, estimateMs: 10_000, ...demandOf(8_000) });
+  await site.run(200);
+  const doneMs = new Map<string, number>();
+  let last = site.clock.monotonic();
+  const rates: number[] = [];
+  for (let at = 0; at < 35_000; at += 100) {
+    const passed = site.clock.monotonic() - last;
+    last += passed;
+    for (const { task, run } of host.runs) {
+      const done = (doneMs.get(task) ?? 0) + passed;
+      doneMs.set(task, done);
+      if (done >= 10_000) host.end(task, "done", run);
+      else host.setProgress(task, done / 100);
+    }
+    await site.run(100);
+    if (at >= 6_000)
+      rates.push(priorityIn(summariesIn(site).at(-1), 0)?.ratePerMs ?? 0);
+  }
+  expect(Math.min(...rates) > 24).toEqual(true);
+  expect(Math.max(...rates) < 40).toEqual(true);
+});
+
 // Guards against refusing an urgent job because bulk work holds the hosts.
 test("capacity that less urgent work holds is free for more urgent work", async () => {
   const { site, addJob } = await setUp(INTERVAL_MS);
