Scheduling: count only steps that wait for processor time as a lack of capacity

A step that found no host for another reason (accelerators or memory that no host has free, a demand larger than any host, a hold-off, avoided hosts, a suspect task) closed the service to all jobs of its priority and marked its rate as saturated, for as long as the step existed.

A step now counts only if no usable host has the free millicores for its demand; a filling step also when the placer found no host because of tail latencies.

The new test of loadSummary.test.ts fails without the change. admissionOverload.test.ts passes.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -11,6 +11,7 @@
 
 export { CompletionRate } from "./CompletionRate.js";
 export { RuntimeDistribution } from "./RuntimeDistribution.js";
+export { lacksCapacity, type LargestCapacity } from "./lacksCapacity.js";
 export { RuntimeEstimator } from "./RuntimeEstimator.js";
 export { ENGINE, type EngineOptions, type HostRoster } from "./engineTypes.js";
 export type { StopTaskCall } from "@rackspan/protocol";
--- a/packages/scheduling/src/summarizeLoad.ts
+++ b/packages/scheduling/src/summarizeLoad.ts
@@ -18,6 +18,11 @@
 } from "@rackspan/state";
 import { REMAINING_UTILITY } from "./byUtilityOrder.js";
 import { deadlineFeasibilityOf } from "./deadlineFeasibility.js";
+import {
+  lacksCapacity,
+  largestCapacityOf,
+  type LargestCapacity,
+} from "./lacksCapacity.js";
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import type { WorkRateMeter } from "./WorkRateMeter.js";
 
@@ -47,7 +52,7 @@
   readonly buckets: Map<number, number>;
   /** Core-milliseconds that running tasks have done so far. */
   runningWork: number;
-  /** Smallest demand of a waiting task that found no host, millicores; Infinity if none. */
+  /** Smallest demand of a task that lacks capacity, millicores; Infinity if none. */
   unplacedPlain: number;
   unplacedFilling: number;
 }
@@ -60,11 +65,17 @@
   for (const job of inputs.jobs) works.set(job, estimates.totalWork(job));
   const queues = summarizeQueues(works, estimates);
   const meanWork = new Map(queues.map((each) => [each.queue, each.meanWork]));
+  const capacities = new Map(
+    [...inputs.hosts].map(([service, hosts]) => [
+      service,
+      largestCapacityOf(hosts),
+    ]),
+  );
   const pending: PendingLoads = new Map();
   for (const [job, work] of works) {
     if (job.isEnded) continue;
     const mean = meanWork.get(job.accepted.spec.queue) ?? work;
-    addPending(pending, job, utilityOf(work, mean), inputs);
+    addPending(pending, job, utilityOf(work, mean), capacities, inputs);
   }
   addRunningWork(pending, inputs);
   const services = [...pending].map(([service, byPriority]) => {
@@ -102,12 +113,15 @@
   pending: PendingLoads,
   job: JobRun,
   utility: number,
-  { serviceOf, estimates, now }: LoadInputs,
+  capacities: ReadonlyMap<ServiceName, LargestCapacity>,
+  { serviceOf, estimates, now, monotonic }: LoadInputs,
 ): void => {
   const steps = job.steps.filter(({ spec }) => !spec.lasting);
   const [first] = steps;
   if (!first) return;
-  const load = pendingLoadOf(pending, serviceOf(job), job.terms.priority);
+  const service = serviceOf(job);
+  const load = pendingLoadOf(pending, service, job.terms.priority);
+  const capacity = capacities.get(service) ?? largestCapacityOf([]);
   let unplaced = 0;
   let placed = 0;
   for (const step of steps) {
@@ -115,7 +129,7 @@
     const { waiting, tasks, doneCount } = step;
     unplaced += taskWork * waiting.size;
     placed += taskWork * (tasks.length - doneCount - waiting.size);
-    recordUnplaced(load, step);
+    if (lacksCapacity(step, capacity, monotonic)) recordUnplaced(load, step);
   }
   const candidate = { job, step: first, isStarved: false };
   const feasibility = deadlineFeasibilityOf(candidate, estimates, now);
@@ -165,15 +179,7 @@
 const taskWorkOf = (step: StepRun, estimates: RuntimeEstimator): number =>
   (estimates.taskMs(step) * step.spec.demand.milliCores) / MILLI_CORES_PER_CORE;
 
-/**
- * Steps with rules of their own are left out: that they find no host says nothing about
- * other tasks.
- */
-const recordUnplaced = (load: PendingLoad, step: StepRun): void => {
-  const { spec, waiting, unplacedSince } = step;
-  if (unplacedSince === undefined || waiting.size === 0) return;
-  if (spec.gang || spec.requiredLabel !== "" || spec.maxPerHost > 0) return;
-  if (step.job.terms.permitRule) return;
+const recordUnplaced = (load: PendingLoad, { spec }: StepRun): void => {
   const { milliCores } = spec.demand;
   if (spec.filling)
     load.unplacedFilling = Math.min(load.unplacedFilling, milliCores);
@@ -207,7 +213,7 @@
   };
 };
 
-/** Smallest demands that found no host, of this priority and all more urgent ones. */
+/** Smallest demands that lack capacity, of this priority and all more urgent ones. */
 const smallestUnplaced = (
   byPriority: ReadonlyMap<number, PendingLoad>,
   priority: number,
@@ -222,7 +228,7 @@
   return { plain, filling };
 };
 
-/** @param unplaced smallest demand that found no host */
+/** @param unplaced smallest demand that lacks capacity */
 const limitTo = (free: FreeCapacity, unplaced: number): FreeCapacity =>
   free.largestMilliCores < unplaced
     ? free
--- a/packages/scheduling/tests/loadSummary.test.ts
+++ b/packages/scheduling/tests/loadSummary.test.ts
@@ -147,3 +147,20 @@
   expect(load?.plain.largestMilliCores).toEqual(32_000);
   expect(load?.isSaturated).toEqual(false);
 });
+
+// Guards against a saturation that never ends: such a step waits for as long as it exists.
+test("a step that no host can ever hold does not count as a lack of capacity", async () => {
+  const demands = [
+    { milliCores: 33_000, memoryMiB: 10, accelerators: 0 },
+    { milliCores: 1_000, memoryMiB: 10, accelerators: 1 },
+    { milliCores: 1_000, memoryMiB: 129_000, accelerators: 0 },
+  ];
+  for (const demand of demands) {
+    const { site, addJob } = await setUp(INTERVAL_MS);
+    addJob(JOB, 0, { demand });
+    await site.run(6_000);
+    const load = priorityIn(summariesIn(site).at(-1), 0);
+    expect(load?.plain.largestMilliCores).toEqual(32_000);
+    expect(load?.isSaturated).toEqual(false);
+  }
+});
