Scheduling: a saturation ends with the work that caused it

The meter was told of saturation only for priorities in the summary, so the start of a saturation survived a quiet time, and the first rate after it counted as capacity.

Measurements of priorities that are not in the summary just computed are dropped. The new test fails without the change.

--- a/packages/scheduling/src/WorkRateMeter.ts
+++ b/packages/scheduling/src/WorkRateMeter.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Monotonic, ServiceName } from "@rackspan/common";
+import type { ServiceLoad } from "@rackspan/state";
 
 const RATE = {
   /**
@@ -73,8 +74,22 @@
     return { ratePerMs: rateOf(samples), isSaturated };
   }
 
+  /**
+   * Drops the measurements of all other priorities. Nothing of them is pending, so they
+   * are not saturated, and their next rate is measured anew.
+   */
+  retain(services: readonly ServiceLoad[]): void {
+    const listed = new Set(
+      services.flatMap(({ service, priorities }) =>
+        priorities.map(({ priority }) => keyOf(service, priority)),
+      ),
+    );
+    for (const key of this.measurements.keys())
+      if (!listed.has(key)) this.measurements.delete(key);
+  }
+
   private measurementOf(service: ServiceName, priority: number): Measurement {
-    const key = `${priority}@${service}`;
+    const key = keyOf(service, priority);
     let measurement = this.measurements.get(key);
     if (!measurement) {
       measurement = { doneWork: 0, samples: [], saturatedSince: undefined };
@@ -84,6 +99,9 @@
   }
 }
 
+const keyOf = (service: ServiceName, priority: number): string =>
+  `${priority}@${service}`;
+
 const rateOf = (samples: readonly Sample[]): number => {
   const [first] = samples;
   const last = samples.at(-1);
--- a/packages/scheduling/src/summarizeLoad.ts
+++ b/packages/scheduling/src/summarizeLoad.ts
@@ -87,6 +87,7 @@
       );
     return { service, priorities };
   });
+  inputs.meter.retain(services);
   return { epoch: Number(epoch), writtenAt: now, services, queues };
 };
 
--- a/packages/scheduling/tests/loadSummary.test.ts
+++ b/packages/scheduling/tests/loadSummary.test.ts
@@ -164,3 +164,26 @@
     expect(load?.isSaturated).toEqual(false);
   }
 });
+
+// Guards against a rate that was measured while nothing was asked for.
+test("a saturation ends with the work that caused it", async () => {
+  const { site, host, addJob } = await setUp(INTERVAL_MS);
+  const step = { taskCount: 8, ...demandOf(8_000) };
+  addJob(JOB, 0, step);
+  // Tasks without progress would be stopped and would avoid their host.
+  for (let percent = 10; percent < 70; percent += 10) {
+    for (const { task } of host.runs) host.setProgress(task, percent);
+    await site.run(1_000);
+  }
+  expect(priorityIn(summariesIn(site).at(-1), 0)?.isSaturated).toEqual(true);
+  // Nothing is pending any more: all tasks end within one interval.
+  for (let round = 0; round < 2; round += 1) {
+    for (const { task, run } of host.runs) host.end(task, "done", run);
+    await site.run(200);
+  }
+  await site.run(20_000);
+  expect(summariesIn(site).at(-1)?.services).toEqual([]);
+  addJob("00000000000000bb", 0, step);
+  await site.run(1_500);
+  expect(priorityIn(summariesIn(site).at(-1), 0)?.isSaturated).toEqual(false);
+});
