Admission: preceding work of refused callers in time linear in numbers only, once a refusal

Each decision walked up to 10,000 ids in a map (12.9 ms measured), also without a summary or with free hosts, and an entry decided twice for each refusal. Jobs that were refused within one millisecond each waited for all the others.

The order of arrival is kept in arrays by service and priority and is read only once a current summary says that capacity is lacking; jobs are ordered by a sequence number. The entry decides once and confirms the refusal after it has read the jobs topic.

--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -193,14 +193,17 @@
   ): Promise<JobRequestOutcome | undefined> {
     const { admission, clock, jobsFollower } = this.options;
     const arrivedAt = clock.monotonic();
-    if (admission.wouldRefuse(spec, terms)) {
-      await this.refreshView(deadline);
-      const known = this.outcomeOfKnown(spec);
-      if (known) return known;
-      const viewedAt = clock.monotonic() - jobsFollower.ageMs;
-      if (viewedAt < arrivedAt) return undefined;
+    const proposed = admission.propose(spec, terms);
+    if (!proposed) return undefined;
+    await this.refreshView(deadline);
+    const known = this.outcomeOfKnown(spec);
+    if (known) {
+      proposed.withdraw("known");
+      return known;
     }
-    const refusal = admission.admit(spec, terms);
+    const viewedAt = clock.monotonic() - jobsFollower.ageMs;
+    if (viewedAt < arrivedAt) return proposed.withdraw("unreadable-store");
+    const refusal = proposed.confirm();
     if (!refusal) return undefined;
     const reason = "the pending work leaves no time for the job";
     return { kind: "refused", cause: "overload", reason, ...refusal };
--- a/packages/entry/tests/admission.test.ts
+++ b/packages/entry/tests/admission.test.ts
@@ -1,4 +1,4 @@
-/** Refusals for want of room, which must be true and must not hit accepted jobs. */
+/** Refusals because of overload, which must be true and must not hit accepted jobs. */
 
 import { test } from "node:test";
 import { expect } from "earl";
@@ -72,7 +72,7 @@
   return { clock, store, submit, request, publish, stop, metrics };
 };
 
-test("a hopeless job is refused for want of room, and nothing of it is stored", async () => {
+test("a hopeless job is refused because of overload, and nothing of it is stored", async () => {
   const { store, submit, stop, metrics } = await setUp();
   const outcome = await submit();
   expect(outcome.kind).toEqual("refused");
@@ -146,7 +146,7 @@
   await stop();
 });
 
-test("an entry that cannot read the store refuses nothing for want of room", async () => {
+test("an entry that cannot read the store refuses nothing because of overload", async () => {
   const { store, submit, stop } = await setUp();
   store.fault = "refuses";
   const outcome = await submit(JOB, 3_000);
--- a/packages/routing/src/AdmissionController.ts
+++ b/packages/routing/src/AdmissionController.ts
@@ -42,6 +42,14 @@
   readonly retryAfterMs: number;
 }
 
+/** A refusal that is confirmed once it is certain that the job was not accepted. */
+export interface ProposedRefusal {
+  /** @returns undefined if the job may have been accepted in the meantime */
+  confirm(): AdmissionRefusal | undefined;
+  /** Called if the job is not refused after all. */
+  withdraw(reason: string): undefined;
+}
+
 export class AdmissionController {
   private added: AddedWork[] = [];
   private readonly returns = new ReturnQueue();
@@ -82,15 +90,19 @@
     if (this.options.refusesHopeless) this.written.set(id, true);
   }
 
-  /** Whether the job would be refused now. It has no effect and is not counted. */
-  wouldRefuse(spec: JobSpec, terms: JobTerms): boolean {
-    if (!this.options.refusesHopeless) return false;
-    if (!isLimited(spec, terms) || this.written.get(spec.id)) return false;
-    return this.decide(spec, terms).decision.outcome === "refuse";
-  }
-
   /** @returns undefined if the job is to be accepted */
   admit(spec: JobSpec, terms: JobTerms): AdmissionRefusal | undefined {
+    return this.propose(spec, terms)?.confirm();
+  }
+
+  /**
+   * Decides on the job. A refusal takes effect when it is confirmed; until then it is
+   * only counted as work that may return, so that callers who are refused at the same
+   * time get successive times.
+   *
+   * @returns undefined if the job is to be accepted
+   */
+  propose(spec: JobSpec, terms: JobTerms): ProposedRefusal | undefined {
     const { clock, refusesHopeless } = this.options;
     if (!refusesHopeless) return undefined;
     const { id } = spec;
@@ -102,7 +114,8 @@
     const { decision, estimate } = this.decide(spec, terms);
     const { outcome, reason, drainMs = 0, expected } = decision;
     const now = clock.monotonic();
-    const arrivedAt = this.returns.firstArrivalOf(id, now) ?? now;
+    const firstArrival = this.returns.firstArrivalOf(id, now);
+    const arrivedAt = firstArrival ?? now;
     if (outcome === "accept" || !expected) {
       this.record(spec, terms, "accept", reason, decision);
       return undefined;
@@ -112,12 +125,21 @@
     const { service, priority } = terms;
     const refused = { id, service, priority, work: estimate.work };
     this.returns.add(refused, now, now + afterMs);
-    this.record(spec, terms, outcome, reason, decision, {
-      chainMs: Math.round(estimate.chainMs),
-      retryAfterMs: afterMs,
-      firstArrivedMs: Math.round(now - arrivedAt),
-    });
-    return { retryAfterMs: afterMs };
+    const withdraw = (acceptReason: string): undefined => {
+      // A job that was refused before keeps its place until it is known to be accepted.
+      if (firstArrival === undefined) this.returns.remove(id);
+      this.record(spec, terms, "accept", acceptReason, decision);
+    };
+    const confirm = (): AdmissionRefusal | undefined => {
+      if (this.written.get(id)) return withdraw("may-be-accepted");
+      this.record(spec, terms, outcome, reason, decision, {
+        chainMs: Math.round(estimate.chainMs),
+        retryAfterMs: afterMs,
+        firstArrivedMs: Math.round(now - arrivedAt),
+      });
+      return { retryAfterMs: afterMs };
+    };
+    return { confirm, withdraw };
   }
 
   private decide(
@@ -143,7 +165,7 @@
       maxSummaryAgeMs,
       added: this.added,
       waitedMs: now - (this.returns.firstArrivalOf(id, now) ?? now),
-      returningWork: this.returns.workBefore(job, now),
+      returningWork: () => this.returns.workBefore(job, now),
     });
     return { decision, estimate };
   }
--- a/packages/routing/src/ReturnQueue.ts
+++ b/packages/routing/src/ReturnQueue.ts
@@ -6,6 +6,7 @@
 
 import type { Monotonic, ServiceName } from "@rackspan/common";
 import { BoundedMap, type JobId } from "@rackspan/state";
+import { ArrivalOrder } from "./ArrivalOrder.js";
 
 const RETURNS = {
   /** Maximum number of ids; about 2 MB. */
@@ -29,11 +30,15 @@
 
 interface RememberedJob extends RefusedJob {
   readonly firstArrivedAt: Monotonic;
-  readonly returnAt: Monotonic;
+  /** Position in the order of arrival; jobs may arrive within one millisecond. */
+  readonly arrival: number;
 }
 
 export class ReturnQueue {
   private readonly jobs = new BoundedMap<JobId, RememberedJob>(RETURNS.maxIds);
+  /** By service and priority. */
+  private readonly orders = new Map<string, ArrivalOrder>();
+  private nextArrival = 1;
 
   get size(): number {
     return this.jobs.size;
@@ -41,52 +46,75 @@
 
   /** When the job first arrived; undefined for a new one. */
   firstArrivalOf(id: JobId, now: Monotonic): Monotonic | undefined {
-    const known = this.jobs.get(id);
-    return known && isRemembered(known, now) ? known.firstArrivedAt : undefined;
+    return this.rememberedJob(id, now)?.firstArrivedAt;
   }
 
   /**
    * Core-milliseconds of the jobs of the service and priority that may return before
    * this one: those that arrived earlier. All of them precede a new job.
    */
-  workBefore({ id, service, priority }: RefusedJob, now: Monotonic): number {
-    const arrivedAt = this.firstArrivalOf(id, now) ?? now;
-    let work = 0;
-    for (const [, job] of this.jobs) {
-      if (job.id === id || !isAwaited(job, now)) continue;
-      if (job.service !== service || job.priority !== priority) continue;
-      if (job.firstArrivedAt <= arrivedAt) work += job.work;
-    }
-    return work;
+  workBefore(job: RefusedJob, now: Monotonic): number {
+    const arrival = this.rememberedJob(job.id, now)?.arrival ?? Infinity;
+    return this.orders.get(keyOf(job))?.workBefore(arrival, now) ?? 0;
   }
 
-  /** @param returnAt when the caller was told to return */
+  /** @param returnAt when the caller is to return */
   add(job: RefusedJob, now: Monotonic, returnAt: Monotonic): void {
     this.removeExpired(now);
-    const firstArrivedAt = this.firstArrivalOf(job.id, now) ?? now;
-    const remembered = { ...job, firstArrivedAt, returnAt };
-    if (firstArrivedAt < now) this.jobs.replace(job.id, remembered);
-    else this.jobs.set(job.id, remembered);
+    const known = this.jobs.get(job.id);
+    if (known) this.orders.get(keyOf(known))?.remove(known.arrival);
+    const remembered = {
+      ...job,
+      firstArrivedAt: known?.firstArrivedAt ?? now,
+      arrival: known?.arrival ?? this.nextArrival++,
+    };
+    const { arrival, firstArrivedAt, work } = remembered;
+    const awaitedUntil = Math.min(
+      returnAt + RETURNS.returnGraceMs,
+      firstArrivedAt + RETURNS.retentionMs,
+    );
+    this.orderOf(job).set(arrival, work, awaitedUntil);
+    if (known) this.jobs.replace(job.id, remembered);
+    else {
+      const dropped = this.jobs.set(job.id, remembered);
+      if (dropped)
+        this.orders.get(keyOf(dropped[1]))?.remove(dropped[1].arrival);
+    }
   }
 
   /** Called when the job is accepted. */
   remove(id: JobId): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
     this.jobs.delete(id);
+    this.orders.get(keyOf(job))?.remove(job.arrival);
+  }
+
+  private rememberedJob(id: JobId, now: Monotonic): RememberedJob | undefined {
+    const job = this.jobs.get(id);
+    return job && isRemembered(job, now) ? job : undefined;
+  }
+
+  private orderOf(job: RefusedJob): ArrivalOrder {
+    const key = keyOf(job);
+    let order = this.orders.get(key);
+    if (!order) this.orders.set(key, (order = new ArrivalOrder()));
+    return order;
   }
 
   /** The map is in the order of first arrival, so the oldest ids come first. */
   private removeExpired(now: Monotonic): void {
     for (const [id, job] of this.jobs) {
       if (isRemembered(job, now)) return;
-      this.jobs.delete(id);
+      this.remove(id);
     }
   }
 }
 
+const keyOf = ({ service, priority }: RefusedJob): string =>
+  `${priority}@${service}`;
+
 const isRemembered = (
   { firstArrivedAt }: RememberedJob,
   now: Monotonic,
 ): boolean => now - firstArrivedAt <= RETURNS.retentionMs;
-
-const isAwaited = (job: RememberedJob, now: Monotonic): boolean =>
-  isRemembered(job, now) && now <= job.returnAt + RETURNS.returnGraceMs;
--- a/packages/routing/src/decideAdmission.ts
+++ b/packages/routing/src/decideAdmission.ts
@@ -37,8 +37,11 @@
   /** An older summary refuses nothing, milliseconds. */
   readonly maxSummaryAgeMs: number;
   readonly added: readonly AddedWork[];
-  /** Core-milliseconds of refused jobs that may return before this one. */
-  readonly returningWork: number;
+  /**
+   * Core-milliseconds of refused jobs that may return before this one. Called only if
+   * the summary says that capacity is lacking.
+   */
+  readonly returningWork: () => number;
 }
 
 export type AdmissionReason =
@@ -86,9 +89,10 @@
   const preceding = load.priorities.filter((each) => each.priority <= priority);
   // A lower bound of the wait: more urgent jobs that are still to arrive do not count.
   const ratePerMs = preceding.reduce((sum, each) => sum + each.ratePerMs, 0);
+  const returningWork = inputs.returningWork();
   const waitOf = (bucket: number): number => {
     const work = precedingWork(inputs, preceding, bucket);
-    const total = work + inputs.returningWork;
+    const total = work + returningWork;
     return Math.max(0, total / ratePerMs - summaryAgeMs);
   };
   const limitMs = TOO_LATE_FACTOR * estimate.objectiveMs;
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -75,7 +75,7 @@
     summaryAgeMs: 0,
     maxSummaryAgeMs: 2_000,
     added: [],
-    returningWork: 0,
+    returningWork: () => 0,
     ...overrides,
   };
 };
@@ -261,7 +261,47 @@
   expect(["b", "new"].map(before)).toEqual([0, 1_000]);
 });
 
-test("a caller that does not return in its time no longer keeps others out", () => {
+// Guards against jobs of one millisecond that each wait for all the others.
+test("jobs that arrive at the same time do not precede each other", () => {
+  const queue = new ReturnQueue();
+  for (const id of ["a", "b", "c"]) queue.add(refusedJob(id), 0, 3_000);
+  const before = (id: string) => queue.workBefore(refusedJob(id), 1_000);
+  expect(["a", "b", "c", "new"].map(before)).toEqual([0, 1_000, 2_000, 3_000]);
+});
+
+// Guards against a decision that iterates over all refused jobs, 12.9 ms at 10,000 ids.
+test("with 10,000 refused jobs the preceding work is known within 0.1 ms", () => {
+  const queue = new ReturnQueue();
+  for (let n = 0; n < 10_050; n += 1)
+    queue.add(refusedJob(`${n}`), n / 1_000, 60_000);
+  const times: number[] = [];
+  for (let n = 0; n < 1_000; n += 1) {
+    const startedAt = performance.now();
+    expect(queue.workBefore(refusedJob("new"), 20)).toEqual(10_000_000);
+    times.push(performance.now() - startedAt);
+  }
+  // The median is not affected by other processes on the machine.
+  const median = times.sort((a, b) => a - b)[500] ?? Infinity;
+  expect(median < 0.1).toEqual(true);
+});
+
+test("the order of refused jobs is not read unless capacity is lacking", () => {
+  const returningWork = (): number => {
+    throw new Error("not needed");
+  };
+  const summaries = [
+    undefined,
+    summaryOf([loadOf({ plain: ROOM })]),
+    summaryOf([loadOf({ isSaturated: false })]),
+    summaryOf([loadOf({ ratePerMs: 0 })]),
+  ];
+  for (const summary of summaries) {
+    const { outcome } = decideAdmission(inputsOf(summary, { returningWork }));
+    expect(outcome).toEqual("accept");
+  }
+});
+
+test("the work of a caller that does not return in its time no longer counts", () => {
   const queue = new ReturnQueue();
   queue.add(refusedJob("gone"), 0, 3_000);
   expect(queue.workBefore(refusedJob("new"), 5_000)).toEqual(1_000);
