Load summary: the clock offset covers 20 summaries, and one read does not confirm an epoch

The offset was the minimum over the whole epoch, so after the leader's clock was set back, or while it drifted, every summary looked old and nothing was refused until the next epoch. And two summaries in one page of the topic, both of any age, confirmed an epoch.

The minimum is taken over the last 20 summaries (about 10 s), and only a later read confirms. Both new tests fail without the change; a clock that loses 5 ms a second leaves an age of at most 50 ms.

--- a/packages/state/src/LoadSummaryView.ts
+++ b/packages/state/src/LoadSummaryView.ts
@@ -8,6 +8,12 @@
 import { PROGRESS_KEYS } from "./jobRecords.js";
 import { decodeLoadSummary, type LoadSummary } from "./loadSummary.js";
 
+/**
+ * Number of summaries over which the fastest one is determined: about 10 s. A leader's
+ * clock that is set back makes summaries look old for no longer than that.
+ */
+const CLOCK_OFFSET_SUMMARIES = 20;
+
 export interface LoadSummaryViewOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -19,20 +25,23 @@
   readonly summary: LoadSummary;
   /** Monotonic time from which its age counts. */
   readonly from: number;
-  /** Smallest difference between the clocks seen in this epoch, milliseconds. */
-  readonly clockOffset: number;
-  /** Whether a summary of this epoch has arrived before. */
+  /** Differences between the clocks in the last summaries of this epoch, milliseconds. */
+  readonly clockOffsets: readonly number[];
+  /** Number of the read in which the first summary of this epoch arrived. */
+  readonly firstRead: number;
+  /** Whether a summary of this epoch has arrived in an earlier read. */
   readonly isConfirmed: boolean;
 }
 
 export class LoadSummaryView {
   private latest: ArrivedSummary | undefined;
+  private reads = 0;
 
   constructor(private readonly options: LoadSummaryViewOptions) {}
 
   /**
-   * Undefined if the leader's current epoch has written less than two summaries while
-   * this entry has been reading: the first one may be of any age.
+   * Undefined until summaries of the leader's current epoch have arrived in two reads:
+   * those of the first one may be of any age.
    */
   get current():
     { readonly summary: LoadSummary; readonly ageMs: number } | undefined {
@@ -43,6 +52,7 @@
   }
 
   applyProgressRecords(records: readonly KeyedRecord[]): void {
+    this.reads += 1;
     for (const { key, value } of records) {
       if (key !== PROGRESS_KEYS.load || !value) continue;
       try {
@@ -65,12 +75,13 @@
     // The topic was read anew: the record is as old as before.
     if (isSameEpoch && previous.summary.writtenAt === summary.writtenAt) return;
     const offset = now - summary.writtenAt;
-    const clockOffset = isSameEpoch
-      ? Math.min(previous.clockOffset, offset)
-      : offset;
+    const known = isSameEpoch ? previous.clockOffsets : [];
+    const clockOffsets = [...known, offset].slice(-CLOCK_OFFSET_SUMMARIES);
     // A summary that took longer than the fastest one is older by the difference.
-    const from = now - (offset - clockOffset);
-    this.latest = { summary, from, clockOffset, isConfirmed: isSameEpoch };
+    const from = now - (offset - Math.min(...clockOffsets));
+    const firstRead = isSameEpoch ? previous.firstRead : this.reads;
+    const isConfirmed = firstRead < this.reads;
+    this.latest = { summary, from, clockOffsets, firstRead, isConfirmed };
     onSummary();
   }
 }
--- a/packages/state/tests/loadSummary.test.ts
+++ b/packages/state/tests/loadSummary.test.ts
@@ -96,6 +96,33 @@
   expect(ageMs()).toEqual(0);
 });
 
+// Guards against trusting an old page of the topic that contains two summaries.
+test("two summaries of one read do not confirm an epoch", async () => {
+  const { clock, view, apply, ageMs } = setUp();
+  view.applyProgressRecords([recordOf(1, 0), recordOf(1, 500)]);
+  expect(ageMs()).toEqual(undefined);
+  await clock.advance(500);
+  apply(1, 1_000);
+  expect(ageMs()).toEqual(0);
+});
+
+// Guards against summaries that look old for the rest of the epoch.
+test("a leader's clock that is set back or drifts makes summaries look old for 20 summaries at most", async () => {
+  const { clock, apply, ageMs } = setUp();
+  const publish = async (leaderOffsetMs: number): Promise<void> => {
+    await clock.advance(500);
+    apply(1, clock.monotonic() + leaderOffsetMs);
+  };
+  for (let n = 0; n < 3; n += 1) await publish(0);
+  await publish(-60_000);
+  expect(ageMs()).toEqual(60_000);
+  for (let n = 0; n < 19; n += 1) await publish(-60_000);
+  expect(ageMs()).toEqual(0);
+  // The clock loses 5 ms a second.
+  for (let n = 0; n < 2_000; n += 1) await publish(-60_000 - 2.5 * n);
+  expect((ageMs() ?? Infinity) <= 50).toEqual(true);
+});
+
 test("the age counts from the arrival, whatever the leader's clock shows", async () => {
   for (const skewMs of [-3_600_000, 0, 3_600_000]) {
     const { clock, apply, ageMs } = setUp();
