Admission: accept a job if a host can hold a task of any of its first steps

Only the first step with the smallest demand was compared, so a job was refused although another of its first steps, for instance a filling one, could start at once.

The new test fails without the change.

--- a/packages/routing/src/decideAdmission.ts
+++ b/packages/routing/src/decideAdmission.ts
@@ -108,13 +108,15 @@
   return { outcome: "refuse", reason, expected, drainMs: excessMs };
 };
 
+/** Whether a host can hold a task of any of the job's first steps. */
 const hasCapacity = (
-  { plain, filling }: PriorityLoad,
-  estimate: JobEstimate,
-): boolean => {
-  const { largestMilliCores } = estimate.filling ? filling : plain;
-  return largestMilliCores > 0 && largestMilliCores >= estimate.smallestDemand;
-};
+  load: PriorityLoad,
+  { firstSteps }: JobEstimate,
+): boolean =>
+  firstSteps.some(({ milliCores, filling }) => {
+    const { largestMilliCores } = filling ? load.filling : load.plain;
+    return largestMilliCores > 0 && largestMilliCores >= milliCores;
+  });
 
 /** Core-milliseconds that are done before the job starts. */
 const precedingWork = (
--- a/packages/routing/src/jobEstimate.ts
+++ b/packages/routing/src/jobEstimate.ts
@@ -9,6 +9,13 @@
   utilityOf,
 } from "./jobUtility.js";
 
+export interface FirstStep {
+  /** Demand of one task. */
+  readonly milliCores: number;
+  /** Whether its tasks use only processor time that other tasks leave idle. */
+  readonly filling: boolean;
+}
+
 export interface JobEstimate {
   /** Core-milliseconds of all tasks. */
   readonly work: number;
@@ -20,10 +27,8 @@
   readonly bucket: number;
   /** Bucket once it can only end late. */
   readonly lateBucket: number;
-  /** The smallest demand of a task that may start at once, millicores. */
-  readonly smallestDemand: number;
-  /** Whether that task uses only processor time that other tasks leave idle. */
-  readonly filling: boolean;
+  /** The steps that may start at once. */
+  readonly firstSteps: readonly FirstStep[];
 }
 
 /**
@@ -47,16 +52,15 @@
   const chainMs = Math.max(0, ...ends);
   const density =
     utilityOf(work, load?.meanWork ?? work) / Math.max(MIN_WORK, work);
-  const first = steps
+  const firstSteps = steps
     .filter(({ after }) => after.length === 0)
-    .sort((a, b) => a.demand.milliCores - b.demand.milliCores)[0];
+    .map(({ demand: { milliCores }, filling }) => ({ milliCores, filling }));
   return {
     work,
     chainMs,
     objectiveMs: stretch * chainMs + targetLatencyMs,
     bucket: densityBucketOf(density),
     lateBucket: densityBucketOf(LATE_UTILITY * density),
-    smallestDemand: first?.demand.milliCores ?? 0,
-    filling: first?.filling ?? false,
+    firstSteps,
   };
 };
--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -223,6 +223,35 @@
   );
 });
 
+// Guards against looking only at the first step with the smallest demand.
+test("a job is accepted if a host can hold a task of any of its first steps", () => {
+  const demandOf = (milliCores: number) => ({
+    demand: { milliCores, memoryMiB: 10, accelerators: 0 },
+  });
+  const small = demandOf(500);
+  const large = { ...demandOf(2_000), filling: true };
+  const pending: PriorityLoad["pending"] = [[DENSE, 1e9]];
+  const outcomeOf = (
+    steps: readonly Partial<StepSpec>[],
+    load: Partial<PriorityLoad>,
+  ) => {
+    const { spec, terms } = plainJob({ id: "0", acceptedAt: 0, steps });
+    const estimate = estimateJob(spec, terms, undefined);
+    const summary = summaryOf([loadOf({ pending, ...load })]);
+    return decideAdmission(inputsOf(summary, { estimate })).outcome;
+  };
+  for (const steps of [
+    [small, large],
+    [large, small],
+  ]) {
+    expect(outcomeOf(steps, { filling: ROOM })).toEqual("accept");
+    expect(outcomeOf(steps, { plain: ROOM })).toEqual("accept");
+    expect(outcomeOf(steps, {})).toEqual("refuse");
+  }
+  const later = { ...large, after: [0] };
+  expect(outcomeOf([small, later], { filling: ROOM })).toEqual("refuse");
+});
+
 test("a higher density is never in a lower bucket", () => {
   const density = fc.double({ min: 0, max: 1, noNaN: true });
   fc.assert(
