--- a/packages/jobs/src/ProgressJournal.ts
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -15,7 +15,7 @@
 interface Batch {
   readonly jobs: Set<JobRun>;
   /** Records without a job, by key. */
-  readonly enclosed: Map<string, KeyedRecord>;
+  readonly extraRecords: Map<string, KeyedRecord>;
   readonly persisted: Promise<void>;
   /** Writes the batch now, unless that was done before. */
   readonly close: () => void;
@@ -67,9 +67,9 @@
    * Writes a record that is no job's progress with the next batch. Nobody waits for it:
    * it is lost if another leader has taken over.
    */
-  enclose(record: KeyedRecord): void {
+  writeAlong(record: KeyedRecord): void {
     this.next ??= this.openBatch();
-    this.next.enclosed.set(record.key, record);
+    this.next.extraRecords.set(record.key, record);
     this.next.persisted.catch(() => undefined);
   }
 
@@ -85,7 +85,7 @@
 
   private openBatch(): Batch {
     const jobs = new Set<JobRun>();
-    const enclosed = new Map<string, KeyedRecord>();
+    const extraRecords = new Map<string, KeyedRecord>();
     const { clock, batchWindowMs } = this.options;
     let close = (): void => undefined;
     const persisted = new Promise<void>((resolve, reject) => {
@@ -97,42 +97,42 @@
         this.next = undefined;
         this.closesSoon = false;
         const writes = isOneAppend
-          ? this.writeTogether(jobs, enclosed)
-          : this.write(jobs, enclosed);
+          ? this.writeTogether(jobs, extraRecords)
+          : this.write(jobs, extraRecords);
         writes.then(resolve, reject);
       };
       clock.after(batchWindowMs, close);
     });
-    return { jobs, enclosed, persisted, close };
+    return { jobs, extraRecords, persisted, close };
   }
 
   private async write(
     jobs: ReadonlySet<JobRun>,
-    enclosed: ReadonlyMap<string, KeyedRecord>,
+    extraRecords: ReadonlyMap<string, KeyedRecord>,
   ): Promise<void> {
     const { writer } = this.options;
-    const records = recordsOf(jobs, enclosed);
+    const records = recordsOf(jobs, extraRecords);
     const writes = records.map((record) => writer.write(record).persisted);
     await Promise.all(writes);
   }
 
   private async writeTogether(
     jobs: ReadonlySet<JobRun>,
-    enclosed: ReadonlyMap<string, KeyedRecord>,
+    extraRecords: ReadonlyMap<string, KeyedRecord>,
   ): Promise<void> {
     const { writer } = this.options;
-    const writes = writer.writeTogether(recordsOf(jobs, enclosed));
+    const writes = writer.writeTogether(recordsOf(jobs, extraRecords));
     await Promise.all(writes.map(({ persisted }) => persisted));
   }
 }
 
 const recordsOf = (
   jobs: ReadonlySet<JobRun>,
-  enclosed: ReadonlyMap<string, KeyedRecord>,
+  extraRecords: ReadonlyMap<string, KeyedRecord>,
 ): KeyedRecord[] => [
   ...[...jobs].map((job) => ({
     key: job.id,
     value: encodeProgress(job.toRecord()),
   })),
-  ...enclosed.values(),
+  ...extraRecords.values(),
 ];
--- a/packages/scheduling/src/LoadSummaryPublisher.ts
+++ b/packages/scheduling/src/LoadSummaryPublisher.ts
@@ -84,7 +84,7 @@
     this.wasPending = isPending;
     const value = encodeLoadSummary(summary);
     const { journal, metrics } = this.options;
-    journal.enclose({ key: PROGRESS_KEYS.load, value });
+    journal.writeAlong({ key: PROGRESS_KEYS.load, value });
     metrics.count("load_summaries");
   }
 
--- a/packages/state/src/TopicWriter.ts
+++ b/packages/state/src/TopicWriter.ts
@@ -71,7 +71,7 @@
 /** The records of one append. */
 interface Batch {
   readonly records: readonly QueuedRecord[];
-  /** Records whose callers were told that they are not sent. */
+  /** Records that were withdrawn: their writes have failed as not sent. */
   readonly abandoned: Set<QueuedRecord>;
   /** Cancels an attempt that has no connection yet. */
   readonly abort: AbortController;
