--- a/packages/scheduling/tests/admissionOverload.test.ts
+++ b/packages/scheduling/tests/admissionOverload.test.ts
@@ -19,9 +19,7 @@
 const servedCount = ({ outcomes }: AdmissionResult): number =>
   outcomes["in-time"] + outcomes.late;
 
-// Over four seeds 557 of 844 jobs waited in vain, and 265 with refusals; 287 and 309
-// were served.
-test("at 3 times the bulk and 2 times the urgent arrivals, half of the callers who would wait in vain are told", async () => {
+test("at 3 times the bulk and 2 times the urgent arrivals, fewer callers wait in vain and as many jobs are served", async () => {
   for (const seed of [1, 2]) {
     const { today, refusing } = await compare({
       seed,
@@ -33,9 +31,8 @@
     const after = refusing.bulk.outcomes;
     expect([before.lost, after.lost]).toEqual([0, 0]);
     expect(after["in-vain"] <= 0.6 * before["in-vain"]).toEqual(true);
-    expect(
-      servedCount(refusing.bulk) >= 0.95 * servedCount(today.bulk),
-    ).toEqual(true);
+    // Only jobs that would be of no use are refused.
+    expect(servedCount(refusing.bulk) >= servedCount(today.bulk)).toEqual(true);
     expect(refusing.bulk.meanVainMs <= 0.7 * today.bulk.meanVainMs).toEqual(
       true,
     );
@@ -59,9 +56,10 @@
   const { outcomes, largestServed, served } = refusing.bulk;
   expect(outcomes.lost).toEqual(0);
   expect(outcomes.refused <= 2).toEqual(true);
-  expect(servedCount(refusing.bulk) >= 0.95 * servedCount(today.bulk)).toEqual(
-    true,
-  );
+  // Nobody but those who were refused is worse off.
+  expect(
+    servedCount(refusing.bulk) + outcomes.refused >= servedCount(today.bulk),
+  ).toEqual(true);
   expect(largestServed >= served / 2).toEqual(true);
   expect(refusing.urgent.outcomes).toEqual(today.urgent.outcomes);
 });
