--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -224,42 +224,23 @@
   ): Promise<JobRequestOutcome | undefined> {
     const { admission, clock, jobsFollower } = this.options;
     const arrivedAt = clock.monotonic();
-    if (admission.wouldRefuse(spec, terms)) {
-      await this.refreshView(deadline);
-      const known = this.outcomeOfKnown(spec);
-      if (known) return known;
-      const viewedAt = clock.monotonic() - jobsFollower.ageMs;
-      if (viewedAt < arrivedAt) {
-        this.recordAcceptance(spec.id, terms, "stale-view");
-        return undefined;
-      }
-      if (this.mayBeStored(spec.id)) {
-        this.recordAcceptance(spec.id, terms, "may-be-accepted");
-        return undefined;
-      }
+    const proposed = admission.propose(spec, terms);
+    if (!proposed) return undefined;
+    await this.refreshView(deadline);
+    const known = this.outcomeOfKnown(spec);
+    if (known) {
+      proposed.withdraw("known");
+      return known;
     }
-    const refusal = admission.admit(spec, terms);
+    const viewedAt = clock.monotonic() - jobsFollower.ageMs;
+    if (viewedAt < arrivedAt) return proposed.withdraw("stale-view");
+    if (this.mayBeStored(spec.id)) return proposed.withdraw("may-be-accepted");
+    const refusal = proposed.confirm();
     if (!refusal) return undefined;
     const reason = "the pending work leaves no time for the job";
     return { kind: "refused", cause: "overload", reason, ...refusal };
   }
 
-  /** Records why a job is accepted that the pending work leaves no time for. */
-  private recordAcceptance(
-    job: JobId,
-    { service, priority }: JobTerms,
-    reason: "may-be-accepted" | "stale-view",
-  ): void {
-    const { logger, metrics } = this.options;
-    const outcome = "accept";
-    metrics.count("admission_decisions", {
-      outcome,
-      reason,
-      priority: String(priority),
-    });
-    logger.info("job.admission", { job, outcome, reason, service, priority });
-  }
-
   /**
    * The state of a job. If the view does not contain the job, it is refreshed from the
    * store first, because another entry may have accepted the job a moment ago.
--- a/packages/routing/src/decideAdmission.ts
+++ b/packages/routing/src/decideAdmission.ts
@@ -37,8 +37,11 @@
   /** An older summary refuses nothing, milliseconds. */
   readonly maxSummaryAgeMs: number;
   readonly added: readonly AddedWork[];
-  /** Core-milliseconds of refused jobs that may return before this one. */
-  readonly returningWork: number;
+  /**
+   * Core-milliseconds of refused jobs that may return before this one. Called only if
+   * the summary says that capacity is lacking.
+   */
+  readonly returningWork: () => number;
 }
 
 export type AdmissionReason =
@@ -81,14 +84,15 @@
   const own = load?.priorities.find((each) => each.priority === priority);
   if (!load || !own) return accept("unknown-load");
   if (hasCapacity(own, estimate)) return accept("free-hosts");
-  if (!own.isSaturated) return accept("no-rate");
+  // The rate of more urgent work alone does not show what this priority gets done.
+  if (!own.isSaturated || own.ratePerMs <= 0) return accept("no-rate");
   const preceding = load.priorities.filter((each) => each.priority <= priority);
   // A lower bound of the wait: more urgent jobs that are still to arrive do not count.
   const ratePerMs = preceding.reduce((sum, each) => sum + each.ratePerMs, 0);
-  if (ratePerMs <= 0) return accept("no-rate");
+  const returningWork = inputs.returningWork();
   const waitOf = (bucket: number): number => {
     const work = precedingWork(inputs, preceding, bucket);
-    const total = work + inputs.returningWork;
+    const total = work + returningWork;
     return Math.max(0, total / ratePerMs - summaryAgeMs);
   };
   const limitMs = TOO_LATE_FACTOR * estimate.objectiveMs;
@@ -104,13 +108,15 @@
   return { outcome: "refuse", reason, expected, drainMs: excessMs };
 };
 
+/** Whether a host can hold a task of any of the job's first steps. */
 const hasCapacity = (
-  { plain, filling }: PriorityLoad,
-  estimate: JobEstimate,
-): boolean => {
-  const { largestMilliCores } = estimate.filling ? filling : plain;
-  return largestMilliCores > 0 && largestMilliCores >= estimate.smallestDemand;
-};
+  load: PriorityLoad,
+  { firstSteps }: JobEstimate,
+): boolean =>
+  firstSteps.some(({ milliCores, filling }) => {
+    const { largestMilliCores } = filling ? load.filling : load.plain;
+    return largestMilliCores > 0 && largestMilliCores >= milliCores;
+  });
 
 /** Core-milliseconds that are done before the job starts. */
 const precedingWork = (
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,6 +8,7 @@
 import "./leastLoadedPlacer.js";
 import "./spreadPlacer.js";
 
+export { lacksCapacity, type LargestCapacity } from "./lacksCapacity.js";
 export { RuntimeEstimator } from "./RuntimeEstimator.js";
 export { ENGINE, type EngineOptions, type HostRoster } from "./engineTypes.js";
 export type { StopTaskCall } from "@rackspan/protocol";
--- a/packages/scheduling/src/summarizeLoad.ts
+++ b/packages/scheduling/src/summarizeLoad.ts
@@ -18,6 +18,11 @@
 } from "@rackspan/state";
 import { REMAINING_UTILITY } from "./byUtilityOrder.js";
 import { deadlineFeasibilityOf } from "./deadlineFeasibility.js";
+import {
+  lacksCapacity,
+  largestCapacityOf,
+  type LargestCapacity,
+} from "./lacksCapacity.js";
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import type { WorkRateMeter } from "./WorkRateMeter.js";
 
@@ -33,6 +38,8 @@
   readonly jobs: Iterable<JobRun>;
   /** Hosts that accept tasks, by service. */
   readonly hosts: ReadonlyMap<ServiceName, readonly HostState[]>;
+  /** All hosts, including those that accept no tasks. */
+  readonly allHosts: Iterable<HostState>;
   readonly serviceOf: (job: JobRun) => ServiceName;
   readonly estimates: RuntimeEstimator;
   readonly meter: WorkRateMeter;
@@ -43,7 +50,9 @@
 /** Pending work of one priority of a service. */
 interface PendingLoad {
   readonly buckets: Map<number, number>;
-  /** Smallest demand of a waiting task that found no host, millicores; Infinity if none. */
+  /** Core-milliseconds that running tasks have done so far. */
+  runningWork: number;
+  /** Smallest demand of a task that lacks capacity, millicores; Infinity if none. */
   unplacedPlain: number;
   unplacedFilling: number;
 }
@@ -56,12 +65,19 @@
   for (const job of inputs.jobs) works.set(job, estimates.totalWork(job));
   const queues = summarizeQueues(works, estimates);
   const meanWork = new Map(queues.map((each) => [each.queue, each.meanWork]));
+  const capacities = new Map(
+    [...inputs.hosts].map(([service, hosts]) => [
+      service,
+      largestCapacityOf(hosts),
+    ]),
+  );
   const pending: PendingLoads = new Map();
   for (const [job, work] of works) {
     if (job.isEnded) continue;
     const mean = meanWork.get(job.accepted.spec.queue) ?? work;
-    addPending(pending, job, utilityOf(work, mean), inputs);
+    addPending(pending, job, utilityOf(work, mean), capacities, inputs);
   }
+  addRunningWork(pending, inputs);
   const services = [...pending].map(([service, byPriority]) => {
     const hosts = (inputs.hosts.get(service) ?? []).map(useOf);
     const priorities = [...byPriority]
@@ -71,6 +87,7 @@
       );
     return { service, priorities };
   });
+  inputs.meter.retain(services);
   return { epoch: Number(epoch), writtenAt: now, services, queues };
 };
 
@@ -97,12 +114,15 @@
   pending: PendingLoads,
   job: JobRun,
   utility: number,
-  { serviceOf, estimates, now }: LoadInputs,
+  capacities: ReadonlyMap<ServiceName, LargestCapacity>,
+  { serviceOf, estimates, now, monotonic }: LoadInputs,
 ): void => {
   const steps = job.steps.filter(({ spec }) => !spec.lasting);
   const [first] = steps;
   if (!first) return;
-  const load = pendingLoadOf(pending, serviceOf(job), job.terms.priority);
+  const service = serviceOf(job);
+  const load = pendingLoadOf(pending, service, job.terms.priority);
+  const capacity = capacities.get(service) ?? largestCapacityOf([]);
   let unplaced = 0;
   let placed = 0;
   for (const step of steps) {
@@ -110,7 +130,7 @@
     const { waiting, tasks, doneCount } = step;
     unplaced += taskWork * waiting.size;
     placed += taskWork * (tasks.length - doneCount - waiting.size);
-    recordUnplaced(load, step);
+    if (lacksCapacity(step, capacity, monotonic)) recordUnplaced(load, step);
   }
   const candidate = { job, step: first, isStarved: false };
   const feasibility = deadlineFeasibilityOf(candidate, estimates, now);
@@ -120,6 +140,22 @@
   load.buckets.set(bucket, (load.buckets.get(bucket) ?? 0) + work);
 };
 
+const addRunningWork = (
+  pending: PendingLoads,
+  { allHosts, serviceOf, estimates }: LoadInputs,
+): void => {
+  for (const { runs } of allHosts) {
+    for (const { task, progressPercent } of runs.values()) {
+      const { step } = task;
+      if (step.spec.lasting) continue;
+      const load = pending.get(serviceOf(step.job));
+      const own = load?.get(step.job.terms.priority);
+      const share = Math.min(100, progressPercent) / 100;
+      if (own) own.runningWork += share * taskWorkOf(step, estimates);
+    }
+  }
+};
+
 const pendingLoadOf = (
   pending: PendingLoads,
   service: ServiceName,
@@ -131,6 +167,7 @@
   if (!load) {
     load = {
       buckets: new Map(),
+      runningWork: 0,
       unplacedPlain: Infinity,
       unplacedFilling: Infinity,
     };
@@ -143,15 +180,7 @@
 const taskWorkOf = (step: StepRun, estimates: RuntimeEstimator): number =>
   (estimates.taskMs(step) * step.spec.demand.milliCores) / MILLI_CORES_PER_CORE;
 
-/**
- * Steps with rules of their own are left out: that they find no host says nothing about
- * other tasks.
- */
-const recordUnplaced = (load: PendingLoad, step: StepRun): void => {
-  const { spec, waiting, unplacedSince } = step;
-  if (unplacedSince === undefined || waiting.size === 0) return;
-  if (spec.gang || spec.requiredLabel !== "" || spec.maxPerHost > 0) return;
-  if (step.job.terms.permitRule) return;
+const recordUnplaced = (load: PendingLoad, { spec }: StepRun): void => {
   const { milliCores } = spec.demand;
   if (spec.filling)
     load.unplacedFilling = Math.min(load.unplacedFilling, milliCores);
@@ -173,7 +202,9 @@
   // While less urgent work holds hosts, waiting for them is no lack of capacity.
   const unplacedPlain = holdsLessUrgent ? Infinity : unplaced.plain;
   const isSaturated = Math.min(unplacedPlain, unplaced.filling) < Infinity;
-  meter.recordSaturation(service, priority, isSaturated, monotonic);
+  const { runningWork } = load;
+  const sample = { runningWork, isSaturated };
+  meter.recordSample(service, priority, sample, monotonic);
   return {
     priority,
     plain: limitTo(freeFor(hosts, priority, "plain"), unplacedPlain),
@@ -183,7 +214,7 @@
   };
 };
 
-/** Smallest demands that found no host, of this priority and all more urgent ones. */
+/** Smallest demands that lack capacity, of this priority and all more urgent ones. */
 const smallestUnplaced = (
   byPriority: ReadonlyMap<number, PendingLoad>,
   priority: number,
@@ -198,7 +229,7 @@
   return { plain, filling };
 };
 
-/** @param unplaced smallest demand that found no host */
+/** @param unplaced smallest demand that lacks capacity */
 const limitTo = (free: FreeCapacity, unplaced: number): FreeCapacity =>
   free.largestMilliCores < unplaced
     ? free
