State: progress records that the store client cannot read revoke trust in placements

The store client leaves records out that it cannot read, and names their keys in a full load only. TopicFollower used these keys solely to tell them from deleted ones, so JobView took their jobs for never started, and a new leader would have trusted the placements.

The follower now passes the unreadable keys on: those of jobs count as unreadable progress, an unreadable term is no term. Unreadable records with unknown keys, as in polled pages, revoke trust until the next full load.

--- a/packages/entry/src/jobs/createJobEntryParts.ts
+++ b/packages/entry/src/jobs/createJobEntryParts.ts
@@ -27,6 +27,8 @@
   OperatorView,
   TopicWriter,
   TopicFollower,
+  type TopicFollowerOptions,
+  type UnreadableRecords,
   TOPICS,
 } from "@rackspan/state";
 import { callerFronts, type CallerFront } from "./callerFronts.js";
@@ -200,7 +202,8 @@
   const follow = (
     topic: TopicName,
     onRecords: (records: readonly KeyedRecord[]) => void,
-  ) => buildFollower(context, store, topic, onRecords);
+    onUnreadable?: (unreadable: UnreadableRecords) => void,
+  ) => buildFollower(context, store, { topic, onRecords, onUnreadable });
   const jobsFollower = follow(TOPICS.jobs, (r) => view.applyJobRecords(r));
   return {
     store,
@@ -213,10 +216,14 @@
     followers: [
       jobsFollower,
       follow(TOPICS.cancels, (r) => view.applyCancelRecords(r)),
-      follow(TOPICS.progress, (r) => {
-        view.applyProgressRecords(r);
-        summaries.applyProgressRecords(r);
-      }),
+      follow(
+        TOPICS.progress,
+        (r) => {
+          view.applyProgressRecords(r);
+          summaries.applyProgressRecords(r);
+        },
+        (unreadable) => view.applyUnreadableProgress(unreadable),
+      ),
       follow(TOPICS.hosts, (r) => view.applyHostRecords(r)),
       follow(TOPICS.config, (r) => operator.applyRecords(r)),
     ],
@@ -242,12 +249,12 @@
 const buildFollower = (
   { settings, clock, logger, isLeader }: StorePartsOptions,
   store: StoreClient,
-  topic: TopicName,
-  onRecords: (records: readonly KeyedRecord[]) => void,
+  followed: Pick<TopicFollowerOptions, "topic" | "onRecords" | "onUnreadable">,
 ): TopicFollower => {
+  const { topic } = followed;
   const { pollFloorMs, followFloorMs } = settings.batching;
   return new TopicFollower({
-    topic,
+    ...followed,
     store,
     clock,
     logger,
@@ -255,7 +262,6 @@
       if (topic === TOPICS.hosts) return HOSTS_POLL_INTERVAL_MS;
       return isLeader() ? pollFloorMs : followFloorMs;
     },
-    onRecords,
   });
 };
 
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -26,6 +26,7 @@
   type JobStateName,
   type QueueKey,
 } from "./jobModel.js";
+import type { UnreadableRecords } from "./TopicFollower.js";
 import { decodeTerm, type TermRecord } from "./termRecord.js";
 
 export interface JobEntry {
@@ -67,6 +68,11 @@
   private term: TermRecord | undefined;
   /** Keys of progress records that this version cannot read. */
   private readonly unreadableProgress = new Set<string>();
+  /**
+   * Whether progress records with unknown keys could not be read. Which records replace
+   * them is unknown, so this holds until the next full load.
+   */
+  private hasUnknownProgress = false;
 
   constructor(private readonly options: JobViewOptions) {}
 
@@ -134,7 +140,7 @@
 
   /** Whether a progress record cannot be read, so that its job seems never started. */
   get hasUnreadableProgress(): boolean {
-    return this.unreadableProgress.size > 0;
+    return this.hasUnknownProgress || this.unreadableProgress.size > 0;
   }
 
   /**
@@ -210,6 +216,20 @@
     }
   }
 
+  /** Marks progress records that the store client could not read. */
+  applyUnreadableProgress({
+    isFullLoad,
+    keys,
+    hasUnknownKeys,
+  }: UnreadableRecords): void {
+    const isStillUnknown = !isFullLoad && this.hasUnknownProgress;
+    this.hasUnknownProgress = hasUnknownKeys || isStillUnknown;
+    for (const key of keys) {
+      if (key === PROGRESS_KEYS.term) this.term = undefined;
+      else if (isJobKey(key)) this.unreadableProgress.add(key);
+    }
+  }
+
   applyHostRecords(records: readonly KeyedRecord[]): void {
     for (const { key, value } of records) {
       const host = key as unknown as HostId;
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -28,6 +28,15 @@
   retryMs: 150,
 } as const;
 
+/** Records of one page that the store client could not read. */
+export interface UnreadableRecords {
+  /** Whether the page contains the newest record of each key. */
+  readonly isFullLoad: boolean;
+  readonly keys: readonly string[];
+  /** Whether there are unreadable records beside those of `keys`. */
+  readonly hasUnknownKeys: boolean;
+}
+
 export interface TopicFollowerOptions {
   readonly topic: TopicName;
   readonly store: RecordStore;
@@ -41,6 +50,11 @@
   readonly minPollIntervalMs: () => number;
   /** Called with the records of one page, in order. */
   readonly onRecords: (records: readonly KeyedRecord[]) => void;
+  /**
+   * Called after the records of each full load, and after those of a polled page with
+   * unreadable records.
+   */
+  readonly onUnreadable?: (unreadable: UnreadableRecords) => void;
 }
 
 export class TopicFollower {
@@ -146,6 +160,7 @@
     const page = await store.readNewest(topic);
     this.logUnreadable(page);
     this.passOn([...this.deletedSince(page), ...page.records]);
+    this.passOnUnreadable(page, true);
     this.next = page.next;
     this.markComplete(requestedAt);
   }
@@ -159,6 +174,7 @@
     const page = await store.read({ topic, from, waitMs, signal });
     this.logUnreadable(page);
     if (page.records.length > 0) this.passOn(page.records);
+    if (page.unreadable) this.passOnUnreadable(page, false);
     this.next = page.next;
     this.answeredAt = clock.monotonic();
     // A response contains at most one megabyte, so a follower that is behind reads on.
@@ -190,6 +206,14 @@
     this.options.onRecords(records);
   }
 
+  private passOnUnreadable(
+    { unreadable = 0, unreadableKeys: keys = [] }: RecordPage,
+    isFullLoad: boolean,
+  ): void {
+    const hasUnknownKeys = unreadable > keys.length;
+    this.options.onUnreadable?.({ isFullLoad, keys, hasUnknownKeys });
+  }
+
   private markComplete(requestedAt: Monotonic): void {
     this.completeAt = requestedAt;
     this.answeredAt = this.options.clock.monotonic();
--- a/packages/state/tests/termRecord.test.ts
+++ b/packages/state/tests/termRecord.test.ts
@@ -4,6 +4,7 @@
 import { expect } from "earl";
 import {
   brand,
+  ManualClock,
   Metrics,
   silentLogger,
   type HostId,
@@ -18,8 +19,11 @@
   encodeTerm,
   JobView,
   PROGRESS_KEYS,
+  TopicFollower,
+  TOPICS,
   type JobId,
 } from "@rackspan/state";
+import type { RecordPage, RecordStore } from "@rackspan/ports";
 import { plainJob, STARTED_PROGRESS } from "@rackspan/standins";
 
 const HOST = brand<HostId>("h1");
@@ -67,6 +71,80 @@
   expect(view.hasUnreadableProgress).toEqual(false);
 });
 
+/** A view that follows a topic with the given pages; returns once it has read them. */
+const followPages = async (newest: RecordPage, polled?: RecordPage) => {
+  const clock = new ManualClock();
+  const { view } = createView();
+  let unread = polled;
+  const store = {
+    readNewest: async () => newest,
+    read: async () => {
+      const page = unread ?? { records: [], next: 9 };
+      unread = undefined;
+      return { ...page, end: page.next };
+    },
+  };
+  const follower = new TopicFollower({
+    topic: TOPICS.progress,
+    store: store as unknown as RecordStore,
+    clock,
+    logger: silentLogger,
+    minPollIntervalMs: () => 10,
+    onRecords: (records) => view.applyProgressRecords(records),
+    onUnreadable: (unreadable) => view.applyUnreadableProgress(unreadable),
+  });
+  follower.start();
+  await clock.advance(50);
+  const stopped = follower.stop();
+  await clock.advance(50);
+  await stopped;
+  return view;
+};
+
+const TERM_PAGE: RecordPage = {
+  records: [{ key: PROGRESS_KEYS.term, offset: 1, value: TERM }],
+  next: 9,
+};
+
+// The store client leaves such records out, so their jobs seem never started.
+test("progress that the store client cannot read counts as unreadable", async () => {
+  const newest = { ...TERM_PAGE, unreadable: 1, unreadableKeys: ["j"] };
+  expect((await followPages(newest)).hasUnreadableProgress).toEqual(true);
+  const withoutKey = { ...TERM_PAGE, unreadable: 1 };
+  expect((await followPages(withoutKey)).hasUnreadableProgress).toEqual(true);
+  const summary = { ...newest, unreadableKeys: [PROGRESS_KEYS.load] };
+  expect((await followPages(summary)).hasUnreadableProgress).toEqual(false);
+});
+
+test("a term that the store client cannot read is no term", async () => {
+  const keys = [PROGRESS_KEYS.term];
+  const newest = { records: [], next: 9, unreadable: 1, unreadableKeys: keys };
+  const { view } = createView();
+  view.applyProgressRecords(TERM_PAGE.records);
+  view.applyUnreadableProgress({
+    isFullLoad: true,
+    keys,
+    hasUnknownKeys: false,
+  });
+  expect(view.lastTerm).toEqual(undefined);
+  expect((await followPages(newest)).lastTerm).toEqual(undefined);
+});
+
+// A polled page names no keys, so it is unknown which records replace the unreadable ones.
+test("an unreadable record in a polled page counts until the next full load", async () => {
+  const view = await followPages(TERM_PAGE, {
+    records: [],
+    next: 10,
+    unreadable: 1,
+  });
+  expect(view.hasUnreadableProgress).toEqual(true);
+  const load = { isFullLoad: true, keys: [], hasUnknownKeys: false };
+  view.applyUnreadableProgress({ ...load, isFullLoad: false });
+  expect(view.hasUnreadableProgress).toEqual(true);
+  view.applyUnreadableProgress(load);
+  expect(view.hasUnreadableProgress).toEqual(false);
+});
+
 test("hosts written by leaders without placements are told apart", () => {
   const { view } = createView();
   const key = HOST as string;
