Scheduling: an unsent run gives way to an earlier run that a host lists

A host whose leases were over by the count of the leader may still list the end or the run of a task. While the next run of that task waited for its record, a listed `done` was ignored as that of an earlier run, so the finished task was started again; a listed run was stopped, and its work lost.

RunEndHandler now withdraws the unsent run of a plain task, with those of its gang, and handles the end as for a waiting task. RunAdopter does the same with a listed run, unless this leader has ordered its stop.

--- a/packages/scheduling/src/RunAdopter.ts
+++ b/packages/scheduling/src/RunAdopter.ts
@@ -45,8 +45,13 @@
     entry: HostEntry,
     row: RunningTask,
   ): JobTask | undefined {
-    const task = this.parts.jobs.findTask(row.task);
-    if (task?.phase !== "waiting" || task.step.job.isEnded) return undefined;
+    const { jobs, runStarter } = this.parts;
+    const task = jobs.findTask(row.task);
+    if (!task || task.step.job.isEnded) return undefined;
+    // A run that this leader has ordered to stop is not adopted in place of an unsent one.
+    if (!entry.hostState.orphanOf(row))
+      runStarter.withdrawUnsent(task, "earlier-run-listed");
+    if (task.phase !== "waiting") return undefined;
     return this.mayRunElsewhere(entry, task) ? undefined : task;
   }
 
--- a/packages/scheduling/src/RunEndHandler.ts
+++ b/packages/scheduling/src/RunEndHandler.ts
@@ -58,7 +58,13 @@
       hosts.release(entry, active.run);
     }
     if (job.isEnded) return undefined;
-    if (!active && placed) return this.handleEarlierRunEnd(task, end);
+    // The host lists its end although its leases were over by the count of the leader.
+    const isWithdrawn =
+      end.outcome === "done" &&
+      !task.step.spec.lasting &&
+      runStarter.withdrawUnsent(task, "earlier-run-done");
+    if (!active && placed && !isWithdrawn)
+      return this.handleEarlierRunEnd(task, end);
     const changed = job.recordEnd(task, end.run, end.outcome, end.checkpoint);
     this.recordOutcome(entry, task, end, active);
     if (end.outcome === "done" && task.step.spec.gang) {
--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -164,6 +164,22 @@
     this.returnRun(host, run, `unsent-${reason}`);
   }
 
+  /**
+   * Withdraws the run of the task, and those of its gang, if their orders are not sent.
+   * @returns whether the task waits again
+   */
+  withdrawUnsent(task: JobTask, reason: string): boolean {
+    const { hosts } = this.options;
+    if (hosts.placementOf(task)?.run.phase !== "recording") return false;
+    const { tasks, spec } = task.step;
+    for (const { host, run } of hosts.placedRunsOf(
+      spec.gang ? tasks : [task],
+    )) {
+      if (run.phase === "recording") this.withdraw(host, run, reason);
+    }
+    return true;
+  }
+
   /**
    * If another leader has taken over, the run stays placed, so that this process places
    * the task no more.
--- a/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
+++ b/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
@@ -311,3 +311,47 @@
   expect(startedTasks(reporting)).toEqual(["u.0.0.0"]);
   expect(reporting.stops.map((stop) => String(stop.task))).toInclude(task);
 });
+
+// The host lists the end although its leases were over by the count of the leader.
+test("a task is not started once its earlier run is listed as done before the order is sent", async () => {
+  const site = await createSite();
+  const { missing, reporting } = site;
+  const task = taskId("m.0.0.0");
+  missing.end(task, "done");
+  const next = await takeOver(site);
+  next.store.fault = "refuses";
+  next.engine.handleWorkerSilent(missing.host, 0);
+  await next.run(SOON_MS, [reporting]);
+  next.engine.attach(missing.host, missing);
+  next.reportOf(missing);
+  next.store.fault = "none";
+  await next.run(5 * SOON_MS, [reporting, missing]);
+  expect(startedTasks(reporting)).not.toInclude("m.0.0.0");
+  expect(missing.acknowledged).toEqual(1);
+  const value = next.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === "m")?.value;
+  expect(value && decodeProgress("m", value).state).toEqual("completed");
+});
+
+// Otherwise the work of the earlier run would be lost.
+test("an earlier run that is listed before the order is sent is adopted", async () => {
+  const site = await createSite();
+  const { missing, reporting } = site;
+  const next = await takeOver(site);
+  next.store.fault = "refuses";
+  next.engine.handleWorkerSilent(missing.host, 0);
+  await next.run(SOON_MS, [reporting]);
+  next.engine.attach(missing.host, missing);
+  next.reportOf(missing);
+  next.store.fault = "none";
+  await next.run(5 * SOON_MS, [reporting, missing]);
+  expect(startedTasks(reporting)).not.toInclude("m.0.0.0");
+  expect(missing.stops).toEqual([]);
+  expect(missing.isRunning(taskId("m.0.0.0"))).toEqual(true);
+  const value = next.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === "m")?.value;
+  const progress = value && decodeProgress("m", value);
+  expect(progress?.placed).toEqual(["missing 0.0:0"]);
+});
