Scheduling: a gang whose placement is recorded is started whole or not at all

RunStarter decided for each member whether its order may be sent, so that a gang was started without a member whose host drained or was lost while the record was written. The end of a member that ran then completed the gang, although the others had never run.

The first member whose record is confirmed now decides for all: every order is sent, or all runs are withdrawn. Both new tests in placements.test.ts failed before; the 44 tests of placements, recorded placements, permits, gangs and duplicate starts pass.

--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -20,7 +20,12 @@
 import { StoreRefusedError, type StartRefusal } from "@rackspan/ports";
 import { FULL_PACE, type HostCallResult } from "@rackspan/protocol";
 import { countDiscardedWork, discardedWork } from "./discardedWork.js";
-import { ENGINE, type EngineOptions, type HostEntry } from "./engineTypes.js";
+import {
+  ENGINE,
+  type EngineOptions,
+  type HostEntry,
+  type PlacedRun,
+} from "./engineTypes.js";
 import type { HostRegistry } from "./HostRegistry.js";
 import type { PermitTracker } from "./PermitTracker.js";
 import type { PlacementLog } from "./PlacementLog.js";
@@ -77,6 +82,8 @@
 
 export class RunStarter {
   private startedRuns = 0;
+  /** Fields of the orders that wait for their records. */
+  private readonly unsentFields = new WeakMap<ActiveRun, StartOrderFields>();
   private unrecordedLoggedAt: Monotonic = -Infinity;
 
   constructor(private readonly options: RunStarterOptions) {}
@@ -124,35 +131,67 @@
       this.sendOrder(host, run, orderFields);
       return;
     }
+    this.unsentFields.set(run, orderFields);
     placementLog.record(task).then(
-      () => this.sendRecorded(host, run, orderFields),
+      () => this.sendRecorded(run),
       (err: unknown) => this.handleUnrecorded(host, run, err),
     );
   }
 
   /**
-   * Sends the order of a run whose placement is persisted, if the run is still wanted there
-   * and this process still decides. Otherwise the order is never sent.
+   * Sends the order of a run whose placement is persisted, with those of its gang, if the
+   * runs are still wanted there and this process still decides. Otherwise none of these
+   * orders is ever sent.
    */
-  private sendRecorded(
-    host: HostEntry,
-    run: ActiveRun,
-    orderFields: StartOrderFields,
-  ): void {
-    const { hosts, mayDecide, clock, isEvacuated, permitTracker } =
-      this.options;
-    if (!hosts.isCurrent(run)) return;
+  private sendRecorded(run: ActiveRun): void {
+    // The first member of a gang sends, or withdraws, the runs of all.
+    if (!this.options.hosts.isCurrent(run) || run.phase !== "recording") return;
+    const unsent = this.unsentRunsWith(run);
+    const reason = this.reasonToWithdraw(run, unsent);
+    for (const { host, run: member } of unsent) {
+      if (reason) this.withdraw(host, member, reason);
+      else this.sendOrder(host, member, this.currentOrderFields(host, member));
+    }
+  }
+
+  /** Returns the run, and the unsent runs of its gang. */
+  private unsentRunsWith({ task }: Pick<ActiveRun, "task">): PlacedRun[] {
+    const { tasks, spec } = task.step;
+    const placed = this.options.hosts.placedRunsOf(spec.gang ? tasks : [task]);
+    return placed.filter(({ run }) => run.phase === "recording");
+  }
+
+  private reasonToWithdraw(
+    { task }: ActiveRun,
+    unsent: readonly PlacedRun[],
+  ): string | undefined {
+    const { mayDecide, clock, isEvacuated } = this.options;
+    if (!mayDecide()) return "no-authority";
+    // The run of another member was withdrawn, so the gang would start without it.
+    const { spec, waiting } = task.step;
+    if (spec.gang && waiting.size > 0) return "gang-incomplete";
     const context = { now: clock.monotonic(), isEvacuated };
-    const needsTicket = orderFields.ticket !== undefined;
-    const ticket = permitTracker.ticketFor(run.task.step, host.hostState);
-    if (!mayDecide()) this.withdraw(host, run, "no-authority");
-    else if (needsTicket && ticket === undefined) {
-      this.withdraw(host, run, "ticket-expired");
-    } else {
+    for (const { host, run } of unsent) {
+      const { ticket } = this.currentOrderFields(host, run);
+      const needsTicket = this.unsentFields.get(run)?.ticket !== undefined;
+      if (needsTicket && ticket === undefined) return "ticket-expired";
       const reason = orderBlockedReason(host, context);
-      if (reason) this.withdraw(host, run, reason);
-      else this.sendOrder(host, run, { ...orderFields, ticket });
+      if (reason) return reason;
     }
+    return undefined;
+  }
+
+  /** Returns the fields of an unsent order with the current permit. */
+  private currentOrderFields(
+    { hostState }: HostEntry,
+    run: ActiveRun,
+  ): StartOrderFields {
+    const { firstPercent = FULL_PACE } = this.unsentFields.get(run) ?? {};
+    const ticket = this.options.permitTracker.ticketFor(
+      run.task.step,
+      hostState,
+    );
+    return { ticket, firstPercent };
   }
 
   /**
@@ -171,12 +210,8 @@
   withdrawUnsent(task: JobTask, reason: string): boolean {
     const { hosts } = this.options;
     if (hosts.placementOf(task)?.run.phase !== "recording") return false;
-    const { tasks, spec } = task.step;
-    for (const { host, run } of hosts.placedRunsOf(
-      spec.gang ? tasks : [task],
-    )) {
-      if (run.phase === "recording") this.withdraw(host, run, reason);
-    }
+    for (const { host, run } of this.unsentRunsWith({ task }))
+      this.withdraw(host, run, reason);
     return true;
   }
 
--- a/packages/scheduling/tests/placements.test.ts
+++ b/packages/scheduling/tests/placements.test.ts
@@ -10,7 +10,12 @@
   type ProgressRecord,
 } from "@rackspan/state";
 import { silentLogger } from "@rackspan/common";
-import { EngineHarness, taskId, type HarnessOptions } from "./engineHarness.js";
+import {
+  EngineHarness,
+  taskId,
+  type FakeHost,
+  type HarnessOptions,
+} from "./engineHarness.js";
 
 /** Longer than a scheduling cycle, the append of its starts, and their answers. */
 const SOON_MS = 60;
@@ -202,3 +207,41 @@
   expect(failures?.length).toEqual(1);
   expect(placed).toEqual(["h1 0.0:1"]);
 });
+
+/** A gang of two whose placement the store does not record yet, on two of three hosts. */
+const createWithUnsentGang = async () => {
+  const harness = recording();
+  const hosts = [await harness.addHost("h1"), await harness.addHost("h2")];
+  harness.store.fault = "refuses";
+  harness.submit("g", [{ taskCount: 2, gang: true, maxPerHost: 1 }]);
+  await harness.clock.advance(SOON_MS);
+  hosts.push(await harness.addHost("h3"));
+  return { harness, hosts };
+};
+
+const startsOf = (hosts: readonly FakeHost[]): number[] =>
+  hosts.map(({ starts }) => starts.length);
+
+// The end of one member would complete the gang, although the others never ran.
+test("no member of a gang is started if the order of one may not be sent", async () => {
+  const { harness, hosts } = await createWithUnsentGang();
+  const [, second] = hosts;
+  if (second) second.draining = true;
+  await harness.run(SOON_MS);
+  harness.store.fault = "none";
+  await harness.run(OUTAGE_MS);
+  expect(startsOf(hosts)).toEqual([1, 0, 1]);
+  const runs = hosts.flatMap(({ starts }) => starts.map(({ run }) => run));
+  expect(new Set(runs).size).toEqual(1);
+});
+
+test("no member of a gang is started if the run of one was withdrawn before", async () => {
+  const { harness, hosts } = await createWithUnsentGang();
+  hosts[1]?.replaceWorker();
+  await harness.run(SOON_MS, hosts.slice(1, 2));
+  harness.store.fault = "none";
+  await harness.run(OUTAGE_MS);
+  const runs = hosts.flatMap(({ starts }) => starts.map(({ run }) => run));
+  expect(runs.length).toEqual(2);
+  expect(new Set(runs).size).toEqual(1);
+});
