Scheduling: a start whose record failed is repeated unless another leader has taken over

RunStarter kept a run placed after every failure of its record except a refusal, to place nothing more once another leader has taken over. After an unexpected answer of the store the task was thus not started again in the whole term (probe: no start within 20 s).

The run now stays placed only if the writer of progress is closed, as it is after a takeover and at the end of a term.

--- a/packages/jobs/src/ProgressJournal.ts
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -30,6 +30,11 @@
 
   constructor(private readonly options: ProgressJournalOptions) {}
 
+  /** Whether nothing more can be persisted, as after a takeover by another leader. */
+  get isClosed(): boolean {
+    return this.options.writer.isClosed;
+  }
+
   /**
    * Resolves once the job's current progress, or newer progress, is persisted.
    * Rejects when another leader has taken over.
--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -217,15 +217,14 @@
 
   /**
    * If another leader has taken over, the run stays placed, so that this process places
-   * the task no more.
+   * the task no more. After any other failure it is withdrawn: its order was never sent.
    */
   private handleUnrecorded(
     host: HostEntry,
     run: ActiveRun,
     err: unknown,
   ): void {
-    const { clock, hosts, logger } = this.options;
-    const isRefused = err instanceof StoreRefusedError;
+    const { clock, hosts, logger, journal } = this.options;
     const now = clock.monotonic();
     // A refused append concerns many runs; the first one is logged.
     if (now - this.unrecordedLoggedAt >= ENGINE.unrecordedPauseMs) {
@@ -237,9 +236,10 @@
         error: describeError(err),
       });
     }
-    if (!isRefused || !hosts.isCurrent(run)) return;
+    if (journal.isClosed || !hosts.isCurrent(run)) return;
     run.task.step.notBefore = now + ENGINE.unrecordedPauseMs;
-    this.withdraw(host, run, "store-refused");
+    const isRefused = err instanceof StoreRefusedError;
+    this.withdraw(host, run, isRefused ? "store-refused" : "store-failed");
   }
 
   /** Sends the start order; its lease counts from now. */
--- a/packages/scheduling/tests/placements.test.ts
+++ b/packages/scheduling/tests/placements.test.ts
@@ -245,3 +245,21 @@
   expect(runs.length).toEqual(2);
   expect(new Set(runs).size).toEqual(1);
 });
+
+// Kept placed, the task would not be started again in this term.
+test("a start is repeated if its record fails for another reason than a takeover", async () => {
+  const harness = recording();
+  const host = await harness.addHost("h1");
+  const { store } = harness;
+  const append = store.append.bind(store);
+  store.append = async (request) => {
+    if (request.topic === TOPICS.progress) throw new Error("answer 413");
+    return append(request);
+  };
+  harness.submit("j", [{}]);
+  await harness.run(SOON_MS);
+  expect(host.starts).toEqual([]);
+  store.append = append;
+  await harness.run(ENGINE.unrecordedPauseMs + SOON_MS);
+  expect(host.starts.length).toEqual(1);
+});
--- a/packages/state/src/TopicWriter.ts
+++ b/packages/state/src/TopicWriter.ts
@@ -116,6 +116,11 @@
     return this.batchSentAt;
   }
 
+  /** Whether no later record can be written: another writer has taken over, or it was closed. */
+  get isClosed(): boolean {
+    return this.closed !== undefined;
+  }
+
   write(record: KeyedRecord): PendingWrite {
     const pending = this.enqueue(record);
     void this.run();
