Scheduling: an announced run without a recorded host is no possible crash

A suspect task's run is announced in one append and its host recorded in a second one. A leader that took over between the two counted the announced run as a possible crash of its worker, although its order was never sent.

If placements are trusted, PlacementLog.restore drops an announced run whose task has no recorded host, unless a leader before placementsSince announced it. The recorded host of a task is therefore kept until its last announced run is judged, and cleared with the next announcement.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -178,8 +178,9 @@
     const { gate, clock } = this.options.engine;
     const now = clock.monotonic();
     if (!gate.mayStart(now, now, placement)) return false;
-    // Its last run is over, so the next record need not name the host.
-    task.placedOn = undefined;
+    // Its last run is over, so the next record need not name the host. Until an announced
+    // run is judged, the host shows that it was ordered.
+    if (task.writeAheadRun === undefined) task.placedOn = undefined;
     return true;
   }
 
--- a/packages/scheduling/src/PlacementLog.ts
+++ b/packages/scheduling/src/PlacementLog.ts
@@ -19,6 +19,7 @@
   type TakeoverGate,
 } from "@rackspan/jobs";
 import type { ProgressRecord } from "@rackspan/state";
+import { ENGINE } from "./engineTypes.js";
 import type { JobRegistry } from "./JobRegistry.js";
 
 export interface PlacementLogOptions {
@@ -50,6 +51,22 @@
 }: JobTask): KnownPlacement | undefined =>
   step.job.placementEpoch === undefined ? undefined : { host: placedOn };
 
+/**
+ * Drops the announced runs of tasks without a recorded host: they were never ordered, so
+ * they crashed no worker. Runs of leaders before `placementsSince` may have been ordered
+ * without a record.
+ */
+const dropUnorderedRuns = (job: JobRun, placementsSince: number): void => {
+  const firstRun = placementsSince * ENGINE.runsPerEpoch;
+  for (const { tasks } of job.steps) {
+    for (const task of tasks) {
+      const { writeAheadRun = -Infinity, placedOn } = task;
+      if (placedOn === undefined && writeAheadRun >= firstRun)
+        task.writeAheadRun = undefined;
+    }
+  }
+};
+
 export class PlacementLog {
   private isComplete: boolean;
 
@@ -68,6 +85,7 @@
       const { placed, placedEpoch = -Infinity } = progress;
       if (!placed || placedEpoch < placementsSince) return;
       restorePlacements(job, placed);
+      dropUnorderedRuns(job, placementsSince);
     }
     job.placementEpoch = Number(epoch);
   }
--- a/packages/scheduling/src/RunWriteAheadLog.ts
+++ b/packages/scheduling/src/RunWriteAheadLog.ts
@@ -75,6 +75,8 @@
     const jobs = new Set(tasks.map(({ step }) => step.job));
     for (const task of tasks) {
       task.writeAheadRun = record.run;
+      // A recorded host would show the next leader that this run was ordered.
+      task.placedOn = undefined;
       this.unordered.set(task, record);
     }
     Promise.all([...jobs].map((job) => journal.persist(job))).then(
--- a/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
+++ b/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
@@ -355,3 +355,46 @@
   const progress = value && decodeProgress("m", value);
   expect(progress?.placed).toEqual(["missing 0.0:0"]);
 });
+
+/** A leader that ends after the given record of a task whose next run is announced. */
+const takeOverAfterAnnouncement = async (isPlaced: boolean) => {
+  const previous = new EngineHarness({ policy });
+  const first = await previous.addHost("h1");
+  const job = previous.submit("j", [{}]);
+  await previous.run(SOON_MS);
+  first.replaceWorker();
+  await previous.run(1_500);
+  const record = previous.store
+    .recordsOf(TOPICS.progress)
+    .flatMap(({ key, value }) =>
+      key === "j" && value ? [decodeProgress("j", value)] : [],
+    )
+    .find(
+      ({ announced, placed = [] }) =>
+        announced.length > 0 && placed.length > 0 === isPlaced,
+    );
+  expect(record?.announced.length).toEqual(1);
+  previous.isLeader = false;
+  previous.engine.stop();
+  const site = { previous, jobs: [], reporting: first, missing: first };
+  const next = new EngineHarness(
+    optionsOf(site, { placementsSince: 1, roster: [] }),
+  );
+  next.engine.addJob(job, record);
+  const other = await next.addHost("h5");
+  await next.run(2 * SOON_MS);
+  expect(other.starts.length).toEqual(1);
+  const value = next.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === "j")?.value;
+  return value && decodeProgress("j", value).crashes[0]?.[1].length;
+};
+
+// The host of a run is recorded before its order is sent.
+test("an announced run without a recorded host is no possible crash", async () => {
+  expect(await takeOverAfterAnnouncement(false)).toEqual(1);
+});
+
+test("an announced run with a recorded host is a possible crash", async () => {
+  expect(await takeOverAfterAnnouncement(true)).toEqual(2);
+});
