Jobs: a refused write of a job's progress is repeated

ProgressJournal kept the rejected promise of a refused write, and ProgressRecorder chains the acknowledgements of a host. After one refusal, as of a placement when the queue is full, the ends of the host were not acknowledged again in the term.

Any other failure still ends the chain.

--- a/packages/jobs/src/ProgressJournal.ts
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -1,7 +1,7 @@
 /** Persists the progress of jobs in the store; several changes of a job become one record. */
 
 import type { Clock } from "@rackspan/common";
-import type { KeyedRecord } from "@rackspan/ports";
+import { StoreRefusedError, type KeyedRecord } from "@rackspan/ports";
 import { encodeProgress, type TopicWriter } from "@rackspan/state";
 import type { JobRun } from "./JobRun.js";
 
@@ -61,7 +61,8 @@
   }
 
   /**
-   * Resolves once all earlier writes for the job are persisted; writes nothing itself.
+   * Resolves once all earlier writes for the job are persisted; writes nothing itself. A
+   * refused write is repeated, so a later call waits for the repetition.
    * Rejects when another leader has taken over before that.
    */
   flushed(job: JobRun): Promise<void> {
@@ -84,8 +85,12 @@
     const untrack = (): void => {
       if (this.unpersisted.get(job) === persisted) this.unpersisted.delete(job);
     };
-    // A refused write stays in the map, as it will never be persisted.
-    persisted.then(untrack, () => undefined);
+    persisted.then(untrack, (err: unknown) => {
+      // Any other failed write stays in the map, as it will never be persisted.
+      const isRefused = err instanceof StoreRefusedError && !this.isClosed;
+      if (isRefused && this.unpersisted.get(job) === persisted)
+        void this.persist(job);
+    });
   }
 
   private openBatch(): Batch {
--- a/packages/scheduling/src/ProgressRecorder.ts
+++ b/packages/scheduling/src/ProgressRecorder.ts
@@ -2,6 +2,7 @@
 
 import { describeError, type Logger } from "@rackspan/common";
 import type { JobRun, ProgressJournal } from "@rackspan/jobs";
+import { StoreRefusedError } from "@rackspan/ports";
 import type { HostEntry } from "./engineTypes.js";
 
 export interface ProgressRecorderOptions {
@@ -38,7 +39,10 @@
     // persisted: the same end may have been processed before, through an entry of the
     // host that was removed.
     const writes = [...ended].map((job) =>
-      changed.has(job) ? journal.persist(job) : journal.flushed(job),
+      this.untilPersisted(
+        job,
+        changed.has(job) ? journal.persist(job) : journal.flushed(job),
+      ),
     );
     entry.endsRecorded = Promise.all([entry.endsRecorded, ...writes]).then(
       () => {
@@ -53,6 +57,23 @@
     entry.endsRecorded.catch((err: unknown) => this.logFailure(err));
   }
 
+  /** Resolves once the write, or its repetition after a refusal, is persisted. */
+  private async untilPersisted(
+    job: JobRun,
+    write: Promise<void>,
+  ): Promise<void> {
+    const { journal } = this.options;
+    for (let current = write; ; current = journal.flushed(job)) {
+      try {
+        await current;
+        return;
+      } catch (err) {
+        if (!(err instanceof StoreRefusedError) || journal.isClosed) throw err;
+        this.logFailure(err);
+      }
+    }
+  }
+
   private logFailure(err: unknown): void {
     if (this.hasLoggedFailure) return;
     this.hasLoggedFailure = true;
--- a/packages/scheduling/tests/placements.test.ts
+++ b/packages/scheduling/tests/placements.test.ts
@@ -10,6 +10,7 @@
   type ProgressRecord,
 } from "@rackspan/state";
 import { silentLogger } from "@rackspan/common";
+import { StoreRefusedError } from "@rackspan/ports";
 import {
   EngineHarness,
   taskId,
@@ -263,3 +264,31 @@
   await harness.run(ENGINE.unrecordedPauseMs + SOON_MS);
   expect(host.starts.length).toEqual(1);
 });
+
+// The host would repeat such ends in all its reports until the next change of leader.
+test("ends are acknowledged once a refused record of their job is written again", async () => {
+  const harness = recording();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ taskCount: 2 }, { lasting: true }]);
+  await harness.run(SOON_MS);
+  const writeTogether = TopicWriter.prototype.writeTogether;
+  const write = TopicWriter.prototype.write;
+  const refuse = () => ({
+    persisted: Promise.reject(new StoreRefusedError("full")),
+    abandon: () => true,
+  });
+  TopicWriter.prototype.writeTogether = (records) => records.map(refuse);
+  TopicWriter.prototype.write = refuse;
+  try {
+    host.end(taskId("j.0.0.0"), "failed");
+    await harness.run(SOON_MS);
+    host.end(taskId("j.0.0.1"), "lapsed");
+    await harness.run(SOON_MS);
+    expect(host.acknowledged).toEqual(0);
+  } finally {
+    Object.assign(TopicWriter.prototype, { writeTogether, write });
+  }
+  await harness.run(OUTAGE_MS);
+  expect(host.acknowledged).toEqual(2);
+  expect(lastRecord(harness, "j")?.failures.length).toEqual(1);
+});
