Scheduling: records of placements that could not be completed are completed later

PlacementLog.completeWhenKnown ran once, and TermLog.markComplete swallowed a failure. After one failed append, the next leader trusted no placements, however long the term lasted.

markComplete now rejects, and PlacementLog tries again at a later tick until all jobs, the hosts and the term are persisted or the writer is closed.

--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -201,7 +201,7 @@
       persistLearned: () => undefined,
       permits: undefined,
       placementsSince,
-      onPlacementsComplete: () => void termLog.markComplete(storedRoster),
+      onPlacementsComplete: () => termLog.markComplete(storedRoster),
     });
 
     this.engine = engine;
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -265,7 +265,7 @@
       permits: this.options.permits,
       loadSummaryIntervalMs: this.options.loadSummaryIntervalMs,
       placementsSince,
-      onPlacementsComplete: () => void this.termLog.markComplete(storedRoster),
+      onPlacementsComplete: () => this.termLog.markComplete(storedRoster),
     });
     for (const { accepted, cancelled, progress } of view.all()) {
       engine.addJob(accepted, progress);
--- a/packages/entry/src/jobs/TermLog.ts
+++ b/packages/entry/src/jobs/TermLog.ts
@@ -58,7 +58,8 @@
 
   /**
    * Records that the progress records name the host of each task that may be running.
-   * Called once that is persisted, if `begin` returned undefined.
+   * Called once that is persisted, if `begin` returned undefined. Rejects after a failure;
+   * it may then be called again.
    */
   async markComplete(roster: StoredRoster): Promise<void> {
     const { epoch, logger } = this.options;
@@ -70,6 +71,7 @@
       // The next leader trusts no placements, and waits for all hosts.
       const error = describeError(err);
       logger.warn("term.not-recorded", { epoch, error });
+      throw err;
     }
   }
 
--- a/packages/entry/tests/termLog.test.ts
+++ b/packages/entry/tests/termLog.test.ts
@@ -133,6 +133,19 @@
   expect(stored()).toEqual({ epoch: EPOCH, placementsSince: EPOCH });
 });
 
+// The caller repeats it at a later tick.
+test("a failure to record that placements are complete is passed on, and may be repeated", async () => {
+  const { clock, store, termLog, roster, stored } = setUp({});
+  await termLog.begin();
+  const { append } = store;
+  store.append = () => Promise.reject(new Error("answer 413"));
+  await expect(termLog.markComplete(roster)).toBeRejected();
+  store.append = append;
+  await termLog.markComplete(roster);
+  await clock.advance(10);
+  expect(stored()).toEqual({ epoch: EPOCH, placementsSince: EPOCH });
+});
+
 test("hosts that this leader has written or removed are not written again", async () => {
   const { clock, store, roster } = setUp({});
   roster.remove(HOST);
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -132,7 +132,7 @@
           ...options,
           jobs,
           placementsSince: options.placementsSince,
-          onComplete: () => options.onPlacementsComplete?.(),
+          onComplete: async () => options.onPlacementsComplete?.(),
         })
       : undefined;
     this.placementLog = placementLog;
--- a/packages/scheduling/src/PlacementLog.ts
+++ b/packages/scheduling/src/PlacementLog.ts
@@ -37,9 +37,9 @@
   readonly placementsSince: number | undefined;
   /**
    * Called once the placements of all tasks are persisted, although those of previous
-   * leaders were not to be trusted.
+   * leaders were not to be trusted. Called again at a later tick if it rejects.
    */
-  readonly onComplete: () => void;
+  readonly onComplete: () => Promise<void>;
 }
 
 /**
@@ -68,7 +68,10 @@
 };
 
 export class PlacementLog {
+  /** Whether the placements of all tasks are persisted, or are being persisted. */
   private isComplete: boolean;
+  /** Jobs whose placements became known and are not persisted yet. */
+  private readonly incomplete = new Set<JobRun>();
 
   constructor(private readonly options: PlacementLogOptions) {
     this.isComplete = options.placementsSince !== undefined;
@@ -128,23 +131,30 @@
    * so that the next leader can trust the records. Called at each tick of the engine.
    */
   completeWhenKnown(): void {
-    const { gate, clock, jobs, logger, onComplete } = this.options;
+    const { gate, clock, logger, journal } = this.options;
     if (this.isComplete || !gate.isOpen(clock.monotonic())) return;
     this.isComplete = true;
-    const unknown = jobs
-      .unended()
-      .filter(({ placementEpoch }) => placementEpoch === undefined);
-    for (const job of unknown) this.setKnown(job);
-    // A job without a record counts as never started.
-    const begun = unknown.filter((job) => job.begun || job.isRestored);
-    logger.info("placements.completing", { jobs: begun.length });
-    Promise.all(begun.map((job) => this.persistLater(job))).then(
-      onComplete,
-      (err: unknown) => {
-        // The next leader trusts no placements, and waits for all hosts.
-        logger.warn("placements.incomplete", { error: describeError(err) });
-      },
+    this.complete().catch((err: unknown) => {
+      // Until it succeeds, the next leader trusts no placements, and waits for all hosts.
+      logger.warn("placements.incomplete", { error: describeError(err) });
+      this.isComplete = journal.isClosed;
+    });
+  }
+
+  private async complete(): Promise<void> {
+    const { jobs, logger, onComplete } = this.options;
+    for (const job of jobs.unended()) {
+      if (job.placementEpoch !== undefined) continue;
+      this.setKnown(job);
+      // A job without a record counts as never started.
+      if (job.begun || job.isRestored) this.incomplete.add(job);
+    }
+    logger.info("placements.completing", { jobs: this.incomplete.size });
+    await Promise.all(
+      [...this.incomplete].map((job) => this.persistLater(job)),
     );
+    this.incomplete.clear();
+    await onComplete();
   }
 
   private persistLater(job: JobRun): Promise<void> {
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -165,7 +165,7 @@
    * Called once the placements of all tasks are persisted, although those of previous
    * leaders were not to be trusted.
    */
-  readonly onPlacementsComplete?: () => void;
+  readonly onPlacementsComplete?: () => Promise<void>;
 }
 
 /** A host with the session to its side, if there is one. */
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -394,6 +394,8 @@
   isLeader = true;
   /** How often the engine has reported that the placements of all tasks are persisted. */
   completions = 0;
+  /** Whether that cannot be recorded now. */
+  failsToComplete = false;
   /** Learned records that the engine has stored for the next leader, in order. */
   readonly learned: LearnedRecord[] = [];
   /** Zones under evacuation, in which nothing may be started. */
@@ -452,7 +454,10 @@
       permits: options.permits,
       loadSummaryIntervalMs: options.loadSummaryIntervalMs,
       placementsSince: options.placementsSince,
-      onPlacementsComplete: () => (this.completions += 1),
+      onPlacementsComplete: async () => {
+        if (this.failsToComplete) throw new Error("not persisted");
+        this.completions += 1;
+      },
     });
     this.engine.start();
   }
--- a/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
+++ b/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
@@ -4,6 +4,7 @@
 import { expect } from "earl";
 import {
   decodeProgress,
+  TopicWriter,
   TOPICS,
   type AcceptedJob,
   type StepSpec,
@@ -398,3 +399,28 @@
 test("an announced run with a recorded host is a possible crash", async () => {
   expect(await takeOverAfterAnnouncement(true)).toEqual(2);
 });
+
+// Otherwise the next leader would trust no placements, however long this term lasts.
+test("records that could not be completed are completed at a later tick", async () => {
+  const site = await createSite({}, {});
+  const next = new EngineHarness(optionsOf(site, {}));
+  const writer = TopicWriter.prototype;
+  const { write } = writer;
+  addJobs(next, site);
+  next.engine.attach(site.reporting.host, site.reporting);
+  writer.write = () => ({
+    persisted: Promise.reject(new Error("answer 413")),
+    abandon: () => true,
+  });
+  try {
+    await next.run(ALL_EXPIRED_MS, [site.reporting]);
+  } finally {
+    writer.write = write;
+  }
+  expect(next.completions).toEqual(0);
+  next.failsToComplete = true;
+  await next.run(5 * SOON_MS, [site.reporting]);
+  next.failsToComplete = false;
+  await next.run(5 * SOON_MS, [site.reporting]);
+  expect(next.completions).toEqual(1);
+});
