--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -128,7 +128,7 @@
           ...options,
           jobs,
           placementsSince: options.placementsSince,
-          onComplete: () => options.onPlacementsComplete?.(),
+          onComplete: async () => options.onPlacementsComplete?.(),
         })
       : undefined;
     this.placementLog = placementLog;
--- a/packages/scheduling/tests/placements.test.ts
+++ b/packages/scheduling/tests/placements.test.ts
@@ -10,7 +10,13 @@
   type ProgressRecord,
 } from "@rackspan/state";
 import { silentLogger } from "@rackspan/common";
-import { EngineHarness, taskId, type HarnessOptions } from "./engineHarness.js";
+import { StoreRefusedError } from "@rackspan/ports";
+import {
+  EngineHarness,
+  taskId,
+  type FakeHost,
+  type HarnessOptions,
+} from "./engineHarness.js";
 
 /** Longer than a scheduling cycle, the append of its starts, and their answers. */
 const SOON_MS = 60;
@@ -202,3 +208,87 @@
   expect(failures?.length).toEqual(1);
   expect(placed).toEqual(["h1 0.0:1"]);
 });
+
+/** A gang of two whose placement the store does not record yet, on two of three hosts. */
+const createWithUnsentGang = async () => {
+  const harness = recording();
+  const hosts = [await harness.addHost("h1"), await harness.addHost("h2")];
+  harness.store.fault = "refuses";
+  harness.submit("g", [{ taskCount: 2, gang: true, maxPerHost: 1 }]);
+  await harness.clock.advance(SOON_MS);
+  hosts.push(await harness.addHost("h3"));
+  return { harness, hosts };
+};
+
+const startsOf = (hosts: readonly FakeHost[]): number[] =>
+  hosts.map(({ starts }) => starts.length);
+
+// The end of one member would complete the gang, although the others never ran.
+test("no member of a gang is started if the order of one may not be sent", async () => {
+  const { harness, hosts } = await createWithUnsentGang();
+  const [, second] = hosts;
+  if (second) second.draining = true;
+  await harness.run(SOON_MS);
+  harness.store.fault = "none";
+  await harness.run(OUTAGE_MS);
+  expect(startsOf(hosts)).toEqual([1, 0, 1]);
+  const runs = hosts.flatMap(({ starts }) => starts.map(({ run }) => run));
+  expect(new Set(runs).size).toEqual(1);
+});
+
+test("no member of a gang is started if the run of one was withdrawn before", async () => {
+  const { harness, hosts } = await createWithUnsentGang();
+  hosts[1]?.replaceWorker();
+  await harness.run(SOON_MS, hosts.slice(1, 2));
+  harness.store.fault = "none";
+  await harness.run(OUTAGE_MS);
+  const runs = hosts.flatMap(({ starts }) => starts.map(({ run }) => run));
+  expect(runs.length).toEqual(2);
+  expect(new Set(runs).size).toEqual(1);
+});
+
+// Kept placed, the task would not be started again in this term.
+test("a start is repeated if its record fails for another reason than a takeover", async () => {
+  const harness = recording();
+  const host = await harness.addHost("h1");
+  const { store } = harness;
+  const append = store.append.bind(store);
+  store.append = async (request) => {
+    if (request.topic === TOPICS.progress) throw new Error("answer 413");
+    return append(request);
+  };
+  harness.submit("j", [{}]);
+  await harness.run(SOON_MS);
+  expect(host.starts).toEqual([]);
+  store.append = append;
+  await harness.run(ENGINE.unrecordedPauseMs + SOON_MS);
+  expect(host.starts.length).toEqual(1);
+});
+
+// The host would repeat such ends in all its reports until the next change of leader.
+test("ends are acknowledged once a refused record of their job is written again", async () => {
+  const harness = recording();
+  const host = await harness.addHost("h1");
+  harness.submit("j", [{ taskCount: 2 }, { lasting: true }]);
+  await harness.run(SOON_MS);
+  const writeTogether = TopicWriter.prototype.writeTogether;
+  const write = TopicWriter.prototype.write;
+  const refuse = () => ({
+    persisted: Promise.reject(new StoreRefusedError("full")),
+    abandon: () => true,
+  });
+  TopicWriter.prototype.writeTogether = (records) => records.map(refuse);
+  TopicWriter.prototype.write = refuse;
+  try {
+    host.end(taskId("j.0.0.0"), "failed");
+    await harness.run(SOON_MS);
+    host.end(taskId("j.0.0.1"), "lapsed");
+    await harness.run(SOON_MS);
+    expect(host.acknowledged).toEqual(0);
+  } finally {
+    Object.assign(TopicWriter.prototype, { writeTogether, write });
+  }
+  await harness.run(OUTAGE_MS);
+  expect(host.acknowledged).toEqual(2);
+  expect(lastRecord(harness, "j")?.failures.length).toEqual(1);
+});
--- a/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
+++ b/packages/scheduling/tests/recordedPlacementsAtTakeover.test.ts
@@ -4,6 +4,7 @@
 import { expect } from "earl";
 import {
   decodeProgress,
+  TopicWriter,
   TOPICS,
   type AcceptedJob,
   type StepSpec,
@@ -311,3 +312,115 @@
   expect(startedTasks(reporting)).toEqual(["u.0.0.0"]);
   expect(reporting.stops.map((stop) => String(stop.task))).toInclude(task);
 });
+
+// The host lists the end although its leases were over by the count of the leader.
+test("a task is not started once its earlier run is listed as done before the order is sent", async () => {
+  const site = await createSite();
+  const { missing, reporting } = site;
+  const task = taskId("m.0.0.0");
+  missing.end(task, "done");
+  const next = await takeOver(site);
+  next.store.fault = "refuses";
+  next.engine.handleWorkerSilent(missing.host, 0);
+  await next.run(SOON_MS, [reporting]);
+  next.engine.attach(missing.host, missing);
+  next.reportOf(missing);
+  next.store.fault = "none";
+  await next.run(5 * SOON_MS, [reporting, missing]);
+  expect(startedTasks(reporting)).not.toInclude("m.0.0.0");
+  expect(missing.acknowledged).toEqual(1);
+  const value = next.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === "m")?.value;
+  expect(value && decodeProgress("m", value).state).toEqual("completed");
+});
+
+// Otherwise the work of the earlier run would be lost.
+test("an earlier run that is listed before the order is sent is adopted", async () => {
+  const site = await createSite();
+  const { missing, reporting } = site;
+  const next = await takeOver(site);
+  next.store.fault = "refuses";
+  next.engine.handleWorkerSilent(missing.host, 0);
+  await next.run(SOON_MS, [reporting]);
+  next.engine.attach(missing.host, missing);
+  next.reportOf(missing);
+  next.store.fault = "none";
+  await next.run(5 * SOON_MS, [reporting, missing]);
+  expect(startedTasks(reporting)).not.toInclude("m.0.0.0");
+  expect(missing.stops).toEqual([]);
+  expect(missing.isRunning(taskId("m.0.0.0"))).toEqual(true);
+  const value = next.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === "m")?.value;
+  const progress = value && decodeProgress("m", value);
+  expect(progress?.placed).toEqual(["missing 0.0:0"]);
+});
+
+/** A leader that ends after the given record of a task whose next run is announced. */
+const takeOverAfterAnnouncement = async (isPlaced: boolean) => {
+  const previous = new EngineHarness({ policy });
+  const first = await previous.addHost("h1");
+  const job = previous.submit("j", [{}]);
+  await previous.run(SOON_MS);
+  first.replaceWorker();
+  await previous.run(1_500);
+  const record = previous.store
+    .recordsOf(TOPICS.progress)
+    .flatMap(({ key, value }) =>
+      key === "j" && value ? [decodeProgress("j", value)] : [],
+    )
+    .find(
+      ({ announced, placed = [] }) =>
+        announced.length > 0 && placed.length > 0 === isPlaced,
+    );
+  expect(record?.announced.length).toEqual(1);
+  previous.isLeader = false;
+  previous.engine.stop();
+  const site = { previous, jobs: [], reporting: first, missing: first };
+  const next = new EngineHarness(
+    optionsOf(site, { placementsSince: 1, roster: [] }),
+  );
+  next.engine.addJob(job, record);
+  const other = await next.addHost("h5");
+  await next.run(2 * SOON_MS);
+  expect(other.starts.length).toEqual(1);
+  const value = next.store
+    .recordsOf(TOPICS.progress)
+    .findLast(({ key }) => key === "j")?.value;
+  return value && decodeProgress("j", value).crashes[0]?.[1].length;
+};
+
+// The host of a run is recorded before its order is sent.
+test("an announced run without a recorded host is no possible crash", async () => {
+  expect(await takeOverAfterAnnouncement(false)).toEqual(1);
+});
+
+test("an announced run with a recorded host is a possible crash", async () => {
+  expect(await takeOverAfterAnnouncement(true)).toEqual(2);
+});
+
+// Otherwise the next leader would trust no placements, however long this term lasts.
+test("records that could not be completed are completed at a later tick", async () => {
+  const site = await createSite({}, {});
+  const next = new EngineHarness(optionsOf(site, {}));
+  const writer = TopicWriter.prototype;
+  const { write } = writer;
+  addJobs(next, site);
+  next.engine.attach(site.reporting.host, site.reporting);
+  writer.write = () => ({
+    persisted: Promise.reject(new Error("answer 413")),
+    abandon: () => true,
+  });
+  try {
+    await next.run(ALL_EXPIRED_MS, [site.reporting]);
+  } finally {
+    writer.write = write;
+  }
+  expect(next.completions).toEqual(0);
+  next.failsToComplete = true;
+  await next.run(5 * SOON_MS, [site.reporting]);
+  next.failsToComplete = false;
+  await next.run(5 * SOON_MS, [site.reporting]);
+  expect(next.completions).toEqual(1);
+});
