Forwarding: a query does not report a job missing that was just accepted

An entry without the store answered a state query from its own stale view when the query could not be passed on, so that a job accepted through another entry was reported as no-such-job (410). An entry whose store had fallen silent did the same for queries of other entries. Now a job that is missing in the own view while store calls fail is answered with a refusal (503), the serving entry requires a view that was read since the query arrived, and its no-such-job does not override an own view that contains the job.

--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -124,7 +124,7 @@
 });
 
 /** The requests of callers, and what their listener must know to serve them. */
-export type JobRequests = Pick<JobService, keyof JobService>;
+export type JobRequests = Omit<JobService, "confirmedState" | "stateInView">;
 
 export class JobService {
   constructor(private readonly options: JobServiceOptions) {}
@@ -224,12 +224,12 @@
   }
 
   /**
-   * The state of a job that is to be cancelled. `no-such-job` is returned only if the
-   * view was read from the store after the cancel arrived: a caller that receives it
-   * considers the job cancelled, while another entry may have accepted the job since
-   * the last read.
+   * The state of a job for a cancel, or for an entry without the store. `no-such-job` is
+   * returned only if the view was read from the store after the request arrived: another
+   * entry may have accepted the job since the last read, and a caller whose cancel
+   * receives it considers the job cancelled.
    */
-  private async stateForCancel(
+  async confirmedState(
     queue: QueueKey,
     id: JobId,
     deadline: Monotonic,
@@ -243,6 +243,11 @@
     return refused("the store could not be asked whether the job exists");
   }
 
+  /** The state of a job in any queue; undefined if the view does not contain the job. */
+  stateInView(id: JobId): JobStateName | undefined {
+    return this.options.view.stateOf(id);
+  }
+
   private knownState(queue: QueueKey, id: JobId): JobStateOutcome | undefined {
     const { view } = this.options;
     const entry = view.get(id);
@@ -285,7 +290,7 @@
     deadline: Monotonic,
   ): Promise<JobRequestOutcome> {
     const startedAt = this.options.clock.monotonic();
-    const found = await this.stateForCancel(queue, id, deadline);
+    const found = await this.confirmedState(queue, id, deadline);
     const outcome = await this.cancelByState(found, id, deadline);
     return this.recordOutcome("cancel", id, outcome, startedAt);
   }
--- a/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
+++ b/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
@@ -25,6 +25,7 @@
   jobTermsOf,
   type JobRequestOutcome,
   type JobRequests,
+  type JobService,
   type JobStateOutcome,
 } from "../JobService.js";
 import {
@@ -52,7 +53,7 @@
 
 export interface ForwardingJobServiceOptions {
   /** This entry's own job service. */
-  readonly jobService: JobRequests;
+  readonly jobService: JobRequests & Pick<JobService, "stateInView">;
   readonly directory: PeerDirectory;
   readonly transport: PeerTransport;
   readonly storeCalls: Pick<StoreCallMonitor, "failingSince">;
@@ -128,20 +129,37 @@
     deadline: Monotonic,
   ): Promise<JobStateOutcome> {
     const { jobService } = this.options;
+    const attempt = () => this.ownState(queue, job, deadline);
     const outcome = await this.answer(
       () => ({ kind: "state", queue, job }),
       deadline,
-      () => jobService.state(queue, job, deadline),
+      attempt,
     );
     // A lost answer to a query leaves nothing unknown; the caller may ask again.
-    if (outcome.kind !== "unknown") return outcome as JobStateOutcome;
-    const { reason } = outcome;
-    return {
-      kind: "refused",
-      cause: "unavailable",
-      reason,
-      retryAfterMs: JOB_SERVICE.retryAfterMs,
-    };
+    if (outcome.kind === "unknown") return refused(outcome.reason);
+    // The other entry's view may lack a job that this entry has accepted or read.
+    const isKnownHere = jobService.stateInView(job) !== undefined;
+    if (outcome.kind === "no-such-job" && isKnownHere) return attempt();
+    return outcome as JobStateOutcome;
+  }
+
+  /**
+   * The state by this entry's own view. A job that is missing in it while store calls
+   * fail may have been accepted by another entry, also by one that this entry passed the
+   * submission on to.
+   */
+  private async ownState(
+    queue: QueueKey,
+    job: JobId,
+    deadline: Monotonic,
+  ): Promise<JobStateOutcome> {
+    const { jobService, storeCalls } = this.options;
+    const outcome = await jobService.state(queue, job, deadline);
+    const isReliable =
+      storeCalls.failingSince === undefined ||
+      jobService.stateInView(job) !== undefined;
+    if (outcome.kind !== "no-such-job" || isReliable) return outcome;
+    return refused("the store could not be asked whether the job exists");
   }
 
   /** Whether this entry's calls to the store have failed for long enough. */
@@ -280,6 +298,14 @@
   }
 }
 
+const refused = (reason: string) =>
+  ({
+    kind: "refused",
+    cause: "unavailable",
+    reason,
+    retryAfterMs: JOB_SERVICE.retryAfterMs,
+  }) as const;
+
 /**
  * Whether an outcome of an entry that is cut off by now calls for another entry: a
  * refusal does, and so does a job that is missing in a view that was not refreshed.
@@ -298,9 +324,6 @@
   const reason = err instanceof Error ? err.message : String(err);
   const isNotServed =
     err instanceof RemoteError && err.remoteKind === NotServingPeersError.kind;
-  if (err instanceof ConnectError || isNotServed) {
-    const { retryAfterMs } = JOB_SERVICE;
-    return { kind: "refused", cause: "unavailable", reason, retryAfterMs };
-  }
+  if (err instanceof ConnectError || isNotServed) return refused(reason);
   return { kind: "unknown", reason };
 };
--- a/packages/entry/src/jobs/forwarding/PeerRequestHandler.ts
+++ b/packages/entry/src/jobs/forwarding/PeerRequestHandler.ts
@@ -22,7 +22,7 @@
 export type PeerHandlers = Handlers<typeof peerMethods>;
 
 export interface PeerRequestHandlerOptions {
-  readonly jobService: Pick<JobService, "submit" | "cancel" | "state">;
+  readonly jobService: Pick<JobService, "submit" | "cancel" | "confirmedState">;
   readonly config: Pick<ConfigHolder, "getQueue">;
   readonly directory: PeerDirectory;
   readonly storeCalls: Pick<StoreCallMonitor, "failingSince">;
@@ -94,7 +94,7 @@
       case "cancel":
         return jobService.cancel(queue, job, deadline);
       case "state":
-        return jobService.state(queue, job, deadline);
+        return jobService.confirmedState(queue, job, deadline);
       case "submit": {
         const spec = config.getQueue(queue);
         if (!spec) return refused("the other entry does not know the queue");
