Forwarding: a job in the own view is not asked for at other entries

An entry without the store passed on also requests that its own view answers: a repeated submission and a query of a known job, and the cancel of a job that has ended. If the other entry's answer was lost, the caller received unknown (504) or a refusal (503) instead, and an id that belongs to a job of another queue reached an entry that may not have read that job. These requests are now answered here.

Four of the five new tests fail without the change (1 instead of 0 calls to the other entry, unknown instead of accepted), and all pass with it.

--- a/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
+++ b/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
@@ -15,6 +15,7 @@
 import { ConnectError, RemoteError } from "@rackspan/protocol";
 import {
   encodeJob,
+  isFinalState,
   type JobId,
   type JobSpec,
   type QueueKey,
@@ -37,6 +38,7 @@
   decideForward,
   FORWARD,
   isCutOff,
+  type ForwardedKind,
   type KeepReason,
 } from "./decideForward.js";
 import type { PeerDirectory, Peer } from "./PeerDirectory.js";
@@ -106,8 +108,12 @@
         record: encodeJob(job).toString("utf8"),
       };
     };
-    return this.answer(toRequest, deadline, () =>
-      jobService.submit(queue, spec, deadline),
+    const attempt = () => jobService.submit(queue, spec, deadline);
+    if (this.isAnsweredHere("submit", spec.id)) return attempt();
+    return this.answer(
+      toRequest,
+      deadline,
+      attempt,
     ) as Promise<JobRequestOutcome>;
   }
 
@@ -118,8 +124,12 @@
   ): Promise<JobRequestOutcome> {
     const { jobService } = this.options;
     const toRequest = (): PeerRequest => ({ kind: "cancel", queue, job });
-    return this.answer(toRequest, deadline, () =>
-      jobService.cancel(queue, job, deadline),
+    const attempt = () => jobService.cancel(queue, job, deadline);
+    if (this.isAnsweredHere("cancel", job)) return attempt();
+    return this.answer(
+      toRequest,
+      deadline,
+      attempt,
     ) as Promise<JobRequestOutcome>;
   }
 
@@ -128,8 +138,8 @@
     job: JobId,
     deadline: Monotonic,
   ): Promise<JobStateOutcome> {
-    const { jobService } = this.options;
     const attempt = () => this.ownState(queue, job, deadline);
+    if (this.isAnsweredHere("state", job)) return attempt();
     const outcome = await this.answer(
       () => ({ kind: "state", queue, job }),
       deadline,
@@ -138,8 +148,8 @@
     // A lost answer to a query leaves nothing unknown; the caller may ask again.
     if (outcome.kind === "unknown") return refused(outcome.reason);
     // The other entry's view may lack a job that this entry has accepted or read.
-    const isKnownHere = jobService.stateInView(job) !== undefined;
-    if (outcome.kind === "no-such-job" && isKnownHere) return attempt();
+    if (outcome.kind === "no-such-job" && this.isAnsweredHere("state", job))
+      return attempt();
     return outcome as JobStateOutcome;
   }
 
@@ -168,6 +178,17 @@
     return isCutOff(storeCalls.failingSince, clock.monotonic());
   }
 
+  /**
+   * Whether the own view suffices to answer the request. Passing it on could only lose
+   * the answer, or reach an entry that has not read the job yet.
+   */
+  private isAnsweredHere(kind: ForwardedKind, job: JobId): boolean {
+    const state = this.options.jobService.stateInView(job);
+    if (state === undefined) return false;
+    // The cancel of a job that has not ended must be persisted.
+    return kind !== "cancel" || isFinalState(state);
+  }
+
   private async answer(
     toRequest: () => PeerRequest,
     deadline: Monotonic,
--- a/packages/entry/tests/forwardedState.test.ts
+++ b/packages/entry/tests/forwardedState.test.ts
@@ -2,10 +2,14 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
+import { brand } from "@rackspan/common";
+import { TOPICS, type QueueKey } from "@rackspan/state";
 import {
   ForwardingSite,
+  QUEUE,
   QUEUE_KEY,
   specOf,
+  type PeerLink,
   type SiteEntry,
 } from "./createForwardingSite.js";
 
@@ -98,3 +102,69 @@
     await site.stop();
   }
 });
+
+/** A site whose `entry-1` has accepted the job, and then lost the store. */
+const withKnownJob = async (peerLink: PeerLink): Promise<ForwardingSite> => {
+  const site = await ForwardingSite.create(2);
+  const entry = site.entry(1);
+  expect((await settle(site, entry.submit(7))).kind).toEqual("accepted");
+  entry.linkedStore.link = "refused";
+  await site.clock.advance(1_850);
+  site.entry(0).peerLink = peerLink;
+  return site;
+};
+
+for (const link of ["loses-answers", "ends-in-between"] as const) {
+  // Passed on, they would be answered 504 and 503 after up to the caller's whole time.
+  test(`a repeated submission and a query of a job in the own view are answered here (${link})`, async () => {
+    const site = await withKnownJob(link);
+    const entry = site.entry(1);
+    const startedAt = site.clock.monotonic();
+    expect(await settle(site, entry.submit(7))).toEqual({ kind: "accepted" });
+    const state = await settle(site, queryState(site, entry));
+    expect(state).toEqual({ kind: "known", state: "queued" });
+    expect(site.clock.monotonic() - startedAt <= 10).toEqual(true);
+    expect(site.entry(0).served).toEqual(0);
+    await site.stop();
+  });
+}
+
+// The other entry may not have read the job yet, and would replace its record.
+test("a submission with the id of a job of another queue is refused here", async () => {
+  const site = await withKnownJob("up");
+  const queue = brand<QueueKey>("other");
+  const submission = site
+    .entry(1)
+    .forwarding.submit(
+      { ...QUEUE, key: queue },
+      { ...specOf(7), queue },
+      site.clock.monotonic() + CALLER_MS,
+    );
+  const outcome = await settle(site, submission);
+  expect(outcome.kind === "refused" && outcome.reason).toEqual(
+    "the id belongs to a job of another queue",
+  );
+  expect(site.entry(0).served).toEqual(0);
+  await site.stop();
+});
+
+const cancel = (site: ForwardingSite) =>
+  site
+    .entry(1)
+    .forwarding.cancel(QUEUE_KEY, JOB, site.clock.monotonic() + CALLER_MS);
+
+test("the cancel of a job that has ended is accepted here", async () => {
+  const site = await withKnownJob("loses-answers");
+  site.entry(1).own.view.addCancel(JOB, site.clock.now());
+  expect(await settle(site, cancel(site))).toEqual({ kind: "accepted" });
+  expect(site.entry(0).served).toEqual(0);
+  await site.stop();
+});
+
+// It has to be persisted.
+test("the cancel of a job that has not ended is passed on although the view contains it", async () => {
+  const site = await withKnownJob("up");
+  expect(await settle(site, cancel(site))).toEqual({ kind: "accepted" });
+  expect(site.store.recordsOf(TOPICS.cancels).length).toEqual(1);
+  await site.stop();
+});
