Peer connections: stop() closes all connections and none is opened after it

A connection over which an answer was lost was forgotten, so that stop() left it open until its idle time-out of 4 s, and a call after stop() opened a new one.

Of 3 connections with a lost answer, 3 were open 300 ms after stop() before the change and none after it.

--- a/packages/entry/src/jobs/forwarding/PeerConnections.ts
+++ b/packages/entry/src/jobs/forwarding/PeerConnections.ts
@@ -43,7 +43,10 @@
 }
 
 export class PeerConnections implements PeerTransport {
+  /** The connection over which an entry is called. */
   private readonly open = new Map<string, Promise<PeerConnection>>();
+  /** All connections, including those that are not used for further calls. */
+  private readonly connections = new Set<PeerConnection>();
   private isStopped = false;
 
   constructor(private readonly options: PeerConnectionsOptions) {}
@@ -74,12 +77,7 @@
 
   stop(): void {
     this.isStopped = true;
-    for (const pending of this.open.values()) {
-      pending.then(
-        (connection) => connection.close("stopping"),
-        () => undefined,
-      );
-    }
+    for (const connection of this.connections) connection.close("stopping");
     this.open.clear();
   }
 
@@ -107,6 +105,7 @@
     timeoutMs: number,
   ): Promise<PeerConnection> {
     const { clock, logger } = this.options;
+    if (this.isStopped) throw new ConnectError(address, "stopping");
     const waitMs = Math.min(CONNECTIONS.connectTimeoutMs, timeoutMs);
     const socket = await openSocket(address, waitMs, clock);
     const connection = new JsonRpcConnection({
@@ -118,6 +117,9 @@
       clock,
       logger,
     });
+    this.connections.add(connection);
+    void connection.closed.then(() => this.connections.delete(connection));
+    // Stopped while it was being opened.
     if (this.isStopped) connection.close("stopping");
     return connection;
   }
--- a/packages/entry/tests/peerConnections.test.ts
+++ b/packages/entry/tests/peerConnections.test.ts
@@ -2,6 +2,7 @@
 
 import { once } from "node:events";
 import { createServer, type Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import { test } from "node:test";
 import { expect } from "earl";
 import {
@@ -168,3 +169,46 @@
   peers.stop();
   await server.stop();
 });
+
+/** A server that never answers, and the sockets of the connections to it. */
+const openSilentServer = async () => {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.resume();
+    socket.on("error", () => undefined);
+    socket.on("close", () => sockets.delete(socket));
+  }).listen(0, ADDRESS);
+  await once(server, "listening");
+  return { server, sockets, address: addressOf(server) };
+};
+
+// They would keep the process of a stopping entry running until their idle time-out.
+test("connections over which an answer was lost are closed by stop()", async () => {
+  const { server, sockets, address } = await openSilentServer();
+  const peers = createConnections();
+  for (let n = 0; n < 3; n += 1)
+    await failureOf(peers.call(address, "forward", CANCEL, 100));
+  const before = sockets.size;
+  peers.stop();
+  await delay(300);
+  const after = sockets.size;
+  for (const socket of sockets) socket.destroy();
+  server.close();
+  expect([before, after]).toEqual([3, 0]);
+});
+
+test("no connection is opened once stopped", async () => {
+  const { server, sockets, address } = await openSilentServer();
+  let opened = 0;
+  server.on("connection", () => (opened += 1));
+  const peers = createConnections();
+  peers.stop();
+  const err = await failureOf(peers.call(address, "forward", CANCEL, 100));
+  await delay(50);
+  for (const socket of sockets) socket.destroy();
+  server.close();
+  // Nothing was sent, so the request may be refused.
+  expect(err instanceof ConnectError).toEqual(true);
+  expect(opened).toEqual(0);
+});
