Forwarding: refuse a record whose queue is not that of the request

The serving entry looked up the terms of the request's queue and submitted the record, whose queue could be another one. The test was answered accepted before the change and is refused with it.

--- a/packages/entry/src/jobs/forwarding/PeerRequestHandler.ts
+++ b/packages/entry/src/jobs/forwarding/PeerRequestHandler.ts
@@ -102,6 +102,8 @@
           String(job),
           Buffer.from(request.record),
         );
+        if (jobSpec.queue !== queue)
+          return refused("the record is of a job of another queue");
         return jobService.submit(spec, jobSpec, deadline);
       }
     }
--- a/packages/entry/tests/forwarding.test.ts
+++ b/packages/entry/tests/forwarding.test.ts
@@ -2,8 +2,9 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
+import { brand } from "@rackspan/common";
 import { FORWARD, jobTermsOf } from "@rackspan/entry";
-import { encodeJob, TOPICS } from "@rackspan/state";
+import { encodeJob, TOPICS, type QueueKey } from "@rackspan/state";
 import {
   ForwardingSite,
   QUEUE,
@@ -158,6 +159,22 @@
   });
 });
 
+// The job would run in a queue whose terms it was not given.
+test("a forwarded record of another queue is refused", async () => {
+  await withCutOffEntry(2, "up", 0, async (site) => {
+    const spec = { ...specOf(7), queue: brand<QueueKey>("other") };
+    const job = { spec, acceptedAt: 0, terms: jobTermsOf(QUEUE) };
+    const record = encodeJob(job).toString("utf8");
+    const ids = { queue: QUEUE_KEY, job: spec.id };
+    const request = { kind: "submit", ...ids, record } as const;
+    const { handlers } = site.entry(0).handler;
+    const answer = handlers.forward({ request, remainingMs: 3_000 });
+    const outcome = await settle(site, Promise.resolve(answer));
+    expect(outcome.kind).toEqual("refused");
+    expect(jobsIn(site)).toEqual([]);
+  });
+});
+
 test("a submission with too little time left is answered as without forwarding", async () => {
   await withCutOffEntry(2, "refused", 1_000, async (site) => {
     const outcome = await settle(site, site.entry(1).submit(7, 300));
