Side server: a host's connection does not count as that of another entry

A connection over which a host had attached was kept open after the lead was lost if an entry's method had been called over it, so that the host did not look for the next leader.

--- a/packages/entry/src/jobs/SideServer.ts
+++ b/packages/entry/src/jobs/SideServer.ts
@@ -152,8 +152,7 @@
 /** One connected side, or another entry. */
 class SideSession implements HostSession {
   readonly closed: Promise<void>;
-  /** Whether another entry has called over this connection. */
-  isPeer = false;
+  private hasPeerCalled = false;
   private readonly connection: SideConnection;
   private attachment: Attachment | undefined;
 
@@ -210,6 +209,11 @@
     return this.attachment?.host;
   }
 
+  /** Whether only another entry uses this connection, and no host. */
+  get isPeer(): boolean {
+    return this.hasPeerCalled && !this.attachment;
+  }
+
   close(reason: string): void {
     this.connection.close(reason);
   }
@@ -266,7 +270,7 @@
   private requirePeerHandlers(): PeerHandlers {
     const { peerHandlers } = this.options;
     if (!peerHandlers) throw new NotServingPeersError();
-    this.isPeer = true;
+    this.hasPeerCalled = true;
     return peerHandlers();
   }
 
--- a/packages/entry/tests/sideServer.test.ts
+++ b/packages/entry/tests/sideServer.test.ts
@@ -11,6 +11,7 @@
   sleep,
   SystemClock,
   type AvailabilityZone,
+  type EntryId,
   type Epoch,
   type HostId,
   type ListenAddress,
@@ -18,7 +19,7 @@
   type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
-import { SideServer, type ActiveTerm } from "@rackspan/entry";
+import { peerMethods, SideServer, type ActiveTerm } from "@rackspan/entry";
 import {
   addressOf,
   hostMethods,
@@ -91,7 +92,7 @@
   return new JsonRpcConnection({
     socket,
     servedMethods: hostMethods,
-    calledMethods: leaderMethods,
+    calledMethods: { ...leaderMethods, ...peerMethods },
     handlers: {
       startTask: () => ({ kind: "silent" }) as const,
       stopTask: () => ({ kind: "silent" }) as const,
@@ -113,7 +114,11 @@
   side.call("report", reportOf(instance), TIMEOUT_MS);
 
 const withServer = async (
-  run: (listen: ListenAddress, probe: EngineProbe) => Promise<void>,
+  run: (
+    listen: ListenAddress,
+    probe: EngineProbe,
+    server: SideServer,
+  ) => Promise<void>,
 ): Promise<void> => {
   const listen = { address: ADDRESS, port: await freePort() };
   const probe = new EngineProbe();
@@ -124,12 +129,16 @@
   const server = new SideServer({
     listen,
     activeTerm: () => leading,
+    peerHandlers: () => ({
+      announce: () => ({ ready: true, peers: [] }),
+      forward: () => ({ kind: "accepted" }),
+    }),
     clock: new SystemClock(),
     logger: silentLogger,
   });
   await server.start();
   try {
-    await run(listen, probe);
+    await run(listen, probe, server);
   } finally {
     await server.stop();
   }
@@ -173,3 +182,17 @@
     present.close("the test is over");
   });
 });
+
+// Its host would keep to an entry that no longer leads.
+test("the connection of a host that has also called as an entry is closed when the lead is lost", async () => {
+  await withServer(async (listen, _probe, server) => {
+    const side = await openSide(listen);
+    await attach(side);
+    const self = { entry: brand<EntryId>("e"), address: "10.0.0.1:1" };
+    await side.call("announce", { ...self, ready: true }, TIMEOUT_MS);
+    server.disconnectAll("group-changed");
+    const timedOut = sleep(new SystemClock(), TIMEOUT_MS).then(() => "open");
+    const closed = side.closed.then(() => "closed");
+    expect(await Promise.race([closed, timedOut])).toEqual("closed");
+  });
+});
