--- a/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
+++ b/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
@@ -15,6 +15,7 @@
 import { ConnectError, RemoteError } from "@rackspan/protocol";
 import {
   encodeJob,
+  isFinalState,
   type JobId,
   type JobSpec,
   type QueueKey,
@@ -25,6 +26,7 @@
   jobTermsOf,
   type JobRequestOutcome,
   type JobRequests,
+  type JobService,
   type JobStateOutcome,
 } from "../JobService.js";
 import {
@@ -36,6 +38,7 @@
   decideForward,
   FORWARD,
   isCutOff,
+  type ForwardedKind,
   type KeepReason,
 } from "./decideForward.js";
 import type { PeerDirectory, Peer } from "./PeerDirectory.js";
@@ -52,7 +55,7 @@
 
 export interface ForwardingJobServiceOptions {
   /** This entry's own job service. */
-  readonly jobService: JobRequests;
+  readonly jobService: JobRequests & Pick<JobService, "stateInView">;
   readonly directory: PeerDirectory;
   readonly transport: PeerTransport;
   readonly storeCalls: Pick<StoreCallMonitor, "failingSince">;
@@ -105,8 +108,12 @@
         record: encodeJob(job).toString("utf8"),
       };
     };
-    return this.answer(toRequest, deadline, () =>
-      jobService.submit(queue, spec, deadline),
+    const attempt = () => jobService.submit(queue, spec, deadline);
+    if (this.isAnsweredHere("submit", spec.id)) return attempt();
+    return this.answer(
+      toRequest,
+      deadline,
+      attempt,
     ) as Promise<JobRequestOutcome>;
   }
 
@@ -117,8 +124,12 @@
   ): Promise<JobRequestOutcome> {
     const { jobService } = this.options;
     const toRequest = (): PeerRequest => ({ kind: "cancel", queue, job });
-    return this.answer(toRequest, deadline, () =>
-      jobService.cancel(queue, job, deadline),
+    const attempt = () => jobService.cancel(queue, job, deadline);
+    if (this.isAnsweredHere("cancel", job)) return attempt();
+    return this.answer(
+      toRequest,
+      deadline,
+      attempt,
     ) as Promise<JobRequestOutcome>;
   }
 
@@ -127,21 +138,38 @@
     job: JobId,
     deadline: Monotonic,
   ): Promise<JobStateOutcome> {
-    const { jobService } = this.options;
+    const attempt = () => this.ownState(queue, job, deadline);
+    if (this.isAnsweredHere("state", job)) return attempt();
     const outcome = await this.answer(
       () => ({ kind: "state", queue, job }),
       deadline,
-      () => jobService.state(queue, job, deadline),
+      attempt,
     );
     // A lost answer to a query leaves nothing unknown; the caller may ask again.
-    if (outcome.kind !== "unknown") return outcome as JobStateOutcome;
-    const { reason } = outcome;
-    return {
-      kind: "refused",
-      cause: "unavailable",
-      reason,
-      retryAfterMs: JOB_SERVICE.retryAfterMs,
-    };
+    if (outcome.kind === "unknown") return refused(outcome.reason);
+    // The other entry's view may lack a job that this entry has accepted or read.
+    if (outcome.kind === "no-such-job" && this.isAnsweredHere("state", job))
+      return attempt();
+    return outcome as JobStateOutcome;
+  }
+
+  /**
+   * The state by this entry's own view. A job that is missing in it while store calls
+   * fail may have been accepted by another entry, also by one that this entry passed the
+   * submission on to.
+   */
+  private async ownState(
+    queue: QueueKey,
+    job: JobId,
+    deadline: Monotonic,
+  ): Promise<JobStateOutcome> {
+    const { jobService, storeCalls } = this.options;
+    const outcome = await jobService.state(queue, job, deadline);
+    const isReliable =
+      storeCalls.failingSince === undefined ||
+      jobService.stateInView(job) !== undefined;
+    if (outcome.kind !== "no-such-job" || isReliable) return outcome;
+    return refused("the store could not be asked whether the job exists");
   }
 
   /** Whether this entry's calls to the store have failed for long enough. */
@@ -150,6 +178,17 @@
     return isCutOff(storeCalls.failingSince, clock.monotonic());
   }
 
+  /**
+   * Whether the own view suffices to answer the request. Passing it on could only lose
+   * the answer, or reach an entry that has not read the job yet.
+   */
+  private isAnsweredHere(kind: ForwardedKind, job: JobId): boolean {
+    const state = this.options.jobService.stateInView(job);
+    if (state === undefined) return false;
+    // The cancel of a job that has not ended must be persisted.
+    return kind !== "cancel" || isFinalState(state);
+  }
+
   private async answer(
     toRequest: () => PeerRequest,
     deadline: Monotonic,
@@ -280,6 +319,14 @@
   }
 }
 
+const refused = (reason: string) =>
+  ({
+    kind: "refused",
+    cause: "unavailable",
+    reason,
+    retryAfterMs: JOB_SERVICE.retryAfterMs,
+  }) as const;
+
 /**
  * Whether an outcome of an entry that is cut off by now calls for another entry: a
  * refusal does, and so does a job that is missing in a view that was not refreshed.
@@ -298,9 +345,6 @@
   const reason = err instanceof Error ? err.message : String(err);
   const isNotServed =
     err instanceof RemoteError && err.remoteKind === NotServingPeersError.kind;
-  if (err instanceof ConnectError || isNotServed) {
-    const { retryAfterMs } = JOB_SERVICE;
-    return { kind: "refused", cause: "unavailable", reason, retryAfterMs };
-  }
+  if (err instanceof ConnectError || isNotServed) return refused(reason);
   return { kind: "unknown", reason };
 };
