Tests: refusals count from their decision and take effect when confirmed

Guards the single decision for each refusal: callers who are refused while the jobs topic is read get successive times, and a job whose record is being written is not refused.

--- a/packages/routing/tests/admission.test.ts
+++ b/packages/routing/tests/admission.test.ts
@@ -430,6 +430,25 @@
   expect(admit("b") !== undefined).toEqual(true);
 });
 
+// Guards against equal return times, and against a refusal of an accepted job.
+test("a refusal counts from its decision, and takes effect when it is confirmed", async () => {
+  const { controller, admit, metrics } = createController();
+  const propose = (id: string) => {
+    const { spec, terms } = jobOf(id);
+    return controller.propose(spec, terms);
+  };
+  const [a, b, c] = ["a", "b", "c"].map(propose);
+  expect(await metrics.total("admission_decisions")).toEqual(0);
+  expect(a?.confirm()?.retryAfterMs).toEqual(1_000);
+  expect(b?.confirm()?.retryAfterMs).toEqual(2_000);
+  // Another request of the same job has begun to write its record.
+  controller.handleWriting(brand<JobId>("c"));
+  expect(c?.confirm()).toEqual(undefined);
+  propose("d")?.withdraw("known");
+  // Neither c nor d precedes the next one.
+  expect(admit("e")).toEqual(3_000);
+});
+
 test("jobs that follow a permit rule, repeat or have lasting steps are not refused", () => {
   const { controller } = createController();
   const terms = { priority: 2 };
