Scheduling: no order is sent beside an isolated run

A run that waited for its record was ordered although a suspect task had got an isolated start on the same host, so a crash of that worker could not be attributed. Such a run is now withdrawn. The new test in placements.test.ts fails without the rule; the 53 tests of placements, recorded placements, isolated starts and crashes pass.

--- a/packages/jobs/src/HostState.ts
+++ b/packages/jobs/src/HostState.ts
@@ -200,6 +200,13 @@
     return false;
   }
 
+  /** Whether a run there other than the given one is isolated. */
+  hasIsolatedRunBeside(other: ActiveRun): boolean {
+    for (const run of this.isolatedRuns)
+      if (run !== other && isIsolated(run)) return true;
+    return false;
+  }
+
   /** Whether the leader counts the run as active on this host. */
   has(run: ActiveRun): boolean {
     return this.runs.get(runKeyOf(runRefOf(run))) === run;
--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -175,7 +175,7 @@
       const { ticket } = this.currentOrderFields(host, run);
       const needsTicket = this.unsentFields.get(run)?.ticket !== undefined;
       if (needsTicket && ticket === undefined) return "ticket-expired";
-      const reason = orderBlockedReason(host, context);
+      const reason = orderBlockedReason(host, run, context);
       if (reason) return reason;
     }
     return undefined;
--- a/packages/scheduling/src/usableHosts.ts
+++ b/packages/scheduling/src/usableHosts.ts
@@ -5,7 +5,7 @@
   type AvailabilityZone,
   type Monotonic,
 } from "@rackspan/common";
-import type { HostState } from "@rackspan/jobs";
+import type { ActiveRun, HostState } from "@rackspan/jobs";
 import type { OutlierEjector } from "@rackspan/routing";
 import { ENGINE, type HostEntry } from "./engineTypes.js";
 
@@ -74,15 +74,19 @@
   "not-reported",
 ];
 
-/** @returns why no order may be sent to the host for a task that is placed there */
+/** @returns why no order may be sent to the host for a run that is placed there */
 export const orderBlockedReason = (
   entry: HostEntry,
+  run: ActiveRun,
   context: HostRuleContext,
-): ClosedReason | undefined =>
-  HOST_RULES.find(
+): ClosedReason | undefined => {
+  // The host was reserved for a suspect task after the run was placed.
+  if (entry.hostState.hasIsolatedRunBeside(run)) return "holds-suspect";
+  return HOST_RULES.find(
     ({ reason, closes }) =>
       !RULES_FOR_PLACING.includes(reason) && closes(entry, context),
   )?.reason;
+};
 
 export interface UsableHostsOptions extends HostRuleContext {
   readonly entries: Iterable<HostEntry>;
--- a/packages/scheduling/tests/placements.test.ts
+++ b/packages/scheduling/tests/placements.test.ts
@@ -11,6 +11,7 @@
 } from "@rackspan/state";
 import { silentLogger } from "@rackspan/common";
 import { StoreRefusedError } from "@rackspan/ports";
+import { plainJob } from "@rackspan/standins";
 import {
   EngineHarness,
   taskId,
@@ -292,3 +293,29 @@
   expect(host.acknowledged).toEqual(2);
   expect(lastRecord(harness, "j")?.failures.length).toEqual(1);
 });
+
+// A crash of the worker could not be attributed to the suspect task alone.
+test("a run whose order was not sent is withdrawn if its host gets an isolated run", async () => {
+  const harness = recording();
+  const host = await harness.addHost("h1");
+  const submit = (id: string, priority: number): void => {
+    const acceptedAt = harness.clock.now();
+    const job = plainJob({ id, steps: [{}], terms: { priority }, acceptedAt });
+    harness.engine.addJob(job, undefined);
+  };
+  submit("s", 2);
+  await harness.run(SOON_MS);
+  host.replaceWorker();
+  host.draining = true;
+  await harness.run(2 * OUTAGE_MS);
+  expect(lastRecord(harness, "s")?.announced.length).toEqual(1);
+  harness.store.fault = "refuses";
+  submit("a", 0);
+  host.draining = false;
+  await harness.run(SOON_MS);
+  harness.store.fault = "none";
+  await harness.run(2 * SOON_MS);
+  const started = host.starts.map(({ task }) => String(task));
+  expect(started).toEqual(["s.0.0.0", "s.0.0.0"]);
+  expect(await harness.metrics.total("placements_unsent")).toEqual(1);
+});
