Entry: a leader takes the progress of a job that it reads late

Leadership passed no progress for a job whose record arrives after the term has begun. If the topic of progress was read first, a started or ended job counted as new. The new test in leadership.test.ts fails without the change (the ended job was recorded as cancelled); the 14 tests of the file pass.

--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -279,9 +279,10 @@
           return;
         }
         const { id } = change.job.spec;
-        engine.addJob(change.job, undefined);
-        // The two topics are read independently, so the cancel may have arrived first.
-        if (view.get(id)?.cancelled) engine.cancelJob(id);
+        // The topics are read independently, so progress and cancel may have arrived first.
+        const entry = view.get(id);
+        engine.addJob(change.job, entry?.progress);
+        if (entry?.cancelled) engine.cancelJob(id);
       }),
       config.changes.on(() => engine.handleOperatorChange()),
       zones.changes.on(() => engine.handleOperatorChange()),
--- a/packages/entry/tests/leadership.test.ts
+++ b/packages/entry/tests/leadership.test.ts
@@ -30,6 +30,7 @@
   decodeProgress,
   decodeTerm,
   encodeJob,
+  encodeProgress,
   EvacuatedZones,
   JobView,
   PROGRESS_KEYS,
@@ -39,7 +40,7 @@
   type AcceptedJob,
   type JobId,
 } from "@rackspan/state";
-import { MemoryStore, plainJob } from "@rackspan/standins";
+import { MemoryStore, plainJob, STARTED_PROGRESS } from "@rackspan/standins";
 
 const PREVIOUS_TERM_MS = 2_500;
 const JOB = brand<JobId>("5c0e7a21d94b36f8");
@@ -167,6 +168,23 @@
   await stop();
 });
 
+// Taken for a new one, the job would be started again.
+test("progress that is read before its job counts when the job arrives", async () => {
+  const { clock, view, jobsWriter, leadership, lastState, stop } = setUp();
+  leadership.beginTerm(brand<Epoch>(1));
+  await clock.advance(200);
+  const progress = { ...STARTED_PROGRESS, state: "completed" as const };
+  view.applyProgressRecords([{ key: JOB, value: encodeProgress(progress) }]);
+  view.addCancel(JOB, clock.now());
+  const value = encodeJob(acceptedJob(clock.now()));
+  const persisted = jobsWriter.write({ key: JOB, value }).persisted;
+  await clock.advance(200);
+  await persisted;
+  // A job that has not ended would be recorded as cancelled.
+  expect(lastState()).toEqual(undefined);
+  await stop();
+});
+
 test("a job whose retention time is over is removed from all topics of the store", async () => {
   const { clock, store, view, jobsWriter, leadership, stop } = setUp();
   const value = encodeJob(acceptedJob(clock.now()));
