--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -169,10 +169,11 @@
   }
 
   /**
-   * Whether the host of the task's last start allows it to start elsewhere. A job whose
+   * Clears the host of the task's last start once that run is known to be over. A job whose
    * placements are unknown is a candidate only if all of its tasks may start.
+   * @returns whether the task may start elsewhere
    */
-  private isSettled(task: JobTask): boolean {
+  private settlePlacement(task: JobTask): boolean {
     const placement = knownPlacementOf(task);
     if (placement?.host === undefined) return true;
     const { gate, clock } = this.options.engine;
@@ -220,7 +221,7 @@
     for (const [{ inService }, group] of byHosts) {
       const tasks = group.flatMap(({ step }) =>
         [...step.waiting].filter(
-          (task) => this.isSettled(task) && !runLog.needsRecord(task),
+          (task) => this.settlePlacement(task) && !runLog.needsRecord(task),
         ),
       );
       const usable = inService.filter((host) => !host.hasIsolatedRun);
@@ -280,7 +281,7 @@
     let openHosts = this.hostsOpenTo(step, hosts);
     let isUnplaced = false;
     for (const task of [...step.waiting]) {
-      if (!this.isSettled(task)) continue;
+      if (!this.settlePlacement(task)) continue;
       if (runLog.needsRecord(task)) {
         if (this.placeOverdue(job)) openHosts = this.hostsOpenTo(step, hosts);
         if (job.isEnded) return;
@@ -415,7 +416,7 @@
     const waiting = [...step.waiting];
     if (waiting.length < step.tasks.length - step.doneCount) return;
     // The end of a run of one member would count for all of them.
-    if (!waiting.every((task) => this.isSettled(task))) return;
+    if (!waiting.every((task) => this.settlePlacement(task))) return;
     const openHosts = this.hostsOpenTo(step, hosts);
     const chosen = chooseGangHosts(step, waiting, openHosts);
     if (!chosen) return;
