Peer connections: hand on the time that is left when a call is sent

remainingMs was fixed before the connection was opened, which may take 300 ms, so that the other entry went on after the caller had been answered. The transport now fills it in: 750 ms of 1,000 in the test after 250 ms of connecting, 1,000 before.

Idle connections are closed after 3 s by the calling entry instead of 4 s: the other end closes them after 4 s, and a call sent at that moment would be lost. The second new test fails with 4 s.

--- a/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
+++ b/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
@@ -275,9 +275,9 @@
     this.inFlight += 1;
     if (isQuery) this.stateQueriesInFlight += 1;
     const { address, entry } = peer;
-    const call = { request, remainingMs: timeoutMs };
+    const toCall = (remainingMs: number) => ({ request, remainingMs });
     const outcome = await transport
-      .call(address, "forward", call, timeoutMs)
+      .call(address, "forward", toCall, timeoutMs)
       .catch(outcomeOfFailure);
     this.inFlight -= 1;
     if (isQuery) this.stateQueriesInFlight -= 1;
--- a/packages/entry/src/jobs/forwarding/PeerConnections.ts
+++ b/packages/entry/src/jobs/forwarding/PeerConnections.ts
@@ -14,14 +14,25 @@
 const CONNECTIONS = {
   /** A machine that can be reached accepts a connection within some milliseconds. */
   connectTimeoutMs: 300,
-  /** Silence after which a connection is closed; the leader is called every second. */
-  idleTimeoutMs: 4_000,
+  /**
+   * Silence after which a connection is closed; the leader is called every second. Less
+   * than the other end's 4 s (SIDE_SERVER.idleTimeoutMs), so that no call is sent while
+   * the other end closes the connection, and no less than the longest call.
+   */
+  idleTimeoutMs: 3_000,
 } as const;
 
 type NoMethods = Record<never, never>;
 type PeerConnection = JsonRpcConnection<NoMethods, typeof peerMethods>;
 type Methods = typeof peerMethods;
 
+/**
+ * The parameters of a call, or what creates them from the time that is left for the call
+ * when it is sent, milliseconds.
+ */
+export type ParamsSource<M extends keyof Methods & string> =
+  ParamsOf<Methods, M> | ((leftMs: number) => ParamsOf<Methods, M>);
+
 /** How an entry calls another one. */
 export interface PeerTransport {
   /**
@@ -32,7 +43,7 @@
   call<M extends keyof Methods & string>(
     address: string,
     method: M,
-    params: ParamsOf<Methods, M>,
+    params: ParamsSource<M>,
     timeoutMs: number,
   ): Promise<ResultOf<Methods, M>>;
 }
@@ -54,7 +65,7 @@
   async call<M extends keyof Methods & string>(
     address: string,
     method: M,
-    params: ParamsOf<Methods, M>,
+    params: ParamsSource<M>,
     timeoutMs: number,
   ): Promise<ResultOf<Methods, M>> {
     const { clock } = this.options;
@@ -67,7 +78,8 @@
       throw new ConnectError(address, "closed before the call was sent");
     }
     try {
-      return await connection.call(method, params, leftMs);
+      const sent = typeof params === "function" ? params(leftMs) : params;
+      return await connection.call(method, sent, leftMs);
     } catch (err) {
       // Other calls over this connection may still be answered, so it is not closed.
       if (err instanceof LostAnswerError) this.drop(address, pending);
--- a/packages/entry/tests/createForwardingSite.ts
+++ b/packages/entry/tests/createForwardingSite.ts
@@ -261,7 +261,9 @@
     if (!target || target.peerLink === "unreachable")
       throw new ConnectError(address, "unreachable");
     if (method === "forward") target.served += 1;
-    const sent: unknown = JSON.parse(JSON.stringify(params));
+    const created: unknown =
+      typeof params === "function" ? params(timeoutMs - LINK_MS) : params;
+    const sent: unknown = JSON.parse(JSON.stringify(created));
     const handle = target.handler.handlers[method] as (
       params: unknown,
     ) => unknown;
--- a/packages/entry/tests/peerConnections.test.ts
+++ b/packages/entry/tests/peerConnections.test.ts
@@ -7,6 +7,7 @@
 import { expect } from "earl";
 import {
   brand,
+  ManualClock,
   processLoopbackAddress,
   silentLogger,
   SystemClock,
@@ -212,3 +213,45 @@
   expect(err instanceof ConnectError).toEqual(true);
   expect(opened).toEqual(0);
 });
+
+// Otherwise the other entry would still be writing when the caller has been answered.
+test("the remaining time of a request does not contain that of connecting", async () => {
+  const received: number[] = [];
+  const handlers: PeerHandlers = {
+    announce: () => ({ ready: true, peers: [] }),
+    forward: ({ remainingMs }) => {
+      received.push(remainingMs);
+      return { kind: "accepted" };
+    },
+  };
+  const { server, address } = await openServer(handlers);
+  const manual = new ManualClock();
+  const peers = new PeerConnections({ clock: manual, logger: silentLogger });
+  const call = peers.call(
+    address,
+    "forward",
+    (remainingMs) => ({ ...CANCEL, remainingMs }),
+    1_000,
+  );
+  // The connection is opened while this time passes.
+  manual.freeze(250);
+  await call;
+  peers.stop();
+  await server.stop();
+  expect(received).toEqual([750]);
+});
+
+// A call over a connection that the other end is closing would be lost.
+test("an idle connection is closed by the calling entry first", async () => {
+  const { server, sockets, address } = await openSilentServer();
+  const peers = createConnections();
+  await failureOf(peers.call(address, "forward", CANCEL, 100));
+  const [socket] = sockets;
+  const timedOut = delay(3_700).then(() => "open");
+  const closed = socket && once(socket, "close").then(() => "closed");
+  const result = await Promise.race([closed, timedOut]);
+  peers.stop();
+  for (const each of sockets) each.destroy();
+  server.close();
+  expect(result).toEqual("closed");
+});
