Forwarding: name the decision against passing a request on, and reword comments

A decision "keep" did not say what is kept; it is "not-forwarded" now, as in the log line. The response margin is that of JOB_SERVICE instead of a copy.

--- a/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
+++ b/packages/entry/src/jobs/forwarding/ForwardingJobService.ts
@@ -39,7 +39,7 @@
   FORWARD,
   isCutOff,
   type ForwardedKind,
-  type KeepReason,
+  type NotForwardedReason,
 } from "./decideForward.js";
 import type { PeerDirectory, Peer } from "./PeerDirectory.js";
 import type { PeerTransport } from "./PeerConnections.js";
@@ -250,9 +250,9 @@
         tried,
         rotation,
       });
-      if (decision.kind === "keep") {
+      if (decision.kind === "not-forwarded") {
         if (tried.size === 0)
-          this.recordKept(request, decision.reason, failingSince);
+          this.recordNotForwarded(request, decision.reason, failingSince);
         return refusal;
       }
       const { peer, timeoutMs } = decision;
@@ -301,9 +301,9 @@
     return outcome;
   }
 
-  private recordKept(
+  private recordNotForwarded(
     { kind, job }: PeerRequest,
-    reason: KeepReason,
+    reason: NotForwardedReason,
     failingSince: Monotonic | undefined,
   ): void {
     const { logger, metrics, clock } = this.options;
--- a/packages/entry/src/jobs/forwarding/StoreCallMonitor.ts
+++ b/packages/entry/src/jobs/forwarding/StoreCallMonitor.ts
@@ -37,7 +37,7 @@
    * poll of before it may be answered although new calls are refused. A store that is
    * only slow answers other calls in the meantime.
    *
-   * One refused call says little: an idle entry makes no other for up to 1.5 s, and the
+   * One refused call is no evidence of an outage: an idle entry makes no other for up to 1.5 s, and the
    * store may have refused just that call. A lost answer was waited for already.
    */
   get failingSince(): Monotonic | undefined {
--- a/packages/entry/src/jobs/forwarding/decideForward.ts
+++ b/packages/entry/src/jobs/forwarding/decideForward.ts
@@ -4,6 +4,7 @@
  */
 
 import type { EntryId, Monotonic } from "@rackspan/common";
+import { JOB_SERVICE } from "../JobService.js";
 import type { Peer } from "./PeerDirectory.js";
 
 export const FORWARD = {
@@ -21,15 +22,15 @@
   outageMs: 3_000,
   /** Requests that are passed on at the same time. */
   maxInFlight: 64,
-  /** Share of them that may be state queries, so that these do not crowd out submissions. */
+  /** Share of them that may be state queries, so that these leave room for submissions. */
   maxStateQueries: 32,
   /**
-   * Least time that is worth a call, milliseconds: the other entry answers 120 ms before
+   * Minimum timeout of a call, milliseconds: the other entry answers 120 ms before
    * its time is over (JOB_SERVICE.responseMarginMs), and a write takes some 10 ms.
    */
   minTimeoutMs: 200,
   /** The response is sent this long before the caller stops waiting for it. */
-  responseMarginMs: 120,
+  responseMarginMs: JOB_SERVICE.responseMarginMs,
   /** Entries that are tried for one request, one after the other. */
   maxAttempts: 3,
   /**
@@ -58,7 +59,7 @@
   readonly rotation: number;
 }
 
-export type KeepReason =
+export type NotForwardedReason =
   | "store-reachable"
   | "outage-too-long"
   | "deadline"
@@ -72,7 +73,7 @@
       readonly peer: Peer;
       readonly timeoutMs: number;
     }
-  | { readonly kind: "keep"; readonly reason: KeepReason };
+  | { readonly kind: "not-forwarded"; readonly reason: NotForwardedReason };
 
 /** Whether store calls have failed for long enough to count as cut off. */
 export const isCutOff = (
@@ -81,23 +82,24 @@
 ): boolean =>
   failingSince !== undefined && now - failingSince >= FORWARD.confirmMs;
 
-const keep = (reason: KeepReason): ForwardDecision => ({
-  kind: "keep",
+const notForwarded = (reason: NotForwardedReason): ForwardDecision => ({
+  kind: "not-forwarded",
   reason,
 });
 
 export const decideForward = (inputs: ForwardInputs): ForwardDecision => {
   const { now, failingSince, deadline, tried } = inputs;
   if (failingSince === undefined || !isCutOff(failingSince, now))
-    return keep("store-reachable");
+    return notForwarded("store-reachable");
   const outageLeftMs = failingSince + FORWARD.outageMs - now;
-  if (outageLeftMs < FORWARD.minTimeoutMs) return keep("outage-too-long");
+  if (outageLeftMs < FORWARD.minTimeoutMs)
+    return notForwarded("outage-too-long");
   const callerLeftMs = deadline - FORWARD.responseMarginMs - now;
-  if (callerLeftMs < FORWARD.minTimeoutMs) return keep("deadline");
-  if (isFull(inputs)) return keep("in-flight");
-  if (tried.size >= FORWARD.maxAttempts) return keep("attempts");
+  if (callerLeftMs < FORWARD.minTimeoutMs) return notForwarded("deadline");
+  if (isFull(inputs)) return notForwarded("in-flight");
+  if (tried.size >= FORWARD.maxAttempts) return notForwarded("attempts");
   const peer = choosePeer(inputs);
-  if (!peer) return keep("no-peer");
+  if (!peer) return notForwarded("no-peer");
   const timeoutMs = Math.min(outageLeftMs, callerLeftMs);
   return { kind: "forward", peer, timeoutMs };
 };
--- a/packages/entry/tests/decideForward.test.ts
+++ b/packages/entry/tests/decideForward.test.ts
@@ -39,7 +39,7 @@
 
 const reasonOf = (changes: Partial<ForwardInputs>): string => {
   const decision = decide(changes);
-  return decision.kind === "keep" ? decision.reason : decision.kind;
+  return decision.kind === "not-forwarded" ? decision.reason : decision.kind;
 };
 
 // Otherwise one refused call of a healthy store would double the load on the others.
