--- a/packages/entry/tests/forwardedState.test.ts
+++ b/packages/entry/tests/forwardedState.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { brand } from "@rackspan/common";
+import { jobTermsOf, type PeerHandlers } from "@rackspan/entry";
 import { TOPICS, type QueueKey } from "@rackspan/state";
 import {
   ForwardingSite,
@@ -168,3 +169,25 @@
   expect(site.store.recordsOf(TOPICS.cancels).length).toEqual(1);
   await site.stop();
 });
+
+// Such a job may have been accepted here while the query was under way.
+test("no-such-job of another entry does not override a view that contains the job", async () => {
+  const site = await ForwardingSite.create(2);
+  const entry = site.entry(1);
+  entry.linkedStore.link = "refused";
+  await site.clock.advance(1_600);
+  const { handlers } = site.entry(0).handler;
+  (handlers as { forward: PeerHandlers["forward"] }).forward = () => {
+    const accepted = {
+      spec: specOf(7),
+      acceptedAt: 0,
+      terms: jobTermsOf(QUEUE),
+    };
+    entry.own.view.addAccepted(accepted);
+    return { kind: "no-such-job" };
+  };
+  const state = await settle(site, queryState(site, entry));
+  expect(state).toEqual({ kind: "known", state: "queued" });
+  expect(site.entry(0).served).toEqual(1);
+  await site.stop();
+});
