routing: remove the list of written ids that the entry's unsettled writes replace

Cause: after the review's fixes JobService keeps ids with unsettled writes itself, so nothing called AdmissionController.handleWriting any more.

--- a/packages/routing/src/AdmissionController.ts
+++ b/packages/routing/src/AdmissionController.ts
@@ -5,9 +5,7 @@
 
 import type { Clock, Logger, Metrics } from "@rackspan/common";
 import {
-  BoundedMap,
   type AcceptedJob,
-  type JobId,
   type JobSpec,
   type JobTerms,
   type LoadSummary,
@@ -22,11 +20,6 @@
 import { retryAfterMs } from "./retryAfter.js";
 import { ReturnQueue } from "./ReturnQueue.js";
 
-const ADMISSION = {
-  /** Maximum number of ids that are remembered because their records may exist. */
-  maxWrittenIds: 10_000,
-} as const;
-
 export interface AdmissionControllerOptions {
   /** Whether jobs are refused at all. */
   readonly refusesHopeless: boolean;
@@ -53,9 +46,6 @@
 export class AdmissionController {
   private added: AddedWork[] = [];
   private readonly returns = new ReturnQueue();
-  private readonly written = new BoundedMap<JobId, true>(
-    ADMISSION.maxWrittenIds,
-  );
 
   constructor(private readonly options: AdmissionControllerOptions) {}
 
@@ -73,7 +63,6 @@
     const { current } = summaries;
     if (!refusesHopeless) return;
     this.returns.remove(spec.id);
-    this.written.delete(spec.id);
     if (!current || !isLimited(spec, terms)) return;
     // Without new summaries the list would grow for as long as the entry runs.
     if (current.ageMs > maxSummaryAgeMs) return;
@@ -82,14 +71,6 @@
     this.added.push({ service, priority, bucket, work });
   }
 
-  /**
-   * Called before the job's record is written. From then on the record may be persisted,
-   * so the job is not refused any more: a refusal states that it never runs.
-   */
-  handleWriting(id: JobId): void {
-    if (this.options.refusesHopeless) this.written.set(id, true);
-  }
-
   /** @returns undefined if the job is to be accepted */
   admit(spec: JobSpec, terms: JobTerms): AdmissionRefusal | undefined {
     return this.propose(spec, terms)?.confirm();
@@ -106,9 +87,8 @@
     const { clock, refusesHopeless } = this.options;
     if (!refusesHopeless) return undefined;
     const { id } = spec;
-    if (!isLimited(spec, terms) || this.written.get(id)) {
-      const reason = this.written.get(id) ? "may-be-accepted" : "unlimited";
-      this.record(spec, terms, "accept", reason);
+    if (!isLimited(spec, terms)) {
+      this.record(spec, terms, "accept", "unlimited");
       return undefined;
     }
     const { decision, estimate } = this.decide(spec, terms);
@@ -131,7 +111,6 @@
       this.record(spec, terms, "accept", acceptReason, decision);
     };
     const confirm = (): AdmissionRefusal | undefined => {
-      if (this.written.get(id)) return withdraw("may-be-accepted");
       this.record(spec, terms, outcome, reason, decision, {
         chainMs: Math.round(estimate.chainMs),
         retryAfterMs: afterMs,
