--- a/packages/checker/tests/missingHosts.test.ts
+++ b/packages/checker/tests/missingHosts.test.ts
@@ -27,9 +27,9 @@
 const DETECTED_BY: Readonly<
   Record<PlacementMutant, { plan: PlacementPlan; seed: number }>
 > = {
-  "order-before-record": { plan: "always", seed: 11 },
+  "order-before-record": { plan: "always", seed: 29 },
   "trust-without-term": { plan: "alternating", seed: 3 },
-  "former-version-ignored": { plan: "mixed", seed: 9 },
+  "former-version-ignored": { plan: "mixed", seed: 34 },
   "host-left-out-of-gate": { plan: "always", seed: 1 },
 };
 
