Leader: log where the time from submission to the first start goes

Change: job.started and four latency metrics give the parts of the first start; engine.late and process_paused_ms tell for how long the leader had work but could not run; leader.acquired and leader.lost tell whether the previous leader was late or is gone.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./log.js";
 export * from "./ManualClock.js";
 export * from "./metrics.js";
+export * from "./PauseMeter.js";
 export * from "./processLoopbackAddress.js";
 export * from "./random.js";
 export * from "./Registry.js";
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -10,6 +10,7 @@
   type Epoch,
   type Logger,
   type Metrics,
+  type PauseMeter,
   type Unsubscribe,
 } from "@rackspan/common";
 import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
@@ -51,6 +52,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Absent if pauses of this process are not measured. */
+  readonly pauses?: PauseMeter;
   readonly leadershipTtlMs: number;
   readonly leaseMs: number;
   readonly stopMs: number;
@@ -246,6 +249,7 @@
       clock,
       logger,
       metrics,
+      pauses: this.options.pauses,
       journal: new ProgressJournal({
         writer: this.progressWriter,
         clock,
--- a/packages/entry/src/jobs/createJobEntryParts.ts
+++ b/packages/entry/src/jobs/createJobEntryParts.ts
@@ -2,6 +2,7 @@
 
 import {
   MS_PER_SECOND,
+  ProcessPauseMeter,
   SeededRandom,
   type Clock,
   type Incarnation,
@@ -313,6 +314,7 @@
     clock,
     logger,
     metrics,
+    pauses: new ProcessPauseMeter(),
     leadershipTtlMs,
     leaseMs: leases.workerLeaseMs,
     stopMs: leases.stopMs,
--- a/packages/leadership/src/LeaderElection.ts
+++ b/packages/leadership/src/LeaderElection.ts
@@ -65,6 +65,9 @@
   private isMember = false;
   private unsuccessfulJoins = 0;
   private ownerWasMissing = false;
+  /** The owner that was last found, and when. */
+  private lastOwner:
+    { readonly name: string; readonly at: Monotonic } | undefined;
   private isStoreReachable = true;
   private task: Promise<void> | undefined;
   /** How often this process has left the group. */
@@ -151,6 +154,7 @@
     const owner = await membership.owner(ELECTION.group, topic);
     if (owner === undefined) return this.joinAfterDelay();
     this.ownerWasMissing = false;
+    this.lastOwner = { name: owner, at: this.options.clock.monotonic() };
     const isOwnMembership = parseMember(owner)?.entry === self.entry;
     if (!isOwnMembership) return ELECTION.ownerPollIntervalMs;
     // The owner is an earlier membership of this entry, which has not been ended yet.
@@ -209,7 +213,12 @@
       // The partition may have had another owner while the group changed.
       this.resign("group-changed");
       this.epoch = this.generation;
-      logger.info("leader.acquired", { epoch: this.epoch, member: this.name });
+      logger.info("leader.acquired", {
+        epoch: this.epoch,
+        member: this.name,
+        previous: this.lastOwner?.name,
+        previousSeenMs: this.sinceLastOwnerMs(),
+      });
       onAcquired(this.epoch);
     }
     this.unsuccessfulJoins = 0;
@@ -217,10 +226,20 @@
     return ELECTION.renewIntervalMs;
   }
 
+  private sinceLastOwnerMs(): number | undefined {
+    if (!this.lastOwner) return undefined;
+    return Math.round(this.options.clock.monotonic() - this.lastOwner.at);
+  }
+
   private resign(reason: string): void {
     if (this.epoch === undefined) return;
-    const { logger, onLost } = this.options;
-    logger.info("leader.lost", { epoch: this.epoch, reason });
+    const { logger, onLost, clock } = this.options;
+    logger.info("leader.lost", {
+      epoch: this.epoch,
+      reason,
+      // Negative if the lease had expired, because this process or the store was late.
+      leaseLeftMs: Math.round(this.validUntil - clock.leaseTime()),
+    });
     this.epoch = undefined;
     this.validUntil = -Infinity;
     onLost(reason);
--- a/packages/leadership/tests/leaderElection.test.ts
+++ b/packages/leadership/tests/leaderElection.test.ts
@@ -2,11 +2,13 @@
 import { expect } from "earl";
 import {
   brand,
+  createLogger,
   ManualClock,
   silentLogger,
   type EntryId,
   type Epoch,
   type Incarnation,
+  type Logger,
 } from "@rackspan/common";
 import { LeaderElection } from "@rackspan/leadership";
 import {
@@ -28,6 +30,7 @@
     next = () => 0.2,
     membership: GroupMembership = store,
     standsBack = false,
+    logger: Logger = silentLogger,
   ) => {
     const election = new LeaderElection({
       membership,
@@ -41,7 +44,7 @@
       clock,
       random: { next },
       isLowPriority: standsBack,
-      logger: silentLogger,
+      logger,
       onAcquired: (epoch: Epoch) => terms.push(`${name} leads ${epoch}`),
       onLost: (reason) => terms.push(`${name} lost: ${reason}`),
     });
@@ -293,3 +296,25 @@
   clock.suspend(TTL_MS / 2);
   expect(a.isLeader).toEqual(true);
 });
+
+// Tells a leader that was late from one that is gone.
+test("a change of leader is logged with the previous leader and what was left of its lease", async () => {
+  const { clock, store, entry } = setUp();
+  const lines: string[] = [];
+  const logger = createLogger({
+    level: "info",
+    write: (line) => void lines.push(line),
+  });
+  const a = entry("a", "1", () => 0.2, store, false, logger);
+  await clock.advance(700);
+  entry("b", "1", () => 0.2, store, false, logger);
+  await clock.advance(1_000);
+  const stopped = a.stop();
+  await clock.advance(1_000);
+  await stopped;
+  const changes = lines.filter((line) => line.includes("event=leader."));
+  expect(changes.length).toEqual(3);
+  const [, lost = "", acquired = ""] = changes;
+  expect(lost).toMatchRegex(/planned-stop leaseLeftMs=[12]\d{3}$/);
+  expect(acquired).toMatchRegex(/previous="a\|.*" previousSeenMs=\d+$/);
+});
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -38,6 +38,7 @@
 import { HostRegistry } from "./HostRegistry.js";
 import { HostRegistrar } from "./HostRegistrar.js";
 import type { HostSession } from "./HostSession.js";
+import { FirstStartMonitor } from "./FirstStartMonitor.js";
 import { HostMonitor } from "./HostMonitor.js";
 import { JobRegistry } from "./JobRegistry.js";
 import { JobFinisher } from "./JobFinisher.js";
@@ -80,6 +81,7 @@
   private readonly learnedState: LearnedStateStore;
   private readonly permitTracker: PermitTracker;
   private readonly placementLog: PlacementLog | undefined;
+  private readonly firstStarts: FirstStartMonitor;
   private readonly runStarter: RunStarter;
   private readonly runStopper: RunStopper;
   private readonly dispatcher: Dispatcher;
@@ -95,6 +97,8 @@
   /** When the next tick is due. */
   private tickAt: Monotonic = Infinity;
   private lastTickAt: Monotonic = -Infinity;
+  /** Total pauses of the process at the last tick, milliseconds. */
+  private totalPausedMs = 0;
   private stopped = false;
 
   constructor(private readonly options: EngineOptions) {
@@ -138,8 +142,10 @@
       clock,
       policy,
     });
+    this.firstStarts = new FirstStartMonitor(options);
     const runStarter = new RunStarter({
       ...options,
+      firstStarts: this.firstStarts,
       hosts,
       forecast,
       permitTracker,
@@ -225,6 +231,7 @@
   }
 
   start(): void {
+    this.takePausedMs();
     this.schedule();
     this.learnedState.start();
     this.loadPublisher.start();
@@ -257,6 +264,7 @@
     const now = clock.monotonic();
     this.jobs.add({ job, firstSeenAt: now, lastRunSeenAt: now });
     if (job.isEnded) return;
+    this.firstStarts.recordJob(job);
     logger.info("job.seen", {
       job: job.id,
       queue: accepted.spec.queue,
@@ -479,8 +487,21 @@
   private recordLateness(lateMs: number): void {
     const { logger, metrics } = this.options;
     metrics.latency("timer_lag").record(lateMs);
+    const pausedMs = this.takePausedMs();
+    metrics.count("process_paused_ms", {}, pausedMs);
     if (lateMs < ENGINE.lateTimerMs) return;
-    logger.warn("engine.late", { lateMs: Math.round(lateMs) });
+    logger.warn("engine.late", {
+      lateMs: Math.round(lateMs),
+      pausedMs: Math.round(pausedMs),
+    });
+  }
+
+  /** Returns for how long the process was paused since the last tick, milliseconds. */
+  private takePausedMs(): number {
+    const totalMs = this.options.pauses?.totalPausedMs() ?? 0;
+    const pausedMs = totalMs - this.totalPausedMs;
+    this.totalPausedMs = totalMs;
+    return pausedMs;
   }
 
   private tick(): void {
--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -25,6 +25,7 @@
   type HostEntry,
   type PlacedRun,
 } from "./engineTypes.js";
+import type { FirstStartMonitor } from "./FirstStartMonitor.js";
 import type { HostRegistry } from "./HostRegistry.js";
 import type { PermitTracker } from "./PermitTracker.js";
 import type { PlacementLog } from "./PlacementLog.js";
@@ -35,6 +36,7 @@
   readonly hosts: HostRegistry;
   readonly forecast: TailForecast;
   readonly permitTracker: PermitTracker;
+  readonly firstStarts: FirstStartMonitor;
   /** Undefined if this leader records no placements. */
   readonly placementLog: PlacementLog | undefined;
   /** Called when a host has answered a start order, or has not in time. */
@@ -125,6 +127,7 @@
       this.logAlreadyPlaced(host, run);
       return;
     }
+    this.options.firstStarts.recordPlacement(task.step.job);
     const orderFields = { ticket, firstPercent };
     if (!placementLog) {
       this.sendOrder(host, run, orderFields);
@@ -257,6 +260,7 @@
     run.orderExpiresAt = (workerTimeAt(hostState, now) +
       orderLeaseMs) as WorkerTime;
     hostState.recordOrder(latestLeaseExpiry(now, orderLeaseMs));
+    this.options.firstStarts.recordOrder(run.task.step.job);
     void this.orderStart(host, run, orderFields);
   }
 
@@ -404,6 +408,7 @@
       case "ok":
         run.phase = "running";
         markSeen(run, result.at);
+        this.options.firstStarts.recordStart(run.task.step.job);
         return;
       case "silent":
         run.phase = "unsure";
--- a/packages/scheduling/src/engineTypes.ts
+++ b/packages/scheduling/src/engineTypes.ts
@@ -8,6 +8,7 @@
   Logger,
   Metrics,
   Monotonic,
+  PauseMeter,
   WorkerInstance,
 } from "@rackspan/common";
 import type {
@@ -124,6 +125,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Absent if pauses of this process are not measured. */
+  readonly pauses?: PauseMeter | undefined;
   readonly journal: ProgressJournal;
   readonly roster: HostRoster;
   readonly gate: TakeoverGate;
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -10,6 +10,7 @@
   type HostId,
   type JobTaskId,
   type Logger,
+  type PauseMeter,
   type RunNumber,
   type ServiceName,
   type WorkerInstance,
@@ -370,6 +371,7 @@
   readonly roster?: readonly HostId[];
   readonly clock?: ManualClock;
   /** Nothing is logged by default. */
+  readonly pauses?: PauseMeter;
   readonly logger?: Logger;
   /** Name of the step order. */
   readonly order?: string;
@@ -430,6 +432,7 @@
       clock: this.clock,
       logger,
       metrics: this.metrics,
+      pauses: options.pauses,
       journal: new ProgressJournal({
         writer,
         clock: this.clock,
--- a/packages/scheduling/tests/leaderLog.test.ts
+++ b/packages/scheduling/tests/leaderLog.test.ts
@@ -2,10 +2,12 @@
 
 import { test } from "node:test";
 import { expect } from "earl";
+import { sleep } from "@rackspan/common";
 import { EngineHarness } from "./engineHarness.js";
 import { harnessWithLog } from "./harnessWithLog.js";
 
 const ANSWER_MS = 70;
+const APPEND_MS = 30;
 /** Longer than the timer delay from which a line is logged. */
 const STALL_MS = 700;
 /** A wait of at least a second. */
@@ -52,6 +54,47 @@
   expect(linesOf(lines, "engine.late").length).toEqual(1);
 });
 
+test("a late timer is logged with the time for which the process was paused", async () => {
+  let totalMs = 4_000;
+  const pauses = { totalPausedMs: () => totalMs };
+  const { harness, lines } = harnessWithLog({ pauses });
+  await harness.run(1_000);
+  harness.clock.freeze(STALL_MS);
+  totalMs += 500;
+  await harness.run(1_000);
+  const [line = ""] = linesOf(lines, "engine.late");
+  expect(line).toInclude("pausedMs=500");
+  expect(await harness.metrics.total("process_paused_ms")).toEqual(500);
+});
+
+// Without the parts, a late start looks the same whether the store, a host or the leader was slow.
+test("the first start of a job is logged with the time that each part of it took", async () => {
+  let totalMs = 0;
+  const pauses = { totalPausedMs: () => totalMs };
+  const policy = { recordsPlacements: true };
+  const { harness, lines } = harnessWithLog({ pauses, policy });
+  const { store, clock } = harness;
+  const append = store.append.bind(store);
+  store.append = async (req) => {
+    await sleep(clock, APPEND_MS);
+    return append(req);
+  };
+  harness.submit("j", [{ taskCount: 2 }]);
+  await harness.run(300);
+  totalMs = 40;
+  const host = await harness.addHost("h1");
+  host.answers = "held";
+  await harness.run(100);
+  await clock.advance(ANSWER_MS);
+  host.answerHeld({ kind: "ok", at: host.at });
+  await harness.run(100);
+  const started = linesOf(lines, "job.started");
+  expect(started.length).toEqual(1);
+  const [line = ""] = started;
+  expect(line).toMatchRegex(/ job=\S+ queue=\S+ heardMs=0 waitedMs=3\d\d /);
+  expect(line).toMatchRegex(/ recordMs=3\d orderMs=1\d\d pausedMs=40$/);
+});
+
 test("an engine that no longer leads exports no wait times", async () => {
   const harness = new EngineHarness();
   harness.submit("j", [{}]);
