Leadership: entries that start together join at different times

Callers saw nothing start for longer than one election takes: after a loss of the leader, leadership moved on to further entries before it settled. Cause: the join delay is the first number of a generator seeded with Date.now() ^ pid, which hardly differs from its seed. Entries that start within a second of each other draw the same delay and all join. Change: the election draws from SystemRandom itself. SeededRandom, which stays for tests, says what its seeds must be like.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -17,4 +17,5 @@
 export * from "./Registry.js";
 export * from "./resources.js";
 export * from "./SuspensionAwareClock.js";
+export * from "./SystemRandom.js";
 export * from "./unitFactors.js";
--- a/packages/common/src/random.ts
+++ b/packages/common/src/random.ts
@@ -8,7 +8,11 @@
   next(): number;
 }
 
-/** A generator that produces the same numbers for the same seed. */
+/**
+ * A generator that produces the same numbers for the same seed. The first numbers of
+ * neighbouring seeds are nearly equal, so seeds that have to give independent numbers must
+ * be far apart, such as hashes.
+ */
 export class SeededRandom implements Random {
   private readonly generator;
 
--- a/packages/entry/src/EntryProcess.ts
+++ b/packages/entry/src/EntryProcess.ts
@@ -6,7 +6,7 @@
   describeError,
   freshId,
   Metrics,
-  SeededRandom,
+  SystemRandom,
   sleep,
   SystemClock,
   type Clock,
@@ -90,7 +90,7 @@
     this.clock = options.clock ?? new SystemClock();
     const base = options.logger ?? createLogger({ level: settings.logLevel });
     this.logger = base.with({ role: "entry", host });
-    const random = options.random ?? new SeededRandom(Date.now() ^ process.pid);
+    const random = options.random ?? new SystemRandom();
     const log =
       options.log ?? logServices.create(logSettings.client, logSettings);
     const hostList =
--- a/packages/entry/src/jobs/createJobEntryParts.ts
+++ b/packages/entry/src/jobs/createJobEntryParts.ts
@@ -3,7 +3,6 @@
 import {
   MS_PER_SECOND,
   ProcessPauseMeter,
-  SeededRandom,
   type Clock,
   type Incarnation,
   type Logger,
@@ -343,7 +342,6 @@
     self: { ...selfOf(settings), incarnation },
     ttlMs: leadershipTtlMs,
     clock,
-    random: new SeededRandom(Date.now() ^ process.pid),
     isLowPriority: availableProcessors(settings) < MIN_LEADER_PROCESSORS,
     logger,
     onAcquired: (epoch) => leadership.beginTerm(epoch),
--- a/packages/leadership/src/LeaderElection.ts
+++ b/packages/leadership/src/LeaderElection.ts
@@ -10,6 +10,7 @@
  */
 
 import {
+  SystemRandom,
   describeError,
   pause,
   type Clock,
@@ -45,7 +46,8 @@
   readonly self: Member;
   readonly ttlMs: number;
   readonly clock: Clock;
-  readonly random: Random;
+  /** Draws the join delays. They have to differ between entries that start together. */
+  readonly random?: Random;
   /** Whether this entry lets entries with more processor time lead first. */
   readonly isLowPriority: boolean;
   readonly logger: Logger;
@@ -73,7 +75,11 @@
   /** How often this process has left the group. */
   private leaveCount = 0;
 
-  constructor(private readonly options: LeaderElectionOptions) {}
+  private readonly random: Random;
+
+  constructor(private readonly options: LeaderElectionOptions) {
+    this.random = options.random ?? new SystemRandom();
+  }
 
   /**
    * The member name changes each time the entry leaves the group: a leave call that
@@ -167,8 +173,8 @@
   private joinAfterDelay(): Promise<number> | number {
     if (this.ownerWasMissing) return this.renew();
     this.ownerWasMissing = true;
-    const { random, isLowPriority } = this.options;
-    return joinDelayMs(random.next(), isLowPriority);
+    const { isLowPriority } = this.options;
+    return joinDelayMs(this.random.next(), isLowPriority);
   }
 
   private async renew(): Promise<number> {
--- a/packages/leadership/tests/leaderElection.test.ts
+++ b/packages/leadership/tests/leaderElection.test.ts
@@ -318,3 +318,42 @@
   expect(lost).toMatchRegex(/planned-stop leaseLeftMs=[12]\d{3}$/);
   expect(acquired).toMatchRegex(/previous="a\|.*" previousSeenMs=\d+$/);
 });
+
+// Entries that start together used to draw the same delay: they all joined at once, and
+// each further join moved leadership to another of them.
+test("entries that start together and find no leader join at different times", async () => {
+  const { clock, store } = setUp();
+  const joinedAt = new Map<string, number>();
+  for (let number = 0; number < 12; number += 1) {
+    const name = `e${number}`;
+    const membership: GroupMembership = {
+      owner: async () => undefined,
+      leave: (...args) => store.leave(...args),
+      join: (req) => {
+        if (!joinedAt.has(name)) joinedAt.set(name, clock.monotonic());
+        return store.join(req);
+      },
+    };
+    const election = new LeaderElection({
+      membership,
+      topic: brand<TopicName>("leadership"),
+      self: {
+        entry: brand<EntryId>(name),
+        incarnation: brand<Incarnation>("1"),
+        address: `${name}:1`,
+      },
+      ttlMs: TTL_MS,
+      clock,
+      isLowPriority: false,
+      logger: silentLogger,
+      onAcquired: () => undefined,
+      onLost: () => undefined,
+    });
+    election.start();
+  }
+  await clock.advance(1_000);
+  const times = [...joinedAt.values()];
+  expect(times.length).toEqual(12);
+  // With independent draws, one in some million runs has a smaller spread.
+  expect(Math.max(...times) - Math.min(...times)).toBeGreaterThan(20);
+});
