Leader: no error is built for each call, and its own progress is read less often

Cause, as far as a profile of the leader shows it: JsonRpcConnection built the error of a time-out, with its stack, for each call; the leader polled the progress topic, which it writes itself, up to forty times a second, and decoded every record of a job that a poll returned. Change: the error is built on a time-out; the leader follows its progress at the interval of the other entries; a view decodes the newest record of each job in a poll. Test: fails before (an older unreadable record is counted as passed over).

--- a/packages/entry/src/jobs/createJobEntryParts.ts
+++ b/packages/entry/src/jobs/createJobEntryParts.ts
@@ -260,7 +260,9 @@
     logger,
     minPollIntervalMs: () => {
       if (topic === TOPICS.hosts) return HOSTS_POLL_INTERVAL_MS;
-      return isLeader() ? pollFloorMs : followFloorMs;
+      // A leader writes the progress itself, and reads it only to answer callers.
+      const isAwaited = isLeader() && topic !== TOPICS.progress;
+      return isAwaited ? pollFloorMs : followFloorMs;
     },
   });
 };
--- a/packages/protocol/src/JsonRpcConnection.ts
+++ b/packages/protocol/src/JsonRpcConnection.ts
@@ -120,10 +120,12 @@
     const { clock } = this.options;
     let cancelTimer = (): void => undefined;
     const timedOut = new Promise<never>((_, reject) => {
-      const err = new LostAnswerError(
-        `${method}: no answer within ${timeoutMs} ms`,
+      // Built only on a time-out: its stack costs more than the rest of the call.
+      const timer = clock.after(timeoutMs, () =>
+        reject(
+          new LostAnswerError(`${method}: no answer within ${timeoutMs} ms`),
+        ),
       );
-      const timer = clock.after(timeoutMs, () => reject(err));
       cancelTimer = () => timer.cancel();
     });
     try {
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -26,6 +26,7 @@
   type JobStateName,
   type QueueKey,
 } from "./jobModel.js";
+import { newestOfEachKey } from "./newestOfEachKey.js";
 import type { UnreadableRecords } from "./TopicFollower.js";
 import { decodeTerm, type TermRecord } from "./termRecord.js";
 
@@ -203,7 +204,7 @@
   }
 
   applyProgressRecords(records: readonly KeyedRecord[]): void {
-    for (const { key, value } of records) {
+    for (const { key, value } of newestOfEachKey(records)) {
       if (!isJobKey(key)) {
         if (key === PROGRESS_KEYS.term) this.applyTermRecord(value);
         continue;
--- a/packages/state/tests/foreignRecords.test.ts
+++ b/packages/state/tests/foreignRecords.test.ts
@@ -81,6 +81,28 @@
   );
 });
 
+// A leader with little processor time writes several records of a job between two polls.
+test("of several progress records of a job in one poll, only the newest is read", async () => {
+  const metrics = new Metrics();
+  const view = new JobView({ logger: silentLogger, metrics });
+  const job = plainJob({ id: JOB, acceptedAt: 0, steps: [{ taskCount: 9 }] });
+  view.applyJobRecords([{ key: JOB, value: encodeJob(job) }]);
+  const completed = encodeProgress({ ...PROGRESS, state: "completed" });
+  view.applyProgressRecords([
+    { key: JOB, value: encodeProgress(PROGRESS) },
+    { key: JOB, value: Buffer.from("{}") },
+    { key: JOB, value: completed },
+  ]);
+  expect(view.stateOf(JOB)).toEqual("completed");
+  expect(view.hasUnreadableProgress).toEqual(false);
+  expect(await metrics.total("records_passed_over")).toEqual(0);
+  view.applyProgressRecords([
+    { key: JOB, value: completed },
+    { key: JOB, value: Buffer.from("{}") },
+  ]);
+  expect(view.hasUnreadableProgress).toEqual(true);
+});
+
 test("a readable cancel takes effect after an unreadable one", () => {
   const view = viewOfOneJob();
   view.applyCancelRecords([{ key: JOB, value: Buffer.from("{}") }]);
