Entry: a leader that records no placements replaces an unreadable term record

If it cannot read the last one, another version's promise stays, and the next leader of that version would trust placements from before this term: it could start a task beside a run that it does not know of. Change: an unreadable term record is replaced, too; the view tells whether there is one. Test: fails before (no record is written).

--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -144,10 +144,11 @@
     const recordsPlacements = mode === "on";
     const roster = mode === "former-version" ? formerRoster(view) : view.roster;
     const isIgnoring = placementMutant === "former-version-ignored";
-    const { lastTerm, hasUnreadableProgress } = view;
+    const { lastTerm, hasUnreadableTerm, hasUnreadableProgress } = view;
     const termLog = new TermLog({
       view: {
         lastTerm,
+        hasUnreadableTerm,
         hasUnreadableProgress,
         hostsWithoutPlacements: isIgnoring ? [] : view.hostsWithoutPlacements,
       },
--- a/packages/entry/src/jobs/TermLog.ts
+++ b/packages/entry/src/jobs/TermLog.ts
@@ -17,7 +17,10 @@
   /** The state that previous leaders left, read after their writers were fenced. */
   readonly view: Pick<
     JobView,
-    "lastTerm" | "hostsWithoutPlacements" | "hasUnreadableProgress"
+    | "lastTerm"
+    | "hasUnreadableTerm"
+    | "hostsWithoutPlacements"
+    | "hasUnreadableProgress"
   >;
   /** Writer of progress records under the epoch of this term. */
   readonly writer: TopicWriter;
@@ -38,8 +41,10 @@
   async begin(): Promise<number | undefined> {
     const { recordsPlacements, epoch, view, logger } = this.options;
     if (!recordsPlacements) {
-      // Its starts are not recorded, so no later leader may rely on earlier records.
-      if (view.lastTerm?.placementsSince !== undefined) await this.write({});
+      // Its starts are not recorded, so no later leader may rely on earlier records. A term
+      // record that this version cannot read may promise them to another version.
+      const isWithout = view.lastTerm?.placementsSince === undefined;
+      if (!isWithout || view.hasUnreadableTerm) await this.write({});
       return undefined;
     }
     const distrust = this.reasonToDistrust();
--- a/packages/entry/tests/termLog.test.ts
+++ b/packages/entry/tests/termLog.test.ts
@@ -30,6 +30,7 @@
   lastTerm?: TermRecord;
   hostsWithoutPlacements?: readonly HostId[];
   hasUnreadableProgress?: boolean;
+  hasUnreadableTerm?: boolean;
   recordsPlacements?: boolean;
 }) => {
   const clock = new ManualClock();
@@ -49,6 +50,7 @@
   const termLog = new TermLog({
     view: {
       lastTerm: options.lastTerm,
+      hasUnreadableTerm: options.hasUnreadableTerm ?? false,
       hostsWithoutPlacements: options.hostsWithoutPlacements ?? [],
       hasUnreadableProgress: options.hasUnreadableProgress ?? false,
     },
@@ -120,6 +122,16 @@
   }
 });
 
+// Otherwise a leader of the version that wrote it would trust placements from before this term.
+test("a leader without the flag replaces a term record that it cannot read", async () => {
+  const { termLog, stored } = setUp({
+    hasUnreadableTerm: true,
+    recordsPlacements: false,
+  });
+  expect(await termLog.begin()).toEqual(undefined);
+  expect(stored()).toEqual({ epoch: EPOCH });
+});
+
 test("once all placements are known, the hosts are marked before the term", async () => {
   const { clock, store, termLog, roster, stored } = setUp({});
   await termLog.begin();
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -67,6 +67,7 @@
   /** Hosts that a leader without recorded placements may have used last. */
   private readonly unrecordedHosts = new Set<HostId>();
   private term: TermRecord | undefined;
+  private isTermUnreadable = false;
   /** Keys of progress records that this version cannot read. */
   private readonly unreadableProgress = new Set<string>();
   /**
@@ -144,6 +145,11 @@
     return this.term;
   }
 
+  /** Whether there may be a term record that this version cannot read. */
+  get hasUnreadableTerm(): boolean {
+    return this.hasUnknownProgress || this.isTermUnreadable;
+  }
+
   /** Whether a progress record cannot be read, so that its job seems never started. */
   get hasUnreadableProgress(): boolean {
     return this.hasUnknownProgress || this.unreadableProgress.size > 0;
@@ -203,6 +209,7 @@
     }
   }
 
+  /** Reads the newest record of each key only: a busy job has several in one poll. */
   applyProgressRecords(records: readonly KeyedRecord[]): void {
     for (const { key, value } of newestOfEachKey(records)) {
       if (!isJobKey(key)) {
@@ -231,8 +238,10 @@
     const isStillUnknown = !isFullLoad && this.hasUnknownProgress;
     this.hasUnknownProgress = hasUnknownKeys || isStillUnknown;
     for (const key of keys) {
-      if (key === PROGRESS_KEYS.term) this.term = undefined;
-      else if (isJobKey(key)) this.unreadableProgress.add(key);
+      if (key === PROGRESS_KEYS.term) {
+        this.term = undefined;
+        this.isTermUnreadable = true;
+      } else if (isJobKey(key)) this.unreadableProgress.add(key);
     }
   }
 
@@ -257,8 +266,9 @@
   private applyTermRecord(value: Buffer | undefined): void {
     // Without a readable record the next leader trusts no placements.
     this.term = undefined;
-    if (value)
-      this.decode(PROGRESS_KEYS.term, () => (this.term = decodeTerm(value)));
+    this.isTermUnreadable =
+      value !== undefined &&
+      !this.decode(PROGRESS_KEYS.term, () => (this.term = decodeTerm(value)));
   }
 
   /** @returns whether the record could be read */
