Scheduling: an ended job is logged with its waits and what overtook it

Change: job.ended gives the time that steps waited for hosts, the number of tasks of later jobs that were placed before them, and the time for which the last task of a step ran alone. Test: fails without the change, as the fields did not exist.

--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -22,6 +22,7 @@
 import type { RunWriteAheadLog } from "./RunWriteAheadLog.js";
 import type { RunStarter } from "./RunStarter.js";
 import { sortForTakeover } from "./sortForTakeover.js";
+import type { StepWaitMonitor } from "./StepWaitMonitor.js";
 import type { Candidate, StepOrder } from "./stepOrders.js";
 import {
   isAllowedOn,
@@ -39,6 +40,7 @@
   readonly ejector: OutlierEjector;
   readonly permitTracker: PermitTracker;
   readonly runLog: RunWriteAheadLog;
+  readonly waits: StepWaitMonitor;
   /**
    * Jobs that may have tasks to start. A scheduling cycle removes those that have none.
    */
@@ -84,7 +86,7 @@
   }
 
   private runCycle(): void {
-    const { engine, order, hosts, ejector } = this.options;
+    const { engine, order, hosts, ejector, waits } = this.options;
     if (!engine.mayDecide()) return;
     const startedAt = engine.clock.monotonic();
     this.hostFilter.startCycle();
@@ -104,11 +106,14 @@
     const fillingBatches = engine.policy.assignsFillingJointly
       ? new FillingBatches(candidates)
       : undefined;
+    const waitingBefore = candidates.map(({ step }) => step.waiting.size);
+    waits.recordCandidates(candidates, startedAt);
     for (const candidate of candidates) {
       const batch = fillingBatches?.startingWith(candidate) ?? [];
       if (batch.length > 0) this.assignFilling(batch);
       this.placeStep(candidate, this.hostsOf(candidate.job));
     }
+    waits.recordPlacements(candidates, waitingBefore, startedAt);
     engine.metrics
       .latency("dispatch_pass")
       .record(engine.clock.monotonic() - startedAt);
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -55,6 +55,7 @@
 import { RunStopper } from "./RunStopper.js";
 import { ServingForecastReporter } from "./ServingForecastReporter.js";
 import { stepOrders } from "./stepOrders.js";
+import { StepWaitMonitor } from "./StepWaitMonitor.js";
 import { TailForecast } from "./TailForecast.js";
 import { WaitMonitor } from "./WaitMonitor.js";
 import { taskPlacers } from "./taskPlacers.js";
@@ -156,6 +157,7 @@
     });
     this.runStarter = runStarter;
     this.runStopper = new RunStopper(options);
+    const waits = new StepWaitMonitor();
     this.dispatcher = new Dispatcher({
       engine: options,
       hosts,
@@ -165,6 +167,7 @@
       ejector,
       permitTracker,
       active: jobs.active,
+      waits,
       runLog: new RunWriteAheadLog({
         journal,
         logger,
@@ -182,6 +185,7 @@
       runStopper: this.runStopper,
       estimates,
       ejector,
+      waits,
       placementLog,
       requestCycle,
     };
--- a/packages/scheduling/src/JobFinisher.ts
+++ b/packages/scheduling/src/JobFinisher.ts
@@ -29,17 +29,24 @@
   }
 
   finish(tracked: TrackedJob, state: JobStateName, reason: string): void {
-    const { options, jobs, progressRecorder } = this.parts;
+    const { options, jobs, progressRecorder, waits } = this.parts;
     const { clock, logger, metrics } = options;
     const { job } = tracked;
     job.end(state, clock.now());
     jobs.active.delete(tracked);
     metrics.count("job_ends", { state });
+    const { waitedMs, overtakenBy, lastTaskMs } = waits.waitsOf(
+      job,
+      clock.monotonic(),
+    );
     logger.info("job.ended", {
       job: job.id,
       state,
       reason,
       ageMs: Math.round(clock.now() - job.accepted.acceptedAt),
+      waitedMs: Math.round(waitedMs),
+      overtakenBy,
+      lastTaskMs: Math.round(lastTaskMs),
     });
     this.stopRuns(job, `job-${state}`);
     progressRecorder.recordJob(job);
--- a/packages/scheduling/src/RunEndHandler.ts
+++ b/packages/scheduling/src/RunEndHandler.ts
@@ -112,6 +112,7 @@
     const { host } = hostState;
     if (outcome === "done") {
       ejector.report({ host, ok: true });
+      this.parts.waits.recordDone(task.step, options.clock.monotonic());
       if (active) this.parts.loadPublisher.recordDone(task.step);
       // A run that continued from a checkpoint took less time than the whole task.
       if (!active || task.checkpoint !== "") return;
--- a/packages/scheduling/src/engineParts.ts
+++ b/packages/scheduling/src/engineParts.ts
@@ -8,6 +8,7 @@
 import type { PlacementLog } from "./PlacementLog.js";
 import type { RunStarter } from "./RunStarter.js";
 import type { RunStopper } from "./RunStopper.js";
+import type { StepWaitMonitor } from "./StepWaitMonitor.js";
 
 export interface EngineParts {
   readonly options: EngineOptions;
@@ -17,6 +18,7 @@
   readonly runStopper: RunStopper;
   readonly estimates: RuntimeEstimator;
   readonly ejector: OutlierEjector;
+  readonly waits: StepWaitMonitor;
   /** Undefined if this leader records no placements. */
   readonly placementLog: PlacementLog | undefined;
   /** Requests a scheduling cycle soon. */
--- a/packages/scheduling/tests/leaderLog.test.ts
+++ b/packages/scheduling/tests/leaderLog.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { sleep } from "@rackspan/common";
-import { EngineHarness } from "./engineHarness.js";
+import { EngineHarness, taskId } from "./engineHarness.js";
 import { harnessWithLog } from "./harnessWithLog.js";
 
 const ANSWER_MS = 70;
@@ -95,6 +95,39 @@
   expect(line).toMatchRegex(/ recordMs=3\d orderMs=1\d\d pausedMs=40$/);
 });
 
+/** Only one such task fits on a host. */
+const wholeHost = {
+  demand: { milliCores: 20_000, memoryMiB: 10, accelerators: 0 },
+};
+
+// A late job looks the same whether it was overtaken, began late or had one slow task.
+test("an ended job is logged with its waits, what overtook it, and the time of its last task", async () => {
+  const { harness, lines } = harnessWithLog();
+  const first = await harness.addHost("h1");
+  harness.submit("running", [wholeHost]);
+  await harness.run(100);
+  harness.submit("large", [{ taskCount: 2, ...wholeHost }]);
+  await harness.run(200);
+  harness.submit("small", [wholeHost]);
+  await harness.run(100);
+  first.end(taskId("running.0.0.0"), "done");
+  await harness.run(300);
+  const second = await harness.addHost("h2");
+  first.end(taskId("small.0.0.0"), "done");
+  await harness.run(200);
+  first.end(first.runs[0]?.task ?? taskId("none"), "done");
+  await harness.run(400);
+  second.end(second.runs[0]?.task ?? taskId("none"), "done");
+  await harness.run(200);
+  const ended = linesOf(lines, "job.ended");
+  const line = ended.find((each) => each.includes("job=large ")) ?? "";
+  expect(line).toMatchRegex(
+    / waitedMs=[67]\d\d overtakenBy=1 lastTaskMs=4\d\d$/,
+  );
+  const small = ended.find((each) => each.includes("job=small ")) ?? "";
+  expect(small).toInclude("overtakenBy=0 lastTaskMs=0");
+});
+
 test("an engine that no longer leads exports no wait times", async () => {
   const harness = new EngineHarness();
   harness.submit("j", [{}]);
--- a/packages/scheduling/tests/simulateAdmission.ts
+++ b/packages/scheduling/tests/simulateAdmission.ts
@@ -8,6 +8,7 @@
   SeededRandom,
   silentLogger,
   type JobTaskId,
+  type Logger,
   type Monotonic,
   type Random,
 } from "@rackspan/common";
@@ -128,6 +129,8 @@
   /** Share of tasks that take `LOAD.tailFactor` times as long. */
   readonly tailShare: number;
   readonly refusesHopeless: boolean;
+  /** Receives the log of the leader; silent by default. */
+  readonly logger?: Logger;
 }
 
 const gaussian = (random: Random): number =>
@@ -243,6 +246,7 @@
     order: "byWorth",
     policy: { overfillsFreeHosts: false },
     loadSummaryIntervalMs: refusesHopeless ? 500 : 0,
+    logger: options.logger ?? silentLogger,
   });
   const { clock, metrics } = site;
   for (let at = 1; at <= SITE.hosts; at += 1) {
