Scheduling: a suspect task is started after a failed write-ahead record

A job with a task under which a worker crashed stood still until the next change of leader, if the write of its next run failed for another reason than a takeover: the record stayed one that is being written. Test: fails before (one start, two expected); crashingTasks.test 15 of 15.

--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -171,6 +171,7 @@
       runLog: new RunWriteAheadLog({
         journal,
         logger,
+        clock,
         nextRunNumber: () => runStarter.nextRunNumber(),
         onRecorded: requestCycle,
         resolvePreviousRun: (task) =>
--- a/packages/scheduling/src/RunWriteAheadLog.ts
+++ b/packages/scheduling/src/RunWriteAheadLog.ts
@@ -6,12 +6,20 @@
  * ms.
  */
 
-import { describeError, type Logger, type RunNumber } from "@rackspan/common";
+import {
+  describeError,
+  type Clock,
+  type Logger,
+  type Monotonic,
+  type RunNumber,
+} from "@rackspan/common";
 import { crashLogOf, type JobTask, type ProgressJournal } from "@rackspan/jobs";
+import { ENGINE } from "./engineTypes.js";
 
 export interface RunWriteAheadLogOptions {
   readonly journal: ProgressJournal;
   readonly logger: Logger;
+  readonly clock: Clock;
   readonly nextRunNumber: () => RunNumber;
   /** Called when the store has recorded a run, so that its task may be started. */
   readonly onRecorded: () => void;
@@ -22,6 +30,8 @@
 interface WriteAheadRecord {
   readonly run: RunNumber;
   isPersisted: boolean;
+  /** When the run is recorded under another number; undefined unless its record failed. */
+  retryAt: Monotonic | undefined;
 }
 
 export class RunWriteAheadLog {
@@ -50,13 +60,17 @@
     const isShared = tasks.every(
       (task) => this.unordered.get(task)?.run === record?.run,
     );
-    if (!record || !isShared) {
+    if (!record || !isShared || this.mayRetry(record)) {
       this.persistRun(tasks);
       return undefined;
     }
     return record.isPersisted ? record.run : undefined;
   }
 
+  private mayRetry({ retryAt }: WriteAheadRecord): boolean {
+    return retryAt !== undefined && this.options.clock.monotonic() >= retryAt;
+  }
+
   /**
    * Called when the run is being ordered: the task's next run needs a record of its
    * own.
@@ -71,7 +85,11 @@
       if (!this.unordered.has(task)) resolvePreviousRun(task);
     if (tasks.some(({ step }) => step.job.isEnded)) return;
     this.removeEnded();
-    const record = { run: nextRunNumber(), isPersisted: false };
+    const record: WriteAheadRecord = {
+      run: nextRunNumber(),
+      isPersisted: false,
+      retryAt: undefined,
+    };
     const jobs = new Set(tasks.map(({ step }) => step.job));
     for (const task of tasks) {
       task.writeAheadRun = record.run;
@@ -81,7 +99,7 @@
     }
     Promise.all([...jobs].map((job) => journal.persist(job))).then(
       () => this.markPersisted(record),
-      (err: unknown) => this.logFailure(tasks, err),
+      (err: unknown) => this.handleFailure(tasks, record, err),
     );
   }
 
@@ -99,11 +117,22 @@
     this.options.onRecorded();
   }
 
-  /** Another leader has taken over, so this one starts nothing more. */
-  private logFailure(tasks: readonly JobTask[], err: unknown): void {
-    this.options.logger.warn("task.not-announced", {
+  /**
+   * If another leader has taken over, this one starts nothing more. After any other
+   * failure the run was not ordered, and the tasks get another record after a pause.
+   */
+  private handleFailure(
+    tasks: readonly JobTask[],
+    record: WriteAheadRecord,
+    err: unknown,
+  ): void {
+    const { journal, logger, clock } = this.options;
+    logger.warn("task.not-announced", {
       task: tasks[0]?.id,
+      run: record.run,
       error: describeError(err),
     });
+    if (journal.isClosed) return;
+    record.retryAt = clock.monotonic() + ENGINE.unrecordedPauseMs;
   }
 }
--- a/packages/scheduling/tests/crashingTasks.test.ts
+++ b/packages/scheduling/tests/crashingTasks.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { silentLogger, type JobTaskId, type Logger } from "@rackspan/common";
-import type { AcceptedJob } from "@rackspan/state";
+import { TOPICS, type AcceptedJob } from "@rackspan/state";
 import { JOB, progressOf, createSite, stateOf, TASK } from "./singleJobSite.js";
 import { EngineHarness, type FakeHost } from "./engineHarness.js";
 
@@ -258,6 +258,30 @@
   expect(stateOf(site, JOB)).toEqual("failed");
 });
 
+// It used to wait until the next change of leader, and its caller with it.
+test("a suspect task is started once its write-ahead record is written after a failure", async () => {
+  const site = await createSite(3);
+  site.submit(JOB, [{}]);
+  const crashedOnce = (): boolean => crashCountOf(site) >= 1;
+  await runWithCrashes(
+    site,
+    { crashes: (task) => isCrasher(task) && !crashedOnce() },
+    300,
+  );
+  expect(crashCountOf(site)).toEqual(1);
+  const { store } = site;
+  const append = store.append.bind(store);
+  store.append = async (req) => {
+    if (req.topic === TOPICS.progress) throw new Error("answer 413");
+    return append(req);
+  };
+  await site.run(1_000);
+  store.append = append;
+  await site.run(2_000);
+  const starts = site.hosts.flatMap((host) => host.starts);
+  expect(starts.filter(({ task }) => isCrasher(task)).length).toEqual(2);
+});
+
 test("a suspect lasting task gets a host although the hosts are full of plain tasks", async () => {
   const site = await createSite(2);
   site.submit(JOB, [{ lasting: true, demand: WHOLE_HOST }]);
