--- a/packages/scheduling/tests/byUtilityOrder.test.ts
+++ b/packages/scheduling/tests/byUtilityOrder.test.ts
@@ -87,6 +87,28 @@
   ]);
 });
 
+// Small jobs have more utility per work, so they alone were started under lasting overload.
+test("while small jobs keep being started, a large job goes first in its turn", () => {
+  const order = stepOrders.create("byWorth", {
+    estimates: new RuntimeEstimator(true),
+  });
+  const small = Array.from({ length: 30 }, (_, at) =>
+    candidateOf(`small-${at}`, { taskCount: 5 }),
+  );
+  order.sort(small, NOW);
+  for (const { job, step } of small)
+    for (const task of step.tasks) job.markPlaced(task);
+  const next = candidateOf("small", { taskCount: 5 });
+  const large = candidateOf("large", { taskCount: 40 });
+  const late = candidateOf("late", { taskCount: 40, ageMs: 60_000 });
+  const sorted = order.sort([next, late, large], NOW);
+  expect(sorted.map(({ job }) => String(job.id))).toEqual([
+    "large",
+    "small",
+    "late",
+  ]);
+});
+
 test("jobs without an estimate are sorted too", () => {
   const unknown = candidateOf("unknown", { estimateMs: 0 });
   const known = candidateOf("known", {});
