Soak: play the features that are deployed

The soak ran entries without recorded placements, forwarded requests and the load forecast, and sides without fenced lives. All four are on in deploy/, so a clean soak said little about what callers get.

--- a/soak/src/settings.ts
+++ b/soak/src/settings.ts
@@ -9,6 +9,13 @@
   graceSeconds: 3,
 } as const;
 
+/** The features that deploy/ switches on. */
+export const DEPLOYED = {
+  peers: { forwardsRequests: true },
+  policy: { recordsPlacements: true, forecastsServingLoad: true },
+  worker: { fencesLives: true },
+} as const;
+
 export interface EntryLocation {
   readonly name: string;
   readonly ip: string;
@@ -26,6 +33,8 @@
   sides: `${at.ip}:${at.sidesPort}`,
   leases: { workerLeaseMs: BOUNDS.leaseMs, stopMs: BOUNDS.stopMs },
   graceSeconds: BOUNDS.graceSeconds,
+  peers: DEPLOYED.peers,
+  scheduling: { policy: DEPLOYED.policy },
 });
 
 export interface SideLocation {
@@ -49,7 +58,7 @@
   host: at.host,
   availabilityZone: at.zone,
   platform: { client: "hosted", store: at.store },
-  worker: { address: at.worker },
+  worker: { address: at.worker, ...DEPLOYED.worker },
   inbox: at.inbox,
   entries: at.entries,
   entryPort: at.entryPort,
