Entry: nothing is sent to a store that is known to be away

Cause: the first append after the loss was sent, so its fate was unknown. Evidence: store.lost for all topics of the entry stands 50 ms and more before each job.submit outcome=unknown. Change: if no read was answered lately, the entry asks by a read first, for a third of the caller's time; without an answer it refuses, and nothing is sent. When the store answers again the write follows at once.

Issue: 51, 50

--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -387,11 +387,12 @@
     if (arrivedAt >= times.respondAt)
       return { ...refused("the caller's time is over"), retryAfterMs };
     for (;;) {
-      const onSettled = onWriting?.();
-      const outcome = await this.awaitWrite(writer.write(record), times, {
-        onPersisted,
-        onSettled,
-      });
+      const outcome = (await this.isStoreAnswering(lastAttemptAt))
+        ? await this.awaitWrite(writer.write(record), times, {
+            onPersisted,
+            onSettled: onWriting?.(),
+          })
+        : refused("the store cannot be reached");
       // A refused record was not persisted and never will be, so it may be written again.
       if (outcome.kind !== "refused") return outcome;
       if (clock.monotonic() > lastAttemptAt)
@@ -400,6 +401,22 @@
     }
   }
 
+  /**
+   * Whether the store answers this entry, asked by a read if it did not lately. A record
+   * that is sent to a store that does not answer may or may not be persisted, so that
+   * its caller could not try another entry.
+   */
+  private async isStoreAnswering(until: Monotonic): Promise<boolean> {
+    const { storeReachability, jobsFollower, clock } = this.options;
+    if (storeReachability.isReachable) return true;
+    const abort = new AbortController();
+    const waitMs = until - clock.monotonic();
+    const timer = clock.after(waitMs, () => abort.abort());
+    await jobsFollower.catchUp(abort.signal).catch(() => undefined);
+    timer.cancel();
+    return storeReachability.isReachable;
+  }
+
   /**
    * Waits for a write until it is persisted, refused, or the caller's response is due.
    * A record that was not sent is withdrawn early enough for the caller to try another
@@ -411,7 +428,9 @@
     {
       onPersisted,
       onSettled = () => undefined,
-    }: Pick<WriteHandlers, "onPersisted"> & { onSettled?: () => void },
+    }: Pick<WriteHandlers, "onPersisted"> & {
+      onSettled?: (() => void) | undefined;
+    },
   ): Promise<JobRequestOutcome> {
     const { clock } = this.options;
     const persisted = write.persisted.then(
--- a/packages/entry/tests/unsentSubmissions.test.ts
+++ b/packages/entry/tests/unsentSubmissions.test.ts
@@ -74,6 +74,33 @@
   expect((await finish()) <= 1).toEqual(true);
 });
 
+// Sent, it would be answered as unknown once all of the caller's time is over.
+test("a submission to an entry whose reads are not answered is refused without being sent", async () => {
+  const { clock, store, submit, finish } = await setUp();
+  store.fault = "silent";
+  await clock.advance(4_000);
+  const submission = submit(3_000);
+  await clock.advance(3_000);
+  const { outcome, tookMs } = await submission;
+  expect(outcome.kind).toEqual("refused");
+  expect(tookMs <= 1_000).toEqual(true);
+  expect(await finish()).toEqual(0);
+});
+
+test("a submission is accepted at once when a silent store answers again", async () => {
+  const { clock, store, submit, finish } = await setUp();
+  store.fault = "silent";
+  await clock.advance(4_000);
+  const submission = submit(3_000);
+  await clock.advance(200);
+  store.fault = "none";
+  await clock.advance(2_800);
+  const { outcome, tookMs } = await submission;
+  expect(outcome.kind).toEqual("accepted");
+  expect(tookMs <= 1_000).toEqual(true);
+  expect(await finish()).toEqual(1);
+});
+
 // Guards against the opposite fault: a record that was sent may be persisted.
 test("a submission that was sent and not answered is unknown, under every fault before and after", async () => {
   const others: readonly StoreFault[] = ["none", "refuses", "unconnected"];
