Scheduling: lasting jobs do not count in the shares of size classes

Found when reading the diff: a lasting job requests no finite work, so it counted as a small job that was started, and made other classes of its priority look behind.

--- a/packages/scheduling/src/byUtilityOrder.ts
+++ b/packages/scheduling/src/byUtilityOrder.ts
@@ -44,8 +44,7 @@
   milliCores: number;
 }
 
-const NO_WORK: MeanWork = { jobs: 0, total: 0, milliCores: 0 };
-
+/** Sum of what the tasks of the job request, without lasting ones. */
 const requestedMilliCores = ({ steps }: JobRun): number =>
   steps.reduce(
     (sum, { tasks, spec }) =>
@@ -151,12 +150,14 @@
     if (this.seen.has(job)) return;
     this.seen.add(job);
     const { queue } = job.accepted.spec;
-    const mean = this.means.get(queue) ?? { ...NO_WORK };
+    const mean = this.means.get(queue) ?? { jobs: 0, total: 0, milliCores: 0 };
+    const milliCores = requestedMilliCores(job);
     mean.jobs += 1;
     mean.total += this.estimates.totalWork(job);
-    mean.milliCores += requestedMilliCores(job);
+    mean.milliCores += milliCores;
     this.means.set(queue, mean);
-    if (job.begun) return;
+    // Lasting jobs are never passed over, and restored ones were started before.
+    if (job.begun || milliCores === 0) return;
     this.unstarted.add(job);
     this.sharesOf(job).recordArrival(job, this.sizeOf(job));
   }
