Scheduling: size classes act once the fate of 16 jobs is known

Cause: jobs were chosen from 8 known outcomes on, which are few for shares of three classes. Change: from 16 outcomes on.

--- a/packages/scheduling/src/SizeClassShares.ts
+++ b/packages/scheduling/src/SizeClassShares.ts
@@ -23,7 +23,7 @@
   /** Number of outcomes of a class that are remembered. */
   maxRemembered: 64,
   /** Number of outcomes that have to be known before any job is chosen. */
-  minOutcomes: 8,
+  minOutcomes: 16,
 } as const;
 
 /** Whether each of the last jobs of a class was started while it could be in time. */
