--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -14,16 +14,16 @@
 
 const HOSTS = 8;
 /** One of eight workers at a time is a share of 0.125. */
-const CRASHES = 12;
+const CRASHES = 15;
 const CRASH_EVERY_MS = 2_000;
 const DOWN_MS = 1_000;
 
 const BATCH_JOBS = 36;
 const STANDING_JOBS = 4;
 const TASKS = 2;
-const TASK_MS = 8_000;
+const TASK_MS = 20_000;
 const NEED = { cpu: 1_000, mem_mb: 1_024 };
-const SETTLE_MS = 20_000;
+const SETTLE_MS = 25_000;
 
 const site = new Site({
   record: join(HERE, "record.txt"),
