--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -19,6 +19,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { Client } from "./client.mjs";
+import { Link } from "./link.mjs";
 import { renderTemplate } from "./renderTemplate.mjs";
 import { Store } from "./store.mjs";
 
@@ -102,16 +103,26 @@
   sides = [];
   workers = [];
   gangs = new Map();
+  links = [];
   isClosing = false;
 
   /**
    * @param options.record file to which everything is written
    * @param options.hosts number of workers
    * @param options.capacity of each worker
+   * @param options.linkMbps rate at which an entry receives from the store; unlimited if absent
    * @param options.gpus accelerators of the first worker, which is of another kind then
    */
-  constructor({ record, entries = 2, hosts, capacity, gpus = 0, route = {} }) {
-    this.options = { entries, hosts, capacity, gpus };
+  constructor({
+    record,
+    entries = 2,
+    hosts,
+    capacity,
+    gpus = 0,
+    route = {},
+    linkMbps,
+  }) {
+    this.options = { entries, hosts, capacity, gpus, linkMbps };
     this.recordFile = record;
     this.route = { ...ROUTE, ...route };
     writeFileSync(record, "");
@@ -121,6 +132,25 @@
     this.store = new Store(PLATFORM);
   }
 
+  /** Writes a configuration with the queue of the case, and others that nobody uses. */
+  putConfig(version, idleRoutes = 0) {
+    const idle = Array.from({ length: idleRoutes }, (_, index) => ({
+      ...this.route,
+      name: `r-${10_000 + index}`,
+      host: `idle${index}.example`,
+      path_prefix: `/idle${10_000 + index}/`,
+    }));
+    const config = {
+      version,
+      routes: [this.route, ...idle],
+      services: [{ name: SERVICE, rejects_overload: true }],
+      limits: { max_body_bytes: 262_144 },
+    };
+    this.store.put("keyed.op", "config", config);
+    const bytes = JSON.stringify(config).length;
+    this.note("config", { version, routes: idleRoutes + 1, bytes });
+  }
+
   note(event, fields = {}) {
     const line = JSON.stringify({ at: Date.now(), event, ...fields });
     appendFileSync(this.recordFile, `${line}\n`);
@@ -130,12 +160,7 @@
     const { entries, hosts } = this.options;
     this.commands = commands();
     this.storeAddress = await this.store.listen(`${this.net}.2`);
-    this.store.put("keyed.op", "config", {
-      version: 7,
-      routes: [this.route],
-      services: [{ name: SERVICE, rejects_overload: true }],
-      limits: { max_body_bytes: 262_144 },
-    });
+    this.putConfig(7);
     this.port = await freePort(`${this.net}.10`);
     const frontPort = await freePort(`${this.net}.10`);
     this.seeds = Array.from(
@@ -174,11 +199,31 @@
       ...this.fields(ip, ZONES[index % ZONES.length], name),
       listen: { front, ready_addr, control_addr: this.seeds[index] },
     };
+    fields.platform.address = await this.storeAddressFor(ip);
     const entry = { name, front, ready: ready_addr };
     this.entries.push(entry);
     this.run(entry, this.commands.frontend, fields);
   }
 
+  /** The address at which a machine reaches the store, over its own link. */
+  async storeAddressFor(ip) {
+    const { linkMbps } = this.options;
+    if (linkMbps === undefined) return this.storeAddress;
+    const link = new Link(this.storeAddress, linkMbps);
+    this.links.push(link);
+    return link.listen(ip);
+  }
+
+  /** Kills processes of rackspan; they start again after `downMs`. */
+  killAll(machines, downMs) {
+    this.note("trouble.kill", { names: machines.map(({ name }) => name) });
+    for (const machine of machines) {
+      machine.isExpected = true;
+      machine.downMs = downMs;
+      machine.child.kill("SIGKILL");
+    }
+  }
+
   async startHost(index) {
     const ip = `${this.net}.${50 + index}`;
     const zone = ZONES[index % ZONES.length];
@@ -225,7 +270,8 @@
         if (!machine.isExpected)
           this.exits.push({ at: Date.now(), name: machine.name, code, signal });
         machine.isExpected = false;
-        setTimeout(() => !this.isClosing && startOnce(), RESTART_MS);
+        const downMs = machine.downMs ?? RESTART_MS;
+        setTimeout(() => !this.isClosing && startOnce(), downMs);
       });
     };
     startOnce();
@@ -323,6 +369,7 @@
     );
     for (const child of children) child.kill("SIGKILL");
     await Promise.all(ended);
+    for (const link of this.links) link.close();
     this.store.close();
     if (process.env.KEEP_LOGS !== "1")
       rmSync(this.folder, { recursive: true, force: true });
