State: the log shows which append fails, how often and how large it is

Callers see no change. An append that is repeated left no trace: the log did not tell a store that is away from a record that it never accepts. Change: writer.failing at the first, second, fourth ... failure of a batch, with topic, sequence, attempts, age, time-out, bytes and the store's answer.

--- a/packages/ports/src/recordStore.ts
+++ b/packages/ports/src/recordStore.ts
@@ -15,6 +15,13 @@
   readonly value: Buffer | undefined;
 }
 
+/** Bytes that the record takes in an append: its key, its value and their lengths. */
+export const recordBytes = ({ key, value }: KeyedRecord): number =>
+  RECORD_HEADER_BYTES + Buffer.byteLength(key) + (value?.length ?? 0);
+
+/** The length of the record (4 bytes) and of its key (1 byte). */
+const RECORD_HEADER_BYTES = 5;
+
 export interface StoredRecord extends KeyedRecord {
   readonly offset: number;
 }
--- a/packages/state/src/TopicWriter.ts
+++ b/packages/state/src/TopicWriter.ts
@@ -16,6 +16,7 @@
   SequenceError,
   StoreAnswerLostError,
   StoreRefusedError,
+  recordBytes,
   type KeyedRecord,
   type RecordStore,
   type TopicName,
@@ -294,7 +295,7 @@
     const { clock, retriesRefusedBatches } = this.options;
     let mayBePersisted = false;
     let timeoutMs = this.firstTimeoutMs;
-    for (;;) {
+    for (let failures = 1; ; failures += 1) {
       signal?.throwIfAborted();
       if (this.closed && !mayBePersisted) throw this.closed;
       try {
@@ -315,6 +316,7 @@
           throw mayBePersisted ? this.lostError(failure) : failure;
         }
         mayBePersisted ||= lost;
+        this.logFailure(records, failures, timeoutMs, err);
         if (batch && lost) batch.mayBeSent = true;
         if (!mayBePersisted && !retriesRefusedBatches) throw err;
         if (this.closed) throw mayBePersisted ? this.lostError(err) : err;
@@ -325,6 +327,32 @@
     }
   }
 
+  /** Logs the failures of one batch at its first, second, fourth … attempt. */
+  private logFailure(
+    records: readonly KeyedRecord[],
+    failures: number,
+    timeoutMs: number,
+    err: unknown,
+  ): void {
+    if (!Number.isInteger(Math.log2(failures))) return;
+    const { topic, epoch, logger, clock } = this.options;
+    const sizes = records.map(recordBytes);
+    const sentAt = this.batchSentAt ?? clock.monotonic();
+    logger.warn("writer.failing", {
+      topic,
+      epoch,
+      sequence: this.sequence,
+      failures,
+      ageMs: Math.round(clock.monotonic() - sentAt),
+      timeoutMs,
+      records: records.length,
+      bytes: sizes.reduce((sum, bytes) => sum + bytes, 0),
+      largestBytes: Math.max(0, ...sizes),
+      queued: this.queue.length,
+      error: describeError(err),
+    });
+  }
+
   private async appendOnce(
     records: readonly KeyedRecord[],
     timeoutMs: number,
