State: a record that the store never accepts holds up nothing

Cause: the progress of a job was one record of 34 bytes a checkpoint and more. Above record_bytes the store refused it with 413, TopicWriter repeated the append without end, and all records behind it waited. Evidence: writer.failing of the case with the former behaviour: sequence=1049137 failures=8 ... 256 ageMs=17140 records=1 bytes=263326, answer 413, queued up to 65; engine.late 118 ms at most, so the leader did not lack processor time; task.waits names the placer only afterwards. Change: progress above 64 KiB is split into segments of 128 tasks, of which only those with changes are written; the writer never queues a record above the store's limits, and isolates a record that the store rejects; a rejected job record is answered with 413 and its size at once. The platform's limits are passed on by the deploy file. Records of earlier versions keep their progress.

--- a/packages/checker/src/jobs/LeaderModel.ts
+++ b/packages/checker/src/jobs/LeaderModel.ts
@@ -187,6 +187,7 @@
       journal: new Journal({
         writer: progressWriter,
         clock: this.clock,
+        logger: silentLogger,
         batchWindowMs: 5,
       }),
       roster: storedRoster,
--- a/packages/entry/src/jobs/JobService.ts
+++ b/packages/entry/src/jobs/JobService.ts
@@ -15,6 +15,7 @@
 } from "@rackspan/common";
 import {
   FencedError,
+  RecordRejectedError,
   StoreRefusedError,
   type KeyedRecord,
 } from "@rackspan/ports";
@@ -61,6 +62,12 @@
   readonly retryAfterMs: number;
 }
 
+/** The request was not carried out, and no repetition of it ever will be. */
+export interface RejectedOutcome {
+  readonly kind: "rejected";
+  readonly reason: string;
+}
+
 /**
  * Result of a submit or a cancel. After `unknown` the caller may repeat the request at
  * once; a `refused` request was not carried out and never will be.
@@ -68,6 +75,7 @@
 export type JobRequestOutcome =
   | { readonly kind: "accepted" }
   | RefusedOutcome
+  | RejectedOutcome
   | { readonly kind: "unknown"; readonly reason: string }
   | { readonly kind: "no-such-job" };
 
@@ -169,12 +177,14 @@
     const { view, jobsWriter, clock, metrics } = this.options;
     const startedAt = clock.monotonic();
     const terms = jobTermsOf(queue);
+    const job: AcceptedJob = { spec, acceptedAt: clock.now(), terms };
+    const record = { key: spec.id, value: encodeJob(job) };
     const decided =
-      this.outcomeOfKnown(spec) ?? (await this.refusal(spec, terms, deadline));
+      this.outcomeOfKnown(spec) ??
+      this.rejection(record) ??
+      (await this.refusal(spec, terms, deadline));
     if (decided)
       return this.recordOutcome("submit", spec.id, decided, startedAt);
-    const job: AcceptedJob = { spec, acceptedAt: clock.now(), terms };
-    const record = { key: spec.id, value: encodeJob(job) };
     const persisted = await this.persist(jobsWriter, record, deadline, {
       onPersisted: () => view.addAccepted(job),
       onWriting: () => this.unsettled.begin(spec.id),
@@ -186,6 +196,12 @@
     return this.recordOutcome("submit", spec.id, outcome, startedAt);
   }
 
+  /** A job whose record the store can never accept is not tried at all. */
+  private rejection(record: KeyedRecord): JobRequestOutcome | undefined {
+    const rejection = this.options.jobsWriter.rejectionOf(record);
+    return rejection && { kind: "rejected", reason: rejection.message };
+  }
+
   private outcomeOfKnown(spec: JobSpec): JobRequestOutcome | undefined {
     const known = this.options.view.get(spec.id);
     if (!known) return undefined;
@@ -207,7 +223,9 @@
     id: JobId,
     outcome: JobRequestOutcome,
   ): JobRequestOutcome {
-    if (outcome.kind !== "refused" || !this.mayBeStored(id)) return outcome;
+    if (outcome.kind !== "refused" && outcome.kind !== "rejected")
+      return outcome;
+    if (!this.mayBeStored(id)) return outcome;
     const reason = `${outcome.reason}; a record of the job may be stored`;
     return { kind: "unknown", reason };
   }
@@ -441,6 +459,10 @@
       },
       (err: unknown): JobRequestOutcome => {
         const reason = describeError(err);
+        if (err instanceof RecordRejectedError) {
+          onSettled();
+          return { kind: "rejected", reason: err.message };
+        }
         const isRefused =
           err instanceof StoreRefusedError || err instanceof FencedError;
         if (!isRefused) return { kind: "unknown", reason };
--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -253,6 +253,7 @@
       journal: new ProgressJournal({
         writer: this.progressWriter,
         clock,
+        logger,
         batchWindowMs: this.options.progressBatchWindowMs,
       }),
       roster: storedRoster,
@@ -351,11 +352,18 @@
    * would be run again.
    */
   private async deleteJob(id: JobId): Promise<void> {
-    const { jobsWriter, logger } = this.options;
+    const { view, jobsWriter, logger } = this.options;
     const tombstone = { key: id, value: undefined };
     await jobsWriter.write(tombstone).persisted;
     await this.deleteCancel(id);
-    await this.progressWriter.write(tombstone).persisted;
+    await Promise.all(
+      view
+        .progressKeysOf(id)
+        .map(
+          (key) =>
+            this.progressWriter.write({ key, value: undefined }).persisted,
+        ),
+    );
     logger.info("job.forgotten", { job: id });
   }
 
--- a/packages/entry/src/jobs/createJobEntryParts.ts
+++ b/packages/entry/src/jobs/createJobEntryParts.ts
@@ -182,8 +182,8 @@
 
 const buildStoreParts = (context: StorePartsOptions): StoreParts => {
   const { logger, metrics } = context;
-  const { client, store: address } = context.settings.platform;
-  const storeClient = storeClients.create(client, { address });
+  const { client, store: address, limits } = context.settings.platform;
+  const storeClient = storeClients.create(client, { address, limits });
   const peers = buildPeerParts(context, storeClient);
   const store = peers?.storeCalls ?? storeClient;
   const view = new JobView({ logger, metrics });
--- a/packages/entry/src/jobs/forwarding/StoreCallMonitor.ts
+++ b/packages/entry/src/jobs/forwarding/StoreCallMonitor.ts
@@ -6,6 +6,7 @@
 
 import type { Clock, Monotonic } from "@rackspan/common";
 import {
+  RecordRejectedError,
   StoreAnswerLostError,
   StoreRefusedError,
   type AppendRequest,
@@ -13,6 +14,7 @@
   type JoinResponse,
   type ReadRequest,
   type ReadResponse,
+  type RecordLimits,
   type RecordPage,
   type StoreClient,
   type TopicName,
@@ -45,6 +47,10 @@
     return this.isConfirmed ? this.firstFailureAt : undefined;
   }
 
+  get limits(): RecordLimits {
+    return this.options.store.limits;
+  }
+
   append(req: AppendRequest): Promise<number> {
     return this.observe(this.options.store.append(req));
   }
@@ -85,8 +91,10 @@
       return result;
     } catch (err) {
       if (signal?.aborted) throw err;
-      const failed =
-        err instanceof StoreRefusedError || err instanceof StoreAnswerLostError;
+      const isRefused =
+        err instanceof StoreRefusedError &&
+        !(err instanceof RecordRejectedError);
+      const failed = isRefused || err instanceof StoreAnswerLostError;
       // Other errors, such as a fenced writer, are answers of a reachable store.
       if (failed) this.recordFailure(err);
       else this.recordAnswer(sentAt);
--- a/packages/entry/src/jobs/forwarding/combineOutcomes.ts
+++ b/packages/entry/src/jobs/forwarding/combineOutcomes.ts
@@ -8,9 +8,15 @@
 
 export type AnyOutcome = JobRequestOutcome | JobStateOutcome;
 
-/** Whether the request was carried out; a state query is once the state is known. */
+/**
+ * Whether no other entry can answer better: the request was carried out, or never can be. A
+ * state query was carried out once the state is known.
+ */
 export const isAnswered = ({ kind }: AnyOutcome): boolean =>
-  kind === "accepted" || kind === "known" || kind === "no-such-job";
+  kind === "accepted" ||
+  kind === "known" ||
+  kind === "no-such-job" ||
+  kind === "rejected";
 
 export const combineOutcomes = <L extends AnyOutcome, F extends AnyOutcome>(
   local: L,
--- a/packages/entry/src/jobs/forwarding/peerMethods.ts
+++ b/packages/entry/src/jobs/forwarding/peerMethods.ts
@@ -41,6 +41,8 @@
     reason: z.string(),
     retryAfterMs: z.number(),
   }),
+  /** No repetition of the request will ever be carried out either. */
+  z.object({ kind: z.literal("rejected"), reason: z.string() }),
   z.object({ kind: z.literal("unknown"), reason: z.string() }),
 ]);
 
--- a/packages/entry/src/jobs/settings.ts
+++ b/packages/entry/src/jobs/settings.ts
@@ -8,6 +8,7 @@
   type AvailabilityZone,
   type EntryId,
 } from "@rackspan/common";
+import { DEFAULT_RECORD_LIMITS } from "@rackspan/ports";
 import {
   DEFAULT_POLICY,
   stepOrders,
@@ -19,6 +20,8 @@
 
 const secondsSchema = z.number().positive().max(86_400);
 
+const bytesSchema = z.number().int().positive();
+
 const nameSchema = (names: readonly string[]) =>
   z.enum(names as [string, ...string[]]);
 
@@ -54,6 +57,13 @@
     client: z.string().min(1),
     /** `IP:PORT` of the store. */
     store: endpointSchema,
+    /** Sizes that the store accepts. */
+    limits: z
+      .strictObject({
+        recordBytes: bytesSchema.default(DEFAULT_RECORD_LIMITS.recordBytes),
+        callBytes: bytesSchema.default(DEFAULT_RECORD_LIMITS.callBytes),
+      })
+      .prefault({}),
     /** `IP:PORT` of the optional service that permits hosts to run a step. */
     permits: endpointSchema.optional(),
   }),
--- a/packages/entry/tests/createForwardingSite.ts
+++ b/packages/entry/tests/createForwardingSite.ts
@@ -73,6 +73,9 @@
     private readonly clock: ManualClock,
   ) {}
 
+  get limits() {
+    return this.store.limits;
+  }
   append(req: AppendRequest) {
     return this.through(() => this.store.append(req), req.timeoutMs);
   }
--- a/packages/entry/tests/jobService.test.ts
+++ b/packages/entry/tests/jobService.test.ts
@@ -118,3 +118,28 @@
   expect(store.recordsOf(TOPICS.cancels)).toEqual([]);
   await stop();
 });
+
+// It was refused with the advice to come back, after the caller's whole time.
+test("a job whose record the store can never accept is rejected at once, with the reason", async () => {
+  const { clock, store, jobService, deadline, stop } = await setUp();
+  const { spec, terms } = plainJob({
+    id: MISSING_JOB,
+    acceptedAt: clock.now(),
+    steps: [{ after: [] }, { after: Array<number>(150_000).fill(0) }],
+  });
+  const queue = {
+    ...terms,
+    key: spec.queue,
+    name: "queue",
+    hostName: "calls.example",
+    pathPrefix: "/minutes/",
+    permitRule: undefined,
+  };
+  const appends = store.appends;
+  const outcome = await jobService.submit(queue, spec, deadline());
+  expect(outcome.kind).toEqual("rejected");
+  const reason = "reason" in outcome ? outcome.reason : "";
+  expect(reason.includes("the store accepts 262144")).toEqual(true);
+  expect(store.appends).toEqual(appends);
+  await stop();
+});
--- a/packages/jobs/src/CrashLog.ts
+++ b/packages/jobs/src/CrashLog.ts
@@ -101,21 +101,31 @@
   "young",
 ]);
 
+/** What contains a crash log, and persists it. */
+export interface CrashLogOwner {
+  markChanged(): void;
+}
+
 export class CrashLog {
   /** By run. */
   private readonly evidenceByRun = new Map<number, CrashEvidence>();
 
   /** @param entries the entries of a persisted log */
-  constructor(entries: Iterable<readonly [number, CrashEvidence]> = []) {
+  constructor(
+    entries: Iterable<readonly [number, CrashEvidence]> = [],
+    private readonly owner?: CrashLogOwner,
+  ) {
     for (const [run, evidence] of entries) this.record(run, evidence);
   }
 
   record(run: number, evidence: CrashEvidence): void {
     this.evidenceByRun.set(run, evidence);
+    this.owner?.markChanged();
   }
 
   /** @returns whether the log had evidence from the run */
   remove(run: number): boolean {
+    this.owner?.markChanged();
     return this.evidenceByRun.delete(run);
   }
 
@@ -125,6 +135,7 @@
 
   clear(): void {
     this.evidenceByRun.clear();
+    this.owner?.markChanged();
   }
 
   get isEmpty(): boolean {
--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -3,8 +3,8 @@
  * and how ended runs ended. It refers to hosts by their ids only.
  */
 
-import type { Instant, RunNumber } from "@rackspan/common";
-import type { RunOutcome } from "@rackspan/ports";
+import type { Instant, Logger, RunNumber } from "@rackspan/common";
+import type { KeyedRecord, RecordLimits, RunOutcome } from "@rackspan/ports";
 import {
   decodeIndices,
   encodeIndices,
@@ -13,11 +13,13 @@
   type JobStateName,
   type JobTerms,
   type ProgressRecord,
+  type TaskProgress,
 } from "@rackspan/state";
 import type { CrashLog } from "./CrashLog.js";
 import type { JobTask } from "./JobTask.js";
-import { encodePlacements } from "./placements.js";
+import { ProgressEncoder } from "./ProgressEncoder.js";
 import { StepRun } from "./StepRun.js";
+import { progressOf } from "./taskProgress.js";
 
 const setCheckpoint = (task: JobTask, checkpoint: string): void => {
   task.checkpoint = checkpoint;
@@ -31,9 +33,6 @@
 export const crashLogOf = ({ step, crashLog }: JobTask): CrashLog =>
   step.spec.gang ? step.crashLog : crashLog;
 
-const stepKeyOf = (step: StepRun): string =>
-  `${step.occurrence}.${step.number}`;
-
 export class JobRun {
   readonly terms: JobTerms;
   state: JobStateName = "queued";
@@ -50,6 +49,9 @@
   private doneOccurrences = 0;
   /** Number of the first occurrence that is not complete. */
   private firstIncomplete = 0;
+  /** Complete occurrences after it. */
+  private readonly doneAhead = new Set<number>();
+  private readonly encoder: ProgressEncoder;
 
   /** Whether a previous leader has recorded progress of the job. */
   readonly isRestored: boolean;
@@ -62,6 +64,7 @@
     this.isRestored = progress !== undefined;
     if (progress) this.restore(progress);
     else this.occurrence(0);
+    this.encoder = new ProgressEncoder(this, progress?.segments);
   }
 
   get id(): AcceptedJob["spec"]["id"] {
@@ -80,8 +83,12 @@
   }
 
   task(occurrence: number, step: number, index: number): JobTask | undefined {
+    return this.stepAt(occurrence, step)?.tasks[index];
+  }
+
+  stepAt(occurrence: number, step: number): StepRun | undefined {
     if (occurrence >= this.occurrenceCount) return undefined;
-    return this.occurrence(occurrence)[step]?.tasks[index];
+    return this.occurrence(occurrence)[step];
   }
 
   /** Steps that have tasks to start now. */
@@ -147,7 +154,7 @@
     }
     const isNewFailure = outcome === "failed" && !task.failedRuns.has(run);
     if (isNewFailure && !task.step.spec.lasting) {
-      task.failedRuns.add(run);
+      task.recordFailure(run);
       return true;
     }
     return isNewCheckpoint;
@@ -217,43 +224,43 @@
     this.endedAt = now;
   }
 
-  /** The job's progress for the store; called just before the record is written. */
-  toRecord(): ProgressRecord {
+  /** Whether it is known for each task on which host it may run. */
+  get hasPlacements(): boolean {
+    return this.placementEpoch !== undefined;
+  }
+
+  /** Records of the progress that is not in records taken before; see ProgressEncoder. */
+  takeRecords(limits: RecordLimits, logger: Logger): KeyedRecord[] {
     this.hasUnpersistedProgress = false;
-    const done: Record<string, string> = {};
-    const failures: ProgressRecord["failures"] = [];
-    const checkpoints: ProgressRecord["checkpoints"] = [];
-    const crashes: ProgressRecord["crashes"] = [];
-    const announced: ProgressRecord["announced"] = [];
-    for (const step of this.steps) {
-      const isDone = (task: JobTask): boolean => task.phase === "done";
-      const indices = step.tasks.filter(isDone).map(({ index }) => index);
-      if (indices.length > 0) done[stepKeyOf(step)] = encodeIndices(indices);
-      for (const task of step.tasks) {
-        if (isDone(task)) continue;
-        const key = `${stepKeyOf(step)}.${task.index}`;
-        if (task.failedRuns.size > 0)
-          failures.push([key, [...task.failedRuns]]);
-        if (task.checkpoint) checkpoints.push([key, task.checkpoint]);
-        if (!task.crashLog.isEmpty) crashes.push([key, task.crashLog.entries]);
-        if (task.writeAheadRun !== undefined)
-          announced.push([key, task.writeAheadRun]);
-      }
-    }
+    return this.encoder.takeRecords(limits, logger);
+  }
+
+  /** Called when records that were taken were not persisted. */
+  markUnpersisted(): void {
+    this.encoder.markAllChanged();
+  }
+
+  /** The job's progress with that of all tasks. */
+  toRecord(): ProgressRecord {
+    const groups = this.steps.map((step) => ({ step, tasks: step.tasks }));
+    return this.withTasks(progressOf(groups, this.hasPlacements));
+  }
+
+  /** The job's progress without that of the tasks of unfinished occurrences. */
+  toHead(): ProgressRecord {
+    const progress = progressOf([], this.hasPlacements);
+    const doneOccurrences = encodeIndices([
+      ...Array(this.firstIncomplete).keys(),
+      ...this.doneAhead,
+    ]);
+    return { ...this.withTasks(progress), doneOccurrences };
+  }
+
+  private withTasks(progress: TaskProgress): ProgressRecord {
     const { state, begun, endedAt, placementEpoch } = this;
-    const record = {
-      state,
-      begun,
-      endedAt,
-      done,
-      failures,
-      checkpoints,
-      crashes,
-      announced,
-    };
+    const record = { state, begun, endedAt, ...progress };
     if (placementEpoch === undefined) return record;
-    const placed = encodePlacements(this.steps);
-    return { ...record, placed, placedEpoch: placementEpoch };
+    return { ...record, placedEpoch: placementEpoch };
   }
 
   private restore(progress: ProgressRecord): void {
@@ -261,6 +268,11 @@
     this.begun = progress.begun;
     this.endedAt = progress.endedAt;
     this.occurrence(0);
+    for (const number of decodeIndices(progress.doneOccurrences ?? "")) {
+      if (number >= this.occurrenceCount) continue;
+      for (const { tasks } of this.occurrence(number))
+        for (const task of tasks) this.markDone(task);
+    }
     for (const [key, indices] of Object.entries(progress.done)) {
       for (const index of decodeIndices(indices)) {
         const task = this.taskAtKey(`${key}.${index}`);
@@ -269,7 +281,7 @@
     }
     for (const [key, runs] of progress.failures) {
       const task = this.taskAtKey(key);
-      for (const run of runs) task?.failedRuns.add(run);
+      for (const run of runs) task?.recordFailure(run);
     }
     for (const [key, runs] of progress.crashes) {
       const task = this.taskAtKey(key);
@@ -283,6 +295,7 @@
       const task = this.taskAtKey(key);
       if (task) setCheckpoint(task, checkpoint);
     }
+    for (const { changedTasks } of this.steps) changedTasks.clear();
   }
 
   private taskAtKey(key: string): JobTask | undefined {
@@ -309,16 +322,19 @@
   private markDone(task: JobTask): void {
     if (task.phase === "done") return;
     task.phase = "done";
+    task.markChanged();
     task.step.waiting.delete(task);
     task.step.doneCount += 1;
     if (!task.step.isDone) return;
-    if (!this.isOccurrenceDone(task.step.occurrence)) return;
+    const { occurrence } = task.step;
+    if (!this.isOccurrenceDone(occurrence)) return;
     this.doneOccurrences += 1;
-    while (this.isOccurrenceDone(this.firstIncomplete))
+    this.doneAhead.add(occurrence);
+    while (this.doneAhead.delete(this.firstIncomplete))
       this.firstIncomplete += 1;
   }
 
-  private isOccurrenceDone(number: number): boolean {
+  isOccurrenceDone(number: number): boolean {
     const steps = this.occurrences.get(number);
     return steps !== undefined && steps.every((step) => step.isDone);
   }
--- a/packages/jobs/src/ProgressJournal.ts
+++ b/packages/jobs/src/ProgressJournal.ts
@@ -1,26 +1,36 @@
 /** Persists the progress of jobs in the store; several changes of a job become one record. */
 
-import type { Clock } from "@rackspan/common";
-import { StoreRefusedError, type KeyedRecord } from "@rackspan/ports";
+import { sleep, type Clock, type Logger } from "@rackspan/common";
 import {
-  encodeProgress,
-  type PendingWrite,
-  type TopicWriter,
-} from "@rackspan/state";
+  RecordRejectedError,
+  StoreRefusedError,
+  type KeyedRecord,
+} from "@rackspan/ports";
+import type { PendingWrite, TopicWriter } from "@rackspan/state";
 import type { JobRun } from "./JobRun.js";
 
+/** Pause before the progress of a job is written again whose records were rejected. */
+const REJECTED_RETRY_MS = 1_000;
+
 export interface ProgressJournalOptions {
   readonly writer: TopicWriter;
   readonly clock: Clock;
+  readonly logger: Logger;
   /** Time for which changes are batched to save appends, milliseconds. */
   readonly batchWindowMs: number;
 }
 
+/** The write of one job's progress in a batch. */
+interface JobWrite {
+  readonly persisted: Promise<void>;
+  readonly resolve: () => void;
+  readonly reject: (err: unknown) => void;
+}
+
 interface Batch {
-  readonly jobs: Set<JobRun>;
+  readonly jobs: Map<JobRun, JobWrite>;
   /** Records without a job, by key. */
   readonly extraRecords: Map<string, KeyedRecord>;
-  readonly persisted: Promise<void>;
   /** Writes the batch now, unless that was done before. */
   readonly close: () => void;
 }
@@ -31,6 +41,8 @@
   private closesSoon = false;
   /** The last write of each job that is not confirmed yet. */
   private readonly unpersisted = new Map<JobRun, Promise<void>>();
+  /** Repetitions of rejected writes that have not begun. */
+  private readonly repetitions = new Map<JobRun, Promise<void>>();
 
   constructor(private readonly options: ProgressJournalOptions) {}
 
@@ -45,9 +57,13 @@
    */
   persist(job: JobRun): Promise<void> {
     this.next ??= this.openBatch();
-    this.next.jobs.add(job);
-    this.trackWrite(job, this.next.persisted);
-    return this.next.persisted;
+    const { jobs } = this.next;
+    const known = jobs.get(job);
+    if (known) return known.persisted;
+    const write = createJobWrite();
+    jobs.set(job, write);
+    this.trackWrite(job, write.persisted);
+    return write.persisted;
   }
 
   /**
@@ -66,7 +82,7 @@
 
   /**
    * Resolves once all earlier writes for the job are persisted; writes nothing itself. A
-   * refused write is repeated, so a later call waits for the repetition.
+   * refused or rejected write is repeated, so a later call waits for the repetition.
    * Rejects when another leader has taken over before that.
    */
   flushed(job: JobRun): Promise<void> {
@@ -80,86 +96,89 @@
   writeAlong(record: KeyedRecord): void {
     this.next ??= this.openBatch();
     this.next.extraRecords.set(record.key, record);
-    this.next.persisted.catch(() => undefined);
   }
 
   private trackWrite(job: JobRun, persisted: Promise<void>): void {
-    if (this.unpersisted.get(job) === persisted) return;
     this.unpersisted.set(job, persisted);
     const untrack = (): void => {
       if (this.unpersisted.get(job) === persisted) this.unpersisted.delete(job);
     };
-    persisted.then(untrack, (err: unknown) => {
-      // Any other failed write stays in the map, as it will never be persisted.
-      const isRefused = err instanceof StoreRefusedError && !this.isClosed;
-      if (isRefused && this.unpersisted.get(job) === persisted)
-        void this.persist(job);
-    });
+    persisted.then(untrack, (err: unknown) => this.handleFailure(job, err));
   }
 
-  private openBatch(): Batch {
-    const jobs = new Set<JobRun>();
-    const extraRecords = new Map<string, KeyedRecord>();
-    const { clock, batchWindowMs } = this.options;
-    let close = (): void => undefined;
-    const persisted = new Promise<void>((resolve, reject) => {
-      let isClosed = false;
-      close = () => {
-        if (isClosed) return;
-        isClosed = true;
-        const isOneAppend = this.closesSoon;
-        this.next = undefined;
-        this.closesSoon = false;
-        const writes = isOneAppend
-          ? this.writeTogether(jobs, extraRecords)
-          : this.write(jobs, extraRecords);
-        writes.then(resolve, reject);
-      };
-      clock.after(batchWindowMs, close);
+  /**
+   * Repeats a write that was refused, or rejected: later progress of the job may be
+   * accepted. Any other failed write stays in the map, as it will never be persisted.
+   */
+  private handleFailure(job: JobRun, err: unknown): void {
+    job.markUnpersisted();
+    if (this.isClosed) return;
+    if (err instanceof RecordRejectedError) this.repeatLater(job);
+    else if (err instanceof StoreRefusedError) void this.persist(job);
+  }
+
+  private repeatLater(job: JobRun): void {
+    if (this.repetitions.has(job)) return;
+    const { clock } = this.options;
+    const repeated = sleep(clock, REJECTED_RETRY_MS).then(() => {
+      this.repetitions.delete(job);
+      return this.persist(job);
     });
-    return { jobs, extraRecords, persisted, close };
+    repeated.catch(() => undefined);
+    this.repetitions.set(job, repeated);
+    this.unpersisted.set(job, repeated);
   }
 
-  private async write(
-    jobs: ReadonlySet<JobRun>,
-    extraRecords: ReadonlyMap<string, KeyedRecord>,
-  ): Promise<void> {
-    const { writer } = this.options;
-    const records = recordsOf(jobs, extraRecords);
-    const writes = records.map((record) => writer.write(record));
-    await jobsPersisted(writes, jobs.size);
+  private openBatch(): Batch {
+    const jobs = new Map<JobRun, JobWrite>();
+    const extraRecords = new Map<string, KeyedRecord>();
+    let isClosed = false;
+    const close = (): void => {
+      if (isClosed) return;
+      isClosed = true;
+      const isOneAppend = this.closesSoon;
+      this.next = undefined;
+      this.closesSoon = false;
+      this.write(jobs, extraRecords, isOneAppend);
+    };
+    this.options.clock.after(this.options.batchWindowMs, close);
+    return { jobs, extraRecords, close };
   }
 
-  private async writeTogether(
-    jobs: ReadonlySet<JobRun>,
+  private write(
+    jobs: ReadonlyMap<JobRun, JobWrite>,
     extraRecords: ReadonlyMap<string, KeyedRecord>,
-  ): Promise<void> {
-    const { writer } = this.options;
-    const writes = writer.writeTogether(recordsOf(jobs, extraRecords));
-    await jobsPersisted(writes, jobs.size);
+    isOneAppend: boolean,
+  ): void {
+    const { writer, logger } = this.options;
+    const recordsByJob = [...jobs.keys()].map((job) =>
+      job.takeRecords(writer.limits, logger),
+    );
+    const records = [...recordsByJob.flat(), ...extraRecords.values()];
+    const writes = isOneAppend
+      ? writer.writeTogether(records)
+      : records.map((record) => writer.write(record));
+    let next = 0;
+    for (const [at, { resolve, reject }] of [...jobs.values()].entries()) {
+      const count = recordsByJob[at]?.length ?? 0;
+      allPersisted(writes.slice(next, next + count)).then(resolve, reject);
+      next += count;
+    }
+    // A refused record that is no job's progress says nothing about the jobs.
+    allPersisted(writes.slice(next)).catch(() => undefined);
   }
 }
 
-/**
- * Waits for the records of the jobs, which come first. A refused record that is no job's
- * progress says nothing about them.
- */
-const jobsPersisted = async (
-  writes: readonly PendingWrite[],
-  jobCount: number,
-): Promise<void> => {
-  const persisted = writes.map((write) => write.persisted);
-  for (const write of persisted.slice(jobCount)) write.catch(() => undefined);
-  await Promise.all(persisted.slice(0, jobCount));
+const createJobWrite = (): JobWrite => {
+  let resolve: JobWrite["resolve"] = () => undefined;
+  let reject: JobWrite["reject"] = () => undefined;
+  const persisted = new Promise<void>((onPersisted, onFailed) => {
+    resolve = onPersisted;
+    reject = onFailed;
+  });
+  return { persisted, resolve, reject };
 };
 
-const recordsOf = (
-  jobs: ReadonlySet<JobRun>,
-  extraRecords: ReadonlyMap<string, KeyedRecord>,
-): KeyedRecord[] => [
-  ...[...jobs].map((job) => ({
-    key: job.id,
-    value: encodeProgress(job.toRecord()),
-  })),
-  ...extraRecords.values(),
-];
+const allPersisted = async (writes: readonly PendingWrite[]): Promise<void> => {
+  await Promise.all(writes.map(({ persisted }) => persisted));
+};
--- a/packages/jobs/src/StepRun.ts
+++ b/packages/jobs/src/StepRun.ts
@@ -11,6 +11,8 @@
   readonly tasks: readonly JobTask[];
   /** In index order. */
   readonly waiting: Set<JobTask>;
+  /** Indices of the tasks whose progress has changed since it was last recorded. */
+  readonly changedTasks = new Set<number>();
   doneCount = 0;
   /** No task of the step is started before this time; set when a host refuses its ticket. */
   notBefore: Monotonic = -Infinity;
--- a/packages/jobs/src/placements.ts
+++ b/packages/jobs/src/placements.ts
@@ -6,23 +6,23 @@
 import type { HostId } from "@rackspan/common";
 import { encodeIndices } from "@rackspan/state";
 import type { JobRun } from "./JobRun.js";
-import type { StepRun } from "./StepRun.js";
+import type { JobTask } from "./JobTask.js";
+import { stepKeyOf, type TaskGroup } from "./taskProgress.js";
 
 /** @returns `host 0.0:0-3,5 0.1:2` for each host */
-export const encodePlacements = (steps: readonly StepRun[]): string[] => {
+export const encodePlacements = (groups: readonly TaskGroup[]): string[] => {
   const byHost = new Map<HostId, string>();
-  for (const step of steps) {
-    for (const [host, indices] of indicesByHost(step)) {
+  for (const { step, tasks } of groups) {
+    for (const [host, indices] of indicesByHost(tasks)) {
       const before = byHost.get(host) ?? host;
-      const { occurrence, number } = step;
-      const ofStep = `${occurrence}.${number}:${encodeIndices(indices)}`;
+      const ofStep = `${stepKeyOf(step)}:${encodeIndices(indices)}`;
       byHost.set(host, `${before} ${ofStep}`);
     }
   }
   return [...byHost.values()];
 };
 
-const indicesByHost = ({ tasks }: StepRun): Map<HostId, number[]> => {
+const indicesByHost = (tasks: readonly JobTask[]): Map<HostId, number[]> => {
   const indices = new Map<HostId, number[]>();
   for (const { phase, placedOn, index } of tasks) {
     if (phase === "done" || placedOn === undefined) continue;
@@ -64,7 +64,7 @@
     for (let at = first < 0 ? last : first; at <= last; at += 1) {
       const task = job.task(occurrence, step, at);
       if (!task) break;
-      if (task.phase !== "done") task.placedOn = host;
+      if (task.phase !== "done") task.restorePlacement(host);
     }
     first = -1;
   };
--- a/packages/jobs/tests/progressJournal.test.ts
+++ b/packages/jobs/tests/progressJournal.test.ts
@@ -38,6 +38,7 @@
       return { persisted: Promise.reject(refusal), abandon: () => true };
     };
     const refusing = {
+      limits: writer.limits,
       write,
       writeTogether: (records: Parameters<TopicWriter["writeTogether"]>[0]) =>
         records.map(write),
@@ -45,6 +46,7 @@
     const journal = new ProgressJournal({
       writer: refusing as unknown as TopicWriter,
       clock,
+      logger: silentLogger,
       batchWindowMs: 20,
     });
     journal.writeAlong({ key: PROGRESS_KEYS.load, value: Buffer.from("{}") });
--- a/packages/ports/src/recordStore.ts
+++ b/packages/ports/src/recordStore.ts
@@ -22,6 +22,23 @@
 /** The length of the record (4 bytes) and of its key (1 byte). */
 const RECORD_HEADER_BYTES = 5;
 
+/** The length of a key is stored in one byte. */
+export const MAX_KEY_BYTES = 255;
+
+/** Sizes of what the store accepts, bytes. */
+export interface RecordLimits {
+  /** Of one record; see recordBytes. */
+  readonly recordBytes: number;
+  /** Of all records of one append. */
+  readonly callBytes: number;
+}
+
+/** Limits that the platform documents as an example; used if it states none. */
+export const DEFAULT_RECORD_LIMITS: RecordLimits = {
+  recordBytes: 262_144,
+  callBytes: 2_097_152,
+};
+
 export interface StoredRecord extends KeyedRecord {
   readonly offset: number;
 }
@@ -80,9 +97,11 @@
 }
 
 export interface RecordStore {
+  readonly limits: RecordLimits;
   /**
    * @returns the offset after the last record
    * @throws StoreRefusedError when nothing was persisted and never will be
+   * @throws RecordRejectedError when the same holds for every repetition of the append
    * @throws StoreAnswerLostError when the records may be persisted, now or later
    * @throws FencedError when a writer of a higher epoch has written
    * @throws SequenceError when the stamp's number does not follow the last one
@@ -128,13 +147,36 @@
 
 /** The call had no effect and never will. */
 export class StoreRefusedError extends RackspanError {
-  readonly kind = "store-refused";
-  constructor(what: string, cause?: unknown) {
-    super({
-      what,
-      remedy: "wait for the platform's store to come back, then repeat",
-      cause,
-    });
+  readonly kind: string = "store-refused";
+  constructor(
+    what: string,
+    cause?: unknown,
+    remedy = "wait for the platform's store to come back, then repeat",
+  ) {
+    super({ what, remedy, cause });
+  }
+}
+
+/**
+ * The store does not accept the records, whenever they are sent: a repetition is refused as
+ * well.
+ */
+export class RecordRejectedError extends StoreRefusedError {
+  override readonly kind: string = "record-rejected";
+  constructor(what: string, remedy = "check the record; it is not sent again") {
+    super(what, undefined, remedy);
+  }
+}
+
+/** The record is larger than the store accepts. */
+export class RecordTooLargeError extends RecordRejectedError {
+  override readonly kind = "record-too-large";
+  constructor(topic: TopicName, record: KeyedRecord, limit: number) {
+    super(
+      `the record ${record.key.slice(0, MAX_KEY_BYTES)} of topic ${topic} takes ` +
+        `${recordBytes(record)} bytes; the store accepts ${limit}`,
+      "make it smaller",
+    );
   }
 }
 
--- a/packages/ports/src/storeClients.ts
+++ b/packages/ports/src/storeClients.ts
@@ -4,12 +4,18 @@
  */
 
 import { Registry } from "@rackspan/common";
-import type { GroupMembership, RecordStore } from "./recordStore.js";
+import type {
+  GroupMembership,
+  RecordLimits,
+  RecordStore,
+} from "./recordStore.js";
 import type { TaskHost } from "./taskHost.js";
 
 export interface StoreClientOptions {
   /** `IP:PORT`. */
   readonly address: string;
+  /** Absent for a client that appends no records, or if the platform states none. */
+  readonly limits?: RecordLimits;
 }
 
 export type StoreClient = RecordStore & GroupMembership & { close(): void };
--- a/packages/scheduling/src/PlacementLog.ts
+++ b/packages/scheduling/src/PlacementLog.ts
@@ -162,6 +162,8 @@
   }
 
   private setKnown(job: JobRun): void {
+    // Segments of a leader that recorded no placements do not name the hosts of their tasks.
+    if (!job.hasPlacements) job.markUnpersisted();
     job.placementEpoch = Number(this.options.epoch);
   }
 }
--- a/packages/scheduling/src/ProgressRecorder.ts
+++ b/packages/scheduling/src/ProgressRecorder.ts
@@ -57,7 +57,7 @@
     entry.endsRecorded.catch((err: unknown) => this.logFailure(err));
   }
 
-  /** Resolves once the write, or its repetition after a refusal, is persisted. */
+  /** Resolves once the write, or its repetition after a failure, is persisted. */
   private async untilPersisted(
     job: JobRun,
     write: Promise<void>,
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -436,6 +436,7 @@
       journal: new ProgressJournal({
         writer,
         clock: this.clock,
+        logger: silentLogger,
         batchWindowMs: 5,
       }),
       roster: this.roster,
--- a/packages/standins/src/MemoryStore.ts
+++ b/packages/standins/src/MemoryStore.ts
@@ -6,7 +6,10 @@
 
 import type { Clock, Epoch, Monotonic } from "@rackspan/common";
 import {
+  DEFAULT_RECORD_LIMITS,
   FencedError,
+  RecordRejectedError,
+  recordBytes,
   SequenceError,
   StoreAnswerLostError,
   StoreRefusedError,
@@ -15,6 +18,7 @@
   type JoinRequest,
   type ReadResponse,
   type ReadRequest,
+  type RecordLimits,
   type RecordPage,
   type StoreClient,
   type StoredRecord,
@@ -55,6 +59,11 @@
 const NO_ANSWER_AFTER_MS = 500;
 
 export class MemoryStore implements StoreClient {
+  limits: RecordLimits = DEFAULT_RECORD_LIMITS;
+  /** What the store accepts in fact, if that differs from the stated limits. */
+  acceptedLimits: RecordLimits | undefined;
+  /** Number of appends that were rejected because of their size. */
+  rejections = 0;
   fault: StoreFault = "none";
   /** Whether members do not expire, as may happen while the store is unavailable. */
   suspendsExpiry = false;
@@ -73,6 +82,7 @@
       await this.failToConnect(req);
     req.onSending?.();
     await this.applyFault("before");
+    this.checkSize(req);
     const topic = this.topic(req.topic);
     const end = appendChecked(topic, req);
     this.appends += 1;
@@ -178,6 +188,18 @@
     }
   }
 
+  private checkSize({ topic, records }: AppendRequest): void {
+    const limits = this.acceptedLimits ?? this.limits;
+    const sizes = records.map(recordBytes);
+    const bytes = sizes.reduce((sum, size) => sum + size, 0);
+    const largest = Math.max(0, ...sizes);
+    if (largest <= limits.recordBytes && bytes <= limits.callBytes) return;
+    this.rejections += 1;
+    throw new RecordRejectedError(
+      `an append of ${bytes} bytes to topic ${topic} is too large, with a record of ${largest}`,
+    );
+  }
+
   private topic(name: TopicName): Topic {
     let topic = this.topics.get(name);
     if (!topic) {
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -18,7 +18,9 @@
   isJobKey,
   PROGRESS_KEYS,
   type AcceptedJob,
+  TOPICS,
   type ProgressRecord,
+  type TaskProgress,
 } from "./jobRecords.js";
 import {
   isFinalState,
@@ -27,6 +29,11 @@
   type QueueKey,
 } from "./jobModel.js";
 import { newestOfEachKey } from "./newestOfEachKey.js";
+import {
+  decodeSegment,
+  joinSegments,
+  parseSegmentKey,
+} from "./progressSegments.js";
 import type { UnreadableRecords } from "./TopicFollower.js";
 import { decodeTerm, type TermRecord } from "./termRecord.js";
 
@@ -62,7 +69,10 @@
    * job and is then held for it.
    */
   private readonly cancels = new Map<JobId, Instant>();
+  /** The job's own record; the progress of a large job also has segments. */
   private readonly progress = new Map<JobId, ProgressRecord>();
+  /** Segments of the job's progress, by key. */
+  private readonly segments = new Map<JobId, Map<string, TaskProgress>>();
   private readonly hosts = new Map<HostId, WorkerInstance | undefined>();
   /** Hosts that a leader without recorded placements may have used last. */
   private readonly unrecordedHosts = new Set<HostId>();
@@ -82,16 +92,30 @@
     const accepted = this.jobs.get(id);
     if (!accepted) return undefined;
     const cancelled = this.cancels.has(id);
-    return { accepted, cancelled, progress: this.progress.get(id) };
+    const head = this.progress.get(id);
+    const segments = this.segments.get(id);
+    if (!segments) return { accepted, cancelled, progress: head };
+    return {
+      accepted,
+      cancelled,
+      // Joining takes time in proportion to the job, and most callers need it not.
+      get progress() {
+        return joinSegments(head, segments);
+      },
+    };
+  }
+
+  /** Keys of all records in which the job's progress is stored; its own record is last. */
+  progressKeysOf(id: JobId): string[] {
+    return [...(this.segments.get(id)?.keys() ?? []), id];
   }
 
   /** State that is reported to callers; undefined for an unknown job. */
   stateOf(id: JobId): JobStateName | undefined {
-    const entry = this.get(id);
-    if (!entry) return undefined;
-    const state = entry.progress?.state ?? "queued";
+    if (!this.jobs.has(id)) return undefined;
+    const state = this.progress.get(id)?.state ?? "queued";
     if (isFinalState(state)) return state;
-    return entry.cancelled ? "cancelled" : state;
+    return this.cancels.has(id) ? "cancelled" : state;
   }
 
   /** Whether the store holds a record of the job that this version cannot read. */
@@ -216,19 +240,37 @@
         if (key === PROGRESS_KEYS.term) this.applyTermRecord(value);
         continue;
       }
-      const id = key as unknown as JobId;
       this.unreadableProgress.delete(key);
-      if (!value) {
-        this.progress.delete(id);
-        continue;
-      }
-      const isRead = this.decode(key, () =>
-        this.progress.set(id, decodeProgress(key, value)),
-      );
+      const isRead = this.decode(key, () => this.applyProgress(key, value));
       if (!isRead) this.unreadableProgress.add(key);
     }
   }
 
+  /** @throws BadRecordError */
+  private applyProgress(key: string, value: Buffer | undefined): void {
+    const segment = parseSegmentKey(key);
+    if (segment) {
+      this.applySegment(segment.job, key, value);
+      return;
+    }
+    const id = key as unknown as JobId;
+    if (value) this.progress.set(id, decodeProgress(key, value));
+    else this.progress.delete(id);
+  }
+
+  /** @throws BadRecordError */
+  private applySegment(
+    job: JobId,
+    key: string,
+    value: Buffer | undefined,
+  ): void {
+    const segments = this.segments.get(job) ?? new Map<string, TaskProgress>();
+    if (value) segments.set(key, decodeSegment(TOPICS.progress, key, value));
+    else segments.delete(key);
+    if (segments.size > 0) this.segments.set(job, segments);
+    else this.segments.delete(job);
+  }
+
   /** Marks progress records that the store client could not read. */
   applyUnreadableProgress({
     isFullLoad,
--- a/packages/state/src/TopicWriter.ts
+++ b/packages/state/src/TopicWriter.ts
@@ -13,11 +13,15 @@
 } from "@rackspan/common";
 import {
   FencedError,
+  MAX_KEY_BYTES,
+  RecordRejectedError,
+  RecordTooLargeError,
+  recordBytes,
   SequenceError,
   StoreAnswerLostError,
   StoreRefusedError,
-  recordBytes,
   type KeyedRecord,
+  type RecordLimits,
   type RecordStore,
   type TopicName,
 } from "@rackspan/ports";
@@ -39,7 +43,7 @@
   /** New records are refused at once while a batch has been unanswered for this long. */
   stuckAfterMs: 700,
   maxBatchRecords: 200,
-  /** Below the smallest call size limit that the platform documents (2 MiB). */
+  /** The same for the bytes of a batch; a store with a lower limit gets smaller ones. */
   maxBatchBytes: 1_000_000,
   /** Records beyond this number of queued ones are refused at once. */
   maxQueued: 5_000,
@@ -86,7 +90,8 @@
 export interface PendingWrite {
   /**
    * Resolves with the offset after the record once the record is persisted. Rejects
-   * with StoreRefusedError when it is not persisted and never will be, and with
+   * with StoreRefusedError when it is not persisted and never will be, with
+   * RecordRejectedError when the same holds for each repetition of it, and with
    * FencedError when another writer has taken over.
    */
   readonly persisted: Promise<number>;
@@ -120,6 +125,11 @@
     return this.batchSentAt;
   }
 
+  /** Sizes of the records that can be written. */
+  get limits(): RecordLimits {
+    return this.options.store.limits;
+  }
+
   /** Whether no later record can be written: another writer has taken over, or it was closed. */
   get isClosed(): boolean {
     return this.closed !== undefined;
@@ -138,10 +148,28 @@
     return pending;
   }
 
+  /**
+   * The error with which a write of the record fails at once, because the store can never
+   * accept it: in the queue it would hold up all records behind it.
+   */
+  rejectionOf(record: KeyedRecord): RecordRejectedError | undefined {
+    const { topic } = this.options;
+    const limit = Math.min(this.limits.recordBytes, this.limits.callBytes);
+    if (recordBytes(record) > limit)
+      return new RecordTooLargeError(topic, record, limit);
+    if (Buffer.byteLength(record.key) <= MAX_KEY_BYTES) return undefined;
+    return new RecordRejectedError(
+      `a key of topic ${topic} is longer than ${MAX_KEY_BYTES} bytes`,
+      "use a shorter key",
+    );
+  }
+
   private enqueue(record: KeyedRecord): PendingWrite {
     let queued: QueuedRecord | undefined;
     const persisted = new Promise<number>((resolve, reject) => {
-      const refusal = this.refusal();
+      const rejection = this.rejectionOf(record);
+      if (rejection) this.logRejection(record, rejection);
+      const refusal = rejection ?? this.refusal();
       if (refusal) {
         reject(refusal);
         return;
@@ -172,6 +200,17 @@
     for (const { reject } of queue) reject(this.closed);
   }
 
+  private logRejection(record: KeyedRecord, err: RecordRejectedError): void {
+    const { topic, epoch, logger } = this.options;
+    logger.error("record.rejected", {
+      topic,
+      epoch,
+      key: record.key.slice(0, MAX_KEY_BYTES),
+      bytes: recordBytes(record),
+      error: describeError(err),
+    });
+  }
+
   private refusal(): Error | undefined {
     if (this.closed) return this.closed;
     if (this.isStuck()) return this.stuckError();
@@ -238,11 +277,12 @@
   }
 
   private takeBatch(): QueuedRecord[] {
+    const maxBytes = Math.min(WRITER.maxBatchBytes, this.limits.callBytes);
     let bytes = 0;
     let count = 0;
     for (const { record } of this.queue) {
-      bytes += record.key.length + (record.value?.length ?? 0);
-      if (count > 0 && bytes > WRITER.maxBatchBytes) break;
+      bytes += recordBytes(record);
+      if (count > 0 && bytes > maxBytes) break;
       if (count >= WRITER.maxBatchRecords) break;
       count += 1;
     }
@@ -265,6 +305,8 @@
       for (const { resolve } of records) resolve(next);
     } catch (err) {
       if (signal.aborted) this.requeueOthers(batch);
+      else if (err instanceof RecordRejectedError)
+        await this.isolateRejected(records, err);
       else for (const { reject } of records) reject(err);
     } finally {
       this.batchSentAt = undefined;
@@ -272,6 +314,25 @@
     }
   }
 
+  /**
+   * Sends the halves of a rejected batch separately, so that in the end only the records
+   * that caused the rejection fail.
+   */
+  private async isolateRejected(
+    records: readonly QueuedRecord[],
+    err: RecordRejectedError,
+  ): Promise<void> {
+    const [first] = records;
+    if (first && records.length === 1) {
+      this.logRejection(first.record, err);
+      first.reject(err);
+      return;
+    }
+    const middle = Math.ceil(records.length / 2);
+    await this.sendBatch(records.slice(0, middle));
+    await this.sendBatch(records.slice(middle));
+  }
+
   private requeueOthers({ records, abandoned }: Batch): void {
     const others = records.filter((queued) => !abandoned.has(queued));
     if (!this.closed) {
@@ -284,6 +345,7 @@
 
   /**
    * @throws StoreRefusedError when nothing was persisted
+   * @throws RecordRejectedError when nothing was persisted, whenever it is sent
    * @throws StoreAnswerLostError when the records may be persisted
    * @throws FencedError when nothing was persisted and another writer has taken over
    */
@@ -309,6 +371,8 @@
           this.sequence = expected;
           continue;
         }
+        // Earlier attempts had the same content, so the store rejected them as well.
+        if (err instanceof RecordRejectedError) throw err;
         const lost = err instanceof StoreAnswerLostError;
         const refused = err instanceof StoreRefusedError;
         if (!lost && !refused) {
--- a/packages/state/src/index.ts
+++ b/packages/state/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./LoadSummaryView.js";
 export * from "./LogFollower.js";
 export * from "./OperatorView.js";
+export * from "./progressSegments.js";
 export * from "./records.js";
 export * from "./allReplicasClaimed.js";
 export * from "./RequestFold.js";
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -193,14 +193,22 @@
 
 const INDEX_LIST = /^(\d+(-\d+)?(,\d+(-\d+)?)*)?$/;
 
-/** Whether the text is a list of indices that one step can have; see encodeIndices. */
-const isIndexList = (text: string): boolean => {
+/** Whether the text is a list of at most so many indices; see encodeIndices. */
+const isListOf = (text: string, maxCount: number): boolean => {
   if (!INDEX_LIST.test(text)) return false;
   const sizes = parseRanges(text).map(([first, last]) => last - first + 1);
   const count = sizes.reduce((sum, size) => sum + size, 0);
-  return count <= JOB_LIMITS.tasksPerStep && sizes.every((size) => size > 0);
+  return count <= maxCount && sizes.every((size) => size > 0);
 };
 
+/** Whether the text is a list of indices that one step can have. */
+const isIndexList = (text: string): boolean =>
+  isListOf(text, JOB_LIMITS.tasksPerStep);
+
+/** Whether the text is a list of occurrences that one job can have. */
+const isOccurrenceList = (text: string): boolean =>
+  isListOf(text, JOB_LIMITS.repeats);
+
 /**
  * Evidence that leaders of earlier versions can read; they reject a
  * record with any other value.
@@ -225,12 +233,8 @@
 /** `host 0.0:0-3,5 0.1:2`; see `placed`. */
 const PLACED_TASKS = /^\S+( \d+\.\d+:\d+(-\d+)?(,\d+(-\d+)?)*)+$/;
 
-const storedProgressSchema = z.object({
-  state: z.enum(JOB_STATES),
-  /** Whether a task of the job was ever started. */
-  begun: z.boolean(),
-  /** Wall-clock time of the leader when the state became final; 0 before. */
-  endedAt: z.number(),
+/** Progress of tasks, in the records of their job. */
+export const storedTaskProgressSchema = {
   /** Maps `occurrence.step` to the indices of its completed tasks, as ranges `a-b`. */
   done: z.record(z.string(), z.string().refine(isIndexList)),
   /** `occurrence.step.index` and the numbers of its runs that failed. */
@@ -260,29 +264,48 @@
    * Texts, because a new leader reads them for all tasks of a site before its first start.
    */
   placed: z.array(z.string().regex(PLACED_TASKS)).optional(),
+};
+
+type StoredTaskProgress = z.output<
+  z.ZodObject<typeof storedTaskProgressSchema>
+>;
+
+const storedProgressSchema = z.object({
+  state: z.enum(JOB_STATES),
+  /** Whether a task of the job was ever started. */
+  begun: z.boolean(),
+  /** Wall-clock time of the leader when the state became final; 0 before. */
+  endedAt: z.number(),
+  ...storedTaskProgressSchema,
   /** Epoch of the leader that wrote `placed`. */
   placedEpoch: z.number().optional(),
+  /**
+   * Numbers of the completed occurrences, as ranges, of a job with segments. Such a record
+   * names their tasks neither in `done` nor in a segment.
+   */
+  doneOccurrences: z.string().refine(isOccurrenceList).optional(),
 });
 
-type StoredProgress = z.output<typeof storedProgressSchema>;
-
-/** Progress of a job, as last recorded by the leader. */
-export interface ProgressRecord extends Omit<
-  StoredProgress,
+/** Progress of tasks of a job; see storedTaskProgressSchema. */
+export interface TaskProgress extends Omit<
+  StoredTaskProgress,
   "crashes" | "doubted"
 > {
   /** `occurrence.step.index` and its runs that were lost with their workers. */
   readonly crashes: [string, [number, CrashEvidence][]][];
 }
 
-const progressSchema = storedProgressSchema.transform(
-  ({ doubted, crashes, ...rest }): ProgressRecord => ({
-    ...rest,
-    crashes: mapEvidence(crashes, (run, evidence) =>
-      evidence === "young" && doubted.includes(run) ? "doubted" : evidence,
-    ),
-  }),
-);
+/** Progress of a job, as last recorded by the leader. */
+export interface ProgressRecord
+  extends
+    TaskProgress,
+    Pick<
+      z.output<typeof storedProgressSchema>,
+      "state" | "begun" | "endedAt" | "placedEpoch" | "doneOccurrences"
+    > {
+  /** Keys of the job's segments, if their progress was joined with that of this record. */
+  readonly segments?: readonly string[];
+}
 
 const mapEvidence = <From, To>(
   crashes: readonly (readonly [string, readonly (readonly [number, From])[]])[],
@@ -293,7 +316,24 @@
     runs.map(([run, evidence]) => [run, map(run, evidence)]),
   ]);
 
-const toStored = (record: ProgressRecord): StoredProgress => {
+/** Replaces the stored evidence of doubted runs. */
+export const withDoubted = <T extends StoredTaskProgress>({
+  doubted,
+  crashes,
+  ...rest
+}: T) => ({
+  ...rest,
+  crashes: mapEvidence(crashes, (run, evidence): CrashEvidence =>
+    evidence === "young" && doubted.includes(run) ? "doubted" : evidence,
+  ),
+});
+
+const progressSchema = storedProgressSchema.transform(withDoubted);
+
+/** The inverse of withDoubted. */
+export const toStoredTaskProgress = <T extends TaskProgress>(
+  record: T,
+): Omit<T, "crashes"> & StoredTaskProgress => {
   const doubted: number[] = [];
   const crashes = mapEvidence(record.crashes, (run, evidence) => {
     if (evidence !== "doubted") return evidence;
@@ -304,7 +344,9 @@
 };
 
 export const encodeProgress = (record: ProgressRecord): Buffer =>
-  Buffer.from(JSON.stringify(toStored(record)));
+  Buffer.from(
+    JSON.stringify({ ...toStoredTaskProgress(record), segments: undefined }),
+  );
 
 /** @throws BadRecordError */
 export const decodeProgress = (key: string, value: Buffer): ProgressRecord =>
--- a/packages/state/tests/operatorView.test.ts
+++ b/packages/state/tests/operatorView.test.ts
@@ -81,6 +81,7 @@
   const store = new MemoryStore(clock);
   let isTruncated = false;
   const truncatedStore: RecordStore = {
+    limits: store.limits,
     append: (req) => store.append(req),
     readNewest: (topic) => store.readNewest(topic),
     read: async (req) => {
--- a/packages/state/tests/slowStore.test.ts
+++ b/packages/state/tests/slowStore.test.ts
@@ -6,7 +6,11 @@
 import { test } from "node:test";
 import { expect } from "earl";
 import { ManualClock, silentLogger, sleep } from "@rackspan/common";
-import { StoreAnswerLostError, type AppendRequest } from "@rackspan/ports";
+import {
+  DEFAULT_RECORD_LIMITS,
+  StoreAnswerLostError,
+  type AppendRequest,
+} from "@rackspan/ports";
 import { MemoryStore } from "@rackspan/standins";
 import { TopicWriter, TOPICS } from "@rackspan/state";
 
@@ -17,6 +21,7 @@
  * whose callers timed out.
  */
 class SlowStore {
+  readonly limits = DEFAULT_RECORD_LIMITS;
   appendMs = 360;
   carriedOut = 0;
   /** Time-out of each append, in order. */
