Protocol: a lost answer says how much of it had arrived

Callers see no change. A call that was given up looked the same in the log whether the peer was silent or its answer was on the way, and a load of a topic left no line.

--- a/packages/protocol/src/HttpClient.ts
+++ b/packages/protocol/src/HttpClient.ts
@@ -5,7 +5,7 @@
 
 import { Agent, request, type IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import { SystemClock } from "@rackspan/common";
+import { describeError, SystemClock } from "@rackspan/common";
 import { ConnectError, LostAnswerError } from "./errors.js";
 import { readBody } from "./readBody.js";
 import { startTimeout } from "./startTimeout.js";
@@ -73,7 +73,11 @@
       const body = await readBody(res, MAX_RESPONSE_BYTES);
       return { status: res.statusCode ?? 0, body };
     } catch (err) {
-      throw new LostAnswerError(`the response of ${url} was incomplete`, err);
+      const reason = describeError(res.errored ?? err);
+      throw new LostAnswerError(
+        `the response of ${url} was incomplete: ${reason}`,
+        err,
+      );
     }
   }
 
@@ -103,13 +107,21 @@
       // Node reports the error of a call that has no connection only once one becomes
       // free, so time-outs and aborts reject such a call themselves.
       const timeoutMs = call.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+      let receivedBytes = 0;
+      const recordReceived = (chunk: Buffer): void => {
+        receivedBytes += chunk.length;
+      };
       const timer = startTimeout(clock, timeoutMs, () => {
         if (req.reusedSocket) this.closeIdle();
-        const err = new Error(`no response within ${timeoutMs} ms`);
+        const err = new Error(
+          `no complete response within ${timeoutMs} ms, but ${receivedBytes} bytes of it`,
+        );
         if (!req.socket) reject(new ConnectError(url, err));
         req.destroy(err);
       });
       req.on("socket", (socket) => {
+        socket.on("data", recordReceived);
+        req.on("close", () => socket.off("data", recordReceived));
         if (call.acceptsSocket?.(socket) === false) {
           // No byte has been written at this point.
           req.destroy(new Error("the confirmed connection was closed"));
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -175,11 +175,17 @@
   }
 
   private async load(): Promise<void> {
-    const { store, topic, clock } = this.options;
+    const { store, topic, clock, logger } = this.options;
     const requestedAt = clock.monotonic();
     // An abort of an earlier poll must not mask a failure of this load.
     this.pollAbort = new AbortController();
     const page = await store.readNewest(topic);
+    logger.info("topic.loaded", {
+      topic,
+      records: page.records.length,
+      next: page.next,
+      tookMs: Math.round(clock.monotonic() - requestedAt),
+    });
     this.logUnreadable(page);
     this.passOn([...this.deletedSince(page), ...page.records]);
     this.passOnUnreadable(page, true);
