Protocol: a time-out ends a silence, not a message that is on its way

Cause: HttpClient started its time-out once for a call, whatever had arrived. The load was given up after 2.5 s and begun again from its first byte, for ever. Evidence: store.lost topic=config ... no complete response within 2500 ms, but 359424 bytes of it (of 583,000), while the other four topics load in 54 to 608 ms over the same link: the link is not full of repetitions, and nothing fails to be decoded. Before the kill a poll of the same configuration ends after 3,000 ms with 283648 bytes. Change: time-outs count from the last part received, or taken by the connection, in HttpClient and for large messages in JsonRpcConnection; a load of several pages continues behind those that were read; parts of an append that are sent count as progress for its writer and for the entry's reachability, and the time-outs of a large append go on rising. The time after which a peer that sends nothing is given up is unchanged.

--- a/packages/entry/src/jobs/Leadership.ts
+++ b/packages/entry/src/jobs/Leadership.ts
@@ -14,7 +14,12 @@
   type Unsubscribe,
 } from "@rackspan/common";
 import { ProgressJournal, TakeoverGate } from "@rackspan/jobs";
-import type { KeyedRecord, PermitService, RecordStore } from "@rackspan/ports";
+import {
+  readAllNewest,
+  type KeyedRecord,
+  type PermitService,
+  type RecordStore,
+} from "@rackspan/ports";
 import { JobEngine, type SchedulingPolicy } from "@rackspan/scheduling";
 import {
   decodeLearned,
@@ -180,7 +185,7 @@
   private async restoreLearned(engine: JobEngine): Promise<void> {
     const { store, logger } = this.options;
     try {
-      const { records } = await store.readNewest(TOPICS.learned);
+      const { records } = await readAllNewest(store, TOPICS.learned);
       if (this.abort.signal.aborted) return;
       engine.restoreLearned(
         records.flatMap((record) => this.decodeLearnedRecord(record)),
--- a/packages/entry/src/jobs/forwarding/StoreCallMonitor.ts
+++ b/packages/entry/src/jobs/forwarding/StoreCallMonitor.ts
@@ -14,8 +14,8 @@
   type JoinResponse,
   type ReadRequest,
   type ReadResponse,
+  type NewestPage,
   type RecordLimits,
-  type RecordPage,
   type StoreClient,
   type TopicName,
 } from "@rackspan/ports";
@@ -59,8 +59,8 @@
     return this.observe(this.options.store.read(req), req.signal);
   }
 
-  readNewest(topic: TopicName): Promise<RecordPage> {
-    return this.observe(this.options.store.readNewest(topic));
+  readNewest(topic: TopicName, after?: string): Promise<NewestPage> {
+    return this.observe(this.options.store.readNewest(topic, after));
   }
 
   join(req: JoinRequest): Promise<JoinResponse> {
--- a/packages/jobs/src/ProgressEncoder.ts
+++ b/packages/jobs/src/ProgressEncoder.ts
@@ -102,7 +102,12 @@
     }
   }
 
-  private isCurrent({ occurrence, step: number, first, last }: TaskRange) {
+  private isCurrent({
+    occurrence,
+    step: number,
+    first,
+    last,
+  }: TaskRange): boolean {
     const step = this.job.stepAt(occurrence, number);
     if (!step || !this.isOpen(step)) return false;
     return this.rangesOf(step).some(
--- a/packages/ports/src/recordStore.ts
+++ b/packages/ports/src/recordStore.ts
@@ -59,6 +59,7 @@
   /** May be empty: the store then only records the epoch of the stamp. */
   readonly records: readonly KeyedRecord[];
   readonly stamp: ProducerStamp;
+  /** Milliseconds without progress after which the append fails. */
   readonly timeoutMs: number;
   /**
    * Cancels the append. If `onSending` was not called before, nothing is sent and the
@@ -67,6 +68,8 @@
   readonly signal?: AbortSignal;
   /** Every store client calls it before the first byte of the append is sent. */
   readonly onSending?: () => void;
+  /** Called when a part of a large append was sent. */
+  readonly onProgress?: () => void;
 }
 
 export interface ReadRequest {
@@ -76,6 +79,8 @@
   /** Milliseconds to wait for a record when there is none yet. */
   readonly waitMs: number;
   readonly signal?: AbortSignal;
+  /** Called when a part of the answer was received. */
+  readonly onProgress?: () => void;
 }
 
 export interface RecordPage {
@@ -91,6 +96,12 @@
   readonly unreadableKeys?: readonly string[];
 }
 
+/** Newest records of a topic, in the order of their keys. */
+export interface NewestPage extends RecordPage {
+  /** The key after which the next page begins; absent for the last page. */
+  readonly continuesAfter?: string | undefined;
+}
+
 export interface ReadResponse extends RecordPage {
   /** Offset after the last record in the store; the page may end earlier. */
   readonly end: number;
@@ -113,12 +124,42 @@
    */
   read(req: ReadRequest): Promise<ReadResponse>;
   /**
-   * Returns the newest record of each key. Changes made during the call may be
-   * missing: read on from `next`, which was determined before the first page.
+   * Returns a page of the newest record of each key, from the first key or from the one
+   * behind `after`. The pages do not form a snapshot: changes that are made meanwhile are
+   * found by a read from `next` of the first page.
    */
-  readNewest(topic: TopicName): Promise<RecordPage>;
+  readNewest(topic: TopicName, after?: string): Promise<NewestPage>;
 }
 
+/** Reads the newest record of each key; see RecordStore.readNewest. */
+export const readAllNewest = async (
+  store: RecordStore,
+  topic: TopicName,
+): Promise<RecordPage> => {
+  let pages = await store.readNewest(topic);
+  while (pages.continuesAfter !== undefined)
+    pages = joinNewest(
+      pages,
+      await store.readNewest(topic, pages.continuesAfter),
+    );
+  return pages;
+};
+
+/** Appends a page of newest records to those before it. */
+export const joinNewest = (
+  before: NewestPage,
+  page: NewestPage,
+): NewestPage => ({
+  records: [...before.records, ...page.records],
+  next: before.next,
+  unreadable: (before.unreadable ?? 0) + (page.unreadable ?? 0),
+  unreadableKeys: [
+    ...(before.unreadableKeys ?? []),
+    ...(page.unreadableKeys ?? []),
+  ],
+  continuesAfter: page.continuesAfter,
+});
+
 export interface JoinRequest {
   readonly group: string;
   readonly member: string;
--- a/packages/protocol/src/HttpClient.ts
+++ b/packages/protocol/src/HttpClient.ts
@@ -3,16 +3,22 @@
  * typed error for each failure.
  */
 
-import { Agent, request, type IncomingMessage } from "node:http";
+import {
+  Agent,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+} from "node:http";
 import type { Socket } from "node:net";
 import { describeError, SystemClock } from "@rackspan/common";
 import { ConnectError, LostAnswerError } from "./errors.js";
+import { ProgressTimeout } from "./ProgressTimeout.js";
 import { readBody } from "./readBody.js";
-import { startTimeout } from "./startTimeout.js";
 
 const DEFAULT_TIMEOUT_MS = 5_000;
 const DEFAULT_MAX_SOCKETS = 16;
 const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+const SENT_PART_BYTES = 16_384;
 
 const clock = new SystemClock({ keepsProcessAlive: true });
 
@@ -22,15 +28,21 @@
   readonly body?: Buffer | string;
   readonly headers?: Readonly<Record<string, string>>;
   /**
-   * Milliseconds after which the call fails and its connection is closed; extended
-   * when this process was suspended as they elapsed, by the time of the suspension.
+   * Milliseconds without progress after which the call fails and its connection is closed.
+   * Progress is a part of the request that was sent, or of the answer that was received. They
+   * are extended when this process was suspended as they elapsed, by the time of the
+   * suspension.
    */
   readonly timeoutMs?: number;
+  /** The same between two parts of the answer; `timeoutMs` if absent. */
+  readonly answerTimeoutMs?: number;
   readonly signal?: AbortSignal;
   /** Whether the call may be sent over the given connection; any connection if absent. */
   readonly acceptsSocket?: (socket: Socket) => boolean;
   /** Called once there is a connection, before the first byte of the call is sent. */
   readonly onSending?: () => void;
+  /** Called for each part of the request that was sent and of the answer that was received. */
+  readonly onProgress?: () => void;
 }
 
 export interface HttpResponse {
@@ -68,12 +80,14 @@
    */
   async call(call: HttpCall): Promise<HttpResponse> {
     const url = this.urlOf(call.path);
-    const res = await this.send(url, call);
+    // A response that is being read only says that it was aborted.
+    const timeout: { err?: Error } = {};
+    const res = await this.send(url, call, timeout);
     try {
       const body = await readBody(res, MAX_RESPONSE_BYTES);
       return { status: res.statusCode ?? 0, body };
     } catch (err) {
-      const reason = describeError(res.errored ?? err);
+      const reason = describeError(timeout.err ?? err);
       throw new LostAnswerError(
         `the response of ${url} was incomplete: ${reason}`,
         err,
@@ -95,7 +109,11 @@
     }
   }
 
-  private send(url: string, call: HttpCall): Promise<IncomingMessage> {
+  private send(
+    url: string,
+    call: HttpCall,
+    timeout: { err?: Error },
+  ): Promise<IncomingMessage> {
     return new Promise((resolve, reject) => {
       let connected = false;
       const req = request(url, {
@@ -108,17 +126,20 @@
       // free, so time-outs and aborts reject such a call themselves.
       const timeoutMs = call.timeoutMs ?? DEFAULT_TIMEOUT_MS;
       let receivedBytes = 0;
-      const recordReceived = (chunk: Buffer): void => {
-        receivedBytes += chunk.length;
-      };
-      const timer = startTimeout(clock, timeoutMs, () => {
+      const timer = new ProgressTimeout(clock, timeoutMs, () => {
         if (req.reusedSocket) this.closeIdle();
         const err = new Error(
-          `no complete response within ${timeoutMs} ms, but ${receivedBytes} bytes of it`,
+          `silent for ${timeoutMs} ms after ${receivedBytes} bytes`,
         );
+        timeout.err = err;
         if (!req.socket) reject(new ConnectError(url, err));
         req.destroy(err);
       });
+      const recordReceived = (chunk: Buffer): void => {
+        receivedBytes += chunk.length;
+        timer.recordProgress(call.answerTimeoutMs);
+        call.onProgress?.();
+      };
       req.on("socket", (socket) => {
         socket.on("data", recordReceived);
         req.on("close", () => socket.off("data", recordReceived));
@@ -154,11 +175,40 @@
             : new ConnectError(url, err),
         );
       });
-      req.end(call.body);
+      sendBody(req, call.body, () => {
+        timer.recordProgress();
+        call.onProgress?.();
+      });
     });
   }
 }
 
+/** Sends the body in parts, and reports each one that the connection has taken. */
+const sendBody = (
+  req: ClientRequest,
+  body: Buffer | string | undefined,
+  onPartSent: () => void,
+): void => {
+  if (body === undefined) {
+    req.end();
+    return;
+  }
+  const bytes = typeof body === "string" ? Buffer.from(body) : body;
+  const sendFrom = (at: number): void => {
+    const end = at + SENT_PART_BYTES;
+    if (end >= bytes.length) {
+      req.end(bytes.subarray(at));
+      return;
+    }
+    req.write(bytes.subarray(at, end), (err) => {
+      if (err || req.destroyed) return;
+      onPartSent();
+      sendFrom(end);
+    });
+  };
+  sendFrom(0);
+};
+
 const headersOf = ({
   body,
   headers = {},
--- a/packages/protocol/src/JsonRpcConnection.ts
+++ b/packages/protocol/src/JsonRpcConnection.ts
@@ -10,8 +10,14 @@
   JSONRPCServerAndClient,
   type JSONRPCResponse,
 } from "json-rpc-2.0";
-import { describeError, type Clock, type Logger } from "@rackspan/common";
+import {
+  describeError,
+  type Clock,
+  type Logger,
+  type Monotonic,
+} from "@rackspan/common";
 import { LostAnswerError } from "./errors.js";
+import { PartWriter } from "./PartWriter.js";
 import {
   registerHandlers,
   toErrorResponse,
@@ -56,11 +62,15 @@
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
   private endReason: string | undefined;
+  private readonly writer: PartWriter;
+  /** When a part of a message that is larger than one part was last sent or received. */
+  private partAt: Monotonic = -Infinity;
 
   constructor(
     private readonly options: JsonRpcConnectionOptions<Served, Called>,
   ) {
     const { socket, servedMethods, handlers, idleTimeoutMs } = options;
+    this.writer = new PartWriter(socket, () => this.recordPart());
     const server = new JSONRPCServer({ errorListener: () => undefined });
     server.mapErrorToJSONRPCErrorResponse = toErrorResponse;
     registerHandlers(server, servedMethods, handlers);
@@ -85,6 +95,7 @@
   }
 
   /**
+   * @param timeoutMs without an answer, and without a further part of a large message
    * @throws RemoteError when the peer refused the call
    * @throws LostAnswerError when the call may have taken effect
    */
@@ -118,15 +129,24 @@
   ): Promise<unknown> {
     if (!this.isOpen) throw new LostAnswerError(`${method}: not connected`);
     const { clock } = this.options;
+    const sentAt = clock.monotonic();
     let cancelTimer = (): void => undefined;
     const timedOut = new Promise<never>((_, reject) => {
-      // Built only on a time-out: its stack costs more than the rest of the call.
-      const timer = clock.after(timeoutMs, () =>
-        reject(
-          new LostAnswerError(`${method}: no answer within ${timeoutMs} ms`),
-        ),
-      );
-      cancelTimer = () => timer.cancel();
+      const wait = (ms: number): void => {
+        const timer = clock.after(ms, check);
+        cancelTimer = () => timer.cancel();
+      };
+      const check = (): void => {
+        const progressAt = Math.max(sentAt, this.partAt);
+        const leftMs = progressAt + timeoutMs - clock.monotonic();
+        // The error is built only now: its stack costs more than the rest of the call.
+        if (leftMs <= 0)
+          reject(
+            new LostAnswerError(`${method}: no answer within ${timeoutMs} ms`),
+          );
+        else wait(leftMs);
+      };
+      wait(timeoutMs);
     });
     try {
       return await Promise.race([this.peer.request(method, params), timedOut]);
@@ -141,15 +161,18 @@
   }
 
   private send(message: unknown): Promise<void> {
-    const { socket } = this.options;
     if (!this.isOpen) return Promise.reject(new Error("not connected"));
-    socket.write(`${JSON.stringify(message)}\n`);
-    if (socket.writableLength > JSON_RPC_CONNECTION_LIMITS.maxUnsentBytes) {
+    this.writer.write(`${JSON.stringify(message)}\n`);
+    if (this.writer.unsentBytes > JSON_RPC_CONNECTION_LIMITS.maxUnsentBytes) {
       this.close("the peer does not read");
     }
     return Promise.resolve();
   }
 
+  private recordPart(): void {
+    this.partAt = this.options.clock.monotonic();
+  }
+
   private receive(chunk: Buffer): void {
     let rest = chunk;
     for (;;) {
@@ -165,6 +188,7 @@
     if (rest.length === 0) return;
     this.chunks.push(rest);
     this.bufferedBytes += rest.length;
+    this.recordPart();
     if (this.bufferedBytes > JSON_RPC_CONNECTION_LIMITS.maxLineBytes) {
       this.close("a message is too long");
     }
--- a/packages/standins/src/MemoryStore.ts
+++ b/packages/standins/src/MemoryStore.ts
@@ -18,8 +18,8 @@
   type JoinRequest,
   type ReadResponse,
   type ReadRequest,
+  type NewestPage,
   type RecordLimits,
-  type RecordPage,
   type StoreClient,
   type StoredRecord,
   type TopicName,
@@ -118,7 +118,7 @@
     return { records: page, next: from + page.length, end };
   }
 
-  async readNewest(topic: TopicName): Promise<RecordPage> {
+  async readNewest(topic: TopicName): Promise<NewestPage> {
     await this.applyFault("before");
     const { records } = this.topic(topic);
     const newest = new Map(records.map((record) => [record.key, record]));
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,4 +8,5 @@
 export * from "./plainJob.js";
 export * from "./RequestLedger.js";
 export * from "./TaskLedger.js";
+export * from "./ThrottledLink.js";
 export * from "./WorkerStandin.js";
--- a/packages/state/src/TopicFollower.ts
+++ b/packages/state/src/TopicFollower.ts
@@ -11,8 +11,10 @@
   type Monotonic,
 } from "@rackspan/common";
 import {
+  joinNewest,
   RecordsGoneError,
   type KeyedRecord,
+  type NewestPage,
   type RecordPage,
   type RecordStore,
   type TopicName,
@@ -60,6 +62,9 @@
 export class TopicFollower {
   private readonly abort = new AbortController();
   private next: number | undefined;
+  /** The pages of a load that was interrupted, and when the first one was requested. */
+  private unfinishedLoad:
+    { readonly pages: NewestPage; readonly requestedAt: Monotonic } | undefined;
   private completeAt: Monotonic | undefined;
   private answeredAt: Monotonic = -Infinity;
   private reachable = true;
@@ -98,7 +103,7 @@
     return this.options.clock.monotonic() - this.completeAt;
   }
 
-  /** When the store last answered a poll; -Infinity before. */
+  /** When the store last sent an answer to a poll, or a part of one; -Infinity before. */
   get lastAnswerAt(): Monotonic {
     return this.answeredAt;
   }
@@ -175,17 +180,9 @@
   }
 
   private async load(): Promise<void> {
-    const { store, topic, clock, logger } = this.options;
-    const requestedAt = clock.monotonic();
     // An abort of an earlier poll must not mask a failure of this load.
     this.pollAbort = new AbortController();
-    const page = await store.readNewest(topic);
-    logger.info("topic.loaded", {
-      topic,
-      records: page.records.length,
-      next: page.next,
-      tookMs: Math.round(clock.monotonic() - requestedAt),
-    });
+    const { page, requestedAt } = await this.readNewestPages();
     this.logUnreadable(page);
     this.passOn([...this.deletedSince(page), ...page.records]);
     this.passOnUnreadable(page, true);
@@ -193,6 +190,30 @@
     this.markComplete(requestedAt);
   }
 
+  /** Reads all pages; after a failure the next call continues behind those that it read. */
+  private async readNewestPages(): Promise<{
+    readonly page: RecordPage;
+    readonly requestedAt: Monotonic;
+  }> {
+    const { store, topic, clock, logger } = this.options;
+    for (;;) {
+      const before = this.unfinishedLoad;
+      const requestedAt = before?.requestedAt ?? clock.monotonic();
+      const next = await store.readNewest(topic, before?.pages.continuesAfter);
+      const pages = before ? joinNewest(before.pages, next) : next;
+      this.unfinishedLoad = { pages, requestedAt };
+      if (pages.continuesAfter !== undefined) continue;
+      this.unfinishedLoad = undefined;
+      logger.info("topic.loaded", {
+        topic,
+        records: pages.records.length,
+        next: pages.next,
+        tookMs: Math.round(clock.monotonic() - requestedAt),
+      });
+      return { page: pages, requestedAt };
+    }
+  }
+
   private async poll(from: number): Promise<void> {
     const { store, topic, clock } = this.options;
     const requestedAt = clock.monotonic();
@@ -200,8 +221,11 @@
     this.pollAbort = new AbortController();
     const { signal } = this.pollAbort;
     this.isShortPoll = waitMs === 0;
+    const onProgress = (): void => {
+      this.answeredAt = clock.monotonic();
+    };
     const page = await store
-      .read({ topic, from, waitMs, signal })
+      .read({ topic, from, waitMs, signal, onProgress })
       .finally(() => (this.isShortPoll = false));
     this.logUnreadable(page);
     if (page.records.length > 0) this.passOn(page.records);
--- a/packages/state/src/TopicWriter.ts
+++ b/packages/state/src/TopicWriter.ts
@@ -39,6 +39,11 @@
    * which a slow store needs.
    */
   maxTimeoutMs: 2_400,
+  /**
+   * The limit is higher for large batches: bytes that the operating system has taken may be
+   * on their way for as long as the slowest link needs for them, bytes per millisecond.
+   */
+  slowestLinkBytesPerMs: 16,
   retryMs: 60,
   /** New records are refused at once while a batch has been unanswered for this long. */
   stuckAfterMs: 700,
@@ -84,6 +89,8 @@
   readonly abort: AbortController;
   /** Whether any attempt may have reached the store. */
   mayBeSent: boolean;
+  /** Whether an attempt was not answered, although it had been sent. */
+  wasLost: boolean;
 }
 
 /** A record that is queued or being sent to the store. */
@@ -116,13 +123,19 @@
   private inFlight: Batch | undefined;
   /** When the in-flight batch was first sent; undefined when there is none. */
   private batchSentAt: Monotonic | undefined;
+  /** When a part of an append was last sent. */
+  private progressAt: Monotonic = -Infinity;
   private closed: Error | undefined;
 
   constructor(private readonly options: TopicWriterOptions) {}
 
-  /** When the in-flight batch was first sent; undefined when there is none. */
+  /**
+   * Since when the in-flight batch has made no progress: when it was first sent, or when a
+   * part of it was last sent. Undefined when there is none.
+   */
   get inFlightSince(): Monotonic | undefined {
-    return this.batchSentAt;
+    if (this.batchSentAt === undefined) return undefined;
+    return Math.max(this.batchSentAt, this.progressAt);
   }
 
   /** Sizes of the records that can be written. */
@@ -295,6 +308,7 @@
       abandoned: new Set(),
       abort: new AbortController(),
       mayBeSent: false,
+      wasLost: false,
     };
     const { signal } = batch.abort;
     this.batchSentAt = this.options.clock.monotonic();
@@ -381,11 +395,14 @@
         }
         mayBePersisted ||= lost;
         this.logFailure(records, failures, timeoutMs, err);
-        if (batch && lost) batch.mayBeSent = true;
+        if (batch && lost) {
+          batch.mayBeSent = true;
+          batch.wasLost = true;
+        }
         if (!mayBePersisted && !retriesRefusedBatches) throw err;
         if (this.closed) throw mayBePersisted ? this.lostError(err) : err;
         if (this.isStuck()) this.rejectQueued();
-        if (lost) timeoutMs = Math.min(WRITER.maxTimeoutMs, 2 * timeoutMs);
+        if (lost) timeoutMs = Math.min(maxTimeoutOf(records), 2 * timeoutMs);
       }
       await sleep(clock, WRITER.retryMs);
     }
@@ -433,6 +450,10 @@
       onSending: () => {
         if (batch) batch.mayBeSent = true;
       },
+      onProgress: () => {
+        // A store that does not answer may still take the parts of each further attempt.
+        if (!batch?.wasLost) this.progressAt = clock.monotonic();
+      },
     });
     this.adjustTimeout(clock.monotonic() - sentAt);
     // An empty append only sets the epoch and uses no number.
@@ -465,3 +486,8 @@
     return err;
   }
 }
+
+const maxTimeoutOf = (records: readonly KeyedRecord[]): number => {
+  const bytes = records.reduce((sum, each) => sum + recordBytes(each), 0);
+  return WRITER.maxTimeoutMs + bytes / WRITER.slowestLinkBytesPerMs;
+};
