Soak: small records, slow links, and the end of a whole site

Callers see no change. Change: some runs have a store that accepts records of 1,600 bytes, some have links of 1.4 Mbit/s to the store and a configuration of 490 kB, and a series kills all processes.

--- a/soak/src/FaultInjector.ts
+++ b/soak/src/FaultInjector.ts
@@ -78,6 +78,11 @@
         return this.forceLeaderChange(random, durationMs);
       case "silentWorkers":
         return this.silenceWorkers(random, durationMs);
+      case "killedSite":
+        await forAll([...site.entries, ...site.sides], (process) =>
+          restart(process, "SIGKILL", durationMs),
+        );
+        return;
     }
   }
 
--- a/soak/src/SoakSite.ts
+++ b/soak/src/SoakSite.ts
@@ -9,12 +9,17 @@
   type HostId,
 } from "@rackspan/common";
 import { freePort, StoreServer } from "@rackspan/platform-standins";
-import { MemoryStore } from "@rackspan/standins";
+import { MemoryStore, ThrottledLink } from "@rackspan/standins";
 import { ManagedProcess } from "./ManagedProcess.js";
 import { derivedRandom } from "./derivedRandom.js";
 import type { BundledPrograms } from "./BundledPrograms.js";
 import type { RunRecorder } from "./RunRecorder.js";
-import { BOUNDS, entrySettings, sideSettings } from "./settings.js";
+import {
+  BOUNDS,
+  entrySettings,
+  sideSettings,
+  type StoreLimits,
+} from "./settings.js";
 import { SoakWorker } from "./SoakWorker.js";
 
 export const QUEUE = {
@@ -35,19 +40,24 @@
 
 const hostIdOf = (index: number): HostId => brand<HostId>(`host-${index + 1}`);
 
-const configOf = (maxAttempts: number): object => ({
+const queueOf = (prefix: string, maxAttempts: number): object => ({
+  name: `queue-${prefix}`,
+  host: QUEUE.hostName,
+  path_prefix: prefix,
+  service: QUEUE.service,
+  priority: 1,
+  max_attempts: maxAttempts,
+  stretch: 2,
+  target_latency_ms: 500,
+});
+
+const configOf = (maxAttempts: number, idleQueues: number): object => ({
   version: 1,
   routes: [
-    {
-      name: "minutes",
-      host: QUEUE.hostName,
-      path_prefix: QUEUE.prefix,
-      service: QUEUE.service,
-      priority: 1,
-      max_attempts: maxAttempts,
-      stretch: 2,
-      target_latency_ms: 500,
-    },
+    queueOf(QUEUE.prefix, maxAttempts),
+    ...Array.from({ length: idleQueues }, (_, at) =>
+      queueOf(`/idle-${at}/`, maxAttempts),
+    ),
   ],
   services: [{ name: QUEUE.service, rejects_overload: true }],
   limits: { max_body_bytes: 100_000 },
@@ -65,6 +75,12 @@
   readonly recorder: RunRecorder;
   /** See SoakWorkerOptions. */
   readonly reusesId: boolean;
+  /** Sizes that the store accepts; the product's defaults if absent. */
+  readonly storeLimits?: StoreLimits | undefined;
+  /** Rate of each entry's link to the store, bytes per 20 ms; not limited if absent. */
+  readonly linkBytesPerInterval?: number | undefined;
+  /** Number of queues in the configuration that no caller uses. */
+  readonly idleQueues: number;
 }
 
 export class SoakSite {
@@ -80,8 +96,13 @@
   private readonly evacuations = new Map<Zone, number>();
   private readonly store = new MemoryStore(new SystemClock());
   private readonly storeServer = new StoreServer(this.store);
+  private readonly links: ThrottledLink[] = [];
 
-  constructor(private readonly options: SoakSiteOptions) {}
+  constructor(private readonly options: SoakSiteOptions) {
+    if (options.storeLimits) this.store.limits = options.storeLimits;
+    // The store accepts larger records from the operator than from rackspan.
+    else this.store.acceptedLimits = { recordBytes: 2e6, callBytes: 2e6 };
+  }
 
   async start(): Promise<void> {
     const { entries, hosts, folder } = this.options;
@@ -90,7 +111,8 @@
     this.callersPort = await freePort();
     this.sidesPort = await freePort();
     await this.publishConfig();
-    for (let index = 0; index < entries; index += 1) this.startEntry(index);
+    for (let index = 0; index < entries; index += 1)
+      await this.startEntry(index);
     for (let index = 0; index < hosts; index += 1) await this.startHost(index);
   }
 
@@ -98,6 +120,7 @@
     const all = [...this.sides, ...this.entries];
     await Promise.all(all.map((one) => one.stop("SIGKILL")));
     for (const worker of this.workers) await worker.close();
+    for (const link of this.links) link.close();
     await this.storeServer.close();
   }
 
@@ -153,7 +176,8 @@
   }
 
   private publishConfig(): Promise<void> {
-    return this.writeAsOperator("config", configOf(this.options.maxAttempts));
+    const { maxAttempts, idleQueues } = this.options;
+    return this.writeAsOperator("config", configOf(maxAttempts, idleQueues));
   }
 
   /** @param value new value of the key; undefined deletes it */
@@ -171,7 +195,16 @@
     });
   }
 
-  private startEntry(index: number): void {
+  /** @returns the address at which an entry reaches the store */
+  private async linkToStore(): Promise<string> {
+    const { linkBytesPerInterval } = this.options;
+    if (linkBytesPerInterval === undefined) return this.storeAddress;
+    const link = new ThrottledLink(this.storeAddress, linkBytesPerInterval);
+    this.links.push(link);
+    return link.listen();
+  }
+
+  private async startEntry(index: number): Promise<void> {
     const name = `entry-${index + 1}`;
     const file = this.writeSettings(
       name,
@@ -180,7 +213,8 @@
         ip: this.addressOfEntry(index),
         callersPort: this.callersPort,
         sidesPort: this.sidesPort,
-        store: this.storeAddress,
+        store: await this.linkToStore(),
+        limits: this.options.storeLimits,
       }),
     );
     const { entry } = this.options.programs;
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -16,7 +16,8 @@
   | "evacuatedZone"
   | "livesAtOnce"
   | "lostLeader"
-  | "silentWorkers";
+  | "silentWorkers"
+  | "killedSite";
 
 export interface Fault {
   readonly kind: FaultKind;
@@ -127,6 +128,12 @@
     minDurationMs: 500,
     maxDurationMs: 12_000,
   },
+  killedSite: {
+    runShare: 0.3,
+    meanIntervalMs: 12_000,
+    minDurationMs: 200,
+    maxDurationMs: 2_000,
+  },
 };
 
 /** @param only the series to include; drawn from the seed when undefined */
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -42,6 +42,8 @@
     `hosts=${result.hosts}`,
     `attempts=${result.maxAttempts}`,
     `oneId=${result.reusesId}`,
+    `smallRecords=${result.storeLimits !== undefined}`,
+    `slowLinks=${result.linkBytesPerInterval !== undefined}`,
     `seconds=${Math.round(ms / 1_000)}`,
     `faults=${result.faultKinds.join(",")}`,
   ].join(" ");
--- a/soak/src/runSoak.ts
+++ b/soak/src/runSoak.ts
@@ -13,6 +13,7 @@
 import { derivedRandom } from "./derivedRandom.js";
 import type { BundledPrograms } from "./BundledPrograms.js";
 import { RunRecorder } from "./RunRecorder.js";
+import type { StoreLimits } from "./settings.js";
 import { SoakSite } from "./SoakSite.js";
 
 const SOAK = {
@@ -27,6 +28,14 @@
   crashingRunShare: 0.5,
   /** Share of the runs whose workers reuse their ids when they start again. */
   reusedIdShare: 0.7,
+  /** Share of the runs whose store accepts only small records, and those sizes, bytes. */
+  smallRecordsShare: 0.4,
+  smallRecords: { recordBytes: 1_600, callBytes: 16_000 },
+  /** Share of the runs whose entries have slow links to the store; 1.4 Mbit/s. */
+  slowLinkShare: 0.3,
+  slowLinkBytesPerInterval: 3_500,
+  /** Enough for a configuration that takes longer than a call's time-out on a slow link. */
+  slowLinkQueues: 3_000,
   clients: 4,
   /** Timeout for the start of all processes, milliseconds. */
   startTimeoutMs: 30_000,
@@ -49,6 +58,10 @@
   readonly crashingJobs?: boolean;
   /** Whether workers reuse their ids when they start again; drawn from the seed when undefined. */
   readonly reusesIds?: boolean;
+  /** Whether the store accepts only small records; drawn from the seed when undefined. */
+  readonly hasSmallRecords?: boolean;
+  /** Whether entries have slow links to the store; drawn from the seed when undefined. */
+  readonly hasSlowLinks?: boolean;
 }
 
 /** Parameters that a seed determines besides jobs and faults. */
@@ -58,6 +71,9 @@
   readonly failingShare: number;
   readonly crashingShare: number;
   readonly reusesId: boolean;
+  readonly storeLimits: StoreLimits | undefined;
+  readonly linkBytesPerInterval: number | undefined;
+  readonly idleQueues: number;
 }
 
 export interface SoakResult extends SoakParameters {
@@ -115,11 +131,18 @@
   seed,
   crashingJobs,
   reusesIds,
+  hasSmallRecords,
+  hasSlowLinks,
 }: SoakOptions): SoakParameters => {
   const random = derivedRandom(seed, "site");
   const hasCrashes =
     crashingJobs ??
     derivedRandom(seed, "crashes").next() < SOAK.crashingRunShare;
+  const isSlow =
+    hasSlowLinks ?? derivedRandom(seed, "links").next() < SOAK.slowLinkShare;
+  const isSmall =
+    hasSmallRecords ??
+    derivedRandom(seed, "records").next() < SOAK.smallRecordsShare;
   return {
     hosts: SOAK.hosts.min + pickIndex(random, SOAK.hosts.range),
     maxAttempts: 1 + pickIndex(random, SOAK.maxAttempts),
@@ -127,6 +150,10 @@
     crashingShare: hasCrashes ? SOAK.crashingJobShare : 0,
     reusesId:
       reusesIds ?? derivedRandom(seed, "lives").next() < SOAK.reusedIdShare,
+    // A large configuration does not fit into a small record.
+    storeLimits: isSmall && !isSlow ? SOAK.smallRecords : undefined,
+    linkBytesPerInterval: isSlow ? SOAK.slowLinkBytesPerInterval : undefined,
+    idleQueues: isSlow ? SOAK.slowLinkQueues : 0,
   };
 };
 
--- a/soak/src/settings.ts
+++ b/soak/src/settings.ts
@@ -20,18 +20,26 @@
   worker: { fencesLives: true },
 } as const;
 
+/** Sizes that the store of a run accepts, bytes; see RecordLimits. */
+export interface StoreLimits {
+  readonly recordBytes: number;
+  readonly callBytes: number;
+}
+
 export interface EntryLocation {
   readonly name: string;
   readonly ip: string;
   readonly callersPort: number;
   readonly sidesPort: number;
   readonly store: string;
+  /** The product's defaults if absent. */
+  readonly limits?: StoreLimits | undefined;
 }
 
 export const entrySettings = (at: EntryLocation): object => ({
   entry: at.name,
   availabilityZone: "z",
-  platform: { client: "hosted", store: at.store },
+  platform: { client: "hosted", store: at.store, limits: at.limits },
   callers: `${at.ip}:${at.callersPort}`,
   readiness: `${at.ip}:0`,
   sides: `${at.ip}:${at.sidesPort}`,
--- a/soak/tests/soak.test.ts
+++ b/soak/tests/soak.test.ts
@@ -79,3 +79,25 @@
   expect(ended).toEqual(accepted);
   expect(unexpectedExits).toEqual(0);
 });
+
+// Guards against a record that the store refuses for its size and that holds up all others,
+// and against loads that a slow link never completes after a restart.
+test("jobs end while all processes are killed, with small records or slow links", async () => {
+  for (const hasSlowLinks of [false, true]) {
+    const { violations, accepted, ended, unexpectedExits } = await runSoak({
+      seed: 5,
+      seconds: SECONDS,
+      programs: new BundledPrograms(join(folder, "target")),
+      folder: join(folder, hasSlowLinks ? "slow-links" : "small-records"),
+      only: ["killedSite", "frozenLeader", "killedSides"],
+      hasSmallRecords: !hasSlowLinks,
+      hasSlowLinks,
+    });
+    expect(violations.map(({ kind, detail }) => `${kind}: ${detail}`)).toEqual(
+      [],
+    );
+    expect(accepted > 0).toEqual(true);
+    expect(ended).toEqual(accepted);
+    expect(unexpectedExits).toEqual(0);
+  }
+});
