Scheduling: a report costs one pass over a step, not one for each of its runs

Cause: with each report of a host, each of its runs was compared with all runs of its step on other hosts: 400 passes over 5,000 tasks a report. Change: the median of a step is computed once for each report; readings are the same.

--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -20,3 +20,4 @@
 export { stepOrders, type Candidate, type StepOrder } from "./stepOrders.js";
 export { TailForecast } from "./TailForecast.js";
 export { taskPlacers, type TaskPlacer } from "./taskPlacers.js";
+export { updateSlowness } from "./slowHosts.js";
--- a/packages/scheduling/src/slowHosts.ts
+++ b/packages/scheduling/src/slowHosts.ts
@@ -8,6 +8,7 @@
   interferenceProfileOf,
   type ActiveRun,
   type HostState,
+  type StepRun,
 } from "@rackspan/jobs";
 import type { Monotonic } from "@rackspan/common";
 import type { HostEntry } from "./engineTypes.js";
@@ -50,13 +51,13 @@
 
 /** Returns the median of the projected run times of the step's tasks on other hosts. */
 const siblingMs = (
-  run: ActiveRun,
+  step: StepRun,
   host: HostEntry,
   hosts: HostRegistry,
   now: Monotonic,
 ): number | undefined => {
   const siblings = hosts
-    .placedRunsOf(run.task.step.tasks)
+    .placedRunsOf(step.tasks)
     .filter((other) => other.host !== host && isMeasured(other.run, now))
     .map((other) => projectedMs(other.run, now))
     .sort((a, b) => a - b);
@@ -64,6 +65,23 @@
   return siblings[Math.floor(siblings.length / 2)];
 };
 
+/**
+ * Computes the siblings' median once for each step: a host may run a thousand tasks of one
+ * step, which has thousands.
+ */
+const siblingMsByStep = (
+  host: HostEntry,
+  hosts: HostRegistry,
+  now: Monotonic,
+): ((step: StepRun) => number | undefined) => {
+  const medians = new Map<StepRun, number | undefined>();
+  return (step) => {
+    if (!medians.has(step))
+      medians.set(step, siblingMs(step, host, hosts, now));
+    return medians.get(step);
+  };
+};
+
 /** Updates the host's slowness from its runs as of its last report. */
 export const updateSlowness = (
   host: HostEntry,
@@ -71,9 +89,10 @@
   now: Monotonic,
 ): void => {
   const { hostState } = host;
+  const expectedMsOf = siblingMsByStep(host, hosts, now);
   for (const run of hostState.runs.values()) {
     if (!isMeasured(run, now)) continue;
-    const expectedMs = siblingMs(run, host, hosts, now);
+    const expectedMs = expectedMsOf(run.task.step);
     if (expectedMs === undefined) continue;
     const reading = Math.log(projectedMs(run, now) / expectedMs);
     const bounded = Math.max(
@@ -99,10 +118,11 @@
 ): ActiveRun[] => {
   const { hostState } = host;
   if (hostState.slowness < SLOWNESS.slowThreshold) return [];
+  const freshMsOf = siblingMsByStep(host, hosts, now);
   return [...hostState.runs.values()].filter((run) => {
     if (!isMeasured(run, now)) return false;
     if (run.task.avoidedHosts.includes(hostState.host)) return false;
-    const freshMs = siblingMs(run, host, hosts, now);
+    const freshMs = freshMsOf(run.task.step);
     if (freshMs === undefined) return false;
     const leftMs = projectedMs(run, now) - (now - run.startedAt);
     return leftMs > SLOWNESS.moveGain * freshMs;
