--- a/review/lib-2/Site.mjs
+++ b/review/lib-2/Site.mjs
@@ -23,6 +23,7 @@
 import { brand, processLoopbackAddress, SystemClock } from "@rackspan/common";
 import { freePort, StoreServer } from "@rackspan/platform-standins";
 import { MemoryStore } from "@rackspan/standins";
+import { Advice } from "./Advice.mjs";
 import { Worker } from "./Worker.mjs";
 
 const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
@@ -42,6 +43,7 @@
 /** A process that has ended is started again after this delay. */
 const RESTART_MS = 700;
 const FIRST_SIDE_ADDRESS = 51;
+const ADVICE_ADDRESS = 253;
 const SERVICE = "kaigi";
 const ZONES = ["zone-a", "zone-b", "zone-c"];
 
@@ -59,7 +61,7 @@
   finishMs: 14_000,
 };
 
-const routeOf = (name, { priority = 2, maxAttempts = 4 } = {}) => ({
+const routeOf = (name, { priority = 2, maxAttempts = 4, advice } = {}) => ({
   name,
   host: "calls.example",
   path_prefix: `/${name}/`,
@@ -70,6 +72,13 @@
   service: SERVICE,
   max_attempts: maxAttempts,
   stretch: 2,
+  ...(advice && {
+    advice: {
+      decide_ms: advice.decideMs,
+      each_ms: advice.eachMs,
+      valid_ms: advice.validMs,
+    },
+  }),
 });
 
 export class Site {
@@ -92,12 +101,14 @@
     hosts = 6,
     queues = ["minutes"],
     labelsOf,
+    advice,
     recordFile,
   }) {
     Object.assign(this, {
       entryCount: entries,
       hostCount: hosts,
       queues,
+      adviceOptions: advice,
       recordFile,
     });
     this.labelsOf = labelsOf ?? (() => ["a"]);
@@ -113,6 +124,7 @@
 
   async start() {
     this.storeAddress = await this.storeServer.listen();
+    if (this.adviceOptions) await this.startAdvice();
     this.callersPort = await freePort();
     this.sidesPort = await freePort();
     const routes = this.queues.map((queue) =>
@@ -138,6 +150,13 @@
     });
   }
 
+  async startAdvice() {
+    const note = (text) => this.record(text);
+    this.advice = new Advice({ ...this.adviceOptions, note });
+    const ip = processLoopbackAddress(ADVICE_ADDRESS);
+    this.adviceAddress = await this.advice.listen(ip);
+  }
+
   addressOfEntry(at) {
     return `${processLoopbackAddress(1 + at)}:${this.callersPort}`;
   }
@@ -152,6 +171,7 @@
         client: "hosted",
         store: this.storeAddress,
         limits: { recordBytes: 262_144, callBytes: 2_097_152 },
+        ...(this.adviceAddress && { permits: this.adviceAddress }),
       },
       callers: this.addressOfEntry(at),
       readiness: `${ip}:${await freePort()}`,
@@ -192,6 +212,7 @@
       labels: this.labelsOf(at),
       capacity: { cpu: 32_000, mem_mb: 128_000 },
       longestLeaseMs: BOUNDS.holdMaxMs,
+      isPermitted: (...start) => this.advice?.isValid(...start) ?? true,
       note: (event) => this.noteRun(event),
     });
     this.sides.push(
@@ -389,6 +410,7 @@
     for (const { child } of [...this.entries, ...this.sides])
       child?.kill("SIGKILL");
     for (const worker of this.workers) await worker.crash();
+    this.advice?.close();
     await this.storeServer.close();
     if (this.recordFile)
       writeFileSync(this.recordFile, `${this.lines.join("\n")}\n`);
--- a/review/lib-2/Worker.mjs
+++ b/review/lib-2/Worker.mjs
@@ -100,9 +100,13 @@
     if (this.isFenced(order.fencing_token)) return this.refuse("fence");
     const key = `${task}#${run}`;
     if (this.runs.has(key)) return this.ok();
+    this.extendLease(deadline_ms);
     if (run <= (this.highestRun.get(task) ?? 0)) return this.refuse("old");
     if (deadline_ms <= this.clock) return this.refuse("late");
-    this.extendLease(deadline_ms);
+    if (!this.worker.isPermitted(order.ticket, task, this.id)) {
+      this.worker.note("refused-ticket", { task, run });
+      return this.refuse("ticket");
+    }
     const work = JSON.parse(spec);
     const demand = { cpu: work.cpu ?? 0, mem_mb: work.mem_mb ?? 0 };
     for (const name of Object.keys(demand)) {
@@ -186,6 +190,7 @@
     labels,
     capacity,
     longestLeaseMs,
+    isPermitted,
     note,
   }) {
     Object.assign(this, {
@@ -197,6 +202,7 @@
       labels,
       capacity,
       longestLeaseMs,
+      isPermitted,
     });
     this.note = (event, { task, run }) =>
       note({ event, task, run, host, life: this.current?.id });
