--- a/review/lib-2/Site.mjs
+++ b/review/lib-2/Site.mjs
@@ -24,6 +24,7 @@
 import { freePort, StoreServer } from "@rackspan/platform-standins";
 import { MemoryStore } from "@rackspan/standins";
 import { Advice } from "./Advice.mjs";
+import { Gangs } from "./Gangs.mjs";
 import { Worker } from "./Worker.mjs";
 
 const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
@@ -94,6 +95,7 @@
   folder = mkdtempSync(join(tmpdir(), "review-"));
   store = new MemoryStore(new SystemClock());
   storeServer = new StoreServer(this.store);
+  gangs = new Gangs();
   isStopping = false;
 
   constructor({
@@ -212,6 +214,7 @@
       labels: this.labelsOf(at),
       capacity: { cpu: 32_000, mem_mb: 128_000 },
       longestLeaseMs: BOUNDS.holdMaxMs,
+      gangs: this.gangs,
       isPermitted: (...start) => this.advice?.isValid(...start) ?? true,
       note: (event) => this.noteRun(event),
     });
--- a/review/lib-2/Worker.mjs
+++ b/review/lib-2/Worker.mjs
@@ -4,7 +4,8 @@
  * tokens, ends that are listed until they are acknowledged, and a guard of its capacity.
  *
  * The payload of a job is JSON: `ms` says how long each of its tasks works, `lasts` that they
- * work until they are stopped, `fails` that they fail in the end.
+ * are lasting ones, which work until they are stopped unless `ms` is given, `fails` that they
+ * fail in the end, `gang` how many members their gang has.
  */
 
 import { createServer } from "node:http";
@@ -53,6 +54,7 @@
     for (const run of this.runs.values()) {
       clearTimeout(run.timer);
       this.worker.note("lost", run);
+      if (run.gang) this.worker.gangs.leave(run);
     }
     this.runs.clear();
     for (const wake of this.waiting) wake();
@@ -71,6 +73,7 @@
     this.endCount += 1;
     this.ends.push([this.endCount, run.task, run.run, how, ""]);
     this.worker.note(how, run);
+    if (run.gang) this.worker.gangs.leave(run);
     for (const wake of [...this.waiting]) wake();
   }
 
@@ -115,12 +118,17 @@
     }
     this.highestRun.set(task, run);
     const { ms = 500, lasts = false, fails = false } = work;
-    const timer = lasts
-      ? undefined
-      : setTimeout(() => this.end(key, fails ? "failed" : "done"), ms);
-    const begun = { task, run, demand, ms, lasts, timer, at: this.clock };
+    const begun = { task, run, demand, ms, lasts, at: this.clock };
+    begun.endAs = (how) => this.end(key, how);
     this.runs.set(key, begun);
     this.worker.note("began", begun);
+    const workMs = lasts && work.ms === undefined ? undefined : ms;
+    if (work.gang) this.worker.gangs.join(begun, work.gang, workMs);
+    else if (workMs !== undefined)
+      begun.timer = setTimeout(
+        () => begun.endAs(fails ? "failed" : "done"),
+        ms,
+      );
     return this.ok();
   }
 
@@ -191,6 +199,7 @@
     capacity,
     longestLeaseMs,
     isPermitted,
+    gangs,
     note,
   }) {
     Object.assign(this, {
@@ -203,6 +212,7 @@
       capacity,
       longestLeaseMs,
       isPermitted,
+      gangs,
     });
     this.note = (event, { task, run }) =>
       note({ event, task, run, host, life: this.current?.id });
