--- a/review/lib-2/Site.mjs
+++ b/review/lib-2/Site.mjs
@@ -433,12 +433,20 @@
     .slice(-16);
 };
 
+/** A script stops by itself after this time, also on a machine that is slow. */
+const MAX_CASE_MS = 112_000;
+
+const failAfter = async (ms) => {
+  await sleep(ms);
+  throw new Error(`not over after ${ms} ms`);
+};
+
 /** How a script ends: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
 export const runCase = async (site, play) => {
   let code = 2;
   try {
-    await site.start();
-    const broken = await play(site);
+    const played = site.start().then(() => play(site));
+    const broken = await Promise.race([played, failAfter(MAX_CASE_MS)]);
     site.record(broken ? `RULE BROKEN: ${broken}` : "the rule held");
     process.stdout.write(`${broken ? `broken: ${broken}` : "held"}\n`);
     code = broken ? 1 : 0;
