--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -10,6 +10,7 @@
 
 const QUEUE = "minutes";
 const JOBS = 6;
+const TASKS = 4;
 const BURST_GAP_MS = 360;
 /** After the last job is accepted, all are watched for this long. */
 const WATCHED_MS = 40_000;
@@ -19,7 +20,7 @@
 
 const job = {
   spec: JSON.stringify({ ms: 500 }),
-  steps: [{ count: 4, cpu: 500, mem_mb: 256, estimate_ms: 500 }],
+  steps: [{ count: TASKS, cpu: 500, mem_mb: 256, estimate_ms: 500 }],
 };
 
 const site = new Site({
@@ -54,7 +55,10 @@
     for (const id of open) if (await isDone(id)) open.delete(id);
   }
   if (open.size === 0) return undefined;
-  const idle = idleJobs(site, [...open]);
+  const idle = idleJobs(
+    site,
+    [...open].map((id) => ({ id, tasks: TASKS })),
+  );
   if (idle.length === 0) return undefined;
   return (
     `LOST: ${open.size} of ${JOBS} accepted jobs are not done ${WATCHED_MS} ms after the last one ` +
--- a/review/lib-2/idleJobs.mjs
+++ b/review/lib-2/idleJobs.mjs
@@ -43,13 +43,26 @@
 export const runningTasks = (site) =>
   site.workers.reduce((sum, worker) => sum + worker.runningTasks.length, 0);
 
-/** The jobs that nothing has run of for the last 3 s; all workers are idle meanwhile. */
-export const idleJobs = (site, ids) => {
+/** Whether the workers have ended that many tasks of the job as done. */
+const isDoneOnWorkers = (site, { id, tasks }) => {
+  const done = site.events.filter(
+    ({ event, task }) => event === "done" && task.startsWith(`${id}.`),
+  );
+  return new Set(done.map(({ task }) => task)).size >= tasks;
+};
+
+/**
+ * The jobs with open tasks that nothing has run of for the last 3 s; all workers are idle
+ * meanwhile. Goes by what the workers saw: a job whose state nobody tells may be done.
+ *
+ * @param jobs `id` and number of tasks of each
+ */
+export const idleJobs = (site, jobs) => {
   if (runningTasks(site) > 0) return [];
   const since = site.now - IDLE_MS;
-  const isQuiet = (id) =>
+  const isQuiet = ({ id }) =>
     !site.events.some(
       ({ at, task }) => at >= since && task.startsWith(`${id}.`),
     );
-  return ids.filter(isQuiet);
+  return jobs.filter((job) => isQuiet(job) && !isDoneOnWorkers(site, job));
 };
