--- a/review/lib-2/Site.mjs
+++ b/review/lib-2/Site.mjs
@@ -96,6 +96,8 @@
   store = new MemoryStore(new SystemClock());
   storeServer = new StoreServer(this.store);
   gangs = new Gangs();
+  /** All ports that were handed out. */
+  ports = new Set();
   isStopping = false;
 
   constructor({
@@ -127,8 +129,8 @@
   async start() {
     this.storeAddress = await this.storeServer.listen();
     if (this.adviceOptions) await this.startAdvice();
-    this.callersPort = await freePort();
-    this.sidesPort = await freePort();
+    this.callersPort = await this.newPort();
+    this.sidesPort = await this.newPort();
     const routes = this.queues.map((queue) =>
       typeof queue === "string" ? routeOf(queue) : routeOf(queue.name, queue),
     );
@@ -143,6 +145,14 @@
     await this.untilReady();
   }
 
+  /** `freePort` can give one port twice, and several listeners share an address here. */
+  async newPort() {
+    const port = await freePort();
+    if (this.ports.has(port)) return this.newPort();
+    this.ports.add(port);
+    return port;
+  }
+
   async writeAsOperator(config) {
     await this.store.append({
       topic: brand("keyed.op"),
@@ -176,9 +186,9 @@
         ...(this.adviceAddress && { permits: this.adviceAddress }),
       },
       callers: this.addressOfEntry(at),
-      readiness: `${ip}:${await freePort()}`,
+      readiness: `${ip}:${await this.newPort()}`,
       sides: `${ip}:${this.sidesPort}`,
-      metrics: `${ip}:${await freePort()}`,
+      metrics: `${ip}:${await this.newPort()}`,
       leases: {
         leastLeadershipTtlMs: 1_000,
         workerLeaseMs: BOUNDS.holdMaxMs,
@@ -203,8 +213,8 @@
     const name = `side-${at + 1}`;
     const ip = processLoopbackAddress(FIRST_SIDE_ADDRESS + at);
     const zone = ZONES[at % ZONES.length];
-    const app = `${ip}:${await freePort()}`;
-    const inbox = `${ip}:${await freePort()}`;
+    const app = `${ip}:${await this.newPort()}`;
+    const inbox = `${ip}:${await this.newPort()}`;
     const worker = new Worker({
       host: name,
       zone,
@@ -233,7 +243,7 @@
           longestMs: BOUNDS.holdMaxMs,
         },
         pacing: { tailGraceMs: BOUNDS.harmMs },
-        metrics: `${ip}:${await freePort()}`,
+        metrics: `${ip}:${await this.newPort()}`,
         graceSeconds: 6,
         entries: this.entries.map((_entry, index) =>
           this.addressOfEntry(index),
