Log which hosts a step has no permit or no ticket for

The log of the leader could not tell a step without tickets from one that the placer refuses: task.waits counted the hosts as `placer`. It counts permit-undecided, permit-refused and no-ticket now.

--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -197,6 +197,7 @@
       ejector,
       waits,
       placer: taskPlacer,
+      permitTracker,
       placementLog,
       requestCycle,
     };
--- a/packages/scheduling/src/PermitTracker.ts
+++ b/packages/scheduling/src/PermitTracker.ts
@@ -20,7 +20,7 @@
   type PermitService,
 } from "@rackspan/ports";
 import type { PermitRule } from "@rackspan/state";
-import { StepPermits } from "./StepPermits.js";
+import { StepPermits, type PermitState } from "./StepPermits.js";
 
 /**
  * Two concurrent requests keep a service busy that processes one at a time; the other
@@ -82,6 +82,12 @@
     return this.permitsByStep.get(step)?.ticketFor(host.instance, now);
   }
 
+  stateOf(step: StepRun, host: HostState): PermitState {
+    const permits = this.permitsByStep.get(step);
+    const now = this.options.clock.monotonic();
+    return permits?.stateOf(host.instance, now) ?? "undecided";
+  }
+
   /** Discards a ticket that the worker refused, so that a new one is requested. */
   discardTicket(step: StepRun, host: HostState): void {
     this.permitsByStep.get(step)?.discardTicket(host.instance);
--- a/packages/scheduling/src/StepPermits.ts
+++ b/packages/scheduling/src/StepPermits.ts
@@ -11,6 +11,15 @@
   readonly validUntil: Monotonic;
 }
 
+/**
+ * What is known of a worker and the step:
+ * - `undecided`: the service was not asked, or has not answered yet;
+ * - `refused`: the worker may not run the step;
+ * - `no-ticket`: it may, but its ticket has expired or was refused;
+ * - `permitted`: it may, and its ticket is valid.
+ */
+export type PermitState = "undecided" | "refused" | "no-ticket" | "permitted";
+
 export class StepPermits {
   /** Whether a request is queued or in progress. */
   isRequesting = false;
@@ -34,6 +43,12 @@
     return this.ticketFor(instance, now) === undefined;
   }
 
+  stateOf(instance: WorkerInstance, now: Monotonic): PermitState {
+    if (this.refused.has(instance)) return "refused";
+    if (this.ticketFor(instance, now) !== undefined) return "permitted";
+    return this.tickets.has(instance) ? "no-ticket" : "undecided";
+  }
+
   discardTicket(instance: WorkerInstance): void {
     this.tickets.delete(instance);
   }
--- a/packages/scheduling/src/WaitMonitor.ts
+++ b/packages/scheduling/src/WaitMonitor.ts
@@ -136,17 +136,20 @@
   }
 
   private log(wait: NextTask, now: Monotonic): void {
-    const { options, hosts, ejector, placer } = this.parts;
+    const { options, hosts, ejector, placer, permitTracker } = this.parts;
     const { tracked, task, since } = wait;
     const { step } = task;
     const { gate } = options;
     const { firstSeenAt } = tracked;
     const awaited = gate.awaitedHosts(firstSeenAt, now, knownPlacementOf(task));
     const queue = options.queueOf(tracked.job.accepted.spec.queue);
+    const terms = queue ?? tracked.job.terms;
     const { cause, hosts: counts } = explainWait({
       step,
-      service: queue?.service ?? tracked.job.terms.service,
+      service: terms.service,
       placer,
+      permitStateOf:
+        terms.permitRule && ((host) => permitTracker.stateOf(step, host)),
       mayStart: awaited.length === 0,
       entries: [...hosts.all()],
       ejector,
--- a/packages/scheduling/src/engineParts.ts
+++ b/packages/scheduling/src/engineParts.ts
@@ -5,6 +5,7 @@
 import type { RuntimeEstimator } from "./RuntimeEstimator.js";
 import type { HostRegistry } from "./HostRegistry.js";
 import type { JobRegistry } from "./JobRegistry.js";
+import type { PermitTracker } from "./PermitTracker.js";
 import type { PlacementLog } from "./PlacementLog.js";
 import type { RunStarter } from "./RunStarter.js";
 import type { RunStopper } from "./RunStopper.js";
@@ -21,6 +22,7 @@
   readonly ejector: OutlierEjector;
   readonly waits: StepWaitMonitor;
   readonly placer: TaskPlacer;
+  readonly permitTracker: PermitTracker;
   /** Undefined if this leader records no placements. */
   readonly placementLog: PlacementLog | undefined;
   /** Requests a scheduling cycle soon. */
--- a/packages/scheduling/src/explainWait.ts
+++ b/packages/scheduling/src/explainWait.ts
@@ -3,6 +3,7 @@
 import { crashLogOf, type HostState, type StepRun } from "@rackspan/jobs";
 import type { HostEntry } from "./engineTypes.js";
 import { isOverdueLasting } from "./CycleHostFilter.js";
+import type { PermitState } from "./StepPermits.js";
 import {
   fitsInto,
   freeCapacityOf,
@@ -39,10 +40,22 @@
 
 /**
  * Why an open host does not take the task; `placer` if it fits and the placer does not
- * say why it does not choose the host.
+ * say why it does not choose the host. Those of `PERMIT_RULES` concern the permit that the
+ * queue requires.
  */
 type RefusalRule =
-  "ejected" | "label-or-limit" | "room" | "placer" | PlacerRefusal;
+  | "ejected"
+  | "label-or-limit"
+  | "room"
+  | "placer"
+  | PlacerRefusal
+  | (typeof PERMIT_RULES)[keyof typeof PERMIT_RULES];
+
+const PERMIT_RULES = {
+  undecided: "permit-undecided",
+  refused: "permit-refused",
+  "no-ticket": "no-ticket",
+} as const satisfies Record<Exclude<PermitState, "permitted">, string>;
 
 /** How many hosts of the service each rule closes to the step. */
 export type HostCounts = Readonly<
@@ -60,6 +73,8 @@
   readonly placer: TaskPlacer;
   /** Whether the takeover gate allows its job to start. */
   readonly mayStart: boolean;
+  /** Undefined if the queue requires no permits. */
+  readonly permitStateOf: ((host: HostState) => PermitState) | undefined;
   /** Iterated twice. */
   readonly entries: readonly HostEntry[];
 }
@@ -113,5 +128,7 @@
   if (!task) return "placer";
   if (!isAllowedOn(task, hostState)) return "label-or-limit";
   if (!fitsInto(task, freeCapacityOf(hostState))) return "room";
+  const permitState = waiting.permitStateOf?.(hostState) ?? "permitted";
+  if (permitState !== "permitted") return PERMIT_RULES[permitState];
   return waiting.placer.refusalOf?.(task, hostState, inService) ?? "placer";
 };
