Place tasks by permits that last, and request tickets when they can be used

Cause: tickets were counted as valid from when their request was sent, with two requests in flight to a service that processes one at a time. From the second on each took 3.6 s, so that its tickets, valid for 3 s, counted as expired when they arrived; the step asked again, which kept it so. And a decision, which never changes, was lost with its ticket, so that a step had to hold a valid ticket at the moment at which it had a host and its placement was recorded.

Evidence: on the leader logs permits.taken tookMs=3600 validMs=3000 for every request from the second on, no-ticket=11 for the five steps, no start of theirs and no bad-ticket.

Decisions are kept apart from tickets: a task is placed by the decision, and if its ticket has expired, one is requested for exactly its host while the placement is recorded, and used on arrival. One step at a time may occupy resources that way, and none while the service fails. After a request without an answer in time the next one is waited for longer, since the service still processes the first.

--- a/packages/jobs/src/HostState.ts
+++ b/packages/jobs/src/HostState.ts
@@ -21,14 +21,15 @@
 import type { StopOrder, StoppingRun } from "./StopOrder.js";
 
 /**
- * - `recording`: placed; its order is sent once its placement is persisted;
+ * - `unsent`: placed; its order is sent once its placement is persisted and, if its queue
+ *   requires permits, there is a ticket;
  * - `starting`: ordered, not confirmed yet;
  * - `running`: listed or confirmed by the worker;
  * - `unsure`: ordered without an answer; it may start until its order expires;
  * - `stopping`: a stop was ordered; its resources stay allocated until its end is listed.
  */
 export type RunPhase =
-  "recording" | "starting" | "running" | "unsure" | "stopping";
+  "unsent" | "starting" | "running" | "unsure" | "stopping";
 
 export interface ActiveRun {
   readonly task: JobTask;
--- a/packages/jobs/src/reconcileReport.ts
+++ b/packages/jobs/src/reconcileReport.ts
@@ -34,7 +34,7 @@
   if (lastSeenAt !== undefined) return at > lastSeenAt;
   const fencedAt = stop?.confirmedAt;
   if (fencedAt !== undefined && at > fencedAt) return true;
-  if (phase === "recording") return false;
+  if (phase === "unsent") return false;
   return phase !== "starting" && at > orderExpiresAt;
 };
 
--- a/packages/scheduling/src/CrashTracker.ts
+++ b/packages/scheduling/src/CrashTracker.ts
@@ -132,7 +132,7 @@
   /** A run whose order was not sent is not lost with the worker. */
   private withdrawUnsent(entry: HostEntry, reason: string): void {
     for (const run of [...entry.hostState.runs.values()]) {
-      if (run.phase !== "recording") continue;
+      if (run.phase !== "unsent") continue;
       this.parts.runStarter.withdraw(entry, run, reason);
     }
   }
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -26,6 +26,8 @@
 import type { StepWaitMonitor } from "./StepWaitMonitor.js";
 import type { Candidate, StepOrder } from "./stepOrders.js";
 import {
+  fitsInto,
+  freeCapacityOf,
   isAllowedOn,
   unreservedMilliCores,
   type TaskPlacer,
@@ -96,6 +98,7 @@
     this.isolatedStarts.startCycle(startedAt);
     const now = engine.clock.now();
     this.orderLimiter?.startCycle(hosts.all(), startedAt);
+    this.options.permitTracker.startCycle();
     const sorted = order.sort(this.candidates(now), now);
     const candidates = this.isTakingOver(startedAt)
       ? sortForTakeover(sorted)
@@ -117,6 +120,7 @@
       this.placeStep(candidate, this.hostsOf(candidate.job));
     }
     waits.recordPlacements(candidates, waitingBefore, startedAt);
+    this.options.permitTracker.endCycle();
     engine.metrics
       .latency("dispatch_pass")
       .record(engine.clock.monotonic() - startedAt);
@@ -250,7 +254,7 @@
   }
 
   /**
-   * Places as many tasks as possible on hosts with a permit, and requests more permits
+   * Places as many tasks as possible on permitted hosts, and requests permits and tickets
    * if tasks are left.
    */
   private placePermitted(
@@ -270,7 +274,13 @@
     if (isAnyPermitted) this.placeTasks(candidate, permitted);
     if (step.waiting.size === 0) return;
     const wanted = [...inService, ...this.lastResortHosts(step, ejected)];
-    permitTracker.request({ step, rule, hosts: eligibleHosts(step, wanted) });
+    const eligible = eligibleHosts(step, wanted);
+    permitTracker.request({
+      step,
+      rule,
+      hosts: eligible,
+      isBlockedByTicket: this.isBlockedByTicket(step, eligible),
+    });
   }
 
   private permittedHosts(
@@ -278,8 +288,21 @@
     hosts: readonly HostState[],
   ): readonly HostState[] {
     const { permitTracker } = this.options;
-    return hosts.filter(
-      (host) => permitTracker.ticketFor(step, host) !== undefined,
+    return hosts.filter((host) => permitTracker.mayPlaceOn(step, host));
+  }
+
+  /** Whether the step's next task fits on a permitted host whose ticket has expired. */
+  private isBlockedByTicket(
+    step: StepRun,
+    hosts: readonly HostState[],
+  ): boolean {
+    const { permitTracker } = this.options;
+    const [task] = step.waiting;
+    if (!task) return false;
+    return this.hostsOpenTo(step, hosts).some(
+      (host) =>
+        permitTracker.stateOf(step, host) === "no-ticket" &&
+        fitsInto(task, freeCapacityOf(host)),
     );
   }
 
@@ -483,15 +506,15 @@
     runNumber: RunNumber,
     isIsolated = false,
   ): void {
-    const { hosts, runStarter, permitTracker, runLog } = this.options;
+    const { hosts, runStarter, runLog } = this.options;
     const entry = hosts.get(host.host);
-    const ticket = permitTracker.ticketFor(task.step, host);
+    const needsTicket = this.termsOf(task.step.job).permitRule !== undefined;
     runLog.markOrdered(task);
     this.isolatedStarts.remove(task);
     this.orderLimiter?.recordOrder(host);
     const isolationMs = isIsolated ? task.crashLog.isolationMs : 0;
     if (entry)
-      runStarter.start(entry, task, runNumber, { ticket, isolationMs });
+      runStarter.start(entry, task, runNumber, { needsTicket, isolationMs });
   }
 }
 
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -127,10 +127,13 @@
     const onTaskWaiting = (job: JobRun) => {
       if (jobs.activate(job)) requestCycle();
     };
-    const permitTracker = new PermitTracker({
+    const permitTracker: PermitTracker = new PermitTracker({
       ...options,
       service: options.permits,
-      onRequestFinished: requestCycle,
+      workersWithoutTicket: (step) => runStarter.workersWithoutTicket(step),
+      onTicketsIssued: (step) => runStarter.sendWithTickets(step),
+      onTicketsUnavailable: (step) => runStarter.withdrawWithoutTickets(step),
+      requestCycle,
     });
     this.permitTracker = permitTracker;
     const placementLog = policy.recordsPlacements
@@ -149,7 +152,7 @@
       policy,
     });
     this.firstStarts = new FirstStartMonitor(options);
-    const runStarter = new RunStarter({
+    const runStarter: RunStarter = new RunStarter({
       ...options,
       firstStarts: this.firstStarts,
       hosts,
--- a/packages/scheduling/src/JobFinisher.ts
+++ b/packages/scheduling/src/JobFinisher.ts
@@ -56,7 +56,7 @@
     const { hosts, runStarter, runStopper } = this.parts;
     for (const { tasks } of job.steps) {
       for (const { host, run } of hosts.placedRunsOf(tasks)) {
-        if (run.phase === "recording") runStarter.withdraw(host, run, reason);
+        if (run.phase === "unsent") runStarter.withdraw(host, run, reason);
         else runStopper.stop(host, run, reason);
       }
     }
--- a/packages/scheduling/src/OrderLimiter.ts
+++ b/packages/scheduling/src/OrderLimiter.ts
@@ -34,7 +34,7 @@
     for (const { hostState } of entries) {
       let open = 0;
       for (const { phase } of hostState.runs.values()) {
-        if (phase === "recording" || phase === "starting") open += 1;
+        if (phase === "unsent" || phase === "starting") open += 1;
       }
       this.openOrders.set(hostState, open);
     }
--- a/packages/scheduling/src/PermitTracker.ts
+++ b/packages/scheduling/src/PermitTracker.ts
@@ -1,10 +1,12 @@
 /**
- * Tracks which hosts may run the steps of queues that require permits, and holds the
- * tickets. Requests to the permit service are sent in the background and name as many
- * hosts as a step may need. A step waits only for its first response.
+ * Knows which hosts may run the steps of queues that require permits, and gets the
+ * tickets with which their tasks start. A decision of the permit service never changes,
+ * but its tickets expire, possibly before a task can use them. So a task is placed by the
+ * decisions, and a ticket is needed only when its start order is sent: a step whose
+ * tickets have expired places tasks first and then requests tickets for exactly their
+ * hosts. At most one step at a time occupies resources that way.
  */
 
-import PQueue from "p-queue";
 import {
   describeError,
   type Clock,
@@ -20,25 +22,20 @@
   type PermitService,
 } from "@rackspan/ports";
 import type { PermitRule } from "@rackspan/state";
+import { PermitTurns } from "./PermitTurns.js";
 import { StepPermits, type PermitState } from "./StepPermits.js";
 
-/**
- * Two concurrent requests keep a service busy that processes one at a time; the other
- * limits bound how many requests wait.
- */
 export const PERMIT_REQUESTS = {
-  /** Maximum concurrent requests. The service processes one at a time, in order. */
-  concurrency: 2,
-  /** Maximum queued requests; further steps request again in a later scheduling cycle. */
-  maxQueued: 64,
   /** Hosts named per waiting task, since the service refuses some of them. */
   hostsPerTask: 3,
   /** Minimum number of hosts named, if there are as many. */
   minHosts: 8,
-  /** Time until a step whose request failed requests again, milliseconds. */
+  /** Pause after a failed request, milliseconds. */
   retryMs: 250,
   /** Time added to the processing time that the queue's rule states, milliseconds. */
   slackMs: 1_000,
+  /** Longest delay beyond that time that is waited for, milliseconds. */
+  maxDelayMs: 30_000,
 } as const;
 
 export interface PermitTrackerOptions {
@@ -47,8 +44,14 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Called when a permit request has finished. */
-  readonly onRequestFinished: () => void;
+  /** Returns the workers of the step's placed tasks whose start orders wait for tickets. */
+  readonly workersWithoutTicket: (step: StepRun) => readonly WorkerInstance[];
+  /** Called when the tickets arrived that start orders of the step wait for. */
+  readonly onTicketsIssued: (step: StepRun) => void;
+  /** Called when start orders of the step wait for tickets and the service fails. */
+  readonly onTicketsUnavailable: (step: StepRun) => void;
+  /** Requests a scheduling cycle soon. */
+  readonly requestCycle: () => void;
 }
 
 export interface StepPermitRequest {
@@ -56,63 +59,120 @@
   readonly rule: PermitRule;
   /** Hosts that could run the step, the best first. */
   readonly hosts: readonly HostState[];
+  /** Whether one of them that may run the step has enough free resources, but no ticket. */
+  readonly isBlockedByTicket: boolean;
+}
+
+/** A request to the permit service. */
+interface PermitCall {
+  readonly step: StepRun;
+  readonly instances: readonly WorkerInstance[];
+  /** Whether placed tasks wait for the tickets. */
+  readonly isAwaited: boolean;
 }
 
 export class PermitTracker {
   private readonly permitsByStep = new WeakMap<StepRun, StepPermits>();
-  private readonly queue = new PQueue({
-    concurrency: PERMIT_REQUESTS.concurrency,
-  });
+  private readonly rules = new WeakMap<StepRun, PermitRule>();
+  private readonly turns: PermitTurns;
+  /** Requests that were made in the current scheduling cycle, or in the last one. */
+  private requests = new Map<StepRun, StepPermitRequest>();
+  /** Steps that an expired ticket kept from a host in the last scheduling cycle. */
+  private blockedBefore: ReadonlySet<StepRun> = new Set();
+  /** Steps with placed tasks whose start orders wait for tickets. */
+  private readonly awaiting = new Set<StepRun>();
+  /** The step that may place tasks without tickets in the current scheduling cycle. */
+  private placingFirst: StepRun | undefined;
+  /** The service processes one request at a time, so that a second one would only wait. */
+  private isCalling = false;
+  private wasLastAwaited = false;
+  private isAvailable = true;
+  private pausedUntil: Monotonic = -Infinity;
+  /** How much longer than stated the service took last, milliseconds. */
+  private delayMs = 0;
   private stopped = false;
   private hasLoggedNoService = false;
 
-  constructor(private readonly options: PermitTrackerOptions) {}
+  constructor(private readonly options: PermitTrackerOptions) {
+    this.turns = new PermitTurns(options.clock);
+  }
 
   stop(): void {
     this.stopped = true;
-    this.queue.clear();
   }
 
-  /**
-   * Returns the ticket with which tasks of the step may start on the host now, if there
-   * is one.
-   */
-  ticketFor(step: StepRun, host: HostState): string | undefined {
+  /** Chooses the step that may place tasks without tickets in this scheduling cycle. */
+  startCycle(): void {
+    this.dropSettled();
+    const isNext =
+      this.mayCall() &&
+      this.isAvailable &&
+      this.awaiting.size === 0 &&
+      !(this.wasLastAwaited && this.nextRequest() !== undefined);
+    this.blockedBefore = this.blockedSteps();
+    this.placingFirst = isNext
+      ? this.turns.first(this.blockedBefore)
+      : undefined;
+    this.requests = new Map();
+  }
+
+  /** Sends the next request, with what the steps requested during the cycle. */
+  endCycle(): void {
+    const { placingFirst } = this;
+    this.placingFirst = undefined;
+    if (placingFirst && !this.awaiting.has(placingFirst))
+      this.turns.moveToEnd(placingFirst);
+    this.dropSettled();
+    this.turns.retain(new Set([...this.requests.keys(), ...this.awaiting]));
+    if (!this.mayCall()) return;
+    const call = this.nextCall();
+    if (call) void this.send(call);
+  }
+
+  /** Whether tasks of the step may be placed on the host now. */
+  mayPlaceOn(step: StepRun, host: HostState): boolean {
+    const state = this.stateOf(step, host);
+    if (state === "no-ticket") return step === this.placingFirst;
+    return state === "permitted";
+  }
+
+  stateOf(step: StepRun, { instance }: HostState): PermitState {
     const now = this.options.clock.monotonic();
-    return this.permitsByStep.get(step)?.ticketFor(host.instance, now);
+    return this.permitsOf(step).stateOf(instance, now);
   }
 
-  stateOf(step: StepRun, host: HostState): PermitState {
-    const permits = this.permitsByStep.get(step);
+  /** Returns the ticket with which tasks of the step may start on the host now. */
+  ticketFor(step: StepRun, { instance }: HostState): string | undefined {
     const now = this.options.clock.monotonic();
-    return permits?.stateOf(host.instance, now) ?? "undecided";
+    return this.permitsOf(step).ticketFor(instance, now);
   }
 
   /** Discards a ticket that the worker refused, so that a new one is requested. */
-  discardTicket(step: StepRun, host: HostState): void {
-    this.permitsByStep.get(step)?.discardTicket(host.instance);
+  discardTicket(step: StepRun, { instance }: HostState): void {
+    this.permitsOf(step).discardTicket(instance);
   }
 
-  /** Requests more permits for the step, unless a request is in progress. */
-  request(permitRequest: StepPermitRequest): void {
-    const { service } = this.options;
-    const { step, rule } = permitRequest;
-    if (!service) {
+  /** Notes that start orders of the step wait for tickets. */
+  awaitTickets(step: StepRun): void {
+    if (this.awaiting.has(step)) return;
+    this.awaiting.add(step);
+    this.turns.add(step);
+    this.options.requestCycle();
+  }
+
+  /** Notes in a scheduling cycle that tasks of the step wait for a permitted host. */
+  request(req: StepPermitRequest): void {
+    const { step, rule } = req;
+    if (!this.options.service) {
       this.logNoService(step);
       return;
     }
-    const permits = this.permitsOf(step);
-    if (!this.mayRequest(permits)) return;
-    const instances = this.selectWorkers(permitRequest, permits);
-    if (instances.length === 0) return;
-    permits.isRequesting = true;
-    const priority = -step.job.terms.priority;
-    void this.queue.add(
-      () => this.sendRequest(service, step, rule, instances),
-      {
-        priority,
-      },
-    );
+    this.rules.set(step, rule);
+    this.requests.set(step, req);
+    this.turns.add(step);
+    // It may have its turn in the next cycle.
+    if (req.isBlockedByTicket && !this.blockedBefore.has(step))
+      this.options.requestCycle();
   }
 
   /** Logged once: without a service, steps that require a permit never start. */
@@ -122,24 +182,54 @@
     this.options.logger.error("permits.no-service", { step: stepNameOf(step) });
   }
 
-  private mayRequest({ isRequesting, pausedUntil }: StepPermits): boolean {
-    if (isRequesting || this.stopped) return false;
-    if (this.options.clock.monotonic() < pausedUntil) return false;
-    if (this.queue.size < PERMIT_REQUESTS.maxQueued) return true;
-    // The step requests again in a later scheduling cycle.
-    this.options.metrics.count("permit_requests", { result: "left-out" });
-    return false;
+  private mayCall(): boolean {
+    if (this.isCalling || this.stopped) return false;
+    return this.options.clock.monotonic() >= this.pausedUntil;
+  }
+
+  private blockedSteps(): ReadonlySet<StepRun> {
+    const blocked = [...this.requests.values()].filter(
+      ({ isBlockedByTicket }) => isBlockedByTicket,
+    );
+    return new Set(blocked.map(({ step }) => step));
+  }
+
+  /** Forgets steps whose start orders do not wait for tickets any more. */
+  private dropSettled(): void {
+    for (const step of this.awaiting) {
+      if (this.options.workersWithoutTicket(step).length === 0)
+        this.awaiting.delete(step);
+    }
   }
 
   /**
-   * Returns the workers that have no ticket and may get one, up to the number that is
-   * useful to name.
+   * Placed tasks come first, since they occupy resources. Steps without a decision take
+   * turns with them, so that neither kind keeps the service to itself.
    */
-  private selectWorkers(
-    { step, hosts }: StepPermitRequest,
-    permits: StepPermits,
-  ): WorkerInstance[] {
-    const now = this.options.clock.monotonic();
+  private nextCall(): PermitCall | undefined {
+    const requested = this.nextRequest();
+    if (this.wasLastAwaited && requested) return requested;
+    const step = this.turns.first(this.awaiting);
+    if (!step) return requested;
+    const instances = this.options
+      .workersWithoutTicket(step)
+      .slice(0, PERMIT_LIMITS.maxWorkersPerRequest);
+    return { step, instances, isAwaited: true };
+  }
+
+  private nextRequest(): PermitCall | undefined {
+    const calls = new Map(
+      [...this.requests.values()]
+        .map((req) => [req.step, this.workersToName(req)] as const)
+        .filter(([, instances]) => instances.length > 0),
+    );
+    const step = this.turns.first(calls.keys());
+    const instances = step && calls.get(step);
+    return instances && { step, instances, isAwaited: false };
+  }
+
+  /** Returns the workers for which the step needs an answer, up to a useful number. */
+  private workersToName({ step, hosts }: StepPermitRequest): WorkerInstance[] {
     const limit = Math.min(
       PERMIT_LIMITS.maxWorkersPerRequest,
       Math.max(
@@ -148,54 +238,92 @@
       ),
     );
     return hosts
+      .filter((host) => {
+        const state = this.stateOf(step, host);
+        // A service that fails must not keep resources occupied: it is asked for tickets
+        // without tasks that wait for them.
+        if (state === "no-ticket") return !this.isAvailable;
+        return state === "undecided";
+      })
       .map(({ instance }) => instance)
-      .filter((instance) => permits.needsTicket(instance, now))
       .slice(0, limit);
   }
 
-  private async sendRequest(
-    service: PermitService,
-    step: StepRun,
-    { decideMs, eachMs }: PermitRule,
-    instances: readonly WorkerInstance[],
-  ): Promise<void> {
-    const { clock, onRequestFinished } = this.options;
+  private async send(call: PermitCall): Promise<void> {
+    const { service, clock, onTicketsIssued, requestCycle } = this.options;
+    const { step, instances } = call;
+    if (!service) return;
     const sentAt = clock.monotonic();
-    const permits = this.permitsOf(step);
-    const processingMs = decideMs + eachMs * instances.length;
+    const waitedMs = this.turns.waitedMs(step);
+    const processingMs = this.processingMs(call);
+    const timeoutMs = processingMs + PERMIT_REQUESTS.slackMs + 2 * this.delayMs;
+    this.isCalling = true;
+    this.wasLastAwaited = call.isAwaited;
     try {
       const response = await service.requestPermits({
         step: stepNameOf(step),
         instances,
-        timeoutMs:
-          PERMIT_REQUESTS.concurrency * processingMs + PERMIT_REQUESTS.slackMs,
+        timeoutMs,
       });
-      permits.applyResponse(instances, response, sentAt);
-      this.logResponse(step, instances.length, response, sentAt);
+      const now = clock.monotonic();
+      this.isAvailable = true;
+      this.delayMs = Math.max(0, now - sentAt - processingMs);
+      this.permitsOf(step).applyResponse(instances, response, now);
+      this.logResponse(call, response, { waitedMs, tookMs: now - sentAt });
+      if (!this.stopped && this.awaiting.has(step)) onTicketsIssued(step);
     } catch (err) {
-      permits.pausedUntil = clock.monotonic() + PERMIT_REQUESTS.retryMs;
-      this.logFailure(step, err);
+      if (clock.monotonic() - sentAt >= timeoutMs) this.recordTimeout();
+      this.handleFailure(step, err);
     } finally {
-      permits.isRequesting = false;
+      this.isCalling = false;
+      this.turns.moveToEnd(step);
     }
-    if (!this.stopped) onRequestFinished();
+    if (!this.stopped) requestCycle();
+  }
+
+  /** Time that the service takes for the call by the queue's rule, milliseconds. */
+  private processingMs({ step, instances }: PermitCall): number {
+    const rule = this.rules.get(step);
+    return rule ? rule.decideMs + rule.eachMs * instances.length : 0;
+  }
+
+  /**
+   * A request that was given up is still processed by the service, before the next one.
+   * With the same timeout for that one, no answer would ever be waited for.
+   */
+  private recordTimeout(): void {
+    const { slackMs, maxDelayMs } = PERMIT_REQUESTS;
+    this.delayMs = Math.min(maxDelayMs, Math.max(slackMs, 2 * this.delayMs));
+  }
+
+  private handleFailure(step: StepRun, err: unknown): void {
+    const { clock, onTicketsUnavailable } = this.options;
+    this.isAvailable = false;
+    this.pausedUntil = clock.monotonic() + PERMIT_REQUESTS.retryMs;
+    this.logFailure(step, err);
+    if (this.stopped) return;
+    for (const awaiting of this.awaiting) onTicketsUnavailable(awaiting);
   }
 
   private logResponse(
-    step: StepRun,
-    requestedCount: number,
+    { step, instances, isAwaited }: PermitCall,
     { permits, validMs }: PermitResponse,
-    sentAt: Monotonic,
+    {
+      waitedMs,
+      tookMs,
+    }: { readonly waitedMs: number; readonly tookMs: number },
   ): void {
-    const { clock, logger, metrics } = this.options;
-    const tookMs = clock.monotonic() - sentAt;
+    const { logger, metrics } = this.options;
     metrics.count("permit_requests", { result: "answered" });
     metrics.latency("permit_request").record(tookMs);
+    metrics.latency("permit_turn").record(waitedMs);
     logger.info("permits.taken", {
       step: stepNameOf(step),
-      asked: requestedCount,
+      asked: instances.length,
       permitted: permits.length,
+      placed: isAwaited ? true : undefined,
       validMs,
+      waitedMs: Math.round(waitedMs),
       tookMs: Math.round(tookMs),
     });
   }
--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -5,6 +5,7 @@
   MILLI_CORES_PER_CORE,
   type Monotonic,
   type RunNumber,
+  type WorkerInstance,
   type WorkerTime,
 } from "@rackspan/common";
 import { latestLeaseExpiry } from "@rackspan/leadership";
@@ -17,6 +18,7 @@
   type HostState,
   type JobRun,
   type JobTask,
+  type StepRun,
 } from "@rackspan/jobs";
 import { StoreRefusedError, type StartRefusal } from "@rackspan/ports";
 import { FULL_PACE, type HostCallResult } from "@rackspan/protocol";
@@ -53,17 +55,24 @@
 
 /** Options for the start of a run. */
 export interface RunStartOptions {
-  /** The step's permit for the host, if its queue requires one. */
-  readonly ticket: string | undefined;
+  /** Whether the queue requires a permit, so that the order needs a ticket. */
+  readonly needsTicket: boolean;
   /** For how long no other run may start on the same host, milliseconds. */
   readonly isolationMs: number;
 }
 
+/** What the order of an unsent run needs. */
+interface UnsentOrder {
+  readonly needsTicket: boolean;
+  /** Pace at which the task starts, percent. */
+  readonly firstPercent: number;
+  /** Whether the placement is persisted, if it is recorded at all. */
+  isRecorded: boolean;
+}
+
 /** Fields of a start order beside the task. */
 interface StartOrderFields {
-  /** The step's permit for the host, if its queue requires one. */
   readonly ticket: string | undefined;
-  /** Pace at which the task starts, percent. */
   readonly firstPercent: number;
 }
 
@@ -84,8 +93,7 @@
 
 export class RunStarter {
   private startedRuns = 0;
-  /** Fields of the orders that wait for their records. */
-  private readonly unsentFields = new WeakMap<ActiveRun, StartOrderFields>();
+  private readonly unsentOrders = new WeakMap<ActiveRun, UnsentOrder>();
   private unrecordedLoggedAt: Monotonic = -Infinity;
 
   constructor(private readonly options: RunStarterOptions) {}
@@ -101,15 +109,15 @@
     host: HostEntry,
     task: JobTask,
     runNumber: RunNumber,
-    { ticket, isolationMs }: RunStartOptions,
+    { needsTicket, isolationMs }: RunStartOptions,
   ): void {
-    const { clock, hosts, placementLog } = this.options;
+    const { clock, hosts, permitTracker, placementLog } = this.options;
     const now = clock.monotonic();
     const { hostState } = host;
     const run: ActiveRun = {
       task,
       run: runNumber,
-      phase: placementLog ? "recording" : "starting",
+      phase: "unsent",
       startedAt: now,
       isolationMs,
       firstSeenAt: undefined,
@@ -130,39 +138,89 @@
       return;
     }
     this.options.firstStarts.recordPlacement(task.step.job);
-    const orderFields = { ticket, firstPercent };
-    if (!placementLog) {
-      this.sendOrder(host, run, orderFields);
+    const order = { needsTicket, firstPercent, isRecorded: false };
+    this.unsentOrders.set(run, order);
+    // The ticket is requested while the placement is being recorded.
+    if (this.lacksTicket({ host, run })) permitTracker.awaitTickets(task.step);
+    if (!placementLog && !needsTicket) {
+      this.sendOrder(host, run, this.orderFields(host, run));
       return;
     }
-    this.unsentFields.set(run, orderFields);
-    placementLog.record(task).then(
-      () => this.sendRecorded(run),
+    // Without a record the order waits until all members of a gang are placed.
+    const recorded = placementLog?.record(task) ?? Promise.resolve();
+    recorded.then(
+      () => this.sendRecorded(run, order),
       (err: unknown) => this.handleUnrecorded(host, run, err),
     );
   }
 
+  private sendRecorded(run: ActiveRun, order: UnsentOrder): void {
+    order.isRecorded = true;
+    this.sendIfReady(run);
+  }
+
   /**
    * Sends the order of a run whose placement is persisted, with those of its gang, if the
    * runs are still wanted there and this process still decides. Otherwise none of these
-   * orders is ever sent.
+   * orders is ever sent. While tickets are missing, the orders wait for them.
    */
-  private sendRecorded(run: ActiveRun): void {
+  private sendIfReady(run: ActiveRun): void {
+    const { hosts, permitTracker } = this.options;
     // The first member of a gang sends, or withdraws, the runs of all.
-    if (!this.options.hosts.isCurrent(run) || run.phase !== "recording") return;
+    if (!hosts.isCurrent(run) || run.phase !== "unsent") return;
     const unsent = this.unsentRunsWith(run);
     const reason = this.reasonToWithdraw(run, unsent);
-    for (const { host, run: member } of unsent) {
-      if (reason) this.withdraw(host, member, reason);
-      else this.sendOrder(host, member, this.currentOrderFields(host, member));
+    if (reason) {
+      for (const { host, run: member } of unsent)
+        this.withdraw(host, member, reason);
+      return;
+    }
+    if (unsent.some((placed) => this.lacksTicket(placed))) {
+      permitTracker.awaitTickets(run.task.step);
+      return;
     }
+    for (const { host, run: member } of unsent)
+      this.sendOrder(host, member, this.orderFields(host, member));
   }
 
   /** Returns the run, and the unsent runs of its gang. */
   private unsentRunsWith({ task }: Pick<ActiveRun, "task">): PlacedRun[] {
     const { tasks, spec } = task.step;
-    const placed = this.options.hosts.placedRunsOf(spec.gang ? tasks : [task]);
-    return placed.filter(({ run }) => run.phase === "recording");
+    return this.unsentRunsOf(spec.gang ? tasks : [task]);
+  }
+
+  private unsentRunsOf(tasks: Iterable<JobTask>): PlacedRun[] {
+    const placed = this.options.hosts.placedRunsOf(tasks);
+    return placed.filter(({ run }) => run.phase === "unsent");
+  }
+
+  private lacksTicket({ host, run }: PlacedRun): boolean {
+    if (!this.unsentOrders.get(run)?.needsTicket) return false;
+    const { permitTracker } = this.options;
+    return permitTracker.ticketFor(run.task.step, host.hostState) === undefined;
+  }
+
+  /** Returns the workers of placed runs of the step whose orders lack a ticket. */
+  workersWithoutTicket({ tasks }: StepRun): readonly WorkerInstance[] {
+    const lacking = this.unsentRunsOf(tasks).filter((placed) =>
+      this.lacksTicket(placed),
+    );
+    return [...new Set(lacking.map(({ host }) => host.hostState.instance))];
+  }
+
+  /** Sends the orders of the step that waited for tickets only. */
+  sendWithTickets({ tasks }: StepRun): void {
+    for (const { run } of this.unsentRunsOf(tasks)) {
+      if (this.unsentOrders.get(run)?.isRecorded) this.sendIfReady(run);
+    }
+  }
+
+  /** Withdraws the runs of the step whose orders lack a ticket. */
+  withdrawWithoutTickets({ tasks }: StepRun): void {
+    for (const placed of this.unsentRunsOf(tasks)) {
+      if (this.lacksTicket(placed))
+        this.withdrawUnsent(placed.run.task, "no-ticket");
+    }
   }
 
   private reasonToWithdraw(
@@ -176,25 +234,28 @@
     if (spec.gang && waiting.size > 0) return "gang-incomplete";
     const context = { now: clock.monotonic(), isEvacuated };
     for (const { host, run } of unsent) {
-      const { ticket } = this.currentOrderFields(host, run);
-      const needsTicket = this.unsentFields.get(run)?.ticket !== undefined;
-      if (needsTicket && ticket === undefined) return "ticket-expired";
+      if (this.isRefused(host, run)) return "permit-refused";
       const reason = orderBlockedReason(host, run, context);
       if (reason) return reason;
     }
     return undefined;
   }
 
-  /** Returns the fields of an unsent order with the current permit. */
-  private currentOrderFields(
+  private isRefused({ hostState }: HostEntry, run: ActiveRun): boolean {
+    if (!this.unsentOrders.get(run)?.needsTicket) return false;
+    const { permitTracker } = this.options;
+    return permitTracker.stateOf(run.task.step, hostState) === "refused";
+  }
+
+  private orderFields(
     { hostState }: HostEntry,
     run: ActiveRun,
   ): StartOrderFields {
-    const { firstPercent = FULL_PACE } = this.unsentFields.get(run) ?? {};
-    const ticket = this.options.permitTracker.ticketFor(
-      run.task.step,
-      hostState,
-    );
+    const { firstPercent = FULL_PACE, needsTicket = false } =
+      this.unsentOrders.get(run) ?? {};
+    const ticket = needsTicket
+      ? this.options.permitTracker.ticketFor(run.task.step, hostState)
+      : undefined;
     return { ticket, firstPercent };
   }
 
@@ -213,7 +274,7 @@
    */
   withdrawUnsent(task: JobTask, reason: string): boolean {
     const { hosts } = this.options;
-    if (hosts.placementOf(task)?.run.phase !== "recording") return false;
+    if (hosts.placementOf(task)?.run.phase !== "unsent") return false;
     for (const { host, run } of this.unsentRunsWith({ task }))
       this.withdraw(host, run, reason);
     return true;
--- a/packages/scheduling/tests/engineHarness.ts
+++ b/packages/scheduling/tests/engineHarness.ts
@@ -77,6 +77,10 @@
   readonly describedTasks: JobTaskId[] = [];
   /** Answer to the next orders; `hang` never answers, `held` answers in `answerHeld`. */
   answers: HostCallResult["kind"] | "hang" | "held" = "ok";
+  /** Whether the worker accepts the ticket of a start that it would carry out. */
+  accepts: (call: StartTaskCall) => boolean = () => true;
+  /** Tasks that the worker has started, in order. */
+  readonly startedTasks = new Set<JobTaskId>();
   /** Reason of the answer `refused`. */
   refusal: StartRefusal = "no-room";
   draining = false;
@@ -124,7 +128,11 @@
     this.starts.push(call);
     if (this.answers === "hang") return new Promise(() => undefined);
     if (this.answers === "held") return this.hold(call);
-    if (this.answers === "ok") this.running.set(runKeyOf(call), call);
+    if (this.answers === "ok") {
+      if (!this.accepts(call)) return { kind: "refused", reason: "bad-ticket" };
+      this.running.set(runKeyOf(call), call);
+      this.startedTasks.add(call.task);
+    }
     return this.answer();
   }
 
@@ -502,9 +510,18 @@
     await this.clock.advance(20);
   }
 
-  submit(id: string, steps: readonly Partial<StepSpec>[]): AcceptedJob {
+  submit(
+    id: string,
+    steps: readonly Partial<StepSpec>[],
+    terms: Partial<JobTerms> = {},
+  ): AcceptedJob {
     const acceptedAt = this.clock.now();
-    const job = plainJob({ id, steps, acceptedAt, terms: this.terms });
+    const job = plainJob({
+      id,
+      steps,
+      acceptedAt,
+      terms: { ...this.terms, ...terms },
+    });
     this.engine.addJob(job, undefined);
     return job;
   }
