Show a job as begun once a worker has started a task of it

Cause: JobRun.begun stood for two facts, a task placed and a task begun. It was set when a task was placed, before its start was ordered, and was never taken back.

Evidence: on the leader logs 98 task.start result=refused reason=unhealthy, no other answer and no job.started, while the entries, none of which lost the store, list 0.

Change: wasPlaced and begun are two fields. JobBeginRecorder sets begun, and the state running, once a worker has confirmed a start, lists a run or its end (a gang: once all of its members are present), so it holds over lost answers and changes of leader. Records say hasBegun where nothing else in them shows it; begun alone, as earlier versions wrote it, does not count. task.waits and longest_wait_ms count a task that is placed again and again as one wait (cause=starting), and waitedMs, job.started and first_start_* no longer take a refused start for the first one.

--- a/packages/jobs/src/JobRun.ts
+++ b/packages/jobs/src/JobRun.ts
@@ -22,6 +22,7 @@
 import { progressOf } from "./taskProgress.js";
 
 const setCheckpoint = (task: JobTask, checkpoint: string): void => {
+  task.step.job.markBegun();
   task.checkpoint = checkpoint;
   task.step.newestCheckpoint = checkpoint;
 };
@@ -35,8 +36,14 @@
 
 export class JobRun {
   readonly terms: JobTerms;
+  /** As shown to callers. */
   state: JobStateName = "queued";
+  /** Whether a worker has started a task of the job. */
   begun = false;
+  /** Whether no record that was taken says that the job has begun. */
+  isBeginUnpersisted = false;
+  /** Whether a task was ever placed on a host; its start may have been refused. */
+  wasPlaced = false;
   endedAt: Instant = 0;
   /** Whether a new checkpoint or the clearing of a crash log is not in the last record yet. */
   hasUnpersistedProgress = false;
@@ -125,7 +132,14 @@
   markPlaced(task: JobTask): void {
     task.phase = "placed";
     task.step.waiting.delete(task);
+    this.wasPlaced = true;
+  }
+
+  /** Records that a worker has started a task. */
+  markBegun(): void {
+    if (this.begun) return;
     this.begun = true;
+    this.isBeginUnpersisted = true;
     if (this.state === "queued") this.state = "running";
   }
 
@@ -232,6 +246,7 @@
   /** Records of the progress that is not in records taken before; see ProgressEncoder. */
   takeRecords(limits: RecordLimits, logger: Logger): KeyedRecord[] {
     this.hasUnpersistedProgress = false;
+    this.isBeginUnpersisted = false;
     return this.encoder.takeRecords(limits, logger);
   }
 
@@ -265,7 +280,9 @@
 
   private restore(progress: ProgressRecord): void {
     this.state = progress.state;
-    this.begun = progress.begun;
+    // A leader writes the first record of a job when it places a task.
+    this.wasPlaced = true;
+    if (progress.begun) this.markBegun();
     this.endedAt = progress.endedAt;
     this.occurrence(0);
     for (const number of decodeIndices(progress.doneOccurrences ?? "")) {
@@ -296,6 +313,7 @@
       if (task) setCheckpoint(task, checkpoint);
     }
     for (const { changedTasks } of this.steps) changedTasks.clear();
+    this.isBeginUnpersisted = this.begun && !progress.begun;
   }
 
   private taskAtKey(key: string): JobTask | undefined {
@@ -321,6 +339,7 @@
 
   private markDone(task: JobTask): void {
     if (task.phase === "done") return;
+    this.markBegun();
     task.phase = "done";
     task.markChanged();
     task.step.waiting.delete(task);
--- a/packages/jobs/src/JobTask.ts
+++ b/packages/jobs/src/JobTask.ts
@@ -73,6 +73,7 @@
   }
 
   recordFailure(run: number): void {
+    this.step.job.markBegun();
     this.failed.add(run);
     this.markChanged();
   }
--- a/packages/scheduling/src/FirstStartMonitor.ts
+++ b/packages/scheduling/src/FirstStartMonitor.ts
@@ -53,6 +53,14 @@
     if (first) first.orderedAt ??= this.options.clock.monotonic();
   }
 
+  /** Called when no task of the job is placed any more, and none has started. */
+  recordUnstarted(job: JobRun): void {
+    const first = this.pending.get(job);
+    if (!first) return;
+    first.placedAt = undefined;
+    first.orderedAt = undefined;
+  }
+
   /** Called when a host has started a task of the job. */
   recordStart(job: JobRun): void {
     const first = this.pending.get(job);
--- a/packages/scheduling/src/JobEngine.ts
+++ b/packages/scheduling/src/JobEngine.ts
@@ -38,6 +38,7 @@
 import type { EngineParts } from "./engineParts.js";
 import { ENGINE, type EngineOptions, type HostEntry } from "./engineTypes.js";
 import { RuntimeEstimator } from "./RuntimeEstimator.js";
+import { JobBeginRecorder } from "./JobBeginRecorder.js";
 import { HostRegistry } from "./HostRegistry.js";
 import { HostRegistrar } from "./HostRegistrar.js";
 import type { HostSession } from "./HostSession.js";
@@ -86,6 +87,7 @@
   private readonly permitTracker: PermitTracker;
   private readonly placementLog: PlacementLog | undefined;
   private readonly firstStarts: FirstStartMonitor;
+  private readonly begins: JobBeginRecorder;
   private readonly runStarter: RunStarter;
   private readonly runStopper: RunStopper;
   private readonly dispatcher: Dispatcher;
@@ -152,9 +154,18 @@
       policy,
     });
     this.firstStarts = new FirstStartMonitor(options);
+    const begins = new JobBeginRecorder({
+      ...options,
+      hosts,
+      firstStarts: this.firstStarts,
+    });
+    this.begins = begins;
+    const waits = new StepWaitMonitor();
     const runStarter: RunStarter = new RunStarter({
       ...options,
       firstStarts: this.firstStarts,
+      waits,
+      begins,
       hosts,
       forecast,
       permitTracker,
@@ -165,7 +176,6 @@
     });
     this.runStarter = runStarter;
     this.runStopper = new RunStopper(options);
-    const waits = new StepWaitMonitor();
     const taskPlacer = new TargetedTaskPlacer(
       taskPlacers.create(placer, { forecast, estimates, policy }),
       clock,
@@ -240,6 +250,7 @@
     this.endHandler = new RunEndHandler({
       ...partsWithFinisher,
       loadPublisher: this.loadPublisher,
+      begins,
     });
     this.crashTracker = new CrashTracker(partsWithFinisher);
     this.hostMonitor = new HostMonitor({
@@ -265,6 +276,7 @@
     this.stopped = true;
     this.permitTracker.stop();
     this.checkpoints.stop();
+    this.begins.stop();
     this.learnedState.stop();
     this.loadPublisher.stop();
     this.forecastReporter.stop();
@@ -407,8 +419,10 @@
     this.crashTracker.handleNeverStartedRuns(report.neverBegun ?? []);
     this.registrar.updateWorker(entry, report);
     this.applyChanges(entry, reconcileReport(hostState, report, now));
-    const tasks = [...hostState.runs.values()].map(({ task }) => task);
-    this.checkpoints.trackTasks(tasks);
+    const runs = [...hostState.runs.values()];
+    for (const run of runs)
+      if (run.phase === "running") this.begins.recordRun(run);
+    this.checkpoints.trackTasks(runs.map(({ task }) => task));
     const { interference: estimator, servingLoads } = this;
     learnInterference(hostState, { estimator, servingLoads }, now);
     updateSlowness(entry, this.hosts, now);
--- a/packages/scheduling/src/PlacementLog.ts
+++ b/packages/scheduling/src/PlacementLog.ts
@@ -147,7 +147,7 @@
       if (job.placementEpoch !== undefined) continue;
       this.setKnown(job);
       // A job without a record counts as never started.
-      if (job.begun || job.isRestored) this.incomplete.add(job);
+      if (job.wasPlaced) this.incomplete.add(job);
     }
     logger.info("placements.completing", { jobs: this.incomplete.size });
     await Promise.all(
--- a/packages/scheduling/src/RunEndHandler.ts
+++ b/packages/scheduling/src/RunEndHandler.ts
@@ -10,6 +10,7 @@
 import type { EngineParts } from "./engineParts.js";
 import type { HostEntry, PlacedRun } from "./engineTypes.js";
 import { FULL_PROGRESS } from "./learnInterference.js";
+import type { JobBeginRecorder } from "./JobBeginRecorder.js";
 import type { JobFinisher } from "./JobFinisher.js";
 import type { LoadSummaryPublisher } from "./LoadSummaryPublisher.js";
 import type { ProgressRecorder } from "./ProgressRecorder.js";
@@ -20,6 +21,7 @@
   readonly jobFinisher: JobFinisher;
   readonly progressRecorder: ProgressRecorder;
   readonly loadPublisher: LoadSummaryPublisher;
+  readonly begins: JobBeginRecorder;
 }
 
 export class RunEndHandler {
@@ -55,6 +57,7 @@
     const { job } = task.step;
     if (active) hosts.release(entry, active.run);
     if (job.isEnded) return undefined;
+    this.parts.begins.recordEnd(task, end.outcome);
     // The host lists its end although its leases were over by the count of the leader.
     const isWithdrawn =
       end.outcome === "done" &&
--- a/packages/scheduling/src/RunStarter.ts
+++ b/packages/scheduling/src/RunStarter.ts
@@ -29,9 +29,11 @@
   type PlacedRun,
 } from "./engineTypes.js";
 import type { FirstStartMonitor } from "./FirstStartMonitor.js";
+import type { JobBeginRecorder } from "./JobBeginRecorder.js";
 import type { HostRegistry } from "./HostRegistry.js";
 import type { PermitTracker } from "./PermitTracker.js";
 import type { PlacementLog } from "./PlacementLog.js";
+import type { StepWaitMonitor } from "./StepWaitMonitor.js";
 import type { TailForecast } from "./TailForecast.js";
 import { orderBlockedReason } from "./usableHosts.js";
 
@@ -40,6 +42,8 @@
   readonly forecast: TailForecast;
   readonly permitTracker: PermitTracker;
   readonly firstStarts: FirstStartMonitor;
+  readonly waits: StepWaitMonitor;
+  readonly begins: JobBeginRecorder;
   /** Undefined if this leader records no placements. */
   readonly placementLog: PlacementLog | undefined;
   /** Called when a host has answered a start order, or has not in time. */
@@ -336,9 +340,17 @@
     if (!this.options.hosts.release(host, run)) return;
     const { task } = run;
     if (task.writeAheadRun === run.run) task.writeAheadRun = undefined;
+    if (run.lastSeenAt === undefined) this.recordUnstarted(task);
     this.notifyWaiting(task);
   }
 
+  /** The task has waited all the time although it was placed. */
+  private recordUnstarted({ step }: JobTask): void {
+    const { hosts, firstStarts, waits } = this.options;
+    waits.recordUnstarted(step);
+    if (!hosts.hasRunsOf(step.job)) firstStarts.recordUnstarted(step.job);
+  }
+
   /** Notifies the engine that the task has no run any more and may get its next one. */
   notifyWaiting(task: JobTask): void {
     this.options.onTaskWaiting(task.step.job);
@@ -398,6 +410,7 @@
     if (isAwaited) this.applyStartResult(host, run, result);
     else if (NEVER_STARTED.includes(result.kind))
       this.options.onNeverStarted(run);
+    if (result.kind === "ok") this.options.begins.recordRun(run);
     this.options.onOrderAnswered();
   }
 
@@ -471,7 +484,6 @@
       case "ok":
         run.phase = "running";
         markSeen(run, result.at);
-        this.options.firstStarts.recordStart(run.task.step.job);
         return;
       case "silent":
         run.phase = "unsure";
--- a/packages/scheduling/src/StepWaitMonitor.ts
+++ b/packages/scheduling/src/StepWaitMonitor.ts
@@ -12,7 +12,7 @@
 interface StepTimes {
   /** When a task of the step could first be placed. */
   readonly runnableAt: Monotonic;
-  /** When the last task was first placed. */
+  /** When the last task was first placed; a refused start does not count. */
   placedAt: Monotonic | undefined;
   /** When all tasks but one had ended. */
   oneLeftAt: Monotonic | undefined;
@@ -68,6 +68,12 @@
     }
   }
 
+  /** Called when a task of the step waits again because its run did not start. */
+  recordUnstarted(step: StepRun): void {
+    const times = this.times.get(step);
+    if (times) times.placedAt = undefined;
+  }
+
   /** Called when a task of the step has ended as done. */
   recordDone(step: StepRun, now: Monotonic): void {
     const times = this.times.get(step);
--- a/packages/scheduling/src/WaitMonitor.ts
+++ b/packages/scheduling/src/WaitMonitor.ts
@@ -102,25 +102,43 @@
   }
 
   private updateWaits(now: Monotonic): void {
-    const { jobs, options } = this.parts;
-    const seen = new Set<StepRun>();
+    const waiting = this.nextTasksOf();
+    for (const [step, next] of waiting) {
+      const known = this.nextTasks.get(step);
+      if (!known || (known.task !== next.task && !this.isStarting(known.task)))
+        this.nextTasks.set(step, { ...next, since: now, loggedAt: -Infinity });
+    }
+    for (const step of this.nextTasks.keys())
+      if (!waiting.has(step)) this.nextTasks.delete(step);
+  }
+
+  /**
+   * Returns the next task of each step that waits. A task that is placed waits until a
+   * worker confirms its start, which may be refused any number of times.
+   */
+  private nextTasksOf(): Map<StepRun, Pick<NextTask, "tracked" | "task">> {
+    const { jobs, hosts, options } = this.parts;
+    const next = new Map<StepRun, Pick<NextTask, "tracked" | "task">>();
     for (const tracked of jobs.active) {
       for (const step of tracked.job.runnableSteps(options.clock.now())) {
         const [task] = step.waiting;
-        if (!task) continue;
-        seen.add(step);
-        if (this.nextTasks.get(step)?.task === task) continue;
-        this.nextTasks.set(step, {
-          tracked,
-          task,
-          since: now,
-          loggedAt: -Infinity,
-        });
+        if (task) next.set(step, { tracked, task });
       }
     }
-    for (const step of this.nextTasks.keys()) {
-      if (!seen.has(step)) this.nextTasks.delete(step);
+    for (const { hostState } of hosts.all()) {
+      for (const { task } of hostState.runs.values()) {
+        const tracked = jobs.get(task.step.job.id);
+        if (!tracked || next.has(task.step) || !this.isStarting(task)) continue;
+        next.set(task.step, { tracked, task });
+      }
     }
+    return next;
+  }
+
+  /** Whether the task is placed and no worker has confirmed its run. */
+  private isStarting(task: JobTask): boolean {
+    const phase = this.parts.hosts.placementOf(task)?.run.phase;
+    return phase === "unsent" || phase === "starting" || phase === "unsure";
   }
 
   private setGauges(now: Monotonic): void {
@@ -162,7 +180,7 @@
       kind: kindOf(step),
       waitedMs: Math.round(now - since),
       waiting: step.waiting.size,
-      cause,
+      cause: this.isStarting(task) ? "starting" : cause,
       ...counts,
       unheard: cause === "take-over" ? describeUnreported(awaited) : undefined,
     });
--- a/packages/scheduling/src/byUtilityOrder.ts
+++ b/packages/scheduling/src/byUtilityOrder.ts
@@ -108,7 +108,7 @@
     }
     for (const job of this.unstarted) {
       if (job.isEnded) this.unstarted.delete(job);
-      else if (job.begun && isFirstStepPlaced(job))
+      else if (job.wasPlaced && isFirstStepPlaced(job))
         this.recordOutcome(job, true);
     }
     const byPriority = groupBy(inTime, (job) => this.sharesOf(job));
@@ -157,7 +157,7 @@
     mean.milliCores += milliCores;
     this.means.set(queue, mean);
     // Lasting jobs are never passed over, and restored ones were started before.
-    if (job.begun || milliCores === 0) return;
+    if (job.wasPlaced || milliCores === 0) return;
     this.unstarted.add(job);
     this.sharesOf(job).recordArrival(job, this.sizeOf(job));
   }
--- a/packages/scheduling/src/explainWait.ts
+++ b/packages/scheduling/src/explainWait.ts
@@ -21,6 +21,7 @@
 
 /**
  * Why a step is not placed:
+ * - `starting`: its start is ordered, and no worker has confirmed it;
  * - `take-over`: a run of it that a previous leader started may still exist on a host
  *   that has not reported yet;
  * - `ticket-refused`: a worker refused its ticket a moment ago;
@@ -31,6 +32,7 @@
  * - `hosts`: every host is closed to it, by the rules that are counted.
  */
 export type WaitCause =
+  | "starting"
   | "take-over"
   | "ticket-refused"
   | "crash-doubt"
--- a/packages/state/src/JobView.ts
+++ b/packages/state/src/JobView.ts
@@ -15,6 +15,7 @@
   decodeCancel,
   decodeJob,
   decodeProgress,
+  hasBegunTask,
   isJobKey,
   PROGRESS_KEYS,
   type AcceptedJob,
@@ -148,18 +149,23 @@
     return ids;
   }
 
-  /** Number of jobs in the queue of which no task has started. */
+  /** Number of jobs in the queue of which no worker has started a task. */
   countUnstartedJobs(queue: QueueKey): number {
     let count = 0;
     for (const [id, { spec }] of this.jobs) {
       if (spec.queue !== queue || this.cancels.has(id)) continue;
-      const progress = this.progress.get(id);
-      if (!progress || (!progress.begun && !isFinalState(progress.state)))
-        count += 1;
+      if (isFinalState(this.progress.get(id)?.state ?? "queued")) continue;
+      if (!this.hasBegun(id)) count += 1;
     }
     return count;
   }
 
+  private hasBegun(id: JobId): boolean {
+    if (this.progress.get(id)?.begun) return true;
+    const segments = this.segments.get(id)?.values() ?? [];
+    return [...segments].some(hasBegunTask);
+  }
+
   get roster(): Roster {
     return this.hosts;
   }
--- a/packages/state/src/jobRecords.ts
+++ b/packages/state/src/jobRecords.ts
@@ -272,8 +272,13 @@
 
 const storedProgressSchema = z.object({
   state: z.enum(JOB_STATES),
-  /** Whether a task of the job was ever started. */
+  /**
+   * Whether a task of the job has begun. Leaders of earlier versions also wrote `true` when
+   * they had placed a task whose start was refused later; see hasBegun.
+   */
   begun: z.boolean(),
+  /** `true` confirms `begun` if the record contains no other evidence for it. */
+  hasBegun: z.boolean().optional(),
   /** Wall-clock time of the leader when the state became final; 0 before. */
   endedAt: z.number(),
   ...storedTaskProgressSchema,
@@ -328,7 +333,25 @@
   ),
 });
 
-const progressSchema = storedProgressSchema.transform(withDoubted);
+const progressSchema = storedProgressSchema
+  .transform(withDoubted)
+  .transform(({ hasBegun = false, ...progress }) => ({
+    ...progress,
+    begun: progress.begun && (hasBegun || hasBegunTask(progress)),
+  }));
+
+/** Whether the progress itself shows that a worker has started a task. */
+export const hasBegunTask = ({
+  done,
+  failures,
+  checkpoints,
+  doneOccurrences = "",
+}: Pick<TaskProgress, "done" | "failures" | "checkpoints"> &
+  Partial<Pick<ProgressRecord, "doneOccurrences">>): boolean =>
+  Object.keys(done).length > 0 ||
+  failures.length > 0 ||
+  checkpoints.length > 0 ||
+  doneOccurrences !== "";
 
 /** The inverse of withDoubted. */
 export const toStoredTaskProgress = <T extends TaskProgress>(
@@ -345,7 +368,11 @@
 
 export const encodeProgress = (record: ProgressRecord): Buffer =>
   Buffer.from(
-    JSON.stringify({ ...toStoredTaskProgress(record), segments: undefined }),
+    JSON.stringify({
+      ...toStoredTaskProgress(record),
+      hasBegun: record.begun && !hasBegunTask(record) ? true : undefined,
+      segments: undefined,
+    }),
   );
 
 /** @throws BadRecordError */
