Wait for joins as long as the store takes to answer them

What callers would see with a store that takes over 600 ms for each join: no entry leads, nothing is accepted or started.

Cause: a join was given up after 600 ms and sent again, whatever the store needed, so that its answer never counted. The next renewal was sent 500 ms after an answer, so that a leader with a slow store would also have lost its lease of 2.5 s between two renewals.

Change: the time-out of a join is at least twice the time of the last answer, and is doubled from the third unanswered join in a row on, up to what is left of a lease; with a store that answers as usual it is 600 ms as before, also for the first two that are lost. The pause before a renewal is shorter by the time that the last join took.

Tests: 'an entry leads although the store takes ... ms for each join' for 650 and 1,000 ms: both failed before.

--- a/packages/leadership/src/LeaderElection.ts
+++ b/packages/leadership/src/LeaderElection.ts
@@ -20,7 +20,7 @@
   type Monotonic,
   type Random,
 } from "@rackspan/common";
-import type { GroupMembership, TopicName } from "@rackspan/ports";
+import type { GroupMembership, JoinResponse, TopicName } from "@rackspan/ports";
 import { joinDelayMs } from "./joinDelay.js";
 import { formatMember, parseMember, type Member } from "./memberName.js";
 
@@ -32,7 +32,10 @@
   renewIntervalMs: 500,
   /** Delay between joins while the store assigns partitions, and after a failure. */
   retryMs: 80,
-  /** A call that is not answered within this time is repeated on a new connection. */
+  /**
+   * A join that is not answered within this time is repeated on a new connection. The time
+   * is doubled from the third such join on, and is at least twice that of the last answer.
+   */
   callTimeoutMs: 600,
   /** The leader stops deciding this long before its lease expires. */
   expiryMarginMs: 150,
@@ -66,6 +69,10 @@
   private validUntil: Monotonic = -Infinity;
   private isMember = false;
   private unsuccessfulJoins = 0;
+  /** Consecutive joins that were not answered in time. */
+  private unansweredJoins = 0;
+  /** How long the last answered join took, milliseconds. */
+  private lastJoinMs = 0;
   private ownerWasMissing = false;
   /** The owner that was last found, and when. */
   private lastOwner:
@@ -184,14 +191,16 @@
     if (this.abort.signal.aborted) return ELECTION.ownerPollIntervalMs;
     this.isMember = true;
     const sentAt = clock.leaseTime();
-    const response = await membership.join({
-      group: ELECTION.group,
-      member: name,
-      topic,
-      ttlMs,
-      generation: this.generation,
-      timeoutMs: ELECTION.callTimeoutMs,
-    });
+    const response = await this.measureJoin((timeoutMs) =>
+      membership.join({
+        group: ELECTION.group,
+        member: name,
+        topic,
+        ttlMs,
+        generation: this.generation,
+        timeoutMs,
+      }),
+    );
     if (this.hasLeft(name)) return ELECTION.ownerPollIntervalMs;
     const changed = response.generation !== this.generation;
     this.generation = response.generation;
@@ -204,6 +213,31 @@
     return ELECTION.ownerPollIntervalMs;
   }
 
+  /**
+   * Sends a join with a timeout that adapts to the store: if it always took longer than the
+   * timeout to answer, joins would be repeated for good and no entry would lead.
+   */
+  private async measureJoin(
+    join: (timeoutMs: number) => Promise<JoinResponse>,
+  ): Promise<JoinResponse> {
+    const { clock, ttlMs } = this.options;
+    const doublings = Math.max(0, this.unansweredJoins - 1);
+    const timeoutMs = Math.min(
+      Math.max(ELECTION.callTimeoutMs * 2 ** doublings, 2 * this.lastJoinMs),
+      ttlMs - ELECTION.expiryMarginMs,
+    );
+    const sentAt = clock.monotonic();
+    try {
+      const response = await join(timeoutMs);
+      this.lastJoinMs = clock.monotonic() - sentAt;
+      this.unansweredJoins = 0;
+      return response;
+    } catch (err) {
+      if (clock.monotonic() - sentAt >= timeoutMs) this.unansweredJoins += 1;
+      throw err;
+    }
+  }
+
   /**
    * Whether the membership of that name has ended, or is about to, while a call was
    * in flight. Its response must not restore the last epoch, because run numbers and
@@ -229,7 +263,11 @@
     }
     this.unsuccessfulJoins = 0;
     this.validUntil = sentAt + ttlMs - ELECTION.expiryMarginMs;
-    return ELECTION.renewIntervalMs;
+    // With a slow store the next renewal has to be sent sooner to arrive in time.
+    return Math.max(
+      ELECTION.retryMs,
+      ELECTION.renewIntervalMs - this.lastJoinMs,
+    );
   }
 
   private sinceLastOwnerMs(): number | undefined {
--- a/packages/leadership/tests/leaderElection.test.ts
+++ b/packages/leadership/tests/leaderElection.test.ts
@@ -5,6 +5,7 @@
   createLogger,
   ManualClock,
   silentLogger,
+  sleep,
   type EntryId,
   type Epoch,
   type Incarnation,
@@ -12,6 +13,7 @@
 } from "@rackspan/common";
 import { LeaderElection } from "@rackspan/leadership";
 import {
+  StoreAnswerLostError,
   StoreRefusedError,
   type GroupMembership,
   type TopicName,
@@ -357,3 +359,29 @@
   // With independent draws, one in some million runs has a smaller spread.
   expect(Math.max(...times) - Math.min(...times)).toBeGreaterThan(20);
 });
+
+// Each join was given up and sent again before its answer came, so that nobody led.
+for (const answerMs of [650, 1_000]) {
+  test(`an entry leads although the store takes ${answerMs} ms for each join`, async () => {
+    const { clock, store, entry } = setUp();
+    const membership: GroupMembership = {
+      owner: () => store.owner(),
+      leave: (...args) => store.leave(...args),
+      join: async (req) => {
+        const response = await store.join(req);
+        await sleep(clock, Math.min(answerMs, req.timeoutMs));
+        if (answerMs > req.timeoutMs)
+          throw new StoreAnswerLostError("no answer in time");
+        return response;
+      },
+    };
+    const a = entry("a", "1", undefined, membership);
+    await clock.advance(6_000);
+    let ledMs = 0;
+    for (let ms = 0; ms < 10_000; ms += 50) {
+      await clock.advance(50);
+      if (a.isLeader) ledMs += 50;
+    }
+    expect(ledMs).toEqual(10_000);
+  });
+}
