Split the requests to the permit service from what is known of permits

PermitTracker held the turns, the decisions and the calls with their time-outs; the calls are PermitCaller now. A test uses the started progress of the stand-ins.

--- a/packages/scheduling/src/PermitTracker.ts
+++ b/packages/scheduling/src/PermitTracker.ts
@@ -7,14 +7,7 @@
  * hosts. At most one step at a time occupies resources that way.
  */
 
-import {
-  describeError,
-  type Clock,
-  type Logger,
-  type Metrics,
-  type Monotonic,
-  type WorkerInstance,
-} from "@rackspan/common";
+import type { Clock, Logger, Metrics, WorkerInstance } from "@rackspan/common";
 import type { HostState, StepRun } from "@rackspan/jobs";
 import {
   PERMIT_LIMITS,
@@ -22,20 +15,15 @@
   type PermitService,
 } from "@rackspan/ports";
 import type { PermitRule } from "@rackspan/state";
+import { PermitCaller } from "./PermitCaller.js";
 import { PermitTurns } from "./PermitTurns.js";
 import { StepPermits, type PermitState } from "./StepPermits.js";
 
-export const PERMIT_REQUESTS = {
+const PERMIT_REQUESTS = {
   /** Hosts named per waiting task, since the service refuses some of them. */
   hostsPerTask: 3,
   /** Minimum number of hosts named, if there are as many. */
   minHosts: 8,
-  /** Pause after a failed request, milliseconds. */
-  retryMs: 250,
-  /** Time added to the processing time that the queue's rule states, milliseconds. */
-  slackMs: 1_000,
-  /** Longest delay beyond that time that is waited for, milliseconds. */
-  maxDelayMs: 30_000,
 } as const;
 
 export interface PermitTrackerOptions {
@@ -63,8 +51,7 @@
   readonly isBlockedByTicket: boolean;
 }
 
-/** A request to the permit service. */
-interface PermitCall {
+interface NextCall {
   readonly step: StepRun;
   readonly instances: readonly WorkerInstance[];
   /** Whether placed tasks wait for the tickets. */
@@ -75,6 +62,8 @@
   private readonly permitsByStep = new WeakMap<StepRun, StepPermits>();
   private readonly rules = new WeakMap<StepRun, PermitRule>();
   private readonly turns: PermitTurns;
+  /** Undefined if the platform has no permit service. */
+  private readonly caller: PermitCaller | undefined;
   /** Requests that were made in the current scheduling cycle, or in the last one. */
   private requests = new Map<StepRun, StepPermitRequest>();
   /** Steps that an expired ticket kept from a host in the last scheduling cycle. */
@@ -83,18 +72,15 @@
   private readonly awaiting = new Set<StepRun>();
   /** The step that may place tasks without tickets in the current scheduling cycle. */
   private placingFirst: StepRun | undefined;
-  /** The service processes one request at a time, so that a second one would only wait. */
-  private isCalling = false;
+  /** Whether placed tasks waited for the tickets of the last request. */
   private wasLastAwaited = false;
-  private isAvailable = true;
-  private pausedUntil: Monotonic = -Infinity;
-  /** How much longer than stated the service took last, milliseconds. */
-  private delayMs = 0;
   private stopped = false;
   private hasLoggedNoService = false;
 
   constructor(private readonly options: PermitTrackerOptions) {
-    this.turns = new PermitTurns(options.clock);
+    const { service, clock } = options;
+    this.turns = new PermitTurns(clock);
+    if (service) this.caller = new PermitCaller({ ...options, service });
   }
 
   stop(): void {
@@ -163,7 +149,7 @@
   /** Notes in a scheduling cycle that tasks of the step wait for a permitted host. */
   request(req: StepPermitRequest): void {
     const { step, rule } = req;
-    if (!this.options.service) {
+    if (!this.caller) {
       this.logNoService(step);
       return;
     }
@@ -183,8 +169,11 @@
   }
 
   private mayCall(): boolean {
-    if (this.isCalling || this.stopped) return false;
-    return this.options.clock.monotonic() >= this.pausedUntil;
+    return !this.stopped && this.caller?.isReady === true;
+  }
+
+  private get isAvailable(): boolean {
+    return this.caller?.isAvailable === true;
   }
 
   private blockedSteps(): ReadonlySet<StepRun> {
@@ -206,7 +195,7 @@
    * Placed tasks come first, since they occupy resources. Steps without a decision take
    * turns with them, so that neither kind keeps the service to itself.
    */
-  private nextCall(): PermitCall | undefined {
+  private nextCall(): NextCall | undefined {
     const requested = this.nextRequest();
     if (this.wasLastAwaited && requested) return requested;
     const step = this.turns.first(this.awaiting);
@@ -217,7 +206,7 @@
     return { step, instances, isAwaited: true };
   }
 
-  private nextRequest(): PermitCall | undefined {
+  private nextRequest(): NextCall | undefined {
     const calls = new Map(
       [...this.requests.values()]
         .map((req) => [req.step, this.workersToName(req)] as const)
@@ -249,64 +238,38 @@
       .slice(0, limit);
   }
 
-  private async send(call: PermitCall): Promise<void> {
-    const { service, clock, onTicketsIssued, requestCycle } = this.options;
-    const { step, instances } = call;
-    if (!service) return;
+  private async send(next: NextCall): Promise<void> {
+    const { clock, onTicketsIssued, onTicketsUnavailable } = this.options;
+    const { step, instances, isAwaited } = next;
     const sentAt = clock.monotonic();
     const waitedMs = this.turns.waitedMs(step);
-    const processingMs = this.processingMs(call);
-    const timeoutMs = processingMs + PERMIT_REQUESTS.slackMs + 2 * this.delayMs;
-    this.isCalling = true;
-    this.wasLastAwaited = call.isAwaited;
-    try {
-      const response = await service.requestPermits({
-        step: stepNameOf(step),
-        instances,
-        timeoutMs,
-      });
+    this.wasLastAwaited = isAwaited;
+    const response = await this.caller?.call({
+      step: stepNameOf(step),
+      instances,
+      processingMs: this.processingMs(next),
+    });
+    this.turns.moveToEnd(step);
+    if (this.stopped) return;
+    if (response) {
       const now = clock.monotonic();
-      this.isAvailable = true;
-      this.delayMs = Math.max(0, now - sentAt - processingMs);
       this.permitsOf(step).applyResponse(instances, response, now);
-      this.logResponse(call, response, { waitedMs, tookMs: now - sentAt });
-      if (!this.stopped && this.awaiting.has(step)) onTicketsIssued(step);
-    } catch (err) {
-      if (clock.monotonic() - sentAt >= timeoutMs) this.recordTimeout();
-      this.handleFailure(step, err);
-    } finally {
-      this.isCalling = false;
-      this.turns.moveToEnd(step);
+      this.logResponse(next, response, { waitedMs, tookMs: now - sentAt });
+      if (this.awaiting.has(step)) onTicketsIssued(step);
+    } else {
+      for (const each of this.awaiting) onTicketsUnavailable(each);
     }
-    if (!this.stopped) requestCycle();
+    this.options.requestCycle();
   }
 
   /** Time that the service takes for the call by the queue's rule, milliseconds. */
-  private processingMs({ step, instances }: PermitCall): number {
+  private processingMs({ step, instances }: NextCall): number {
     const rule = this.rules.get(step);
     return rule ? rule.decideMs + rule.eachMs * instances.length : 0;
   }
 
-  /**
-   * A request that was given up is still processed by the service, before the next one.
-   * With the same timeout for that one, no answer would ever be waited for.
-   */
-  private recordTimeout(): void {
-    const { slackMs, maxDelayMs } = PERMIT_REQUESTS;
-    this.delayMs = Math.min(maxDelayMs, Math.max(slackMs, 2 * this.delayMs));
-  }
-
-  private handleFailure(step: StepRun, err: unknown): void {
-    const { clock, onTicketsUnavailable } = this.options;
-    this.isAvailable = false;
-    this.pausedUntil = clock.monotonic() + PERMIT_REQUESTS.retryMs;
-    this.logFailure(step, err);
-    if (this.stopped) return;
-    for (const awaiting of this.awaiting) onTicketsUnavailable(awaiting);
-  }
-
   private logResponse(
-    { step, instances, isAwaited }: PermitCall,
+    { step, instances, isAwaited }: NextCall,
     { permits, validMs }: PermitResponse,
     {
       waitedMs,
@@ -314,8 +277,6 @@
     }: { readonly waitedMs: number; readonly tookMs: number },
   ): void {
     const { logger, metrics } = this.options;
-    metrics.count("permit_requests", { result: "answered" });
-    metrics.latency("permit_request").record(tookMs);
     metrics.latency("permit_turn").record(waitedMs);
     logger.info("permits.taken", {
       step: stepNameOf(step),
@@ -328,13 +289,6 @@
     });
   }
 
-  private logFailure(step: StepRun, err: unknown): void {
-    const { logger, metrics } = this.options;
-    metrics.count("permit_requests", { result: "failed" });
-    const error = describeError(err);
-    logger.warn("permits.unavailable", { step: stepNameOf(step), error });
-  }
-
   private permitsOf(step: StepRun): StepPermits {
     const known = this.permitsByStep.get(step);
     if (known) return known;
--- a/packages/scheduling/tests/begunJobs.test.ts
+++ b/packages/scheduling/tests/begunJobs.test.ts
@@ -7,6 +7,7 @@
 import { expect } from "earl";
 import { Metrics, silentLogger } from "@rackspan/common";
 import type { HostCallResult } from "@rackspan/protocol";
+import { STARTED_PROGRESS } from "@rackspan/standins";
 import {
   decodeProgress,
   encodeSegment,
@@ -188,12 +189,7 @@
   const harness = new EngineHarness();
   const job = harness.submit("j", [{ taskCount: 2 }]);
   const progress = {
-    state: "running",
-    begun: true,
-    endedAt: 0,
-    done: {},
-    failures: [],
-    checkpoints: [],
+    ...STARTED_PROGRESS,
     placed: ["h1 0.0:0-1"],
     placedEpoch: 1,
   };
